--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demo; each prints one summary line last."""
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,276 @@
+"""Serves 60 requests through a small deployment and checks each answer."""
+
+import collections
+import hashlib
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import attrs
+import urllib3
+from testing.processes import Deployment, NodeHandle, deployed, wait_until
+
+_TOKENS = 6
+_CONFIGURATION = """
+[configuration]
+version = 1
+
+[data-centre east]
+region = coast
+[data-centre west]
+region = coast
+[data-centre far]
+region = coast
+
+[team crews]
+places = east, west
+[team potters]
+
+[service assist]
+kind = model
+base_model = base-7b
+[service tickets]
+kind = plain
+repeatable = no
+"""
+
+
+def make_configuration() -> str:
+    """Returns a configuration of 24 adapters in two teams."""
+    parts = [_CONFIGURATION]
+    for number in range(24):
+        team = "crews" if number % 2 else "potters"
+        places = ""
+        if number % 6 == 0:
+            places = "places = west\n"
+        if number == 23:
+            places = "places = far\n"
+        parts.append(
+            f"[adapter a{number}]\nteam = {team}\nservice = assist\n"
+            f"versions = v2, v1\n{places}"
+        )
+    # Team crews may only use east and west, so `far` leaves a23 no place;
+    # this one has a place, at which no runner stands.
+    parts.append(
+        "[adapter lonely]\nteam = potters\nservice = assist\n"
+        "versions = v1\nplaces = far\n"
+    )
+    return "\n".join(parts)
+
+
+@attrs.define
+class Tally:
+    """What became of the demo's requests."""
+
+    answered: int = 0
+    refused: int = 0
+    lost: int = 0
+    doubled: int = 0
+    wrong_place: int = 0
+    wrong: list[str] = attrs.Factory(list)
+
+    def line(self) -> str:
+        """Returns the summary line."""
+        return (
+            f"demo: answered={self.answered} refused={self.refused} "
+            f"lost={self.lost} doubled={self.doubled} "
+            f"wrong_place={self.wrong_place}"
+        )
+
+    def is_right(self) -> bool:
+        """Whether all held that must hold."""
+        faults = self.lost + self.doubled + self.wrong_place
+        return not faults and not self.wrong
+
+
+def allowed_places(number: int) -> set[str]:
+    """Returns the places that an adapter of the configuration may use."""
+    if number % 6 == 0:
+        return {"west"}
+    return {"east", "west"} if number % 2 else {"east", "west", "far"}
+
+
+class Demo:
+    """Sends the requests."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.tally = Tally()
+        self._nodes = list(deployment.nodes.values())
+        self._http = urllib3.PoolManager(retries=False, timeout=30)
+
+    def run(self) -> None:
+        """Sends all requests and checks the answers and journals."""
+        for number in range(40):
+            self._complete(number)
+        for number in range(6):
+            self._call_service(number)
+        for number in range(4):
+            self._resend(number)
+        for number in range(2):
+            self._expect_refusal(number, "a23", 403)
+            self._expect_refusal(number, "unheard-of", 404)
+            self._expect_refusal(number, "a1@v9", 404)
+        self._check_journals()
+
+    def _node(self, number: int) -> NodeHandle:
+        return self._nodes[number % len(self._nodes)]
+
+    def _post(
+        self,
+        node: NodeHandle,
+        path: str,
+        body: Any,
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        url = f"http://{node.callers}{path}"
+        return self._http.request("POST", url, json=body, headers=headers)
+
+    def _complete(self, number: int) -> None:
+        adapter = number % 23
+        name = f"a{adapter}" + ("@v1" if number % 3 == 0 else "")
+        streamed = number % 2 == 0
+        message = {"role": "user", "content": f"prompt {number}"}
+        body = {
+            "model": name,
+            "messages": [message],
+            "max_tokens": _TOKENS,
+            "stream": streamed,
+        }
+        answer = self._post(self._node(number), "/v1/chat/completions", body)
+        if answer.status != 200:
+            self.tally.lost += 1
+            self.tally.wrong.append(f"{name}: {answer.data!r}")
+            return
+        self.tally.answered += 1
+        words = _words(answer.data, streamed)
+        self._check_words(words, name, adapter, message)
+
+    def _check_words(
+        self, words: list[str], name: str, adapter: int, message: dict
+    ) -> None:
+        wanted = name if "@" in name else f"{name}@v2"
+        digest = hashlib.sha256(json.dumps([message]).encode()).hexdigest()
+        if len(words) != _TOKENS:
+            self.tally.lost += 1
+            return
+        if words[0] != wanted or words[3] != digest[:12]:
+            self.tally.wrong.append(f"{wanted}: got {words}")
+        if words[2] not in allowed_places(adapter):
+            self.tally.wrong_place += 1
+
+    def _call_service(self, number: int) -> None:
+        answer = self._post(
+            self._node(number), "/services/tickets/new", {"hole": number}
+        )
+        if answer.status == 200:
+            self.tally.answered += 1
+        else:
+            self.tally.lost += 1
+            self.tally.wrong.append(f"ticket {number}: {answer.data!r}")
+
+    def _resend(self, number: int) -> None:
+        headers = {"Idempotency-Key": f"key-{number}"}
+        body = {"keyed": number}
+        path = "/services/tickets/new"
+        first = self._post(self._node(number), path, body, headers)
+        second = self._post(self._node(number + 1), path, body, headers)
+        for answer in (first, second):
+            if answer.status == 200:
+                self.tally.answered += 1
+            else:
+                self.tally.lost += 1
+                self.tally.wrong.append(f"key {number}: {answer.data!r}")
+        if first.data != second.data:
+            self.tally.doubled += 1
+
+    def _expect_refusal(self, number: int, model: str, status: int) -> None:
+        body = {"model": model, "messages": []}
+        answer = self._post(self._node(number), "/v1/chat/completions", body)
+        outcome = answer.headers.get("X-Ridgesill-Outcome")
+        if answer.status == status and outcome == "not-run":
+            self.tally.refused += 1
+        else:
+            self.tally.wrong.append(f"{model}: {answer.status} {outcome}")
+
+    def _check_journals(self) -> None:
+        events = [
+            event
+            for stand_in in self.deployment.stand_ins.values()
+            for event in stand_in.events()
+        ]
+        keys = collections.Counter(e["key"] for e in events if e.get("key"))
+        requests = collections.Counter(
+            e["request"].split("/")[0]
+            for e in events
+            if e["event"] in ("begin", "call")
+        )
+        doubled = [k for k, n in (keys + requests).items() if n > 1]
+        self.tally.doubled += len(doubled)
+        in_use = [e for e in events if e["event"] == "unload-in-use"]
+        self.tally.wrong += [f"unloaded in use: {e}" for e in in_use]
+        if len(requests) != 50:
+            self.tally.wrong.append(f"{len(requests)} requests ran, not 50")
+
+
+def _words(data: bytes, streamed: bool) -> list[str]:
+    if not streamed:
+        document = json.loads(data)
+        return document["choices"][0]["message"]["content"].split()
+    words = []
+    for line in data.decode().splitlines():
+        if line.startswith("data: {"):
+            event = json.loads(line[6:])
+            words.append(event["choices"][0]["delta"]["content"])
+    return words
+
+
+def make_deployment(folder: Path) -> Deployment:
+    """Returns three nodes, two runners and a plain service."""
+    deployment = Deployment(folder)
+    for name, place in (("n1", "east"), ("n2", "east"), ("n3", "west")):
+        deployment.add_node(name, place, voter=True)
+    engine = {"load_seconds": 0.05}
+    deployment.add_stand_in("r1", "assist", "east", engine=engine)
+    deployment.add_stand_in("r2", "assist", "west", engine=engine)
+    deployment.add_stand_in("t1", "tickets", "east", kind="plain", slots=0)
+    return deployment
+
+
+def wait_ready(deployment: Deployment) -> None:
+    """Waits until every node serves and every pool has an owner."""
+    for node in deployment.nodes.values():
+        wait_until(node.is_ready, f"{node.name} is ready")
+    wanted = {
+        f"{s.data_centre}/{s.service}" for s in deployment.stand_ins.values()
+    }
+    for node in deployment.nodes.values():
+
+        def has_owners(node: NodeHandle = node) -> bool:
+            pools = deployment.status(node)["pools"]
+            return wanted <= {pool["pool"] for pool in pools}
+
+        wait_until(has_owners, f"{node.name} knows the pools' owners")
+
+
+def main() -> int:
+    """Runs the demo; returns 0 if all held."""
+    with tempfile.TemporaryDirectory() as name:
+        deployment = make_deployment(Path(name))
+        with deployed(deployment):
+            wait_until(deployment.leader, "a leader")
+            first = next(iter(deployment.nodes.values()))
+            print(deployment.apply(first, make_configuration()).strip())
+            wait_ready(deployment)
+            demo = Demo(deployment)
+            demo.run()
+        for fault in demo.tally.wrong:
+            print(f"fault: {fault}")
+        print(demo.tally.line())
+        return 0 if demo.tally.is_right() else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/ridgesill/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for very many LoRA adapters on runners with few slots."""
--- /dev/null
+++ b/src/ridgesill/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that touches sockets, files, logs and metrics."""
--- /dev/null
+++ b/src/ridgesill/adapters/caller_http.py
@@ -0,0 +1,393 @@
+"""The callers' interface: OpenAI-compatible HTTP, and plain services."""
+
+import hashlib
+import math
+import secrets
+import threading
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import attrs
+import msgspec
+from result import Err, Ok, Result
+
+from ridgesill.adapters.http_server import (
+    Answer,
+    BodyError,
+    StartResponse,
+    json_answer,
+    read_body,
+    send_answer,
+    status_line,
+)
+from ridgesill.core import calls
+from ridgesill.core.calls import Call, Refusal
+from ridgesill.core.pool import messages as pool_messages
+from ridgesill.core.state import State
+from ridgesill.ports.runner import RunnerRequest
+from ridgesill.ports.serving import CallerRequest, CutError, Reply, Serving
+
+_COMPLETIONS = ("/v1/chat/completions", "/v1/completions")
+_SERVICES = "/services/"
+_SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+_KEY_MOST = 200
+
+_STATUS = {
+    calls.UNKNOWN_ADAPTER: 404,
+    calls.UNKNOWN_VERSION: 404,
+    calls.UNKNOWN_SERVICE: 404,
+    calls.NO_PLACE: 403,
+    calls.KEY_IN_USE: 422,
+    calls.KEY_RUNNING: 409,
+    calls.KEY_UNKNOWN: 409,
+    pool_messages.QUEUE_FULL: 429,
+    pool_messages.SHED: 429,
+    "runner-failed": 502,
+}
+_OTHER_STATUS = 503
+
+_PASSED_HEADERS = {
+    "HTTP_ACCEPT": "Accept",
+    "HTTP_ACCEPT_LANGUAGE": "Accept-Language",
+    "HTTP_AUTHORIZATION": "Authorization",
+    "HTTP_USER_AGENT": "User-Agent",
+    "HTTP_IDEMPOTENCY_KEY": "Idempotency-Key",
+    "CONTENT_TYPE": "Content-Type",
+}
+
+
+@attrs.frozen
+class CallerLimits:
+    """Limits on callers.
+
+    Attributes:
+        streams: requests in progress at once in this process.
+        body_bytes: the largest body.
+        patience: seconds a request may wait unless it names its own.
+    """
+
+    streams: int
+    body_bytes: int
+    patience: float
+
+
+@attrs.frozen
+class Bad:
+    """A request that can't be understood."""
+
+    status: int
+    detail: str
+
+
+class CallerApp:
+    """The WSGI application of the callers' listener."""
+
+    def __init__(
+        self,
+        serving: Serving,
+        limits: CallerLimits,
+        state: Callable[[], State],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._serving = serving
+        self._limits = limits
+        self._state = state
+        self._is_ready = is_ready
+        self._lock = threading.Lock()
+        self._in_progress = 0
+
+    @property
+    def in_progress(self) -> int:
+        """Requests in progress."""
+        return self._in_progress
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serves one request."""
+        path = environ["PATH_INFO"]
+        plain = self._answer_plainly(environ["REQUEST_METHOD"], path)
+        if plain is not None:
+            return send_answer(plain, start_response)
+        if not self._enter():
+            refusal = Refusal(calls.TOO_MANY, "too many streams here", 1.0)
+            return send_answer(_refuse(refusal), start_response)
+        try:
+            body = self._serve(environ, start_response)
+        except BaseException:
+            self._leave()
+            raise
+        return _Leaving(body, self._leave)
+
+    def _answer_plainly(self, method: str, path: str) -> Answer | None:
+        if path == "/livez":
+            return Answer(200, b"ok\n", "text/plain")
+        if path == "/readyz":
+            ready = self._is_ready()
+            text = b"ready\n" if ready else b"not ready\n"
+            return Answer(200 if ready else 503, text, "text/plain")
+        if path == "/v1/models" and method == "GET":
+            return self._list_models()
+        if path in _COMPLETIONS and method != "POST":
+            return _bad(Bad(405, f"{path} takes POST"))
+        if path in _COMPLETIONS or path.startswith(_SERVICES):
+            return None
+        detail = f"no such path; try {_COMPLETIONS[0]} or {_SERVICES}NAME/"
+        return _bad(Bad(404, detail))
+
+    def _list_models(self) -> Answer:
+        table = self._state().table
+        models = [
+            {"id": name, "object": "model", "owned_by": adapter.team}
+            for name, adapter in table.adapters.items()
+        ]
+        return json_answer(200, {"object": "list", "data": models})
+
+    def _enter(self) -> bool:
+        with self._lock:
+            if self._in_progress >= self._limits.streams:
+                return False
+            self._in_progress += 1
+            return True
+
+    def _leave(self) -> None:
+        with self._lock:
+            self._in_progress -= 1
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        read = self._read(environ)
+        if isinstance(read, Err):
+            return send_answer(_bad(read.err_value), start_response)
+        request = read.ok_value
+        reply = self._serving.serve(request)
+        headers = _reply_headers(request.call, reply)
+        if reply.refusal is not None:
+            answer = _refuse(reply.refusal, reply.outcome, headers)
+            return send_answer(answer, start_response)
+        if isinstance(reply.body, bytes):
+            answer = Answer(
+                reply.status, reply.body, reply.content_type, headers
+            )
+            return send_answer(answer, start_response)
+        start_response(
+            status_line(reply.status),
+            [("Content-Type", reply.content_type), *headers],
+        )
+        return _ending_with_error(reply.body)
+
+    # -- reading a request ---------------------------------------------
+
+    def _read(self, environ: dict[str, Any]) -> Result[CallerRequest, Bad]:
+        try:
+            body = read_body(environ, self._limits.body_bytes)
+        except BodyError as error:
+            too_large = "larger" in str(error)
+            return Err(Bad(413 if too_large else 400, str(error)))
+        options = _read_options(environ, self._limits.patience)
+        if isinstance(options, Err):
+            return options
+        if environ["PATH_INFO"] in _COMPLETIONS:
+            return self._read_completion(environ, body, options.ok_value)
+        return self._read_service(environ, body, options.ok_value)
+
+    def _read_completion(
+        self, environ: dict[str, Any], body: bytes, options: "_Options"
+    ) -> Result[CallerRequest, Bad]:
+        try:
+            document = msgspec.json.decode(body)
+        except msgspec.DecodeError:
+            return Err(Bad(400, "the body is no JSON"))
+        if not isinstance(document, dict):
+            return Err(Bad(400, "the body must be a JSON object"))
+        model = document.get("model")
+        if not isinstance(model, str) or not model:
+            return Err(Bad(400, "'model' must name an adapter"))
+        if not isinstance(document.get("stream", False), bool):
+            return Err(Bad(400, "'stream' must be true or false"))
+        call = Call(
+            options.request,
+            model=model,
+            priority=options.priority,
+            patience=options.patience,
+        )
+        path = environ["PATH_INFO"]
+        request = RunnerRequest(
+            "POST", path, options.headers, document=document
+        )
+        return Ok(
+            CallerRequest(
+                call,
+                request,
+                options.key,
+                _digest("POST", path, body),
+                options.repeatable and not options.key,
+                document.get("stream", False),
+            )
+        )
+
+    def _read_service(
+        self, environ: dict[str, Any], body: bytes, options: "_Options"
+    ) -> Result[CallerRequest, Bad]:
+        rest = environ["PATH_INFO"][len(_SERVICES) :]
+        name, _, path = rest.partition("/")
+        query = environ.get("QUERY_STRING", "")
+        method = environ["REQUEST_METHOD"]
+        target = f"/{path}?{query}" if query else f"/{path}"
+        service = self._state().table.services.get(name)
+        safe = method in _SAFE_METHODS
+        allowed = service is not None and service.repeatable
+        call = Call(
+            options.request,
+            service=name,
+            team=options.team,
+            priority=options.priority,
+            patience=options.patience,
+        )
+        return Ok(
+            CallerRequest(
+                call,
+                RunnerRequest(method, target, options.headers, body),
+                "" if safe else options.key,
+                _digest(method, rest, body),
+                safe or (allowed and options.repeatable and not options.key),
+                streamed=False,
+            )
+        )
+
+
+@attrs.frozen
+class _Options:
+    """What a request's headers say."""
+
+    request: str
+    team: str
+    key: str
+    priority: int
+    patience: float
+    repeatable: bool
+    headers: dict[str, str]
+
+
+def _read_options(
+    environ: dict[str, Any], patience: float
+) -> Result[_Options, Bad]:
+    key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    if len(key) > _KEY_MOST:
+        return Err(Bad(400, f"Idempotency-Key is over {_KEY_MOST} characters"))
+    priority = environ.get("HTTP_X_RIDGESILL_PRIORITY", "1")
+    if priority not in ("0", "1", "2", "3"):
+        return Err(Bad(400, "X-Ridgesill-Priority must be 0, 1, 2 or 3"))
+    seconds = environ.get("HTTP_X_RIDGESILL_TIMEOUT", str(patience))
+    try:
+        timeout = float(seconds)
+    except ValueError:
+        timeout = math.nan
+    if not 0 < timeout <= 600:
+        return Err(Bad(400, "X-Ridgesill-Timeout must be seconds, 0 to 600"))
+    request = secrets.token_hex(8)
+    headers = {
+        name: environ[field]
+        for field, name in _PASSED_HEADERS.items()
+        if environ.get(field)
+    }
+    headers["X-Request-Id"] = request
+    headers["X-Priority"] = priority
+    return Ok(
+        _Options(
+            request,
+            environ.get("HTTP_X_RIDGESILL_TEAM", ""),
+            key,
+            int(priority),
+            timeout,
+            environ.get("HTTP_X_RIDGESILL_REPEATABLE", "yes") != "no",
+            headers,
+        )
+    )
+
+
+def _digest(method: str, path: str, body: bytes) -> str:
+    digest = hashlib.sha256(f"{method} {path}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()[:32]
+
+
+# -- answers -----------------------------------------------------------
+
+
+def _reply_headers(call: Call, reply: Reply) -> tuple[tuple[str, str], ...]:
+    headers = [("X-Ridgesill-Request", call.request)]
+    if reply.refusal is None:
+        headers.append(("X-Ridgesill-Outcome", reply.outcome))
+    if reply.replayed:
+        headers.append(("X-Ridgesill-Replayed", "yes"))
+    if reply.admission is not None:
+        admission = reply.admission
+        headers.append(("X-Ridgesill-Runner", admission.runner))
+        headers.append(("X-Ridgesill-Data-Centre", admission.data_centre))
+    return tuple(headers)
+
+
+def _refuse(
+    refusal: Refusal,
+    outcome: str = calls.NOT_RUN,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Answer:
+    status = _STATUS.get(refusal.reason, _OTHER_STATUS)
+    answer = _error(status, refusal.reason, refusal.detail, outcome)
+    extra = list(headers)
+    if refusal.retry_after:
+        seconds = str(math.ceil(refusal.retry_after))
+        extra.append(("Retry-After", seconds))
+    return attrs.evolve(answer, headers=(*answer.headers, *extra))
+
+
+def _bad(bad: Bad) -> Answer:
+    return _error(bad.status, "invalid-request", bad.detail, calls.NOT_RUN)
+
+
+def _error(status: int, code: str, detail: str, outcome: str) -> Answer:
+    kind = "invalid_request_error" if status < 500 else "server_error"
+    error = {"message": detail, "type": kind, "param": None, "code": code}
+    answer = json_answer(status, {"error": error, "outcome": outcome})
+    headers = (("X-Ridgesill-Outcome", outcome),)
+    return attrs.evolve(answer, headers=headers)
+
+
+def _ending_with_error(body: Iterator[bytes]) -> Iterator[bytes]:
+    """Passes a stream on; one that is cut ends in an error event."""
+    try:
+        yield from body
+    except CutError as error:
+        detail = {"message": str(error), "type": "server_error", "param": None}
+        event = {
+            "error": {**detail, "code": "stream-cut"},
+            "outcome": calls.UNKNOWN,
+        }
+        yield b"data: " + msgspec.json.encode(event) + b"\n\n"
+        # Without this the last chunk would say that the answer is whole.
+        raise
+
+
+class _Leaving:
+    """A response body that counts its request out when it is closed."""
+
+    def __init__(
+        self, body: Iterable[bytes], leave: Callable[[], None]
+    ) -> None:
+        self._body = body
+        self._leave = leave
+        self._left = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._body)
+
+    def close(self) -> None:
+        """Ends the request; cheroot calls it also when the caller is gone."""
+        close = getattr(self._body, "close", None)
+        if close is not None:
+            close()
+        if not self._left:
+            self._left = True
+            self._leave()
--- /dev/null
+++ b/src/ridgesill/adapters/configuration_ini.py
@@ -0,0 +1,148 @@
+"""Reads an operators' configuration file (INI)."""
+
+import hashlib
+
+from ridgesill.adapters.ini import (
+    IniReader,
+    to_choice,
+    to_flag,
+    to_integer,
+    to_name,
+    to_names,
+    to_number,
+)
+from ridgesill.core.configuration import (
+    MODEL,
+    PLAIN,
+    Adapter,
+    DataCentre,
+    Named,
+    Service,
+    Team,
+)
+from ridgesill.core.declaration import Declaration, find_mistakes
+
+_KINDS = ("data-centre", "team", "service", "adapter")
+
+
+def read_configuration(path: str) -> Declaration:
+    """Returns what a file declares.
+
+    Raises:
+        IniError: something is wrong; it lists everything that is.
+    """
+    return parse_configuration(IniReader.open(path))
+
+
+def parse_configuration(reader: IniReader) -> Declaration:
+    """Returns what a reader's text declares, or raises `IniError`."""
+    if not reader.parser.has_section("configuration"):
+        reader.report("configuration", "version", "the section is missing")
+        reader.finish()
+    named = _sections_by_kind(reader)
+    declared = Declaration(
+        reader.value("configuration", "version", to_integer(1, 2**53)),
+        _digest(reader),
+        reader.value("configuration", "based_on", to_integer(0, 2**53), -1),
+        tuple(_data_centre(reader, n) for n in named["data-centre"]),
+        tuple(_team(reader, n) for n in named["team"]),
+        tuple(_service(reader, n) for n in named["service"]),
+        tuple(_adapter(reader, n) for n in named["adapter"]),
+    )
+    reader.check_keys("configuration", {"version", "based_on"})
+    if not reader.problems:
+        for mistake in find_mistakes(declared):
+            reader.report(mistake.section, mistake.key, mistake.expected)
+    reader.finish()
+    return declared
+
+
+def _digest(reader: IniReader) -> str:
+    # Of the parsed content: comments and spacing don't make a new file.
+    digest = hashlib.sha256()
+    for section in reader.sections():
+        digest.update(f"[{section}]\n".encode())
+        for key, value in reader.parser.items(section):
+            digest.update(f"{key}={value}\n".encode())
+    return digest.hexdigest()[:32]
+
+
+def _sections_by_kind(reader: IniReader) -> dict[str, list[str]]:
+    named: dict[str, list[str]] = {kind: [] for kind in _KINDS}
+    for section in reader.sections():
+        kind, _, name = section.partition(" ")
+        if section == "configuration":
+            continue
+        if kind not in named or not name:
+            kinds = ", ".join(f"[{k} NAME]" for k in _KINDS)
+            reader.report(section, "", f"expected [configuration] or {kinds}")
+            continue
+        try:
+            named[kind].append(to_name(name))
+        except ValueError as error:
+            reader.report(section, "", str(error))
+    return named
+
+
+def _data_centre(reader: IniReader, name: str) -> DataCentre:
+    section = f"data-centre {name}"
+    reader.check_keys(section, {"region"})
+    return DataCentre(name, reader.value(section, "region", to_name))
+
+
+def _team(reader: IniReader, name: str) -> Team:
+    section = f"team {name}"
+    reader.check_keys(section, {"weight", "places"})
+    return Team(
+        name,
+        reader.value(section, "weight", to_number(0.01, 1000), 1.0),
+        reader.value(section, "places", to_names, ()),
+    )
+
+
+def _service(reader: IniReader, name: str) -> Service:
+    section = f"service {name}"
+    default = Service(name)
+    reader.check_keys(
+        section,
+        {
+            "kind",
+            "base_model",
+            "fenced",
+            "repeatable",
+            "places",
+            "load_rate",
+            "load_concurrency",
+            "batch_weight",
+        },
+    )
+    return Service(
+        name,
+        reader.value(section, "kind", to_choice(MODEL, PLAIN), MODEL),
+        reader.value(section, "base_model", to_name, ""),
+        reader.value(section, "fenced", to_flag, default.fenced),
+        reader.value(section, "repeatable", to_flag, default.repeatable),
+        reader.value(section, "places", to_names, ()),
+        reader.value(
+            section, "load_rate", to_number(0.01, 10_000), default.load_rate
+        ),
+        reader.value(
+            section,
+            "load_concurrency",
+            to_integer(1, 10_000),
+            default.load_concurrency,
+        ),
+        reader.value(section, "batch_weight", to_number(0, 1), 0.0),
+    )
+
+
+def _adapter(reader: IniReader, name: str) -> Named:
+    section = f"adapter {name}"
+    reader.check_keys(section, {"team", "service", "versions", "places"})
+    adapter = Adapter(
+        reader.value(section, "team", to_name),
+        reader.value(section, "service", to_name),
+        reader.value(section, "versions", to_names) or (),
+        reader.value(section, "places", to_names, ()) or (),
+    )
+    return Named(name, adapter)
--- /dev/null
+++ b/src/ridgesill/adapters/file_log.py
@@ -0,0 +1,225 @@
+"""A replica's log in files under the data folder.
+
+`log` holds records of a header (length, checksum of the body, checksum of the
+header itself) and a body. `snapshot` holds one such record. `identity` names
+the voter. A short last record was never acknowledged and is cut off; anything
+else that doesn't match its checksum stops the process, which then says what
+to do, since a voter must not forget what it has acknowledged.
+"""
+
+import os
+import secrets
+import struct
+import zlib
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import attrs
+
+from ridgesill.core import codec
+from ridgesill.core.log.messages import (
+    Entry,
+    HardState,
+    Snapshot,
+    Stored,
+    Voters,
+)
+
+_HEADER = struct.Struct("<III")
+_LOG = "log"
+_SNAPSHOT = "snapshot"
+_IDENTITY = "identity"
+
+
+class StorageError(Exception):
+    """A data folder that must not be used as it is."""
+
+    def __init__(self, path: Path, offset: int, detail: str) -> None:
+        super().__init__(
+            f"{path}: byte {offset}: {detail}. Move the data folder away and "
+            "start the node again: it then joins as a new voter "
+            "(docs/how-to/replace-a-voter.md)"
+        )
+        self.path = path
+        self.offset = offset
+
+
+@attrs.frozen
+class _Record:
+    offset: int
+    value: Any
+
+
+class FileLog:
+    """Implements `ports.storage.Storage`.
+
+    Args:
+        folder: the data folder; made if missing.
+        sync: makes a file's data durable; replaced in measurements.
+    """
+
+    def __init__(self, folder: Path, sync: Any = os.fdatasync) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._sync = sync
+        self._file: BinaryIO | None = None
+        self.identity = self._read_identity()
+
+    def found(self, identity: str, snapshot: Snapshot) -> None:
+        """Makes an empty folder the start of a new log.
+
+        Raises:
+            StorageError: the folder holds a log already.
+        """
+        if self.identity:
+            raise StorageError(
+                self._folder / _IDENTITY, 0, "a log was founded here before"
+            )
+        self._write_file(_SNAPSHOT, _frame(codec.encode(snapshot)))
+        self._write_file(_LOG, b"")
+        self._write_file(_IDENTITY, identity.encode())
+        self.identity = identity
+
+    def join(self, name: str) -> None:
+        """Gives an empty folder a fresh identity, to be made a voter of."""
+        identity = f"{name}.{secrets.token_hex(4)}"
+        self.found(identity, Snapshot(0, 0, Voters(()), b""))
+
+    def load(self) -> Stored:
+        """Returns what the files hold and opens the log for appending."""
+        snapshot = self._load_snapshot()
+        hard_state = HardState()
+        entries: list[Entry] = []
+        for record in self._read_log():
+            if isinstance(record.value, HardState):
+                hard_state = record.value
+            else:
+                _place(entries, record.value)
+        self._file = (self._folder / _LOG).open("ab")
+        kept = tuple(e for e in entries if e.index > snapshot.index)
+        return Stored(hard_state, kept, snapshot)
+
+    def append(
+        self, hard_state: HardState | None, entries: list[Entry]
+    ) -> None:
+        """Adds records and syncs them."""
+        frames = [_frame(codec.encode(entry)) for entry in entries]
+        if hard_state is not None:
+            frames.insert(0, _frame(codec.encode(hard_state)))
+        if not frames or self._file is None:
+            return
+        self._file.write(b"".join(frames))
+        self._file.flush()
+        self._sync(self._file.fileno())
+
+    def replace(
+        self,
+        snapshot: Snapshot,
+        hard_state: HardState,
+        entries: tuple[Entry, ...],
+    ) -> None:
+        """Stores a snapshot, then a log that starts after it.
+
+        A kill between the two leaves an old log beside a new snapshot, which
+        `load` reads rightly: what the snapshot covers is passed over.
+        """
+        self._write_file(_SNAPSHOT, _frame(codec.encode(snapshot)))
+        frames = [_frame(codec.encode(hard_state))]
+        frames += [_frame(codec.encode(entry)) for entry in entries]
+        self._write_file(_LOG, b"".join(frames))
+        if self._file is not None:
+            self._file.close()
+        self._file = (self._folder / _LOG).open("ab")
+
+    def close(self) -> None:
+        """Closes the log."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+    def _read_identity(self) -> str:
+        path = self._folder / _IDENTITY
+        return path.read_text().strip() if path.exists() else ""
+
+    def _load_snapshot(self) -> Snapshot:
+        path = self._folder / _SNAPSHOT
+        data = path.read_bytes()
+        records = _read_records(path, data)
+        if len(records) != 1:
+            raise StorageError(path, 0, "no whole snapshot")
+        return records[0].value
+
+    def _read_log(self) -> list[_Record]:
+        path = self._folder / _LOG
+        data = path.read_bytes()
+        records = _read_records(path, data)
+        end = _end_of(data)
+        if end < len(data):
+            with path.open("r+b") as file:
+                file.truncate(end)
+                self._sync(file.fileno())
+        return records
+
+    def _write_file(self, name: str, data: bytes) -> None:
+        temporary = self._folder / f"{name}.new"
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            self._sync(file.fileno())
+        temporary.replace(self._folder / name)
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+
+def _frame(body: bytes) -> bytes:
+    start = struct.pack("<II", len(body), zlib.crc32(body))
+    return start + struct.pack("<I", zlib.crc32(start)) + body
+
+
+def _read_records(path: Path, data: bytes) -> list[_Record]:
+    records = []
+    offset = 0
+    end = _end_of(data, path)
+    while offset < end:
+        length, _, _ = _HEADER.unpack_from(data, offset)
+        start = offset + _HEADER.size
+        body = data[start : start + length]
+        records.append(_Record(offset, _decode(path, offset, body)))
+        offset = start + length
+    return records
+
+
+def _decode(path: Path, offset: int, body: bytes) -> Any:
+    try:
+        return codec.decode(body)
+    except codec.DecodeError as error:
+        raise StorageError(path, offset, str(error)) from error
+
+
+def _end_of(data: bytes, path: Path = Path()) -> int:
+    """Returns where the whole records end; checks them on the way."""
+    offset = 0
+    while offset + _HEADER.size <= len(data):
+        length, checksum, own = _HEADER.unpack_from(data, offset)
+        if zlib.crc32(data[offset : offset + 8]) != own:
+            if not any(data[offset:]):
+                # Space that a crash left allocated but never written.
+                return offset
+            raise StorageError(path, offset, "a record's header is corrupt")
+        stop = offset + _HEADER.size + length
+        if stop > len(data):
+            return offset
+        if zlib.crc32(data[offset + _HEADER.size : stop]) != checksum:
+            raise StorageError(path, offset, "a record's body is corrupt")
+        offset = stop
+    return offset
+
+
+def _place(entries: list[Entry], entry: Entry) -> None:
+    """Adds an entry; one at an index already there cuts the tail."""
+    while entries and entries[-1].index >= entry.index:
+        entries.pop()
+    entries.append(entry)
--- /dev/null
+++ b/src/ridgesill/adapters/http_server.py
@@ -0,0 +1,155 @@
+"""HTTP servers by cheroot, each with its own threads and limits."""
+
+import math
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+import msgspec
+from cheroot import wsgi
+
+from ridgesill.adapters.peer_rpc import split_address
+
+StartResponse = Callable[..., Any]
+WsgiApp = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
+_BACKLOG = 1024
+
+
+@attrs.frozen
+class ServerLimits:
+    """Limits of a listener.
+
+    Attributes:
+        threads: requests worked on at once.
+        header_bytes: the largest request header.
+        body_bytes: the largest request body.
+        seconds: how long a read or write on a connection may take.
+    """
+
+    threads: int
+    header_bytes: int
+    body_bytes: int
+    seconds: float
+
+
+class HttpServer:
+    """A listener that runs a WSGI application on its own threads."""
+
+    def __init__(
+        self, address: str, app: WsgiApp, limits: ServerLimits
+    ) -> None:
+        self._server = wsgi.Server(
+            split_address(address),
+            app,
+            numthreads=limits.threads,
+            max=limits.threads,
+            request_queue_size=_BACKLOG,
+            timeout=math.ceil(limits.seconds),
+            shutdown_timeout=1,
+        )
+        self._server.max_request_header_size = limits.header_bytes
+        self._server.max_request_body_size = limits.body_bytes
+        self._server.keep_alive_conn_limit = _BACKLOG
+        self._server.error_log = _ignore  # type: ignore[method-assign]
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+
+    def start(self) -> None:
+        """Listens; returns once the port is open."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Closes the listener and its connections."""
+        self._server.stop()
+
+
+def _ignore(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Drops cheroot's own messages: they may quote what a caller sent."""
+
+
+@attrs.frozen
+class Answer:
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+_PHRASES = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Payload Too Large",
+    422: "Unprocessable Entity",
+    429: "Too Many Requests",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def status_line(status: int) -> str:
+    """Returns a status with its phrase."""
+    return f"{status} {_PHRASES.get(status, 'Status')}"
+
+
+def json_answer(status: int, value: Any) -> Answer:
+    """Returns an answer with a JSON body."""
+    return Answer(status, msgspec.json.encode(value))
+
+
+def send_answer(answer: Answer, start_response: StartResponse) -> list[bytes]:
+    """Starts a WSGI response and returns its body."""
+    headers = [
+        ("Content-Type", answer.content_type),
+        ("Content-Length", str(len(answer.body))),
+        *answer.headers,
+    ]
+    start_response(status_line(answer.status), headers)
+    return [answer.body]
+
+
+class BodyError(Exception):
+    """A request body that can't be read; says why."""
+
+
+def read_body(environ: dict[str, Any], limit: int) -> bytes:
+    """Returns a request's body.
+
+    Raises:
+        BodyError: it is too large, cut off, or too slow.
+    """
+    length = environ.get("CONTENT_LENGTH") or "-1"
+    if not length.lstrip("-").isdigit():
+        raise BodyError("Content-Length is no number")
+    if int(length) > limit:
+        raise BodyError(f"the body is larger than {limit} bytes")
+    stream = environ["wsgi.input"]
+    try:
+        data = (
+            stream.read(int(length))
+            if int(length) >= 0
+            else _read_chunked(environ, limit)
+        )
+    except (OSError, ValueError) as error:
+        raise BodyError("the body could not be read in time") from error
+    if int(length) >= 0 and len(data) < int(length):
+        raise BodyError("the body ended early")
+    return bytes(data)
+
+
+def _read_chunked(environ: dict[str, Any], limit: int) -> bytes:
+    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
+        return b""
+    data = environ["wsgi.input"].read(limit + 1)
+    if len(data) > limit:
+        raise BodyError(f"the body is larger than {limit} bytes")
+    return bytes(data)
--- /dev/null
+++ b/src/ridgesill/adapters/metrics.py
@@ -0,0 +1,110 @@
+"""Metrics by OpenTelemetry, read in Prometheus' text format."""
+
+from collections.abc import Callable, Iterable
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import (
+    ExplicitBucketHistogramAggregation,
+    View,
+)
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.registry import REGISTRY
+
+_SECONDS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    1.6,
+    2.5,
+    5,
+    10,
+    30,
+    60,
+)
+_BATCHES = (1, 2, 4, 8, 12, 16, 24, 32, 64)
+
+
+class Metrics:
+    """The instruments of a node.
+
+    Histograms carry `team` and `class`, the priority class.
+    """
+
+    def __init__(self) -> None:
+        views = [
+            View(
+                instrument_name="ridgesill_*_seconds",
+                aggregation=ExplicitBucketHistogramAggregation(_SECONDS),
+            ),
+            View(
+                instrument_name="ridgesill_batch_size",
+                aggregation=ExplicitBucketHistogramAggregation(_BATCHES),
+            ),
+        ]
+        reader = PrometheusMetricReader(disable_target_info=True)
+        provider = MeterProvider(metric_readers=[reader], views=views)
+        self._registry: CollectorRegistry = REGISTRY
+        meter = provider.get_meter("ridgesill")
+        self._meter = meter
+        self._first_byte = meter.create_histogram(
+            "ridgesill_first_byte_seconds"
+        )
+        self._total = meter.create_histogram("ridgesill_total_seconds")
+        self._stall = meter.create_histogram("ridgesill_load_stall_seconds")
+        self._wait = meter.create_histogram("ridgesill_queue_wait_seconds")
+        self._load = meter.create_histogram("ridgesill_adapter_load_seconds")
+        self._batch = meter.create_histogram("ridgesill_batch_size")
+        self._requests = meter.create_counter("ridgesill_requests")
+
+    def observe_admission(
+        self,
+        team: str,
+        priority: int,
+        *,
+        waited: float,
+        stalled: float,
+        batch: int,
+    ) -> None:
+        """Notes how a request was admitted; times in seconds."""
+        labels = {"team": team, "class": str(priority)}
+        self._wait.record(waited, labels)
+        self._stall.record(stalled, labels)
+        self._batch.record(batch, labels)
+
+    def observe_first_byte(
+        self, team: str, priority: int, seconds: float
+    ) -> None:
+        """Notes the time to the first byte of an answer."""
+        labels = {"team": team, "class": str(priority)}
+        self._first_byte.record(seconds, labels)
+
+    def observe_end(
+        self, team: str, priority: int, outcome: str, seconds: float
+    ) -> None:
+        """Notes what became of a request."""
+        labels = {"team": team, "class": str(priority)}
+        self._total.record(seconds, labels)
+        self._requests.add(1, {**labels, "outcome": outcome})
+
+    def observe_load(self, service: str, seconds: float) -> None:
+        """Notes how long an adapter's load took."""
+        self._load.record(seconds, {"service": service})
+
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Has a gauge read from a function whenever metrics are asked for."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(name, callbacks=[observe])
+
+    def render(self) -> bytes:
+        """Returns all metrics in Prometheus' text format."""
+        return bytes(generate_latest(self._registry))
--- /dev/null
+++ b/src/ridgesill/adapters/peer_rpc.py
@@ -0,0 +1,252 @@
+"""Messages between nodes over grpclib, one open stream to each peer."""
+
+import asyncio
+import itertools
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+from eliot import log_message
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from ridgesill.adapters.wire.peer_grpc import PeerBase, PeerStub
+from ridgesill.adapters.wire.peer_pb2 import Envelope
+from ridgesill.core import codec
+from ridgesill.ports.peers import PeerError
+
+# A handler returns the reply to a call, or None to a message without one.
+Handler = Callable[[str, Any], Awaitable[Any]]
+
+_QUEUE = 1024
+_RECONNECT = 0.2
+_STREAM_ERRORS = (
+    OSError,
+    GRPCError,
+    StreamTerminatedError,
+    asyncio.TimeoutError,
+)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns the host and port of `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class PeerServer(PeerBase):
+    """Hands every message that arrives to a handler."""
+
+    def __init__(self, handler: Handler, identity: str) -> None:
+        self._handler = handler
+        self._identity = identity
+        self._server = Server([self])
+
+    async def start(
+        self, address: str, context: ssl.SSLContext | None = None
+    ) -> None:
+        """Listens on an address."""
+        host, port = split_address(address)
+        await self._server.start(host, port, ssl=context)
+
+    async def stop(self) -> None:
+        """Closes the listener and all streams."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def Exchange(  # noqa: N802 - the generated base names it so
+        self, stream: Stream[Envelope, Envelope]
+    ) -> None:
+        """Serves one peer's stream."""
+        tasks: set[asyncio.Task[None]] = set()
+        try:
+            async for envelope in stream:
+                task = asyncio.create_task(self._handle(stream, envelope))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _handle(
+        self, stream: Stream[Envelope, Envelope], envelope: Envelope
+    ) -> None:
+        reply = Envelope(call=envelope.call, reply=True, sender=self._identity)
+        try:
+            message = codec.decode(envelope.body)
+            answer = await self._handler(envelope.sender, message)
+            if answer is not None:
+                reply.body = codec.encode(answer)
+        except (codec.DecodeError, PeerError) as error:
+            reply.error = str(error)
+        if not envelope.call:
+            return
+        try:
+            await stream.send_message(reply)
+        except _STREAM_ERRORS as error:
+            log_message(
+                "peer:reply_lost", peer=envelope.sender, reason=str(error)
+            )
+
+
+@attrs.define
+class _Link:
+    """The stream to one peer, owned by one task."""
+
+    address: str
+    outbox: asyncio.Queue[Envelope]
+    calls: dict[int, asyncio.Future[Envelope]] = attrs.Factory(dict)
+    task: asyncio.Task[None] | None = None
+
+
+class PeerLinks:
+    """Implements `ports.peers.Peers`.
+
+    Args:
+        identity: this node, as name#incarnation.
+        context: returns the TLS context for new streams, or None.
+        own_address: messages to it are handed to `handler` directly.
+        handler: takes this node's messages to itself.
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        context: Callable[[], ssl.SSLContext | None] = lambda: None,
+        own_address: str = "",
+        handler: Handler | None = None,
+    ) -> None:
+        self._identity = identity
+        self._own_address = own_address
+        self._handler = handler
+        self._own_tasks: set[asyncio.Task[Any]] = set()
+        self._context = context
+        self._links: dict[str, _Link] = {}
+        self._numbers = itertools.count(1)
+
+    def send(self, address: str, message: Any) -> None:
+        """Sends a message; a full queue drops it."""
+        if self._handler and address == self._own_address:
+            task = asyncio.ensure_future(self._handler(self._identity, message))
+            self._own_tasks.add(task)
+            task.add_done_callback(self._own_tasks.discard)
+            return
+        envelope = Envelope(sender=self._identity, body=codec.encode(message))
+        self._post(address, envelope)
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        """Returns the answer to a message, or raises `PeerError`."""
+        step = type(message).__name__
+        if self._handler and address == self._own_address:
+            return await self._call_self(step, message, timeout)
+        number = next(self._numbers)
+        envelope = Envelope(
+            call=number, sender=self._identity, body=codec.encode(message)
+        )
+        link = self._link(address)
+        future = asyncio.get_running_loop().create_future()
+        link.calls[number] = future
+        try:
+            self._post(address, envelope)
+            reply = await asyncio.wait_for(future, timeout)
+        except TimeoutError as error:
+            raise PeerError(step, address, "no answer in time") from error
+        except ConnectionError as error:
+            raise PeerError(step, address, str(error)) from error
+        finally:
+            link.calls.pop(number, None)
+        if reply.error or not reply.body:
+            raise PeerError(step, address, reply.error or "empty answer")
+        return codec.decode(reply.body)
+
+    async def _call_self(self, step: str, message: Any, timeout: float) -> Any:
+        assert self._handler is not None
+        answer = self._handler(self._identity, message)
+        try:
+            return await asyncio.wait_for(answer, timeout)
+        except TimeoutError as error:
+            own = self._own_address
+            raise PeerError(step, own, "no answer in time") from error
+
+    async def close(self) -> None:
+        """Ends all streams."""
+        tasks = [link.task for link in self._links.values() if link.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def reopen(self) -> None:
+        """Lets streams opened from now on use a new TLS context.
+
+        Streams in use go on under the old one until they end by themselves.
+        """
+        self._links = {}
+
+    def _link(self, address: str) -> _Link:
+        link = self._links.get(address)
+        if link is None:
+            link = _Link(address, asyncio.Queue(_QUEUE))
+            link.task = asyncio.create_task(self._run(link))
+            self._links[address] = link
+        return link
+
+    def _post(self, address: str, envelope: Envelope) -> None:
+        try:
+            self._link(address).outbox.put_nowait(envelope)
+        except asyncio.QueueFull:
+            log_message("peer:queue_full", peer=address)
+
+    async def _run(self, link: _Link) -> None:
+        while True:
+            try:
+                await self._exchange(link)
+            except _STREAM_ERRORS as error:
+                self._fail(link, str(error) or type(error).__name__)
+            else:
+                self._fail(link, "stream ended")
+            await asyncio.sleep(_RECONNECT)
+
+    async def _exchange(self, link: _Link) -> None:
+        first = await link.outbox.get()
+        host, port = split_address(link.address)
+        channel = Channel(host, port, ssl=self._context())
+        try:
+            async with PeerStub(channel).Exchange.open() as stream:
+                await stream.send_message(first)
+                reader = asyncio.create_task(self._read(link, stream))
+                writer = asyncio.create_task(self._write(link, stream))
+                await _first_of(reader, writer)
+        finally:
+            channel.close()
+
+    async def _write(self, link: _Link, stream: Any) -> None:
+        while True:
+            await stream.send_message(await link.outbox.get())
+
+    async def _read(self, link: _Link, stream: Any) -> None:
+        async for envelope in stream:
+            future = link.calls.get(envelope.call)
+            if future and not future.done():
+                future.set_result(envelope)
+
+    def _fail(self, link: _Link, reason: str) -> None:
+        for future in link.calls.values():
+            if not future.done():
+                future.set_exception(ConnectionError(reason))
+        while not link.outbox.empty():
+            link.outbox.get_nowait()
+
+
+async def _first_of(*tasks: asyncio.Task[None]) -> None:
+    """Waits until one task ends, ends the others, and raises its error."""
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for task in done:
+        if not task.cancelled() and task.exception():
+            raise task.exception()  # type: ignore[misc]
--- /dev/null
+++ b/src/ridgesill/adapters/runner_http.py
@@ -0,0 +1,178 @@
+"""Requests and orders to runners over HTTP, by urllib3."""
+
+import asyncio
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import urllib3
+from eliot import log_message
+from result import Err, Ok, Result
+
+from ridgesill.core.runners import FENCE, LOAD, Order
+from ridgesill.ports import orders
+from ridgesill.ports.runner import (
+    AnswerCutError,
+    RunnerFailure,
+    RunnerRequest,
+)
+
+EPOCH_HEADER = "X-Fencing-Epoch"
+DEADLINE_HEADER = "X-Order-Deadline"
+UNSTARTED_HEADER = "X-Unstarted"
+
+_POOLS = 1024
+_CONNECT_SECONDS = 1.0
+_LOAD_SECONDS = 10.0
+_PATHS = {
+    LOAD: "/v1/load_lora_adapter",
+    "unload": "/v1/unload_lora_adapter",
+    FENCE: "/v1/fence",
+}
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+_CHUNK = 65536
+
+
+class HttpRunnerResponse:
+    """Implements `ports.runner.RunnerResponse`."""
+
+    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+        self._response = response
+        self.status = response.status
+        self.headers = response.headers
+
+    @property
+    def content_type(self) -> str:
+        """The answer's content type."""
+        return self.headers.get("Content-Type", "application/octet-stream")
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yields the body as it arrives; raises `AnswerCutError`."""
+        try:
+            yield from self._response.stream(_CHUNK)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise AnswerCutError(str(error)) from error
+
+    def read(self) -> bytes:
+        """Returns the whole body; raises `AnswerCutError`."""
+        return b"".join(self.chunks())
+
+    def release(self) -> None:
+        """Gives the connection back after the whole body was read."""
+        self._response.release_conn()
+
+    def cancel(self) -> None:
+        """Closes the connection, by which a runner cancels the request."""
+        self._response.close()
+
+
+class HttpRunners:
+    """Implements `ports.runner.Runners`.
+
+    Args:
+        seconds: how long a runner may stay silent within an answer.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self._timeout = urllib3.Timeout(connect=_CONNECT_SECONDS, read=seconds)
+        self._pool = urllib3.PoolManager(
+            num_pools=_POOLS, maxsize=64, retries=False, timeout=self._timeout
+        )
+
+    def open(
+        self, address: str, request: RunnerRequest, *, repeatable: bool
+    ) -> Result[HttpRunnerResponse, RunnerFailure]:
+        """Sends a request and returns once the answer's header is here.
+
+        One that is not repeatable gets a fresh connection: on a kept one, a
+        runner's close looks the same before and after it took the request.
+        """
+        url = f"http://{address}{request.path}"
+        try:
+            if repeatable:
+                response = self._send(self._pool, url, request)
+            else:
+                fresh = urllib3.PoolManager(
+                    num_pools=1, retries=False, timeout=self._timeout
+                )
+                response = self._send(fresh, url, request)
+        except _NOT_SENT as error:
+            return Err(RunnerFailure("connect", address, str(error), True))
+        except urllib3.exceptions.HTTPError as error:
+            return Err(RunnerFailure("request", address, str(error), False))
+        return _check(response, address)
+
+    def _send(
+        self, pool: urllib3.PoolManager, url: str, request: RunnerRequest
+    ) -> urllib3.BaseHTTPResponse:
+        return pool.request(
+            request.method,
+            url,
+            body=request.body,
+            headers=request.headers,
+            preload_content=False,
+            redirect=False,
+        )
+
+
+def _check(
+    response: urllib3.BaseHTTPResponse, address: str
+) -> Result[HttpRunnerResponse, RunnerFailure]:
+    if response.headers.get(UNSTARTED_HEADER, "") != "true":
+        return Ok(HttpRunnerResponse(response))
+    detail = f"status {response.status}, not started"
+    absent = response.status == 404
+    response.drain_conn()
+    response.release_conn()
+    return Err(RunnerFailure("start", address, detail, True, absent))
+
+
+class HttpOrders:
+    """Implements `ports.orders.Orders`."""
+
+    def __init__(self) -> None:
+        timeout = urllib3.Timeout(connect=_CONNECT_SECONDS, read=_LOAD_SECONDS)
+        self._pool = urllib3.PoolManager(
+            num_pools=_POOLS, retries=False, timeout=timeout
+        )
+        self._threads = ThreadPoolExecutor(16, "orders")
+
+    async def send(self, order: Order) -> str:
+        """Returns what became of an order."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._threads, self._post, order)
+
+    def _post(self, order: Order) -> str:
+        headers = {
+            EPOCH_HEADER: str(order.epoch),
+            DEADLINE_HEADER: str(order.deadline),
+        }
+        try:
+            response = self._pool.request(
+                "POST",
+                f"http://{order.address}{_PATHS[order.action]}",
+                json={"lora_name": order.adapter},
+                headers=headers,
+            )
+        except _NOT_SENT as error:
+            return _log_order(order, orders.FAILED, str(error))
+        except urllib3.exceptions.HTTPError as error:
+            return _log_order(order, orders.UNKNOWN, str(error))
+        if response.status == 200:
+            return orders.DONE
+        return _log_order(order, orders.FAILED, f"status {response.status}")
+
+
+def _log_order(order: Order, verdict: str, detail: str) -> str:
+    log_message(
+        "order:not_done",
+        step=order.action,
+        peer=order.address,
+        runner=order.runner,
+        adapter=order.adapter,
+        verdict=verdict,
+        detail=detail,
+    )
+    return verdict
--- /dev/null
+++ b/src/ridgesill/app/cli.py
@@ -0,0 +1,196 @@
+"""The command line."""
+
+import asyncio
+import sys
+import uuid
+from pathlib import Path
+from typing import Any
+
+import fire
+import msgspec
+import urllib3
+
+from ridgesill.adapters.ini import IniError
+
+_TIMEOUT = 30.0
+
+
+class CommandError(Exception):
+    """A command that failed; says what to do next."""
+
+
+class Commands:
+    """Ridgesill serves very many LoRA adapters on runners with few slots.
+
+    Run `ridgesill COMMAND --help` for one command.
+    """
+
+    def found(self, settings: str) -> str:
+        """Makes a first voter's empty data folder the start of a new log.
+
+        Run it once on each VM that [voters] seeds names, before any node
+        runs; never again after a disk was lost.
+
+        Args:
+            settings: path of the node's settings file.
+        """
+        from ridgesill.app.found import found_log
+        from ridgesill.app.settings import read_settings
+
+        read = read_settings(settings)
+        if not read.data_folder or read.name not in read.seeds:
+            raise CommandError(
+                f"{settings}: only a node with a data folder that [voters] "
+                "seeds names can found the log"
+            )
+        return f"founded {found_log(read)}"
+
+    def node(self, settings: str) -> None:
+        """Runs a node until SIGTERM, which lets work in progress finish.
+
+        Args:
+            settings: path of the node's settings file.
+        """
+        from ridgesill.adapters.logs import open_log
+        from ridgesill.app.clock import BootClockLoop
+        from ridgesill.app.node import NodeProcess
+        from ridgesill.app.settings import read_settings
+
+        read = read_settings(settings)
+        open_log(read.log_file)
+        token = Path(read.token_file).read_text().strip()
+
+        async def run() -> None:
+            await NodeProcess(read, token).run()
+
+        with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+            runner.run(run())
+
+    def check(self, file: str) -> str:
+        """Checks a configuration file and lists everything wrong with it.
+
+        Args:
+            file: path of the configuration file.
+        """
+        from ridgesill.adapters.configuration_ini import read_configuration
+
+        declared = read_configuration(file)
+        return (
+            f"{file}: version {declared.version} is well formed: "
+            f"{len(declared.teams)} teams, {len(declared.services)} services, "
+            f"{len(declared.adapters)} adapters"
+        )
+
+    def apply(
+        self, file: str, admin: str, token_file: str, operation: str = ""
+    ) -> str:
+        """Applies a configuration file as a whole.
+
+        Args:
+            file: path of the configuration file.
+            admin: IP:PORT of any node's administration interface.
+            token_file: path of the file that holds the token.
+            operation: names this attempt; give the same one to send a file
+                again whose answer was lost.
+        """
+        from ridgesill.adapters.configuration_ini import read_configuration
+
+        declared = read_configuration(file)
+        body = msgspec.json.encode(declared)
+        headers = {"X-Operation-Id": operation or uuid.uuid4().hex}
+        answer = _ask(
+            admin, token_file, "POST", "/v1/configuration", body, headers
+        )
+        if answer.get("verdict") != "accepted":
+            raise CommandError(f"{file}: {answer.get('detail', answer)}")
+        return f"{file}: {answer['detail']}"
+
+    def show(self, admin: str, token_file: str) -> str:
+        """Shows which configuration is in force on a node.
+
+        Args:
+            admin: IP:PORT of the node's administration interface.
+            token_file: path of the file that holds the token.
+        """
+        return _pretty(_ask(admin, token_file, "GET", "/v1/configuration"))
+
+    def status(self, admin: str, token_file: str) -> str:
+        """Shows nodes, voters, pools with their owners, and runners.
+
+        Args:
+            admin: IP:PORT of any node's administration interface.
+            token_file: path of the file that holds the token.
+        """
+        return _pretty(_ask(admin, token_file, "GET", "/v1/status"))
+
+    def drain(self, admin: str, token_file: str) -> str:
+        """Has a node finish its work, hand over its pools and stop.
+
+        Args:
+            admin: IP:PORT of the node's administration interface.
+            token_file: path of the file that holds the token.
+        """
+        _ask(admin, token_file, "POST", "/v1/drain")
+        return f"{admin}: draining"
+
+    def stand_in(self, settings: str) -> None:
+        """Runs a stand-in for a runner or a plain service, for trials.
+
+        Args:
+            settings: path of the stand-in's settings file.
+        """
+        from ridgesill.standin.process import run_stand_in
+
+        run_stand_in(settings)
+
+
+def _ask(
+    admin: str,
+    token_file: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> Any:
+    try:
+        token = Path(token_file).read_text().strip()
+    except OSError as error:
+        raise CommandError(f"{token_file}: {error.strerror}") from error
+    sent = {"Authorization": f"Bearer {token}", **(headers or {})}
+    try:
+        response = urllib3.request(
+            method,
+            f"http://{admin}{path}",
+            body=body,
+            headers=sent,
+            timeout=_TIMEOUT,
+            retries=False,
+        )
+    except urllib3.exceptions.HTTPError as error:
+        raise CommandError(
+            f"{method} {path} with {admin}: {error}; is this a node's "
+            "[listen] admin address?"
+        ) from error
+    if response.status == 401:
+        raise CommandError(f"{admin} does not accept the token in {token_file}")
+    try:
+        return msgspec.json.decode(response.data)
+    except msgspec.DecodeError as error:
+        raise CommandError(f"{admin}: status {response.status}") from error
+
+
+def _pretty(value: Any) -> str:
+    return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
+
+
+def main() -> None:
+    """Runs the command line; problems end with a message and status 1."""
+    try:
+        fire.Fire(Commands, name="ridgesill")
+    except (CommandError, IniError) as error:
+        print(f"ridgesill: {error}", file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/ridgesill/app/control.py
@@ -0,0 +1,371 @@
+"""A node's part in the control plane: following, leading, proposing."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from eliot import log_message
+
+from ridgesill.app.log_driver import (
+    LogDriver,
+    LostLeadershipError,
+    NotLeaderError,
+    ReplicaMessage,
+)
+from ridgesill.core import codec
+from ridgesill.core.commands import Node
+from ridgesill.core.following import (
+    Beat,
+    Follow,
+    FollowReply,
+    Propose,
+    ProposeReply,
+)
+from ridgesill.core.freshness import NEVER, Freshness
+from ridgesill.core.membership import Membership
+from ridgesill.core.rendezvous import rank
+from ridgesill.core.state import State, is_followed
+from ridgesill.core.voter_changes import decide_change, voter_name
+from ridgesill.ports.peers import PeerError, Peers
+
+_APPLY_WAIT = 0.5
+_FOLLOW_TIMEOUT = 2.0
+_RETRY = 0.1
+_LEAD_TICK = 0.25
+_ENTRIES_MOST = 256
+
+
+class UnavailableError(Exception):
+    """No leader could be reached; says what was being done."""
+
+
+@attrs.frozen
+class ControlSettings:
+    """What the control plane needs from a node's settings.
+
+    Attributes:
+        seeds: addresses of the voters by node name.
+        lease: seconds that knowledge of the log is relied on.
+        patience: seconds of silence after which a node counts as gone.
+        follow_wait: seconds after which a voter answers with nothing new.
+    """
+
+    seeds: dict[str, str]
+    lease: float = 4.0
+    patience: float = 4.0
+    follow_wait: float = 0.5
+
+
+class Control:
+    """Keeps this node's state in line with the log.
+
+    Args:
+        node: this node.
+        settings: seeds and leases.
+        peers: sends messages to other nodes.
+        pools: returns the pools whose runners announce themselves here.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        settings: ControlSettings,
+        peers: Peers,
+        pools: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self.node = node
+        self.settings = settings
+        self.freshness = Freshness(settings.lease)
+        self.leader = ""
+        self.draining = False
+        self.refusing = False
+        self.driver: LogDriver | None = None
+        self._followed = State()
+        self._peers = peers
+        self._pools = pools
+        self._loop = asyncio.get_running_loop()
+        self._applied = asyncio.Event()
+        self._membership = Membership(settings.patience, self._loop.time())
+        self._leading_term = 0
+        self._watchers: list[Callable[[], None]] = []
+
+    @property
+    def state(self) -> State:
+        """The state as far as this node has applied the log."""
+        return self.driver.state if self.driver else self._followed
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this node leads the log."""
+        return self.driver is not None and self.driver.is_leader
+
+    def is_fresh(self) -> bool:
+        """Whether this node may rely on its state now."""
+        now = self._loop.time()
+        if self.is_leader and self.driver:
+            replica = self.driver.replica
+            if self.state.index >= replica.commit:
+                confirmed = replica.confirmed_at(now)
+                self.freshness.as_of = max(self.freshness.as_of, confirmed)
+        return self.freshness.is_valid(now)
+
+    def beats(self) -> list[Beat]:
+        """Returns the nodes that the leader counts as alive."""
+        return self._membership.beats(self._loop.time())
+
+    def leader_name(self) -> str:
+        """Returns the node that leads, as far as is known; or empty."""
+        if self.is_leader:
+            return self.node.name
+        return self._known_leader()
+
+    async def wait_version(self, version: int, timeout: float) -> None:
+        """Waits until a configuration version, or a later one, is applied."""
+        deadline = self._loop.time() + timeout
+        while self.state.version < version:
+            left = deadline - self._loop.time()
+            if left <= 0 or not await self._changed_within(left):
+                return
+
+    def watch(self, watcher: Callable[[], None]) -> None:
+        """Has a function called whenever the state has changed."""
+        self._watchers.append(watcher)
+
+    def note_applied(self) -> None:
+        """Wakes everyone who waits for the state to change."""
+        self._applied.set()
+        self._applied = asyncio.Event()
+        for watcher in self._watchers:
+            watcher()
+
+    def send_replica(self, identity: str, message: ReplicaMessage) -> None:
+        """Sends a replica's message towards a voting identity."""
+        address = self.address_of(voter_name(identity))
+        if address:
+            self._peers.send(address, message)
+
+    def address_of(self, name: str) -> str:
+        """Returns a node's address; empty if it is not known."""
+        node = self.state.nodes.get(name)
+        if node is not None:
+            return node.address
+        return self.settings.seeds.get(name, "")
+
+    # -- following -----------------------------------------------------
+
+    async def follow(self) -> None:
+        """Follows the log until cancelled."""
+        failures = 0
+        while True:
+            if self.is_leader:
+                await asyncio.sleep(_RETRY)
+                continue
+            name = self._upstream(failures)
+            address = self.address_of(name) if name else ""
+            if not address or not await self._follow_once(address):
+                failures += 1
+                await asyncio.sleep(_RETRY)
+            else:
+                failures = 0
+
+    def _upstream(self, failures: int) -> str:
+        """Returns the voter to follow; another one after each failure."""
+        known_leader = self._known_leader()
+        if self.driver and known_leader and failures % 2 == 0:
+            return known_leader
+        voters = self._voter_names()
+        others = [name for name in voters if name != self.node.name]
+        ranked = rank(self.node.name, others)
+        return ranked[failures % len(ranked)] if ranked else ""
+
+    def _voter_names(self) -> list[str]:
+        joined = [n.name for n in self.state.nodes.values() if n.voter]
+        return sorted(set(joined) | set(self.settings.seeds))
+
+    def _known_leader(self) -> str:
+        if self.driver and self.driver.replica.leader:
+            return voter_name(self.driver.replica.leader)
+        return "" if self.leader == self.node.name else self.leader
+
+    async def _follow_once(self, address: str) -> bool:
+        now = self._loop.time()
+        heard = self._membership.heard(now) if self.driver else ()
+        request = Follow(self._beat(), self.settings.follow_wait, heard)
+        try:
+            reply = await self._peers.call(address, request, _FOLLOW_TIMEOUT)
+        except PeerError:
+            return False
+        self.leader = reply.leader
+        await self._take(reply, asked_at=now)
+        # A voter that is itself out of touch is no help; ask another.
+        return bool(reply.age < self.settings.lease)
+
+    def _beat(self) -> Beat:
+        return Beat(
+            self.node,
+            self.state.index,
+            self.state.version,
+            self.draining,
+            self._pools(),
+            self._is_learner(),
+        )
+
+    def _is_learner(self) -> bool:
+        if self.driver is None:
+            return False
+        replica = self.driver.replica
+        return replica.identity not in replica.voters.voters
+
+    async def _take(self, reply: FollowReply, asked_at: float) -> None:
+        if self.driver is None:
+            self._apply_followed(reply)
+        else:
+            await self._wait_applied(reply.upto)
+        if self.state.index >= reply.upto:
+            self.freshness.confirm(asked_at, reply.age)
+
+    def _apply_followed(self, reply: FollowReply) -> None:
+        before = self._followed.index
+        if reply.snapshot:
+            image = State.load(reply.snapshot)
+            # Never back: an answer that was long on its way is passed over.
+            if image.index > before:
+                self._followed = image
+        for entry in reply.entries:
+            self._followed.apply(entry)
+        self._followed.advance(reply.upto)
+        if self._followed.index > before:
+            self.note_applied()
+
+    async def _wait_applied(self, index: int) -> None:
+        deadline = self._loop.time() + _APPLY_WAIT
+        while self.state.index < index:
+            left = deadline - self._loop.time()
+            if left <= 0 or not await self._changed_within(left):
+                return
+
+    async def _changed_within(self, seconds: float) -> bool:
+        try:
+            await asyncio.wait_for(self._applied.wait(), seconds)
+        except TimeoutError:
+            return False
+        return True
+
+    # -- being followed ------------------------------------------------
+
+    async def handle_follow(self, request: Follow) -> FollowReply:
+        """Answers a node that follows the log here."""
+        now = self._loop.time()
+        self._membership.hear(request.beat, now)
+        self._membership.hear_relayed(request.heard, now)
+        deadline = now + request.wait
+        while self.state.index <= request.beat.applied:
+            left = deadline - self._loop.time()
+            if left <= 0 or not await self._changed_within(left):
+                break
+        return self._reply(request.beat)
+
+    def _reply(self, beat: Beat) -> FollowReply:
+        self.is_fresh()
+        age = self.freshness.age(self._loop.time())
+        if self.driver is None:
+            return FollowReply(-NEVER, beat.applied, (), b"", self.leader)
+        leader = voter_name(self.driver.replica.leader) or self.leader
+        if beat.node.voter:
+            # A voter gets its entries from the leader; it needs the index.
+            return FollowReply(age, self.state.index, (), b"", leader)
+        log = self.driver.replica.log
+        if beat.applied < log.snapshot.index:
+            image = self.state.dump(with_once=False)
+            return FollowReply(age, self.state.index, (), image, leader)
+        upto = min(self.state.index, beat.applied + _ENTRIES_MOST)
+        if upto < self.state.index:
+            age = -NEVER
+        entries = tuple(
+            entry
+            for entry in log.slice(beat.applied, upto)
+            if is_followed(entry.command)
+        )
+        return FollowReply(age, upto, entries, b"", leader)
+
+    # -- leading -------------------------------------------------------
+
+    async def lead(self) -> None:
+        """Proposes what the live nodes call for, while this node leads."""
+        while True:
+            await asyncio.sleep(_LEAD_TICK)
+            if self.is_leader and self.driver:
+                self.is_fresh()
+                await self._lead_once(self.driver)
+
+    async def _lead_once(self, driver: LogDriver) -> None:
+        now = self._loop.time()
+        if driver.replica.term != self._leading_term:
+            self._leading_term = driver.replica.term
+            self._membership = Membership(self.settings.patience, now)
+            self.leader = self.node.name
+            log_message("log:leading", term=driver.replica.term)
+        self._membership.hear(self._beat(), now)
+        change = decide_change(driver.replica, self._membership.beats(now))
+        wanted = self._membership.decide(driver.state, now)
+        if change is not None:
+            wanted.append(change)
+        for command in wanted:
+            try:
+                await driver.propose(command)
+            except (NotLeaderError, LostLeadershipError):
+                return
+
+    # -- proposing -----------------------------------------------------
+
+    async def handle_propose(self, request: Propose) -> ProposeReply:
+        """Appends another node's command, if this node leads."""
+        if not self.is_leader or self.driver is None:
+            return ProposeReply(b"", self._known_leader(), False)
+        try:
+            answer = await self.driver.propose(codec.decode(request.command))
+        except NotLeaderError:
+            return ProposeReply(b"", self._known_leader(), False)
+        except LostLeadershipError:
+            return ProposeReply(b"", self._known_leader(), True)
+        return ProposeReply(codec.encode(answer), self.node.name, True)
+
+    async def propose(self, command: Any, timeout: float) -> Any:
+        """Returns the answer of a command, wherever the leader is.
+
+        Commands are idempotent, so one whose fate is unknown is proposed
+        again until it is answered.
+
+        Raises:
+            UnavailableError: there was no answer within `timeout` seconds.
+        """
+        encoded = codec.encode(command)
+        deadline = self._loop.time() + timeout
+        tries = 0
+        while self._loop.time() < deadline:
+            answer = await self._propose_once(encoded, tries)
+            if answer:
+                return codec.decode(answer)
+            tries += 1
+            await asyncio.sleep(_RETRY)
+        step = type(command).__name__
+        raise UnavailableError(f"{step}: no leader answered in {timeout} s")
+
+    async def _propose_once(self, encoded: bytes, tries: int) -> bytes:
+        request = Propose(encoded)
+        if self.is_leader:
+            return (await self.handle_propose(request)).answer
+        name = self._known_leader()
+        if not name or tries % 2:
+            names = [n for n in self._voter_names() if n != self.node.name]
+            name = names[(tries // 2) % len(names)] if names else ""
+        address = self.address_of(name) if name else ""
+        if not address:
+            return b""
+        try:
+            reply = await self._peers.call(address, request, _FOLLOW_TIMEOUT)
+        except PeerError:
+            return b""
+        self.leader = reply.leader or self.leader
+        return bytes(reply.answer)
--- /dev/null
+++ b/src/ridgesill/core/declaration.py
@@ -0,0 +1,91 @@
+"""An operators' file as a typed value, and the checks across its parts."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from ridgesill.core.codec import register
+from ridgesill.core.configuration import (
+    MODEL,
+    DataCentre,
+    Named,
+    Service,
+    Table,
+    Team,
+    make_table,
+)
+
+
+@register
+@attrs.frozen
+class Declaration:
+    """All that a configuration file declares.
+
+    Attributes:
+        version: rises with every accepted file.
+        digest: of the file's text.
+        based_on: the version that must be in force; -1 for any lower one.
+    """
+
+    version: int
+    digest: str
+    based_on: int
+    data_centres: tuple[DataCentre, ...]
+    teams: tuple[Team, ...]
+    services: tuple[Service, ...]
+    adapters: tuple[Named, ...]
+
+    def table(self) -> Table:
+        """Returns the table that it declares."""
+        return make_table(
+            self.data_centres, self.teams, self.services, self.adapters
+        )
+
+
+@attrs.frozen
+class Mistake:
+    """A reference to something that is not declared."""
+
+    section: str
+    key: str
+    expected: str
+
+
+def find_mistakes(declared: Declaration) -> list[Mistake]:
+    """Returns every reference that leads nowhere."""
+    return list(_find_mistakes(declared))
+
+
+def _find_mistakes(declared: Declaration) -> Iterator[Mistake]:
+    places = {d.name for d in declared.data_centres}
+    teams = {t.name for t in declared.teams}
+    models = {s.name for s in declared.services if s.kind == MODEL}
+    for team in declared.teams:
+        yield from _unknown_places(f"team {team.name}", team.places, places)
+    for service in declared.services:
+        section = f"service {service.name}"
+        yield from _unknown_places(section, service.places, places)
+    for named in declared.adapters:
+        section = f"adapter {named.name}"
+        adapter = named.adapter
+        if adapter.team not in teams:
+            yield Mistake(section, "team", _declared("team", adapter.team))
+        if adapter.service not in models:
+            expected = _declared("service of kind model", adapter.service)
+            yield Mistake(section, "service", expected)
+        if not adapter.versions:
+            yield Mistake(section, "versions", "expected at least one")
+        yield from _unknown_places(section, adapter.places, places)
+
+
+def _unknown_places(
+    section: str, names: tuple[str, ...], known: set[str]
+) -> Iterator[Mistake]:
+    for name in names:
+        if name not in known:
+            expected = _declared("data-centre", name)
+            yield Mistake(section, "places", expected)
+
+
+def _declared(kind: str, name: str) -> str:
+    return f"expected a declared {kind}, not {name!r}"
--- /dev/null
+++ b/src/ridgesill/core/log/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: elections, replication, snapshots, voter changes."""
--- /dev/null
+++ b/src/ridgesill/core/log/replica.py
@@ -0,0 +1,495 @@
+"""One replica of the log: messages in, messages out.
+
+The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote, a leader
+that steps down without a quorum, and one voter changed at a time. Its driver
+calls `receive`, `tick` or `propose`, takes the `Output`, syncs it, and only
+then sends the messages in it.
+"""
+
+import random
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+
+from ridgesill.core import codec
+from ridgesill.core.log.memory import MemoryLog
+from ridgesill.core.log.messages import (
+    AppendRequest,
+    AppendResponse,
+    Entry,
+    HardState,
+    Output,
+    Send,
+    Snapshot,
+    SnapshotRequest,
+    Stored,
+    Timing,
+    VoteRequest,
+    VoteResponse,
+    Voters,
+)
+
+FOLLOWER = "follower"
+CANDIDATE = "candidate"
+LEADER = "leader"
+
+_MAX_ENTRIES = 64
+_NEVER = float("-inf")
+
+
+@codec.register
+@attrs.frozen
+class NoOp:
+    """The first entry of a leader's term; commits what came before."""
+
+
+@codec.register
+@attrs.frozen
+class ChangeVoters:
+    """A command that puts a new set of voters in force when appended."""
+
+    voters: Voters
+
+
+@attrs.define
+class Progress:
+    """What a leader knows of one follower."""
+
+    next_index: int
+    match: int = 0
+    acked_at: float = _NEVER
+    snapshot_sent_at: float = _NEVER
+
+
+class Replica:
+    """A replica of the log.
+
+    Args:
+        identity: the name it votes under; a new disk needs a new identity.
+        stored: what its disk holds.
+        now: the clock, in seconds.
+        rng: the source of election delays.
+        timing: intervals of heartbeats and elections.
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        stored: Stored,
+        now: float,
+        rng: random.Random,
+        timing: Timing | None = None,
+    ) -> None:
+        self.identity = identity
+        self.role = FOLLOWER
+        self.leader = ""
+        self.term = stored.hard_state.term
+        self.commit = stored.snapshot.index
+        self.log = MemoryLog(stored.snapshot, stored.entries)
+        self.progress: dict[str, Progress] = {}
+        self.voted_for = stored.hard_state.voted_for
+        self._timing = timing or Timing()
+        self._rng = rng
+        self._votes: set[str] = set()
+        self._pre = False
+        self._heard_at = _NEVER
+        self._next_heartbeat = _NEVER
+        self._output = Output()
+        self._voters_at: list[tuple[int, Voters]] = []
+        self._read_voters()
+        self._delay_election(now)
+
+    @property
+    def voters(self) -> Voters:
+        """The voters in force: those last appended, committed or not."""
+        return self._voters_at[-1][1]
+
+    @property
+    def changing_voters(self) -> bool:
+        """Whether a change of voters is appended but not committed."""
+        return self._voters_at[-1][0] > self.commit
+
+    def take_output(self) -> Output:
+        """Returns what has accumulated since the last call."""
+        output, self._output = self._output, Output()
+        return output
+
+    def confirmed_at(self, now: float) -> float:
+        """Returns until when this leader knows that it led a quorum.
+
+        Everything committed by any leader before that time is at or below
+        `commit`, once an entry of this term is committed.
+
+        Returns:
+            Seconds on this replica's clock; minus infinity if it can't say.
+        """
+        if self.role != LEADER or self.log.term(self.commit) != self.term:
+            return _NEVER
+        return self._quorum_acked_at(now)
+
+    # -- inputs --------------------------------------------------------
+
+    def propose(self, command: Any, now: float) -> int | None:
+        """Appends a command if this replica leads.
+
+        Returns:
+            The entry's index, or None when another replica leads or when a
+            change of voters has to wait for the one before.
+        """
+        if self.role != LEADER:
+            return None
+        if isinstance(command, ChangeVoters) and not self._may_change():
+            return None
+        index = self._append_own(command)
+        self._send_all(now)
+        self._advance_commit()
+        return index
+
+    def tick(self, now: float) -> None:
+        """Acts on elapsed time."""
+        if self.role == LEADER:
+            self._tick_leader(now)
+        elif now >= self._election_at and self._is_voter():
+            self._start_election(now, pre=True)
+
+    def compact(self, data: bytes, index: int) -> Snapshot:
+        """Replaces the applied log up to an index by its state."""
+        voters = self._voters_of(index)
+        snapshot = Snapshot(index, self.log.term(index), voters, data)
+        self.log.compact(snapshot)
+        self._read_voters()
+        return snapshot
+
+    @singledispatchmethod
+    def receive(self, message: Any, sender: str, now: float) -> None:
+        """Takes a message from another replica."""
+        raise TypeError(f"no replica message: {type(message).__name__}")
+
+    # -- elections -----------------------------------------------------
+
+    @receive.register
+    def _(self, message: VoteRequest, sender: str, now: float) -> None:
+        if self._hears_leader(now):
+            # A replica that was cut off must not disturb a working leader.
+            return
+        if message.pre:
+            granted = message.term > self.term and self._up_to_date(message)
+            self._send(sender, VoteResponse(message.term, granted, pre=True))
+            return
+        if message.term > self.term:
+            self._follow(message.term, "", now)
+        granted = (
+            message.term == self.term
+            and self.voted_for in ("", sender)
+            and self._up_to_date(message)
+        )
+        if granted:
+            self.voted_for = sender
+            self._store_hard_state()
+            self._delay_election(now)
+        self._send(sender, VoteResponse(self.term, granted, pre=False))
+
+    @receive.register
+    def _(self, message: VoteResponse, sender: str, now: float) -> None:
+        if not message.granted:
+            if message.term > self.term and not message.pre:
+                self._follow(message.term, "", now)
+            return
+        expected = self.term + 1 if message.pre else self.term
+        if (
+            self.role != CANDIDATE
+            or message.pre != self._pre
+            or message.term != expected
+        ):
+            return
+        self._votes.add(sender)
+        self._count_votes(now)
+
+    def _start_election(self, now: float, *, pre: bool) -> None:
+        self.role = CANDIDATE
+        self.leader = ""
+        self._pre = pre
+        self._votes = {self.identity}
+        self._delay_election(now)
+        if not pre:
+            self.term += 1
+            self.voted_for = self.identity
+            self._store_hard_state()
+        request = VoteRequest(
+            self.term + 1 if pre else self.term,
+            self.log.last_index,
+            self.log.last_term,
+            pre,
+        )
+        for peer in self._peers(self.voters.voters):
+            self._send(peer, request)
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        if not self._is_quorum(self._votes):
+            return
+        if self._pre:
+            self._start_election(now, pre=False)
+        else:
+            self._lead(now)
+
+    def _lead(self, now: float) -> None:
+        self.role = LEADER
+        self.leader = self.identity
+        self.progress = {}
+        self._led_since = now
+        self._append_own(NoOp())
+        self._send_all(now)
+        self._advance_commit()
+
+    def _follow(self, term: int, leader: str, now: float) -> None:
+        if term > self.term:
+            self.term = term
+            self.voted_for = ""
+            self._store_hard_state()
+        self.role = FOLLOWER
+        self.leader = leader
+        self._delay_election(now)
+
+    def _up_to_date(self, message: VoteRequest) -> bool:
+        theirs = (message.last_term, message.last_index)
+        return theirs >= (self.log.last_term, self.log.last_index)
+
+    def _hears_leader(self, now: float) -> bool:
+        if self.role == LEADER:
+            return True
+        return now - self._heard_at < self._timing.election_min
+
+    def _delay_election(self, now: float) -> None:
+        timing = self._timing
+        delay = self._rng.uniform(timing.election_min, timing.election_max)
+        self._election_at = now + delay
+
+    # -- replication, as follower --------------------------------------
+
+    @receive.register
+    def _(self, message: AppendRequest, sender: str, now: float) -> None:
+        if not self._accept_leader(message, sender, now):
+            return
+        success = self._matches(message)
+        if success:
+            self._take_entries(message)
+            match = message.previous_index + len(message.entries)
+            self._commit_to(min(message.commit, match))
+        else:
+            match = min(message.previous_index - 1, self.log.last_index)
+        self._send(
+            sender, AppendResponse(self.term, success, match, message.sent_at)
+        )
+
+    @receive.register
+    def _(self, message: SnapshotRequest, sender: str, now: float) -> None:
+        if not self._accept_leader(message, sender, now):
+            return
+        snapshot = message.snapshot
+        if snapshot.index > self.commit:
+            self.log.compact(snapshot)
+            self.commit = snapshot.index
+            self._output.snapshot = snapshot
+            self._output.committed.clear()
+            self._read_voters()
+        self._send(
+            sender,
+            AppendResponse(self.term, True, snapshot.index, message.sent_at),
+        )
+
+    def _accept_leader(
+        self, message: AppendRequest | SnapshotRequest, sender: str, now: float
+    ) -> bool:
+        if message.term < self.term:
+            refusal = AppendResponse(self.term, False, 0, message.sent_at)
+            self._send(sender, refusal)
+            return False
+        self._follow(message.term, sender, now)
+        self._heard_at = now
+        return True
+
+    def _matches(self, message: AppendRequest) -> bool:
+        if message.previous_index < self.log.snapshot.index:
+            # What a snapshot covers is committed, so it matches.
+            return True
+        return self.log.term(message.previous_index) == message.previous_term
+
+    def _take_entries(self, message: AppendRequest) -> None:
+        for entry in message.entries:
+            if entry.index <= self.log.snapshot.index:
+                continue
+            if self.log.term(entry.index) == entry.term:
+                continue
+            self._append(entry)
+
+    # -- replication, as leader ----------------------------------------
+
+    @receive.register
+    def _(self, message: AppendResponse, sender: str, now: float) -> None:
+        if message.term > self.term:
+            self._follow(message.term, "", now)
+            return
+        if self.role != LEADER or message.term < self.term:
+            return
+        progress = self.progress.get(sender)
+        if progress is None:
+            return
+        progress.acked_at = max(progress.acked_at, message.sent_at)
+        if message.success:
+            self._note_match(progress, message.match)
+            self._advance_commit()
+        elif message.match + 1 < progress.next_index:
+            progress.next_index = max(message.match + 1, progress.match + 1)
+        else:
+            return
+        if progress.next_index <= self.log.last_index:
+            self._send_append(sender, now)
+
+    def _note_match(self, progress: Progress, match: int) -> None:
+        progress.match = max(progress.match, match)
+        progress.next_index = max(progress.next_index, progress.match + 1)
+
+    def _tick_leader(self, now: float) -> None:
+        quorum_at = max(self._quorum_acked_at(now), self._led_since)
+        if now - quorum_at > self._timing.election_max:
+            self._follow(self.term, "", now)
+            return
+        if now >= self._next_heartbeat:
+            self._send_all(now)
+
+    def _send_all(self, now: float) -> None:
+        self._next_heartbeat = now + self._timing.heartbeat
+        for peer in self._peers(self.voters.members):
+            self._send_append(peer, now)
+
+    def _send_append(self, peer: str, now: float) -> None:
+        progress = self.progress.setdefault(
+            peer, Progress(self.log.last_index + 1)
+        )
+        previous = progress.next_index - 1
+        if previous < self.log.snapshot.index:
+            self._send_snapshot(peer, progress, now)
+            return
+        upto = min(previous + _MAX_ENTRIES, self.log.last_index)
+        entries = self.log.slice(previous, upto)
+        request = AppendRequest(
+            self.term,
+            previous,
+            self.log.term(previous),
+            entries,
+            self.commit,
+            now,
+        )
+        # Entries are sent once; a refused heartbeat shows where they stopped.
+        progress.next_index = upto + 1
+        self._send(peer, request)
+
+    def _send_snapshot(self, peer: str, progress: Progress, now: float) -> None:
+        if now - progress.snapshot_sent_at < self._timing.election_min:
+            return
+        progress.snapshot_sent_at = now
+        request = SnapshotRequest(self.term, self.log.snapshot, now)
+        self._send(peer, request)
+
+    def _advance_commit(self) -> None:
+        matches = [
+            self.log.last_index
+            if voter == self.identity
+            else self._match_of(voter)
+            for voter in self.voters.voters
+        ]
+        index = _quorum_value(matches)
+        if self.log.term(index) == self.term:
+            self._commit_to(index)
+        self._step_down_if_removed()
+
+    def _match_of(self, voter: str) -> int:
+        progress = self.progress.get(voter)
+        return progress.match if progress else 0
+
+    def _step_down_if_removed(self) -> None:
+        if not self._is_voter() and not self.changing_voters:
+            self.role = FOLLOWER
+            self.leader = ""
+
+    def _quorum_acked_at(self, now: float) -> float:
+        times = [
+            now if voter == self.identity else self._acked_at(voter)
+            for voter in self.voters.voters
+        ]
+        return _quorum_value(times)
+
+    def _acked_at(self, voter: str) -> float:
+        progress = self.progress.get(voter)
+        return progress.acked_at if progress else _NEVER
+
+    # -- voters --------------------------------------------------------
+
+    def _may_change(self) -> bool:
+        in_own_term = self.log.term(self.commit) == self.term
+        return in_own_term and not self.changing_voters
+
+    def _read_voters(self) -> None:
+        snapshot = self.log.snapshot
+        self._voters_at = [(snapshot.index, snapshot.voters)]
+        for entry in self.log.slice(snapshot.index, self.log.last_index):
+            self._note_voters(entry)
+
+    def _note_voters(self, entry: Entry) -> None:
+        while self._voters_at[-1][0] >= entry.index:
+            self._voters_at.pop()
+        if b"ChangeVoters" not in entry.command[:16]:
+            return
+        command = codec.decode(entry.command)
+        self._voters_at.append((entry.index, command.voters))
+
+    def _voters_of(self, index: int) -> Voters:
+        held = [v for at, v in self._voters_at if at <= index]
+        return held[-1]
+
+    def _is_voter(self) -> bool:
+        return self.identity in self.voters.voters
+
+    def _is_quorum(self, votes: set[str]) -> bool:
+        counted = votes & set(self.voters.voters)
+        return len(counted) > len(self.voters.voters) // 2
+
+    def _peers(self, members: tuple[str, ...]) -> list[str]:
+        return [member for member in members if member != self.identity]
+
+    # -- outputs -------------------------------------------------------
+
+    def _append_own(self, command: Any) -> int:
+        index = self.log.last_index + 1
+        self._append(Entry(index, self.term, codec.encode(command)))
+        return index
+
+    def _append(self, entry: Entry) -> None:
+        self.log.append(entry)
+        self._output.entries.append(entry)
+        self._note_voters(entry)
+
+    def _commit_to(self, index: int) -> None:
+        if index <= self.commit:
+            return
+        self._output.committed.extend(self.log.slice(self.commit, index))
+        self.commit = index
+
+    def _store_hard_state(self) -> None:
+        self._output.hard_state = HardState(self.term, self.voted_for)
+
+    def _send(self, to: str, message: Any) -> None:
+        self._output.messages.append(Send(to, message))
+
+
+def _quorum_value(values: list[Any]) -> Any:
+    """Returns the largest value that a majority has reached."""
+    ranked = sorted(values, reverse=True)
+    return ranked[len(ranked) // 2]
+
+
+def found_snapshot(voters: tuple[str, ...], data: bytes) -> Snapshot:
+    """Returns the snapshot that a new log of these voters starts from."""
+    return Snapshot(0, 0, Voters(voters), data)
--- /dev/null
+++ b/src/ridgesill/core/pool/__init__.py
@@ -0,0 +1,1 @@
+"""A pool's owner: admission, placement, pins and queues of its runners."""
--- /dev/null
+++ b/src/ridgesill/core/pool/popularity.py
@@ -0,0 +1,44 @@
+"""Request frequencies that halve with time, by adapter."""
+
+import math
+
+_FORGET_BELOW = 0.01
+_SWEEP_EVERY = 4096
+
+
+class Popularity:
+    """Counts requests, each worth half as much after every half-life.
+
+    Decayed frequency, not recency, decides what stays loaded: over the same
+    slots it misses a fifth less often than least recently used
+    (docs/design/placement.md).
+
+    Args:
+        half_life: in seconds.
+    """
+
+    def __init__(self, half_life: float) -> None:
+        self._rate = math.log(2) / half_life
+        self._counts: dict[str, tuple[float, float]] = {}
+        self._notes = 0
+
+    def note(self, adapter: str, now: float) -> None:
+        """Counts a request."""
+        self._counts[adapter] = (self.value(adapter, now) + 1.0, now)
+        self._notes += 1
+        if self._notes % _SWEEP_EVERY == 0:
+            self._sweep(now)
+
+    def value(self, adapter: str, now: float) -> float:
+        """Returns the decayed count of an adapter's requests."""
+        count, at = self._counts.get(adapter, (0.0, now))
+        return count * math.exp((at - now) * self._rate)
+
+    def _sweep(self, now: float) -> None:
+        faded = [
+            name
+            for name in self._counts
+            if self.value(name, now) < _FORGET_BELOW
+        ]
+        for name in faded:
+            del self._counts[name]
--- /dev/null
+++ b/src/ridgesill/core/pool/slots.py
@@ -0,0 +1,103 @@
+"""What a pool's owner knows of one runner: slots, pins and health."""
+
+import attrs
+
+from ridgesill.core.pool.messages import Pin
+from ridgesill.core.runners import Announcement
+
+LOADING = "loading"
+READY = "ready"
+UNLOADING = "unloading"
+SUSPECT = "suspect"
+
+_EJECT_AFTER = 3
+_EJECT_FIRST = 2.0
+_EJECT_MOST = 60.0
+
+
+@attrs.define
+class Slot:
+    """An adapter on a runner.
+
+    Attributes:
+        state: `loading`, `ready`, `unloading`, or `suspect` when an order's
+            fate is unknown and only the runner's own report can tell.
+        since: when it entered that state.
+        pins: requests that use it, by id.
+        reported: requests that the runner says it works on.
+    """
+
+    state: str
+    since: float
+    pins: dict[str, Pin] = attrs.Factory(dict)
+    reported: int = 0
+
+    @property
+    def is_pinned(self) -> bool:
+        """Whether a request uses it or may still use it."""
+        return bool(self.pins) or self.reported > 0
+
+
+@attrs.define
+class RunnerState:
+    """A runner as its owner sees it."""
+
+    said: Announcement
+    heard_at: float
+    slots: dict[str, Slot] = attrs.Factory(dict)
+    in_flight: int = 0
+    failures: int = 0
+    ejected_until: float = float("-inf")
+    probing: bool = False
+    fenced_epoch: int = 0
+
+    @property
+    def name(self) -> str:
+        """The runner's name."""
+        return self.said.name
+
+    def has_room(self, now: float) -> bool:
+        """Whether it may be given one more request."""
+        if self.said.leaving or now < self.ejected_until:
+            return False
+        limit = 1 if self.failures >= _EJECT_AFTER else self.said.capacity
+        return self.in_flight < limit
+
+    def is_ready(self, adapter: str) -> bool:
+        """Whether it holds an adapter (plain services hold the empty one)."""
+        if not adapter:
+            return True
+        slot = self.slots.get(adapter)
+        return slot is not None and slot.state == READY
+
+    def pin(self, pin: Pin) -> None:
+        """Adds a request."""
+        slot = self.slots.get(pin.adapter)
+        if slot is None:
+            slot = Slot(READY, self.heard_at)
+            self.slots[pin.adapter] = slot
+        slot.pins[pin.request] = pin
+        self.in_flight += 1
+
+    def unpin(self, pin: Pin) -> None:
+        """Ends a request, if it was there."""
+        slot = self.slots.get(pin.adapter)
+        if slot and slot.pins.pop(pin.request, None):
+            self.in_flight -= 1
+
+    def free_slots(self) -> int:
+        """Returns how many slots hold nothing."""
+        held = sum(1 for adapter in self.slots if adapter)
+        return self.said.slots - held
+
+    def note_failure(self, now: float) -> None:
+        """Counts a failed request; too many in a row eject the runner."""
+        self.failures += 1
+        if self.failures >= _EJECT_AFTER:
+            doublings = min(self.failures - _EJECT_AFTER, 5)
+            pause = min(_EJECT_FIRST * 2**doublings, _EJECT_MOST)
+            self.ejected_until = now + pause
+
+    def note_success(self) -> None:
+        """Ends a run of failures."""
+        self.failures = 0
--- /dev/null
+++ b/src/ridgesill/core/pool/waiting.py
@@ -0,0 +1,102 @@
+"""Admitted requests that wait for a runner, fair between teams."""
+
+import attrs
+
+from ridgesill.core.pool.messages import Admit
+
+
+@attrs.define
+class Waiter:
+    """A waiting request.
+
+    Attributes:
+        start: its team's virtual time; fair queueing serves the lowest.
+        stalled: whether it has had to wait for a load.
+    """
+
+    admit: Admit
+    arrived: float
+    start: float
+    stalled: bool = False
+    missing_since: float = 0.0
+
+    @property
+    def deadline(self) -> float:
+        """The time by which it must have begun."""
+        return self.arrived + self.admit.patience
+
+    @property
+    def order(self) -> tuple[int, float, float]:
+        """Sorts waiters: the more important, then the fairer, first."""
+        return (self.admit.priority, self.start, self.arrived)
+
+
+class WaitingQueue:
+    """Start-time fair queueing over teams, grouped by adapter.
+
+    A team's request starts at its own virtual time, which moves on by the
+    inverse of its weight, so that a burst of one team queues behind itself.
+    """
+
+    def __init__(self) -> None:
+        self._groups: dict[str, list[Waiter]] = {}
+        self._finish: dict[str, float] = {}
+        self._virtual = 0.0
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def add(self, admit: Admit, now: float) -> Waiter:
+        """Adds a request."""
+        start = max(self._virtual, self._finish.get(admit.team, 0.0))
+        self._finish[admit.team] = start + 1.0 / max(admit.weight, 0.01)
+        waiter = Waiter(admit, now, start)
+        group = self._groups.setdefault(admit.adapter, [])
+        group.append(waiter)
+        group.sort(key=_order_of)
+        self._count += 1
+        return waiter
+
+    def remove(self, waiter: Waiter) -> None:
+        """Takes a request out, served or not."""
+        group = self._groups[waiter.admit.adapter]
+        group.remove(waiter)
+        self._count -= 1
+        if not group:
+            del self._groups[waiter.admit.adapter]
+        if not self._count:
+            self._finish.clear()
+            self._virtual = 0.0
+
+    def serve(self, waiter: Waiter) -> None:
+        """Takes a request out to be served, which moves virtual time."""
+        self._virtual = max(self._virtual, waiter.start)
+        self.remove(waiter)
+
+    def groups(self) -> list[list[Waiter]]:
+        """Returns the groups, the one with the first to serve first."""
+        return sorted(self._groups.values(), key=lambda g: g[0].order)
+
+    def group(self, adapter: str) -> list[Waiter]:
+        """Returns those who wait for an adapter."""
+        return self._groups.get(adapter, [])
+
+    def all(self) -> list[Waiter]:
+        """Returns all waiters."""
+        return [w for group in self._groups.values() for w in group]
+
+    def find(self, request: str) -> Waiter | None:
+        """Returns the waiter of a request."""
+        for waiter in self.all():
+            if waiter.admit.request == request:
+                return waiter
+        return None
+
+    def least(self) -> Waiter | None:
+        """Returns the waiter to shed first: the last to be served."""
+        return max(self.all(), key=_order_of, default=None)
+
+
+def _order_of(waiter: Waiter) -> tuple[int, float, float]:
+    return waiter.order
--- /dev/null
+++ b/src/ridgesill/core/state.py
@@ -0,0 +1,295 @@
+"""The state that the log's commands make, the same on every node.
+
+Voters hold all of it. Nodes without a disk follow all but the records of
+requests that are not repeatable.
+"""
+
+from collections import OrderedDict
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+
+from ridgesill.core import codec, commands
+from ridgesill.core.commands import (
+    BeginOnce,
+    Configure,
+    ConfigureAnswer,
+    Done,
+    FinishOnce,
+    GrantPool,
+    JoinNode,
+    Node,
+    OnceAnswer,
+    OnceRecord,
+    ReleasePool,
+    RemoveNode,
+)
+from ridgesill.core.configuration import Change, Table
+from ridgesill.core.log.messages import Entry
+from ridgesill.core.log.replica import ChangeVoters, NoOp
+
+_OPERATIONS_KEPT = 1000
+_ONCE_KEPT = 50_000
+ONCE_LIFETIME = 24 * 3600.0
+
+
+@codec.register
+@attrs.frozen
+class Owner:
+    """A pool's owner.
+
+    Attributes:
+        epoch: the fencing number of its orders.
+        released: whether no earlier owner can still rely on a lease.
+    """
+
+    node: str
+    incarnation: str
+    epoch: int
+    released: bool = False
+
+
+@codec.register
+@attrs.frozen
+class Operation:
+    """The first answer to an operator's attempt, kept for resends."""
+
+    digest: str
+    answer: ConfigureAnswer
+
+
+@codec.register
+@attrs.frozen
+class StateImage:
+    """All of the state, as snapshots carry it."""
+
+    index: int
+    version: int
+    digest: str
+    accepted_at: int
+    change: Change
+    nodes: tuple[Node, ...]
+    owners: dict[str, Owner]
+    operations: dict[str, Operation]
+    once: dict[str, OnceRecord]
+
+
+class State:
+    """The state machine.
+
+    Attributes:
+        index: the last applied log index.
+        version: the version of the configuration in force; 0 for none.
+        table: that configuration.
+        nodes: known nodes by name.
+        owners: owners by pool.
+        once: records of requests that are not repeatable, by team and key.
+    """
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.version = 0
+        self.digest = ""
+        self.accepted_at = 0
+        self.table = Table()
+        self.nodes: dict[str, Node] = {}
+        self.owners: dict[str, Owner] = {}
+        self.once: OrderedDict[str, OnceRecord] = OrderedDict()
+        self._operations: OrderedDict[str, Operation] = OrderedDict()
+
+    def apply(self, entry: Entry) -> Any:
+        """Applies a committed entry; one applied before changes nothing.
+
+        Returns:
+            The command's answer.
+        """
+        if entry.index <= self.index:
+            return Done(self.index)
+        self.index = entry.index
+        return self._apply(codec.decode(entry.command))
+
+    def advance(self, index: int) -> None:
+        """Notes that entries up to an index hold nothing for this node."""
+        self.index = max(self.index, index)
+
+    def begin_answer(self, command: Configure) -> ConfigureAnswer | None:
+        """Returns the kept first answer if this is a resend."""
+        operation = self._operations.get(command.operation)
+        if operation is not None and operation.digest == command.digest:
+            return operation.answer
+        return None
+
+    @singledispatchmethod
+    def _apply(self, command: Any) -> Any:
+        raise TypeError(f"no log command: {type(command).__name__}")
+
+    @_apply.register
+    def _(self, command: NoOp) -> Done:
+        return Done(self.index)
+
+    @_apply.register
+    def _(self, command: ChangeVoters) -> Done:
+        return Done(self.index)
+
+    # -- configuration -------------------------------------------------
+
+    @_apply.register
+    def _(self, command: Configure) -> ConfigureAnswer:
+        known = self.begin_answer(command)
+        if known is not None:
+            return known
+        if command.version == self.version and command.digest == self.digest:
+            # The same file under a new operation id: its answer was lost
+            # together with the id, or two operators sent the same text.
+            return self._in_force(commands.ACCEPTED)
+        if command.base != self.version or command.version <= self.version:
+            return self._in_force(commands.CONFLICT)
+        self.table.apply(command.change)
+        self.version = command.version
+        self.digest = command.digest
+        self.accepted_at = self.index
+        answer = self._in_force(commands.ACCEPTED)
+        self._keep_operation(command, answer)
+        return answer
+
+    def _in_force(self, verdict: str) -> ConfigureAnswer:
+        return ConfigureAnswer(
+            verdict, self.version, self.digest, self.accepted_at
+        )
+
+    def _keep_operation(
+        self, command: Configure, answer: ConfigureAnswer
+    ) -> None:
+        kept = Operation(command.digest, answer)
+        self._operations[command.operation] = kept
+        if len(self._operations) > _OPERATIONS_KEPT:
+            self._operations.popitem(last=False)
+
+    # -- nodes and owners ----------------------------------------------
+
+    @_apply.register
+    def _(self, command: JoinNode) -> Done:
+        before = self.nodes.get(command.node.name)
+        if before and before.incarnation != command.node.incarnation:
+            self._end_incarnation(before)
+        self.nodes[command.node.name] = command.node
+        return Done(self.index)
+
+    @_apply.register
+    def _(self, command: RemoveNode) -> Done:
+        node = self.nodes.get(command.name)
+        if node and node.incarnation == command.incarnation:
+            del self.nodes[command.name]
+            self._end_incarnation(node)
+        return Done(self.index)
+
+    def _end_incarnation(self, node: Node) -> None:
+        for key, record in self.once.items():
+            is_running = record.outcome == commands.RUNNING
+            if is_running and record.node == node.incarnation:
+                ended = attrs.evolve(record, outcome=commands.UNKNOWN)
+                self.once[key] = ended
+
+    @_apply.register
+    def _(self, command: GrantPool) -> Done:
+        self.owners[command.pool] = Owner(
+            command.node,
+            command.incarnation,
+            self.index,
+            released=command.pool not in self.owners,
+        )
+        return Done(self.index)
+
+    @_apply.register
+    def _(self, command: ReleasePool) -> Done:
+        owner = self.owners.get(command.pool)
+        if owner and owner.epoch == command.epoch:
+            del self.owners[command.pool]
+        return Done(self.index)
+
+    # -- requests that are not repeatable ------------------------------
+
+    @_apply.register
+    def _(self, command: BeginOnce) -> OnceAnswer:
+        self._expire_once(command.at)
+        key = once_key(command.team, command.key)
+        record = self.once.get(key)
+        if record is not None and record.outcome != commands.NOT_RUN:
+            mine = record.request == command.request
+            return OnceAnswer(mine, record)
+        if record is None and len(self.once) >= _ONCE_KEPT:
+            # Dropping a record that has not expired could run it twice.
+            full = OnceRecord("", "", "", command.at, commands.FULL)
+            return OnceAnswer(False, full)
+        record = OnceRecord(
+            command.digest, command.node, command.request, command.at
+        )
+        self.once[key] = record
+        self.once.move_to_end(key)
+        return OnceAnswer(True, record)
+
+    @_apply.register
+    def _(self, command: FinishOnce) -> Done:
+        key = once_key(command.team, command.key)
+        record = self.once.get(key)
+        if record is not None and record.request == command.request:
+            self.once[key] = attrs.evolve(
+                record,
+                outcome=command.outcome,
+                status=command.status,
+                content_type=command.content_type,
+                body=command.body,
+            )
+        return Done(self.index)
+
+    def _expire_once(self, at: float) -> None:
+        while self.once:
+            key, oldest = next(iter(self.once.items()))
+            if oldest.at >= at - ONCE_LIFETIME:
+                return
+            del self.once[key]
+
+    # -- snapshots -----------------------------------------------------
+
+    def dump(self, *, with_once: bool = True) -> bytes:
+        """Returns the state's image, encoded."""
+        return codec.encode(
+            StateImage(
+                self.index,
+                self.version,
+                self.digest,
+                self.accepted_at,
+                self.table.change_from_empty(),
+                tuple(self.nodes.values()),
+                dict(self.owners),
+                dict(self._operations) if with_once else {},
+                dict(self.once) if with_once else {},
+            )
+        )
+
+    @classmethod
+    def load(cls, data: bytes) -> "State":
+        """Returns the state that `dump` made this image of."""
+        image: StateImage = codec.decode(data)
+        state = cls()
+        state.index = image.index
+        state.version = image.version
+        state.digest = image.digest
+        state.accepted_at = image.accepted_at
+        state.table.apply(image.change)
+        state.nodes = {node.name: node for node in image.nodes}
+        state.owners = dict(image.owners)
+        state.once = OrderedDict(image.once)
+        state._operations = OrderedDict(image.operations)
+        return state
+
+
+def once_key(team: str, key: str) -> str:
+    """Returns the key under which a team's record is held."""
+    return f"{team}\0{key}"
+
+
+def is_followed(command: bytes) -> bool:
+    """Whether nodes without a disk need an encoded command."""
+    return b"Once" not in command[:16]
--- /dev/null
+++ b/src/ridgesill/core/voter_changes.py
@@ -0,0 +1,63 @@
+"""The leader's decisions on who becomes a voter."""
+
+from collections.abc import Iterable
+
+from ridgesill.core.following import Beat
+from ridgesill.core.log.messages import Voters
+from ridgesill.core.log.replica import LEADER, ChangeVoters, Replica
+
+# How many entries a learner may be behind when it begins to vote.
+_CAUGHT_UP = 8
+
+
+def voter_name(identity: str) -> str:
+    """Returns the node name of a voting identity (`name.generation`)."""
+    return identity.rpartition(".")[0]
+
+
+def decide_change(
+    replica: Replica, beats: Iterable[Beat]
+) -> ChangeVoters | None:
+    """Returns the next change of voters, one voter at a time.
+
+    A node with a disk that does not vote is first made a learner. Once it
+    has caught up, the earlier identity of its name, whose disk is lost, stops
+    voting; then the learner starts to. A lost identity never counts beside
+    its successor.
+    """
+    if replica.role != LEADER or replica.changing_voters:
+        return None
+    learning = {beat.node.voter for beat in beats if beat.learner}
+    voters = replica.voters
+    for identity in sorted(learning - set(voters.voters)):
+        change = _next_step(replica, voters, identity)
+        if change is not None:
+            return ChangeVoters(change)
+    return None
+
+
+def _next_step(
+    replica: Replica, voters: Voters, identity: str
+) -> Voters | None:
+    name = voter_name(identity)
+    if identity not in voters.learners:
+        others = _without(voters.learners, name)
+        return Voters(voters.voters, (*others, identity))
+    if not _caught_up(replica, identity):
+        return None
+    remaining = _without(voters.voters, name)
+    if remaining != voters.voters:
+        return Voters(remaining, voters.learners)
+    learners = _without(voters.learners, name)
+    return Voters((*voters.voters, identity), learners)
+
+
+def _without(identities: tuple[str, ...], name: str) -> tuple[str, ...]:
+    return tuple(i for i in identities if voter_name(i) != name)
+
+
+def _caught_up(replica: Replica, identity: str) -> bool:
+    progress = replica.progress.get(identity)
+    if progress is None:
+        return False
+    return progress.match + _CAUGHT_UP >= replica.log.last_index
--- /dev/null
+++ b/src/ridgesill/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces through which the core meets the outside."""
--- /dev/null
+++ b/src/ridgesill/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for runners and plain services, for tests, trials and loads."""
--- /dev/null
+++ b/src/ridgesill/standin/process.py
@@ -0,0 +1,346 @@
+"""The process of a stand-in: its HTTP interface, announcements, journal."""
+
+import asyncio
+import hashlib
+import itertools
+import json
+import queue
+import random
+import secrets
+import signal
+import threading
+import time
+from collections.abc import Iterable, Iterator
+from typing import Any, TextIO
+
+import urllib3
+
+from ridgesill.adapters.announce_http import ANNOUNCE_PATH
+from ridgesill.adapters.http_server import (
+    Answer,
+    HttpServer,
+    ServerLimits,
+    StartResponse,
+    json_answer,
+    read_body,
+    send_answer,
+)
+from ridgesill.adapters.runner_http import EPOCH_HEADER, UNSTARTED_HEADER
+from ridgesill.core import codec
+from ridgesill.core.runners import Announcement
+from ridgesill.standin.engine import (
+    AbsentError,
+    BusyError,
+    Engine,
+    EngineCutError,
+    FencedError,
+    OrderError,
+)
+from ridgesill.standin.settings import StandInSettings, read_stand_in
+
+_THREADS = 128
+_BODY = 8 * 2**20
+_DEFAULT_TOKENS = 8
+_EPOCH_KEY = "HTTP_" + EPOCH_HEADER.upper().replace("-", "_")
+
+
+class Journal:
+    """Appends what a stand-in did to a file, a JSON line each."""
+
+    def __init__(self, path: str, runner: str) -> None:
+        self._file: TextIO | None = open(path, "a") if path else None  # noqa: SIM115
+        self._runner = runner
+        self._lock = threading.Lock()
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Adds an event."""
+        if self._file is None:
+            return
+        line = {"event": event, "runner": self._runner, "at": time.time()}
+        with self._lock:
+            self._file.write(json.dumps({**line, **fields}) + "\n")
+            self._file.flush()
+
+
+class ModelApp:
+    """A model runner's HTTP interface."""
+
+    def __init__(
+        self,
+        settings: StandInSettings,
+        engine: Engine,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._settings = settings
+        self._engine = engine
+        self._loop = loop
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serves one request."""
+        path = environ["PATH_INFO"]
+        body = json.loads(read_body(environ, _BODY) or b"{}")
+        if path.startswith("/v1/") and path.endswith("completions"):
+            return self._complete(environ, body, start_response)
+        answer = self._order(path, body, int(environ.get(_EPOCH_KEY, "0")))
+        return send_answer(answer, start_response)
+
+    def _order(self, path: str, body: dict[str, Any], epoch: int) -> Answer:
+        adapter = body.get("lora_name", "")
+        try:
+            self._wait(self._carry_out(path, adapter, epoch))
+        except FencedError as error:
+            return json_answer(409, {"error": str(error)})
+        except OrderError as error:
+            return json_answer(500, {"error": str(error)})
+        return json_answer(200, {})
+
+    async def _carry_out(self, path: str, adapter: str, epoch: int) -> None:
+        if path == "/v1/load_lora_adapter":
+            await self._engine.load(adapter, epoch)
+        elif path == "/v1/unload_lora_adapter":
+            self._engine.unload(adapter, epoch)
+        elif path == "/v1/fence":
+            self._engine.fence(epoch)
+        else:
+            raise OrderError(f"no such order: {path}")
+
+    def _wait(self, work: Any) -> Any:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+    def _complete(
+        self,
+        environ: dict[str, Any],
+        body: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        request = environ.get("HTTP_X_REQUEST_ID", "") or secrets.token_hex(4)
+        # A retry may reach the same engine; sequences need names of their own.
+        name = f"{request}/{secrets.token_hex(3)}"
+        tokens: queue.SimpleQueue[int | None | Exception] = queue.SimpleQueue()
+        started = self._wait(self._start(name, body, tokens))
+        if isinstance(started, Exception):
+            status = 404 if isinstance(started, AbsentError) else 503
+            answer = json_answer(status, {"error": repr(started)})
+            headers = [
+                ("Content-Type", "application/json"),
+                (UNSTARTED_HEADER, "true"),
+                ("Content-Length", str(len(answer.body))),
+            ]
+            start_response(f"{status} Unstarted", headers)
+            return [answer.body]
+        words = self._words(body)
+        cancel = lambda: self._loop.call_soon_threadsafe(  # noqa: E731
+            self._engine.cancel, name
+        )
+        if body.get("stream"):
+            start_response("200 OK", [("Content-Type", "text/event-stream")])
+            return _EventStream(words, tokens, cancel)
+        return self._collect(words, tokens, start_response)
+
+    async def _start(
+        self, name: str, body: dict[str, Any], tokens: queue.SimpleQueue
+    ) -> Exception | None:
+        prompt = json.dumps(body.get("messages", body.get("prompt", "")))
+        count = int(body.get("max_tokens", _DEFAULT_TOKENS))
+        try:
+            sequence = self._engine.submit(
+                name, body["model"], count, prompt[:64]
+            )
+        except (AbsentError, BusyError) as error:
+            return error
+        task = asyncio.create_task(_pump(self._engine, sequence, tokens))
+        task.add_done_callback(lambda _: None)
+        return None
+
+    def _words(self, body: dict[str, Any]) -> list[str]:
+        prompt = json.dumps(body.get("messages", body.get("prompt", "")))
+        digest = hashlib.sha256(prompt.encode()).hexdigest()[:12]
+        settings = self._settings
+        return [body["model"], settings.name, settings.data_centre, digest]
+
+    def _collect(
+        self,
+        words: list[str],
+        tokens: queue.SimpleQueue,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        content = []
+        while (item := tokens.get()) is not None:
+            if isinstance(item, Exception):
+                return send_answer(
+                    json_answer(500, {"error": "cut"}), start_response
+                )
+            content.append(_token(words, item))
+        choice = {"index": 0, "message": {"content": " ".join(content)}}
+        return send_answer(
+            json_answer(200, {"choices": [choice]}), start_response
+        )
+
+
+async def _pump(
+    engine: Engine, sequence: Any, tokens: queue.SimpleQueue
+) -> None:
+    try:
+        async for token in engine.tokens(sequence):
+            tokens.put(token)
+        tokens.put(None)
+    except EngineCutError as error:
+        tokens.put(error)
+
+
+def _token(words: list[str], number: int) -> str:
+    return words[number] if number < len(words) else f"t{number}"
+
+
+class _EventStream:
+    """A stream of events whose closing cancels the sequence."""
+
+    def __init__(
+        self, words: list[str], tokens: queue.SimpleQueue, cancel: Any
+    ) -> None:
+        self._words = words
+        self._tokens = tokens
+        self._cancel = cancel
+
+    def __iter__(self) -> Iterator[bytes]:
+        while (item := self._tokens.get()) is not None:
+            if isinstance(item, Exception):
+                raise item
+            delta = {"content": _token(self._words, item)}
+            event = {"choices": [{"index": 0, "delta": delta}]}
+            yield b"data: " + json.dumps(event).encode() + b"\n\n"
+        yield b"data: [DONE]\n\n"
+
+    def close(self) -> None:
+        """Cancels what has not been read."""
+        self._cancel()
+
+
+class PlainApp:
+    """A plain service that gives out numbered tickets."""
+
+    def __init__(self, settings: StandInSettings, journal: Journal) -> None:
+        self._settings = settings
+        self._journal = journal
+        self._numbers = itertools.count(1)
+        self.active = 0
+        self._lock = threading.Lock()
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serves one request; `X-Delay` holds it for so many seconds."""
+        body = read_body(environ, _BODY)
+        with self._lock:
+            self.active += 1
+        try:
+            delay = float(environ.get("HTTP_X_DELAY", "0"))
+            number = next(self._numbers)
+            self._journal.note(
+                "call",
+                request=environ.get("HTTP_X_REQUEST_ID", ""),
+                key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+                method=environ["REQUEST_METHOD"],
+                path=environ["PATH_INFO"],
+                body=body.decode("utf-8", "replace"),
+            )
+            time.sleep(delay or self._settings.model.step)
+        finally:
+            with self._lock:
+                self.active -= 1
+        answer = {
+            "ticket": number,
+            "runner": self._settings.name,
+            "data_centre": self._settings.data_centre,
+            "echo": hashlib.sha256(body).hexdigest()[:12],
+        }
+        return send_answer(json_answer(200, answer), start_response)
+
+
+class Announcer:
+    """Tells nodes what the stand-in is, again and again."""
+
+    def __init__(
+        self, settings: StandInSettings, engine: Engine, plain: PlainApp | None
+    ) -> None:
+        self._settings = settings
+        self._engine = engine
+        self._plain = plain
+        self._numbers = itertools.count(1)
+        self._pool = urllib3.PoolManager(timeout=1.0, retries=False)
+
+    def announcement(self) -> Announcement:
+        """Returns what is to be said now."""
+        settings = self._settings
+        engine = self._engine
+        is_plain = self._plain is not None
+        active = {"": self._plain.active} if self._plain else engine.active
+        return Announcement(
+            settings.name,
+            engine.incarnation,
+            settings.service,
+            settings.data_centre,
+            settings.listen,
+            0 if is_plain else settings.model.slots,
+            settings.model.batch,
+            tuple(sorted(engine.resident)),
+            active,
+            engine.leaving,
+            next(self._numbers),
+        )
+
+    async def run(self) -> None:
+        """Announces until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            said = self.announcement()
+            await asyncio.sleep(self._settings.report_lag)
+            await loop.run_in_executor(None, self.tell, said)
+            await asyncio.sleep(self._settings.announce_seconds)
+
+    def tell(self, said: Announcement) -> None:
+        """Sends an announcement to every node listed."""
+        body = json.dumps(codec.to_builtins(said)).encode()
+        for address in self._settings.announce:
+            try:
+                self._pool.request(
+                    "POST", f"http://{address}{ANNOUNCE_PATH}", body=body
+                )
+            except urllib3.exceptions.HTTPError:
+                continue
+
+
+async def _run(settings: StandInSettings) -> None:
+    loop = asyncio.get_running_loop()
+    journal = Journal(settings.journal, settings.name)
+    engine = Engine(settings.model, random.Random(), journal.note)
+    plain = None
+    app: Any = ModelApp(settings, engine, loop)
+    if settings.kind == "plain":
+        app = plain = PlainApp(settings, journal)
+    limits = ServerLimits(_THREADS, 64 * 1024, _BODY, 30.0)
+    server = HttpServer(settings.listen, app, limits)
+    server.start()
+    announcer = Announcer(settings, engine, plain)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    tasks = [
+        asyncio.create_task(engine.run()),
+        asyncio.create_task(announcer.run()),
+    ]
+    await stop.wait()
+    engine.leaving = True
+    await loop.run_in_executor(None, announcer.tell, announcer.announcement())
+    while engine.active or (plain and plain.active):
+        await asyncio.sleep(0.05)
+    for task in tasks:
+        task.cancel()
+    server.stop()
+
+
+def run_stand_in(path: str) -> None:
+    """Runs a stand-in from its settings file until SIGTERM."""
+    asyncio.run(_run(read_stand_in(path)))
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the modules mirror those under src/ridgesill."""
--- /dev/null
+++ b/testing/core/log/cluster.py
@@ -0,0 +1,302 @@
+"""Replicas under a seeded scheduler that loses, delays and restarts.
+
+The scheduler owns the clock. Each replica has a disk that keeps exactly what
+was synced before its messages went out; invariants are checked at each step.
+"""
+
+import heapq
+import itertools
+import random
+from typing import Any
+
+import attrs
+
+from ridgesill.core import codec
+from ridgesill.core.log.messages import (
+    Entry,
+    HardState,
+    Snapshot,
+    Stored,
+    Timing,
+    Voters,
+)
+from ridgesill.core.log.replica import (
+    LEADER,
+    ChangeVoters,
+    NoOp,
+    Replica,
+    found_snapshot,
+)
+
+_TICK = 0.05
+
+
+@codec.register
+@attrs.frozen
+class Write:
+    """A test's command."""
+
+    value: str
+
+
+@attrs.define
+class Disk:
+    """What a replica has synced."""
+
+    snapshot: Snapshot
+    hard_state: HardState = HardState()
+    entries: list[Entry] = attrs.Factory(list)
+
+    def append(self, entries: list[Entry]) -> None:
+        """Adds entries; one at a stored index cuts the tail."""
+        for entry in entries:
+            while self.entries and self.entries[-1].index >= entry.index:
+                self.entries.pop()
+            self.entries.append(entry)
+
+    def stored(self) -> Stored:
+        """Returns what a restart finds."""
+        return Stored(self.hard_state, tuple(self.entries), self.snapshot)
+
+
+@attrs.define
+class Member:
+    """A replica, its disk and the commands it has applied."""
+
+    replica: Replica
+    disk: Disk
+    applied: list[tuple[int, str]] = attrs.Factory(list)
+    up: bool = True
+
+
+@attrs.frozen
+class Faults:
+    """How the network and the replicas misbehave; shares and seconds."""
+
+    loss: float = 0.05
+    duplication: float = 0.05
+    delay: float = 0.03
+    slow: float = 0.05
+    slow_delay: float = 1.5
+
+
+class Violation(AssertionError):  # noqa: N818 - it is what a check found
+    """A broken invariant."""
+
+
+class Cluster:
+    """Replicas and the network between them."""
+
+    def __init__(
+        self, names: tuple[str, ...], seed: int, faults: Faults | None = None
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.faults = faults or Faults()
+        self.members: dict[str, Member] = {}
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, tuple[int, bytes]] = {}
+        self.acknowledged: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
+        self._proposed: dict[tuple[int, int], str] = {}
+        self._events: list[tuple[float, int, str, str, Any]] = []
+        self._order = itertools.count()
+        for name in names:
+            self.add(name, found_snapshot(names, b""))
+
+    def add(self, name: str, snapshot: Snapshot | None = None) -> None:
+        """Adds a replica with an empty disk."""
+        start = snapshot or Snapshot(0, 0, Voters(()), b"")
+        disk = Disk(start)
+        self.members[name] = Member(self._replica(name, disk), disk)
+        self._schedule_tick(name)
+
+    def _replica(self, name: str, disk: Disk) -> Replica:
+        rng = random.Random(self.rng.random())
+        return Replica(name, disk.stored(), self.now, rng, Timing())
+
+    # -- faults -----------------------------------------------------------
+
+    def crash(self, name: str) -> None:
+        """Stops a replica; its memory is lost."""
+        self.members[name].up = False
+
+    def restart(self, name: str) -> None:
+        """Starts a stopped replica from its disk."""
+        member = self.members[name]
+        member.replica = self._replica(name, member.disk)
+        member.applied = _applied_of(member.disk.snapshot)
+        member.up = True
+
+    def wipe(self, name: str) -> None:
+        """Takes a replica and its disk away for good."""
+        self.members[name].up = False
+
+    def isolate(self, name: str, *, inbound: bool, outbound: bool) -> None:
+        """Cuts a replica off in one direction or both."""
+        for other in self.members:
+            if inbound:
+                self.cut.add((other, name))
+            if outbound:
+                self.cut.add((name, other))
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.cut.clear()
+
+    # -- running ----------------------------------------------------------
+
+    def run(self, seconds: float) -> None:
+        """Advances the clock."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            at, _, kind, name, payload = heapq.heappop(self._events)
+            self.now = at
+            self._happen(kind, name, payload)
+        self.now = end
+
+    def _happen(self, kind: str, name: str, payload: Any) -> None:
+        member = self.members[name]
+        if kind == "tick":
+            self._schedule_tick(name)
+        if not member.up:
+            return
+        if kind == "tick":
+            member.replica.tick(self.now)
+        else:
+            sender, message = payload
+            if (sender, name) in self.cut:
+                return
+            member.replica.receive(message, sender, self.now)
+        self.settle(name)
+
+    def _schedule_tick(self, name: str) -> None:
+        self._schedule(self.now + _TICK, "tick", name, None)
+
+    def _schedule(self, at: float, kind: str, name: str, payload: Any) -> None:
+        event = (at, next(self._order), kind, name, payload)
+        heapq.heappush(self._events, event)
+
+    def propose(self, name: str, command: Any) -> int | None:
+        """Proposes a command to a replica."""
+        member = self.members[name]
+        if not member.up:
+            return None
+        index = member.replica.propose(command, self.now)
+        if index is not None and isinstance(command, Write):
+            self._proposed[(index, member.replica.term)] = command.value
+        self.settle(name)
+        return index
+
+    def leader(self) -> str:
+        """Returns the leader of the highest term that is up, or empty."""
+        leading = [
+            (m.replica.term, name)
+            for name, m in self.members.items()
+            if m.up and m.replica.role == LEADER
+        ]
+        return max(leading, default=(0, ""))[1]
+
+    # -- a driver's work --------------------------------------------------
+
+    def settle(self, name: str) -> None:
+        """Syncs a replica's output, sends it, applies it, and checks."""
+        member = self.members[name]
+        output = member.replica.take_output()
+        if output.hard_state is not None:
+            member.disk.hard_state = output.hard_state
+        if output.snapshot is not None:
+            log = member.replica.log
+            member.disk.snapshot = output.snapshot
+            tail = log.slice(log.snapshot.index, log.last_index)
+            member.disk.entries = list(tail)
+            member.applied = _applied_of(output.snapshot)
+        else:
+            member.disk.append(output.entries)
+        for send in output.messages:
+            self._transmit(name, send.to, send.message)
+        for entry in output.committed:
+            self._apply(member, entry)
+        self._check_leader(name, member)
+
+    def _transmit(self, sender: str, to: str, message: Any) -> None:
+        if to not in self.members or self.rng.random() < self.faults.loss:
+            return
+        copies = 2 if self.rng.random() < self.faults.duplication else 1
+        for _ in range(copies):
+            delay = self.rng.uniform(0.001, self.faults.delay)
+            if self.rng.random() < self.faults.slow:
+                delay += self.rng.uniform(0, self.faults.slow_delay)
+            at = self.now + delay
+            self._schedule(at, "message", to, (sender, message))
+
+    def _apply(self, member: Member, entry: Entry) -> None:
+        known = self.committed.setdefault(
+            entry.index, (entry.term, entry.command)
+        )
+        if known != (entry.term, entry.command):
+            raise Violation(f"two entries committed at {entry.index}")
+        last = member.applied[-1][0] if member.applied else 0
+        if entry.index <= last:
+            raise Violation(f"{entry.index} applied after {last}")
+        command = codec.decode(entry.command)
+        if not isinstance(command, Write):
+            return
+        member.applied.append((entry.index, command.value))
+        if (entry.index, entry.term) in self._proposed:
+            self.acknowledged.add(command.value)
+
+    def compact(self, name: str) -> None:
+        """Has a replica replace its applied log by a snapshot."""
+        member = self.members[name]
+        replica = member.replica
+        if not member.up or replica.commit <= replica.log.snapshot.index:
+            return
+        data = codec.encode(Applied(tuple(member.applied)))
+        member.disk.snapshot = replica.compact(data, replica.commit)
+        log = replica.log
+        member.disk.entries = list(
+            log.slice(log.snapshot.index, log.last_index)
+        )
+
+    def _check_leader(self, name: str, member: Member) -> None:
+        replica = member.replica
+        if replica.role != LEADER:
+            return
+        known = self.leaders.setdefault(replica.term, name)
+        if known != name:
+            raise Violation(f"{known} and {name} lead term {replica.term}")
+
+    # -- checks -----------------------------------------------------------
+
+    def check_logs(self) -> None:
+        """Checks that logs agree and that nothing acknowledged is lost."""
+        for member in self.members.values():
+            for index, value in member.applied:
+                entry = self.committed.get(index)
+                if entry and codec.decode(entry[1]) != Write(value):
+                    raise Violation(f"{value!r} applied at {index}")
+
+    def check_kept(self, name: str) -> None:
+        """Checks that a replica has applied all that was acknowledged."""
+        values = {value for _, value in self.members[name].applied}
+        lost = self.acknowledged - values
+        if lost:
+            raise Violation(f"{name} lost acknowledged {sorted(lost)}")
+
+
+@codec.register
+@attrs.frozen
+class Applied:
+    """A test snapshot's data."""
+
+    values: tuple[tuple[int, str], ...]
+
+
+def _applied_of(snapshot: Snapshot) -> list[tuple[int, str]]:
+    if not snapshot.data:
+        return []
+    return list(codec.decode(snapshot.data).values)
+
+
+__all__ = ["ChangeVoters", "Cluster", "NoOp", "Violation", "Write"]
--- /dev/null
+++ b/testing/core/log/test_replica.py
@@ -0,0 +1,171 @@
+"""Tests of the replicated log."""
+
+import pytest
+
+from ridgesill.core.log.messages import Voters
+from ridgesill.core.log.replica import LEADER, ChangeVoters
+from testing.core.log.cluster import Cluster, Faults, Violation, Write
+from testing.core.log.schedules import Schedule
+
+_NAMES = ("a.0", "b.0", "c.0")
+_SCHEDULES = 1000
+_LONG_SCHEDULES = 20_000
+
+
+def calm_cluster(seed: int = 1) -> Cluster:
+    """Returns a cluster with a leader and a network without faults."""
+    faults = Faults(loss=0, duplication=0, slow=0)
+    cluster = Cluster(_NAMES, seed, faults)
+    cluster.run(5.0)
+    assert cluster.leader()
+    return cluster
+
+
+class TestElection:
+    def test_one_leader_is_elected(self) -> None:
+        cluster = calm_cluster()
+        leading = [
+            m for m in cluster.members.values() if m.replica.role == LEADER
+        ]
+        assert len(leading) == 1
+
+    def test_a_lost_leader_is_replaced_within_five_seconds(self) -> None:
+        cluster = calm_cluster()
+        first = cluster.leader()
+        cluster.crash(first)
+        cluster.run(5.0)
+        assert cluster.leader() not in ("", first)
+
+    def test_a_returning_voter_does_not_disturb_the_leader(self) -> None:
+        cluster = calm_cluster()
+        leader = cluster.leader()
+        term = cluster.members[leader].replica.term
+        other = next(n for n in _NAMES if n != leader)
+        cluster.isolate(other, inbound=True, outbound=True)
+        cluster.run(60.0)
+        cluster.heal()
+        cluster.run(5.0)
+        assert cluster.leader() == leader
+        assert cluster.members[leader].replica.term == term
+
+    def test_a_voter_that_hears_nothing_does_not_disturb_the_leader(
+        self,
+    ) -> None:
+        cluster = calm_cluster()
+        leader = cluster.leader()
+        other = next(n for n in _NAMES if n != leader)
+        cluster.isolate(other, inbound=True, outbound=False)
+        cluster.run(60.0)
+        assert cluster.leader() == leader
+
+    def test_a_leader_without_a_quorum_steps_down(self) -> None:
+        cluster = calm_cluster()
+        leader = cluster.leader()
+        cluster.isolate(leader, inbound=True, outbound=True)
+        cluster.run(5.0)
+        assert cluster.members[leader].replica.role != LEADER
+
+
+class TestReplication:
+    def test_a_command_is_applied_everywhere(self) -> None:
+        cluster = calm_cluster()
+        cluster.propose(cluster.leader(), Write("x"))
+        cluster.run(1.0)
+        for name in _NAMES:
+            cluster.check_kept(name)
+        assert cluster.acknowledged == {"x"}
+
+    def test_a_follower_refuses_a_proposal(self) -> None:
+        cluster = calm_cluster()
+        other = next(n for n in _NAMES if n != cluster.leader())
+        assert cluster.propose(other, Write("x")) is None
+
+    def test_a_follower_too_far_behind_gets_a_snapshot(self) -> None:
+        cluster = calm_cluster()
+        leader = cluster.leader()
+        other = next(n for n in _NAMES if n != leader)
+        cluster.crash(other)
+        for number in range(200):
+            cluster.propose(leader, Write(f"v{number}"))
+            cluster.run(0.1)
+        cluster.compact(leader)
+        cluster.restart(other)
+        cluster.run(5.0)
+        cluster.check_kept(other)
+
+    def test_an_isolated_leader_commits_nothing(self) -> None:
+        cluster = calm_cluster()
+        leader = cluster.leader()
+        cluster.isolate(leader, inbound=True, outbound=True)
+        cluster.propose(leader, Write("lost"))
+        cluster.run(10.0)
+        assert "lost" not in cluster.acknowledged
+
+
+class TestConfirmedAt:
+    def test_it_follows_the_clock_while_a_quorum_answers(self) -> None:
+        cluster = calm_cluster()
+        replica = cluster.members[cluster.leader()].replica
+        assert cluster.now - replica.confirmed_at(cluster.now) < 0.5
+
+    def test_it_stands_still_without_a_quorum(self) -> None:
+        cluster = calm_cluster()
+        leader = cluster.leader()
+        replica = cluster.members[leader].replica
+        cluster.isolate(leader, inbound=True, outbound=True)
+        cut_at = cluster.now
+        cluster.run(1.0)
+        assert replica.confirmed_at(cluster.now) <= cut_at
+
+    def test_a_follower_confirms_nothing(self) -> None:
+        cluster = calm_cluster()
+        other = next(n for n in _NAMES if n != cluster.leader())
+        replica = cluster.members[other].replica
+        assert replica.confirmed_at(cluster.now) == float("-inf")
+
+
+class TestChangeVoters:
+    def test_a_lost_disk_is_replaced_and_a_second_loss_survived(self) -> None:
+        cluster = calm_cluster()
+        leader = cluster.leader()
+        cluster.propose(leader, Write("before"))
+        lost, second = (n for n in _NAMES if n != leader)
+        cluster.wipe(lost)
+        new = lost.replace(".0", ".1")
+        cluster.add(new)
+        remaining = tuple(n for n in _NAMES if n != lost)
+        for change in (
+            Voters(_NAMES, (new,)),
+            Voters(remaining, (new,)),
+            Voters((*remaining, new)),
+        ):
+            cluster.run(2.0)
+            assert cluster.propose(leader, ChangeVoters(change))
+        cluster.run(2.0)
+        cluster.crash(second)
+        cluster.propose(cluster.leader(), Write("after"))
+        cluster.run(5.0)
+        cluster.check_kept(new)
+        assert cluster.acknowledged == {"before", "after"}
+
+    def test_a_second_change_waits_for_the_first(self) -> None:
+        cluster = calm_cluster()
+        leader = cluster.leader()
+        change = ChangeVoters(Voters(_NAMES, ("d.0",)))
+        assert cluster.propose(leader, change)
+        assert cluster.propose(leader, change) is None
+
+
+class TestSchedules:
+    def test_invariants_hold_over_random_schedules(self) -> None:
+        for seed in range(_SCHEDULES):
+            try:
+                Schedule(seed).run()
+            except (Violation, AssertionError) as error:
+                raise AssertionError(f"seed {seed}: {error}") from error
+
+    @pytest.mark.long
+    @pytest.mark.timeout(0)
+    def test_invariants_hold_over_many_more(self) -> None:
+        for seed in range(_SCHEDULES, _SCHEDULES + _LONG_SCHEDULES):
+            Schedule(seed).run()
