Tell a refused candidate the term it lags behind

Cause: a pre-vote refusal carried the asker's term. With one of three disks lost, a replica with the longer log and term 2 asked for term 3, and one with the shorter log and term 3 refused it and never told its own term: neither could ever win. Found by random schedule 2813 (AssertionError: no leader after all faults ended). Ruled out: a fault of the schedule's own (both replicas were up and connected), loss of the answer (loss is drawn anew for each message). Also: a plain service's headers were dropped on the way (the scenario with a slow ticket could not hold it); they are passed on both ways now, but for those of one connection. A configuration file with both bad values and bad references now lists both.

--- a/src/ridgesill/adapters/caller_http.py
+++ b/src/ridgesill/adapters/caller_http.py
@@ -46,14 +46,21 @@
 }
 _OTHER_STATUS = 503
 
-_PASSED_HEADERS = {
-    "HTTP_ACCEPT": "Accept",
-    "HTTP_ACCEPT_LANGUAGE": "Accept-Language",
-    "HTTP_AUTHORIZATION": "Authorization",
-    "HTTP_USER_AGENT": "User-Agent",
-    "HTTP_IDEMPOTENCY_KEY": "Idempotency-Key",
-    "CONTENT_TYPE": "Content-Type",
-}
+# Headers of one connection (RFC 9110, 7.6.1), or set anew for the next one.
+_NOT_PASSED = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+    }
+)
+_OWN_PREFIX = "x-ridgesill-"
 
 
 @attrs.frozen
@@ -287,11 +294,7 @@
     if not 0 < timeout <= 600:
         return Err(Bad(400, "X-Ridgesill-Timeout must be seconds, 0 to 600"))
     request = secrets.token_hex(8)
-    headers = {
-        name: environ[field]
-        for field, name in _PASSED_HEADERS.items()
-        if environ.get(field)
-    }
+    headers = _passed_headers(environ)
     headers["X-Request-Id"] = request
     headers["X-Priority"] = priority
     return Ok(
@@ -307,6 +310,24 @@
     )
 
 
+def _passed_headers(environ: dict[str, Any]) -> dict[str, str]:
+    """Returns a caller's headers as they go on to the runner."""
+    headers = {}
+    for field, value in environ.items():
+        if field.startswith("HTTP_"):
+            name = field[5:].replace("_", "-").title()
+            if _is_passed(name):
+                headers[name] = value
+    if environ.get("CONTENT_TYPE"):
+        headers["Content-Type"] = environ["CONTENT_TYPE"]
+    return headers
+
+
+def _is_passed(name: str) -> bool:
+    lower = name.lower()
+    return lower not in _NOT_PASSED and not lower.startswith(_OWN_PREFIX)
+
+
 def _digest(method: str, path: str, body: bytes) -> str:
     digest = hashlib.sha256(f"{method} {path}\n".encode())
     digest.update(body)
@@ -317,7 +338,8 @@
 
 
 def _reply_headers(call: Call, reply: Reply) -> tuple[tuple[str, str], ...]:
-    headers = [("X-Ridgesill-Request", call.request)]
+    headers = [(n, v) for n, v in reply.headers if _is_passed(n)]
+    headers.append(("X-Ridgesill-Request", call.request))
     if reply.refusal is None:
         headers.append(("X-Ridgesill-Outcome", reply.outcome))
     if reply.replayed:
--- a/src/ridgesill/adapters/configuration_ini.py
+++ b/src/ridgesill/adapters/configuration_ini.py
@@ -50,13 +50,18 @@
         tuple(_adapter(reader, n) for n in named["adapter"]),
     )
     reader.check_keys("configuration", {"version", "based_on"})
-    if not reader.problems:
-        for mistake in find_mistakes(declared):
-            reader.report(mistake.section, mistake.key, mistake.expected)
+    _report_mistakes(reader, declared)
     reader.finish()
     return declared
 
 
+def _report_mistakes(reader: IniReader, declared: Declaration) -> None:
+    known = {(problem.section, problem.key) for problem in reader.problems}
+    for mistake in find_mistakes(declared):
+        if (mistake.section, mistake.key) not in known:
+            reader.report(mistake.section, mistake.key, mistake.expected)
+
+
 def _digest(reader: IniReader) -> str:
     # Of the parsed content: comments and spacing don't make a new file.
     digest = hashlib.sha256()
@@ -96,7 +101,7 @@
     return Team(
         name,
         reader.value(section, "weight", to_number(0.01, 1000), 1.0),
-        reader.value(section, "places", to_names, ()),
+        reader.value(section, "places", to_names, ()) or (),
     )
 
 
@@ -122,7 +127,7 @@
         reader.value(section, "base_model", to_name, ""),
         reader.value(section, "fenced", to_flag, default.fenced),
         reader.value(section, "repeatable", to_flag, default.repeatable),
-        reader.value(section, "places", to_names, ()),
+        reader.value(section, "places", to_names, ()) or (),
         reader.value(
             section, "load_rate", to_number(0.01, 10_000), default.load_rate
         ),
--- a/src/ridgesill/adapters/metrics.py
+++ b/src/ridgesill/adapters/metrics.py
@@ -10,7 +10,6 @@
     View,
 )
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.registry import REGISTRY
 
 _SECONDS = (
     0.005,
@@ -48,9 +47,13 @@
                 aggregation=ExplicitBucketHistogramAggregation(_BATCHES),
             ),
         ]
-        reader = PrometheusMetricReader(disable_target_info=True)
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
         provider = MeterProvider(metric_readers=[reader], views=views)
-        self._registry: CollectorRegistry = REGISTRY
         meter = provider.get_meter("ridgesill")
         self._meter = meter
         self._first_byte = meter.create_histogram(
--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -48,6 +48,15 @@
         """The answer's content type."""
         return self.headers.get("Content-Type", "application/octet-stream")
 
+    @property
+    def other_headers(self) -> tuple[tuple[str, str], ...]:
+        """All other headers."""
+        return tuple(
+            (name, value)
+            for name, value in self.headers.items()
+            if name.lower() != "content-type"
+        )
+
     def chunks(self) -> Iterator[bytes]:
         """Yields the body as it arrives; raises `AnswerCutError`."""
         try:
--- a/src/ridgesill/app/exchange.py
+++ b/src/ridgesill/app/exchange.py
@@ -217,6 +217,7 @@
             body,
             calls.COMPLETED,
             admission,
+            headers=response.other_headers,
         )
 
     def _relay(
--- a/src/ridgesill/core/log/replica.py
+++ b/src/ridgesill/core/log/replica.py
@@ -175,7 +175,11 @@
             return
         if message.pre:
             granted = message.term > self.term and self._up_to_date(message)
-            self._send(sender, VoteResponse(message.term, granted, pre=True))
+            # A refusal tells this replica's own term: a candidate with a
+            # longer log but an older term would else ask in vain for ever
+            # (schedule 2813 of testing/core/log found it, issue 4).
+            term = message.term if granted else self.term
+            self._send(sender, VoteResponse(term, granted, pre=True))
             return
         if message.term > self.term:
             self._follow(message.term, "", now)
@@ -193,7 +197,7 @@
     @receive.register
     def _(self, message: VoteResponse, sender: str, now: float) -> None:
         if not message.granted:
-            if message.term > self.term and not message.pre:
+            if message.term > self.term:
                 self._follow(message.term, "", now)
             return
         expected = self.term + 1 if message.pre else self.term
--- a/src/ridgesill/ports/runner.py
+++ b/src/ridgesill/ports/runner.py
@@ -54,6 +54,10 @@
     def content_type(self) -> str:
         """The answer's content type."""
 
+    @property
+    def other_headers(self) -> tuple[tuple[str, str], ...]:
+        """All other headers."""
+
     def chunks(self) -> Iterator[bytes]:
         """Yields the body as it arrives; raises `AnswerCutError`."""
 
--- a/src/ridgesill/ports/serving.py
+++ b/src/ridgesill/ports/serving.py
@@ -36,6 +36,7 @@
         outcome: `completed`, `not-run` or `unknown`; for a stream, what it
             will be if it ends whole.
         refusal: set when it is refused.
+        headers: the runner's own but for the content type.
         replayed: whether it is the recorded answer of an earlier attempt.
     """
 
@@ -46,6 +47,7 @@
     admission: Admission | None = None
     refusal: Refusal | None = None
     replayed: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class CutError(Exception):
--- a/src/ridgesill/standin/process.py
+++ b/src/ridgesill/standin/process.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, TextIO
 
+import attrs
 import urllib3
 
 from ridgesill.adapters.announce_http import ANNOUNCE_PATH
@@ -41,6 +42,7 @@
 _THREADS = 128
 _BODY = 8 * 2**20
 _DEFAULT_TOKENS = 8
+_ECHOED = {"HTTP_X_TRACE": "Trace", "HTTP_X_RIDGESILL_TEAM": "Team"}
 _EPOCH_KEY = "HTTP_" + EPOCH_HEADER.upper().replace("-", "_")
 
 
@@ -256,7 +258,13 @@
             "data_centre": self._settings.data_centre,
             "echo": hashlib.sha256(body).hexdigest()[:12],
         }
-        return send_answer(json_answer(200, answer), start_response)
+        echoed = tuple(
+            (f"X-Echo-{name}", environ[field])
+            for field, name in _ECHOED.items()
+            if field in environ
+        )
+        whole = attrs.evolve(json_answer(200, answer), headers=echoed)
+        return send_answer(whole, start_response)
 
 
 class Announcer:
--- /dev/null
+++ b/testing/adapters/test_admin_http.py
@@ -0,0 +1,99 @@
+"""Tests of the administration interface, on real processes."""
+
+import pytest
+import urllib3
+from bench.demo import make_configuration
+
+from testing.clients import chat
+from testing.processes import Deployment, NodeHandle
+
+pytestmark = pytest.mark.process
+
+
+@pytest.fixture
+def node(serving: Deployment) -> NodeHandle:
+    return serving.nodes["n2"]
+
+
+def get(node: NodeHandle, path: str, token: str) -> urllib3.BaseHTTPResponse:
+    """Returns the answer of the administration interface."""
+    headers = {"Authorization": token} if token else {}
+    url = f"http://{node.admin}{path}"
+    return urllib3.request("GET", url, headers=headers, retries=False)
+
+
+class TestToken:
+    @pytest.mark.parametrize("token", ["", "Bearer wrong", "Basic x"])
+    def test_without_it_there_is_no_detail(
+        self, node: NodeHandle, token: str
+    ) -> None:
+        for path in ("/v1/status", "/v1/nothing", "/metrics"):
+            answer = get(node, path, token)
+            assert (answer.status, answer.data) == (401, b"")
+
+
+class TestStatus:
+    def test_it_tells_owners_nodes_and_runners(
+        self, serving: Deployment
+    ) -> None:
+        leader = serving.leader()
+        assert leader is not None
+        status = serving.status(leader)
+        assert {n["name"] for n in status["nodes"]} == {"n1", "n2", "n3"}
+        assert len(status["voters"]) == 3
+        pools = {pool["pool"] for pool in status["pools"]}
+        assert {"east/assist", "west/assist", "east/tickets"} <= pools
+
+    def test_everyone_has_the_version_in_force(
+        self, serving: Deployment
+    ) -> None:
+        leader = serving.leader()
+        assert leader is not None
+        shown = serving.show(leader)
+        assert shown["version"] == 1
+        assert shown["fresh"] is True
+        assert shown["everywhere"] is True
+
+
+class TestMetrics:
+    def test_histograms_carry_team_and_class(
+        self, node: NodeHandle, serving: Deployment
+    ) -> None:
+        assert chat(node, "a1", {"X-Ridgesill-Priority": "2"}).status == 200
+        page = get(node, "/metrics", f"Bearer {serving.token}").data.decode()
+        assert "ridgesill_configuration_version 1.0" in page
+        labels = '{class="2",team="crews"}'
+        for name in (
+            "first_byte_seconds",
+            "total_seconds",
+            "load_stall_seconds",
+            "queue_wait_seconds",
+            "batch_size",
+        ):
+            assert f"ridgesill_{name}_count{labels} 1.0" in page
+
+
+class TestApply:
+    def test_a_bad_file_changes_nothing_and_lists_all(
+        self, node: NodeHandle, serving: Deployment
+    ) -> None:
+        text = make_configuration().replace("version = 1", "version = 2", 1)
+        text = text.replace("team = crews", "team = nobody", 1)
+        text += "\n[adapter worse]\nteam = potters\nservice = tickets\n"
+        answer = serving.apply(node, text)
+        assert "[adapter a1] team" in answer
+        assert "[adapter worse] versions" in answer
+        assert serving.show(node)["version"] == 1
+
+    def test_the_same_file_again_is_accepted(
+        self, node: NodeHandle, serving: Deployment
+    ) -> None:
+        answer = serving.apply(node, make_configuration())
+        assert "version 1 is accepted" in answer
+
+    def test_an_equal_version_of_another_text_is_refused(
+        self, node: NodeHandle, serving: Deployment
+    ) -> None:
+        text = make_configuration() + "\n[team late]\n"
+        answer = serving.apply(node, text)
+        assert "version 1 is in force" in answer
--- /dev/null
+++ b/testing/clients.py
@@ -0,0 +1,104 @@
+"""Callers for tests: real HTTP over urllib3 or bare sockets."""
+
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import msgspec
+import urllib3
+
+from testing.processes import NodeHandle
+
+CHAT = "/v1/chat/completions"
+
+
+@attrs.frozen
+class Answered:
+    """An answer, read whole."""
+
+    status: int
+    headers: Any
+    data: bytes
+
+    @property
+    def outcome(self) -> str:
+        """What it says became of the request."""
+        return str(self.headers.get("X-Ridgesill-Outcome", ""))
+
+    @property
+    def error(self) -> Any:
+        """The error that it holds."""
+        return msgspec.json.decode(self.data)["error"]
+
+    @property
+    def words(self) -> list[str]:
+        """The words of a completion."""
+        document = msgspec.json.decode(self.data)
+        content: str = document["choices"][0]["message"]["content"]
+        return content.split()
+
+
+def request(
+    node: NodeHandle,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout: float = 30.0,
+) -> Answered:
+    """Returns a node's answer to a caller."""
+    answer = urllib3.request(
+        method,
+        f"http://{node.callers}{path}",
+        body=body,
+        headers=headers,
+        timeout=timeout,
+        retries=False,
+    )
+    return Answered(answer.status, answer.headers, answer.data)
+
+
+def chat_body(model: str, content: str = "hi", **fields: Any) -> bytes:
+    """Returns the body of a chat completion."""
+    messages = [{"role": "user", "content": content}]
+    return msgspec.json.encode({"model": model, "messages": messages, **fields})
+
+
+def chat(
+    node: NodeHandle,
+    model: str,
+    headers: dict[str, str] | None = None,
+    **fields: Any,
+) -> Answered:
+    """Returns the answer to a chat completion."""
+    body = chat_body(model, **fields)
+    return request(node, "POST", CHAT, body, headers)
+
+
+def open_stream(
+    node: NodeHandle, model: str, **fields: Any
+) -> tuple[urllib3.BaseHTTPResponse, Iterator[bytes]]:
+    """Returns a streamed completion whose body has not been read."""
+    response = urllib3.PoolManager(retries=False, timeout=30).request(
+        "POST",
+        f"http://{node.callers}{CHAT}",
+        body=chat_body(model, stream=True, **fields),
+        preload_content=False,
+    )
+    return response, response.stream(65536)
+
+
+def send_raw(node: NodeHandle, data: bytes, seconds: float = 10.0) -> bytes:
+    """Sends bytes on a bare socket and returns what comes until its end."""
+    host, _, port = node.callers.rpartition(":")
+    received = b""
+    with socket.create_connection((host, int(port)), seconds) as connection:
+        connection.settimeout(seconds)
+        try:
+            connection.sendall(data)
+            while chunk := connection.recv(65536):
+                received += chunk
+        except ConnectionError:
+            pass
+    return received
--- a/testing/core/log/schedules.py
+++ b/testing/core/log/schedules.py
@@ -6,14 +6,19 @@
 from ridgesill.core.log.replica import ChangeVoters
 from testing.core.log.cluster import Cluster, Write
 
-_NAMES = ("a.0", "b.0", "c.0")
+_THREE = ("a.0", "b.0", "c.0")
+_FIVE = (*_THREE, "d.0", "e.0")
 
 
 class Schedule:
     """One random schedule; raises `Violation` if an invariant breaks."""
 
     def __init__(self, seed: int, steps: int = 30) -> None:
-        self.cluster = Cluster(_NAMES, seed)
+        names = _FIVE if seed % 3 == 0 else _THREE
+        # A third of the schedules are hasty: messages overtake each other
+        # and replicas restart between a vote and the next.
+        self._hasty = seed % 3 == 1
+        self.cluster = Cluster(names, seed)
         self._rng = self.cluster.rng
         self._steps = steps
         self._values = itertools.count()
@@ -28,7 +33,7 @@
         cluster.run(3.0)
         for _ in range(self._steps):
             self._act()
-            cluster.run(self._rng.uniform(0.05, 1.0))
+            cluster.run(self._pause())
             cluster.check_logs()
         self._heal()
         return cluster
@@ -40,6 +45,7 @@
             (self._restart, 3),
             (self._cut, 2),
             (self.cluster.heal, 2),
+            (self._bounce, 6 if self._hasty else 1),
             (self._compact, 1),
             (self._replace, 1),
         ]
@@ -47,6 +53,18 @@
         chosen = self._rng.choices([a for a, _ in actions], weights)[0]
         chosen()
 
+    def _pause(self) -> float:
+        if self._hasty and self._rng.random() < 0.7:
+            return self._rng.uniform(0.002, 0.05)
+        return self._rng.uniform(0.05, 1.0)
+
+    def _bounce(self) -> None:
+        """Restarts a replica at once: what it had not synced is gone."""
+        name = self._rng.choice(sorted(self._alive_names()))
+        if self.cluster.members[name].up:
+            self.cluster.crash(name)
+            self.cluster.restart(name)
+
     def _write(self) -> None:
         for name in list(self.cluster.members):
             command = Write(f"v{next(self._values)}")
--- a/testing/core/log/test_replica.py
+++ b/testing/core/log/test_replica.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from ridgesill.core.log.messages import Voters
-from ridgesill.core.log.replica import LEADER, ChangeVoters
+from ridgesill.core import codec
+from ridgesill.core.log.messages import Entry, HardState, Voters
+from ridgesill.core.log.replica import LEADER, ChangeVoters, NoOp
 from testing.core.log.cluster import Cluster, Faults, Violation, Write
 from testing.core.log.schedules import Schedule
 
@@ -65,6 +66,24 @@
         cluster.run(5.0)
         assert cluster.members[leader].replica.role != LEADER
 
+    def test_a_longer_log_under_an_older_term_still_wins(self) -> None:
+        faults = Faults(loss=0, duplication=0, slow=0)
+        cluster = Cluster(_NAMES, 1, faults)
+        longer, behind, gone = _NAMES
+        command = codec.encode(NoOp())
+        entries = [Entry(index, 2, command) for index in (1, 2, 3)]
+        disks = {name: cluster.members[name].disk for name in _NAMES}
+        disks[longer].hard_state = HardState(2, longer)
+        disks[longer].entries = entries
+        disks[behind].hard_state = HardState(3, behind)
+        disks[behind].entries = entries[:1]
+        for name in _NAMES:
+            cluster.crash(name)
+        cluster.restart(longer)
+        cluster.restart(behind)
+        cluster.run(10.0)
+        assert cluster.leader() == longer
+
 
 class TestReplication:
     def test_a_command_is_applied_everywhere(self) -> None:
