--- a/bench/demo.py
+++ b/bench/demo.py
@@ -10,6 +10,7 @@
 
 import attrs
 import urllib3
+
 from testing.processes import Deployment, NodeHandle, deployed, wait_until
 
 _TOKENS = 6
--- a/src/ridgesill/adapters/peer_rpc.py
+++ b/src/ridgesill/adapters/peer_rpc.py
@@ -36,10 +36,33 @@
     return host, int(port)
 
 
+@attrs.define
+class Traffic:
+    """Messages and bytes of a process, without HTTP/2's own overhead."""
+
+    messages_sent: int = 0
+    messages_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+
+    def sent(self, envelope: Envelope) -> None:
+        """Counts a message that goes out."""
+        self.messages_sent += 1
+        self.bytes_sent += envelope.ByteSize()
+
+    def received(self, envelope: Envelope) -> None:
+        """Counts a message that came in."""
+        self.messages_received += 1
+        self.bytes_received += envelope.ByteSize()
+
+
 class PeerServer(PeerBase):
     """Hands every message that arrives to a handler."""
 
-    def __init__(self, handler: Handler, identity: str) -> None:
+    def __init__(
+        self, handler: Handler, identity: str, traffic: Traffic | None = None
+    ) -> None:
+        self._traffic = traffic or Traffic()
         self._handler = handler
         self._identity = identity
         self._server = Server([self])
@@ -63,6 +86,7 @@
         tasks: set[asyncio.Task[None]] = set()
         try:
             async for envelope in stream:
+                self._traffic.received(envelope)
                 task = asyncio.create_task(self._handle(stream, envelope))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
@@ -84,6 +108,7 @@
         if not envelope.call:
             return
         try:
+            self._traffic.sent(reply)
             await stream.send_message(reply)
         except _STREAM_ERRORS as error:
             log_message(
@@ -118,6 +143,7 @@
         own_address: str = "",
         handler: Handler | None = None,
     ) -> None:
+        self.traffic = Traffic()
         self._identity = identity
         self._own_address = own_address
         self._handler = handler
@@ -214,6 +240,7 @@
         channel = Channel(host, port, ssl=self._context())
         try:
             async with PeerStub(channel).Exchange.open() as stream:
+                self.traffic.sent(first)
                 await stream.send_message(first)
                 reader = asyncio.create_task(self._read(link, stream))
                 writer = asyncio.create_task(self._write(link, stream))
@@ -223,10 +250,13 @@
 
     async def _write(self, link: _Link, stream: Any) -> None:
         while True:
-            await stream.send_message(await link.outbox.get())
+            envelope = await link.outbox.get()
+            self.traffic.sent(envelope)
+            await stream.send_message(envelope)
 
     async def _read(self, link: _Link, stream: Any) -> None:
         async for envelope in stream:
+            self.traffic.received(envelope)
             future = link.calls.get(envelope.call)
             if future and not future.done():
                 future.set_result(envelope)
--- a/src/ridgesill/app/node.py
+++ b/src/ridgesill/app/node.py
@@ -1,12 +1,14 @@
 """The process of a node: wires the parts and runs them until it is stopped."""
 
 import asyncio
+import functools
 import secrets
 import signal
 from functools import singledispatchmethod
 from pathlib import Path
 from typing import Any
 
+import attrs
 from eliot import log_message
 
 from ridgesill.adapters.admin_http import AdminApp
@@ -15,7 +17,7 @@
 from ridgesill.adapters.file_log import FileLog
 from ridgesill.adapters.http_server import HttpServer, ServerLimits
 from ridgesill.adapters.metrics import Metrics
-from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
+from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer, Traffic
 from ridgesill.adapters.runner_http import HttpOrders, HttpRunners
 from ridgesill.adapters.tls import PeerTls
 from ridgesill.app.administration import NodeAdministration
@@ -107,7 +109,9 @@
         self._wire_metrics()
         self._caller_app = self._make_caller_app()
         self._servers = self._make_servers(token)
-        self._peer_server = PeerServer(self._handle, self.identity)
+        self._peer_server = PeerServer(
+            self._handle, self.identity, self._peers.traffic
+        )
 
     # -- wiring --------------------------------------------------------
 
@@ -131,6 +135,13 @@
             lambda: float(self._caller_app.in_progress),
         )
 
+        traffic = self._peers.traffic
+        for field in attrs.fields(Traffic):
+            metrics.watch(
+                f"ridgesill_peer_{field.name}",
+                functools.partial(getattr, traffic, field.name),
+            )
+
     def _make_caller_app(self) -> CallerApp:
         settings = self._settings
         services = Services(
--- a/testing/adapters/test_admin_http.py
+++ b/testing/adapters/test_admin_http.py
@@ -2,8 +2,8 @@
 
 import pytest
 import urllib3
-from bench.demo import make_configuration
 
+from bench.demo import make_configuration
 from testing.clients import chat
 from testing.processes import Deployment, NodeHandle
 
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -4,8 +4,8 @@
 from pathlib import Path
 
 import pytest
-from bench.demo import make_configuration
 
+from bench.demo import make_configuration
 from testing.processes import Deployment, deployed, wait_until
 
 # Short leases keep scenarios short; their proportions are the defaults'.
--- a/testing/scenarios/test_failures.py
+++ b/testing/scenarios/test_failures.py
@@ -10,9 +10,9 @@
 import msgspec
 import pytest
 import urllib3
-from bench.demo import make_configuration
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from bench.demo import make_configuration
 from testing.clients import Answered, chat, open_stream, request
 from testing.conftest import wait_serving
 from testing.processes import (
