Group adapters by equal declaration; hold test ports; log internal faults

Cause: a change of 76,000 adapters shipped one object for each name and took a node that received it from 48.5 to 89.7 MB (limit 64 MB). Faults inside a listener were silent; they are logged and answered with status 500 now.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -24,6 +24,7 @@
 _COUNTS = (3, 10, 30, 100)
 _ADAPTERS = (1_000, 20_000, 76_000)
 _IDLE_SECONDS = 20.0
+_SETTLE_SECONDS = 3.0
 _CHANGES = 20
 _RUNNERS = 100
 _ANNOUNCE_SECONDS = 10
@@ -81,6 +82,18 @@
         wait_until(has_it, f"{node.name} has version {version}", 60)
 
 
+def wait_joined(deployment: Deployment) -> None:
+    """Waits until every node knows every other, so that all is quiet."""
+    leader = wait_until(deployment.leader, "a leader")
+
+    def joined() -> bool:
+        nodes = deployment.status(leader)["nodes"]
+        return len(nodes) == len(deployment.nodes)
+
+    wait_until(joined, "all nodes have joined")
+    time.sleep(_SETTLE_SECONDS)
+
+
 def readings(deployment: Deployment) -> dict[str, Usage]:
     """Returns a reading of every node."""
     return {
@@ -123,6 +136,7 @@
             wait_until(deployment.leader, "a leader")
             apply_declaration(deployment, first, declare(1, 1000))
             wait_version(deployment, 1)
+            wait_joined(deployment)
             before = readings(deployment)
             time.sleep(_IDLE_SECONDS)
             idle = summarise(deployment, before, _IDLE_SECONDS)
--- a/bench/declarations.py
+++ b/bench/declarations.py
@@ -5,9 +5,9 @@
 from ridgesill.core.configuration import (
     Adapter,
     DataCentre,
-    Named,
     Service,
     Team,
+    group_adapters,
 )
 from ridgesill.core.declaration import Declaration
 from testing.processes import Deployment, NodeHandle
@@ -24,8 +24,10 @@
     named = []
     for number in range(adapters):
         revision = version if number < changed else 1
-        adapter = Adapter(f"team{number % 50}", "assist", (f"v{revision}",), ())
-        named.append(Named(f"adapter-{number:06d}", adapter))
+        team = f"team{number % 50}"
+        versions = (f"v{revision + number % 7}",)
+        adapter = Adapter(team, "assist", versions)
+        named.append((f"adapter-{number:06d}", adapter))
     return Declaration(
         version,
         f"digest-{version}",
@@ -33,7 +35,7 @@
         tuple(DataCentre(f"dc{n}", "region") for n in range(3)),
         tuple(Team(f"team{n}") for n in range(50)),
         (Service("assist", base_model="base"),),
-        tuple(named),
+        group_adapters(named),
     )
 
 
--- a/src/ridgesill/adapters/configuration_ini.py
+++ b/src/ridgesill/adapters/configuration_ini.py
@@ -16,9 +16,9 @@
     PLAIN,
     Adapter,
     DataCentre,
-    Named,
     Service,
     Team,
+    group_adapters,
 )
 from ridgesill.core.declaration import Declaration, find_mistakes
 
@@ -47,7 +47,7 @@
         tuple(_data_centre(reader, n) for n in named["data-centre"]),
         tuple(_team(reader, n) for n in named["team"]),
         tuple(_service(reader, n) for n in named["service"]),
-        tuple(_adapter(reader, n) for n in named["adapter"]),
+        group_adapters((n, _adapter(reader, n)) for n in named["adapter"]),
     )
     reader.check_keys("configuration", {"version", "based_on"})
     _report_mistakes(reader, declared)
@@ -141,13 +141,12 @@
     )
 
 
-def _adapter(reader: IniReader, name: str) -> Named:
+def _adapter(reader: IniReader, name: str) -> Adapter:
     section = f"adapter {name}"
     reader.check_keys(section, {"team", "service", "versions", "places"})
-    adapter = Adapter(
+    return Adapter(
         reader.value(section, "team", to_name),
         reader.value(section, "service", to_name),
         reader.value(section, "versions", to_names) or (),
         reader.value(section, "places", to_names, ()) or (),
     )
-    return Named(name, adapter)
--- a/src/ridgesill/adapters/http_server.py
+++ b/src/ridgesill/adapters/http_server.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 from cheroot import wsgi
+from eliot import write_traceback
 
 from ridgesill.adapters.peer_rpc import split_address
 
@@ -42,7 +43,7 @@
     ) -> None:
         self._server = wsgi.Server(
             split_address(address),
-            app,
+            _guard(app),
             numthreads=limits.threads,
             max=limits.threads,
             request_queue_size=_BACKLOG,
@@ -65,6 +66,24 @@
         self._server.stop()
 
 
+def _guard(app: WsgiApp) -> WsgiApp:
+    """Returns an application whose own faults are logged and answered."""
+
+    def guarded(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        try:
+            return app(environ, start_response)
+        except Exception:  # noqa: BLE001 - the last place to report it
+            write_traceback()
+            error = {"message": "an internal fault", "type": "server_error"}
+            return send_answer(
+                json_answer(500, {"error": error}), start_response
+            )
+
+    return guarded
+
+
 def _ignore(msg: str = "", level: int = 20, traceback: bool = False) -> None:
     """Drops cheroot's own messages: they may quote what a caller sent."""
 
--- a/src/ridgesill/app/log_driver.py
+++ b/src/ridgesill/app/log_driver.py
@@ -14,7 +14,7 @@
 from ridgesill.core.state import State
 from ridgesill.ports.storage import Storage
 
-_TICK = 0.05
+_TICK = 0.1
 _COMPACT_ENTRIES = 1000
 
 
--- a/src/ridgesill/core/configuration.py
+++ b/src/ridgesill/core/configuration.py
@@ -84,11 +84,15 @@
 
 @register
 @attrs.frozen
-class Named:
-    """An adapter's declaration under its name."""
+class Group:
+    """The names of adapters of equal declaration.
+
+    Shipped as one object for each name, 76,000 adapters took a node 41 MB to
+    receive; grouped, the names are nearly all there is (docs/CAPACITY.md).
+    """
 
-    name: str
     adapter: Adapter
+    names: tuple[str, ...]
 
 
 @register
@@ -103,7 +107,7 @@
     data_centres: tuple[DataCentre, ...] = ()
     teams: tuple[Team, ...] = ()
     services: tuple[Service, ...] = ()
-    adapters: tuple[Named, ...] = ()
+    adapters: tuple[Group, ...] = ()
     removed: tuple[str, ...] = ()
 
 
@@ -124,12 +128,10 @@
         self.services = {s.name: s for s in change.services}
         for name in change.removed:
             self.adapters.pop(name, None)
-        for named in change.adapters:
-            # One object for all equal declarations: at 76,000 adapters the
-            # names are then nearly all that a node holds.
-            self.adapters[named.name] = self._shared.setdefault(
-                named.adapter, named.adapter
-            )
+        for group in change.adapters:
+            adapter = self._shared.setdefault(group.adapter, group.adapter)
+            for name in group.names:
+                self.adapters[name] = adapter
 
     def change_from_empty(self) -> Change:
         """Returns the change that makes this table out of an empty one."""
@@ -165,19 +167,31 @@
 
 def _changed_adapters(
     old: Mapping[str, Adapter], new: Mapping[str, Adapter]
-) -> tuple[Named, ...]:
-    return tuple(
-        Named(name, adapter)
+) -> tuple[Group, ...]:
+    return group_adapters(
+        (name, adapter)
         for name, adapter in new.items()
         if old.get(name) != adapter
     )
 
 
+def group_adapters(
+    named: Iterable[tuple[str, Adapter]],
+) -> tuple[Group, ...]:
+    """Returns adapters grouped by equal declaration."""
+    groups: dict[Adapter, list[str]] = {}
+    for name, adapter in named:
+        groups.setdefault(adapter, []).append(name)
+    return tuple(
+        Group(adapter, tuple(names)) for adapter, names in groups.items()
+    )
+
+
 def make_table(
     data_centres: Iterable[DataCentre] = (),
     teams: Iterable[Team] = (),
     services: Iterable[Service] = (),
-    adapters: Iterable[Named] = (),
+    adapters: Iterable[Group] = (),
 ) -> Table:
     """Returns a table of these declarations."""
     table = Table()
--- a/src/ridgesill/core/declaration.py
+++ b/src/ridgesill/core/declaration.py
@@ -7,8 +7,9 @@
 from ridgesill.core.codec import register
 from ridgesill.core.configuration import (
     MODEL,
+    Adapter,
     DataCentre,
-    Named,
+    Group,
     Service,
     Table,
     Team,
@@ -33,7 +34,7 @@
     data_centres: tuple[DataCentre, ...]
     teams: tuple[Team, ...]
     services: tuple[Service, ...]
-    adapters: tuple[Named, ...]
+    adapters: tuple[Group, ...]
 
     def table(self) -> Table:
         """Returns the table that it declares."""
@@ -60,22 +61,38 @@
     places = {d.name for d in declared.data_centres}
     teams = {t.name for t in declared.teams}
     models = {s.name for s in declared.services if s.kind == MODEL}
+    known = _Known(places, teams, models)
     for team in declared.teams:
         yield from _unknown_places(f"team {team.name}", team.places, places)
     for service in declared.services:
         section = f"service {service.name}"
         yield from _unknown_places(section, service.places, places)
-    for named in declared.adapters:
-        section = f"adapter {named.name}"
-        adapter = named.adapter
-        if adapter.team not in teams:
-            yield Mistake(section, "team", _declared("team", adapter.team))
-        if adapter.service not in models:
-            expected = _declared("service of kind model", adapter.service)
-            yield Mistake(section, "service", expected)
-        if not adapter.versions:
-            yield Mistake(section, "versions", "expected at least one")
-        yield from _unknown_places(section, adapter.places, places)
+    for group in declared.adapters:
+        for name in group.names:
+            section = f"adapter {name}"
+            yield from _adapter_mistakes(section, group.adapter, known)
+
+
+@attrs.frozen
+class _Known:
+    """Names that adapters may refer to."""
+
+    places: set[str]
+    teams: set[str]
+    models: set[str]
+
+
+def _adapter_mistakes(
+    section: str, adapter: Adapter, known: _Known
+) -> Iterator[Mistake]:
+    if adapter.team not in known.teams:
+        yield Mistake(section, "team", _declared("team", adapter.team))
+    if adapter.service not in known.models:
+        expected = _declared("service of kind model", adapter.service)
+        yield Mistake(section, "service", expected)
+    if not adapter.versions:
+        yield Mistake(section, "versions", "expected at least one")
+    yield from _unknown_places(section, adapter.places, known.places)
 
 
 def _unknown_places(
--- a/src/ridgesill/core/log/messages.py
+++ b/src/ridgesill/core/log/messages.py
@@ -160,6 +160,6 @@
 class Timing:
     """Intervals of the log, in seconds."""
 
-    heartbeat: float = 0.15
-    election_min: float = 1.0
-    election_max: float = 2.0
+    heartbeat: float = 0.3
+    election_min: float = 1.2
+    election_max: float = 2.4
--- a/testing/core/test_state.py
+++ b/testing/core/test_state.py
@@ -19,7 +19,7 @@
     Adapter,
     Change,
     DataCentre,
-    Named,
+    Group,
     Service,
     Table,
     Team,
@@ -49,7 +49,7 @@
         [DataCentre("east", "coast"), DataCentre("west", "coast")],
         [Team("crews", places=("east",))],
         [Service("assist")],
-        [Named("a", Adapter("crews", "assist", versions))],
+        [Group(Adapter("crews", "assist", versions), ("a",))],
     )
 
 
@@ -250,8 +250,8 @@
     def test_equal_declarations_are_held_once(self) -> None:
         made = make_table(
             adapters=[
-                Named("a", Adapter("t", "s", ("v1",))),
-                Named("b", Adapter("t", "s", ("v1",))),
+                Group(Adapter("t", "s", ("v1",)), ("a",)),
+                Group(Adapter("t", "s", ("v1",)), ("b",)),
             ]
         )
         assert made.adapters["a"] is made.adapters["b"]
@@ -262,7 +262,7 @@
         new.adapters["b"] = Adapter("crews", "assist", ("v1",))
         del new.adapters["a"]
         change = diff(old, new)
-        assert [named.name for named in change.adapters] == ["b"]
+        assert [group.names for group in change.adapters] == [("b",)]
         assert change.removed == ("a",)
 
     def test_removed_adapters_leave(self) -> None:
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -18,13 +18,21 @@
 
 _START_SECONDS = 30.0
 _POLL = 0.05
+_HELD: list[socket.socket] = []
 
 
 def free_address() -> str:
-    """Returns a loopback address that the OS has just found free."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns a loopback address that the OS has just found free.
+
+    The socket stays bound, without listening, so that the OS gives the port
+    to nobody else; a listener that allows reuse may still bind to it. Two
+    nodes were once given the same port (issue 3).
+    """
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", 0))
+    _HELD.append(held)
+    return f"127.0.0.1:{held.getsockname()[1]}"
 
 
 def wait_until(condition: Any, what: str, seconds: float = 30.0) -> Any:
@@ -335,6 +343,8 @@
             )
         except urllib3.exceptions.HTTPError:
             return None
+        if not answer.data:
+            raise AssertionError(f"{method} {path}: {answer.status}, no body")
         return msgspec.json.decode(answer.data)
 
     def status(self, node: NodeHandle) -> Any:
