--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,20 +21,20 @@
 from ridgesill.core.runners import Announcement
 from testing.processes import Deployment, NodeHandle, deployed, wait_until
 
-_COUNTS = (3, 10, 30, 100)
+_COUNTS = (3, 10, 30, 60, 100)
 _ADAPTERS = (1_000, 20_000, 76_000)
-_IDLE_SECONDS = 20.0
+_IDLE_SECONDS = 30.0
 _SETTLE_SECONDS = 3.0
 _CHANGES = 20
 _RUNNERS = 100
 _ANNOUNCE_SECONDS = 10
-# A wait of 1 s is what the letter's size would run with.
+# What the letter's size would run with (docs/CAPACITY.md).
 _SETTINGS = {
     "limits": {"streams": 4},
     "lease": {
-        "follow_seconds": 1.0,
-        "lease_seconds": 6.0,
-        "node_patience_seconds": 6.0,
+        "follow_seconds": 2.0,
+        "lease_seconds": 8.0,
+        "node_patience_seconds": 8.0,
     },
 }
 
--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -23,7 +23,7 @@
     ProposeReply,
 )
 from ridgesill.core.freshness import NEVER, Freshness
-from ridgesill.core.membership import Membership
+from ridgesill.core.membership import Membership, Relay
 from ridgesill.core.rendezvous import rank
 from ridgesill.core.state import State, is_followed
 from ridgesill.core.voter_changes import decide_change, voter_name
@@ -87,6 +87,7 @@
         self._loop = asyncio.get_running_loop()
         self._applied = asyncio.Event()
         self._membership = Membership(settings.patience, self._loop.time())
+        self._relay = Relay()
         self._leading_term = 0
         self._watchers: list[Callable[[], None]] = []
 
@@ -176,6 +177,9 @@
             return known_leader
         voters = self._voter_names()
         others = [name for name in voters if name != self.node.name]
+        if not self.driver and len(others) > 1:
+            # The leader has the voters to serve; nodes leave it alone.
+            others = [name for name in others if name != known_leader]
         ranked = rank(self.node.name, others)
         return ranked[failures % len(ranked)] if ranked else ""
 
@@ -191,11 +195,13 @@
     async def _follow_once(self, address: str) -> bool:
         now = self._loop.time()
         heard = self._membership.heard(now) if self.driver else ()
-        request = Follow(self._beat(), self.settings.follow_wait, heard)
+        new, alive = self._relay.split(heard, address)
+        request = Follow(self._beat(), self.settings.follow_wait, new, alive)
         try:
             reply = await self._peers.call(address, request, _FOLLOW_TIMEOUT)
         except PeerError:
             return False
+        self._relay.confirm(new, reply.unknown)
         self.leader = reply.leader
         await self._take(reply, asked_at=now)
         # A voter that is itself out of touch is no help; ask another.
@@ -259,12 +265,13 @@
         now = self._loop.time()
         self._membership.hear(request.beat, now)
         self._membership.hear_relayed(request.heard, now)
+        unknown = self._membership.hear_alive(request.alive, now)
         deadline = now + request.wait
         while self.state.index <= request.beat.applied:
             left = deadline - self._loop.time()
             if left <= 0 or not await self._changed_within(left):
                 break
-        return self._reply(request.beat)
+        return attrs.evolve(self._reply(request.beat), unknown=unknown)
 
     def _reply(self, beat: Beat) -> FollowReply:
         self.is_fresh()
--- a/src/ridgesill/core/following.py
+++ b/src/ridgesill/core/following.py
@@ -43,13 +43,15 @@
     """Asks a voter for what came after `beat.applied`.
 
     The voter answers at once when it has something, and otherwise after
-    `wait` seconds. `heard` are the beats that the sender, a voter itself,
-    passes on to the leader.
+    `wait` seconds. A sender that is a voter itself passes on the beats that
+    it hears: `heard` those that are new to the receiver, and `alive` the
+    seconds since it heard each of those that are not.
     """
 
     beat: Beat
     wait: float
     heard: tuple[HeardBeat, ...] = ()
+    alive: dict[str, float] = attrs.Factory(dict)
 
 
 @register
@@ -64,6 +66,7 @@
         entries: what to apply; entries of no interest are left out.
         snapshot: the whole state instead, for one too far behind.
         leader: the node that leads, or empty.
+        unknown: names in `Follow.alive` whose beats the voter lacks.
     """
 
     age: float
@@ -71,6 +74,7 @@
     entries: tuple[Entry, ...]
     snapshot: bytes
     leader: str
+    unknown: tuple[str, ...] = ()
 
 
 @register
--- a/src/ridgesill/core/membership.py
+++ b/src/ridgesill/core/membership.py
@@ -5,7 +5,7 @@
 the old and the new owner apart.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -59,6 +59,23 @@
         for item in heard:
             self.hear(item.beat, now - item.age)
 
+    def hear_alive(
+        self, alive: Mapping[str, float], now: float
+    ) -> tuple[str, ...]:
+        """Notes nodes whose beats were passed on before and still hold.
+
+        Returns:
+            The names whose beats are not known here.
+        """
+        unknown = []
+        for name, age in alive.items():
+            known = self._seen.get(name)
+            if known is None:
+                unknown.append(name)
+            else:
+                self.hear(known.beat, max(known.at, now - age))
+        return tuple(unknown)
+
     def heard(self, now: float) -> tuple[HeardBeat, ...]:
         """Returns the recent beats, to be passed on to the leader."""
         return tuple(
@@ -97,6 +114,45 @@
         ]
 
 
+class Relay:
+    """What a voter has passed on to another, so that it does so once.
+
+    Beats are some 220 bytes and change seldom. Passing on all of them each
+    second would cost a leader of 330 nodes more than its share of the
+    network (docs/CAPACITY.md).
+    """
+
+    def __init__(self) -> None:
+        self._receiver = ""
+        self._known: dict[str, Beat] = {}
+
+    def split(
+        self, heard: Iterable[HeardBeat], receiver: str
+    ) -> tuple[tuple[HeardBeat, ...], dict[str, float]]:
+        """Returns the beats that a receiver lacks, and the others' ages."""
+        if receiver != self._receiver:
+            self._receiver = receiver
+            self._known = {}
+        new = []
+        alive = {}
+        for item in heard:
+            name = item.beat.node.name
+            if self._known.get(name) == item.beat:
+                alive[name] = round(item.age, 2)
+            else:
+                new.append(item)
+        return tuple(new), alive
+
+    def confirm(
+        self, sent: Iterable[HeardBeat], unknown: Iterable[str]
+    ) -> None:
+        """Notes that a receiver took what was sent, but lacks some beats."""
+        for item in sent:
+            self._known[item.beat.node.name] = item.beat
+        for name in unknown:
+            self._known.pop(name, None)
+
+
 def _grant(state: State, alive: dict[str, Beat]) -> list[GrantPool]:
     wanted = {pool for beat in alive.values() for pool in beat.pools}
     grants = []
--- a/src/ridgesill/core/pool/owner.py
+++ b/src/ridgesill/core/pool/owner.py
@@ -48,6 +48,8 @@
 _FAILED_LOADS_MOST = 3
 _FAILED_LOAD_PAUSE = 2.0
 _PERMIT_PATIENCE = 5.0
+_SAME_ADAPTER_BONUS = 0.25
+_WORTH_STEP = 0.5
 
 
 @attrs.frozen
@@ -67,7 +69,7 @@
     """
 
     queue: int = 256
-    half_life: float = 180.0
+    half_life: float = 60.0
     announce_patience: float = 3.0
     order_deadline: float = 1.0
     order_timeout: float = 10.0
@@ -128,6 +130,8 @@
         self._failed: dict[str, int] = {}
         self._failed_until: dict[tuple[str, str], float] = {}
         self._fencing: set[str] = set()
+        self._worths: dict[str, float | None] = {}
+        self._exhausted = False
         self._load_seconds = 0.5
         self._service_seconds = 1.0
         self._ids = itertools.count()
@@ -252,6 +256,8 @@
         """Grants what can begin and loads what is missing."""
         if now < self.starts_at:
             return
+        self._worths.clear()
+        self._exhausted = False
         for group in self.waiting.groups():
             self._dispatch_group(group, now)
 
@@ -290,13 +296,21 @@
         that brings another adapter into it.
         """
         slot = runner.slots.get(adapter)
-        same = len(slot.pins) if slot else 0
+        bonus = _SAME_ADAPTER_BONUS if slot and slot.pins else 0.0
+        return (self._signed_share(runner) - bonus, runner.name)
+
+    def _signed_share(self, runner: RunnerState) -> float:
+        """Ranks runners by how full they are.
+
+        For stalls and first tokens the emptiest is the best; for batches the
+        fullest, whose next step costs the least for one more sequence.
+        """
         share = runner.in_flight / max(runner.said.capacity, 1)
-        bonus = 0.25 + self.batch_weight if same else 0.0
-        return (share - bonus, runner.name)
+        return share * (1.0 - 2.0 * self.batch_weight)
 
     def _grant(self, waiter: Waiter, runner: RunnerState, now: float) -> None:
         admit = waiter.admit
+        self._worths.pop(runner.name, None)
         self.waiting.serve(waiter)
         pin = Pin(
             admit.request,
@@ -336,9 +350,15 @@
         if holders and not self._deserves_copy(group, holders, now):
             return
         self._note_stall(group, holders, now)
+        if not holders and self._exhausted:
+            return
         runner = self._choose_target(adapter, holders, now)
         if runner is not None:
             self._ask_load(runner, adapter, len(group), now)
+        elif not holders:
+            # Nothing can be displaced, so the rest of this pass need not
+            # look again: under overload it would for hundreds of waiters.
+            self._exhausted = True
 
     def _holders(self, adapter: str) -> list[RunnerState]:
         return [r for r in self.runners.values() if adapter in r.slots]
@@ -378,8 +398,11 @@
             worth = self._worst_worth(runner, now)
             if worth is None:
                 continue
-            share = runner.in_flight / max(runner.said.capacity, 1)
-            score = (worth, share, runner.name)
+            score = (
+                worth // _WORTH_STEP,
+                self._signed_share(runner),
+                runner.name,
+            )
             if best is None or score < best:
                 best, chosen = score, runner
         return chosen
@@ -393,7 +416,16 @@
         )
 
     def _worst_worth(self, runner: RunnerState, now: float) -> float | None:
-        """Returns the worth of what a load would displace; None if nothing."""
+        """Returns the worth of what a load would displace; None if nothing.
+
+        It is kept for the rest of a pass over the queue, unless the runner
+        changes in it.
+        """
+        if runner.name not in self._worths:
+            self._worths[runner.name] = self._find_worth(runner, now)
+        return self._worths[runner.name]
+
+    def _find_worth(self, runner: RunnerState, now: float) -> float | None:
         reserved = sum(
             1
             for load in self._loads.values()
@@ -430,6 +462,7 @@
     ) -> None:
         permit = f"{self.pool}#{self.epoch}#{next(self._ids)}"
         self._loads[permit] = _Load(permit, runner.name, adapter, now)
+        self._worths.pop(runner.name, None)
         ask = AskPermit(permit, self.pool, self.service, urgency)
         self._output.append(ToAllocator(ask))
 
@@ -571,7 +604,7 @@
         if slot is None:
             return
         if verdict == "done":
-            del runner.slots[adapter]
+            runner.drop(adapter, now)
         else:
             slot.state = SUSPECT
             slot.since = now
@@ -602,7 +635,7 @@
         elif verdict == ABSENT:
             slot = runner.slots.get(pin.adapter)
             if slot and not slot.pins:
-                del runner.slots[pin.adapter]
+                runner.drop(pin.adapter, now)
         else:
             runner.note_success()
 
@@ -707,8 +740,7 @@
             elif slot.state in (READY, SUSPECT) and not slot.is_pinned:
                 del runner.slots[adapter]
         for adapter in said.resident:
-            if adapter not in runner.slots:
-                runner.slots[adapter] = Slot(READY, now)
+            runner.learn(adapter, now, self.limits.report_lag)
 
     def _unexplained(self, slot: Slot, active: int) -> int:
         return max(active - len(slot.pins), 0)
--- a/src/ridgesill/core/pool/slots.py
+++ b/src/ridgesill/core/pool/slots.py
@@ -40,7 +40,12 @@
 
 @attrs.define
 class RunnerState:
-    """A runner as its owner sees it."""
+    """A runner as its owner sees it.
+
+    Attributes:
+        dropped: when adapters were unloaded; a report that lags still lists
+            them.
+    """
 
     said: Announcement
     heard_at: float
@@ -50,6 +55,7 @@
     ejected_until: float = float("-inf")
     probing: bool = False
     fenced_epoch: int = 0
+    dropped: dict[str, float] = attrs.Factory(dict)
 
     @property
     def name(self) -> str:
@@ -85,6 +91,19 @@
         if slot and slot.pins.pop(pin.request, None):
             self.in_flight -= 1
 
+    def drop(self, adapter: str, now: float) -> None:
+        """Notes that an adapter is no longer there."""
+        self.slots.pop(adapter, None)
+        self.dropped[adapter] = now
+
+    def learn(self, adapter: str, now: float, lag: float) -> None:
+        """Takes an adapter that a report lists, unless it just left."""
+        self.dropped = {
+            name: at for name, at in self.dropped.items() if now - at <= lag
+        }
+        if adapter not in self.slots and adapter not in self.dropped:
+            self.slots[adapter] = Slot(READY, now)
+
     def free_slots(self) -> int:
         """Returns how many slots hold nothing."""
         held = sum(1 for adapter in self.slots if adapter)
--- a/src/ridgesill/standin/engine.py
+++ b/src/ridgesill/standin/engine.py
@@ -9,7 +9,7 @@
 import random
 import secrets
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import attrs
 
@@ -49,15 +49,16 @@
 
     Attributes:
         tokens: how many are to come.
-        out: gets a token's number for each, then None at the end, or an
-            exception if it is cut.
+        on_token: gets each token's number.
+        on_end: gets None at the end, or an exception if it is cut.
     """
 
     request: str
     adapter: str
     tokens: int
     prefix: str
-    out: asyncio.Queue[int | None | Exception]
+    on_token: Callable[[int], None]
+    on_end: Callable[[Exception | None], None]
     done: int = 0
 
 
@@ -172,32 +173,22 @@
             counts[sequence.adapter] = counts.get(sequence.adapter, 0) + 1
         return counts
 
-    def submit(
-        self, request: str, adapter: str, tokens: int, prefix: str = ""
-    ) -> Sequence:
-        """Starts a request; raises `AbsentError`, with nothing started."""
-        if adapter not in self.resident:
-            raise AbsentError(adapter)
+    def submit(self, sequence: Sequence) -> None:
+        """Starts a request.
+
+        Raises:
+            AbsentError: its adapter is not held; nothing was started.
+            BusyError: the engine is leaving; nothing was started.
+        """
+        if sequence.adapter not in self.resident:
+            raise AbsentError(sequence.adapter)
         if self.leaving:
             raise BusyError("leaving")
-        sequence = Sequence(request, adapter, tokens, prefix, asyncio.Queue())
-        self._running[request] = sequence
-        self._journal("begin", request=request, adapter=adapter)
+        self._running[sequence.request] = sequence
+        self._journal(
+            "begin", request=sequence.request, adapter=sequence.adapter
+        )
         self._work.set()
-        return sequence
-
-    async def tokens(self, sequence: Sequence) -> AsyncIterator[int]:
-        """Yields a sequence's tokens; leaving early cancels it."""
-        try:
-            while True:
-                item = await sequence.out.get()
-                if item is None:
-                    return
-                if isinstance(item, Exception):
-                    raise item
-                yield item
-        finally:
-            self.cancel(sequence.request)
 
     def cancel(self, request: str) -> None:
         """Ends a request that its caller gave up."""
@@ -207,8 +198,8 @@
 
     def _cut(self, sequence: Sequence, reason: str) -> None:
         self._running.pop(sequence.request, None)
-        sequence.out.put_nowait(EngineCutError(reason))
         self._journal("cut", request=sequence.request, done=sequence.done)
+        sequence.on_end(EngineCutError(reason))
 
     # -- steps ---------------------------------------------------------
 
@@ -248,10 +239,10 @@
         for sequence in batch:
             if sequence.request not in self._running:
                 continue
-            sequence.out.put_nowait(sequence.done)
+            sequence.on_token(sequence.done)
             sequence.done += 1
             self.counts.tokens += 1
             if sequence.done >= sequence.tokens:
                 del self._running[sequence.request]
-                sequence.out.put_nowait(None)
                 self._journal("end", request=sequence.request)
+                sequence.on_end(None)
--- a/src/ridgesill/standin/process.py
+++ b/src/ridgesill/standin/process.py
@@ -33,9 +33,9 @@
     AbsentError,
     BusyError,
     Engine,
-    EngineCutError,
     FencedError,
     OrderError,
+    Sequence,
 )
 from ridgesill.standin.settings import StandInSettings, read_stand_in
 
@@ -146,14 +146,13 @@
     ) -> Exception | None:
         prompt = json.dumps(body.get("messages", body.get("prompt", "")))
         count = int(body.get("max_tokens", _DEFAULT_TOKENS))
+        sequence = Sequence(
+            name, body["model"], count, prompt[:64], tokens.put, tokens.put
+        )
         try:
-            sequence = self._engine.submit(
-                name, body["model"], count, prompt[:64]
-            )
+            self._engine.submit(sequence)
         except (AbsentError, BusyError) as error:
             return error
-        task = asyncio.create_task(_pump(self._engine, sequence, tokens))
-        task.add_done_callback(lambda _: None)
         return None
 
     def _words(self, body: dict[str, Any]) -> list[str]:
@@ -181,17 +180,6 @@
         )
 
 
-async def _pump(
-    engine: Engine, sequence: Any, tokens: queue.SimpleQueue
-) -> None:
-    try:
-        async for token in engine.tokens(sequence):
-            tokens.put(token)
-        tokens.put(None)
-    except EngineCutError as error:
-        tokens.put(error)
-
-
 def _token(words: list[str], number: int) -> str:
     return words[number] if number < len(words) else f"t{number}"
 
--- a/testing/core/pool/test_owner.py
+++ b/testing/core/pool/test_owner.py
@@ -416,6 +416,18 @@
         bench.admit("q2")
         assert bench.actions() == [("load", "a@1")]
 
+    def test_a_late_report_does_not_bring_an_adapter_back(self) -> None:
+        bench = Bench()
+        said = bench.runner(slots=1, resident=("a@1",))
+        bench.admit("q1", "b@1")
+        bench.finish("q1")
+        assert ("unload", "a@1") in bench.actions()
+        bench.now = 0.2
+        bench.feed(attrs.evolve(said, sequence=99))
+        bench.orders.clear()
+        bench.admit("q2", "a@1")
+        assert ("load", "a@1") in bench.actions()
+
     def test_an_unload_of_unknown_fate_is_settled_by_the_report(self) -> None:
         bench = Bench()
         bench.obeys = False
