--- a/bench/routing.py
+++ b/bench/routing.py
@@ -83,9 +83,7 @@
 
     @property
     def rate(self) -> float:
-        """Requests a second at capacity: either the engines are busy, in full
-        batches over all slots, or the store is.
-        """
+        """Requests a second at which the engines or the store are busy."""
         return min(self.engine_rate, self.store_rate / self.absent_share)
 
     @property
@@ -247,7 +245,7 @@
             engine.submit(sequence)
         except Exception as fault:  # noqa: BLE001 - any refusal is a fault
             self.score.wrong += 1
-            print("FAULT", repr(fault), request, self._loop.time())
+            print(f"fault: {fault!r} at {self._loop.time():.3f}: {request}")
             return False
         error = await ended
         if error is not None:
@@ -321,7 +319,9 @@
         )
         admitted = await fake.entry.admit(call)
         if isinstance(admitted, Err):
-            self._replay.score.refused += bool(request.adapter)
+            score = self._replay.score
+            score.refused += bool(request.adapter)
+            score.false_not_run += bool(self._replay.begun[request.name])
             return
         admission = admitted.ok_value
         try:
@@ -444,7 +444,6 @@
         others = [mean(results[(site, b, load)], read) for b in BASELINES]
         return ours / best(others)
 
-    every = [score for scores in results.values() for score in scores]
     ours = [
         score
         for (_, policy, _), scores in results.items()
@@ -460,7 +459,6 @@
     offline = mean(tambal, lambda s: s.stalls) / mean(
         tambal, lambda s: s.offline
     )
-    del every
     return (
         f"bound: tambal_stalls_vs_offline={offline:.2f}\n"
         f"goodput_130 by site: tambal={goodput:.2f} "
--- a/src/ridgesill/core/pool/owner.py
+++ b/src/ridgesill/core/pool/owner.py
@@ -69,7 +69,7 @@
     """
 
     queue: int = 256
-    half_life: float = 60.0
+    half_life: float = 30.0
     announce_patience: float = 3.0
     order_deadline: float = 1.0
     order_timeout: float = 10.0
@@ -399,7 +399,7 @@
             if worth is None:
                 continue
             score = (
-                worth // _WORTH_STEP,
+                self._coarse(worth),
                 self._signed_share(runner),
                 runner.name,
             )
@@ -407,6 +407,11 @@
                 best, chosen = score, runner
         return chosen
 
+    def _coarse(self, worth: float) -> float:
+        """Returns a worth, the coarser the more that batches count."""
+        step = _WORTH_STEP * self.batch_weight
+        return worth // step if step else worth
+
     def _may_load(self, runner: RunnerState, adapter: str, now: float) -> bool:
         paused = self._failed_until.get((runner.name, adapter), now)
         return (
