--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 
 from ridgesill.core.rendezvous import rank
@@ -19,6 +19,9 @@
 
     async def __aenter__(self) -> None:
         await self._free.acquire()
+
+    async def pace(self) -> None:
+        """Waits until the rate allows one more load to begin."""
         loop = asyncio.get_running_loop()
         start = max(self._next, loop.time())
         self._next = start + self._spacing
@@ -38,53 +41,72 @@
         self._store = store
         self._used: OrderedDict[str, int] = OrderedDict()
         self._loading: dict[str, asyncio.Future[None]] = {}
+        self._begun = 0
+        self._wanted: Counter[str] = Counter()
         self._changed = asyncio.Event()
 
     async def acquire(self, adapter: str) -> bool:
         """Waits until an adapter may be used; returns whether it stalled."""
         self.in_flight += 1
         try:
-            await self._room.acquire()
+            stalled = await self._hold(adapter)
         except asyncio.CancelledError:
             self.in_flight -= 1
             raise
         try:
-            return await self._hold(adapter)
+            await self._room.acquire()
         except asyncio.CancelledError:
-            self.in_flight -= 1
-            self._room.release()
+            self._leave(adapter)
             raise
+        return stalled
 
     def release(self, adapter: str) -> None:
         """Ends a use."""
-        self.in_flight -= 1
         self._room.release()
+        self._leave(adapter)
+
+    def _leave(self, adapter: str) -> None:
+        self.in_flight -= 1
         self._used[adapter] -= 1
-        self._wake()
+        self._changed.set()
 
     async def _hold(self, adapter: str) -> bool:
         stalled = False
         while adapter not in self.engine.resident:
             stalled = True
-            await self._load(adapter)
+            if adapter not in self._loading:
+                # A load goes on when the request that began it gives up.
+                work = self._load(adapter)
+                self._loading[adapter] = asyncio.ensure_future(work)
+            self._wanted[adapter] += 1
+            try:
+                await asyncio.shield(self._loading[adapter])
+            finally:
+                self._wanted[adapter] -= 1
         self._used[adapter] = self._used.get(adapter, 0) + 1
         self._used.move_to_end(adapter)
         return stalled
 
     async def _load(self, adapter: str) -> None:
-        if adapter in self._loading:
-            await asyncio.shield(self._loading[adapter])
-            return
-        future = asyncio.get_running_loop().create_future()
-        self._loading[adapter] = future
         try:
-            await self._make_room()
             async with self._store:
-                await self.engine.load(adapter, 0)
+                await self._load_if_wanted(adapter)
         finally:
             del self._loading[adapter]
-            future.set_result(None)
-            self._wake()
+            self._changed.set()
+
+    async def _load_if_wanted(self, adapter: str) -> None:
+        """Loads unless all who waited have given up meanwhile."""
+        if not self._wanted[adapter]:
+            return
+        await self._make_room()
+        try:
+            if self._wanted[adapter]:
+                await self._store.pace()
+                await self.engine.load(adapter, 0)
+                self._used[adapter] = 0
+        finally:
+            self._begun -= 1
 
     async def _make_room(self) -> None:
         while self._held() >= self.engine.model.slots:
@@ -92,15 +114,13 @@
             if victim is not None:
                 del self._used[victim]
                 self.engine.unload(victim, 0)
-                return
+                break
             self._changed.clear()
             await self._changed.wait()
+        self._begun += 1
 
     def _held(self) -> int:
-        return len(self._used) + len(self._loading) - 1
-
-    def _wake(self) -> None:
-        self._changed.set()
+        return len(self._used) + self._begun
 
 
 Choose = Callable[[str, list[RecencyRunner]], RecencyRunner]
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -143,6 +143,59 @@
 
         run_stand_in(settings)
 
+    def replay(self, trace: str, nodes: str, speed: float = 1.0) -> str:
+        """Replays a trace against running nodes and checks its outcomes.
+
+        Args:
+            trace: path of the trace, JSON lines.
+            nodes: IP:PORT of callers' listeners, separated by commas.
+            speed: how many times faster than recorded.
+        """
+        from ridgesill.standin.replay import Player
+        from ridgesill.standin.traces import read_trace
+
+        try:
+            requests = read_trace(Path(trace))
+        except (OSError, ValueError) as error:
+            raise CommandError(f"{trace}: {error}") from error
+        totals = Player(_split(nodes)).play(requests, speed)
+        for line in totals.unexpected[:20]:
+            print(line)
+        if totals.unexpected:
+            raise CommandError(totals.line())
+        return totals.line()
+
+    def load(
+        self,
+        nodes: str,
+        adapters: int,
+        rate: float = 10.0,
+        seconds: float = 30.0,
+        seed: int = 1,
+        trace: str = "",
+    ) -> str:
+        """Sends a made load to running nodes, or writes it as a trace.
+
+        Args:
+            nodes: IP:PORT of callers' listeners, separated by commas.
+            adapters: how many adapters `adapter-0000` and on are declared.
+            rate: requests a second.
+            seconds: how long.
+            seed: equal seeds make equal loads.
+            trace: path to write the trace to, instead of sending it.
+        """
+        from ridgesill.standin.replay import Player
+        from ridgesill.standin.traces import Workload, make_trace, write_trace
+
+        workload = Workload(
+            seconds, rate, adapters, popular=min(50, adapters // 2)
+        )
+        requests = [r for r in make_trace(workload, seed) if r.adapter]
+        if trace:
+            write_trace(requests, Path(trace))
+            return f"{trace}: {len(requests)} requests"
+        return Player(_split(nodes)).play(requests).line()
+
 
 def _ask(
     admin: str,
@@ -179,6 +232,12 @@
         raise CommandError(f"{admin}: status {response.status}") from error
 
 
+def _split(nodes: Any) -> tuple[str, ...]:
+    # `fire` itself may already have split the list.
+    parts = nodes if isinstance(nodes, tuple | list) else str(nodes).split(",")
+    return tuple(str(part).strip() for part in parts)
+
+
 def _pretty(value: Any) -> str:
     return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
 
--- a/src/ridgesill/app/log_driver.py
+++ b/src/ridgesill/app/log_driver.py
@@ -1,8 +1,9 @@
 """Drives a voter's replica: syncs its output, sends, then applies."""
 
 import asyncio
+import functools
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -14,6 +15,8 @@
 from ridgesill.core.state import State
 from ridgesill.ports.storage import Storage
 
+RunBlocking = Callable[[Callable[[], None]], Awaitable[None]]
+
 _TICK = 0.1
 _COMPACT_ENTRIES = 1000
 
@@ -57,6 +60,7 @@
         on_applied: called after entries were applied.
         timing: intervals of the log.
         compact_entries: applied entries after which a snapshot is made.
+        run_blocking: runs a storage call; by default on another thread.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         on_applied: Callable[[], None],
         timing: Timing | None = None,
         compact_entries: int = _COMPACT_ENTRIES,
+        run_blocking: RunBlocking | None = None,
     ) -> None:
         stored = storage.load()
         loop = asyncio.get_running_loop()
@@ -78,6 +83,7 @@
         self._on_applied = on_applied
         self._compact_entries = compact_entries
         self._loop = loop
+        self._run_blocking = run_blocking or _run_in_thread
         self._inbox: asyncio.Queue[_Proposal | _Received] = asyncio.Queue()
         self._waiting: dict[int, tuple[int, asyncio.Future[Any]]] = {}
 
@@ -155,13 +161,14 @@
     async def _store(self, output: Output) -> None:
         if output.snapshot is not None:
             snapshot = output.snapshot
-            await self._in_thread(self._replace_stored)
+            await self._run_blocking(self._replace_stored)
             self.state = _restore(snapshot.data, snapshot.index)
             log_message("log:snapshot_received", index=snapshot.index)
         elif output.entries or output.hard_state:
-            await self._in_thread(
+            append = functools.partial(
                 self._storage.append, output.hard_state, output.entries
             )
+            await self._run_blocking(append)
 
     def _replace_stored(self) -> None:
         log = self.replica.log
@@ -176,12 +183,9 @@
         if self.state.index - log.snapshot.index < self._compact_entries:
             return
         self.replica.compact(self.state.dump(), self.state.index)
-        await self._in_thread(self._replace_stored)
+        await self._run_blocking(self._replace_stored)
         log_message("log:compacted", index=self.state.index)
 
-    async def _in_thread(self, call: Callable[..., None], *args: Any) -> None:
-        await self._loop.run_in_executor(None, call, *args)
-
     def _answer(self, index: int, term: int, answer: Any) -> None:
         proposed_term, future = self._waiting.pop(index, (0, None))
         if future is None or future.done():
@@ -200,6 +204,10 @@
         self._waiting.clear()
 
 
+async def _run_in_thread(call: Callable[[], None]) -> None:
+    await asyncio.get_running_loop().run_in_executor(None, call)
+
+
 def _restore(data: bytes, index: int) -> State:
     state = State.load(data) if data else State()
     state.advance(index)
--- /dev/null
+++ b/testing/app/control_world.py
@@ -0,0 +1,268 @@
+"""Control planes of several nodes over a faulty network, on a paused clock."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from ridgesill.app.control import Control, ControlSettings
+from ridgesill.app.entry import StateView
+from ridgesill.app.log_driver import LogDriver, ReplicaMessage
+from ridgesill.app.pools import Pools
+from ridgesill.core.commands import Node
+from ridgesill.core.following import Follow, Propose
+from ridgesill.core.log.messages import Entry, HardState, Snapshot, Stored
+from ridgesill.core.log.replica import found_snapshot
+from ridgesill.core.pool.messages import Digest
+from ridgesill.core.runners import Announcement, Order
+from ridgesill.ports.peers import PeerError
+
+VOTERS = ("a", "b", "c")
+LEASE = 4.0
+
+
+@attrs.define
+class MemoryStorage:
+    """Implements `ports.storage.Storage` without a disk."""
+
+    identity: str
+    snapshot: Snapshot
+    hard_state: HardState = HardState()
+    entries: list[Entry] = attrs.Factory(list)
+
+    def load(self) -> Stored:
+        """Returns what was stored."""
+        return Stored(self.hard_state, tuple(self.entries), self.snapshot)
+
+    def append(
+        self, hard_state: HardState | None, entries: list[Entry]
+    ) -> None:
+        """Adds entries."""
+        self.hard_state = hard_state or self.hard_state
+        for entry in entries:
+            while self.entries and self.entries[-1].index >= entry.index:
+                self.entries.pop()
+            self.entries.append(entry)
+
+    def replace(
+        self,
+        snapshot: Snapshot,
+        hard_state: HardState,
+        entries: tuple[Entry, ...],
+    ) -> None:
+        """Stores a snapshot."""
+        self.snapshot = snapshot
+        self.hard_state = hard_state
+        self.entries = list(entries)
+
+
+class FaultyPeers:
+    """A node's way to the others."""
+
+    def __init__(self, world: "ControlWorld", name: str) -> None:
+        self._world = world
+        self._name = name
+
+    def send(self, address: str, message: Any) -> None:
+        """Sends a message that may be lost."""
+        work = self._world.carry(self._name, address, message)
+        self._world.spawn(_ignore_errors(work))
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        """Returns the answer, or raises `PeerError`."""
+        work = self._world.carry(self._name, address, message)
+        try:
+            return await asyncio.wait_for(work, timeout)
+        except TimeoutError as error:
+            step = type(message).__name__
+            raise PeerError(step, address, "no answer in time") from error
+
+
+async def _ignore_errors(work: Any) -> None:
+    try:
+        await work
+    except (TimeoutError, PeerError):
+        return
+
+
+class RecordedOrders:
+    """Notes who orders what, and when the order arrives."""
+
+    def __init__(self, world: "ControlWorld", name: str) -> None:
+        self._world = world
+        self._name = name
+
+    async def send(self, order: Order) -> str:
+        """Takes an order."""
+        loop = asyncio.get_running_loop()
+        self._world.ordered.append((loop.time(), self._name, order))
+        return "done"
+
+
+async def _run_inline(call: Callable[[], None]) -> None:
+    call()
+
+
+@attrs.define
+class Member:
+    """A node of the world and its tasks."""
+
+    control: Control
+    pools: Pools
+    tasks: list[asyncio.Task[None]]
+
+
+class ControlWorld:
+    """Three voters and some nodes without a disk.
+
+    Args:
+        others: names of the nodes without a disk.
+        seed: decides losses and delays.
+        loss: the share of messages that are lost.
+    """
+
+    def __init__(
+        self, others: tuple[str, ...], seed: int, loss: float = 0.02
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.members: dict[str, Member] = {}
+        self.ordered: list[tuple[float, str, Order]] = []
+        self.cut: set[tuple[str, str]] = set()
+        self._storages = {
+            name: MemoryStorage(
+                f"{name}.0",
+                found_snapshot(tuple(f"{v}.0" for v in VOTERS), b""),
+            )
+            for name in VOTERS
+        }
+        self._others = others
+        self._incarnation = 0
+        self._spawned: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Any) -> None:
+        """Runs a coroutine on its own."""
+        task = asyncio.ensure_future(work)
+        self._spawned.add(task)
+        task.add_done_callback(self._spawned.discard)
+
+    # -- nodes ------------------------------------------------------------
+
+    def start(self) -> None:
+        """Starts all nodes."""
+        for name in (*VOTERS, *self._others):
+            self.start_node(name)
+
+    def start_node(self, name: str) -> None:
+        """Starts a node, from its disk if it has one."""
+        self._incarnation += 1
+        storage = self._storages.get(name)
+        node = Node(
+            name,
+            f"i{self._incarnation}",
+            name,
+            "east",
+            storage.identity if storage else "",
+        )
+        peers = FaultyPeers(self, name)
+        settings = ControlSettings({v: v for v in VOTERS}, LEASE, LEASE, 0.5)
+        heard: list[Pools] = []
+
+        def heard_pools() -> tuple[str, ...]:
+            return heard[0].heard_pools()
+
+        control = Control(node, settings, peers, heard_pools)
+        if storage is not None:
+            control.driver = LogDriver(
+                storage,
+                control.send_replica,
+                control.note_applied,
+                compact_entries=20,
+                run_blocking=_run_inline,
+            )
+        view = StateView(lambda: control.state, control.is_fresh, lambda: False)
+        identity = f"{name}#{node.incarnation}"
+        orders = RecordedOrders(self, identity)
+        pools = Pools(identity, view, peers, orders, LEASE)
+        heard.append(pools)
+        control.watch(pools.sync)
+        works = [control.follow(), control.lead(), pools.run()]
+        if control.driver is not None:
+            works.append(control.driver.run())
+        tasks = [asyncio.ensure_future(work) for work in works]
+        self.members[name] = Member(control, pools, tasks)
+
+    def stop_node(self, name: str) -> None:
+        """Ends a node at once."""
+        for task in self.members.pop(name).tasks:
+            task.cancel()
+
+    def stop(self) -> None:
+        """Ends all."""
+        for name in list(self.members):
+            self.stop_node(name)
+        for task in list(self._spawned):
+            task.cancel()
+
+    # -- network ------------------------------------------------------------
+
+    def isolate(self, name: str, *, inbound: bool, outbound: bool) -> None:
+        """Cuts a node off in one direction or both."""
+        for other in (*VOTERS, *self._others):
+            if inbound:
+                self.cut.add((other, name))
+            if outbound:
+                self.cut.add((name, other))
+
+    async def carry(self, sender: str, to: str, message: Any) -> Any:
+        """Takes a message to a node and its answer back."""
+        await self._travel(sender, to)
+        answer = await self._take(to, message)
+        await self._travel(to, sender)
+        return answer
+
+    async def _travel(self, sender: str, to: str) -> None:
+        await asyncio.sleep(self.rng.uniform(0.001, 0.02))
+        lost = self.rng.random() < self.loss
+        if lost or (sender, to) in self.cut or to not in self.members:
+            # As on a real network, a loss shows only by silence.
+            await asyncio.sleep(60.0)
+            raise PeerError("travel", to, "lost")
+
+    async def _take(self, name: str, message: Any) -> Any:
+        member = self.members[name]
+        if isinstance(message, ReplicaMessage):
+            if member.control.driver is not None:
+                member.control.driver.receive(message)
+            return None
+        if isinstance(message, Follow):
+            return await member.control.handle_follow(message)
+        if isinstance(message, Propose):
+            return await member.control.handle_propose(message)
+        if isinstance(message, Digest):
+            return None
+        return await member.pools.handle(message)
+
+    # -- runners ------------------------------------------------------------
+
+    async def announce(self, name: str, sequence: int) -> None:
+        """Has a runner announce itself to a node."""
+        said = Announcement(
+            "r1", "x", "assist", "east", "r1", 4, 8, sequence=sequence
+        )
+        await self.members[name].pools.announce(said)
+
+    def may_order(self) -> list[str]:
+        """Returns the nodes that would order something of the runner now."""
+        now = asyncio.get_running_loop().time()
+        return [
+            name
+            for name, member in self.members.items()
+            if member.control.is_fresh()
+            and any(
+                owner.pool == "east/assist" and now >= owner.starts_at
+                for owner in member.pools.owners
+            )
+        ]
--- /dev/null
+++ b/testing/app/test_logs.py
@@ -0,0 +1,45 @@
+"""Tests of what nodes write to their logs, on real processes."""
+
+import msgspec
+import pytest
+
+from testing.clients import chat, request
+from testing.processes import Deployment
+
+pytestmark = pytest.mark.process
+
+_SECRET = "crew-7-asphalt-cooling"
+
+
+class TestLogs:
+    def test_prompts_and_tokens_never_reach_them(
+        self, serving: Deployment
+    ) -> None:
+        node = serving.nodes["n1"]
+        chat(node, "a1", content=_SECRET)
+        chat(node, "unheard-of", content=_SECRET)
+        request(node, "POST", "/v1/chat/completions", _SECRET.encode())
+        headers = {"Idempotency-Key": "logs", "Authorization": _SECRET}
+        body = _SECRET.encode()
+        request(node, "POST", "/services/tickets/new", body, headers)
+        serving.admin(node, "GET", "/v1/status")
+        for path in serving.folder.glob("n*.*"):
+            if path.suffix in (".log", ".out"):
+                text = path.read_text()
+                assert _SECRET not in text, path
+                assert serving.token not in text, path
+
+    def test_each_line_is_json_with_step_and_peer(
+        self, serving: Deployment
+    ) -> None:
+        node = serving.nodes["n1"]
+        answer = chat(node, "a1")
+        name = answer.headers["X-Ridgesill-Request"]
+        lines = [
+            msgspec.json.decode(line)
+            for line in node.log.read_bytes().splitlines()
+        ]
+        mine = [line for line in lines if line.get("request") == name]
+        assert mine[-1]["step"] == "end"
+        assert mine[-1]["outcome"] == "completed"
+        assert mine[-1]["peer"]
