Give up a follow question sooner; load while another slot is freed

Cause 1: with a fixed timeout of 2 s, two lost questions in a row used up a lease of 4 s (control schedules 92, 259, 318, 418, 884, 1062 of 1,200 ended with no owner that may order; none ever had two). Ruled out: announcements that stop, an owner not granted (the owner was there, its freshness 4.37 s old). After: timeout follow_wait + 0.5 s, and the schedules end their losses with their cuts; 200 schedules and those six pass. Election delays in the test are seeded now: the same seed gave different runs before. Cause 2: a runner's orders went out one after another, so a second load for one runner held its permit idle.

--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -30,7 +30,10 @@
 from ridgesill.ports.peers import PeerError, Peers
 
 _APPLY_WAIT = 0.5
-_FOLLOW_TIMEOUT = 2.0
+# Above what an answer takes. Two questions lost in a row must not cost the
+# lease: with a fixed 2 s they did (control schedule 92, issue 4).
+_FOLLOW_MARGIN = 0.5
+_PROPOSE_TIMEOUT = 2.0
 _RETRY = 0.1
 _LEAD_TICK = 0.25
 _ENTRIES_MOST = 256
@@ -198,7 +201,9 @@
         new, alive = self._relay.split(heard, address)
         request = Follow(self._beat(), self.settings.follow_wait, new, alive)
         try:
-            reply = await self._peers.call(address, request, _FOLLOW_TIMEOUT)
+            reply = await self._peers.call(
+                address, request, self.settings.follow_wait + _FOLLOW_MARGIN
+            )
         except PeerError:
             return False
         self._relay.confirm(new, reply.unknown)
@@ -371,7 +376,7 @@
         if not address:
             return b""
         try:
-            reply = await self._peers.call(address, request, _FOLLOW_TIMEOUT)
+            reply = await self._peers.call(address, request, _PROPOSE_TIMEOUT)
         except PeerError:
             return b""
         self.leader = reply.leader or self.leader
--- a/src/ridgesill/app/log_driver.py
+++ b/src/ridgesill/app/log_driver.py
@@ -61,6 +61,7 @@
         timing: intervals of the log.
         compact_entries: applied entries after which a snapshot is made.
         run_blocking: runs a storage call; by default on another thread.
+        rng: the source of election delays.
     """
 
     def __init__(
@@ -71,11 +72,16 @@
         timing: Timing | None = None,
         compact_entries: int = _COMPACT_ENTRIES,
         run_blocking: RunBlocking | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         stored = storage.load()
         loop = asyncio.get_running_loop()
         self.replica = Replica(
-            storage.identity, stored, loop.time(), random.Random(), timing
+            storage.identity,
+            stored,
+            loop.time(),
+            rng or random.Random(),
+            timing,
         )
         self.state = _restore(stored.snapshot.data, stored.snapshot.index)
         self._storage = storage
--- a/src/ridgesill/app/pools.py
+++ b/src/ridgesill/app/pools.py
@@ -27,7 +27,7 @@
 )
 from ridgesill.core.pool.owner import PoolLimits, PoolOwner
 from ridgesill.core.pool.permits import Allocator
-from ridgesill.core.runners import Announcement, Order
+from ridgesill.core.runners import LOAD, Announcement, Order
 from ridgesill.core.state import Owner
 from ridgesill.ports.orders import FAILED, Orders
 from ridgesill.ports.peers import Peers
@@ -49,8 +49,7 @@
     """A pool owned by this node."""
 
     owner: PoolOwner
-    orders: dict[str, asyncio.Queue[Order]] = attrs.Factory(dict)
-    workers: list[asyncio.Task[None]] = attrs.Factory(list)
+    orders: set[asyncio.Task[None]] = attrs.Factory(set)
     answers: dict[str, asyncio.Future[Any]] = attrs.Factory(dict)
     digest_at: float = float("-inf")
     digest: Any = None
@@ -166,8 +165,8 @@
 
     def _end(self, pool: str) -> None:
         hosted = self._hosted.pop(pool)
-        for worker in hosted.workers:
-            worker.cancel()
+        for order in hosted.orders:
+            order.cancel()
         for request, future in hosted.answers.items():
             if not future.done():
                 future.set_result(Refused(request, NOT_OWNER, 0.5))
@@ -294,25 +293,23 @@
 
     @_emit.register
     def _(self, item: SendOrder, hosted: _Hosted) -> None:
-        queue = hosted.orders.get(item.order.runner)
-        if queue is None:
-            queue = asyncio.Queue()
-            hosted.orders[item.order.runner] = queue
-            worker = asyncio.create_task(self._work(hosted, queue))
-            hosted.workers.append(worker)
-        queue.put_nowait(item.order)
-
-    async def _work(self, hosted: _Hosted, queue: asyncio.Queue[Order]) -> None:
-        """Sends one runner's orders one after another."""
-        while True:
-            order = await queue.get()
-            began = self._loop.time()
-            verdict = await self._send_order(order)
-            if order.action == "load":
-                took = self._loop.time() - began
-                self.observe_load(hosted.owner.service, took)
-            hosted.owner.finish_order(order, verdict, self._loop.time())
-            self._carry_out(hosted)
+        task = asyncio.create_task(self._carry(hosted, item.order))
+        hosted.orders.add(task)
+        task.add_done_callback(hosted.orders.discard)
+
+    async def _carry(self, hosted: _Hosted, order: Order) -> None:
+        """Sends an order and tells the owner what became of it.
+
+        An owner gives the second order of an adapter or slot only after the
+        first has ended, so orders need not wait for each other here.
+        """
+        began = self._loop.time()
+        verdict = await self._send_order(order)
+        if order.action == LOAD:
+            took = self._loop.time() - began
+            self.observe_load(hosted.owner.service, took)
+        hosted.owner.finish_order(order, verdict, self._loop.time())
+        self._carry_out(hosted)
 
     async def _send_order(self, order: Order) -> str:
         # The last look at the lease, on a clock that freezing doesn't stop.
--- a/src/ridgesill/core/pool/owner.py
+++ b/src/ridgesill/core/pool/owner.py
@@ -79,13 +79,18 @@
 
 @attrs.define
 class _Load:
-    """A load that waits for its permit or runs."""
+    """A load that waits for its permit or runs.
+
+    Attributes:
+        victim: the adapter that is unloaded first; empty for none.
+    """
 
     permit: str
     runner: str
     adapter: str
     asked_at: float
     ordered: bool = False
+    victim: str = ""
 
 
 class PoolOwner:
@@ -491,15 +496,18 @@
         self._begin_load(load, runner, now)
 
     def _begin_load(self, load: _Load, runner: RunnerState, now: float) -> None:
-        if runner.free_slots() <= 0:
-            victim = self._choose_victim(runner, now)
-            if victim is None:
-                self._drop_load(load)
-                return
-            self._order_unload(runner, victim, now)
+        is_full = runner.free_slots() <= 0
+        victim = self._choose_victim(runner, now) if is_full else ""
+        if victim is None:
+            self._drop_load(load)
+            return
         load.ordered = True
         runner.slots[load.adapter] = Slot(LOADING, now)
-        self._order(LOAD, runner, load.adapter)
+        if victim:
+            load.victim = victim
+            self._order_unload(runner, victim, now)
+        else:
+            self._order(LOAD, runner, load.adapter)
 
     def _order_unload(
         self, runner: RunnerState, adapter: str, now: float
@@ -613,6 +621,20 @@
         else:
             slot.state = SUSPECT
             slot.since = now
+        for load in list(self._loads.values()):
+            if (load.runner, load.victim) == (runner.name, adapter):
+                self._go_on_loading(load, runner, verdict)
+
+    def _go_on_loading(
+        self, load: _Load, runner: RunnerState, verdict: str
+    ) -> None:
+        """Loads into the slot that an unload has freed, or has not."""
+        load.victim = ""
+        if verdict == "done":
+            self._order(LOAD, runner, load.adapter)
+            return
+        runner.slots.pop(load.adapter, None)
+        self._drop_load(load)
 
     # -- ends of requests ----------------------------------------------
 
--- a/testing/app/control_world.py
+++ b/testing/app/control_world.py
@@ -181,6 +181,7 @@
                 control.note_applied,
                 compact_entries=20,
                 run_blocking=_run_inline,
+                rng=random.Random(self.rng.random()),
             )
         view = StateView(lambda: control.state, control.is_fresh, lambda: False)
         identity = f"{name}#{node.incarnation}"
--- a/testing/app/test_control.py
+++ b/testing/app/test_control.py
@@ -49,7 +49,9 @@
     while True:
         sequence += 1
         for name in list(world.members):
-            await world.announce(name, sequence)
+            # A node may be stopped while another is told.
+            if name in world.members:
+                await world.announce(name, sequence)
         await asyncio.sleep(0.5)
 
 
@@ -170,7 +172,10 @@
         proposal = asyncio.ensure_future(control.propose(command, 30.0))
         world.spawn(asyncio.wait([proposal]))
         await asyncio.sleep(rng.uniform(0.5, 6.0))
+    # All faults end here, losses too: with them, a lease may run out at the
+    # very moment at which the end is looked at.
     world.cut.clear()
+    world.loss = 0.0
     for name in (*VOTERS, *_OTHERS):
         if name not in world.members:
             world.start_node(name)
