--- a/src/ridgesill/core/pool/owner.py
+++ b/src/ridgesill/core/pool/owner.py
@@ -483,24 +483,22 @@
             give_back = ReturnPermit(message.permit, self.service)
             self._output.append(ToAllocator(give_back))
             return
-        runner = self.runners.get(load.runner)
-        # Much may have changed while the permit was on its way.
-        if (
-            runner is None
-            or load.adapter in runner.slots
-            or not self.waiting.group(load.adapter)
-        ):
+        # Much may have changed while the permit was on its way; what it was
+        # asked for may be served, given up, or without a slot.
+        if not self._begin_load(load, now) and not self._begin_other(load, now):
             self._drop_load(load)
-            self.dispatch(now)
-            return
-        self._begin_load(load, runner, now)
+        self.dispatch(now)
 
-    def _begin_load(self, load: _Load, runner: RunnerState, now: float) -> None:
+    def _begin_load(self, load: _Load, now: float) -> bool:
+        """Orders a load, or returns False if it can't or need not be."""
+        runner = self.runners.get(load.runner)
+        wanted = self.waiting.group(load.adapter)
+        if runner is None or not wanted or load.adapter in runner.slots:
+            return False
         is_full = runner.free_slots() <= 0
         victim = self._choose_victim(runner, now) if is_full else ""
         if victim is None:
-            self._drop_load(load)
-            return
+            return False
         load.ordered = True
         runner.slots[load.adapter] = Slot(LOADING, now)
         if victim:
@@ -508,6 +506,28 @@
             self._order_unload(runner, victim, now)
         else:
             self._order(LOAD, runner, load.adapter)
+        return True
+
+    def _begin_other(self, load: _Load, now: float) -> bool:
+        """Uses a permit for the first other adapter that waits for one.
+
+        A permit given back has already cost the store's rate.
+        """
+        self._worths.clear()
+        del self._loads[load.permit]
+        asked = {other.adapter for other in self._loads.values()}
+        for group in self.waiting.groups():
+            adapter = group[0].admit.adapter
+            if not adapter or adapter in asked or self._holders(adapter):
+                continue
+            runner = self._choose_target(adapter, [], now)
+            if runner is None:
+                break
+            other = _Load(load.permit, runner.name, adapter, load.asked_at)
+            self._loads[load.permit] = other
+            return self._begin_load(other, now)
+        self._loads[load.permit] = load
+        return False
 
     def _order_unload(
         self, runner: RunnerState, adapter: str, now: float
