--- a/src/ridgesill/adapters/file_log.py
+++ b/src/ridgesill/adapters/file_log.py
@@ -38,7 +38,7 @@
         super().__init__(
             f"{path}: byte {offset}: {detail}. Move the data folder away and "
             "start the node again: it then joins as a new voter "
-            "(docs/how-to/replace-a-voter.md)"
+            "(docs/how-to/operate.md)"
         )
         self.path = path
         self.offset = offset
--- a/src/ridgesill/adapters/wire/__init__.py
+++ b/src/ridgesill/adapters/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Code generated from peer.proto; see docs/how-to/develop.md."""
+"""Code generated from peer.proto; see CONTRIBUTING.md."""
--- /dev/null
+++ b/testing/core/test_routing.py
@@ -0,0 +1,63 @@
+"""Tests of the entry node's choice of a pool, and its retries."""
+
+from ridgesill.core.pool.messages import Digest
+from ridgesill.core.rendezvous import rank
+from ridgesill.core.routing import RetryBudget, rank_pools
+
+_POOLS = ("a/s", "b/s", "c/s")
+
+
+def digest(pool: str, *resident: str, spare: int = 8) -> Digest:
+    """Returns an owner's hints."""
+    return Digest(pool, 1, resident, spare, 0)
+
+
+class TestRankPools:
+    def test_a_pool_that_holds_the_adapter_goes_first(self) -> None:
+        away = rank("x@1", _POOLS)[-1]
+        digests = {pool: digest(pool) for pool in _POOLS}
+        digests[away] = digest(away, "x@1")
+        assert rank_pools("x@1", _POOLS, digests)[0] == away
+
+    def test_an_absent_adapter_goes_to_its_home(self) -> None:
+        digests = {pool: digest(pool) for pool in _POOLS}
+        assert rank_pools("x@1", _POOLS, digests) == rank("x@1", _POOLS)
+
+    def test_a_full_home_goes_last(self) -> None:
+        home = rank("x@1", _POOLS)[0]
+        digests = {pool: digest(pool) for pool in _POOLS}
+        digests[home] = digest(home, spare=0)
+        assert rank_pools("x@1", _POOLS, digests)[-1] == home
+
+    def test_without_hints_all_entry_nodes_agree(self) -> None:
+        assert rank_pools("x@1", _POOLS, {}) == rank_pools(
+            "x@1", reversed(_POOLS), {}
+        )
+
+
+class TestRank:
+    def test_a_lost_candidate_moves_only_its_own_keys(self) -> None:
+        keys = [f"k{n}" for n in range(200)]
+        moved = [
+            key
+            for key in keys
+            if rank(key, _POOLS)[0] != rank(key, _POOLS[:2])[0]
+        ]
+        assert all(rank(key, _POOLS)[0] == "c/s" for key in moved)
+        assert 0 < len(moved) < 120
+
+
+class TestRetryBudget:
+    def test_retries_are_a_share_of_the_requests(self) -> None:
+        budget = RetryBudget(share=0.2, burst=5.0)
+        taken = 0
+        for _ in range(1000):
+            budget.note_request()
+            taken += budget.take()
+        assert 200 <= taken <= 220
+
+    def test_a_burst_is_bounded(self) -> None:
+        budget = RetryBudget(share=0.2, burst=5.0)
+        for _ in range(1000):
+            budget.note_request()
+        assert sum(budget.take() for _ in range(100)) == 5
--- a/testing/scenarios/failures.feature
+++ b/testing/scenarios/failures.feature
@@ -56,6 +56,14 @@
     Then a request for an adapter of east is answered within 15 s
     And no adapter in use was unloaded
 
+  Scenario: The owner of a pool is frozen past its lease
+    Given a small deployment
+    When the owner of east/assist is frozen
+    Then a request for an adapter of east is answered within 20 s
+    When the frozen node goes on
+    Then it orders nothing under its old epoch
+    And no adapter in use was unloaded
+
   Scenario: A planned stop cuts no request in progress
     Given a small deployment
     When a stream of 3 s is begun through n1
--- a/testing/scenarios/test_failures.py
+++ b/testing/scenarios/test_failures.py
@@ -35,6 +35,7 @@
 
     deployment: Deployment
     victim: str = ""
+    epoch: int = 0
     frozen: str = ""
     answers: list[Any] = attrs.Factory(list)
     texts: list[str] = attrs.Factory(list)
@@ -274,6 +275,28 @@
     story.node(story.victim).running.kill()
 
 
+@when("the owner of east/assist is frozen")
+def freeze_owner(story: Story) -> None:
+    status = story.deployment.status(story.node("n3"))
+    pool = next(p for p in status["pools"] if p["pool"] == "east/assist")
+    story.epoch = pool["epoch"]
+    story.frozen = story.victim = pool["owner"]
+    story.node(story.frozen).running.signal(signal.SIGSTOP)
+
+
+@then("it orders nothing under its old epoch")
+def no_old_orders(story: Story) -> None:
+    node = story.node(story.victim)
+    wait_until(node.is_ready, "the node that was frozen is fresh again")
+    for number in range(23):
+        chat(node, f"a{number}", {"X-Ridgesill-Timeout": "2"})
+    events = story.deployment.stand_ins["r1"].events()
+    orders = [e for e in events if e.get("epoch")]
+    latest = [e["epoch"] for e in orders]
+    assert max(latest) > story.epoch
+    assert latest == sorted(latest)
+
+
 @then(
     parsers.parse(
         "a request for an adapter of east is answered within {seconds:d} s"
