Take the pool's owner apart: placement, loads, pins

One file of 838 lines held everything an owner does. It keeps admission, runners and time; placement ranks, loads asks and orders, pins counts.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -29,7 +29,7 @@
     group_adapters,
     make_table,
 )
-from ridgesill.core.pool.owner import PoolLimits
+from ridgesill.core.pool.context import PoolLimits
 from ridgesill.core.state import State
 from ridgesill.standin.engine import Engine, EngineModel, Sequence
 from ridgesill.standin.traces import (
--- a/src/ridgesill/app/node.py
+++ b/src/ridgesill/app/node.py
@@ -31,8 +31,8 @@
 from ridgesill.app.settings import Settings
 from ridgesill.core.commands import Node, ReleasePool
 from ridgesill.core.following import Follow, Propose
+from ridgesill.core.pool.context import PoolLimits
 from ridgesill.core.pool.messages import Digest
-from ridgesill.core.pool.owner import PoolLimits
 from ridgesill.core.runners import Announcement
 
 _ADMIN_THREADS = 4
--- a/src/ridgesill/app/pools.py
+++ b/src/ridgesill/app/pools.py
@@ -11,6 +11,7 @@
 from ridgesill.app.entry import StateView
 from ridgesill.core.configuration import Service
 from ridgesill.core.membership import pool_name, pool_parts
+from ridgesill.core.pool.context import PoolLimits
 from ridgesill.core.pool.messages import (
     NOT_OWNER,
     Admit,
@@ -25,7 +26,7 @@
     SendOrder,
     ToAllocator,
 )
-from ridgesill.core.pool.owner import PoolLimits, PoolOwner
+from ridgesill.core.pool.owner import PoolOwner
 from ridgesill.core.pool.permits import Allocator
 from ridgesill.core.runners import LOAD, Announcement, Order
 from ridgesill.core.state import Owner
--- /dev/null
+++ b/src/ridgesill/core/pool/pins.py
@@ -0,0 +1,88 @@
+"""Pins: which requests use which adapters, and who answers for them."""
+
+from ridgesill.core.pool.context import Context
+from ridgesill.core.pool.messages import Holding, Pin
+
+
+class Pins:
+    """The requests that were granted a runner of a pool."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._pins: dict[str, Pin] = {}
+        self._pinned_at: dict[str, float] = {}
+        self._by_node: dict[str, set[str]] = {}
+
+    def __len__(self) -> int:
+        return len(self._pins)
+
+    @property
+    def nodes(self) -> set[str]:
+        """The entry nodes that have had a grant."""
+        return set(self._by_node)
+
+    def get(self, request: str) -> Pin | None:
+        """Returns a request's pin."""
+        return self._pins.get(request)
+
+    def age(self, request: str, now: float) -> float:
+        """Returns the seconds since a request was granted."""
+        return now - self._pinned_at[request]
+
+    def add(self, pin: Pin, node: str, now: float) -> None:
+        """Adds a pin that an entry node answers for."""
+        self._pins[pin.request] = pin
+        self._pinned_at[pin.request] = now
+        self._by_node.setdefault(node, set()).add(pin.request)
+        self._context.runners[pin.runner].pin(pin)
+
+    def end(self, request: str) -> None:
+        """Ends a pin."""
+        pin = self._pins.pop(request)
+        del self._pinned_at[request]
+        for held in self._by_node.values():
+            held.discard(request)
+        runner = self._context.runners.get(pin.runner)
+        if runner is not None:
+            runner.unpin(pin)
+
+    def end_of_runner(self, runner: str) -> None:
+        """Ends all pins on a runner that has lost its requests."""
+        for pin in list(self._pins.values()):
+            if pin.runner == runner:
+                self.end(pin.request)
+
+    def reconcile(self, message: Holding, now: float) -> None:
+        """Learns what a node holds, and ends what it no longer lists."""
+        listed = {pin.request for pin in message.pins}
+        for pin in message.pins:
+            self._learn(pin, message.node, now)
+        held = self._by_node.get(message.node, set())
+        for request in list(held - listed):
+            # A grant may still be on its way to the node that lists its own.
+            if self.age(request, now) > self._context.limits.report_lag:
+                self.end(request)
+
+    def lose_node(self, node: str) -> None:
+        """Leaves a lost node's pins to the runners' own reports.
+
+        Its requests may still run, so an adapter stays until its runner
+        reports that nothing runs on it.
+        """
+        for request in self._by_node.pop(node, set()):
+            pin = self._pins.pop(request)
+            del self._pinned_at[request]
+            runner = self._context.runners.get(pin.runner)
+            if runner is None:
+                continue
+            runner.unpin(pin)
+            slot = runner.slots.get(pin.adapter)
+            if slot is not None:
+                slot.reported += 1
+
+    def _learn(self, pin: Pin, node: str, now: float) -> None:
+        runner = self._context.runners.get(pin.runner)
+        if pin.request in self._pins or runner is None:
+            return
+        if runner.said.incarnation == pin.incarnation:
+            self.add(pin, node, now)
--- a/testing/core/pool/test_owner.py
+++ b/testing/core/pool/test_owner.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ridgesill.core.pool.context import PoolLimits
 from ridgesill.core.pool.messages import (
     ABSENT,
     FAILED,
@@ -25,7 +26,7 @@
     SendOrder,
     ToAllocator,
 )
-from ridgesill.core.pool.owner import PoolLimits, PoolOwner
+from ridgesill.core.pool.owner import PoolOwner
 from ridgesill.core.runners import Announcement, Order
 
 
--- a/testing/world.py
+++ b/testing/world.py
@@ -16,8 +16,8 @@
 from ridgesill.app.pools import Pools, store_name
 from ridgesill.core.commands import Node
 from ridgesill.core.membership import pool_name
+from ridgesill.core.pool.context import PoolLimits
 from ridgesill.core.pool.messages import Digest
-from ridgesill.core.pool.owner import PoolLimits
 from ridgesill.core.rendezvous import rank
 from ridgesill.core.runners import LOAD, UNLOAD, Announcement, Order
 from ridgesill.core.state import Owner, State
