--- a/testing/core/log/test_replica.py
+++ b/testing/core/log/test_replica.py
@@ -1,10 +1,27 @@
 """Tests of the replicated log."""
 
+import random
+
 import pytest
 
 from ridgesill.core import codec
-from ridgesill.core.log.messages import Entry, HardState, Voters
-from ridgesill.core.log.replica import LEADER, ChangeVoters, NoOp
+from ridgesill.core.log.messages import (
+    AppendRequest,
+    AppendResponse,
+    Entry,
+    HardState,
+    Stored,
+    VoteRequest,
+    VoteResponse,
+    Voters,
+)
+from ridgesill.core.log.replica import (
+    LEADER,
+    ChangeVoters,
+    NoOp,
+    Replica,
+    found_snapshot,
+)
 from testing.core.log.cluster import Cluster, Faults, Violation, Write
 from testing.core.log.schedules import Schedule
 
@@ -175,6 +192,52 @@
         assert cluster.propose(leader, change) is None
 
 
+def lone_replica(
+    name: str, hard_state: HardState, terms: tuple[int, ...]
+) -> Replica:
+    """Returns one of three replicas whose entries have these terms."""
+    command = codec.encode(NoOp())
+    entries = tuple(Entry(n, term, command) for n, term in enumerate(terms, 1))
+    stored = Stored(hard_state, entries, found_snapshot(_NAMES, b""))
+    return Replica(name, stored, 0.0, random.Random(1))
+
+
+def granted(replica: Replica) -> list[bool]:
+    """Returns which votes a replica has just given."""
+    messages = [send.message for send in replica.take_output().messages]
+    return [m.granted for m in messages if isinstance(m, VoteResponse)]
+
+
+class TestHardState:
+    def test_a_vote_is_kept_over_a_restart(self) -> None:
+        replica = lone_replica("a.0", HardState(), ())
+        replica.receive(VoteRequest(1, 0, 0, pre=False), "b.0", 0.1)
+        output = replica.take_output()
+        assert output.hard_state == HardState(1, "b.0")
+        again = lone_replica("a.0", output.hard_state, ())
+        again.receive(VoteRequest(1, 0, 0, pre=False), "c.0", 0.2)
+        assert granted(again) == [False]
+
+
+class TestCommit:
+    def test_an_earlier_terms_entry_is_not_committed_by_count(self) -> None:
+        replica = lone_replica("a.0", HardState(3, "a.0"), (2,))
+        replica.tick(10.0)
+        replica.receive(VoteResponse(4, True, pre=True), "b.0", 10.1)
+        replica.receive(VoteResponse(4, True, pre=False), "b.0", 10.2)
+        assert (replica.role, replica.term) == (LEADER, 4)
+        replica.receive(AppendResponse(4, True, 1, 10.2), "b.0", 10.3)
+        assert replica.commit == 0
+        replica.receive(AppendResponse(4, True, 2, 10.2), "b.0", 10.4)
+        assert replica.commit == 2
+
+    def test_a_follower_commits_only_what_matches(self) -> None:
+        replica = lone_replica("a.0", HardState(1, ""), (1, 1, 1))
+        heartbeat = AppendRequest(2, 1, 1, (), 3, 0.0)
+        replica.receive(heartbeat, "b.0", 0.1)
+        assert replica.commit == 1
+
+
 class TestSchedules:
     def test_invariants_hold_over_random_schedules(self) -> None:
         for seed in range(_SCHEDULES):
