Never call a request not-run after an attempt that may have run

Cause: when a repeatable request's first attempt ended in doubt and a later one was refused, or could not be sent, the answer said not-run. After: an attempt in doubt makes every later ending unknown.

--- a/src/ridgesill/app/entry.py
+++ b/src/ridgesill/app/entry.py
@@ -104,7 +104,6 @@
             avoid: runners that have just failed it.
         """
         deadline = self._loop.time() + call.patience
-        last = Refusal(NO_RUNNER, "no runner announces itself", 2.0)
         while True:
             checked = self.check(call)
             if isinstance(checked, Err):
@@ -113,10 +112,10 @@
             outcome = await self._ask_pools(call, target, avoid, deadline)
             if isinstance(outcome, Ok):
                 return outcome
-            last = outcome.err_value
+            refusal = outcome.err_value
             left = deadline - self._loop.time()
-            if last.reason != NOT_OWNER or left <= _ASK_AGAIN:
-                return Err(_final(last))
+            if refusal.reason != NOT_OWNER or left <= _ASK_AGAIN:
+                return Err(_final(refusal))
             await asyncio.sleep(_ASK_AGAIN)
 
     def finish(self, admission: Admission, verdict: str = FINE) -> None:
--- a/src/ridgesill/app/exchange.py
+++ b/src/ridgesill/app/exchange.py
@@ -66,6 +66,9 @@
         self._began = time.monotonic()
         self._team = request.call.team
         self._once: OnceKey | None = None
+        # Whether an attempt may have run: then no later one's refusal makes
+        # the request `not-run`.
+        self._may_have_run = False
 
     def serve(self) -> Reply:
         """Returns the reply; its body may still be arriving."""
@@ -139,6 +142,7 @@
             if isinstance(outcome, Ok):
                 return outcome.ok_value
             failure = outcome.err_value
+            self._may_have_run |= not failure.not_run
             avoid = (*avoid, admission.runner)
             if not self._may_retry(failure, attempt):
                 return self._fail(failure, admission)
@@ -270,20 +274,23 @@
         )
 
     def _give_up(self, refusal: Refusal) -> Reply:
-        self._finish_once(OnceResult(calls.NOT_RUN))
+        self._finish_once(OnceResult(self._unanswered()))
         return self._refuse(refusal)
 
+    def _unanswered(self) -> str:
+        return calls.UNKNOWN if self._may_have_run else calls.NOT_RUN
+
     def _fail(self, failure: RunnerFailure, admission: Admission) -> Reply:
-        outcome = calls.NOT_RUN if failure.not_run else calls.UNKNOWN
+        outcome = self._unanswered()
         self._finish_once(OnceResult(outcome))
         self._end(outcome, admission)
         detail = f"{failure.step} with {admission.runner}: {failure.detail}"
-        after = 1.0 if failure.not_run else 0.0
+        after = 0.0 if self._may_have_run else 1.0
         refusal = Refusal("runner-failed", detail, after, admission.team)
         return Reply(502, "", b"", outcome, admission, refusal)
 
     def _refuse(self, refusal: Refusal) -> Reply:
-        outcome = calls.NOT_RUN
+        outcome = self._unanswered()
         if refusal.reason == calls.KEY_UNKNOWN:
             outcome = calls.UNKNOWN
         self._end(outcome, reason=refusal.reason)
--- a/testing/app/control_world.py
+++ b/testing/app/control_world.py
@@ -21,6 +21,9 @@
 
 VOTERS = ("a", "b", "c")
 LEASE = 4.0
+# Well below the lease: the leader often takes a live node for gone, and only
+# the leases keep its old and new owners apart.
+PATIENCE = 1.5
 
 
 @attrs.define
@@ -131,6 +134,7 @@
         self.members: dict[str, Member] = {}
         self.ordered: list[tuple[float, str, Order]] = []
         self.cut: set[tuple[str, str]] = set()
+        self.reply_delay: dict[str, float] = {}
         self._storages = {
             name: MemoryStorage(
                 f"{name}.0",
@@ -167,7 +171,7 @@
             storage.identity if storage else "",
         )
         peers = FaultyPeers(self, name)
-        settings = ControlSettings({v: v for v in VOTERS}, LEASE, LEASE, 0.5)
+        settings = ControlSettings({v: v for v in VOTERS}, LEASE, PATIENCE, 0.5)
         heard: list[Pools] = []
 
         def heard_pools() -> tuple[str, ...]:
@@ -221,6 +225,7 @@
         """Takes a message to a node and its answer back."""
         await self._travel(sender, to)
         answer = await self._take(to, message)
+        await asyncio.sleep(self.reply_delay.get(sender, 0.0))
         await self._travel(to, sender)
         return answer
 
@@ -255,6 +260,12 @@
         )
         await self.members[name].pools.announce(said)
 
+    def leader(self) -> str:
+        """Returns the node that leads."""
+        return next(
+            name for name, m in self.members.items() if m.control.is_leader
+        )
+
     def may_order(self) -> list[str]:
         """Returns the nodes that would order something of the runner now."""
         now = asyncio.get_running_loop().time()
--- a/testing/app/test_control.py
+++ b/testing/app/test_control.py
@@ -88,11 +88,13 @@
 
 
 class TestIsFresh:
-    @pytest.mark.parametrize("name", ["a", "x"])
+    @pytest.mark.parametrize("name", ["leader", "a", "x"])
     async def test_a_node_cut_off_stops_within_its_lease(
         self, name: str
     ) -> None:
         world = await started()
+        if name == "leader":
+            name = world.leader()
         world.isolate(name, inbound=True, outbound=True)
         await asyncio.sleep(LEASE + 0.5)
         assert not world.members[name].control.is_fresh()
@@ -108,6 +110,16 @@
         assert not world.members[name].control.is_fresh()
         world.stop()
 
+    async def test_a_slow_answer_only_makes_it_more_cautious(self) -> None:
+        world = await started()
+        world.reply_delay["x"] = 0.4
+        await asyncio.sleep(5.0)
+        control = world.members["x"].control
+        now = asyncio.get_running_loop().time()
+        assert control.is_fresh()
+        assert control.freshness.age(now) >= 0.4
+        world.stop()
+
     async def test_without_a_quorum_nobody_is_fresh(self) -> None:
         world = await started()
         for name in VOTERS[:2]:
--- a/testing/core/test_state.py
+++ b/testing/core/test_state.py
@@ -152,6 +152,14 @@
         log.apply(ReleasePool("east/assist", epoch))
         assert log.state.owners["east/assist"].node == "n2"
 
+    def test_a_grant_applied_before_changes_nothing(self) -> None:
+        state = State()
+        first = Entry(1, 1, codec.encode(GrantPool("east/assist", "n1", "x")))
+        second = Entry(2, 1, codec.encode(GrantPool("east/assist", "n2", "y")))
+        for entry in (first, second, first):
+            state.apply(entry)
+        assert state.owners["east/assist"].node == "n2"
+
     def test_a_restarted_node_is_not_removed_by_its_past(self) -> None:
         log = Log()
         log.apply(JoinNode(NODE))
