Tell entry nodes only what changed in a pool

Cause: a digest listed all adapters of its pool. After: adapters added and removed since the digest before, load once a second, all of it to new nodes and each 30 s; a gap only makes hints older.

--- a/src/ridgesill/app/entry.py
+++ b/src/ridgesill/app/entry.py
@@ -16,6 +16,7 @@
     Target,
 )
 from ridgesill.core.membership import pool_name, pool_parts
+from ridgesill.core.pool.hints import PoolHints
 from ridgesill.core.pool.messages import (
     FINE,
     NO_RUNNER,
@@ -63,7 +64,7 @@
     """
 
     def __init__(self, node: str, view: StateView, peers: Peers) -> None:
-        self.digests: dict[str, Digest] = {}
+        self.hints: dict[str, PoolHints] = {}
         self.retries = RetryBudget()
         self._node = node
         self._view = view
@@ -78,10 +79,8 @@
         return len(self._held)
 
     def note_digest(self, digest: Digest) -> None:
-        """Takes an owner's hints; those of an earlier owner are dropped."""
-        known = self.digests.get(digest.pool)
-        if known is None or digest.epoch >= known.epoch:
-            self.digests[digest.pool] = digest
+        """Takes an owner's hints."""
+        self.hints.setdefault(digest.pool, PoolHints()).take(digest)
 
     def check(self, call: Call) -> Result[Target, Refusal]:
         """Checks a call against the configuration in force."""
@@ -170,7 +169,7 @@
             return Err(Refusal(NO_RUNNER, detail, 2.0, target.team))
         key = target.adapter or call.request
         refusals = []
-        for pool in rank_pools(key, candidates, self.digests):
+        for pool in rank_pools(key, candidates, self.hints):
             outcome = await self._ask(call, target, pool, avoid, deadline)
             if isinstance(outcome, Ok):
                 return outcome
--- a/src/ridgesill/app/pools.py
+++ b/src/ridgesill/app/pools.py
@@ -35,7 +35,6 @@
 
 _TICK = 0.1
 _DIGEST_EVERY = 0.5
-_DIGEST_AT_LEAST = 2.0
 _RUNNER_HEARD = 5.0
 _HOLDINGS_HEARD = 1.5
 
@@ -53,7 +52,6 @@
     orders: set[asyncio.Task[None]] = attrs.Factory(set)
     answers: dict[str, asyncio.Future[Any]] = attrs.Factory(dict)
     digest_at: float = float("-inf")
-    digest: Any = None
 
 
 class Pools:
@@ -359,25 +357,25 @@
         since = now - hosted.digest_at
         if since < _DIGEST_EVERY:
             return
-        digest = hosted.owner.digest()
-        if digest == hosted.digest and since < _DIGEST_AT_LEAST:
-            return
-        hosted.digest = digest
+        nodes = self._nodes_of_region(hosted.owner.pool)
+        digest = hosted.owner.digest(nodes, now)
         hosted.digest_at = now
-        for node in self._nodes_of_region(hosted.owner.pool):
+        if digest is None:
+            return
+        for node in nodes:
             self._peers.send(node, digest)
 
-    def _nodes_of_region(self, pool: str) -> list[str]:
+    def _nodes_of_region(self, pool: str) -> frozenset[str]:
         state = self._view.state()
         places = state.table.data_centres
         here = places.get(pool_parts(pool)[0])
         region = here.region if here else ""
-        return [
+        return frozenset(
             node.address
             for node in state.nodes.values()
             if node.data_centre in places
             and places[node.data_centre].region == region
-        ]
+        )
 
     def is_idle(self) -> bool:
         """Whether no pool has work left."""
--- a/src/ridgesill/core/pool/messages.py
+++ b/src/ridgesill/core/pool/messages.py
@@ -117,11 +117,23 @@
 @register
 @attrs.frozen
 class Digest:
-    """What an owner tells entry nodes about its pool, as hints only."""
+    """What an owner tells entry nodes about its pool, as hints only.
+
+    Attributes:
+        number: counts an owner's digests.
+        is_whole: whether `added` is all that is resident.
+        added: adapters resident since the digest before.
+        removed: adapters gone since then.
+        spare: requests that the pool's runners have room for.
+        waiting: requests that wait there.
+    """
 
     pool: str
     epoch: int
-    resident: tuple[str, ...]
+    number: int
+    is_whole: bool
+    added: tuple[str, ...]
+    removed: tuple[str, ...]
     spare: int
     waiting: int
 
--- a/src/ridgesill/core/pool/owner.py
+++ b/src/ridgesill/core/pool/owner.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ridgesill.core.pool.context import Context, PoolLimits
+from ridgesill.core.pool.hints import DigestMaker
 from ridgesill.core.pool.loads import Loads
 from ridgesill.core.pool.messages import (
     ABSENT,
@@ -87,6 +88,7 @@
         self._placement = Placement(self._context)
         self._loads = Loads(self._context, self._placement)
         self._pins = Pins(self._context)
+        self._digests = DigestMaker(pool, epoch)
         self._fencing: set[str] = set()
         self._service_seconds = 1.0
 
@@ -101,26 +103,21 @@
         self._context.output = []
         return output
 
-    def digest(self) -> Digest:
-        """Returns what entry nodes should know of this pool."""
-        resident = {
+    def digest(self, receivers: frozenset[str], now: float) -> Digest | None:
+        """Returns what entry nodes should be told now, if anything."""
+        resident = frozenset(
             adapter
             for runner in self.runners.values()
             for adapter, slot in runner.slots.items()
             if slot.state in (READY, LOADING)
-        }
+        )
         spare = sum(
             max(r.said.capacity - r.in_flight, 0)
             for r in self.runners.values()
             if not r.said.leaving
         )
-        return Digest(
-            self.pool,
-            self.epoch,
-            tuple(sorted(resident)),
-            spare,
-            len(self.waiting),
-        )
+        waiting = len(self.waiting)
+        return self._digests.make(resident, spare, waiting, receivers, now)
 
     def entry_nodes(self) -> set[str]:
         """Returns the entry nodes that have a request here."""
--- a/src/ridgesill/core/routing.py
+++ b/src/ridgesill/core/routing.py
@@ -4,12 +4,12 @@
 
 import attrs
 
-from ridgesill.core.pool.messages import Digest
+from ridgesill.core.pool.hints import PoolHints
 from ridgesill.core.rendezvous import rank
 
 
 def rank_pools(
-    adapter: str, pools: Iterable[str], digests: Mapping[str, Digest]
+    adapter: str, pools: Iterable[str], hints: Mapping[str, PoolHints]
 ) -> list[str]:
     """Returns the pools to ask for a runner, the best first.
 
@@ -21,17 +21,17 @@
     Args:
         adapter: `name@version`, or the request's id for a plain service.
         pools: the pools in allowed places.
-        digests: what is known of them; hints that may be old.
+        hints: what is known of them; hints that may be old.
     """
     homes = rank(adapter, pools)
     order = {pool: position for position, pool in enumerate(homes)}
 
     def preference(pool: str) -> tuple[bool, bool, int]:
-        digest = digests.get(pool)
-        if digest is None:
+        known = hints.get(pool)
+        if known is None:
             return (True, True, order[pool])
-        holds = adapter in digest.resident
-        has_room = digest.spare > digest.waiting
+        holds = adapter in known.resident
+        has_room = known.spare > known.waiting
         return (not has_room, not holds, order[pool])
 
     return sorted(homes, key=preference)
--- a/testing/core/test_routing.py
+++ b/testing/core/test_routing.py
@@ -1,33 +1,33 @@
 """Tests of the entry node's choice of a pool, and its retries."""
 
-from ridgesill.core.pool.messages import Digest
+from ridgesill.core.pool.hints import PoolHints
 from ridgesill.core.rendezvous import rank
 from ridgesill.core.routing import RetryBudget, rank_pools
 
 _POOLS = ("a/s", "b/s", "c/s")
 
 
-def digest(pool: str, *resident: str, spare: int = 8) -> Digest:
-    """Returns an owner's hints."""
-    return Digest(pool, 1, resident, spare, 0)
+def known(*resident: str, spare: int = 8) -> PoolHints:
+    """Returns what is known of a pool."""
+    return PoolHints(1, 1, set(resident), spare)
 
 
 class TestRankPools:
     def test_a_pool_that_holds_the_adapter_goes_first(self) -> None:
         away = rank("x@1", _POOLS)[-1]
-        digests = {pool: digest(pool) for pool in _POOLS}
-        digests[away] = digest(away, "x@1")
-        assert rank_pools("x@1", _POOLS, digests)[0] == away
+        hints = {pool: known() for pool in _POOLS}
+        hints[away] = known("x@1")
+        assert rank_pools("x@1", _POOLS, hints)[0] == away
 
     def test_an_absent_adapter_goes_to_its_home(self) -> None:
-        digests = {pool: digest(pool) for pool in _POOLS}
-        assert rank_pools("x@1", _POOLS, digests) == rank("x@1", _POOLS)
+        hints = {pool: known() for pool in _POOLS}
+        assert rank_pools("x@1", _POOLS, hints) == rank("x@1", _POOLS)
 
     def test_a_full_home_goes_last(self) -> None:
         home = rank("x@1", _POOLS)[0]
-        digests = {pool: digest(pool) for pool in _POOLS}
-        digests[home] = digest(home, spare=0)
-        assert rank_pools("x@1", _POOLS, digests)[-1] == home
+        hints = {pool: known() for pool in _POOLS}
+        hints[home] = known(spare=0)
+        assert rank_pools("x@1", _POOLS, hints)[-1] == home
 
     def test_without_hints_all_entry_nodes_agree(self) -> None:
         assert rank_pools("x@1", _POOLS, {}) == rank_pools(
