--- a/bench/demo.py
+++ b/bench/demo.py
@@ -228,34 +228,20 @@
     return words
 
 
-def make_deployment(folder: Path) -> Deployment:
-    """Returns three nodes, two runners and a plain service."""
-    deployment = Deployment(folder)
+def make_deployment(
+    folder: Path, settings: dict[str, dict[str, Any]] | None = None
+) -> Deployment:
+    """Returns three nodes, two runners and a plain service, not started."""
+    deployment = Deployment(folder, settings)
     for name, place in (("n1", "east"), ("n2", "east"), ("n3", "west")):
         deployment.add_node(name, place, voter=True)
-    engine = {"load_seconds": 0.05}
+    engine = {"load_seconds": 0.02}
     deployment.add_stand_in("r1", "assist", "east", engine=engine)
     deployment.add_stand_in("r2", "assist", "west", engine=engine)
     deployment.add_stand_in("t1", "tickets", "east", kind="plain", slots=0)
     return deployment
 
 
-def wait_ready(deployment: Deployment) -> None:
-    """Waits until every node serves and every pool has an owner."""
-    for node in deployment.nodes.values():
-        wait_until(node.is_ready, f"{node.name} is ready")
-    wanted = {
-        f"{s.data_centre}/{s.service}" for s in deployment.stand_ins.values()
-    }
-    for node in deployment.nodes.values():
-
-        def has_owners(node: NodeHandle = node) -> bool:
-            pools = deployment.status(node)["pools"]
-            return wanted <= {pool["pool"] for pool in pools}
-
-        wait_until(has_owners, f"{node.name} knows the pools' owners")
-
-
 def main() -> int:
     """Runs the demo; returns 0 if all held."""
     with tempfile.TemporaryDirectory() as name:
@@ -264,7 +250,7 @@
             wait_until(deployment.leader, "a leader")
             first = next(iter(deployment.nodes.values()))
             print(deployment.apply(first, make_configuration()).strip())
-            wait_ready(deployment)
+            deployment.wait_serving()
             demo = Demo(deployment)
             demo.run()
         for fault in demo.tally.wrong:
--- a/src/ridgesill/core/pool/loads.py
+++ b/src/ridgesill/core/pool/loads.py
@@ -171,8 +171,7 @@
         self, runner: RunnerState, adapter: str, now: float
     ) -> None:
         slot = runner.slots[adapter]
-        slot.state = UNLOADING
-        slot.since = now
+        slot.become(UNLOADING, now)
         self.order(UNLOAD, runner, adapter)
 
     def order(self, action: str, runner: RunnerState, adapter: str) -> None:
@@ -217,15 +216,13 @@
         if verdict == "done":
             took = now - slot.since
             self.seconds += _SMOOTHING * (took - self.seconds)
-            slot.state = READY
-            slot.since = now
+            slot.become(READY, now)
             self._failed.pop(adapter, None)
             return
         if verdict == "failed":
             del runner.slots[adapter]
         else:
-            slot.state = SUSPECT
-            slot.since = now
+            slot.become(SUSPECT, now)
         self._note_failed_load(runner, adapter, now)
 
     def _note_failed_load(
@@ -250,8 +247,7 @@
         if verdict == "done":
             runner.drop(adapter, now)
         else:
-            slot.state = SUSPECT
-            slot.since = now
+            slot.become(SUSPECT, now)
         for load in list(self._context.loads.values()):
             if (load.runner, load.victim) == (runner.name, adapter):
                 self._go_on_loading(load, runner, verdict)
--- a/src/ridgesill/core/pool/slots.py
+++ b/src/ridgesill/core/pool/slots.py
@@ -37,6 +37,11 @@
         """Whether a request uses it or may still use it."""
         return bool(self.pins) or self.reported > 0
 
+    def become(self, state: str, now: float) -> None:
+        """Enters a state."""
+        self.state = state
+        self.since = now
+
 
 @attrs.define
 class RunnerState:
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bench.demo import make_configuration
+from bench.demo import make_configuration, make_deployment
 from testing.processes import Deployment, deployed, wait_until
 
 # Short leases keep scenarios short; their proportions are the defaults'.
@@ -19,37 +19,9 @@
 }
 
 
-def wait_serving(deployment: Deployment) -> None:
-    """Waits until every running node serves and knows all pools' owners."""
-    wanted = {
-        f"{s.data_centre}/{s.service}"
-        for s in deployment.stand_ins.values()
-        if s.running and s.running.is_running
-    }
-    for node in deployment.nodes.values():
-        if not (node.running and node.running.is_running):
-            continue
-        wait_until(node.is_ready, f"{node.name} is ready")
-
-        def knows_owners() -> bool:
-            status = deployment.status(node)  # noqa: B023
-            return bool(status) and wanted <= {
-                pool["pool"] for pool in status["pools"]
-            }
-
-        wait_until(knows_owners, f"{node.name} knows the owners")
-
-
 def make_small(folder: Path, settings: dict | None = None) -> Deployment:
-    """Returns three nodes, two runners and a plain service, not started."""
-    deployment = Deployment(folder, {**FAST, **(settings or {})})
-    for name, place in (("n1", "east"), ("n2", "east"), ("n3", "west")):
-        deployment.add_node(name, place, voter=True)
-    engine = {"load_seconds": 0.02}
-    deployment.add_stand_in("r1", "assist", "east", engine=engine)
-    deployment.add_stand_in("r2", "assist", "west", engine=engine)
-    deployment.add_stand_in("t1", "tickets", "east", kind="plain", slots=0)
-    return deployment
+    """Returns the demo's deployment with short leases, not started."""
+    return make_deployment(folder, {**FAST, **(settings or {})})
 
 
 def configure(deployment: Deployment) -> None:
@@ -58,7 +30,7 @@
     first = next(iter(deployment.nodes.values()))
     answer = deployment.apply(first, make_configuration())
     assert "accepted" in answer, answer
-    wait_serving(deployment)
+    deployment.wait_serving()
 
 
 @pytest.fixture(scope="module")
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -295,6 +295,26 @@
             ridgesill("stand_in", str(stand_in.settings)), name
         )
 
+    def wait_serving(self) -> None:
+        """Waits until every running node serves and knows all owners."""
+        wanted = {
+            f"{s.data_centre}/{s.service}"
+            for s in self.stand_ins.values()
+            if s.running and s.running.is_running
+        }
+        for node in self.nodes.values():
+            if not (node.running and node.running.is_running):
+                continue
+            wait_until(node.is_ready, f"{node.name} is ready")
+
+            def knows_owners(node: NodeHandle = node) -> bool:
+                status = self.status(node)
+                return bool(status) and wanted <= {
+                    pool["pool"] for pool in status["pools"]
+                }
+
+            wait_until(knows_owners, f"{node.name} knows the owners")
+
     def _launch(self, command: list[str], name: str) -> RunningProcess:
         running = RunningProcess(command, self.folder / f"{name}.out")
         running.start()
--- a/testing/scenarios/test_failures.py
+++ b/testing/scenarios/test_failures.py
@@ -14,7 +14,6 @@
 
 from bench.demo import make_configuration
 from testing.clients import Answered, chat, open_stream, request
-from testing.conftest import wait_serving
 from testing.processes import (
     Deployment,
     NodeHandle,
@@ -363,7 +362,7 @@
             assert story.node(name).running.stop() == 0
             story.deployment.start_node(name)
             wait_until(story.node(name).is_ready, f"{name} is ready")
-            wait_serving(story.deployment)
+            story.deployment.wait_serving()
     finally:
         stop.set()
         for worker in workers:
