--- a/src/ridgesill/core/log/replica.py
+++ b/src/ridgesill/core/log/replica.py
@@ -405,8 +405,11 @@
             for voter in self.voters.voters
         ]
         index = _quorum_value(matches)
-        if self.log.term(index) == self.term:
+        if self.log.term(index) == self.term and index > self.commit:
             self._commit_to(index)
+            # Tells the followers at the next tick instead of the next
+            # heartbeat: a change is in force that much sooner everywhere.
+            self._next_heartbeat = _NEVER
         self._step_down_if_removed()
 
     def _match_of(self, voter: str) -> int:
--- a/testing/core/log/test_replica.py
+++ b/testing/core/log/test_replica.py
@@ -11,6 +11,7 @@
     Entry,
     HardState,
     Stored,
+    Timing,
     VoteRequest,
     VoteResponse,
     Voters,
@@ -111,6 +112,17 @@
             cluster.check_kept(name)
         assert cluster.acknowledged == {"x"}
 
+    def test_followers_learn_of_a_commit_before_the_next_heartbeat(
+        self,
+    ) -> None:
+        cluster = calm_cluster()
+        heartbeat = Timing().heartbeat
+        for _ in range(20):
+            cluster.propose(cluster.leader(), Write("x"))
+            cluster.run(heartbeat * 0.6)
+            commits = {m.replica.commit for m in cluster.members.values()}
+            assert len(commits) == 1
+
     def test_a_follower_refuses_a_proposal(self) -> None:
         cluster = calm_cluster()
         other = next(n for n in _NAMES if n != cluster.leader())
