Cancel a stopping node's tasks until they have ended

Cause: asyncio.wait_for in Python 3.11 drops a cancellation that comes together with its result. A follower that hands over a pool gets the answer to its waiting question in the very step in which it stops, so Control.follow went on and the node hung. Ruled out: the handover (no error, and no hang in it), the listeners (their threads had not been stopped yet). A fault in the handover no longer keeps a node from ending.

--- a/src/ridgesill/app/node.py
+++ b/src/ridgesill/app/node.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import attrs
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from ridgesill.adapters.admin_http import AdminApp
 from ridgesill.adapters.announce_http import AnnounceApp
@@ -43,6 +43,7 @@
 _DRAIN_TICK = 0.1
 _NOTICE_SECONDS = 2.0
 _LEAVE_SECONDS = 2.0
+_CANCEL_SECONDS = 1.0
 
 
 class NodeProcess:
@@ -284,14 +285,21 @@
             self._drain_task = asyncio.create_task(self._drain())
 
     async def _drain(self) -> None:
+        try:
+            await self._finish_work()
+            await self._hand_over()
+        except Exception:  # noqa: BLE001 - a fault must not keep it from ending
+            write_traceback()
+        finally:
+            self._stopping.set()
+
+    async def _finish_work(self) -> None:
         deadline = self._loop.time() + self._settings.drain_seconds
         # Readiness fails already; what the balancer still sends is served.
         await asyncio.sleep(min(_NOTICE_SECONDS, self._settings.drain_seconds))
         self.control.refusing = True
         while self._loop.time() < deadline and self._is_busy():
             await asyncio.sleep(_DRAIN_TICK)
-        await self._hand_over()
-        self._stopping.set()
 
     def _is_busy(self) -> bool:
         return bool(self._caller_app.in_progress or self.entry.held)
@@ -318,10 +326,22 @@
             self._tls.reload()
             log_message("node:certificates_reloaded", node=self.identity)
 
+    async def _end(self, tasks: list[asyncio.Task[None]]) -> None:
+        """Cancels tasks until they have ended.
+
+        In Python 3.11 `asyncio.wait_for` loses a cancellation that comes
+        together with its result, so once is not enough.
+        """
+        pending = set(tasks)
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=_CANCEL_SECONDS)
+            for task in pending:
+                log_message("node:task_goes_on", task=str(task.get_coro()))
+
     async def _stop(self, tasks: list[asyncio.Task[None]]) -> None:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._end(tasks)
         for server in self._servers:
             await self._loop.run_in_executor(None, server.stop)
         await self._peers.close()
