One rule for cutting a log's tail; drop what nothing reads

The rule that an entry at a stored index cuts the tail stood three times (the file log and two test disks); core/log/memory.place_entry serves all. A report pruned the list of adapters that just left once for each adapter it named; now once. RunnerState.probing and commands.UNCHANGED were read nowhere.

--- a/src/ridgesill/adapters/file_log.py
+++ b/src/ridgesill/adapters/file_log.py
@@ -17,6 +17,7 @@
 import attrs
 
 from ridgesill.core import codec
+from ridgesill.core.log.memory import place_entry
 from ridgesill.core.log.messages import (
     Entry,
     HardState,
@@ -94,7 +95,7 @@
             if isinstance(record.value, HardState):
                 hard_state = record.value
             else:
-                _place(entries, record.value)
+                place_entry(entries, record.value)
         self._file = (self._folder / _LOG).open("ab")
         kept = tuple(e for e in entries if e.index > snapshot.index)
         return Stored(hard_state, kept, snapshot)
@@ -216,10 +217,3 @@
             raise StorageError(path, offset, "a record's body is corrupt")
         offset = stop
     return offset
-
-
-def _place(entries: list[Entry], entry: Entry) -> None:
-    """Adds an entry; one at an index already there cuts the tail."""
-    while entries and entries[-1].index >= entry.index:
-        entries.pop()
-    entries.append(entry)
--- a/src/ridgesill/core/commands.py
+++ b/src/ridgesill/core/commands.py
@@ -123,7 +123,6 @@
 
 ACCEPTED = "accepted"
 CONFLICT = "conflict"
-UNCHANGED = "unchanged"
 
 
 @register
--- a/src/ridgesill/core/pool/owner.py
+++ b/src/ridgesill/core/pool/owner.py
@@ -378,8 +378,7 @@
                     slot.state = READY
             elif slot.state in (READY, SUSPECT) and not slot.is_pinned:
                 del runner.slots[adapter]
-        for adapter in said.resident:
-            runner.learn(adapter, now, self.limits.report_lag)
+        runner.learn(now, self.limits.report_lag)
 
     def _unexplained(self, slot: Slot, active: int) -> int:
         return max(active - len(slot.pins), 0)
--- a/src/ridgesill/core/pool/slots.py
+++ b/src/ridgesill/core/pool/slots.py
@@ -58,7 +58,6 @@
     in_flight: int = 0
     failures: int = 0
     ejected_until: float = float("-inf")
-    probing: bool = False
     fenced_epoch: int = 0
     dropped: dict[str, float] = attrs.Factory(dict)
 
@@ -101,13 +100,14 @@
         self.slots.pop(adapter, None)
         self.dropped[adapter] = now
 
-    def learn(self, adapter: str, now: float, lag: float) -> None:
-        """Takes an adapter that a report lists, unless it just left."""
+    def learn(self, now: float, lag: float) -> None:
+        """Takes the adapters that a report lists, but not those that left."""
         self.dropped = {
             name: at for name, at in self.dropped.items() if now - at <= lag
         }
-        if adapter not in self.slots and adapter not in self.dropped:
-            self.slots[adapter] = Slot(READY, now)
+        for adapter in self.said.resident:
+            if adapter not in self.slots and adapter not in self.dropped:
+                self.slots[adapter] = Slot(READY, now)
 
     def free_slots(self) -> int:
         """Returns how many slots hold nothing."""
--- a/testing/app/control_world.py
+++ b/testing/app/control_world.py
@@ -13,6 +13,7 @@
 from ridgesill.app.pools import Pools
 from ridgesill.core.commands import Node
 from ridgesill.core.following import Follow, Propose
+from ridgesill.core.log.memory import place_entry
 from ridgesill.core.log.messages import Entry, HardState, Snapshot, Stored
 from ridgesill.core.log.replica import found_snapshot
 from ridgesill.core.pool.messages import Digest
@@ -45,9 +46,7 @@
         """Adds entries."""
         self.hard_state = hard_state or self.hard_state
         for entry in entries:
-            while self.entries and self.entries[-1].index >= entry.index:
-                self.entries.pop()
-            self.entries.append(entry)
+            place_entry(self.entries, entry)
 
     def replace(
         self,
--- a/testing/core/log/cluster.py
+++ b/testing/core/log/cluster.py
@@ -12,6 +12,7 @@
 import attrs
 
 from ridgesill.core import codec
+from ridgesill.core.log.memory import place_entry
 from ridgesill.core.log.messages import (
     Entry,
     HardState,
@@ -50,9 +51,7 @@
     def append(self, entries: list[Entry]) -> None:
         """Adds entries; one at a stored index cuts the tail."""
         for entry in entries:
-            while self.entries and self.entries[-1].index >= entry.index:
-                self.entries.pop()
-            self.entries.append(entry)
+            place_entry(self.entries, entry)
 
     def stored(self) -> Stored:
         """Returns what a restart finds."""
