--- /dev/null
+++ b/src/ridgesill/adapters/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 on the event loop: a listener, and channels to upstreams."""
--- /dev/null
+++ b/src/ridgesill/adapters/http1/server.py
@@ -0,0 +1,366 @@
+"""An HTTP/1.1 listener on the event loop; each request runs as a task.
+
+The client's socket is read all the time. When the client leaves, the task
+that serves its request is cancelled, which ends the upstream's work too.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+import h11
+from eliot import log_message, write_traceback
+
+from ridgesill.ports.http import Headers, HttpRequest, Responder
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+# Bytes of an answer that may wait for a slow client before the task does.
+_WRITE_BUFFER_BYTES = 256 * 1024
+_BACKLOG = 1024
+# How often idle and slow channels are looked for, in seconds.
+_SWEEP_SECONDS = 0.5
+
+
+@attrs.define
+class ConnectionLimits:
+    """What a client may send, and for how long it may keep quiet.
+
+    They change with the configuration, while connections are open.
+
+    Attributes:
+        header_bytes: of the request line and all headers.
+        body_bytes: of a request's body.
+        header_seconds: from the first byte of a head to its end.
+        idle_seconds: that a channel may rest between requests.
+    """
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 2**20
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class _BodyTooLargeError(Exception):
+    """A request's body that is over the limit."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """One client's channel.
+
+    Args:
+        listener: what the channel belongs to.
+    """
+
+    def __init__(self, listener: "HttpListener") -> None:
+        self._listener = listener
+        self._loop = asyncio.get_running_loop()
+        self._http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=listener.limits.header_bytes,
+        )
+        self._transport: asyncio.Transport | None = None
+        self._peer = ""
+        self._head: h11.Request | None = None
+        self._head_at = 0.0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._task: asyncio.Task[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._since = self._loop.time()
+        self._receiving = False
+        self._lost = False
+
+    # -- the transport's calls -----------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Notes the new channel."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+        peer = transport.get_extra_info("peername")
+        self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
+        self._listener.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the request in progress: its client is gone."""
+        self._lost = True
+        self._listener.connections.discard(self)
+        self._wake_writer()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Closes the channel: a client that stops sending has left."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Makes `drain` wait."""
+        self._writable = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Lets `drain` go on."""
+        self._wake_writer()
+
+    def _wake_writer(self) -> None:
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of a request."""
+        if not self._receiving and self._task is None:
+            self._since = self._loop.time()
+            self._receiving = True
+        try:
+            self._http.receive_data(data)
+            self._take_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+        except _BodyTooLargeError:
+            self._reject(413, "the body is over the limit")
+
+    def _take_events(self) -> None:
+        while self._task is None and not self._lost:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._answer_expectation()
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            self._take_event(event)
+
+    def _answer_expectation(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(self._http.send(go_on))
+
+    def _take_event(self, event: h11.Event | type[h11.PAUSED]) -> None:
+        if isinstance(event, h11.Request):
+            self._head = event
+            self._head_at = self._loop.time()
+            self._body = []
+            self._body_bytes = 0
+        elif isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._listener.limits.body_bytes:
+                raise _BodyTooLargeError
+            self._body.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._begin()
+
+    # -- serving -------------------------------------------------------
+
+    def _begin(self) -> None:
+        head = self._head
+        assert head is not None
+        self._head = None
+        self._receiving = False
+        request = HttpRequest(
+            head.method,
+            head.target,
+            tuple(head.headers),
+            b"".join(self._body),
+            self._head_at,
+            self._peer,
+        )
+        self._body = []
+        self._task = self._loop.create_task(self._serve(request))
+
+    async def _serve(self, request: HttpRequest) -> None:
+        responder = _ConnectionResponder(self, request)
+        try:
+            await self._listener.handler(request, responder)
+        except asyncio.CancelledError:
+            if not self._lost:
+                self._close()
+            raise
+        except Exception:  # noqa: BLE001 - one request's fault ends only it
+            write_traceback()
+            self._fail(responder)
+        finally:
+            self._task = None
+            self._since = self._loop.time()
+        if not self._lost:
+            self._go_on()
+
+    def _fail(self, responder: Responder) -> None:
+        if self._lost:
+            return
+        if responder.started:
+            responder.abort()
+            return
+        responder.send_head(502, ((b"content-length", b"0"),))
+        responder.finish()
+
+    def _go_on(self) -> None:
+        http = self._http
+        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+            http.start_next_cycle()
+            if http.trailing_data[0]:
+                self._receiving = True
+            try:
+                self._take_events()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint, str(error))
+            except _BodyTooLargeError:
+                self._reject(413, "the body is over the limit")
+            return
+        self._close()
+
+    def _reject(self, status: int, detail: str) -> None:
+        log_message(
+            "channel:rejected", peer=self._peer, status=status, detail=detail
+        )
+        if self._task is not None:
+            self._task.cancel()
+            self.abort()
+            return
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            head = h11.Response(
+                status_code=status,
+                headers=[("content-length", "0"), ("connection", "close")],
+            )
+            self._write(self._http.send(head))
+        self._close()
+
+    # -- what the responder uses ---------------------------------------
+
+    @property
+    def closing(self) -> bool:
+        """Whether answers should ask the client to close the channel."""
+        return self._listener.closing
+
+    def send(self, event: h11.Event) -> None:
+        """Writes an event of the answer; nothing to a client that left."""
+        if not self._lost:
+            self._write(self._http.send(event))
+
+    async def drain(self) -> None:
+        """Waits for a client that reads slowly."""
+        if self._writable is not None:
+            await self._writable
+
+    def abort(self) -> None:
+        """Closes the channel at once, without the rest of an answer."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _write(self, data: bytes | None) -> None:
+        if data and self._transport is not None:
+            self._transport.write(data)
+
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    # -- time ----------------------------------------------------------
+
+    def sweep(self, now: float) -> None:
+        """Ends a channel whose client keeps quiet for too long."""
+        if self._task is not None:
+            return
+        limits = self._listener.limits
+        quiet = now - self._since
+        if self._receiving and self._head is None:
+            if quiet > limits.header_seconds:
+                self._reject(408, "the head did not arrive in time")
+        elif quiet > limits.idle_seconds:
+            self._close()
+
+    def close_if_idle(self) -> None:
+        """Ends a channel on which no request is in progress."""
+        if self._task is None and not self._receiving:
+            self._close()
+
+
+class _ConnectionResponder:
+    """Implements `ports.http.Responder` for one request."""
+
+    def __init__(
+        self, connection: ServerConnection, request: HttpRequest
+    ) -> None:
+        self._connection = connection
+        self._request = request
+        self.started = False
+
+    def send_head(
+        self, status: int, headers: Headers, reason: bytes = b""
+    ) -> None:
+        self.started = True
+        sent = list(headers)
+        if self._connection.closing:
+            sent.append((b"connection", b"close"))
+        self._connection.send(
+            h11.Response(status_code=status, headers=sent, reason=reason)
+        )
+
+    def send_data(self, data: bytes) -> None:
+        self._connection.send(h11.Data(data=data))
+
+    async def drain(self) -> None:
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        self._connection.send(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        self._connection.abort()
+
+
+class HttpListener:
+    """Accepts clients on an address.
+
+    Args:
+        address: `host:port`.
+        handler: serves each request.
+        limits: of each channel; may be replaced while it runs.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: ConnectionLimits | None = None,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits or ConnectionLimits()
+        self.connections: set[ServerConnection] = set()
+        self.closing = False
+        self._address = address
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begins to accept."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self),
+            host,
+            int(port),
+            backlog=_BACKLOG,
+            reuse_address=True,
+        )
+        self._sweeper = loop.create_task(self._sweep())
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            now = loop.time()
+            for connection in list(self.connections):
+                connection.sweep(now)
+
+    def drain(self) -> None:
+        """Asks clients to close their channels after their next answer."""
+        self.closing = True
+
+    async def stop(self) -> None:
+        """Accepts no more and closes every channel."""
+        if self._server is not None:
+            self._server.close()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in list(self.connections):
+            connection.abort()
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -66,6 +66,18 @@
         with asyncio.Runner(loop_factory=BootClockLoop) as runner:
             runner.run(run())
 
+    def front(self) -> None:
+        """Runs a front on the users' platform until SIGTERM."""
+        from ridgesill.app.platform_roles import run_front
+
+        run_front()
+
+    def control(self) -> None:
+        """Runs a control node on the users' platform until SIGTERM."""
+        from ridgesill.app.platform_roles import run_control
+
+        run_control()
+
     def check(self, file: str) -> str:
         """Checks a configuration file and lists everything wrong with it.
 
--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -16,9 +16,11 @@
 from ridgesill.core import codec
 from ridgesill.core.commands import Node
 from ridgesill.core.following import (
+    AskLatest,
     Beat,
     Follow,
     FollowReply,
+    Latest,
     Propose,
     ProposeReply,
 )
@@ -37,6 +39,10 @@
 _RETRY = 0.1
 _LEAD_TICK = 0.25
 _ENTRIES_MOST = 256
+# How long a leader tries to confirm that it still leads, and how often it
+# looks, in seconds; a heartbeat round takes 0.3 s.
+_LATEST_WAIT = 0.8
+_LATEST_POLL = 0.02
 
 
 class UnavailableError(Exception):
@@ -52,12 +58,16 @@
         lease: seconds that knowledge of the log is relied on.
         patience: seconds of silence after which a node counts as gone.
         follow_wait: seconds after which a voter answers with nothing new.
+        voters_most: how many voters there should be; 0 for no limit.
+        names_are_addresses: whether nodes are named by their addresses.
     """
 
     seeds: dict[str, str]
     lease: float = 4.0
     patience: float = 4.0
     follow_wait: float = 0.5
+    voters_most: int = 0
+    names_are_addresses: bool = False
 
 
 class Control:
@@ -99,6 +109,11 @@
         """The state as far as this node has applied the log."""
         return self.driver.state if self.driver else self._followed
 
+    @property
+    def peers(self) -> Peers:
+        """The way to other nodes."""
+        return self._peers
+
     @property
     def is_leader(self) -> bool:
         """Whether this node leads the log."""
@@ -154,6 +169,8 @@
         node = self.state.nodes.get(name)
         if node is not None:
             return node.address
+        if self.settings.names_are_addresses:
+            return name
         return self.settings.seeds.get(name, "")
 
     # -- following -----------------------------------------------------
@@ -319,7 +336,12 @@
             self.leader = self.node.name
             log_message("log:leading", term=driver.replica.term)
         self._membership.hear(self._beat(), now)
-        change = decide_change(driver.replica, self._membership.beats(now))
+        change = decide_change(
+            driver.replica,
+            self._membership.beats(now),
+            now,
+            self.settings.voters_most,
+        )
         wanted = self._membership.decide(driver.state, now)
         if change is not None:
             wanted.append(change)
@@ -329,6 +351,56 @@
             except (NotLeaderError, LostLeadershipError):
                 return
 
+    # -- reading the newest --------------------------------------------
+
+    async def confirm_latest(self, timeout: float) -> None:
+        """Waits until everything committed before the call is applied here.
+
+        Raises:
+            UnavailableError: that could not be made sure of in time.
+        """
+        deadline = self._loop.time() + timeout
+        index = await self._ask_latest(deadline)
+        while index >= 0 and self.state.index < index:
+            left = deadline - self._loop.time()
+            if left <= 0 or not await self._changed_within(left):
+                index = -1
+        if index < 0:
+            raise UnavailableError(
+                f"reading the newest: no quorum confirmed it in {timeout} s"
+            )
+
+    async def _ask_latest(self, deadline: float) -> int:
+        while True:
+            left = deadline - self._loop.time()
+            if left <= 0:
+                return -1
+            if self.is_leader:
+                return (await self.handle_ask_latest(left)).index
+            name = self._known_leader()
+            address = self.address_of(name) if name else ""
+            if address:
+                try:
+                    reply = await self._peers.call(address, AskLatest(), left)
+                except PeerError as error:
+                    log_message("log:latest_unknown", detail=str(error))
+                else:
+                    if reply.index >= 0:
+                        return int(reply.index)
+            await asyncio.sleep(_RETRY)
+
+    async def handle_ask_latest(self, timeout: float = _LATEST_WAIT) -> Latest:
+        """Answers once a quorum has followed this leader since the question."""
+        asked_at = self._loop.time()
+        while self.driver is not None and self.is_leader:
+            now = self._loop.time()
+            if self.driver.replica.confirmed_at(now) >= asked_at:
+                return Latest(self.driver.replica.commit)
+            if now - asked_at > timeout:
+                break
+            await asyncio.sleep(_LATEST_POLL)
+        return Latest(-1)
+
     # -- proposing -----------------------------------------------------
 
     async def handle_propose(self, request: Propose) -> ProposeReply:
--- /dev/null
+++ b/src/ridgesill/app/control_api.py
@@ -0,0 +1,135 @@
+"""Carries out the calls that upstreams and the operator make."""
+
+import zlib
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from eliot import log_message
+
+from ridgesill.app.control import Control, UnavailableError
+from ridgesill.app.fleet_owner import FleetOwner, NotOwnerError
+from ridgesill.core.commands import PutArtifactVersion, PutRoutes
+from ridgesill.ports.control_calls import (
+    BadCall,
+    CallReply,
+    ControlCalls,
+    HeartbeatCall,
+    LeaveCall,
+    PutRoutesCall,
+    PutVersionCall,
+    ReadRoutesCall,
+)
+from ridgesill.ports.http import HttpRequest, Responder
+
+# Within which a change is committed or the caller is told to go elsewhere;
+# callers go on after a second.
+_PROPOSE_SECONDS = 0.9
+_READ_SECONDS = 0.9
+_UNAVAILABLE = 503
+
+
+class ControlApi:
+    """Serves the control address.
+
+    Args:
+        control: the control plane.
+        owner: the fleet's owner on this node.
+        calls: how calls are worded.
+        owner_address: returns where upstreams should send heartbeats.
+    """
+
+    def __init__(
+        self,
+        control: Control,
+        owner: FleetOwner,
+        calls: ControlCalls,
+        owner_address: Callable[[], str],
+    ) -> None:
+        self._control = control
+        self._owner = owner
+        self._calls = calls
+        self._owner_address = owner_address
+
+    async def serve(self, request: HttpRequest, responder: Responder) -> None:
+        """Answers one call."""
+        reply = await self._carry_out(self._calls.read(request))
+        status, body = self._calls.write(reply)
+        headers = (
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(body)),
+        )
+        responder.send_head(status, headers)
+        responder.send_data(body)
+        responder.finish()
+
+    @singledispatchmethod
+    async def _carry_out(self, call: Any) -> CallReply:
+        raise TypeError(f"no control call: {type(call).__name__}")
+
+    @_carry_out.register
+    async def _(self, call: BadCall) -> CallReply:
+        log_message("control:bad_call", status=call.status, detail=call.detail)
+        return CallReply(call.status, call.detail)
+
+    @_carry_out.register
+    async def _(self, call: HeartbeatCall) -> CallReply:
+        try:
+            await self._owner.hear(call.heartbeat)
+        except NotOwnerError as error:
+            return _unavailable("heartbeat", str(error))
+        return CallReply(200, next_address=self._owner_address())
+
+    @_carry_out.register
+    async def _(self, call: LeaveCall) -> CallReply:
+        try:
+            await self._owner.hear_leave(call.name)
+        except NotOwnerError as error:
+            return _unavailable("leave", str(error))
+        return CallReply(200)
+
+    @_carry_out.register
+    async def _(self, call: PutRoutesCall) -> CallReply:
+        document = zlib.compress(call.document)
+        held = self._control.state.routes_version
+        if call.version > held:
+            command = PutRoutes(call.version, document)
+            try:
+                await self._control.propose(command, _PROPOSE_SECONDS)
+            except UnavailableError as error:
+                return _unavailable("configuration", str(error))
+        log_message(
+            "control:configuration",
+            version=call.version,
+            held=held,
+            bytes=len(call.document),
+        )
+        return CallReply(200)
+
+    @_carry_out.register
+    async def _(self, call: PutVersionCall) -> CallReply:
+        command = PutArtifactVersion(call.artifact, call.version)
+        try:
+            await self._control.propose(command, _PROPOSE_SECONDS)
+        except UnavailableError as error:
+            return _unavailable("version", str(error))
+        log_message(
+            "control:version", artifact=call.artifact, version=call.version
+        )
+        return CallReply(200)
+
+    @_carry_out.register
+    async def _(self, call: ReadRoutesCall) -> CallReply:
+        try:
+            await self._control.confirm_latest(_READ_SECONDS)
+        except UnavailableError as error:
+            return _unavailable("read", str(error))
+        document = self._control.state.routes_document
+        if not document:
+            return CallReply(404, "no configuration has been put yet")
+        return CallReply(200, document=zlib.decompress(document))
+
+
+def _unavailable(step: str, detail: str) -> CallReply:
+    log_message("control:unavailable", step=step, detail=detail)
+    return CallReply(_UNAVAILABLE, detail)
--- /dev/null
+++ b/src/ridgesill/app/control_process.py
@@ -0,0 +1,213 @@
+"""The process on a VM with a disk: votes, takes calls, owns the fleet."""
+
+import asyncio
+import secrets
+import signal
+import zlib
+from functools import singledispatchmethod
+from pathlib import Path
+from typing import Any
+
+from eliot import log_message
+
+from ridgesill.adapters.file_log import FileLog
+from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
+from ridgesill.app.control import Control, ControlSettings
+from ridgesill.app.control_api import ControlApi
+from ridgesill.app.fleet_client import FleetClient
+from ridgesill.app.fleet_owner import FleetOwner
+from ridgesill.app.formation import Formation
+from ridgesill.app.log_driver import LogDriver, ReplicaMessage
+from ridgesill.core.commands import Node
+from ridgesill.core.fleet.messages import (
+    HeardHeartbeat,
+    HeardLeave,
+    WantArtifact,
+    WatchFleet,
+)
+from ridgesill.core.following import AskLatest, Follow, Propose
+from ridgesill.platform.configuration import decode_configuration
+from ridgesill.platform.control_calls import PlatformControlCalls
+from ridgesill.platform.settings import PlatformSettings
+from ridgesill.platform.upstreams import PlatformEngines
+from ridgesill.ports.peers import PeerError
+
+_CONNECT_SECONDS = 0.4
+# Calls in progress get this long to end after SIGTERM, in seconds.
+_STOP_SECONDS = 0.3
+
+
+class ControlProcess:
+    """All of a control node.
+
+    Args:
+        settings: what the platform says.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._stopping = asyncio.Event()
+        self._storage = FileLog(Path(settings.data_folder))
+        self._formation = Formation(
+            self._storage,
+            settings.peers,
+            settings.seeds,
+            2 * settings.losses + 1,
+            is_first_start=settings.is_first_start,
+        )
+        node = Node(
+            settings.peers,
+            secrets.token_hex(4),
+            settings.peers,
+            settings.data_centre,
+            self._formation.identity,
+        )
+        self._node = node
+        identity = f"{node.name}#{node.incarnation}"
+        self._peers = PeerLinks(
+            identity, own_address=settings.peers, handler=self._handle
+        )
+        self.control = Control(
+            node,
+            ControlSettings(
+                {seed: seed for seed in settings.seeds},
+                voters_most=2 * settings.losses + 1,
+                names_are_addresses=True,
+            ),
+            self._peers,
+            lambda: (),
+        )
+        self.fleet = FleetClient(
+            self._peers, self._owner_address, settings.peers
+        )
+        self.owner = FleetOwner(
+            self.control,
+            self.fleet,
+            UpstreamChannels(_CONNECT_SECONDS),
+            PlatformEngines(),
+            settings.bounds.lease,
+            settings.heartbeat,
+        )
+        self.control.watch(self._note_state)
+        api = ControlApi(
+            self.control,
+            self.owner,
+            PlatformControlCalls(),
+            self._heartbeat_address,
+        )
+        self._calls = HttpListener(settings.control, api.serve)
+        self._peer_server = PeerServer(self._handle, identity)
+
+    def _owner_address(self) -> str:
+        name = self.control.leader_name()
+        return self.control.address_of(name) if name else ""
+
+    def _heartbeat_address(self) -> str:
+        """Returns the owner's control address; its port is the same here."""
+        owner = self._owner_address()
+        if not owner:
+            return ""
+        port = self._settings.control.rpartition(":")[2]
+        return f"{owner.rpartition(':')[0]}:{port}"
+
+    def _note_state(self) -> None:
+        state = self.control.state
+        if state.routes_version <= self.owner.table.version:
+            return
+        document = zlib.decompress(state.routes_document)
+        self.owner.note_table(decode_configuration(document))
+
+    # -- messages ------------------------------------------------------
+
+    async def _handle(self, sender: str, message: Any) -> Any:
+        if self.control.driver is None:
+            if isinstance(message, Follow):
+                self._formation.hear(message.beat.node)
+            step = type(message).__name__
+            raise PeerError(step, self._node.name, "no log is formed here yet")
+        return await self._take(message, sender)
+
+    @singledispatchmethod
+    async def _take(self, message: Any, sender: str) -> Any:
+        step = type(message).__name__
+        raise PeerError(step, sender, "a control node takes no such message")
+
+    @_take.register
+    async def _(self, message: ReplicaMessage, sender: str) -> None:
+        if self.control.driver is not None:
+            self.control.driver.receive(message)
+
+    @_take.register
+    async def _(self, message: Follow, sender: str) -> Any:
+        return await self.control.handle_follow(message)
+
+    @_take.register
+    async def _(self, message: Propose, sender: str) -> Any:
+        return await self.control.handle_propose(message)
+
+    @_take.register
+    async def _(self, message: AskLatest, sender: str) -> Any:
+        return await self.control.handle_ask_latest()
+
+    @_take.register
+    async def _(self, message: WatchFleet, sender: str) -> Any:
+        return await self.owner.handle_watch(sender, message)
+
+    @_take.register
+    async def _(self, message: WantArtifact, sender: str) -> Any:
+        return await self.owner.handle_want(message)
+
+    @_take.register
+    async def _(self, message: HeardHeartbeat, sender: str) -> Any:
+        return await self.owner.handle_passed(message)
+
+    @_take.register
+    async def _(self, message: HeardLeave, sender: str) -> Any:
+        return await self.owner.handle_passed(message)
+
+    # -- running -------------------------------------------------------
+
+    async def run(self) -> None:
+        """Runs until SIGTERM."""
+        self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._peer_server.start(self._settings.peers)
+        await self._calls.start()
+        stopping = self._loop.create_task(self._stopping.wait())
+        working = self._loop.create_task(self._work())
+        log_message(
+            "control:started",
+            vm=self._settings.vm,
+            voter=self._node.voter,
+            peers=self._settings.peers,
+        )
+        await asyncio.wait(
+            [stopping, working], return_when=asyncio.FIRST_COMPLETED
+        )
+        if working.done() and working.exception() is not None:
+            raise working.exception()  # type: ignore[misc]
+        await asyncio.sleep(_STOP_SECONDS)
+        working.cancel()
+        await self._calls.stop()
+        log_message("control:stopped", vm=self._settings.vm)
+
+    async def _work(self) -> None:
+        await self._formation.form(self._node)
+        driver = LogDriver(
+            self._storage, self.control.send_replica, self.control.note_applied
+        )
+        self.control.driver = driver
+        self.control.note_applied()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(driver.run())
+            group.create_task(self.control.follow())
+            group.create_task(self.control.lead())
+            group.create_task(self.owner.run())
+            group.create_task(self.fleet.run())
+
+    def _reload(self) -> None:
+        log_message("control:reloaded")
--- /dev/null
+++ b/src/ridgesill/app/forwarding.py
@@ -0,0 +1,492 @@
+"""One client's request, from its head to the last byte of its answer.
+
+Each request runs as a task of the event loop. A client that leaves cancels
+the task, which closes the upstream's channel and so ends its work.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+
+from ridgesill.adapters.http1.client import Exchange, UpstreamChannels
+from ridgesill.app.fleet_client import FleetClient
+from ridgesill.core.fleet.messages import Upstream, WantArtifact
+from ridgesill.core.serving.choice import Chooser, Wanted
+from ridgesill.core.serving.events import EventSplitter
+from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
+from ridgesill.core.serving.routes import STREAM, Route, RouteTable, Service
+from ridgesill.ports.dialect import Dialect, ForwardTerms, RequestFacts
+from ridgesill.ports.http import (
+    ChannelError,
+    HttpRequest,
+    Responder,
+    ResponseHead,
+)
+
+# A route's time-out is kept with this much to spare, in seconds.
+_TIMEOUT_MARGIN = 0.02
+# Seconds after which a refused client may come back, unless more is known.
+_COME_BACK = 0.5
+# A want for an artifact leaves this much of the time for the answer, seconds.
+_ANSWER_SECONDS = 0.3
+# Channels kept longer than this aren't used for what may not run twice: an
+# upstream may just have closed them. Seconds.
+_FRESH_FOR_UNSAFE = 3.0
+_PROMISES = frozenset((408, 421, 429, 503))
+_SERVER_ERROR = 500
+_MOST_WANTS = 3
+
+
+@attrs.frozen
+class Refusal:
+    """Why a request has not run and will not.
+
+    Attributes:
+        reason: for logs and metrics.
+        after: seconds after which the client may come back.
+    """
+
+    reason: str
+    after: float = _COME_BACK
+    status: int = 503
+
+
+@attrs.frozen
+class Failure:
+    """An attempt that gave no answer to deliver.
+
+    Attributes:
+        not_run: whether the request certainly did not run there.
+        answer: the upstream's own answer, whole, if there was one.
+        misdirected: whether the upstream lacks what was asked for.
+        arrived: whether the request reached the upstream.
+    """
+
+    reason: str
+    not_run: bool
+    answer: tuple[ResponseHead, bytes] | None = None
+    misdirected: bool = False
+    arrived: bool = True
+
+
+class Front:
+    """What the requests of a front share.
+
+    Args:
+        chooser: the choice of an upstream.
+        fleet: the link to the owner.
+        channels: to upstreams.
+        dialect: how clients and upstreams speak.
+        bounds: of retries.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        fleet: FleetClient,
+        channels: UpstreamChannels,
+        dialect: Dialect,
+        bounds: RetryBounds,
+    ) -> None:
+        self.table = RouteTable()
+        self.versions: dict[str, int] = {}
+        self.chooser = chooser
+        self.fleet = fleet
+        self.channels = channels
+        self.dialect = dialect
+        self.rng = random.Random()
+        self.in_progress = 0
+        self.used: dict[str, int] = {}
+        self.observe: Callable[[Route | None, str, float], None] = (
+            lambda _route, _outcome, _seconds: None
+        )
+        self._bounds = bounds
+        self._retries: dict[str, ServiceRetries] = {}
+
+    def retries(self, service: str) -> ServiceRetries:
+        """Returns the retry budget of a service."""
+        budget = self._retries.get(service)
+        if budget is None:
+            budget = self._retries[service] = ServiceRetries(self._bounds)
+        return budget
+
+    def note_used(self, artifact: str) -> None:
+        """Counts a request for an artifact, to be told the owner."""
+        self.used[artifact] = self.used.get(artifact, 0) + 1
+
+    def take_used(self) -> dict[str, int]:
+        """Returns the requests by artifact since the last call."""
+        used, self.used = self.used, {}
+        return used
+
+    async def serve(self, request: HttpRequest, responder: Responder) -> None:
+        """Serves a client's request."""
+        self.in_progress += 1
+        try:
+            await Forwarding(self, request, responder).run()
+        finally:
+            self.in_progress -= 1
+
+
+class Forwarding:
+    """Serves one request."""
+
+    def __init__(
+        self, front: Front, request: HttpRequest, responder: Responder
+    ) -> None:
+        self._front = front
+        self._request = request
+        self._responder = responder
+        self._loop = asyncio.get_running_loop()
+        self._facts: RequestFacts = front.dialect.read_request(request)
+        self._route: Route | None = None
+        self._service = ""
+        self._deadline = 0.0
+        self._tried: list[str] = []
+        self._may_have_run = False
+        self._wants = 0
+        self._splitter: EventSplitter | None = None
+
+    # -- the whole -----------------------------------------------------
+
+    async def run(self) -> None:
+        """Answers the request, whatever becomes of it."""
+        route = self._find_route()
+        if route is None:
+            return
+        self._route = route
+        self._begin(route)
+        try:
+            async with asyncio.timeout_at(self._deadline):
+                await self._attempt(route)
+        except TimeoutError:
+            self._time_out()
+        except asyncio.CancelledError:
+            self._end("client_left")
+            raise
+
+    def _find_route(self) -> Route | None:
+        table = self._front.table
+        if not table.version:
+            self._refuse(Refusal("no_configuration"))
+            return None
+        route = table.find(self._facts.host, self._request.path)
+        if route is None:
+            self._refuse(Refusal("no_route", 0.0, 404))
+        return route
+
+    def _begin(self, route: Route) -> None:
+        seconds = route.timeout
+        if self._facts.patience:
+            seconds = min(seconds, self._facts.patience)
+        margin = min(_TIMEOUT_MARGIN, seconds / 4)
+        self._deadline = self._request.arrived_at + seconds - margin
+        self._service = route.choose_target(self._front.rng.random())
+        self._front.retries(self._service).note_request(self._loop.time())
+        if self._facts.artifact:
+            self._front.note_used(self._facts.artifact)
+        if route.kind == STREAM and route.resumable:
+            self._splitter = EventSplitter(self._facts.last_event)
+
+    async def _attempt(self, route: Route) -> None:
+        while True:
+            upstream = await self._find_upstream()
+            if isinstance(upstream, Refusal):
+                self._give_up(upstream)
+                return
+            failure = await self._send(route, upstream)
+            if failure is None:
+                return
+            self._note_failure(upstream, failure)
+            if not self._may_retry(route, failure):
+                self._fail(failure)
+                return
+
+    # -- finding an upstream -------------------------------------------
+
+    def _wanted(self) -> Wanted:
+        artifact = self._facts.artifact
+        version = self._front.versions.get(artifact, 0)
+        if self._engine_service() is None:
+            artifact = ""
+        return Wanted(self._service, artifact, version)
+
+    def _engine_service(self) -> Service | None:
+        service = self._front.table.services.get(self._service)
+        return service if service and service.engine else None
+
+    async def _find_upstream(self) -> Upstream | Refusal:
+        front = self._front
+        wanted = self._wanted()
+        now = self._loop.time()
+        chosen = front.chooser.choose(wanted, self._tried, now)
+        if chosen is not None:
+            return chosen
+        if not wanted.artifact:
+            return Refusal("no_upstream")
+        return await self._want(wanted)
+
+    async def _want(self, wanted: Wanted) -> Upstream | Refusal:
+        """Has the owner bring what the request needs, and waits for it."""
+        front = self._front
+        while self._wants < _MOST_WANTS:
+            self._wants += 1
+            asked_at = self._loop.time()
+            patience = self._deadline - asked_at - _ANSWER_SECONDS
+            if patience <= 0:
+                return Refusal("no_time_to_load")
+            want = WantArtifact(
+                wanted.service,
+                wanted.artifact,
+                wanted.version,
+                tuple(self._tried),
+                patience,
+            )
+            answer = await front.fleet.want(want)
+            now = self._loop.time()
+            log_message(
+                "request:want",
+                request=self._facts.request,
+                artifact=wanted.artifact,
+                version=wanted.version,
+                upstream=answer.upstream,
+                reason=answer.reason,
+                seconds=round(now - asked_at, 4),
+            )
+            upstream = front.chooser.view.upstreams.get(answer.upstream)
+            if upstream is not None:
+                return upstream
+            chosen = front.chooser.choose(wanted, self._tried, now)
+            if chosen is not None:
+                return chosen
+            if not answer.upstream:
+                return Refusal(answer.reason or "not_loaded", answer.after)
+        return Refusal("not_loaded")
+
+    # -- one attempt ---------------------------------------------------
+
+    async def _send(self, route: Route, upstream: Upstream) -> Failure | None:
+        """Returns None once the answer is delivered."""
+        chooser = self._front.chooser
+        chooser.begin(upstream.name)
+        exchange: Exchange | None = None
+        try:
+            exchange = await self._open(route, upstream)
+            self._tried.append(upstream.name)
+            head = await exchange.read_head()
+            return await self._take(route, upstream, exchange, head)
+        except ChannelError as error:
+            if not error.sent:
+                self._tried.append(upstream.name)
+            return Failure(str(error), not error.sent, arrived=error.sent)
+        finally:
+            chooser.end(upstream.name)
+            if exchange is not None:
+                exchange.cancel()
+
+    async def _open(self, route: Route, upstream: Upstream) -> Exchange:
+        front = self._front
+        version = 0
+        if self._engine_service() is not None:
+            version = front.versions.get(self._facts.artifact, 0)
+        last_event = self._facts.last_event
+        if self._splitter is not None:
+            last_event = self._splitter.last_id
+        terms = ForwardTerms(
+            upstream.name,
+            self._deadline - self._loop.time(),
+            version,
+            last_event,
+        )
+        forwarded = front.dialect.forward(self._request, terms)
+        fresh = 60.0 if route.is_idempotent else _FRESH_FOR_UNSAFE
+        return await front.channels.send(
+            upstream.address, forwarded, fresh_within=fresh
+        )
+
+    async def _take(
+        self,
+        route: Route,
+        upstream: Upstream,
+        exchange: Exchange,
+        head: ResponseHead,
+    ) -> Failure | None:
+        dialect = self._front.dialect
+        if dialect.is_not_run(head):
+            await _read_rest(exchange)
+            return Failure(
+                f"not run: {head.status}",
+                True,
+                misdirected=dialect.is_misdirected(head),
+            )
+        if head.status >= _SERVER_ERROR or head.status in _PROMISES:
+            body = await _read_rest(exchange)
+            return Failure(f"status {head.status}", False, (head, body))
+        if route.kind == STREAM:
+            await self._relay(exchange, head)
+        else:
+            body = await _read_rest(exchange)
+            self._deliver(head, body)
+        self._note_served(upstream, head)
+        return None
+
+    async def _relay(self, exchange: Exchange, head: ResponseHead) -> None:
+        """Passes a stream on, event by event where it may be resumed."""
+        responder = self._responder
+        if not responder.started:
+            responder.send_head(
+                head.status,
+                self._front.dialect.answer_headers(head),
+                head.reason,
+            )
+        splitter = self._splitter
+        if splitter is not None:
+            splitter.drop_rest()
+        while data := await exchange.read_data():
+            if splitter is not None:
+                data = splitter.take(data)
+            if data:
+                responder.send_data(data)
+                await responder.drain()
+        if splitter is not None and splitter.rest:
+            responder.send_data(splitter.rest)
+        responder.finish()
+
+    def _deliver(self, head: ResponseHead, body: bytes) -> None:
+        responder = self._responder
+        headers = [
+            (name, value)
+            for name, value in self._front.dialect.answer_headers(head)
+            if name != b"content-length"
+        ]
+        headers.append((b"content-length", b"%d" % len(body)))
+        responder.send_head(head.status, tuple(headers), head.reason)
+        if body:
+            responder.send_data(body)
+        responder.finish()
+
+    # -- what became of an attempt -------------------------------------
+
+    def _note_served(self, upstream: Upstream, head: ResponseHead) -> None:
+        now = self._loop.time()
+        self._front.chooser.outcomes.note_success(upstream.name, now)
+        self._end("served", upstream.name, status=head.status)
+
+    def _note_failure(self, upstream: Upstream, failure: Failure) -> None:
+        self._may_have_run |= not failure.not_run
+        now = self._loop.time()
+        ejected = False
+        if not failure.misdirected:
+            ejected = self._front.chooser.outcomes.note_failure(
+                upstream.name, now, unreachable=not failure.arrived
+            )
+        log_message(
+            "request:attempt_failed",
+            request=self._facts.request,
+            upstream=upstream.name,
+            peer=upstream.address,
+            reason=failure.reason,
+            not_run=failure.not_run,
+            ejected=ejected,
+            view_age=round(now - self._front.fleet.view.known_at, 3),
+        )
+
+    def _may_retry(self, route: Route, failure: Failure) -> bool:
+        if not failure.not_run and not route.is_idempotent:
+            return False
+        if self._responder.started and not route.resumable:
+            return False
+        if not failure.arrived:
+            # Nothing reached the upstream, so this draws on no budget.
+            return len(self._tried) < 2 * route.attempts + 1
+        if not failure.not_run and len(self._tried) >= route.attempts:
+            return False
+        if len(self._tried) > route.attempts:
+            return False
+        now = self._loop.time()
+        fronts = self._front.fleet.view.fronts
+        return self._front.retries(self._service).take(now, fronts)
+
+    # -- ends ----------------------------------------------------------
+
+    def _give_up(self, refusal: Refusal) -> None:
+        if self._responder.started:
+            self._responder.abort()
+            self._end("cut", reason=refusal.reason)
+        elif self._may_have_run:
+            self._answer(502, 0.0)
+            self._end("unknown", reason=refusal.reason)
+        else:
+            self._refuse(refusal)
+
+    def _fail(self, failure: Failure) -> None:
+        if self._responder.started:
+            self._responder.abort()
+            self._end("cut", reason=failure.reason)
+        elif failure.answer is not None and self._is_deliverable(failure):
+            self._deliver(*failure.answer)
+            self._end("failed", reason=failure.reason)
+        elif self._may_have_run:
+            self._answer(502, 0.0)
+            self._end("unknown", reason=failure.reason)
+        else:
+            self._refuse(Refusal(failure.reason))
+
+    def _is_deliverable(self, failure: Failure) -> bool:
+        # A status that promises "not run" would be untrue here.
+        return (
+            failure.answer is not None
+            and failure.answer[0].status not in _PROMISES
+        )
+
+    def _time_out(self) -> None:
+        if self._responder.started:
+            self._responder.abort()
+            self._end("cut", reason="timeout")
+        elif self._may_have_run or self._tried:
+            self._answer(504, 0.0)
+            self._end("unknown", reason="timeout")
+        else:
+            self._refuse(Refusal("timeout"))
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._answer(refusal.status, refusal.after)
+        self._end("refused", reason=refusal.reason)
+
+    def _answer(self, status: int, after: float) -> None:
+        headers = self._front.dialect.retry_headers(after) if after else ()
+        self._responder.send_head(status, (*headers, (b"content-length", b"0")))
+        self._responder.finish()
+
+    def _end(
+        self,
+        outcome: str,
+        upstream: str = "",
+        reason: str = "",
+        status: int = 0,
+    ) -> None:
+        seconds = self._loop.time() - self._request.arrived_at
+        self._front.observe(self._route, outcome, seconds)
+        log_message(
+            "request:end",
+            request=self._facts.request,
+            route=self._route.name if self._route else "",
+            version=self._front.table.version,
+            artifact=self._facts.artifact,
+            upstream=upstream,
+            outcome=outcome,
+            reason=reason,
+            status=status,
+            attempts=len(self._tried),
+            seconds=round(seconds, 4),
+        )
+
+
+async def _read_rest(exchange: Exchange) -> bytes:
+    parts = []
+    while data := await exchange.read_data():
+        parts.append(data)
+    return b"".join(parts)
--- /dev/null
+++ b/src/ridgesill/app/front_process.py
@@ -0,0 +1,199 @@
+"""The process on a VM that clients reach: takes and forwards requests."""
+
+import asyncio
+import secrets
+import signal
+import zlib
+from typing import Any
+
+from eliot import log_message
+
+from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.server import ConnectionLimits, HttpListener
+from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
+from ridgesill.app.control import Control, ControlSettings
+from ridgesill.app.fleet_client import FleetClient, Usage
+from ridgesill.app.forwarding import Front
+from ridgesill.core.commands import Node
+from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.outcomes import Outcomes
+from ridgesill.core.serving.retries import RetryBounds
+from ridgesill.platform.configuration import decode_configuration
+from ridgesill.platform.control_calls import READY_PATH
+from ridgesill.platform.requests import PlatformDialect
+from ridgesill.platform.settings import PlatformSettings
+from ridgesill.ports.http import HttpRequest, Responder
+from ridgesill.ports.peers import PeerError
+
+# Within which a channel to an upstream must come up, in seconds.
+_CONNECT_SECONDS = 0.4
+_SWEEP_SECONDS = 1.0
+# After SIGTERM, until the balancer has surely stopped sending new channels:
+# it asks once a second and believes the second answer.
+_NOTICE_SECONDS = 3.0
+# Kept back from the time until SIGKILL, in seconds.
+_GRACE_MARGIN = 0.7
+_DRAIN_TICK = 0.05
+
+
+class FrontProcess:
+    """All of a front.
+
+    Args:
+        settings: what the platform says.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._stopping = asyncio.Event()
+        self._draining = False
+        node = Node(
+            settings.peers,
+            secrets.token_hex(4),
+            settings.peers,
+            settings.data_centre,
+        )
+        identity = f"{node.name}#{node.incarnation}"
+        self._peers = PeerLinks(identity)
+        self.control = Control(
+            node,
+            ControlSettings(
+                {seed: seed for seed in settings.seeds},
+                names_are_addresses=True,
+            ),
+            self._peers,
+            lambda: (),
+        )
+        self.control.watch(self._note_state)
+        self.fleet = FleetClient(
+            self._peers,
+            self._owner_address,
+            settings.peers,
+            self._usage,
+        )
+        bounds = settings.bounds
+        self.front = Front(
+            Chooser(settings.data_centre, self.fleet.view, Outcomes()),
+            self.fleet,
+            UpstreamChannels(_CONNECT_SECONDS),
+            PlatformDialect(),
+            RetryBounds(
+                bounds.retry_share, bounds.retry_slack, bounds.retry_window
+            ),
+        )
+        self._callers = HttpListener(settings.callers, self.front.serve)
+        self._readiness = HttpListener(settings.readiness, self._tell_ready)
+        self._peer_server = PeerServer(self._handle, identity)
+
+    def _owner_address(self) -> str:
+        name = self.control.leader_name()
+        return self.control.address_of(name) if name else ""
+
+    def _usage(self) -> Usage:
+        return Usage(self.front.take_used(), self.front.chooser.tell_busy())
+
+    async def _handle(self, sender: str, message: Any) -> Any:
+        raise PeerError(type(message).__name__, sender, "a front answers none")
+
+    # -- configuration -------------------------------------------------
+
+    def _note_state(self) -> None:
+        state = self.control.state
+        self.front.versions = state.artifact_versions
+        if state.routes_version <= self.front.table.version:
+            return
+        document = zlib.decompress(state.routes_document)
+        table = decode_configuration(document)
+        self.front.table = table
+        if table.limits is not None:
+            self._callers.limits = ConnectionLimits(
+                table.limits.header_bytes,
+                table.limits.body_bytes,
+                table.limits.header_seconds,
+                table.limits.idle_seconds,
+            )
+        log_message(
+            "front:configuration", version=table.version, index=state.index
+        )
+
+    # -- readiness -----------------------------------------------------
+
+    def is_ready(self) -> bool:
+        """Whether the balancer should send new clients here."""
+        has_view = bool(self.fleet.view.epoch)
+        return bool(
+            self.front.table.version and has_view and not self._draining
+        )
+
+    async def _tell_ready(
+        self, request: HttpRequest, responder: Responder
+    ) -> None:
+        status = 404
+        if request.path == READY_PATH:
+            status = 200 if self.is_ready() else 503
+        responder.send_head(status, ((b"content-length", b"0"),))
+        responder.finish()
+
+    # -- running -------------------------------------------------------
+
+    async def run(self) -> None:
+        """Runs until SIGTERM."""
+        self._loop.add_signal_handler(signal.SIGTERM, self._drain)
+        self._loop.add_signal_handler(signal.SIGINT, self._drain)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._callers.start()
+        await self._readiness.start()
+        works = (
+            self.control.follow(),
+            self.fleet.run(),
+            self._sweep(),
+        )
+        tasks = [self._loop.create_task(work) for work in works]
+        log_message(
+            "front:started",
+            vm=self._settings.vm,
+            data_centre=self._settings.data_centre,
+            peers=self._settings.peers,
+        )
+        stopping = self._loop.create_task(self._stopping.wait())
+        await asyncio.wait(
+            [stopping, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in tasks:
+            if task.done() and task.exception() is not None:
+                raise task.exception()  # type: ignore[misc]
+            task.cancel()
+        await self._callers.stop()
+        await self._readiness.stop()
+        log_message("front:stopped", vm=self._settings.vm)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            self.front.channels.sweep()
+            self.front.chooser.outcomes.keep_only(
+                set(self.fleet.view.upstreams)
+            )
+
+    def _drain(self) -> None:
+        if self._draining:
+            return
+        self._draining = True
+        log_message("front:draining", in_progress=self.front.in_progress)
+        self._drain_task = self._loop.create_task(self._finish_work())
+
+    async def _finish_work(self) -> None:
+        began = self._loop.time()
+        self._callers.drain()
+        await asyncio.sleep(_NOTICE_SECONDS)
+        for connection in list(self._callers.connections):
+            connection.close_if_idle()
+        deadline = began + self._settings.bounds.grace - _GRACE_MARGIN
+        while self.front.in_progress and self._loop.time() < deadline:
+            await asyncio.sleep(_DRAIN_TICK)
+        self._stopping.set()
+
+    def _reload(self) -> None:
+        # What may change at run time is the list of seeds.
+        log_message("front:reloaded")
--- /dev/null
+++ b/src/ridgesill/app/platform_roles.py
@@ -0,0 +1,41 @@
+"""Starts the processes that run on the users' platform."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from ridgesill.adapters.logs import open_bounded_log
+from ridgesill.app.clock import BootClockLoop
+from ridgesill.platform.settings import (
+    PlatformSettings,
+    read_settings,
+    settings_path,
+)
+
+
+def run_front() -> None:
+    """Runs a front until SIGTERM."""
+    from ridgesill.app.front_process import FrontProcess
+
+    _run(FrontProcess)
+
+
+def run_control() -> None:
+    """Runs a control node until SIGTERM."""
+    from ridgesill.app.control_process import ControlProcess
+
+    _run(ControlProcess)
+
+
+def _run(make: Callable[[PlatformSettings], Any]) -> None:
+    settings = read_settings(settings_path())
+
+    async def run() -> None:
+        log = open_bounded_log(settings.vm)
+        try:
+            await make(settings).run()
+        finally:
+            log.close()
+
+    with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+        runner.run(run())
--- a/src/ridgesill/core/commands.py
+++ b/src/ridgesill/core/commands.py
@@ -119,6 +119,33 @@
     body: bytes = b""
 
 
+@register
+@attrs.frozen
+class PutRoutes:
+    """Puts a routing document in force, unless a later version is.
+
+    Attributes:
+        version: the document's; the highest one holds.
+        document: as the operator sent it, compressed.
+    """
+
+    version: int
+    document: bytes
+
+
+@register
+@attrs.frozen
+class PutArtifactVersion:
+    """Makes a version of an artifact the oldest that may still serve.
+
+    Attributes:
+        artifact: `model` or `model/adapter`.
+    """
+
+    artifact: str
+    version: int
+
+
 # -- answers -----------------------------------------------------------
 
 ACCEPTED = "accepted"
--- /dev/null
+++ b/src/ridgesill/core/fleet/engines.py
@@ -0,0 +1,154 @@
+"""What the owner believes of each engine's memory."""
+
+import attrs
+
+from ridgesill.core.fleet.orders import EngineReport
+from ridgesill.core.serving.routes import EngineSpec
+
+# Adapters that may be on their way to one engine at once (the platform's
+# protocol).
+LOADS_AT_ONCE = 4
+# How long an order without an answer may still be carried out, in seconds
+# (the platform's protocol: 2 to 12, and the way there).
+GHOST_SECONDS = 13.0
+# Reports and heartbeats may be this old, in seconds; what was ordered later
+# than that isn't judged by them.
+_REPORT_LAG = 2.5
+
+
+def is_adapter(artifact: str) -> bool:
+    """Whether an artifact is an adapter rather than a base model."""
+    return "/" in artifact
+
+
+def model_of(artifact: str) -> str:
+    """Returns the base model of an artifact."""
+    return artifact.partition("/")[0]
+
+
+@attrs.define
+class Held:
+    """Something that an engine holds."""
+
+    version: int
+    since: float
+    used_at: float
+
+
+@attrs.define
+class Pending:
+    """A load that was ordered, or is about to be."""
+
+    version: int
+    since: float
+
+
+@attrs.define
+class Engine:
+    """One engine.
+
+    Attributes:
+        revision: orders that it has taken; None when that isn't known.
+        leaving: artifacts whose unload was ordered and is not yet done.
+        ghosts: artifacts of orders without an answer, and until when those
+            may still be carried out.
+        suspended_until: until when it gets no orders, after failures.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    spec: EngineSpec
+    revision: int | None = None
+    held: dict[str, Held] = attrs.Factory(dict)
+    loading: dict[str, Pending] = attrs.Factory(dict)
+    leaving: dict[str, float] = attrs.Factory(dict)
+    ghosts: dict[str, float] = attrs.Factory(dict)
+    suspended_until: float = 0.0
+    draining: bool = False
+    _missed: dict[str, int] = attrs.Factory(dict)
+
+    def places_taken(self, now: float) -> int:
+        """Returns the places for adapters that are or may be taken."""
+        taken = {a for a in self.held if is_adapter(a)}
+        taken.update(a for a in self.loading if is_adapter(a))
+        taken.update(a for a in self.leaving if is_adapter(a))
+        taken.update(
+            a
+            for a, until in self.ghosts.items()
+            if until > now and is_adapter(a)
+        )
+        return len(taken)
+
+    def free_places(self, now: float) -> int:
+        """Returns the places for adapters that are certainly free."""
+        return self.spec.adapter_slots - self.places_taken(now)
+
+    def weights_taken(self) -> float:
+        """Returns the megabytes that models and adapters take."""
+        total = 0.0
+        for artifact in {*self.held, *self.loading, *self.leaving}:
+            model = self.spec.model(model_of(artifact))
+            if model is not None:
+                is_small = is_adapter(artifact)
+                total += model.adapter_mb if is_small else model.weights_mb
+        return total
+
+    def has_model(self, model: str) -> bool:
+        """Whether the base model is there."""
+        return model in self.held
+
+    def can_order(self, now: float) -> bool:
+        """Whether it takes orders now, as far as is known."""
+        return not self.draining and now >= self.suspended_until
+
+    def resident(self) -> dict[str, int]:
+        """Returns the versions of what it holds."""
+        return {artifact: held.version for artifact, held in self.held.items()}
+
+    # -- what it says --------------------------------------------------
+
+    def adopt(self, resident: dict[str, int], now: float) -> None:
+        """Takes what it holds as given, from a heartbeat or a predecessor."""
+        for artifact, version in resident.items():
+            self.held[artifact] = Held(version, now, now - _REPORT_LAG)
+
+    def reconcile(self, resident: dict[str, int], now: float) -> None:
+        """Brings what is believed in line with a heartbeat, which may lag."""
+        for artifact, version in resident.items():
+            if artifact in self.leaving or artifact in self.loading:
+                continue
+            held = self.held.get(artifact)
+            if held is None:
+                # Not ordered here, or an order without an answer came true.
+                self.held[artifact] = Held(version, now, now)
+                self.ghosts.pop(artifact, None)
+            elif version > held.version:
+                held.version = version
+        for artifact in list(self.leaving):
+            old = now - self.leaving[artifact] > _REPORT_LAG
+            if old and artifact not in resident:
+                del self.leaving[artifact]
+        self._drop_missing(resident, now)
+
+    def _drop_missing(self, resident: dict[str, int], now: float) -> None:
+        for artifact, held in list(self.held.items()):
+            if artifact in resident or now - held.since < _REPORT_LAG:
+                self._missed.pop(artifact, None)
+                continue
+            missed = self._missed.get(artifact, 0) + 1
+            self._missed[artifact] = missed
+            if missed >= 2:
+                del self.held[artifact]
+                del self._missed[artifact]
+
+    def take_report(self, report: EngineReport, now: float) -> None:
+        """Takes a report that was asked for after a quiet moment."""
+        self.revision = report.revision
+        for artifact in report.incoming:
+            if artifact not in self.loading and artifact not in self.held:
+                # A load that nobody here waits for; it takes a place.
+                self.ghosts[artifact] = now + GHOST_SECONDS
+        for artifact, version in report.resident.items():
+            if artifact not in self.held and artifact not in self.leaving:
+                self.held[artifact] = Held(version, now, now)
--- /dev/null
+++ b/src/ridgesill/core/fleet/messages.py
@@ -0,0 +1,168 @@
+"""Messages on upstreams between heartbeats' receivers, owner and fronts."""
+
+import attrs
+
+from ridgesill.core.codec import register
+
+READY = "ready"
+DRAINING = "draining"
+
+
+@register
+@attrs.frozen
+class Heartbeat:
+    """What an upstream says of itself.
+
+    Attributes:
+        name: of this incarnation; a restart has another.
+        slots: requests that it works on at once.
+        sequence: rises with each heartbeat; an older one is passed over.
+        resident: versions of the models (`model`) and adapters
+            (`model/adapter`) that it holds; None for a plain service.
+        gone_in: seconds until it is gone; None when it doesn't say.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    sequence: int
+    resident: dict[str, int] | None = None
+    gone_in: float | None = None
+
+
+@register
+@attrs.frozen
+class HeardHeartbeat:
+    """A heartbeat that another node passes on to the owner."""
+
+    heartbeat: Heartbeat
+
+
+@register
+@attrs.frozen
+class HeardLeave:
+    """An upstream's word that it is leaving, passed on to the owner."""
+
+    name: str
+
+
+@register
+@attrs.frozen
+class Taken:
+    """The owner has taken what was passed on."""
+
+
+@register
+@attrs.frozen
+class Upstream:
+    """An upstream as the fronts know it.
+
+    Attributes:
+        resident: versions by `model` or `model/adapter`.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    state: str = READY
+    resident: dict[str, int] = attrs.Factory(dict)
+
+
+@register
+@attrs.frozen
+class UpstreamChange:
+    """One change of what is known.
+
+    Attributes:
+        record: the whole record, when the upstream itself is new or changed.
+        gone: whether it is to be forgotten.
+        added: versions that it holds now.
+        removed: what it holds no more.
+    """
+
+    name: str
+    record: Upstream | None = None
+    gone: bool = False
+    added: dict[str, int] = attrs.Factory(dict)
+    removed: tuple[str, ...] = ()
+
+
+@register
+@attrs.frozen
+class WatchFleet:
+    """Asks the owner for what has changed.
+
+    Attributes:
+        epoch: of the owner that `number` is from; 0 at the start.
+        number: of the last change known.
+        wait: seconds after which the owner answers with nothing new.
+        used: requests by artifact since the last question.
+        busy: requests in progress from this front, by upstream.
+    """
+
+    epoch: int
+    number: int
+    wait: float
+    is_front: bool = True
+    used: dict[str, int] = attrs.Factory(dict)
+    busy: dict[str, int] = attrs.Factory(dict)
+
+
+@register
+@attrs.frozen
+class FleetNews:
+    """Answers a `WatchFleet`.
+
+    Attributes:
+        epoch: the owner's; 0 from a node that isn't the owner.
+        whole: whether `changes` make up everything known.
+        fronts: how many fronts ask.
+        busy: requests in progress by upstream, from all fronts.
+    """
+
+    epoch: int
+    number: int = 0
+    whole: bool = False
+    changes: tuple[UpstreamChange, ...] = ()
+    fronts: int = 1
+    busy: dict[str, int] = attrs.Factory(dict)
+
+
+@register
+@attrs.frozen
+class WantArtifact:
+    """Asks the owner to have an engine hold something.
+
+    Attributes:
+        artifact: `model` or `model/adapter`.
+        version: at least this one; 0 for any.
+        avoid: upstreams that have just failed this request.
+        patience: seconds that the request can wait.
+    """
+
+    service: str
+    artifact: str
+    version: int
+    avoid: tuple[str, ...] = ()
+    patience: float = 1.0
+
+
+@register
+@attrs.frozen
+class ArtifactReady:
+    """An engine holds it; or, when `upstream` is empty, none will in time.
+
+    Attributes:
+        after: seconds after which asking again may help.
+        reason: why there is none.
+    """
+
+    upstream: str
+    version: int = 0
+    after: float = 0.0
+    reason: str = ""
--- /dev/null
+++ b/src/ridgesill/core/fleet/placement.py
@@ -0,0 +1,135 @@
+"""Which engine gets a missing artifact, and what gives way for it."""
+
+import attrs
+
+from ridgesill.core.fleet.engines import (
+    LOADS_AT_ONCE,
+    Engine,
+    is_adapter,
+    model_of,
+)
+from ridgesill.core.pool.popularity import Popularity
+
+# Half-life of requests counted for an adapter's worth, in seconds; demand
+# moves on within seconds.
+HALF_LIFE = 10.0
+# An adapter used or loaded less than this many seconds ago doesn't give way:
+# requests that the owner hasn't heard of yet may be on their way to it.
+_SETTLE_SECONDS = 1.5
+# What a full batch costs beside the worth of what gives way, in requests.
+_BUSY_COST = 2.0
+# What each load on its way to the same engine costs, in the same measure.
+_LOADING_COST = 0.3
+# Copies divide an adapter's requests; the last copy is worth more than that.
+_COPY_SHARE = 0.5
+
+
+@attrs.frozen
+class Choice:
+    """Where to load, and what is unloaded first.
+
+    Attributes:
+        victim: empty when a place is free.
+    """
+
+    engine: Engine
+    victim: str = ""
+
+
+class Placement:
+    """Ranks engines and what they hold, by decayed frequency."""
+
+    def __init__(self, half_life: float = HALF_LIFE) -> None:
+        self.popularity = Popularity(half_life)
+        self.engines: dict[str, Engine] = {}
+
+    def note_used(self, used: dict[str, int], now: float) -> None:
+        """Counts requests by artifact."""
+        for artifact, count in used.items():
+            for _ in range(min(count, _MOST_COUNTED)):
+                self.popularity.note(artifact, now)
+        for engine in self.engines.values():
+            for artifact in used.keys() & engine.held.keys():
+                engine.held[artifact].used_at = now
+
+    def holders(self, artifact: str, version: int) -> list[Engine]:
+        """Returns the engines that hold at least a version."""
+        return [
+            engine
+            for engine in self.engines.values()
+            if artifact in engine.held
+            and engine.held[artifact].version >= version
+        ]
+
+    def choose(
+        self,
+        artifact: str,
+        engines: list[Engine],
+        busy: dict[str, int],
+        now: float,
+    ) -> Choice | None:
+        """Returns where to load an adapter, or None if nothing can give way.
+
+        Args:
+            artifact: the adapter.
+            engines: those that may take it.
+            busy: requests in progress by engine.
+            now: the clock, in seconds.
+        """
+        best: tuple[float, Choice] | None = None
+        for engine in engines:
+            ranked = self._rank(artifact, engine, busy, now)
+            if ranked is not None and (best is None or ranked[0] < best[0]):
+                best = ranked
+        return best[1] if best else None
+
+    def _rank(
+        self, artifact: str, engine: Engine, busy: dict[str, int], now: float
+    ) -> tuple[float, Choice] | None:
+        if not self._may_load(artifact, engine, now):
+            return None
+        cost = _LOADING_COST * len(engine.loading)
+        share = busy.get(engine.name, 0) / max(engine.spec.slots, 1)
+        cost += _BUSY_COST * share
+        if engine.free_places(now) > 0:
+            return cost, Choice(engine)
+        if engine.free_places(now) < 0:
+            return None
+        victim = self.choose_victim(engine, now)
+        if victim is None:
+            return None
+        return cost + self.worth(victim, now), Choice(engine, victim)
+
+    def _may_load(self, artifact: str, engine: Engine, now: float) -> bool:
+        return (
+            engine.can_order(now)
+            and engine.has_model(model_of(artifact))
+            and artifact not in engine.held
+            and artifact not in engine.loading
+            and artifact not in engine.leaving
+            and len(engine.loading) < LOADS_AT_ONCE
+        )
+
+    def choose_victim(self, engine: Engine, now: float) -> str | None:
+        """Returns the adapter of least worth that may give way."""
+        settled = [
+            artifact
+            for artifact, held in engine.held.items()
+            if is_adapter(artifact)
+            and now - held.used_at > _SETTLE_SECONDS
+            and now - held.since > _SETTLE_SECONDS
+        ]
+        return min(settled, key=lambda a: (self.worth(a, now), a), default=None)
+
+    def worth(self, artifact: str, now: float) -> float:
+        """Returns what a copy of an adapter is worth, in requests."""
+        copies = sum(artifact in e.held for e in self.engines.values())
+        value = self.popularity.value(artifact, now)
+        if copies <= 1:
+            return value
+        return value * _COPY_SHARE / copies
+
+
+# Requests for one adapter counted from one question, so that a report after a
+# long silence doesn't take long to count.
+_MOST_COUNTED = 200
--- /dev/null
+++ b/src/ridgesill/core/fleet/registry.py
@@ -0,0 +1,240 @@
+"""What is known of the upstreams, as numbered changes."""
+
+import collections
+from collections.abc import Iterable
+
+import attrs
+
+from ridgesill.core.fleet.messages import (
+    DRAINING,
+    READY,
+    FleetNews,
+    Heartbeat,
+    Upstream,
+    UpstreamChange,
+)
+
+# Changes kept for those who ask; who is further behind gets everything.
+_CHANGES_KEPT = 4096
+# How long a sequence number is remembered after its upstream is gone, so that
+# a heartbeat that was long on its way can't bring it back; seconds.
+_REMEMBERED_SECONDS = 30.0
+
+
+@attrs.define
+class _Heard:
+    sequence: int
+    at: float
+
+
+class Registry:
+    """The upstreams known to a node.
+
+    Args:
+        epoch: of the owner whose changes these are.
+        patience: seconds of silence after which an upstream is forgotten.
+    """
+
+    def __init__(self, epoch: int, patience: float) -> None:
+        self.epoch = epoch
+        self.number = 0
+        self.upstreams: dict[str, Upstream] = {}
+        self._patience = patience
+        self._heard: dict[str, _Heard] = {}
+        self._left: dict[str, float] = {}
+        self._changes: collections.deque[tuple[int, UpstreamChange]] = (
+            collections.deque(maxlen=_CHANGES_KEPT)
+        )
+
+    def adopt(self, upstreams: Iterable[Upstream], now: float) -> None:
+        """Takes over what an earlier owner knew, as if just heard."""
+        for upstream in upstreams:
+            self.upstreams[upstream.name] = upstream
+            self._heard[upstream.name] = _Heard(-1, now)
+            self._note(UpstreamChange(upstream.name, upstream))
+
+    # -- what upstreams say --------------------------------------------
+
+    def hear(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Takes a heartbeat; returns False for one that is out of date."""
+        name = heartbeat.name
+        heard = self._heard.get(name)
+        if name in self._left:
+            return False
+        if heard is not None and heartbeat.sequence <= heard.sequence:
+            return False
+        self._heard[name] = _Heard(heartbeat.sequence, now)
+        self._forget_predecessors(heartbeat, now)
+        known = self.upstreams.get(name)
+        state = DRAINING if heartbeat.draining else READY
+        if known is not None and known.state == DRAINING:
+            # One that has said it leaves does not come back.
+            state = DRAINING
+        record = Upstream(
+            name,
+            heartbeat.service,
+            heartbeat.address,
+            heartbeat.data_centre,
+            heartbeat.slots,
+            state,
+            known.resident if known else dict(heartbeat.resident or {}),
+        )
+        if record != known:
+            self.upstreams[name] = record
+            self._note(UpstreamChange(name, record))
+        return True
+
+    def _forget_predecessors(self, heartbeat: Heartbeat, now: float) -> None:
+        """Forgets who had this address before: it has ended."""
+        for other in list(self.upstreams.values()):
+            same = other.address == heartbeat.address
+            if same and other.name != heartbeat.name:
+                self.forget(other.name, now)
+
+    def drain(self, name: str, now: float) -> None:
+        """Notes that an upstream leaves."""
+        known = self.upstreams.get(name)
+        if known is None:
+            self._left[name] = now
+        elif known.state != DRAINING:
+            record = attrs.evolve(known, state=DRAINING)
+            self.upstreams[name] = record
+            self._note(UpstreamChange(name, record))
+
+    def forget(self, name: str, now: float) -> None:
+        """Forgets an upstream that is gone."""
+        if self.upstreams.pop(name, None) is not None:
+            self._left[name] = now
+            self._note(UpstreamChange(name, gone=True))
+
+    def expire(self, now: float) -> list[str]:
+        """Forgets upstreams that have been silent; returns their names."""
+        silent = [
+            name
+            for name in self.upstreams
+            if now - self._heard[name].at > self._patience
+        ]
+        for name in silent:
+            del self.upstreams[name]
+            # It may be heard again: silence is no departure.
+            self._note(UpstreamChange(name, gone=True))
+        for name, at in list(self._left.items()):
+            if now - at > _REMEMBERED_SECONDS:
+                del self._left[name]
+                self._heard.pop(name, None)
+        return silent
+
+    def silence(self, name: str, now: float) -> float:
+        """Returns the seconds since an upstream was heard."""
+        heard = self._heard.get(name)
+        return now - heard.at if heard else float("inf")
+
+    # -- what upstreams hold -------------------------------------------
+
+    def set_resident(self, name: str, resident: dict[str, int]) -> None:
+        """Replaces what is known to be held by an upstream."""
+        known = self.upstreams.get(name)
+        if known is None or known.resident == resident:
+            return
+        added = {
+            artifact: version
+            for artifact, version in resident.items()
+            if known.resident.get(artifact) != version
+        }
+        removed = tuple(a for a in known.resident if a not in resident)
+        self.upstreams[name] = attrs.evolve(known, resident=dict(resident))
+        self._note(UpstreamChange(name, added=added, removed=removed))
+
+    # -- changes -------------------------------------------------------
+
+    def _note(self, change: UpstreamChange) -> None:
+        self.number += 1
+        self._changes.append((self.number, change))
+
+    def has_news(self, epoch: int, number: int) -> bool:
+        """Whether something has changed since a number."""
+        return epoch != self.epoch or number < self.number
+
+    def news(
+        self, epoch: int, number: int, fronts: int, busy: dict[str, int]
+    ) -> FleetNews:
+        """Returns what has changed since a number, or everything."""
+        if epoch == self.epoch and number >= self._oldest():
+            changes = tuple(c for n, c in self._changes if n > number)
+            whole = False
+        else:
+            changes = tuple(
+                UpstreamChange(u.name, u) for u in self.upstreams.values()
+            )
+            whole = True
+        return FleetNews(self.epoch, self.number, whole, changes, fronts, busy)
+
+    def _oldest(self) -> int:
+        """Returns the lowest number from which all changes are kept."""
+        return self._changes[0][0] - 1 if self._changes else self.number
+
+
+@attrs.define
+class FleetView:
+    """What a front knows of the upstreams; it may be old.
+
+    Attributes:
+        holders: names of the upstreams that hold an artifact.
+        known_at: when the last news arrived, on the runtime's clock.
+    """
+
+    epoch: int = 0
+    number: int = 0
+    fronts: int = 1
+    known_at: float = float("-inf")
+    upstreams: dict[str, Upstream] = attrs.Factory(dict)
+    busy: dict[str, int] = attrs.Factory(dict)
+
+    def take(self, news: FleetNews, now: float) -> None:
+        """Takes what the owner answers."""
+        if news.epoch < self.epoch:
+            return
+        if news.whole:
+            self.upstreams = {}
+        for change in news.changes:
+            self._apply(change)
+        self.epoch = news.epoch
+        self.number = news.number
+        self.fronts = max(news.fronts, 1)
+        self.busy = news.busy
+        self.known_at = now
+
+    def _apply(self, change: UpstreamChange) -> None:
+        if change.gone:
+            self.upstreams.pop(change.name, None)
+            return
+        if change.record is not None:
+            # A copy: what is held changes in place below.
+            self.upstreams[change.name] = attrs.evolve(
+                change.record, resident=dict(change.record.resident)
+            )
+            return
+        known = self.upstreams.get(change.name)
+        if known is None:
+            return
+        known.resident.update(change.added)
+        for artifact in change.removed:
+            known.resident.pop(artifact, None)
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service that take new work."""
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.service == service and upstream.state == READY
+        ]
+
+    def holders(
+        self, service: str, artifact: str, version: int = 0
+    ) -> list[Upstream]:
+        """Returns those that hold an artifact in a version or a later one."""
+        return [
+            upstream
+            for upstream in self.of_service(service)
+            if upstream.resident.get(artifact, -1) >= version
+        ]
--- a/src/ridgesill/core/following.py
+++ b/src/ridgesill/core/following.py
@@ -100,3 +100,22 @@
     answer: bytes
     leader: str
     appended: bool
+
+
+@register
+@attrs.frozen
+class AskLatest:
+    """Asks the leader what is committed at the least."""
+
+
+@register
+@attrs.frozen
+class Latest:
+    """Answers an `AskLatest`.
+
+    Attributes:
+        index: everything committed before the question is at or below it;
+            -1 from a node that can't be sure.
+    """
+
+    index: int
--- a/src/ridgesill/core/log/replica.py
+++ b/src/ridgesill/core/log/replica.py
@@ -89,6 +89,7 @@
         self.log = MemoryLog(stored.snapshot, stored.entries)
         self.progress: dict[str, Progress] = {}
         self.voted_for = stored.hard_state.voted_for
+        self.led_since = _NEVER
         self._timing = timing or Timing()
         self._rng = rng
         self._votes: set[str] = set()
@@ -242,7 +243,7 @@
         self.role = LEADER
         self.leader = self.identity
         self.progress = {}
-        self._led_since = now
+        self.led_since = now
         self._append_own(NoOp())
         self._send_all(now)
         self._advance_commit()
@@ -356,7 +357,7 @@
         progress.next_index = max(progress.next_index, progress.match + 1)
 
     def _tick_leader(self, now: float) -> None:
-        quorum_at = max(self._quorum_acked_at(now), self._led_since)
+        quorum_at = max(self._quorum_acked_at(now), self.led_since)
         if now - quorum_at > self._timing.election_max:
             self._follow(self.term, "", now)
             return
--- /dev/null
+++ b/src/ridgesill/core/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a front: routes, choice of an upstream, retries, outcomes."""
--- /dev/null
+++ b/src/ridgesill/core/serving/choice.py
@@ -0,0 +1,133 @@
+"""A front's choice of the upstream that gets a request."""
+
+import random
+from collections.abc import Collection, Iterable
+
+import attrs
+
+from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.serving.outcomes import Outcomes
+
+# What a request across data centres costs beside the load of an upstream: as
+# a share of its places. Bytes between data centres are priced.
+_ELSEWHERE = 0.15
+# What a failure rate of 1 costs, in the same measure.
+_FAILING = 3.0
+# Differences below this are left to chance, so that fronts with the same view
+# don't all pick the same upstream.
+_JITTER = 0.02
+
+
+@attrs.frozen
+class Wanted:
+    """What a request needs.
+
+    Attributes:
+        artifact: what the upstream must hold; empty for a plain service.
+        version: of it, at the least; 0 for any.
+    """
+
+    service: str
+    artifact: str = ""
+    version: int = 0
+
+
+class Chooser:
+    """Chooses among the upstreams that this front knows.
+
+    Args:
+        data_centre: the front's own.
+        view: what is known of the upstreams.
+        outcomes: what requests say of them.
+        rng: the source of chance.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        view: FleetView,
+        outcomes: Outcomes,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.view = view
+        self.outcomes = outcomes
+        self._data_centre = data_centre
+        self._rng = rng or random.Random()
+        self._own: dict[str, int] = {}
+        self._told: dict[str, int] = {}
+
+    # -- requests in progress ------------------------------------------
+
+    def begin(self, upstream: str) -> None:
+        """Counts a request that goes to an upstream."""
+        self._own[upstream] = self._own.get(upstream, 0) + 1
+
+    def end(self, upstream: str) -> None:
+        """Counts a request that has ended there."""
+        left = self._own.get(upstream, 0) - 1
+        if left > 0:
+            self._own[upstream] = left
+        else:
+            self._own.pop(upstream, None)
+
+    def tell_busy(self) -> dict[str, int]:
+        """Returns this front's requests in progress, to be told the owner."""
+        self._told = dict(self._own)
+        return self._told
+
+    def busy(self, upstream: str) -> int:
+        """Returns the requests in progress at an upstream, as far as known."""
+        others = self.view.busy.get(upstream, 0) - self._told.get(upstream, 0)
+        return max(others, 0) + self._own.get(upstream, 0)
+
+    # -- choice --------------------------------------------------------
+
+    def candidates(self, wanted: Wanted) -> list[Upstream]:
+        """Returns the upstreams that could serve a request now."""
+        if wanted.artifact:
+            return self.view.holders(
+                wanted.service, wanted.artifact, wanted.version
+            )
+        return self.view.of_service(wanted.service)
+
+    def choose(
+        self, wanted: Wanted, avoid: Collection[str], now: float
+    ) -> Upstream | None:
+        """Returns the best upstream, or None if there is none."""
+        candidates = [
+            upstream
+            for upstream in self.candidates(wanted)
+            if upstream.name not in avoid
+        ]
+        allowed = self._without_ejected(wanted, candidates, now)
+        return min(
+            allowed, key=lambda upstream: self.cost(upstream, now), default=None
+        )
+
+    def _without_ejected(
+        self, wanted: Wanted, candidates: list[Upstream], now: float
+    ) -> list[Upstream]:
+        """Leaves out ejected upstreams, but never over half of a service."""
+        everyone = self.view.of_service(wanted.service)
+        ejected = [u for u in everyone if self.outcomes.is_ejected(u.name, now)]
+        if not ejected:
+            return candidates
+        ejected.sort(
+            key=lambda u: self.outcomes.failure_rate(u.name, now), reverse=True
+        )
+        out = {u.name for u in ejected[: len(everyone) // 2]}
+        return [u for u in candidates if u.name not in out]
+
+    def cost(self, upstream: Upstream, now: float) -> float:
+        """Ranks upstreams; the lowest is the best."""
+        cost = self.busy(upstream.name) / max(upstream.slots, 1)
+        if upstream.data_centre != self._data_centre:
+            cost += _ELSEWHERE
+        cost += _FAILING * self.outcomes.failure_rate(upstream.name, now)
+        return cost + self._rng.random() * _JITTER
+
+    def least_share(self, upstreams: Iterable[Upstream]) -> float:
+        """Returns how full the emptiest of some upstreams is; 1 for full."""
+        shares = [self.busy(u.name) / max(u.slots, 1) for u in upstreams]
+        return min(shares, default=1.0)
--- a/src/ridgesill/core/state.py
+++ b/src/ridgesill/core/state.py
@@ -22,6 +22,8 @@
     Node,
     OnceAnswer,
     OnceRecord,
+    PutArtifactVersion,
+    PutRoutes,
     ReleasePool,
     RemoveNode,
 )
@@ -73,6 +75,9 @@
     owners: dict[str, Owner]
     operations: dict[str, Operation]
     once: dict[str, OnceRecord]
+    routes_version: int = 0
+    routes_document: bytes = b""
+    artifact_versions: dict[str, int] = attrs.Factory(dict)
 
 
 class State:
@@ -85,6 +90,9 @@
         nodes: known nodes by name.
         owners: owners by pool.
         once: records of requests that are not repeatable, by team and key.
+        routes_version: of the routing document in force; 0 for none.
+        routes_document: that document, compressed.
+        artifact_versions: the oldest versions that may serve, by artifact.
     """
 
     def __init__(self) -> None:
@@ -96,6 +104,9 @@
         self.nodes: dict[str, Node] = {}
         self.owners: dict[str, Owner] = {}
         self.once: OrderedDict[str, OnceRecord] = OrderedDict()
+        self.routes_version = 0
+        self.routes_document = b""
+        self.artifact_versions: dict[str, int] = {}
         self._operations: OrderedDict[str, Operation] = OrderedDict()
 
     def apply(self, entry: Entry) -> Any:
@@ -166,6 +177,21 @@
         if len(self._operations) > _OPERATIONS_KEPT:
             self._operations.popitem(last=False)
 
+    # -- routes and versions -------------------------------------------
+
+    @_apply.register
+    def _(self, command: PutRoutes) -> Done:
+        if command.version > self.routes_version:
+            self.routes_version = command.version
+            self.routes_document = command.document
+        return Done(self.index)
+
+    @_apply.register
+    def _(self, command: PutArtifactVersion) -> Done:
+        known = self.artifact_versions.get(command.artifact, 0)
+        self.artifact_versions[command.artifact] = max(known, command.version)
+        return Done(self.index)
+
     # -- nodes and owners ----------------------------------------------
 
     @_apply.register
@@ -265,6 +291,9 @@
                 dict(self.owners),
                 dict(self._operations) if with_once else {},
                 dict(self.once) if with_once else {},
+                self.routes_version,
+                self.routes_document,
+                dict(self.artifact_versions),
             )
         )
 
@@ -281,6 +310,9 @@
         state.nodes = {node.name: node for node in image.nodes}
         state.owners = dict(image.owners)
         state.once = OrderedDict(image.once)
+        state.routes_version = image.routes_version
+        state.routes_document = image.routes_document
+        state.artifact_versions = dict(image.artifact_versions)
         state._operations = OrderedDict(image.operations)
         return state
 
--- a/src/ridgesill/core/voter_changes.py
+++ b/src/ridgesill/core/voter_changes.py
@@ -8,6 +8,9 @@
 
 # How many entries a learner may be behind when it begins to vote.
 _CAUGHT_UP = 8
+# Seconds of silence after which a voter may make way for a learner; well above
+# a restart, so that a voter that comes back with its disk keeps its vote.
+_SILENT = 6.0
 
 
 def voter_name(identity: str) -> str:
@@ -16,7 +19,10 @@
 
 
 def decide_change(
-    replica: Replica, beats: Iterable[Beat]
+    replica: Replica,
+    beats: Iterable[Beat],
+    now: float = 0.0,
+    most: int = 0,
 ) -> ChangeVoters | None:
     """Returns the next change of voters, one voter at a time.
 
@@ -24,6 +30,14 @@
     has caught up, the earlier identity of its name, whose disk is lost, stops
     voting; then the learner starts to. A lost identity never counts beside
     its successor.
+
+    Args:
+        replica: the leader's.
+        beats: of the nodes that are alive.
+        now: the clock, in seconds.
+        most: how many voters there should be. With so many, a learner under
+            another name takes the place of a voter that has long been silent,
+            or waits. 0 for no limit.
     """
     if replica.role != LEADER or replica.changing_voters:
         return None
@@ -31,6 +45,8 @@
     voters = replica.voters
     for identity in sorted(learning - set(voters.voters)):
         change = _next_step(replica, voters, identity)
+        if change is not None and 0 < most < len(change.voters):
+            change = _replace_silent(replica, now)
         if change is not None:
             return ChangeVoters(change)
     return None
@@ -52,6 +68,23 @@
     return Voters((*voters.voters, identity), learners)
 
 
+def _replace_silent(replica: Replica, now: float) -> Voters | None:
+    """Takes out the voter that has been silent the longest, if one has."""
+    voters = replica.voters
+    silent = {
+        identity: progress.acked_at
+        for identity, progress in replica.progress.items()
+        if identity in voters.voters
+        and now - progress.acked_at > _SILENT
+        and now - replica.led_since > _SILENT
+    }
+    if not silent:
+        return None
+    gone = min(silent, key=lambda identity: silent[identity])
+    kept = tuple(v for v in voters.voters if v != gone)
+    return Voters(kept, voters.learners)
+
+
 def _without(identities: tuple[str, ...], name: str) -> tuple[str, ...]:
     return tuple(i for i in identities if voter_name(i) != name)
 
--- /dev/null
+++ b/src/ridgesill/platform/configuration.py
@@ -0,0 +1,215 @@
+"""The operator's configuration document: routes, services and limits."""
+
+from typing import Any
+
+import attrs
+import msgspec
+
+from ridgesill.core.serving.routes import (
+    ClientLimits,
+    EngineSpec,
+    Model,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
+
+_KINDS = ("safe", "unsafe", "stream")
+_MILLISECONDS = 1000.0
+
+
+class InvalidConfigurationError(Exception):
+    """A document that must not come in force; says which part and why."""
+
+    def __init__(self, where: str, expected: str) -> None:
+        super().__init__(f"{where}: {expected}; nothing was changed")
+        self.where = where
+
+
+@attrs.frozen
+class AdapterVersion:
+    """An operator's word that a new version of an adapter exists."""
+
+    model: str
+    adapter: str
+    version: int
+
+
+def decode_configuration(document: bytes) -> RouteTable:
+    """Returns the routes of a document.
+
+    Raises:
+        InvalidConfigurationError: it is not valid as a whole.
+    """
+    parsed = _parse(document)
+    version = _integer(parsed, "version", "the configuration")
+    services = [_service(item) for item in _list(parsed, "services")]
+    names = {service.name for service in services}
+    routes = [_route(item, names) for item in _list(parsed, "routes")]
+    _check_places(routes)
+    limits = parsed.get("limits")
+    return RouteTable(
+        version, routes, services, _limits(limits) if limits else None
+    )
+
+
+def decode_adapter_version(document: bytes) -> AdapterVersion:
+    """Returns what names a new adapter version.
+
+    Raises:
+        InvalidConfigurationError: a field is missing or wrong.
+    """
+    parsed = _parse(document)
+    where = "the adapter's version"
+    return AdapterVersion(
+        _text(parsed, "model", where),
+        str(parsed.get("adapter") or ""),
+        _integer(parsed, "version", where),
+    )
+
+
+def _parse(document: bytes) -> dict[str, Any]:
+    try:
+        parsed = msgspec.json.decode(document)
+    except msgspec.DecodeError as error:
+        raise InvalidConfigurationError("the body", f"not JSON: {error}") from (
+            error
+        )
+    if not isinstance(parsed, dict):
+        raise InvalidConfigurationError("the body", "not a JSON object")
+    return parsed
+
+
+def _list(parsed: dict[str, Any], field: str) -> list[dict[str, Any]]:
+    items = parsed.get(field)
+    if not isinstance(items, list) or not all(
+        isinstance(item, dict) for item in items
+    ):
+        raise InvalidConfigurationError(field, "not a list of objects")
+    return items
+
+
+def _text(item: dict[str, Any], field: str, where: str) -> str:
+    value = item.get(field)
+    if not isinstance(value, str) or not value:
+        raise InvalidConfigurationError(f"{where}: {field}", "not a text")
+    return value
+
+
+def _integer(item: dict[str, Any], field: str, where: str) -> int:
+    value = item.get(field)
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise InvalidConfigurationError(
+            f"{where}: {field}", "not a whole number"
+        )
+    return value
+
+
+def _number(item: dict[str, Any], field: str, default: float = 0.0) -> float:
+    value = item.get(field, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise InvalidConfigurationError(field, "not a number")
+    return float(value)
+
+
+def _route(item: dict[str, Any], services: set[str]) -> Route:
+    name = _text(item, "name", "a route")
+    where = f"route {name}"
+    kind = _text(item, "kind", where)
+    if kind not in _KINDS:
+        raise InvalidConfigurationError(
+            f"{where}: kind", f"not one of {', '.join(_KINDS)}"
+        )
+    timeout = _number(item, "timeout_ms") / _MILLISECONDS
+    if timeout <= 0:
+        raise InvalidConfigurationError(f"{where}: timeout_ms", "not above 0")
+    return Route(
+        name=name,
+        host=_text(item, "host", where),
+        prefix=_text(item, "prefix", where),
+        kind=kind,
+        timeout=timeout,
+        goal=_number(item, "goal_ms") / _MILLISECONDS,
+        priority=int(_number(item, "priority")),
+        targets=_targets(item, where, services),
+        attempts=max(int(_number(item, "attempts", 1)), 1),
+        affinity=bool(item.get("session_affinity", False)),
+        resumable=bool(item.get("resumable", False)),
+        pause_goal=_number(item, "gap_target_ms") / _MILLISECONDS,
+    )
+
+
+def _targets(
+    item: dict[str, Any], where: str, services: set[str]
+) -> tuple[Target, ...]:
+    split = item.get("split")
+    if split:
+        targets = tuple(
+            Target(
+                _text(part, "service", where), _integer(part, "weight", where)
+            )
+            for part in _list(item, "split")
+        )
+    else:
+        targets = (Target(_text(item, "service", where)),)
+    for target in targets:
+        if target.service not in services:
+            raise InvalidConfigurationError(
+                where, f"unknown service {target.service!r}"
+            )
+    if sum(target.weight for target in targets) <= 0:
+        raise InvalidConfigurationError(where, "its weights add up to 0")
+    return targets
+
+
+def _check_places(routes: list[Route]) -> None:
+    places: dict[tuple[str, str], str] = {}
+    for route in routes:
+        place = (route.host.lower(), route.prefix)
+        if place in places:
+            raise InvalidConfigurationError(
+                f"route {route.name}",
+                f"same host and prefix as route {places[place]}",
+            )
+        places[place] = route.name
+
+
+def _service(item: dict[str, Any]) -> Service:
+    name = _text(item, "name", "a service")
+    engine = item.get("engine")
+    return Service(
+        name=name,
+        health_path=str(item.get("health_path") or "/"),
+        connections=int(_number(item, "connection_limit")),
+        engine=_engine(engine) if isinstance(engine, dict) else None,
+    )
+
+
+def _engine(item: dict[str, Any]) -> EngineSpec:
+    models = tuple(
+        Model(
+            name=_text(model, "name", "a model"),
+            weights_mb=_number(model, "weights_mb"),
+            load_seconds=_number(model, "load_time_s"),
+            adapters=int(_number(model, "adapters")),
+            adapter_mb=_number(model, "adapter_mb"),
+        )
+        for model in _list(item, "models")
+    )
+    return EngineSpec(
+        slots=int(_number(item, "slots")),
+        weights_mb=_number(item, "weights_mb"),
+        adapter_slots=int(_number(item, "adapter_slots")),
+        loads_per_second=_number(item, "loads_per_s"),
+        models=models,
+    )
+
+
+def _limits(item: dict[str, Any]) -> ClientLimits:
+    return ClientLimits(
+        header_bytes=int(_number(item, "header_bytes", 16384)),
+        body_bytes=int(_number(item, "body_bytes", 4 * 2**20)),
+        header_seconds=_number(item, "header_ms", 3000) / _MILLISECONDS,
+        idle_seconds=_number(item, "idle_ms", 15000) / _MILLISECONDS,
+    )
--- /dev/null
+++ b/src/ridgesill/platform/requests.py
@@ -0,0 +1,106 @@
+"""Clients' requests and upstreams' answers, as the platform words them."""
+
+from ridgesill.adapters.http1.client import without_channel_headers
+from ridgesill.ports.dialect import ForwardTerms, RequestFacts
+from ridgesill.ports.http import (
+    Headers,
+    HttpRequest,
+    ResponseHead,
+    find_header,
+)
+
+_REQUEST_ID = b"request-id"
+_MODEL = b"model"
+_TOKENS = b"token-counts"
+_PARTS = b"prompt-prefix"
+# Milliseconds that the sender will still wait.
+_DEADLINE = b"request-deadline"
+_LAST_EVENT = b"last-event-id"
+# The upstream's incarnation that is meant; any other answers 421.
+_INSTANCE = b"expect-instance"
+# Of the adapter, where the request names one.
+_VERSION = b"expect-version"
+_NOT_RUN = b"not-run"
+_RETRY_AFTER = b"retry-after"
+_MISDIRECTED = 421
+_SET_HERE = frozenset(
+    (_DEADLINE, _INSTANCE, _VERSION, _LAST_EVENT, b"content-length")
+)
+
+
+class PlatformDialect:
+    """Implements `ports.dialect.Dialect`."""
+
+    def read_request(self, request: HttpRequest) -> RequestFacts:
+        """Returns what a client says of its request."""
+        headers = request.headers
+        model, _, adapter = find_header(headers, _MODEL).partition("/")
+        prompt, answer = _counts(find_header(headers, _TOKENS))
+        return RequestFacts(
+            request=find_header(headers, _REQUEST_ID),
+            host=find_header(headers, b"host"),
+            model=model,
+            adapter=adapter,
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+            parts=_parts(find_header(headers, _PARTS)),
+            patience=_whole(find_header(headers, _DEADLINE)) / 1000,
+            last_event=find_header(headers, _LAST_EVENT),
+        )
+
+    def forward(self, request: HttpRequest, terms: ForwardTerms) -> HttpRequest:
+        """Returns the request as it goes to an upstream."""
+        kept = [
+            (name, value)
+            for name, value in without_channel_headers(request.headers)
+            if name not in _SET_HERE
+        ]
+        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+            kept.append((b"content-length", b"%d" % len(request.body)))
+        milliseconds = max(int(terms.seconds_left * 1000), 1)
+        kept.append((_DEADLINE, b"%d" % milliseconds))
+        kept.append((_INSTANCE, terms.upstream.encode()))
+        if terms.version:
+            kept.append((_VERSION, b"%d" % terms.version))
+        if terms.last_event:
+            kept.append((_LAST_EVENT, terms.last_event.encode()))
+        return HttpRequest(
+            request.method, request.target, tuple(kept), request.body
+        )
+
+    def is_not_run(self, head: ResponseHead) -> bool:
+        """Whether an upstream says that it has not run a request."""
+        return head.status == _MISDIRECTED or bool(
+            find_header(head.headers, _NOT_RUN)
+        )
+
+    def is_misdirected(self, head: ResponseHead) -> bool:
+        """Whether an upstream lacks what a request asks for."""
+        return head.status == _MISDIRECTED
+
+    def answer_headers(self, head: ResponseHead) -> Headers:
+        """Returns the headers of an answer that the client gets."""
+        return without_channel_headers(head.headers)
+
+    def retry_headers(self, after: float) -> Headers:
+        """Returns headers that tell a client when to come back."""
+        return ((_RETRY_AFTER, b"%.2f" % after),)
+
+
+def _whole(text: str) -> int:
+    return int(text) if text.isdigit() else 0
+
+
+def _counts(text: str) -> tuple[int, int]:
+    prompt, _, answer = text.partition(",")
+    return _whole(prompt.strip()), _whole(answer.strip())
+
+
+def _parts(text: str) -> tuple[tuple[str, int], ...]:
+    """Returns the prompt's parts from `ID:TOKENS, ...`."""
+    parts = []
+    for item in text.split(","):
+        name, _, tokens = item.strip().partition(":")
+        if name:
+            parts.append((name, _whole(tokens)))
+    return tuple(parts)
