--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -352,6 +352,11 @@
             for connection in list(self.connections):
                 connection.sweep(now)
 
+    def close(self) -> None:
+        """Accepts no new channels; those that are open go on."""
+        if self._server is not None:
+            self._server.close()
+
     def drain(self) -> None:
         """Asks clients to close their channels after their next answer."""
         self.closing = True
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -28,6 +28,7 @@
     WatchFleet,
 )
 from ridgesill.core.following import AskLatest, Follow, Propose
+from ridgesill.core.log.messages import Timing
 from ridgesill.platform.configuration import decode_configuration
 from ridgesill.platform.control_calls import PlatformControlCalls
 from ridgesill.platform.settings import PlatformSettings
@@ -35,6 +36,9 @@
 from ridgesill.ports.peers import PeerError
 
 _CONNECT_SECONDS = 0.4
+# Shorter than the product's own, since the data centres are a millisecond
+# apart and no adapter is loaded while there is no leader.
+_TIMING = Timing(heartbeat=0.15, election_min=0.7, election_max=1.4)
 # Calls in progress get this long to end after SIGTERM, in seconds.
 _STOP_SECONDS = 0.3
 
@@ -198,7 +202,10 @@
     async def _work(self) -> None:
         await self._formation.form(self._node)
         driver = LogDriver(
-            self._storage, self.control.send_replica, self.control.note_applied
+            self._storage,
+            self.control.send_replica,
+            self.control.note_applied,
+            _TIMING,
         )
         self.control.driver = driver
         self.control.note_applied()
--- /dev/null
+++ b/src/ridgesill/app/engine_orders.py
@@ -0,0 +1,248 @@
+"""Orders to engines: one at a time to each, under the owner's lease.
+
+An engine counts the orders it has taken, and refuses one that expects another
+count. So an order whose answer was lost can't be carried out late once a later
+one was taken; repeating it at once with the same count settles its fate.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+
+from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.core.fleet.engines import GHOST_SECONDS, Engine
+from ridgesill.core.fleet.orders import (
+    Action,
+    EngineReport,
+    FleetOrder,
+    OrderVerdict,
+)
+from ridgesill.ports.dialect import EngineCalls
+from ridgesill.ports.http import ChannelError, HttpRequest
+
+# Within which an engine answers an order; it takes some milliseconds unless
+# the answer is lost.
+_ORDER_SECONDS = 0.25
+# How often an order without an answer is given in all.
+_TIMES = 3
+# A report may be some hundred milliseconds old: it is believed only when no
+# order was taken for this long.
+_REPORT_LAG = 0.8
+# For how long an engine that can't be reached gets no orders, in seconds.
+_SUSPEND_SECONDS = 1.0
+
+
+@attrs.frozen
+class Authority:
+    """In whose name orders are given.
+
+    Attributes:
+        holder: the VM.
+        token: the fencing token.
+    """
+
+    holder: str
+    token: int
+
+
+class EngineOrders:
+    """Gives orders.
+
+    Args:
+        channels: to engines.
+        calls: how orders and reports are worded.
+        authority: returns in whose name to order now, or None when this node
+            must not; asked just before each order leaves.
+    """
+
+    def __init__(
+        self,
+        channels: UpstreamChannels,
+        calls: EngineCalls,
+        authority: Callable[[], Authority | None],
+    ) -> None:
+        self._channels = channels
+        self._calls = calls
+        self._authority = authority
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def forget(self, name: str) -> None:
+        """Forgets an engine that is gone."""
+        self._locks.pop(name, None)
+
+    async def give(
+        self,
+        action: Action,
+        engine: Engine,
+        artifact: str,
+        version: int = 0,
+        *,
+        again: bool = False,
+    ) -> OrderVerdict:
+        """Gives an order until its fate is known.
+
+        Args:
+            action: what to do.
+            engine: which engine.
+            artifact: what to load or unload.
+            version: to load; 0 for the newest.
+            again: whether it only asks how an order taken before stands.
+        """
+        lock = self._locks.setdefault(engine.name, asyncio.Lock())
+        async with lock:
+            if engine.revision is None and not await self._learn(engine):
+                return OrderVerdict.REFUSED
+            unknown = False
+            verdict = OrderVerdict.REFUSED
+            for _ in range(_TIMES):
+                order = self._make(action, engine, artifact, version)
+                if order is None:
+                    break
+                verdict = await self._send(order)
+                if verdict is not OrderVerdict.UNKNOWN:
+                    break
+                unknown = True
+            if unknown and verdict is OrderVerdict.REFUSED:
+                # Refused now, but the order before may have been taken.
+                verdict = OrderVerdict.UNKNOWN
+            counted = unknown or not again
+            self._note(engine, action, artifact, verdict, counted=counted)
+            return verdict
+
+    def _make(
+        self, action: Action, engine: Engine, artifact: str, version: int
+    ) -> FleetOrder | None:
+        authority = self._authority()
+        if authority is None:
+            return None
+        if action is Action.LOAD and engine.is_overfull(self._loop.time()):
+            # What was learned since the engine was chosen leaves no place.
+            return None
+        return FleetOrder(
+            action,
+            engine.name,
+            engine.address,
+            artifact,
+            version,
+            authority.holder,
+            authority.token,
+            engine.revision,
+        )
+
+    def _note(
+        self,
+        engine: Engine,
+        action: Action,
+        artifact: str,
+        verdict: OrderVerdict,
+        *,
+        counted: bool,
+    ) -> None:
+        now = self._loop.time()
+        if verdict is OrderVerdict.TAKEN or (
+            verdict is OrderVerdict.HOLDS and action is Action.UNLOAD
+        ):
+            if counted and engine.revision is not None:
+                engine.revision += 1
+                engine.ordered_at = now
+        elif verdict is OrderVerdict.UNKNOWN:
+            engine.revision = None
+            engine.suspended_until = now + _SUSPEND_SECONDS
+            if action is Action.LOAD:
+                engine.ghosts[artifact] = now + GHOST_SECONDS
+        elif verdict is OrderVerdict.MISDIRECTED:
+            engine.suspended_until = now + _SUSPEND_SECONDS
+        elif verdict is OrderVerdict.REFUSED and not engine.is_busy():
+            engine.suspended_until = now + _REPORT_LAG
+            engine.revision = None
+
+    async def _send(self, order: FleetOrder) -> OrderVerdict:
+        request = self._calls.write_order(order)
+        began = self._loop.time()
+        status = 0
+        try:
+            async with asyncio.timeout(_ORDER_SECONDS):
+                status, body = await self._exchange(order.address, request)
+            verdict = self._calls.read_verdict(status)
+            detail = body[:80].decode("latin-1")
+        except (ChannelError, TimeoutError) as error:
+            sent = not isinstance(error, ChannelError) or error.sent
+            verdict = OrderVerdict.UNKNOWN if sent else OrderVerdict.MISDIRECTED
+            detail = str(error) or "no answer in time"
+        log_message(
+            "fleet:order",
+            action=order.action.value,
+            upstream=order.upstream,
+            peer=order.address,
+            artifact=order.artifact,
+            version=order.version,
+            revision=order.revision,
+            token=order.token,
+            verdict=verdict.value,
+            status=status,
+            detail=detail,
+            seconds=round(self._loop.time() - began, 4),
+        )
+        return verdict
+
+    async def _exchange(
+        self, address: str, request: HttpRequest
+    ) -> tuple[int, bytes]:
+        exchange = await self._channels.send(address, request)
+        try:
+            head = await exchange.read_head()
+            parts = []
+            while data := await exchange.read_data():
+                parts.append(data)
+            return head.status, b"".join(parts)
+        finally:
+            exchange.cancel()
+
+    async def prepare(self, engine: Engine) -> None:
+        """Learns what an engine holds before the first order needs it."""
+        lock = self._locks.setdefault(engine.name, asyncio.Lock())
+        async with lock:
+            if engine.revision is None and self._authority() is not None:
+                await self._learn(engine)
+
+    async def _learn(self, engine: Engine) -> bool:
+        """Learns how many orders an engine has taken."""
+        wait = engine.ordered_at + _REPORT_LAG - self._loop.time()
+        if wait > 0:
+            await asyncio.sleep(wait)
+        report = await self._ask_report(engine)
+        if report is None:
+            engine.suspended_until = self._loop.time() + _SUSPEND_SECONDS
+            return False
+        engine.take_report(report, self._loop.time())
+        return True
+
+    async def _ask_report(self, engine: Engine) -> EngineReport | None:
+        request = self._calls.ask_report(engine.name, engine.address)
+        try:
+            async with asyncio.timeout(_ORDER_SECONDS):
+                status, body = await self._exchange(engine.address, request)
+            if status != 200:
+                raise ValueError(f"status {status}")
+            report = self._calls.read_report(body)
+        except (ChannelError, TimeoutError, ValueError) as error:
+            log_message(
+                "fleet:no_report",
+                upstream=engine.name,
+                peer=engine.address,
+                detail=str(error) or "no answer in time",
+            )
+            return None
+        log_message(
+            "fleet:report",
+            upstream=engine.name,
+            peer=engine.address,
+            revision=report.revision,
+            busy=report.busy,
+            resident=len(report.resident),
+            incoming=len(report.incoming),
+        )
+        return report
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -1,8 +1,7 @@
 """A node's link to the owner of the fleet: news, and wants."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Sequence
 
 import attrs
 from eliot import log_message
@@ -21,8 +20,14 @@
 # Above that, until a question counts as lost.
 _MARGIN = 0.6
 _RETRY = 0.05
+# How long a want looks for an owner, and when a refused one may come back: an
+# election takes a second, and then the earlier owner's lease is waited out.
+_NO_OWNER_SECONDS = 0.6
+_NO_OWNER_AFTER = 1.5
 # Above a want's patience, for the way there and back.
 _WANT_MARGIN = 0.2
+# Answers after which another owner may know more.
+_OWNER_LOST = frozenset(("not_owner", "owner_changed", "owner_lost"))
 
 
 @attrs.frozen
@@ -30,7 +35,7 @@
     """What a front tells the owner with each question."""
 
     used: dict[str, int] = attrs.Factory(dict)
-    busy: dict[str, int] = attrs.Factory(dict)
+    busy: dict[str, dict[str, int]] = attrs.Factory(dict)
 
 
 class FleetClient:
@@ -41,6 +46,7 @@
         owner: returns the address of the owner, as far as is known.
         own_address: this node's, which asks nobody while it owns the fleet.
         usage: returns what to tell; None for a node that isn't a front.
+        others: nodes to ask at the start, while no owner is known.
     """
 
     def __init__(
@@ -49,12 +55,14 @@
         owner: Callable[[], str],
         own_address: str,
         usage: Callable[[], Usage] | None = None,
+        others: Sequence[str] = (),
     ) -> None:
         self.view = FleetView()
         self._peers = peers
         self._owner = owner
         self._own_address = own_address
         self._usage = usage
+        self._others = tuple(others)
         self._loop = asyncio.get_running_loop()
         self._in_touch = False
 
@@ -62,12 +70,19 @@
         """Asks for news until cancelled."""
         while True:
             owner = self._owner()
-            if (
-                not owner
-                or owner == self._own_address
-                or not await self._ask(owner)
-            ):
-                await asyncio.sleep(_RETRY)
+            if owner and owner != self._own_address and await self._ask(owner):
+                continue
+            if not self.view.epoch:
+                await self._ask_another(owner)
+            await asyncio.sleep(_RETRY)
+
+    async def _ask_another(self, owner: str) -> None:
+        """Asks nodes that may remember what an earlier owner said."""
+        for address in self._others:
+            if address in (owner, self._own_address):
+                continue
+            if await self._ask(address):
+                return
 
     async def _ask(self, owner: str) -> bool:
         usage = self._usage() if self._usage else Usage()
@@ -107,14 +122,34 @@
         )
 
     async def want(self, want: WantArtifact) -> ArtifactReady:
-        """Returns the owner's answer to a want; never raises for its loss."""
-        owner = self._owner()
-        if not owner:
-            return ArtifactReady("", reason="no owner is known", after=1.0)
+        """Returns the owner's answer to a want.
+
+        While no owner answers, another is looked for until the patience ends.
+        """
+        began = self._loop.time()
+        deadline = began + want.patience
+        reason = "no_owner"
+        while (left := deadline - self._loop.time()) > 0:
+            owner = self._owner()
+            if owner:
+                answer = await self._want_once(owner, want, left)
+                if answer.reason not in _OWNER_LOST:
+                    return answer
+                reason = answer.reason
+            if self._loop.time() - began > _NO_OWNER_SECONDS:
+                break
+            await asyncio.sleep(_RETRY)
+        return ArtifactReady("", reason=reason, after=_NO_OWNER_AFTER)
+
+    async def _want_once(
+        self, owner: str, want: WantArtifact, patience: float
+    ) -> ArtifactReady:
+        asked = attrs.evolve(want, patience=patience)
         try:
-            answer: Any = await self._peers.call(
-                owner, want, want.patience + _WANT_MARGIN
+            answer: ArtifactReady = await self._peers.call(
+                owner, asked, patience + _WANT_MARGIN
             )
         except PeerError as error:
-            return ArtifactReady("", reason=str(error), after=1.0)
-        return answer  # type: ignore[no-any-return]
+            log_message("fleet:want_lost", step=error.step, peer=error.peer)
+            return ArtifactReady("", reason="owner_lost")
+        return answer
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -9,17 +9,16 @@
 from typing import Any
 
 import attrs
-from eliot import log_message, write_traceback
+from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.app.control import Control, UnavailableError
+from ridgesill.app.engine_orders import Authority, EngineOrders
 from ridgesill.app.fleet_client import FleetClient
+from ridgesill.app.fleet_loads import FleetLoads, LoadsView
 from ridgesill.core.commands import GrantPool
 from ridgesill.core.fleet.engines import (
-    GHOST_SECONDS,
     Engine,
-    Held,
-    Pending,
 )
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
@@ -29,15 +28,14 @@
     Heartbeat,
     Taken,
     Upstream,
+    UpstreamChange,
     WantArtifact,
     WatchFleet,
 )
-from ridgesill.core.fleet.orders import Action, FleetOrder, OrderVerdict
-from ridgesill.core.fleet.placement import Choice, Placement
+from ridgesill.core.fleet.placement import Placement
 from ridgesill.core.fleet.registry import Registry
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import EngineCalls
-from ridgesill.ports.http import ChannelError, HttpRequest
 from ridgesill.ports.peers import PeerError
 
 # Name of the grant in the log.
@@ -45,26 +43,19 @@
 _TICK = 0.1
 # An owner acts only while a quorum has followed it within this time, in
 # seconds; below the shortest election, so that no successor acts yet.
-_QUORUM_SECONDS = 1.0
+_QUORUM_SECONDS = 0.6
 # Added to the lease of the VM that gave orders before, in seconds.
 _LEASE_MARGIN = 0.4
 _PROPOSE_SECONDS = 2.0
 # Least time between two answers with news to the same front, in seconds, for
 # each front that asks.
 _NEWS_SECONDS_A_FRONT = 0.001
-_NEWS_SECONDS = 0.02
+_NEWS_SECONDS = 0.1
 # Heartbeats that may be missed before an upstream counts as gone.
 _HEARTBEATS_MISSED = 4.0
-_ORDER_SECONDS = 0.5
-# What an adapter's load takes at first, in seconds; learned from then on.
-_LOAD_SECONDS = 0.25
-_LOAD_SMOOTHING = 0.1
-# How often an engine is asked whether a load is done, in seconds.
-_POLL_SECONDS = 0.015
-_LOAD_MOST_SECONDS = 3.0
-_SUSPEND_SECONDS = 1.0
 _FRONT_HEARD_SECONDS = 2.0
-_TRIES = 3
+# Reason of a refusal by a node that does not own the fleet.
+NOT_OWNER = "not_owner"
 
 
 class NotOwnerError(Exception):
@@ -74,15 +65,7 @@
 @attrs.define
 class _Front:
     heard_at: float
-    busy: dict[str, int]
-
-
-@attrs.define
-class _Loading:
-    """A load that requests wait for."""
-
-    answer: asyncio.Future[ArtifactReady]
-    began_at: float
+    busy: dict[str, dict[str, int]]
 
 
 class FleetOwner:
@@ -118,12 +101,21 @@
         self._registry: Registry | None = None
         self._orders_from = float("inf")
         self._placement = Placement()
-        self._locks: dict[str, asyncio.Lock] = {}
-        self._loadings: dict[str, _Loading] = {}
+        self._orders = EngineOrders(channels, calls, self._authority)
+        self._loads = FleetLoads(
+            self._placement,
+            self._orders,
+            LoadsView(
+                self._engines_of,
+                self._busy,
+                self._using,
+                self._version,
+                self._tell_resident,
+                lambda: self._orders_from,
+            ),
+        )
         self._fronts: dict[str, _Front] = {}
         self._news = asyncio.Event()
-        self._load_seconds = _LOAD_SECONDS
-        self._tasks: set[asyncio.Task[Any]] = set()
 
     # -- ownership -----------------------------------------------------
 
@@ -184,7 +176,6 @@
         registry.adopt(self._follower.view.upstreams.values(), now)
         self._registry = registry
         self._placement.engines.clear()
-        self._locks.clear()
         for upstream in registry.upstreams.values():
             self._meet_engine(upstream, now)
         self._wake()
@@ -197,11 +188,7 @@
         self._registry = None
         self._term = 0
         self._orders_from = float("inf")
-        for loading in self._loadings.values():
-            if not loading.answer.done():
-                refused = ArtifactReady("", after=1.0, reason="owner_changed")
-                loading.answer.set_result(refused)
-        self._loadings.clear()
+        self._loads.end()
         self._wake()
 
     def _tick(self) -> None:
@@ -219,7 +206,7 @@
             if now - heard.heard_at > _FRONT_HEARD_SECONDS:
                 del self._fronts[front]
         self._channels.sweep()
-        self._replace_old_versions()
+        self._tend()
 
     def _wake(self) -> None:
         self._news.set()
@@ -332,7 +319,7 @@
 
     def _forget_engine(self, name: str) -> None:
         self._placement.engines.pop(name, None)
-        self._locks.pop(name, None)
+        self._orders.forget(name)
 
     def note_table(self, table: RouteTable) -> None:
         """Takes a new configuration."""
@@ -359,7 +346,7 @@
     ) -> FleetNews:
         """Answers a front, or a node that may own the fleet next."""
         if not self.is_owner():
-            return FleetNews(0)
+            return self._tell_newcomer(question)
         self._note_front(sender, question)
         began = self._loop.time()
         deadline = began + question.wait
@@ -380,6 +367,18 @@
             self._busy(),
         )
 
+    def _tell_newcomer(self, question: WatchFleet) -> FleetNews:
+        """Tells a front that knows nothing what an earlier owner said."""
+        view = self._follower.view
+        if question.epoch or not view.epoch:
+            return FleetNews(0)
+        changes = tuple(
+            UpstreamChange(name, upstream)
+            for name, upstream in view.upstreams.items()
+        )
+        # Number 0 makes it ask the next owner for everything.
+        return FleetNews(view.epoch, 0, True, changes, view.fronts)
+
     def _note_front(self, sender: str, question: WatchFleet) -> None:
         now = self._loop.time()
         if question.is_front:
@@ -397,285 +396,51 @@
     def _busy(self) -> dict[str, int]:
         totals: dict[str, int] = {}
         for front in self._fronts.values():
-            for name, count in front.busy.items():
-                totals[name] = totals.get(name, 0) + count
+            for name, using in front.busy.items():
+                totals[name] = totals.get(name, 0) + sum(using.values())
         return totals
 
+    def _using(self, upstream: str) -> set[str]:
+        using: set[str] = set()
+        for front in self._fronts.values():
+            using.update(front.busy.get(upstream, ()))
+        return using
+
+    def _version(self, artifact: str) -> int:
+        return self._control.state.artifact_versions.get(artifact, 0)
+
     # -- wants ---------------------------------------------------------
 
     async def handle_want(self, want: WantArtifact) -> ArtifactReady:
         """Has an engine hold something; answers once it does."""
         if not self.is_owner():
-            return ArtifactReady("", after=1.0, reason="not_owner")
-        now = self._loop.time()
-        for engine in self._placement.holders(want.artifact, want.version):
-            if engine.name not in want.avoid and not engine.draining:
-                version = engine.held[want.artifact].version
-                return ArtifactReady(engine.name, version)
-        if now < self._orders_from:
-            after = self._orders_from - now
-            return ArtifactReady("", after=after, reason="earlier_owner")
-        loading = self._loadings.get(want.artifact)
-        if loading is None:
-            loading = self._begin_load(want)
-        try:
-            return await asyncio.wait_for(
-                asyncio.shield(loading.answer), want.patience
-            )
-        except TimeoutError:
-            return ArtifactReady("", after=0.5, reason="load_too_slow")
+            return ArtifactReady("", after=1.0, reason=NOT_OWNER)
+        return await self._loads.want(want)
 
-    def _begin_load(self, want: WantArtifact) -> _Loading:
-        loading = _Loading(self._loop.create_future(), self._loop.time())
-        self._loadings[want.artifact] = loading
-        self._spawn(self._bring(want, loading))
-        return loading
-
-    def _spawn(self, work: Any) -> None:
-        task = self._loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _bring(self, want: WantArtifact, loading: _Loading) -> None:
-        answer = ArtifactReady("", after=0.5, reason="no_engine")
-        try:
-            answer = await self._bring_somewhere(want)
-        except Exception:  # noqa: BLE001 - those who wait must get an answer
-            write_traceback()
-        finally:
-            if self._loadings.get(want.artifact) is loading:
-                del self._loadings[want.artifact]
-            if not loading.answer.done():
-                loading.answer.set_result(answer)
-
-    async def _bring_somewhere(self, want: WantArtifact) -> ArtifactReady:
-        avoid = set(want.avoid)
-        for _ in range(_TRIES):
-            choice = self._choose(want, avoid)
-            if choice is None:
-                return ArtifactReady("", after=0.3, reason="no_place")
-            if await self._load(choice, want.artifact, want.version):
-                held = choice.engine.held.get(want.artifact)
-                version = held.version if held else 0
-                return ArtifactReady(choice.engine.name, version)
-            avoid.add(choice.engine.name)
-        return ArtifactReady("", after=0.5, reason="loads_failed")
-
-    def _choose(self, want: WantArtifact, avoid: set[str]) -> Choice | None:
-        now = self._loop.time()
+    def _engines_of(self, service: str) -> list[Engine]:
         registry = self._registry
         if registry is None:
-            return None
-        engines = [
+            return []
+        return [
             engine
             for engine in self._placement.engines.values()
-            if engine.name not in avoid
-            and engine.name in registry.upstreams
-            and registry.upstreams[engine.name].service == want.service
+            if engine.name in registry.upstreams
+            and registry.upstreams[engine.name].service == service
         ]
-        return self._placement.choose(want.artifact, engines, self._busy(), now)
-
-    # -- loads ---------------------------------------------------------
 
-    async def _load(self, choice: Choice, artifact: str, version: int) -> bool:
-        """Unloads what gives way, loads, and waits until it is there."""
-        engine = choice.engine
-        now = self._loop.time()
-        engine.loading[artifact] = Pending(version, now)
-        if choice.victim:
-            engine.held.pop(choice.victim, None)
-            engine.leaving[choice.victim] = now
-            self._tell_resident(engine)
-        try:
-            if choice.victim and not await self._unload(engine, choice.victim):
-                return False
-            verdict = await self._order(Action.LOAD, engine, artifact, version)
-            if verdict is OrderVerdict.HOLDS:
-                self._note_loaded(engine, artifact, version, now)
-                return True
-            if verdict is not OrderVerdict.TAKEN:
-                return False
-            return await self._await_load(engine, artifact, version)
-        finally:
-            engine.loading.pop(artifact, None)
-
-    async def _unload(self, engine: Engine, artifact: str) -> bool:
-        verdict = await self._order(Action.UNLOAD, engine, artifact, 0)
-        if verdict is OrderVerdict.HOLDS:
-            engine.leaving.pop(artifact, None)
-            return True
-        if verdict is OrderVerdict.REFUSED:
-            # Certainly not done: it is still there.
-            engine.leaving.pop(artifact, None)
-            now = self._loop.time()
-            engine.held[artifact] = Held(0, now, now)
-        return False
-
-    async def _await_load(
-        self, engine: Engine, artifact: str, version: int
-    ) -> bool:
-        began = self._loop.time()
-        await asyncio.sleep(self._load_seconds)
-        while self._loop.time() - began < _LOAD_MOST_SECONDS:
-            verdict = await self._order(Action.LOAD, engine, artifact, version)
-            if verdict is OrderVerdict.HOLDS:
-                now = self._loop.time()
-                took = now - began
-                change = took - self._load_seconds
-                self._load_seconds += _LOAD_SMOOTHING * change
-                self._note_loaded(engine, artifact, version, now)
-                return True
-            if verdict in (OrderVerdict.MISDIRECTED, OrderVerdict.FENCED):
-                return False
-            await asyncio.sleep(_POLL_SECONDS)
-        return False
-
-    def _note_loaded(
-        self, engine: Engine, artifact: str, version: int, now: float
-    ) -> None:
-        known = self._control.state.artifact_versions.get(artifact, 1)
-        engine.held[artifact] = Held(max(known, version), now, now)
-        self._tell_resident(engine)
-
-    def _replace_old_versions(self) -> None:
-        """Has engines bring the new version of what they hold in an old one."""
-        now = self._loop.time()
-        if now < self._orders_from:
-            return
-        for artifact, version in self._control.state.artifact_versions.items():
-            for engine in self._placement.engines.values():
-                held = engine.held.get(artifact)
-                if held is None or held.version >= version:
-                    continue
-                if artifact not in engine.loading and engine.can_order(now):
-                    engine.loading[artifact] = Pending(version, now)
-                    self._spawn(self._replace(engine, artifact, version))
-
-    async def _replace(
-        self, engine: Engine, artifact: str, version: int
-    ) -> None:
-        try:
-            verdict = await self._order(Action.LOAD, engine, artifact, version)
-            if verdict is OrderVerdict.HOLDS:
-                self._note_loaded(engine, artifact, version, self._loop.time())
-            elif verdict is OrderVerdict.TAKEN:
-                await self._await_load(engine, artifact, version)
-        finally:
-            engine.loading.pop(artifact, None)
-
-    # -- orders --------------------------------------------------------
-
-    async def _order(
-        self, action: Action, engine: Engine, artifact: str, version: int
-    ) -> OrderVerdict:
-        """Gives an order, one at a time to each engine."""
-        lock = self._locks.setdefault(engine.name, asyncio.Lock())
-        async with lock:
-            if engine.revision is None:
-                await self._ask_report(engine)
-            registry = self._registry
-            now = self._loop.time()
-            if registry is None or not self.is_owner():
-                return OrderVerdict.REFUSED
-            if now < self._orders_from or not engine.can_order(now):
-                return OrderVerdict.REFUSED
-            order = FleetOrder(
-                action,
-                engine.name,
-                engine.address,
-                artifact,
-                version,
-                self._control.node.name,
-                registry.epoch,
-                engine.revision,
-            )
-            verdict = await self._give(order)
-            self._note_verdict(engine, order, verdict)
-            return verdict
-
-    async def _give(self, order: FleetOrder) -> OrderVerdict:
-        request = self._calls.write_order(order)
-        began = self._loop.time()
-        try:
-            async with asyncio.timeout(_ORDER_SECONDS):
-                status, body = await self._exchange(order.address, request)
-            verdict = self._calls.read_verdict(status)
-            detail = body[:200].decode("latin-1")
-        except (ChannelError, TimeoutError) as error:
-            sent = not isinstance(error, ChannelError) or error.sent
-            verdict = OrderVerdict.UNKNOWN if sent else OrderVerdict.MISDIRECTED
-            status = 0
-            detail = str(error) or "no answer in time"
-        log_message(
-            "fleet:order",
-            action=order.action.value,
-            upstream=order.upstream,
-            peer=order.address,
-            artifact=order.artifact,
-            version=order.version,
-            revision=order.revision,
-            token=order.token,
-            verdict=verdict.value,
-            status=status,
-            detail=detail,
-            seconds=round(self._loop.time() - began, 4),
-        )
-        return verdict
+    def _authority(self) -> Authority | None:
+        """Returns in whose name to order now; None when this node must not."""
+        if self._registry is None or not self.is_owner():
+            return None
+        if self._loop.time() < self._orders_from:
+            return None
+        return Authority(self._control.node.name, self._registry.epoch)
 
-    async def _exchange(
-        self, address: str, request: HttpRequest
-    ) -> tuple[int, bytes]:
-        exchange = await self._channels.send(address, request)
-        try:
-            head = await exchange.read_head()
-            parts = []
-            while data := await exchange.read_data():
-                parts.append(data)
-            return head.status, b"".join(parts)
-        finally:
-            exchange.cancel()
-
-    def _note_verdict(
-        self, engine: Engine, order: FleetOrder, verdict: OrderVerdict
-    ) -> None:
-        now = self._loop.time()
-        if verdict is OrderVerdict.TAKEN or (
-            verdict is OrderVerdict.HOLDS and order.action is Action.UNLOAD
-        ):
-            if engine.revision is not None:
-                engine.revision += 1
-        elif verdict is OrderVerdict.UNKNOWN:
-            engine.revision = None
-            engine.suspended_until = now + _SUSPEND_SECONDS
-            if order.action is Action.LOAD:
-                engine.ghosts[order.artifact] = now + GHOST_SECONDS
-        elif verdict is OrderVerdict.MISDIRECTED:
-            engine.suspended_until = now + _SUSPEND_SECONDS
-        elif verdict is OrderVerdict.REFUSED:
-            engine.revision = None
-
-    async def _ask_report(self, engine: Engine) -> None:
-        request = self._calls.ask_report(engine.name, engine.address)
-        try:
-            async with asyncio.timeout(_ORDER_SECONDS):
-                status, body = await self._exchange(engine.address, request)
-        except (ChannelError, TimeoutError) as error:
-            log_message(
-                "fleet:no_report", upstream=engine.name, detail=str(error)
-            )
-            return
-        if status == 200:
-            report = self._calls.read_report(body)
-            engine.take_report(report, self._loop.time())
-            log_message(
-                "fleet:report",
-                upstream=engine.name,
-                revision=report.revision,
-                busy=report.busy,
-                incoming=len(report.incoming),
-                resident=len(report.resident),
-                body=body[:400].decode("latin-1"),
-            )
+    def _tend(self) -> None:
+        for service in self.table.services.values():
+            if service.engine is not None:
+                models = tuple(model.name for model in service.engine.models)
+                self._loads.tend(service.name, models)
 
 
 # How long another node's owner has to take what was passed on, in seconds; the
--- a/src/ridgesill/app/formation.py
+++ b/src/ridgesill/app/formation.py
@@ -19,6 +19,9 @@
 from ridgesill.core.state import State
 
 _TICK = 0.05
+# Where the log starts: above 0, so that the other voters, whose disks start
+# empty, are sent the snapshot that names the voters.
+_FOUNDING_INDEX = 1
 # Seconds after which the founder goes on with a majority of those expected.
 _PATIENCE = 5.0
 
@@ -69,8 +72,10 @@
             await asyncio.sleep(_TICK)
         state = State()
         state.nodes = dict(self._heard)
+        state.advance(_FOUNDING_INDEX)
         voters = tuple(sorted(node.voter for node in self._heard.values()))
-        self._storage.found(self.identity, found_snapshot(voters, state.dump()))
+        snapshot = found_snapshot(voters, state.dump(), _FOUNDING_INDEX)
+        self._storage.found(self.identity, snapshot)
         log_message("log:founded", identity=self.identity, voters=voters)
 
     def _is_enough(self, waited: float) -> bool:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -32,6 +32,9 @@
 _COME_BACK = 0.5
 # A want for an artifact leaves this much of the time for the answer, seconds.
 _ANSWER_SECONDS = 0.3
+# A request waits no longer than this for a load, in seconds: clients give a
+# stream up after two seconds without an event at the least.
+_LOAD_WAIT_MOST = 1.8
 # Channels kept longer than this aren't used for what may not run twice: an
 # upstream may just have closed them. Seconds.
 _FRESH_FOR_UNSAFE = 3.0
@@ -235,7 +238,8 @@
         while self._wants < _MOST_WANTS:
             self._wants += 1
             asked_at = self._loop.time()
-            patience = self._deadline - asked_at - _ANSWER_SECONDS
+            left = self._deadline - asked_at - _ANSWER_SECONDS
+            patience = min(left, _LOAD_WAIT_MOST)
             if patience <= 0:
                 return Refusal("no_time_to_load")
             want = WantArtifact(
@@ -258,6 +262,7 @@
             )
             upstream = front.chooser.view.upstreams.get(answer.upstream)
             if upstream is not None:
+                upstream.resident[wanted.artifact] = answer.version
                 return upstream
             chosen = front.chooser.choose(wanted, self._tried, now)
             if chosen is not None:
@@ -271,7 +276,8 @@
     async def _send(self, route: Route, upstream: Upstream) -> Failure | None:
         """Returns None once the answer is delivered."""
         chooser = self._front.chooser
-        chooser.begin(upstream.name)
+        artifact = self._facts.artifact
+        chooser.begin(upstream.name, artifact)
         exchange: Exchange | None = None
         try:
             exchange = await self._open(route, upstream)
@@ -283,7 +289,7 @@
                 self._tried.append(upstream.name)
             return Failure(str(error), not error.sent, arrived=error.sent)
         finally:
-            chooser.end(upstream.name)
+            chooser.end(upstream.name, artifact)
             if exchange is not None:
                 exchange.cancel()
 
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -71,6 +71,7 @@
             self._owner_address,
             settings.peers,
             self._usage,
+            settings.seeds,
         )
         bounds = settings.bounds
         self.front = Front(
@@ -187,6 +188,7 @@
         began = self._loop.time()
         self._callers.drain()
         await asyncio.sleep(_NOTICE_SECONDS)
+        self._callers.close()
         for connection in list(self._callers.connections):
             connection.close_if_idle()
         deadline = began + self._settings.bounds.grace - _GRACE_MARGIN
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -13,7 +13,11 @@
 GHOST_SECONDS = 13.0
 # Reports and heartbeats may be this old, in seconds; what was ordered later
 # than that isn't judged by them.
-_REPORT_LAG = 2.5
+_REPORT_LAG = 4.0
+# Heartbeats that must lack an artifact before it counts as gone.
+_MISSED_MOST = 3
+# Adapters that an engine had before and loads again without the store.
+_LATELY_KEPT = 256
 
 
 def is_adapter(artifact: str) -> bool:
@@ -41,6 +45,7 @@
 
     version: int
     since: float
+    taken: bool = False
 
 
 @attrs.define
@@ -52,6 +57,9 @@
         leaving: artifacts whose unload was ordered and is not yet done.
         ghosts: artifacts of orders without an answer, and until when those
             may still be carried out.
+        waits_for: the artifact whose runs an order waits for; meanwhile the
+            engine takes no other order.
+        ordered_at: when it last took an order.
         suspended_until: until when it gets no orders, after failures.
     """
 
@@ -64,8 +72,11 @@
     loading: dict[str, Pending] = attrs.Factory(dict)
     leaving: dict[str, float] = attrs.Factory(dict)
     ghosts: dict[str, float] = attrs.Factory(dict)
+    waits_for: str = ""
+    ordered_at: float = float("-inf")
     suspended_until: float = 0.0
     draining: bool = False
+    _lately: dict[str, None] = attrs.Factory(dict)
     _missed: dict[str, int] = attrs.Factory(dict)
 
     def places_taken(self, now: float) -> int:
@@ -84,6 +95,12 @@
         """Returns the places for adapters that are certainly free."""
         return self.spec.adapter_slots - self.places_taken(now)
 
+    def is_overfull(self, now: float) -> bool:
+        """Whether what is there and on its way may be over its places."""
+        if self.free_places(now) < 0:
+            return True
+        return self.weights_taken() > self.spec.weights_mb
+
     def weights_taken(self) -> float:
         """Returns the megabytes that models and adapters take."""
         total = 0.0
@@ -94,6 +111,29 @@
                 total += model.adapter_mb if is_small else model.weights_mb
         return total
 
+    def has_room(self, model: str) -> bool:
+        """Whether a base model fits beside what is there."""
+        spec = self.spec.model(model)
+        if spec is None:
+            return False
+        return self.weights_taken() + spec.weights_mb <= self.spec.weights_mb
+
+    def is_busy(self) -> bool:
+        """Whether it would refuse an order for something else."""
+        taken = sum(pending.taken for pending in self.loading.values())
+        return bool(self.waits_for) or taken >= LOADS_AT_ONCE
+
+    def note_left(self, artifact: str) -> None:
+        """Notes that an adapter was unloaded; a copy stays near for a while."""
+        self._lately.pop(artifact, None)
+        self._lately[artifact] = None
+        if len(self._lately) > _LATELY_KEPT:
+            del self._lately[next(iter(self._lately))]
+
+    def had_lately(self, artifact: str) -> bool:
+        """Whether it would load an adapter without the store."""
+        return artifact in self._lately
+
     def has_model(self, model: str) -> bool:
         """Whether the base model is there."""
         return model in self.held
@@ -138,7 +178,7 @@
                 continue
             missed = self._missed.get(artifact, 0) + 1
             self._missed[artifact] = missed
-            if missed >= 2:
+            if missed >= _MISSED_MOST:
                 del self.held[artifact]
                 del self._missed[artifact]
 
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -102,7 +102,7 @@
         number: of the last change known.
         wait: seconds after which the owner answers with nothing new.
         used: requests by artifact since the last question.
-        busy: requests in progress from this front, by upstream.
+        busy: requests in progress from this front, by upstream and artifact.
     """
 
     epoch: int
@@ -110,7 +110,7 @@
     wait: float
     is_front: bool = True
     used: dict[str, int] = attrs.Factory(dict)
-    busy: dict[str, int] = attrs.Factory(dict)
+    busy: dict[str, dict[str, int]] = attrs.Factory(dict)
 
 
 @register
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -1,5 +1,7 @@
 """Which engine gets a missing artifact, and what gives way for it."""
 
+from collections.abc import Callable
+
 import attrs
 
 from ridgesill.core.fleet.engines import (
@@ -10,9 +12,10 @@
 )
 from ridgesill.core.pool.popularity import Popularity
 
-# Half-life of requests counted for an adapter's worth, in seconds; demand
-# moves on within seconds.
-HALF_LIFE = 10.0
+# Half-life of requests counted for an adapter's worth, in seconds: some
+# thousand requests, since a few at a time lose their demand and keep a place
+# too long, but a shorter memory forgets the many of middling demand.
+HALF_LIFE = 60.0
 # An adapter used or loaded less than this many seconds ago doesn't give way:
 # requests that the owner hasn't heard of yet may be on their way to it.
 _SETTLE_SECONDS = 1.5
@@ -20,6 +23,9 @@
 _BUSY_COST = 2.0
 # What each load on its way to the same engine costs, in the same measure.
 _LOADING_COST = 0.3
+# What it is worth, in the same measure, that an engine had an adapter lately:
+# it loads ten times as fast, and costs the store nothing.
+_LATELY_BONUS = 1.0
 # Copies divide an adapter's requests; the last copy is worth more than that.
 _COPY_SHARE = 0.5
 
@@ -66,6 +72,7 @@
         artifact: str,
         engines: list[Engine],
         busy: dict[str, int],
+        using: Callable[[str], set[str]],
         now: float,
     ) -> Choice | None:
         """Returns where to load an adapter, or None if nothing can give way.
@@ -74,28 +81,55 @@
             artifact: the adapter.
             engines: those that may take it.
             busy: requests in progress by engine.
+            using: returns the artifacts in use on an engine.
             now: the clock, in seconds.
         """
         best: tuple[float, Choice] | None = None
         for engine in engines:
-            ranked = self._rank(artifact, engine, busy, now)
+            ranked = self._rank(artifact, engine, busy, using, now)
             if ranked is not None and (best is None or ranked[0] < best[0]):
                 best = ranked
         return best[1] if best else None
 
+    def choose_for_model(
+        self,
+        model: str,
+        engines: list[Engine],
+        busy: dict[str, int],
+        now: float,
+    ) -> Choice | None:
+        """Returns where to load a base model, if one has room for it."""
+        roomy = [
+            engine
+            for engine in engines
+            if engine.can_order(now)
+            and not engine.is_busy()
+            and not engine.loading
+            and engine.has_room(model)
+        ]
+        best = min(roomy, key=lambda e: busy.get(e.name, 0), default=None)
+        return Choice(best) if best else None
+
     def _rank(
-        self, artifact: str, engine: Engine, busy: dict[str, int], now: float
+        self,
+        artifact: str,
+        engine: Engine,
+        busy: dict[str, int],
+        using: Callable[[str], set[str]],
+        now: float,
     ) -> tuple[float, Choice] | None:
         if not self._may_load(artifact, engine, now):
             return None
         cost = _LOADING_COST * len(engine.loading)
         share = busy.get(engine.name, 0) / max(engine.spec.slots, 1)
         cost += _BUSY_COST * share
+        if engine.had_lately(artifact):
+            cost -= _LATELY_BONUS
         if engine.free_places(now) > 0:
             return cost, Choice(engine)
         if engine.free_places(now) < 0:
             return None
-        victim = self.choose_victim(engine, now)
+        victim = self.choose_victim(engine, using(engine.name), now)
         if victim is None:
             return None
         return cost + self.worth(victim, now), Choice(engine, victim)
@@ -103,6 +137,7 @@
     def _may_load(self, artifact: str, engine: Engine, now: float) -> bool:
         return (
             engine.can_order(now)
+            and not engine.is_busy()
             and engine.has_model(model_of(artifact))
             and artifact not in engine.held
             and artifact not in engine.loading
@@ -110,12 +145,15 @@
             and len(engine.loading) < LOADS_AT_ONCE
         )
 
-    def choose_victim(self, engine: Engine, now: float) -> str | None:
+    def choose_victim(
+        self, engine: Engine, using: set[str], now: float
+    ) -> str | None:
         """Returns the adapter of least worth that may give way."""
         settled = [
             artifact
             for artifact, held in engine.held.items()
             if is_adapter(artifact)
+            and artifact not in using
             and now - held.used_at > _SETTLE_SECONDS
             and now - held.since > _SETTLE_SECONDS
         ]
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -159,7 +159,7 @@
         self, epoch: int, number: int, fronts: int, busy: dict[str, int]
     ) -> FleetNews:
         """Returns what has changed since a number, or everything."""
-        if epoch == self.epoch and number >= self._oldest():
+        if epoch == self.epoch and number > 0 and number >= self._oldest():
             changes = tuple(c for n, c in self._changes if n > number)
             whole = False
         else:
--- a/src/ridgesill/core/log/replica.py
+++ b/src/ridgesill/core/log/replica.py
@@ -498,6 +498,12 @@
     return ranked[len(ranked) // 2]
 
 
-def found_snapshot(voters: tuple[str, ...], data: bytes) -> Snapshot:
-    """Returns the snapshot that a new log of these voters starts from."""
-    return Snapshot(0, 0, Voters(voters), data)
+def found_snapshot(
+    voters: tuple[str, ...], data: bytes, index: int = 0
+) -> Snapshot:
+    """Returns the snapshot that a new log of these voters starts from.
+
+    With an index above 0, a replica that starts from an empty disk lacks it
+    and is sent it; at 0 every founding disk must hold the same one.
+    """
+    return Snapshot(index, 0, Voters(voters), data)
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -54,32 +54,37 @@
         self.outcomes = outcomes
         self._data_centre = data_centre
         self._rng = rng or random.Random()
-        self._own: dict[str, int] = {}
+        self._own: dict[str, dict[str, int]] = {}
         self._told: dict[str, int] = {}
 
     # -- requests in progress ------------------------------------------
 
-    def begin(self, upstream: str) -> None:
+    def begin(self, upstream: str, artifact: str) -> None:
         """Counts a request that goes to an upstream."""
-        self._own[upstream] = self._own.get(upstream, 0) + 1
+        using = self._own.setdefault(upstream, {})
+        using[artifact] = using.get(artifact, 0) + 1
 
-    def end(self, upstream: str) -> None:
+    def end(self, upstream: str, artifact: str) -> None:
         """Counts a request that has ended there."""
-        left = self._own.get(upstream, 0) - 1
+        using = self._own.get(upstream, {})
+        left = using.get(artifact, 0) - 1
         if left > 0:
-            self._own[upstream] = left
-        else:
+            using[artifact] = left
+            return
+        using.pop(artifact, None)
+        if not using:
             self._own.pop(upstream, None)
 
-    def tell_busy(self) -> dict[str, int]:
+    def tell_busy(self) -> dict[str, dict[str, int]]:
         """Returns this front's requests in progress, to be told the owner."""
-        self._told = dict(self._own)
-        return self._told
+        self._told = {name: sum(u.values()) for name, u in self._own.items()}
+        return {name: dict(using) for name, using in self._own.items()}
 
     def busy(self, upstream: str) -> int:
         """Returns the requests in progress at an upstream, as far as known."""
         others = self.view.busy.get(upstream, 0) - self._told.get(upstream, 0)
-        return max(others, 0) + self._own.get(upstream, 0)
+        own = sum(self._own.get(upstream, {}).values())
+        return max(others, 0) + own
 
     # -- choice --------------------------------------------------------
 
