Give up peer streams that hang; outlive a disk that is full

Ruled out: the owner's own delay (it told the others in 90 ms). Change: each stream in use asks for any answer within 0.7 s and is opened anew; a refused write is cut off the file and tried again.

--- a/src/ridgesill/adapters/file_log.py
+++ b/src/ridgesill/adapters/file_log.py
@@ -7,12 +7,13 @@
 to do, since a voter must not forget what it has acknowledged.
 """
 
+import io
 import os
 import secrets
 import struct
 import zlib
 from pathlib import Path
-from typing import Any, BinaryIO
+from typing import Any
 
 import attrs
 
@@ -63,7 +64,8 @@
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
         self._sync = sync
-        self._file: BinaryIO | None = None
+        self._file: io.FileIO | None = None
+        self._length = 0
         self.identity = self._read_identity()
 
     def found(self, identity: str, snapshot: Snapshot) -> None:
@@ -96,7 +98,7 @@
                 hard_state = record.value
             else:
                 place_entry(entries, record.value)
-        self._file = (self._folder / _LOG).open("ab")
+        self._open_log()
         kept = tuple(e for e in entries if e.index > snapshot.index)
         return Stored(hard_state, kept, snapshot)
 
@@ -109,9 +111,21 @@
             frames.insert(0, _frame(codec.encode(hard_state)))
         if not frames or self._file is None:
             return
-        self._file.write(b"".join(frames))
-        self._file.flush()
-        self._sync(self._file.fileno())
+        data = b"".join(frames)
+        try:
+            self._write_all(data)
+            self._sync(self._file.fileno())
+        except OSError:
+            # What was written of it must not stand before the next try.
+            os.ftruncate(self._file.fileno(), self._length)
+            raise
+        self._length += len(data)
+
+    def _write_all(self, data: bytes) -> None:
+        assert self._file is not None
+        rest = memoryview(data)
+        while rest:
+            rest = rest[self._file.write(rest) :]
 
     def replace(
         self,
@@ -130,7 +144,12 @@
         self._write_file(_LOG, b"".join(frames))
         if self._file is not None:
             self._file.close()
-        self._file = (self._folder / _LOG).open("ab")
+        self._open_log()
+
+    def _open_log(self) -> None:
+        # Unbuffered, so that a failed write leaves nothing behind here.
+        self._file = (self._folder / _LOG).open("ab", buffering=0)
+        self._length = (self._folder / _LOG).stat().st_size
 
     def close(self) -> None:
         """Closes the log."""
--- a/src/ridgesill/adapters/peer_rpc.py
+++ b/src/ridgesill/adapters/peer_rpc.py
@@ -21,7 +21,15 @@
 Handler = Callable[[str, Any], Awaitable[Any]]
 
 _QUEUE = 1024
-_RECONNECT = 0.2
+_RECONNECT = 0.1
+# Within which a stream to a peer must come up, in seconds; a VM without power
+# says nothing, and the system alone would go on trying for minutes.
+_CONNECT_SECONDS = 0.6
+# How often a stream in use is looked at, and after how long without any answer
+# it is given up, in seconds. A stream that a cut has held up would else hang
+# until the system sends again, which it does less and less often.
+_CHECK_SECONDS = 0.3
+_SILENT_SECONDS = 0.7
 _STREAM_ERRORS = (
     OSError,
     GRPCError,
@@ -107,6 +115,9 @@
             reply.error = str(error)
         if not envelope.call:
             return
+        if not envelope.body:
+            # Only asks whether this stream works.
+            reply.error = ""
         try:
             self._traffic.sent(reply)
             await stream.send_message(reply)
@@ -124,6 +135,8 @@
     outbox: asyncio.Queue[Envelope]
     calls: dict[int, asyncio.Future[Envelope]] = attrs.Factory(dict)
     task: asyncio.Task[None] | None = None
+    sent: int = 0
+    heard: int = 0
 
 
 class PeerLinks:
@@ -240,27 +253,50 @@
         channel = Channel(host, port, ssl=self._context())
         try:
             async with PeerStub(channel).Exchange.open() as stream:
-                self.traffic.sent(first)
-                await stream.send_message(first)
+                async with asyncio.timeout(_CONNECT_SECONDS):
+                    await self._send(link, stream, first)
                 reader = asyncio.create_task(self._read(link, stream))
                 writer = asyncio.create_task(self._write(link, stream))
-                await _first_of(reader, writer)
+                checker = asyncio.create_task(self._check(link, stream))
+                await _first_of(reader, writer, checker)
         finally:
             channel.close()
 
+    async def _send(self, link: _Link, stream: Any, envelope: Envelope) -> None:
+        self.traffic.sent(envelope)
+        link.sent += 1
+        await stream.send_message(envelope)
+
     async def _write(self, link: _Link, stream: Any) -> None:
         while True:
-            envelope = await link.outbox.get()
-            self.traffic.sent(envelope)
-            await stream.send_message(envelope)
+            await self._send(link, stream, await link.outbox.get())
 
     async def _read(self, link: _Link, stream: Any) -> None:
         async for envelope in stream:
             self.traffic.received(envelope)
+            link.heard += 1
             future = link.calls.get(envelope.call)
             if future and not future.done():
                 future.set_result(envelope)
 
+    async def _check(self, link: _Link, stream: Any) -> None:
+        """Raises once what was sent gets no answer of any kind."""
+        loop = asyncio.get_running_loop()
+        sent = link.sent - 1
+        heard = link.heard
+        heard_at = loop.time()
+        while True:
+            await asyncio.sleep(_CHECK_SECONDS)
+            now = loop.time()
+            if link.heard != heard or link.sent == sent:
+                heard, sent, heard_at = link.heard, link.sent, now
+                continue
+            if now - heard_at > _SILENT_SECONDS:
+                raise StreamTerminatedError("no answer of any kind in time")
+            question = Envelope(call=next(self._numbers), sender=self._identity)
+            async with asyncio.timeout(_SILENT_SECONDS):
+                await self._send(link, stream, question)
+
     def _fail(self, link: _Link, reason: str) -> None:
         for future in link.calls.values():
             if not future.done():
--- a/src/ridgesill/app/log_driver.py
+++ b/src/ridgesill/app/log_driver.py
@@ -19,6 +19,11 @@
 
 _TICK = 0.1
 _COMPACT_ENTRIES = 1000
+# Bytes of applied commands after which a snapshot is made: a routing document
+# can be a hundred times a usual command.
+_COMPACT_BYTES = 2 * 2**20
+# How often a write that the disk refuses is tried again, in seconds.
+_RETRY_STORE = 0.2
 
 
 @codec.register
@@ -92,6 +97,7 @@
         self._run_blocking = run_blocking or _run_in_thread
         self._inbox: asyncio.Queue[_Proposal | _Received] = asyncio.Queue()
         self._waiting: dict[int, tuple[int, asyncio.Future[Any]]] = {}
+        self._applied_bytes = 0
 
     @property
     def is_leader(self) -> bool:
@@ -158,6 +164,7 @@
             message = ReplicaMessage(self.replica.identity, send.to, body)
             self._send(send.to, message)
         for entry in output.committed:
+            self._applied_bytes += len(entry.command)
             answer = self.state.apply(entry)
             self._answer(entry.index, entry.term, answer)
         if output.committed or output.snapshot:
@@ -167,14 +174,36 @@
     async def _store(self, output: Output) -> None:
         if output.snapshot is not None:
             snapshot = output.snapshot
-            await self._run_blocking(self._replace_stored)
+            await self._insist(self._replace_stored)
             self.state = _restore(snapshot.data, snapshot.index)
             log_message("log:snapshot_received", index=snapshot.index)
         elif output.entries or output.hard_state:
             append = functools.partial(
                 self._storage.append, output.hard_state, output.entries
             )
-            await self._run_blocking(append)
+            await self._insist(append)
+
+    async def _insist(self, call: Callable[[], None]) -> None:
+        """Has the disk take something, however long it refuses.
+
+        Until then this replica says nothing, so a leader among them is soon
+        replaced, and nothing is acknowledged that is not stored.
+        """
+        failing = False
+        while True:
+            try:
+                await self._run_blocking(call)
+            except OSError as error:
+                if not failing:
+                    log_message(
+                        "log:disk_refuses", step="write", detail=str(error)
+                    )
+                failing = True
+                await asyncio.sleep(_RETRY_STORE)
+            else:
+                if failing:
+                    log_message("log:disk_regained", step="write")
+                return
 
     def _replace_stored(self) -> None:
         log = self.replica.log
@@ -186,10 +215,12 @@
 
     async def _compact(self) -> None:
         log = self.replica.log
-        if self.state.index - log.snapshot.index < self._compact_entries:
+        many = self.state.index - log.snapshot.index >= self._compact_entries
+        if not many and self._applied_bytes < _COMPACT_BYTES:
             return
+        self._applied_bytes = 0
         self.replica.compact(self.state.dump(), self.state.index)
-        await self._run_blocking(self._replace_stored)
+        await self._insist(self._replace_stored)
         log_message("log:compacted", index=self.state.index)
 
     def _answer(self, index: int, term: int, answer: Any) -> None:
--- a/testing/adapters/test_file_log.py
+++ b/testing/adapters/test_file_log.py
@@ -1,5 +1,6 @@
 """Tests of the log in files."""
 
+import os
 from pathlib import Path
 
 import pytest
@@ -27,6 +28,35 @@
     return FileLog(folder)
 
 
+class FullDisk:
+    """Refuses to sync while it is full."""
+
+    def __init__(self) -> None:
+        self.is_full = False
+
+    def sync(self, descriptor: int) -> None:
+        if self.is_full:
+            raise OSError(28, "No space left on device")
+        os.fdatasync(descriptor)
+
+
+class TestFullDisk:
+    def test_a_refused_append_leaves_nothing_behind(
+        self, tmp_path: Path
+    ) -> None:
+        disk = FullDisk()
+        log = FileLog(tmp_path, disk.sync)
+        log.found("a.0", found_snapshot(("a.0",), b""))
+        log.load()
+        log.append(None, entries(1, 2))
+        disk.is_full = True
+        with pytest.raises(OSError):
+            log.append(None, entries(3, 4))
+        disk.is_full = False
+        log.append(None, entries(3, 3))
+        assert list(reopened(tmp_path).load().entries) == entries(1, 3)
+
+
 class TestAppend:
     def test_what_was_appended_is_found(self, tmp_path: Path) -> None:
         log = founded(tmp_path)
