--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -18,7 +18,7 @@
 
 # After this long without an acknowledgement the kernel gives a channel up;
 # without it, a channel to a VM without power hangs for minutes.
-_USER_TIMEOUT_MS = 2000
+_USER_TIMEOUT_MS = 800
 # Taken off what an upstream's Keep-Alive promises, for the way there.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
 # How long a channel rests when its upstream says nothing, in seconds.
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -24,7 +24,7 @@
 
 # Within which an engine answers an order; it takes some milliseconds unless
 # the answer is lost.
-_ORDER_SECONDS = 0.25
+_ORDER_SECONDS = 0.1
 # How often an order without an answer is given in all.
 _TIMES = 3
 # A report may be some hundred milliseconds old: it is believed only when no
@@ -100,7 +100,8 @@
             for _ in range(_TIMES):
                 order = self._make(action, engine, artifact, version)
                 if order is None:
-                    break
+                    # Nothing was sent, or no more than what came before.
+                    return OrderVerdict.UNKNOWN if unknown else verdict
                 verdict = await self._send(order)
                 if verdict is not OrderVerdict.UNKNOWN:
                     break
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -214,7 +214,7 @@
         verdict = await self._orders.give(Action.UNLOAD, engine, artifact)
         if verdict is OrderVerdict.HOLDS:
             engine.leaving.pop(artifact, None)
-            engine.note_left(artifact)
+            engine.note_left(artifact, self._loop.time())
             return True
         if verdict is OrderVerdict.TAKEN:
             engine.waits_for = artifact
@@ -236,7 +236,7 @@
             )
             if verdict is OrderVerdict.HOLDS:
                 engine.leaving.pop(artifact, None)
-                engine.note_left(artifact)
+                engine.note_left(artifact, self._loop.time())
                 break
             if verdict is OrderVerdict.MISDIRECTED:
                 break
@@ -305,11 +305,23 @@
             if engine.revision is None and not engine.loading:
                 self._spawn(self._orders.prepare(engine))
                 continue
+            if engine.free_places(now) < 0:
+                self._make_room(engine, now)
+                continue
             if not any(engine.has_model(model) for model in models):
                 self._begin_model(engine, models)
                 continue
             self._replace_old(engine, now)
 
+    def _make_room(self, engine: Engine, now: float) -> None:
+        """Unloads from an engine that is believed to hold too much."""
+        if engine.loading or engine.leaving:
+            return
+        using = self._view.using(engine.name)
+        victim = self._placement.choose_victim(engine, using, now)
+        if victim is not None:
+            self._spawn(self._unload(engine, victim))
+
     def _begin_model(self, engine: Engine, models: tuple[str, ...]) -> None:
         for model in models:
             if engine.loading or not engine.has_room(model):
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -153,6 +153,7 @@
         self._wants = 0
         self._waited = 0.0
         self._first_at = 0.0
+        self._asked = ""
         self._splitter: EventSplitter | None = None
 
     # -- the whole -----------------------------------------------------
@@ -248,7 +249,7 @@
                 wanted.service,
                 wanted.artifact,
                 wanted.version,
-                tuple(self._tried),
+                self._avoided(asked_at),
                 patience,
             )
             answer = await front.fleet.want(want)
@@ -274,6 +275,10 @@
                 return Refusal(answer.reason or "not_loaded", answer.after)
         return Refusal("not_loaded")
 
+    def _avoided(self, now: float) -> tuple[str, ...]:
+        ejected = self._front.chooser.out_of_use(self._service, now)
+        return tuple({*self._tried, *ejected})
+
     # -- one attempt ---------------------------------------------------
 
     async def _send(self, route: Route, upstream: Upstream) -> Failure | None:
@@ -281,11 +286,14 @@
         chooser = self._front.chooser
         artifact = self._facts.artifact
         chooser.begin(upstream.name, artifact)
+        chooser.outcomes.note_sent(upstream.name, self._loop.time())
+        self._asked = upstream.name
         exchange: Exchange | None = None
         try:
             exchange = await self._open(route, upstream)
             self._tried.append(upstream.name)
             head = await exchange.read_head()
+            chooser.outcomes.note_heard(upstream.name, self._loop.time())
             return await self._take(route, upstream, exchange, head)
         except ChannelError as error:
             if not error.sent:
@@ -293,6 +301,7 @@
             return Failure(str(error), not error.sent, arrived=error.sent)
         finally:
             chooser.end(upstream.name, artifact)
+            chooser.outcomes.note_ended(upstream.name)
             if exchange is not None:
                 exchange.cancel()
 
@@ -335,14 +344,16 @@
             body = await _read_rest(exchange)
             return Failure(f"status {head.status}", False, (head, body))
         if route.kind == STREAM:
-            await self._relay(exchange, head)
+            await self._relay(upstream, exchange, head)
         else:
             body = await _read_rest(exchange)
             self._deliver(head, body)
         self._note_served(upstream, head)
         return None
 
-    async def _relay(self, exchange: Exchange, head: ResponseHead) -> None:
+    async def _relay(
+        self, upstream: Upstream, exchange: Exchange, head: ResponseHead
+    ) -> None:
         """Passes a stream on, event by event where it may be resumed."""
         responder = self._responder
         if not responder.started:
@@ -354,7 +365,9 @@
         splitter = self._splitter
         if splitter is not None:
             splitter.drop_rest()
+        outcomes = self._front.chooser.outcomes
         while data := await exchange.read_data():
+            outcomes.note_heard(upstream.name, self._loop.time())
             if splitter is not None:
                 data = splitter.take(data)
             if data:
@@ -453,6 +466,9 @@
         )
 
     def _time_out(self) -> None:
+        if self._asked and not self._first_at:
+            now = self._loop.time()
+            self._front.chooser.outcomes.note_failure(self._asked, now)
         if self._responder.started:
             self._responder.abort()
             self._end("cut", reason="timeout")
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -14,6 +14,8 @@
 # Reports and heartbeats may be this old, in seconds; what was ordered later
 # than that isn't judged by them.
 _REPORT_LAG = 4.0
+# A report that was asked for is at most this old, in seconds.
+_ASKED_REPORT_LAG = 0.8
 # Heartbeats that must lack an artifact before it counts as gone.
 _MISSED_MOST = 3
 # Adapters that an engine had before and loads again without the store.
@@ -76,7 +78,7 @@
     ordered_at: float = float("-inf")
     suspended_until: float = 0.0
     draining: bool = False
-    _lately: dict[str, None] = attrs.Factory(dict)
+    _left_at: dict[str, float] = attrs.Factory(dict)
     _missed: dict[str, int] = attrs.Factory(dict)
 
     def places_taken(self, now: float) -> int:
@@ -123,16 +125,20 @@
         taken = sum(pending.taken for pending in self.loading.values())
         return bool(self.waits_for) or taken >= LOADS_AT_ONCE
 
-    def note_left(self, artifact: str) -> None:
+    def note_left(self, artifact: str, now: float) -> None:
         """Notes that an adapter was unloaded; a copy stays near for a while."""
-        self._lately.pop(artifact, None)
-        self._lately[artifact] = None
-        if len(self._lately) > _LATELY_KEPT:
-            del self._lately[next(iter(self._lately))]
+        self._left_at.pop(artifact, None)
+        self._left_at[artifact] = now
+        if len(self._left_at) > _LATELY_KEPT:
+            del self._left_at[next(iter(self._left_at))]
 
     def had_lately(self, artifact: str) -> bool:
         """Whether it would load an adapter without the store."""
-        return artifact in self._lately
+        return artifact in self._left_at
+
+    def _may_be_old(self, artifact: str, now: float, lag: float) -> bool:
+        """Whether word that it is held may be from before it was unloaded."""
+        return now - self._left_at.get(artifact, float("-inf")) < lag
 
     def has_model(self, model: str) -> bool:
         """Whether the base model is there."""
@@ -159,6 +165,8 @@
             if artifact in self.leaving or artifact in self.loading:
                 continue
             held = self.held.get(artifact)
+            if held is None and self._may_be_old(artifact, now, _REPORT_LAG):
+                continue
             if held is None:
                 # Not ordered here, or an order without an answer came true.
                 self.held[artifact] = Held(version, now, now)
@@ -190,5 +198,7 @@
                 # A load that nobody here waits for; it takes a place.
                 self.ghosts[artifact] = now + GHOST_SECONDS
         for artifact, version in report.resident.items():
-            if artifact not in self.held and artifact not in self.leaving:
+            if artifact in self.held or artifact in self.leaving:
+                continue
+            if not self._may_be_old(artifact, now, _ASKED_REPORT_LAG):
                 self.held[artifact] = Held(version, now, now)
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -132,6 +132,14 @@
         cost += _FAILING * self.outcomes.failure_rate(upstream.name, now)
         return cost + self._rng.random() * _JITTER
 
+    def out_of_use(self, service: str, now: float) -> list[str]:
+        """Returns the upstreams of a service that get no new requests now."""
+        return [
+            upstream.name
+            for upstream in self.view.of_service(service)
+            if self.outcomes.is_ejected(upstream.name, now)
+        ]
+
     def least_share(self, upstreams: Iterable[Upstream]) -> float:
         """Returns how full the emptiest of some upstreams is; 1 for full."""
         shares = [self.busy(u.name) / max(u.slots, 1) for u in upstreams]
--- a/src/ridgesill/core/serving/outcomes.py
+++ b/src/ridgesill/core/serving/outcomes.py
@@ -19,6 +19,10 @@
 _UNREACHABLE_WEIGHT = 0.6
 # After this many seconds without an outcome a failure rate has halved.
 _FADE_SECONDS = 8.0
+# After this long without a byte of any answer, while requests wait for one, an
+# upstream counts as silent, in seconds; the longest prompts take a quarter of a
+# second to read, and others go on meanwhile.
+_SILENT_SECONDS = 1.0
 
 
 @attrs.define
@@ -28,6 +32,8 @@
     Attributes:
         failure_rate: a moving mean, from 0 to 1.
         ejected_until: until when it gets no new requests.
+        waiting: requests that were sent and have not ended.
+        heard_at: when a byte of an answer came, or the first of those began.
     """
 
     failure_rate: float = 0.0
@@ -35,6 +41,8 @@
     noted_at: float = 0.0
     ejected_until: float = 0.0
     ejections: int = 0
+    waiting: int = 0
+    heard_at: float = 0.0
 
 
 class Outcomes:
@@ -43,6 +51,25 @@
     def __init__(self) -> None:
         self._health: dict[str, Health] = {}
 
+    def note_sent(self, upstream: str, now: float) -> None:
+        """Notes a request that goes to an upstream."""
+        health = self._health.setdefault(upstream, Health(noted_at=now))
+        if not health.waiting:
+            health.heard_at = now
+        health.waiting += 1
+
+    def note_heard(self, upstream: str, now: float) -> None:
+        """Notes a part of an answer."""
+        health = self._health.get(upstream)
+        if health is not None:
+            health.heard_at = now
+
+    def note_ended(self, upstream: str) -> None:
+        """Notes that a request that was sent has ended, however it did."""
+        health = self._health.get(upstream)
+        if health is not None:
+            health.waiting = max(health.waiting - 1, 0)
+
     def note_success(self, upstream: str, now: float) -> None:
         """Notes an answer that was served."""
         health = self._health.get(upstream)
@@ -89,7 +116,10 @@
     def is_ejected(self, upstream: str, now: float) -> bool:
         """Whether an upstream should get no new requests now."""
         health = self._health.get(upstream)
-        return health is not None and now < health.ejected_until
+        if health is None:
+            return False
+        silent = health.waiting and now - health.heard_at > _SILENT_SECONDS
+        return bool(silent) or now < health.ejected_until
 
     def keep_only(self, upstreams: set[str]) -> None:
         """Forgets upstreams that are gone."""
--- /dev/null
+++ b/testing/core/fleet/test_engines.py
@@ -0,0 +1,83 @@
+"""Tests of what the owner believes of an engine."""
+
+import pytest
+
+from ridgesill.core.fleet.engines import Engine, Held, Pending
+from ridgesill.core.fleet.orders import EngineReport
+from ridgesill.core.serving.routes import EngineSpec, Model
+
+MODEL = "base"
+SPEC = EngineSpec(
+    slots=8,
+    weights_mb=1100.0,
+    adapter_slots=2,
+    loads_per_second=4.0,
+    models=(Model(MODEL, 1000.0, 1.0, 100, 10.0),),
+)
+
+
+@pytest.fixture
+def engine() -> Engine:
+    """Returns an engine that holds the base model and one adapter."""
+    made = Engine("i-1", "10.0.0.1:80", "a", SPEC)
+    made.adopt({MODEL: 1, "base/a1": 1}, 100.0)
+    return made
+
+
+class TestPlaces:
+    def test_loads_and_unloads_under_way_take_places(
+        self, engine: Engine
+    ) -> None:
+        assert engine.free_places(100.0) == 1
+        engine.loading["base/a2"] = Pending(1, 100.0)
+        assert engine.free_places(100.0) == 0
+        engine.leaving["base/a3"] = 100.0
+        assert engine.is_overfull(100.0)
+
+    def test_an_order_without_an_answer_takes_a_place_until_it_is_void(
+        self, engine: Engine
+    ) -> None:
+        engine.ghosts["base/a2"] = 113.0
+        assert engine.free_places(112.0) == 0
+        assert engine.free_places(114.0) == 1
+
+
+class TestHeartbeats:
+    def test_one_made_before_an_unload_does_not_bring_it_back(
+        self, engine: Engine
+    ) -> None:
+        del engine.held["base/a1"]
+        engine.note_left("base/a1", 200.0)
+        engine.reconcile({MODEL: 1, "base/a1": 1}, 200.5)
+        assert "base/a1" not in engine.held
+
+    def test_a_later_one_does(self, engine: Engine) -> None:
+        del engine.held["base/a1"]
+        engine.note_left("base/a1", 200.0)
+        engine.reconcile({MODEL: 1, "base/a1": 1}, 206.0)
+        assert "base/a1" in engine.held
+
+    def test_one_made_before_a_load_does_not_take_it_away(
+        self, engine: Engine
+    ) -> None:
+        engine.held["base/a2"] = Held(1, 200.0, 200.0)
+        for at in (201.0, 202.0, 203.0):
+            engine.reconcile({MODEL: 1, "base/a1": 1}, at)
+        assert "base/a2" in engine.held
+
+    def test_what_several_lack_is_gone(self, engine: Engine) -> None:
+        for at in (201.0, 202.0, 203.0):
+            engine.reconcile({MODEL: 1}, at)
+        assert "base/a1" not in engine.held
+
+
+class TestReports:
+    def test_what_was_unloaded_just_before_is_not_believed(
+        self, engine: Engine
+    ) -> None:
+        del engine.held["base/a1"]
+        engine.note_left("base/a1", 200.0)
+        report = EngineReport(7, False, {MODEL: 1, "base/a1": 1}, {})
+        engine.take_report(report, 200.3)
+        assert engine.revision == 7
+        assert "base/a1" not in engine.held
