Leave a voter that lost its leader within 1.2 s

Change: the platform's lease for following is 1.2 s, voters are asked three times a second, and a front stays with the voter that works.

--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -187,7 +187,9 @@
             if not address or not await self._follow_once(address):
                 failures += 1
                 await asyncio.sleep(_RETRY)
-            else:
+            elif self.driver is not None:
+                # A voter goes back to the leader; a node without a disk stays
+                # with what works, since the one before may still be cut off.
                 failures = 0
 
     def _upstream(self, failures: int) -> str:
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -20,6 +20,10 @@
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.fleet_owner import FleetOwner, owned_last
 from ridgesill.app.formation import Formation
+from ridgesill.app.front_process import (
+    FOLLOW_LEASE_SECONDS,
+    FOLLOW_WAIT_SECONDS,
+)
 from ridgesill.app.log_driver import LogDriver, ReplicaMessage
 from ridgesill.core.commands import Node
 from ridgesill.core.fleet.messages import (
@@ -83,6 +87,8 @@
             node,
             ControlSettings(
                 {seed: seed for seed in settings.seeds},
+                lease=FOLLOW_LEASE_SECONDS,
+                follow_wait=FOLLOW_WAIT_SECONDS,
                 voters_most=2 * settings.losses + 1,
                 names_are_addresses=True,
             ),
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -25,6 +25,11 @@
 from ridgesill.ports.http import HttpRequest, Responder
 from ridgesill.ports.peers import PeerError
 
+# A front leaves a voter that has been out of touch with the leader for longer
+# than this, in seconds: a change must be in force two seconds after it was
+# accepted. Voters ask the leader at least as often as the wait says.
+FOLLOW_LEASE_SECONDS = 1.2
+FOLLOW_WAIT_SECONDS = 0.3
 # Within which a channel to an upstream must come up, in seconds.
 _CONNECT_SECONDS = 0.4
 _SWEEP_SECONDS = 1.0
@@ -60,6 +65,8 @@
             node,
             ControlSettings(
                 {seed: seed for seed in settings.seeds},
+                lease=FOLLOW_LEASE_SECONDS,
+                follow_wait=FOLLOW_WAIT_SECONDS,
                 names_are_addresses=True,
             ),
             self._peers,
--- a/testing/core/fleet/__init__.py
+++ b/testing/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ridgesill.core.fleet."""
