--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -36,6 +36,8 @@
 _RETRY_SECONDS = 0.03
 # Engines that one want tries.
 _TRIES = 3
+# Copies wait while more wants than this are under way.
+_SPREAD_WANTS_MOST = 6
 # Replacements wait this long for requests on the old version to end, so that
 # the engine isn't blocked by them.
 _REPLACE_PATIENCE = 2.5
@@ -87,6 +89,7 @@
         self._loop = asyncio.get_running_loop()
         self._loadings: dict[tuple[str, str], _Loading] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._copying = False
         self._replace_since: dict[tuple[str, str], float] = {}
 
     def end(self) -> None:
@@ -312,6 +315,29 @@
                 self._begin_model(engine, models)
                 continue
             self._replace_old(engine, now)
+        self._spread(service, now)
+
+    def _spread(self, service: str, now: float) -> None:
+        """Loads a copy of a much wanted adapter, one at a time."""
+        if self._copying or len(self._loadings) > _SPREAD_WANTS_MOST:
+            return
+        chosen = self._placement.choose_copy(
+            self._view.engines(service),
+            self._view.busy(),
+            self._view.using,
+            now,
+        )
+        if chosen is not None:
+            artifact, choice = chosen
+            self._copying = True
+            self._spawn(self._copy(artifact, choice))
+
+    async def _copy(self, artifact: str, choice: Choice) -> None:
+        try:
+            version = self._view.version(artifact)
+            await self._load(choice, artifact, version)
+        finally:
+            self._copying = False
 
     def _make_room(self, engine: Engine, now: float) -> None:
         """Unloads from an engine that is believed to hold too much."""
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -29,6 +29,14 @@
 _LATELY_BONUS = 1.0
 # Copies divide an adapter's requests; the last copy is worth more than that.
 _COPY_SHARE = 0.5
+# Share of the requests from which an adapter gets a copy in every data centre:
+# the bytes saved between them and the better spread are worth more than the
+# place of an adapter that one request in some hundred asks for.
+_SPREAD_SHARE = 0.015
+# How many adapters are looked at for copies.
+_SPREAD_MOST = 12
+# Requests counted before shares mean something.
+_SPREAD_AFTER = 60.0
 
 
 @attrs.frozen
@@ -59,6 +67,47 @@
             for artifact in used.keys() & engine.held.keys():
                 engine.held[artifact].used_at = now
 
+    def choose_copy(
+        self,
+        engines: list[Engine],
+        busy: dict[str, int],
+        using: Callable[[str], set[str]],
+        now: float,
+    ) -> tuple[str, Choice] | None:
+        """Returns an adapter that deserves a copy, and where it should go."""
+        total = self.popularity.total(now)
+        if total < _SPREAD_AFTER:
+            return None
+        places = {engine.data_centre for engine in engines}
+        for artifact, value in self.popularity.top(_SPREAD_MOST, now):
+            if value < _SPREAD_SHARE * total:
+                return None
+            if not is_adapter(artifact):
+                continue
+            held = {
+                engine.data_centre
+                for engine in engines
+                if artifact in engine.held or artifact in engine.loading
+            }
+            if not held or held == places:
+                continue
+            open_engines = [
+                engine
+                for engine in engines
+                if engine.data_centre not in held and not engine.loading
+            ]
+            choice = self.choose(artifact, open_engines, busy, using, now)
+            if choice is not None and self._is_better(artifact, choice, now):
+                return artifact, choice
+        return None
+
+    def _is_better(self, artifact: str, choice: Choice, now: float) -> bool:
+        """Whether a copy is worth more than what gives way for it."""
+        if not choice.victim:
+            return True
+        value = self.popularity.value(artifact, now)
+        return self.worth(choice.victim, now) < value * _COPY_SHARE / 3
+
     def holders(self, artifact: str, version: int) -> list[Engine]:
         """Returns the engines that hold at least a version."""
         return [
--- a/src/ridgesill/core/pool/popularity.py
+++ b/src/ridgesill/core/pool/popularity.py
@@ -1,5 +1,6 @@
 """Request frequencies that halve with time, by adapter."""
 
+import heapq
 import math
 
 _FORGET_BELOW = 0.01
@@ -34,6 +35,15 @@
         count, at = self._counts.get(adapter, (0.0, now))
         return count * math.exp((at - now) * self._rate)
 
+    def top(self, most: int, now: float) -> list[tuple[str, float]]:
+        """Returns the most wanted adapters with their counts, falling."""
+        valued = ((name, self.value(name, now)) for name in self._counts)
+        return heapq.nlargest(most, valued, key=lambda item: item[1])
+
+    def total(self, now: float) -> float:
+        """Returns the decayed count of all requests."""
+        return sum(self.value(name, now) for name in self._counts)
+
     def _sweep(self, now: float) -> None:
         faded = [
             name
--- /dev/null
+++ b/testing/adapters/http1/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of HTTP on the event loop."""
--- /dev/null
+++ b/testing/app/front_world.py
@@ -0,0 +1,319 @@
+"""A front between loopback clients and scripted upstreams."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.app.fleet_client import FleetClient
+from ridgesill.app.forwarding import Front
+from ridgesill.core.fleet.messages import (
+    ArtifactReady,
+    FleetNews,
+    Upstream,
+    UpstreamChange,
+    WantArtifact,
+)
+from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.outcomes import Outcomes
+from ridgesill.core.serving.retries import RetryBounds
+from ridgesill.core.serving.routes import (
+    EngineSpec,
+    Model,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
+from ridgesill.platform.requests import PlatformDialect
+from testing.processes import free_address
+
+Script = Callable[["Call"], Awaitable[None]]
+
+ENGINE = EngineSpec(8, 1100.0, 4, 4.0, (Model("base", 1000.0, 1.0, 9, 1.0),))
+ROUTES = (
+    ("safe", "/safe/", "plain", 2, False),
+    ("unsafe", "/unsafe/", "plain", 1, False),
+    ("unsafe", "/twice/", "plain", 2, False),
+    ("stream", "/stream/", "engine", 1, False),
+    ("stream", "/resume/", "engine", 2, True),
+)
+
+
+@attrs.define
+class Call:
+    """A request as an upstream got it, and its way to answer."""
+
+    head: str
+    body: bytes
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    number: int
+    closed_at: float = 0.0
+
+    def header(self, name: str) -> str:
+        """Returns a header of the request."""
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.strip().lower() == name:
+                return value.strip()
+        return ""
+
+    async def answer(
+        self, status: int, body: bytes = b"ok", *headers: str
+    ) -> None:
+        """Sends a whole answer."""
+        lines = [
+            f"HTTP/1.1 {status} X",
+            f"Content-Length: {len(body)}",
+            f"Request-Id: {self.header('request-id')}",
+            *headers,
+        ]
+        await self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def begin_stream(self) -> None:
+        """Sends the head of a stream."""
+        await self.send(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+            b"Content-Type: text/event-stream\r\n\r\n"
+        )
+
+    async def event(self, number: int) -> None:
+        """Sends an event of a stream."""
+        data = b"id: %d\ndata: x\n\n" % number
+        await self.send(b"%x\r\n%s\r\n" % (len(data), data))
+
+    async def end_stream(self) -> None:
+        """Ends a stream as complete."""
+        await self.send(b"0\r\n\r\n")
+
+    def reset(self) -> None:
+        """Resets the channel, which a close without lingering does."""
+        opened = self.writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.writer.transport.abort()
+
+    async def wait_closed(self) -> None:
+        """Waits until the front closes the channel."""
+        try:
+            while await self.reader.read(1024):
+                pass
+        except ConnectionError:
+            pass
+        self.closed_at = asyncio.get_running_loop().time()
+
+
+class ScriptedUpstream:
+    """Answers each request by a script."""
+
+    def __init__(self, name: str, script: Script) -> None:
+        self.name = name
+        self.script = script
+        self.calls: list[Call] = []
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while not writer.is_closing():
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                call = Call(head, b"", reader, writer, len(self.calls))
+                length = int(call.header("content-length") or 0)
+                call.body = await reader.readexactly(length)
+                self.calls.append(call)
+                await self.script(call)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    def stop(self) -> None:
+        """Stops listening."""
+        if self._server is not None:
+            self._server.close()
+
+
+class FixedOwner(FleetClient):
+    """An owner that answers every want alike."""
+
+    def __init__(self, peers: Any) -> None:
+        super().__init__(peers, lambda: "", "front")
+        self.wants: list[WantArtifact] = []
+        self.answer = ArtifactReady("", reason="none", after=0.7)
+
+    async def want(self, want: WantArtifact) -> ArtifactReady:
+        """Returns the answer that the test has set."""
+        self.wants.append(want)
+        return self.answer
+
+
+class FrontWorld:
+    """A front and its upstreams."""
+
+    def __init__(self) -> None:
+        self.fleet = FixedOwner(None)
+        self.front = Front(
+            Chooser("a", self.fleet.view, Outcomes()),
+            self.fleet,
+            UpstreamChannels(0.5),
+            PlatformDialect(),
+            RetryBounds(),
+        )
+        self.front.table = make_table()
+        self.address = free_address()
+        self._listener = HttpListener(self.address, self.front.serve)
+        self._upstreams: list[ScriptedUpstream] = []
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        await self._listener.start()
+
+    async def stop(self) -> None:
+        """Ends everything."""
+        for upstream in self._upstreams:
+            upstream.stop()
+        self.front.channels.close()
+        await self._listener.stop()
+
+    async def add(
+        self, name: str, script: Script, service: str = "plain", **held: int
+    ) -> ScriptedUpstream:
+        """Starts an upstream that the front knows."""
+        upstream = ScriptedUpstream(name, script)
+        await upstream.start()
+        self._upstreams.append(upstream)
+        record = Upstream(
+            name,
+            service,
+            upstream.address,
+            "a",
+            4,
+            resident={key.replace("__", "/"): v for key, v in held.items()},
+        )
+        view = self.fleet.view
+        known = tuple(
+            UpstreamChange(u.name, u) for u in view.upstreams.values()
+        )
+        changes = (*known, UpstreamChange(name, record))
+        view.take(FleetNews(1, view.number + 1, True, changes), 0.0)
+        return upstream
+
+    async def open(self) -> "Client":
+        """Opens a client's channel."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        return Client(reader, writer)
+
+
+def make_table(timeout: float = 3.0) -> RouteTable:
+    """Returns routes of each kind."""
+    routes = [
+        Route(
+            prefix.strip("/"),
+            "a.example",
+            prefix,
+            kind,
+            timeout,
+            0.5,
+            0,
+            (Target(service),),
+            attempts=attempts,
+            resumable=resumable,
+        )
+        for kind, prefix, service, attempts, resumable in ROUTES
+    ]
+    services = [
+        Service("plain", "/health", 10),
+        Service("engine", "/health", 10, ENGINE),
+    ]
+    return RouteTable(1, routes, services)
+
+
+@attrs.define
+class Answer:
+    """An answer as the client got it.
+
+    Attributes:
+        complete: whether it ended as its head said.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+
+@attrs.define
+class Client:
+    """A client's channel."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def send(self, path: str, body: bytes = b"", **headers: str) -> None:
+        """Sends a request."""
+        given = {
+            "host": "a.example",
+            "request-id": "r1",
+            "request-deadline": "2000",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        if body:
+            given["content-length"] = str(len(body))
+        method = "POST" if body else "GET"
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{key}: {value}" for key, value in given.items()]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await self.writer.drain()
+
+    async def read(self) -> Answer:
+        """Returns the answer."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        lines = head.rstrip().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+        status = int(lines[0].split()[1])
+        if "content-length" in headers:
+            body = await self.reader.readexactly(int(headers["content-length"]))
+            return Answer(status, headers, body, True)
+        body, complete = await self._read_chunks()
+        return Answer(status, headers, body, complete)
+
+    async def _read_chunks(self) -> tuple[bytes, bool]:
+        body = b""
+        try:
+            while True:
+                size = int(await self.reader.readuntil(b"\r\n"), 16)
+                data = await self.reader.readexactly(size + 2)
+                if not size:
+                    return body, True
+                body += data[:-2]
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+
+    async def ask(self, path: str, body: bytes = b"", **headers: str) -> Answer:
+        """Sends a request and returns its answer."""
+        await self.send(path, body, **headers)
+        return await self.read()
+
+    def leave(self) -> None:
+        """Closes the channel."""
+        self.writer.close()
--- /dev/null
+++ b/testing/app/test_forwarding.py
@@ -0,0 +1,332 @@
+"""Tests of one request's way through a front, over loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from ridgesill.core.fleet.messages import ArtifactReady
+from testing.app.front_world import Call, FrontWorld, make_table
+
+ADAPTER = "base/a1"
+STREAM = {"model": ADAPTER, "token_counts": "10,70"}
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[FrontWorld]:
+    """Returns a front without upstreams."""
+    made = FrontWorld()
+    await made.start()
+    yield made
+    await made.stop()
+
+
+async def answer_ok(call: Call) -> None:
+    await call.answer(200, b"fine", "Server-Stamp: s1")
+
+
+async def refuse(call: Call) -> None:
+    await call.answer(503, b"", "Not-Run: 1")
+
+
+async def reset(call: Call) -> None:
+    call.reset()
+
+
+async def fail(call: Call) -> None:
+    await call.answer(500, b"broken", "Server-Stamp: s2")
+
+
+async def stream_three(call: Call) -> None:
+    await call.begin_stream()
+    for number in (1, 2, 3):
+        await call.event(number)
+    await call.end_stream()
+
+
+class TestRoutes:
+    async def test_an_answer_passes_unchanged(self, world: FrontWorld) -> None:
+        upstream = await world.add("u1", answer_ok)
+        client = await world.open()
+        answer = await client.ask("/unsafe/x?y=1", b"body", x_own="kept")
+        assert (answer.status, answer.body) == (200, b"fine")
+        assert answer.headers["server-stamp"] == "s1"
+        call = upstream.calls[0]
+        assert call.head.startswith("POST /unsafe/x?y=1 HTTP/1.1")
+        assert call.body == b"body"
+        assert call.header("x-own") == "kept"
+        assert call.header("request-id") == "r1"
+        assert call.header("expect-instance") == "u1"
+        assert 0 < int(call.header("request-deadline")) <= 2000
+
+    async def test_an_unknown_route_is_not_found(
+        self, world: FrontWorld
+    ) -> None:
+        client = await world.open()
+        assert (await client.ask("/nowhere/x")).status == 404
+
+    async def test_without_a_configuration_nothing_is_said_of_routes(
+        self, world: FrontWorld
+    ) -> None:
+        world.front.table = type(world.front.table)()
+        client = await world.open()
+        answer = await client.ask("/safe/x")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+
+    async def test_a_channel_serves_many_requests(
+        self, world: FrontWorld
+    ) -> None:
+        upstream = await world.add("u1", answer_ok)
+        client = await world.open()
+        for _ in range(5):
+            assert (await client.ask("/unsafe/x", b"b")).status == 200
+        assert len(upstream.calls) == 5
+
+
+class TestRetries:
+    async def test_a_request_that_was_not_run_goes_elsewhere(
+        self, world: FrontWorld
+    ) -> None:
+        first = await world.add("u1", refuse)
+        second = await world.add("u2", answer_ok)
+        client = await world.open()
+        for _ in range(6):
+            answer = await client.ask("/twice/x", b"b")
+            assert answer.status == 200
+        assert first.calls
+        assert len(second.calls) == 6
+
+    async def test_one_that_may_have_run_is_not_sent_again(
+        self, world: FrontWorld
+    ) -> None:
+        await world.add("u1", reset)
+        second = await world.add("u2", reset)
+        client = await world.open()
+        answer = await client.ask("/twice/x", b"b")
+        assert answer.status == 502
+        assert "retry-after" not in answer.headers
+        assert len(second.calls) <= 1
+        assert sum(len(u.calls) for u in world._upstreams) == 1
+
+    async def test_a_safe_one_is(self, world: FrontWorld) -> None:
+        await world.add("u1", reset)
+        await world.add("u2", answer_ok)
+        client = await world.open()
+        for _ in range(4):
+            assert (await client.ask("/safe/x")).status == 200
+
+    async def test_no_more_upstreams_than_the_route_allows(
+        self, world: FrontWorld
+    ) -> None:
+        for name in ("u1", "u2", "u3"):
+            await world.add(name, fail)
+        client = await world.open()
+        answer = await client.ask("/safe/x")
+        assert (answer.status, answer.body) == (500, b"broken")
+        assert answer.headers["server-stamp"] == "s2"
+        assert sum(len(u.calls) for u in world._upstreams) == 2
+
+    async def test_everyone_refusing_is_a_true_not_run(
+        self, world: FrontWorld
+    ) -> None:
+        await world.add("u1", refuse)
+        client = await world.open()
+        answer = await client.ask("/unsafe/x", b"b")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+
+    async def test_an_upstream_s_own_promise_after_a_run_is_not_passed_on(
+        self, world: FrontWorld
+    ) -> None:
+        async def overloaded(call: Call) -> None:
+            await call.answer(503, b"", "Server-Stamp: s3")
+
+        await world.add("u1", overloaded)
+        client = await world.open()
+        answer = await client.ask("/unsafe/x", b"b")
+        assert answer.status == 502
+        assert "server-stamp" not in answer.headers
+
+
+class TestTime:
+    async def test_the_route_s_timeout_ends_a_request(
+        self, world: FrontWorld
+    ) -> None:
+        async def hang(call: Call) -> None:
+            await call.wait_closed()
+
+        world.front.table = make_table(timeout=0.4)
+        upstream = await world.add("u1", hang)
+        client = await world.open()
+        began = asyncio.get_running_loop().time()
+        answer = await client.ask("/safe/x")
+        took = asyncio.get_running_loop().time() - began
+        assert answer.status == 504
+        assert 0.3 < took < 0.6
+        assert int(upstream.calls[0].header("request-deadline")) <= 400
+
+    async def test_a_client_that_leaves_ends_the_upstream_s_work(
+        self, world: FrontWorld
+    ) -> None:
+        async def hang(call: Call) -> None:
+            await call.wait_closed()
+
+        upstream = await world.add("u1", hang)
+        client = await world.open()
+        await client.send("/unsafe/x", b"b")
+        await asyncio.sleep(0.1)
+        left_at = asyncio.get_running_loop().time()
+        client.leave()
+        await asyncio.sleep(0.4)
+        assert 0 < upstream.calls[0].closed_at - left_at < 0.4
+        assert world.front.in_progress == 0
+
+
+class TestStreams:
+    async def test_events_go_on_as_they_come(self, world: FrontWorld) -> None:
+        released = asyncio.Event()
+
+        async def slow(call: Call) -> None:
+            await call.begin_stream()
+            await call.event(1)
+            await released.wait()
+            await call.event(2)
+            await call.end_stream()
+
+        await world.add("u1", slow, "engine", base__a1=1)
+        client = await world.open()
+        await client.send("/stream/x", b"b", **STREAM)
+        seen = await asyncio.wait_for(client.reader.readuntil(b"id: 1"), 1.0)
+        assert seen.startswith(b"HTTP/1.1 200")
+        released.set()
+        rest = await asyncio.wait_for(client.reader.readuntil(b"0\r\n\r\n"), 1)
+        assert b"id: 2" in rest
+
+    async def test_a_broken_stream_does_not_look_complete(
+        self, world: FrontWorld
+    ) -> None:
+        async def cut(call: Call) -> None:
+            await call.begin_stream()
+            await call.event(1)
+            call.reset()
+
+        await world.add("u1", cut, "engine", base__a1=1)
+        client = await world.open()
+        answer = await client.ask("/stream/x", b"b", **STREAM)
+        assert not answer.complete
+
+    async def test_one_that_may_be_resumed_goes_on_elsewhere(
+        self, world: FrontWorld
+    ) -> None:
+        async def cut_or_go_on(call: Call) -> None:
+            await call.begin_stream()
+            if call.header("last-event-id"):
+                await call.event(int(call.header("last-event-id")) + 1)
+                await call.end_stream()
+                return
+            await call.event(1)
+            await call.event(2)
+            await call.send(b"8\r\nid: 3\nda\r\n")
+            call.reset()
+
+        for name in ("u1", "u2"):
+            await world.add(name, cut_or_go_on, "engine", base__a1=1)
+        client = await world.open()
+        answer = await client.ask("/resume/x", b"b", **STREAM)
+        assert answer.complete
+        events = answer.body.decode().split("\n\n")
+        assert [e.split("\n")[0] for e in events[:-1]] == [
+            "id: 1",
+            "id: 2",
+            "id: 3",
+        ]
+
+
+class TestAdapters:
+    async def test_a_missing_one_is_wanted_from_the_owner(
+        self, world: FrontWorld
+    ) -> None:
+        await world.add("u1", stream_three, "engine", base=1)
+        world.fleet.answer = ArtifactReady("u1", 1)
+        client = await world.open()
+        answer = await client.ask("/stream/x", b"b", **STREAM)
+        assert answer.complete
+        assert [w.artifact for w in world.fleet.wants] == [ADAPTER]
+
+    async def test_one_that_will_not_come_is_refused_with_when_to_return(
+        self, world: FrontWorld
+    ) -> None:
+        await world.add("u1", stream_three, "engine", base=1)
+        client = await world.open()
+        answer = await client.ask("/stream/x", b"b", **STREAM)
+        assert answer.status == 503
+        assert answer.headers["retry-after"] == "0.70"
+
+    async def test_a_named_version_is_required(self, world: FrontWorld) -> None:
+        old = await world.add("u1", stream_three, "engine", base__a1=1)
+        new = await world.add("u2", stream_three, "engine", base__a1=2)
+        world.front.versions = {ADAPTER: 2}
+        client = await world.open()
+        for _ in range(3):
+            await client.ask("/stream/x", b"b", **STREAM)
+        assert not old.calls
+        assert new.calls[0].header("expect-version") == "2"
+
+
+class TestChannels:
+    async def test_a_second_answer_is_not_taken_for_the_next_one(
+        self, world: FrontWorld
+    ) -> None:
+        async def answer_late(call: Call) -> None:
+            if call.number == 1:
+                # Stands where the answer to the second request is due.
+                await call.send(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                    b"Request-Id: other\r\n\r\nwrong"
+                )
+            await call.answer(200, b"right")
+
+        await world.add("u1", answer_late)
+        client = await world.open()
+        for number in range(3):
+            answer = await client.ask(
+                "/unsafe/x", b"b", request_id=f"q{number}"
+            )
+            assert answer.body == b"right"
+
+    async def test_bytes_that_are_no_answer_are_not_passed_on(
+        self, world: FrontWorld
+    ) -> None:
+        async def garble(call: Call) -> None:
+            await call.send(b"\x00\x01nonsense\r\n\r\n")
+            call.writer.close()
+
+        await world.add("u1", garble)
+        client = await world.open()
+        answer = await client.ask("/unsafe/x", b"b")
+        assert (answer.status, answer.body) == (502, b"")
+
+    async def test_an_answer_without_a_length_ends_with_its_channel(
+        self, world: FrontWorld
+    ) -> None:
+        async def unframed(call: Call) -> None:
+            await call.send(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+            call.writer.close()
+
+        await world.add("u1", unframed)
+        client = await world.open()
+        answer = await client.ask("/unsafe/x", b"b")
+        assert (answer.status, answer.body) == (200, b"all of it")
+
+    async def test_one_that_is_reset_is_not_whole(
+        self, world: FrontWorld
+    ) -> None:
+        async def cut(call: Call) -> None:
+            await call.send(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            await asyncio.sleep(0.05)
+            call.reset()
+
+        await world.add("u1", cut)
+        client = await world.open()
+        assert (await client.ask("/unsafe/x", b"b")).status == 502
--- /dev/null
+++ b/testing/core/fleet/test_registry.py
@@ -0,0 +1,105 @@
+"""Tests of what is known of the upstreams, and how it is told."""
+
+from ridgesill.core.fleet.messages import DRAINING, READY, Heartbeat
+from ridgesill.core.fleet.registry import FleetView, Registry
+
+_PATIENCE = 5.0
+
+
+def heartbeat(name: str, sequence: int, **fields: object) -> Heartbeat:
+    """Returns a heartbeat of an upstream of service `s`."""
+    given = {
+        "service": "s",
+        "address": f"10.0.0.{name[-1]}:80",
+        "data_centre": "a",
+        "slots": 4,
+        "draining": False,
+        **fields,
+    }
+    return Heartbeat(name=name, sequence=sequence, **given)  # type: ignore[arg-type]
+
+
+def follow(registry: Registry, view: FleetView) -> None:
+    """Brings a view in line with a registry."""
+    news = registry.news(view.epoch, view.number, 1, {})
+    view.take(news, 0.0)
+
+
+class TestHeartbeats:
+    def test_one_out_of_order_is_passed_over(self) -> None:
+        registry = Registry(1, _PATIENCE)
+        assert registry.hear(heartbeat("u1", 5), 0.0)
+        assert not registry.hear(heartbeat("u1", 4, draining=True), 0.1)
+        assert registry.upstreams["u1"].state == READY
+
+    def test_one_that_leaves_does_not_come_back(self) -> None:
+        registry = Registry(1, _PATIENCE)
+        registry.hear(heartbeat("u1", 1), 0.0)
+        registry.drain("u1", 1.0)
+        registry.hear(heartbeat("u1", 2), 1.1)
+        assert registry.upstreams["u1"].state == DRAINING
+
+    def test_a_late_heartbeat_does_not_bring_back_one_that_is_gone(
+        self,
+    ) -> None:
+        registry = Registry(1, _PATIENCE)
+        registry.hear(heartbeat("u1", 1), 0.0)
+        registry.forget("u1", 1.0)
+        assert not registry.hear(heartbeat("u1", 2), 2.0)
+
+    def test_a_new_process_at_an_address_replaces_the_old_one(self) -> None:
+        registry = Registry(1, _PATIENCE)
+        registry.hear(heartbeat("u1", 1), 0.0)
+        later = heartbeat("v9", 1, address="10.0.0.1:80")
+        registry.hear(later, 1.0)
+        assert set(registry.upstreams) == {"v9"}
+
+    def test_a_silent_one_is_forgotten_and_may_come_back(self) -> None:
+        registry = Registry(1, _PATIENCE)
+        registry.hear(heartbeat("u1", 1), 0.0)
+        assert registry.expire(_PATIENCE + 0.1) == ["u1"]
+        assert registry.hear(heartbeat("u1", 2), 6.0)
+        assert "u1" in registry.upstreams
+
+
+class TestNews:
+    def test_a_view_follows_changes(self) -> None:
+        registry = Registry(1, _PATIENCE)
+        view = FleetView()
+        registry.hear(heartbeat("u1", 1, resident={"m": 1}), 0.0)
+        follow(registry, view)
+        registry.set_resident("u1", {"m": 1, "m/a1": 2})
+        registry.drain("u1", 1.0)
+        follow(registry, view)
+        assert view.upstreams["u1"].resident == {"m": 1, "m/a1": 2}
+        assert view.holders("s", "m/a1") == []
+        registry.forget("u1", 2.0)
+        follow(registry, view)
+        assert view.upstreams == {}
+
+    def test_another_owner_tells_everything(self) -> None:
+        view = FleetView()
+        first = Registry(1, _PATIENCE)
+        first.hear(heartbeat("u1", 1), 0.0)
+        follow(first, view)
+        second = Registry(7, _PATIENCE)
+        second.hear(heartbeat("u2", 1), 0.0)
+        follow(second, view)
+        assert set(view.upstreams) == {"u2"}
+
+    def test_an_earlier_owner_is_not_believed(self) -> None:
+        view = FleetView()
+        second = Registry(7, _PATIENCE)
+        second.hear(heartbeat("u2", 1), 0.0)
+        follow(second, view)
+        first = Registry(1, _PATIENCE)
+        view.take(first.news(0, 0, 1, {}), 0.0)
+        assert set(view.upstreams) == {"u2"}
+
+    def test_one_who_is_far_behind_gets_everything(self) -> None:
+        registry = Registry(1, _PATIENCE)
+        registry.hear(heartbeat("u1", 1), 0.0)
+        for number in range(5000):
+            registry.set_resident("u1", {"m": number})
+        assert registry.news(1, 1, 1, {}).whole
+        assert not registry.news(1, registry.number - 5, 1, {}).whole
--- /dev/null
+++ b/testing/core/serving/test_decisions.py
@@ -0,0 +1,125 @@
+"""Tests of a front's retries, its view of outcomes, and its choice."""
+
+import random
+
+from ridgesill.core.fleet.messages import DRAINING, FleetNews, Upstream
+from ridgesill.core.fleet.messages import UpstreamChange as Change
+from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.serving.choice import Chooser, Wanted
+from ridgesill.core.serving.events import EventSplitter
+from ridgesill.core.serving.outcomes import Outcomes
+from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
+
+PLAIN = Wanted("s")
+
+
+def upstream(name: str, data_centre: str = "a", **fields: object) -> Upstream:
+    """Returns an upstream of service `s` with four places."""
+    address = f"10.0.0.{name[-1]}:80"
+    return Upstream(name, "s", address, data_centre, 4, **fields)  # type: ignore[arg-type]
+
+
+def chooser(*upstreams: Upstream) -> Chooser:
+    """Returns the choice of a front in data centre `a`."""
+    view = FleetView()
+    changes = tuple(Change(u.name, u) for u in upstreams)
+    view.take(FleetNews(1, 1, True, changes), 0.0)
+    return Chooser("a", view, Outcomes(), random.Random(1))
+
+
+class TestRetries:
+    def test_fronts_share_what_is_allowed(self) -> None:
+        retries = ServiceRetries(RetryBounds(0.2, 50.0, 10.0))
+        for _ in range(100):
+            retries.note_request(1.0)
+        alone = retries.left(1.0, 1)
+        assert alone <= 0.2 * 100 + 50
+        assert 0 < retries.left(1.0, 10) < alone
+
+    def test_a_spent_budget_comes_back_with_the_window(self) -> None:
+        retries = ServiceRetries(RetryBounds(0.2, 5.0, 10.0))
+        spent = 0
+        while retries.take(1.0, 1):
+            spent += 1
+        assert 0 < spent <= 5
+        assert not retries.take(9.0, 1)
+        assert retries.take(12.0, 1)
+
+
+class TestOutcomes:
+    def test_an_upstream_that_keeps_failing_is_ejected_for_a_while(
+        self,
+    ) -> None:
+        outcomes = Outcomes()
+        for _ in range(5):
+            outcomes.note_failure("u1", 10.0)
+        assert outcomes.is_ejected("u1", 10.1)
+        assert not outcomes.is_ejected("u1", 30.0)
+
+    def test_one_that_can_not_be_reached_is_ejected_at_once(self) -> None:
+        outcomes = Outcomes()
+        assert outcomes.note_failure("u1", 10.0, unreachable=True)
+        assert outcomes.is_ejected("u1", 10.1)
+
+    def test_one_that_says_nothing_while_requests_wait_is_out(self) -> None:
+        outcomes = Outcomes()
+        outcomes.note_sent("u1", 10.0)
+        assert not outcomes.is_ejected("u1", 10.5)
+        assert outcomes.is_ejected("u1", 11.5)
+        outcomes.note_heard("u1", 11.6)
+        assert not outcomes.is_ejected("u1", 11.7)
+
+    def test_one_without_requests_may_be_silent(self) -> None:
+        outcomes = Outcomes()
+        outcomes.note_sent("u1", 10.0)
+        outcomes.note_ended("u1")
+        assert not outcomes.is_ejected("u1", 20.0)
+
+
+class TestChoice:
+    def test_the_own_data_centre_goes_first_while_it_has_room(self) -> None:
+        choice = chooser(upstream("u1", "b"), upstream("u2", "a"))
+        assert choice.choose(PLAIN, (), 0.0).name == "u2"
+        for _ in range(4):
+            choice.begin("u2", "")
+        assert choice.choose(PLAIN, (), 0.0).name == "u1"
+
+    def test_one_that_leaves_gets_nothing(self) -> None:
+        choice = chooser(upstream("u1", state=DRAINING))
+        assert choice.choose(PLAIN, (), 0.0) is None
+
+    def test_only_a_holder_of_the_right_version_is_chosen(self) -> None:
+        old = upstream("u1", resident={"m/a1": 1})
+        new = upstream("u2", "b", resident={"m/a1": 2})
+        choice = chooser(old, new)
+        wanted = Wanted("s", "m/a1", 2)
+        assert choice.choose(wanted, (), 0.0).name == "u2"
+        assert choice.choose(wanted, ("u2",), 0.0) is None
+
+    def test_ejection_never_takes_more_than_half(self) -> None:
+        choice = chooser(upstream("u1"), upstream("u2"))
+        for name in ("u1", "u2"):
+            choice.outcomes.note_failure(name, 0.0, unreachable=True)
+        assert choice.choose(PLAIN, (), 0.1) is not None
+
+    def test_what_other_fronts_told_counts_as_load(self) -> None:
+        choice = chooser(upstream("u1"), upstream("u2"))
+        choice.view.busy = {"u1": 4}
+        assert choice.choose(PLAIN, (), 0.0).name == "u2"
+
+
+class TestEvents:
+    def test_only_whole_events_pass(self) -> None:
+        splitter = EventSplitter()
+        assert splitter.take(b"id: 1\ndata: x\n\nid: 2\nda") == (
+            b"id: 1\ndata: x\n\n"
+        )
+        assert splitter.last_id == "1"
+        assert splitter.take(b"ta: y\n\n") == b"id: 2\ndata: y\n\n"
+        assert splitter.last_id == "2"
+
+    def test_what_was_cut_off_is_forgotten(self) -> None:
+        splitter = EventSplitter()
+        splitter.take(b"id: 1\n\nid: 2\nda")
+        splitter.drop_rest()
+        assert splitter.take(b"id: 2\ndata: y\n\n") == b"id: 2\ndata: y\n\n"
--- /dev/null
+++ b/testing/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
