--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import attrs
 import h11
@@ -135,7 +136,7 @@
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(go_on))
 
-    def _take_event(self, event: h11.Event | type[h11.PAUSED]) -> None:
+    def _take_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
             self._head = event
             self._head_at = self._loop.time()
--- a/src/ridgesill/adapters/metrics.py
+++ b/src/ridgesill/adapters/metrics.py
@@ -30,11 +30,8 @@
 _BATCHES = (1, 2, 4, 8, 12, 16, 24, 32, 64)
 
 
-class Metrics:
-    """The instruments of a node.
-
-    Histograms carry `team` and `class`, the priority class.
-    """
+class MeterSet:
+    """Instruments, and their figures in Prometheus' text format."""
 
     def __init__(self) -> None:
         views = [
@@ -54,8 +51,30 @@
             registry=self._registry,
         )
         provider = MeterProvider(metric_readers=[reader], views=views)
-        meter = provider.get_meter("ridgesill")
-        self._meter = meter
+        self._meter = provider.get_meter("ridgesill")
+
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Has a gauge read from a function whenever metrics are asked for."""
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(name, callbacks=[observe])
+
+    def render(self) -> bytes:
+        """Returns all metrics in Prometheus' text format."""
+        return bytes(generate_latest(self._registry))
+
+
+class Metrics(MeterSet):
+    """The instruments of a node.
+
+    Histograms carry `team` and `class`, the priority class.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        meter = self._meter
         self._first_byte = meter.create_histogram(
             "ridgesill_first_byte_seconds"
         )
@@ -99,15 +118,3 @@
     def observe_load(self, service: str, seconds: float) -> None:
         """Notes how long an adapter's load took."""
         self._load.record(seconds, {"service": service})
-
-    def watch(self, name: str, read: Callable[[], float]) -> None:
-        """Has a gauge read from a function whenever metrics are asked for."""
-
-        def observe(_: CallbackOptions) -> Iterable[Observation]:
-            return [Observation(read())]
-
-        self._meter.create_observable_gauge(name, callbacks=[observe])
-
-    def render(self) -> bytes:
-        """Returns all metrics in Prometheus' text format."""
-        return bytes(generate_latest(self._registry))
--- /dev/null
+++ b/src/ridgesill/adapters/serving_metrics.py
@@ -0,0 +1,53 @@
+"""Counters and histograms of fronts and control nodes, by OpenTelemetry."""
+
+import resource
+
+from ridgesill.adapters.metrics import MeterSet
+from ridgesill.ports.telemetry import RequestEnd
+
+_KIBIBYTE = 1024
+
+
+class ServingMetrics(MeterSet):
+    """Implements `ports.telemetry.Telemetry`.
+
+    Labels are kinds of routes, priorities, outcomes and reasons, so their
+    number doesn't grow with adapters or upstreams.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        meter = self._meter
+        self._requests = meter.create_counter("ridgesill_requests")
+        self._attempts = meter.create_counter("ridgesill_attempts")
+        self._total = meter.create_histogram("ridgesill_total_seconds")
+        self._first = meter.create_histogram("ridgesill_first_event_seconds")
+        self._waited = meter.create_histogram("ridgesill_load_wait_seconds")
+        self._orders = meter.create_counter("ridgesill_orders")
+        self._loads = meter.create_histogram("ridgesill_adapter_load_seconds")
+        self.watch("ridgesill_peak_memory_bytes", _peak_memory)
+
+    def note_end(self, end: RequestEnd) -> None:
+        """Counts the end of a request."""
+        labels = {"kind": end.kind, "class": str(end.priority)}
+        ended = {**labels, "outcome": end.outcome, "reason": end.reason}
+        self._requests.add(1, ended)
+        self._attempts.add(end.attempts, labels)
+        self._total.record(end.seconds, labels)
+        if end.outcome == "served":
+            self._first.record(end.first_seconds, labels)
+        if end.waited_seconds:
+            self._waited.record(end.waited_seconds, labels)
+
+    def note_order(self, action: str, verdict: str) -> None:
+        """Counts an order to an engine."""
+        self._orders.add(1, {"action": action, "verdict": verdict})
+
+    def note_load(self, seconds: float) -> None:
+        """Notes how long a load took."""
+        self._loads.record(seconds)
+
+
+def _peak_memory() -> float:
+    used = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return float(used * _KIBIBYTE)
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -78,6 +78,24 @@
 
         run_control()
 
+    def explain(self, request: str, *files: str) -> str:
+        """Says from logs what became of one request, and why.
+
+        Args:
+            request: the request's id.
+            files: paths of the logs of fronts and control nodes.
+        """
+        from ridgesill.app.explain import (
+            NoSuchRequestError,
+            explain,
+            read_lines,
+        )
+
+        try:
+            return explain(str(request), read_lines(map(str, files)))
+        except (OSError, NoSuchRequestError) as error:
+            raise CommandError(str(error)) from error
+
     def check(self, file: str) -> str:
         """Checks a configuration file and lists everything wrong with it.
 
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -5,6 +5,7 @@
 import secrets
 import signal
 import zlib
+from collections.abc import Callable
 from functools import singledispatchmethod
 from pathlib import Path
 from typing import Any
@@ -25,6 +26,7 @@
     FOLLOW_WAIT_SECONDS,
 )
 from ridgesill.app.log_driver import LogDriver, ReplicaMessage
+from ridgesill.app.telemetry import serve_metrics
 from ridgesill.core.commands import Node
 from ridgesill.core.fleet.messages import (
     HeardHeartbeat,
@@ -36,7 +38,7 @@
 from ridgesill.core.log.messages import Timing
 from ridgesill.platform.configuration import decode_configuration
 from ridgesill.platform.control_calls import PlatformControlCalls
-from ridgesill.platform.settings import PlatformSettings
+from ridgesill.platform.settings import METRICS_PATH, PlatformSettings
 from ridgesill.platform.upstreams import PlatformEngines
 from ridgesill.ports.peers import PeerError
 
@@ -227,6 +229,25 @@
             group.create_task(self.control.lead())
             group.create_task(self.owner.run())
             group.create_task(self.fleet.run())
+            group.create_task(
+                serve_metrics(
+                    self._settings.metrics,
+                    METRICS_PATH,
+                    self._gauges(driver),
+                    self.owner.use_telemetry,
+                )
+            )
+
+    def _gauges(self, driver: LogDriver) -> dict[str, Callable[[], float]]:
+        return {
+            "ridgesill_configuration_version": (
+                lambda: driver.state.routes_version
+            ),
+            "ridgesill_log_term": lambda: driver.replica.term,
+            "ridgesill_log_index": lambda: driver.state.index,
+            "ridgesill_log_leads": lambda: float(driver.is_leader),
+            "ridgesill_fleet_owned": lambda: float(self.owner.is_owner()),
+        }
 
     def _hasten_election(self, driver: LogDriver) -> None:
         """Lets the last owner lead again when all nodes start at once."""
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -21,6 +21,7 @@
 )
 from ridgesill.ports.dialect import EngineCalls
 from ridgesill.ports.http import ChannelError, HttpRequest
+from ridgesill.ports.telemetry import NoTelemetry, Telemetry
 
 # Within which an engine answers an order; it takes some milliseconds unless
 # the answer is lost.
@@ -66,6 +67,7 @@
         self._channels = channels
         self._calls = calls
         self._authority = authority
+        self.telemetry: Telemetry = NoTelemetry()
         self._locks: dict[str, asyncio.Lock] = {}
         self._loop = asyncio.get_running_loop()
 
@@ -119,7 +121,7 @@
         authority = self._authority()
         if authority is None:
             return None
-        if action is Action.LOAD and engine.is_overfull(self._loop.time()):
+        if action is Action.LOAD and engine.is_overfull():
             # What was learned since the engine was chosen leaves no place.
             return None
         return FleetOrder(
@@ -173,6 +175,7 @@
             sent = not isinstance(error, ChannelError) or error.sent
             verdict = OrderVerdict.UNKNOWN if sent else OrderVerdict.MISDIRECTED
             detail = str(error) or "no answer in time"
+        self.telemetry.note_order(order.action.value, verdict.value)
         log_message(
             "fleet:order",
             action=order.action.value,
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -193,7 +193,12 @@
                 want.artifact, engines, busy, now
             )
         return self._placement.choose(
-            want.artifact, engines, busy, self._view.using, now
+            want.artifact,
+            engines,
+            busy,
+            self._view.using,
+            now,
+            want.data_centre,
         )
 
     # -- loads ---------------------------------------------------------
@@ -286,12 +291,13 @@
         engine.held[artifact] = Held(newest, now, now)
         engine.ghosts.pop(artifact, None)
         self._view.tell(engine)
+        self._orders.telemetry.note_load(now - began)
         log_message(
             "fleet:loaded",
             upstream=engine.name,
             artifact=artifact,
             version=newest,
-            places=engine.places_taken(now),
+            places=engine.places_taken(),
             seconds=round(now - began, 4),
         )
 
@@ -305,10 +311,12 @@
         for engine in self._view.engines(service):
             if not engine.can_order(now) or engine.is_busy():
                 continue
+            if engine.has_old_ghosts(now):
+                engine.revision = None
             if engine.revision is None and not engine.loading:
                 self._spawn(self._orders.prepare(engine))
                 continue
-            if engine.free_places(now) < 0:
+            if engine.free_places() < 0:
                 self._make_room(engine, now)
                 continue
             if not any(engine.has_model(model) for model in models):
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -39,6 +39,7 @@
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import EngineCalls
 from ridgesill.ports.peers import PeerError
+from ridgesill.ports.telemetry import Telemetry
 
 # Name of the grant in the log.
 FLEET = "fleet"
@@ -136,6 +137,10 @@
         self._fronts: dict[str, _Front] = {}
         self._news = asyncio.Event()
 
+    def use_telemetry(self, telemetry: Telemetry) -> None:
+        """Has orders and loads counted."""
+        self._orders.telemetry = telemetry
+
     # -- ownership -----------------------------------------------------
 
     def is_owner(self) -> bool:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 import attrs
 from eliot import log_message
@@ -25,6 +24,7 @@
     Responder,
     ResponseHead,
 )
+from ridgesill.ports.telemetry import NoTelemetry, RequestEnd, Telemetry
 
 # A route's time-out is kept with this much to spare, in seconds.
 _TIMEOUT_MARGIN = 0.02
@@ -103,9 +103,7 @@
         self.rng = random.Random()
         self.in_progress = 0
         self.used: dict[str, int] = {}
-        self.observe: Callable[[Route | None, str, float], None] = (
-            lambda _route, _outcome, _seconds: None
-        )
+        self.telemetry: Telemetry = NoTelemetry()
         self._bounds = bounds
         self._retries: dict[str, ServiceRetries] = {}
 
@@ -251,6 +249,7 @@
                 wanted.version,
                 self._avoided(asked_at),
                 patience,
+                front.chooser.data_centre,
             )
             answer = await front.fleet.want(want)
             now = self._loop.time()
@@ -497,7 +496,19 @@
         arrived_at = self._request.arrived_at
         seconds = self._loop.time() - arrived_at
         first = self._first_at - arrived_at if self._first_at else seconds
-        self._front.observe(self._route, outcome, seconds)
+        route = self._route
+        self._front.telemetry.note_end(
+            RequestEnd(
+                route.kind if route else "",
+                route.priority if route else 0,
+                outcome,
+                _bounded(reason),
+                seconds,
+                first,
+                self._waited,
+                len(self._tried),
+            )
+        )
         log_message(
             "request:end",
             request=self._facts.request,
@@ -515,6 +526,11 @@
         )
 
 
+def _bounded(reason: str) -> str:
+    """Returns a reason without what differs from request to request."""
+    return reason.partition(" ")[0].partition(":")[0]
+
+
 async def _read_rest(exchange: Exchange) -> bytes:
     parts = []
     while data := await exchange.read_data():
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -4,6 +4,7 @@
 import secrets
 import signal
 import zlib
+from collections.abc import Callable
 from typing import Any
 
 from eliot import log_message
@@ -14,6 +15,7 @@
 from ridgesill.app.control import Control, ControlSettings
 from ridgesill.app.fleet_client import FleetClient, Usage
 from ridgesill.app.forwarding import Front
+from ridgesill.app.telemetry import serve_metrics
 from ridgesill.core.commands import Node
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.outcomes import Outcomes
@@ -21,9 +23,10 @@
 from ridgesill.platform.configuration import decode_configuration
 from ridgesill.platform.control_calls import READY_PATH
 from ridgesill.platform.requests import PlatformDialect
-from ridgesill.platform.settings import PlatformSettings
+from ridgesill.platform.settings import METRICS_PATH, PlatformSettings
 from ridgesill.ports.http import HttpRequest, Responder
 from ridgesill.ports.peers import PeerError
+from ridgesill.ports.telemetry import Telemetry
 
 # A front leaves a voter that has been out of touch with the leader for longer
 # than this, in seconds: a change must be in force two seconds after it was
@@ -156,6 +159,12 @@
             self.control.follow(),
             self.fleet.run(),
             self._sweep(),
+            serve_metrics(
+                self._settings.metrics,
+                METRICS_PATH,
+                self._gauges(),
+                self._use_telemetry,
+            ),
         )
         tasks = [self._loop.create_task(work) for work in works]
         log_message(
@@ -184,6 +193,23 @@
                 set(self.fleet.view.upstreams)
             )
 
+    def _use_telemetry(self, telemetry: Telemetry) -> None:
+        self.front.telemetry = telemetry
+
+    def _gauges(self) -> dict[str, Callable[[], float]]:
+        view = self.fleet.view
+        return {
+            "ridgesill_requests_in_progress": lambda: self.front.in_progress,
+            "ridgesill_configuration_version": (
+                lambda: self.front.table.version
+            ),
+            "ridgesill_view_age_seconds": (
+                lambda: min(self._loop.time() - view.known_at, 1e9)
+            ),
+            "ridgesill_upstreams": lambda: len(view.upstreams),
+            "ridgesill_fronts": lambda: view.fronts,
+        }
+
     def _drain(self) -> None:
         if self._draining:
             return
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -58,7 +58,7 @@
         revision: orders that it has taken; None when that isn't known.
         leaving: artifacts whose unload was ordered and is not yet done.
         ghosts: artifacts of orders without an answer, and until when those
-            may still be carried out.
+            may still be carried out; kept until a report has come after that.
         waits_for: the artifact whose runs an order waits for; meanwhile the
             engine takes no other order.
         ordered_at: when it last took an order.
@@ -81,25 +81,27 @@
     _left_at: dict[str, float] = attrs.Factory(dict)
     _missed: dict[str, int] = attrs.Factory(dict)
 
-    def places_taken(self, now: float) -> int:
+    def places_taken(self) -> int:
         """Returns the places for adapters that are or may be taken."""
         taken = {a for a in self.held if is_adapter(a)}
         taken.update(a for a in self.loading if is_adapter(a))
         taken.update(a for a in self.leaving if is_adapter(a))
-        taken.update(
-            a
-            for a, until in self.ghosts.items()
-            if until > now and is_adapter(a)
-        )
+        # Also those that can't be carried out any more, until a report has
+        # told whether they were.
+        taken.update(a for a in self.ghosts if is_adapter(a))
         return len(taken)
 
-    def free_places(self, now: float) -> int:
+    def free_places(self) -> int:
         """Returns the places for adapters that are certainly free."""
-        return self.spec.adapter_slots - self.places_taken(now)
+        return self.spec.adapter_slots - self.places_taken()
 
-    def is_overfull(self, now: float) -> bool:
+    def has_old_ghosts(self, now: float) -> bool:
+        """Whether a report must tell what became of orders without answer."""
+        return any(until <= now for until in self.ghosts.values())
+
+    def is_overfull(self) -> bool:
         """Whether what is there and on its way may be over its places."""
-        if self.free_places(now) < 0:
+        if self.free_places() < 0:
             return True
         return self.weights_taken() > self.spec.weights_mb
 
@@ -193,6 +195,9 @@
     def take_report(self, report: EngineReport, now: float) -> None:
         """Takes a report that was asked for after a quiet moment."""
         self.revision = report.revision
+        for artifact, until in list(self.ghosts.items()):
+            if until <= now:
+                del self.ghosts[artifact]
         for artifact in report.incoming:
             if artifact not in self.loading and artifact not in self.held:
                 # A load that nobody here waits for; it takes a place.
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -143,6 +143,7 @@
         version: at least this one; 0 for any.
         avoid: upstreams that have just failed this request.
         patience: seconds that the request can wait.
+        data_centre: where the request came in.
     """
 
     service: str
@@ -150,6 +151,7 @@
     version: int
     avoid: tuple[str, ...] = ()
     patience: float = 1.0
+    data_centre: str = ""
 
 
 @register
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -24,15 +24,18 @@
 _BUSY_COST = 2.0
 # What each load on its way to the same engine costs, in the same measure.
 _LOADING_COST = 0.3
+# What it costs that the request has to go to another data centre: some 3 KB
+# there and back, a tenth of what a load from the store is priced.
+_ELSEWHERE_COST = 0.3
 # What it is worth, in the same measure, that an engine had an adapter lately:
 # it loads ten times as fast, and costs the store nothing.
 _LATELY_BONUS = 1.0
 # Copies divide an adapter's requests; the last copy is worth more than that.
 _COPY_SHARE = 0.5
-# Share of the requests from which an adapter gets a copy in every data centre:
-# the bytes saved between them and the better spread are worth more than the
-# place of an adapter that one request in some hundred asks for.
+# Share of the requests from which an adapter may get another copy, and how full
+# all its holders must be. On calm days copies cost more loads than they save.
 _SPREAD_SHARE = 0.015
+_SPREAD_BUSY = 0.3
 # How many adapters are looked at for copies.
 _SPREAD_MOST = 12
 # Requests counted before shares mean something.
@@ -78,25 +81,15 @@
         total = self.popularity.total(now)
         if total < _SPREAD_AFTER:
             return None
-        places = {engine.data_centre for engine in engines}
         for artifact, value in self.popularity.top(_SPREAD_MOST, now):
             if value < _SPREAD_SHARE * total:
                 return None
-            if not is_adapter(artifact):
+            if not is_adapter(artifact) or not _are_full(
+                [e for e in engines if artifact in e.held], busy
+            ):
                 continue
-            held = {
-                engine.data_centre
-                for engine in engines
-                if artifact in engine.held or artifact in engine.loading
-            }
-            if not held or held == places:
-                continue
-            open_engines = [
-                engine
-                for engine in engines
-                if engine.data_centre not in held and not engine.loading
-            ]
-            choice = self.choose(artifact, open_engines, busy, using, now)
+            idle = [engine for engine in engines if not engine.loading]
+            choice = self.choose(artifact, idle, busy, using, now)
             if choice is not None and self._is_better(artifact, choice, now):
                 return artifact, choice
         return None
@@ -124,6 +117,7 @@
         busy: dict[str, int],
         using: Callable[[str], set[str]],
         now: float,
+        data_centre: str = "",
     ) -> Choice | None:
         """Returns where to load an adapter, or None if nothing can give way.
 
@@ -133,12 +127,18 @@
             busy: requests in progress by engine.
             using: returns the artifacts in use on an engine.
             now: the clock, in seconds.
+            data_centre: where it is wanted; empty for no matter.
         """
         best: tuple[float, Choice] | None = None
         for engine in engines:
             ranked = self._rank(artifact, engine, busy, using, now)
-            if ranked is not None and (best is None or ranked[0] < best[0]):
-                best = ranked
+            if ranked is None:
+                continue
+            cost, choice = ranked
+            if data_centre and engine.data_centre != data_centre:
+                cost += _ELSEWHERE_COST
+            if best is None or cost < best[0]:
+                best = (cost, choice)
         return best[1] if best else None
 
     def choose_for_model(
@@ -175,9 +175,9 @@
         cost += _BUSY_COST * share
         if engine.had_lately(artifact):
             cost -= _LATELY_BONUS
-        if engine.free_places(now) > 0:
+        if engine.free_places() > 0:
             return cost, Choice(engine)
-        if engine.free_places(now) < 0:
+        if engine.free_places() < 0:
             return None
         victim = self.choose_victim(engine, using(engine.name), now)
         if victim is None:
@@ -218,6 +218,14 @@
         return value * _COPY_SHARE / copies
 
 
+def _are_full(holders: list[Engine], busy: dict[str, int]) -> bool:
+    """Whether every holder of an adapter has enough to do."""
+    return bool(holders) and all(
+        busy.get(engine.name, 0) >= _SPREAD_BUSY * engine.spec.slots
+        for engine in holders
+    )
+
+
 # Requests for one adapter counted from one question, so that a report after a
 # long silence doesn't take long to count.
 _MOST_COUNTED = 200
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -52,7 +52,7 @@
     ) -> None:
         self.view = view
         self.outcomes = outcomes
-        self._data_centre = data_centre
+        self.data_centre = data_centre
         self._rng = rng or random.Random()
         self._own: dict[str, dict[str, int]] = {}
         self._told: dict[str, int] = {}
@@ -127,7 +127,7 @@
     def cost(self, upstream: Upstream, now: float) -> float:
         """Ranks upstreams; the lowest is the best."""
         cost = self.busy(upstream.name) / max(upstream.slots, 1)
-        if upstream.data_centre != self._data_centre:
+        if upstream.data_centre != self.data_centre:
             cost += _ELSEWHERE
         cost += _FAILING * self.outcomes.failure_rate(upstream.name, now)
         return cost + self._rng.random() * _JITTER
--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -11,6 +11,11 @@
 _PATH_VARIABLE = "RIDGESILL_SETTINGS"
 
 
+# Where each role serves its figures; deploy/system.toml names the same.
+_METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+
+
 class PlatformSettingsError(Exception):
     """A settings file that can't be used; names file, field and expectation."""
 
@@ -58,6 +63,7 @@
         readiness: address for the balancer's question.
         control: address for upstreams and the operator.
         peers: address for the project's own processes.
+        metrics: address for this process's figures.
         seeds: addresses, for the project's own processes, of the first VMs
             that serve control.
         is_first_start: whether the whole deployment starts on empty disks.
@@ -72,6 +78,7 @@
     readiness: str
     control: str
     peers: str
+    metrics: str
     seeds: tuple[str, ...]
     is_first_start: bool
     data_folder: str
@@ -125,6 +132,7 @@
             readiness=str(listen.get("ready") or ""),
             control=str(listen.get("control") or ""),
             peers=f"{self._text('ip')}:{port}",
+            metrics=f"{self._text('ip')}:{_METRICS_PORT}",
             seeds=tuple(_with_port(seed, port) for seed in self._seeds()),
             is_first_start=bool(self._document.get("bootstrap", False)),
             data_folder=str(self._document.get("data_directory") or ""),
--- /dev/null
+++ b/testing/adapters/test_bounded_log.py
@@ -0,0 +1,61 @@
+"""Tests of a log that never waits for its reader."""
+
+import os
+
+import msgspec
+
+from ridgesill.adapters import logs
+from ridgesill.adapters.logs import BoundedLog
+
+
+def read_lines(descriptor: int) -> list[dict[str, object]]:
+    """Returns what can be read now."""
+    os.set_blocking(descriptor, False)
+    data = b""
+    while True:
+        try:
+            part = os.read(descriptor, 65536)
+        except BlockingIOError:
+            break
+        if not part:
+            break
+        data += part
+    return [msgspec.json.decode(text) for text in data.splitlines()]
+
+
+class TestBoundedLog:
+    async def test_each_line_is_json_and_names_the_vm(self) -> None:
+        reader, writer = os.pipe()
+        log = BoundedLog("vm-1", writer)
+        log({"message_type": "x", "task_uuid": "u", "number": 3})
+        log.close()
+        assert read_lines(reader) == [
+            {"vm": "vm-1", "message_type": "x", "number": 3}
+        ]
+
+    async def test_a_reader_that_does_not_read_holds_nothing_up(self) -> None:
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        log = BoundedLog("vm-1", writer)
+        for number in range(3000):
+            log({"message_type": "refused", "text": "x" * 100, "n": number})
+            log.flush()
+        assert read_lines(reader)
+        log.flush()
+        log.close()
+
+    async def test_failures_outlast_ends_that_went_well(self) -> None:
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        log = BoundedLog("vm-1", writer)
+        most = int(logs._LINES_BURST)
+        for _ in range(most):
+            log({"message_type": "request:end", "outcome": "served"})
+        log({"message_type": "request:end", "outcome": "refused"})
+        kept = [msgspec.json.decode(text) for text in log._lines]
+        served = [k for k in kept if k.get("outcome") == "served"]
+        assert len(served) < most
+        assert kept[-1]["outcome"] == "refused"
+        assert log._dropped > 0
+        read_lines(reader)
+        log.close()
--- /dev/null
+++ b/testing/app/engine_world.py
@@ -0,0 +1,225 @@
+"""Engines that take orders on the paused clock, and lose some answers."""
+
+import asyncio
+import random
+from typing import Any
+
+import attrs
+import msgspec
+
+from ridgesill.app.engine_orders import Authority, EngineOrders
+from ridgesill.app.fleet_loads import FleetLoads, LoadsView
+from ridgesill.core.fleet.engines import Engine
+from ridgesill.core.fleet.placement import Placement
+from ridgesill.core.serving.routes import EngineSpec, Model
+from ridgesill.platform.upstreams import PlatformEngines
+from ridgesill.ports.http import HttpRequest, ResponseHead
+
+MODEL = "base"
+_LOAD_SECONDS = 0.25
+_LOADS_AT_ONCE = 4
+_REPORT_LAG = 0.4
+
+
+@attrs.define
+class SimulatedEngine:
+    """An engine as the platform's pages describe it.
+
+    Attributes:
+        fell: whether an order made it hold more than it has places for.
+        used: adapters whose unload waits for their runs.
+    """
+
+    name: str
+    places: int
+    taken: int = 0
+    fell: bool = False
+    held: dict[str, int] = attrs.Factory(dict)
+    incoming: dict[str, float] = attrs.Factory(dict)
+    used: set[str] = attrs.Factory(set)
+    waits_for: str = ""
+    reports: list[tuple[float, dict[str, Any]]] = attrs.Factory(list)
+
+    def settle(self, now: float) -> None:
+        """Lets loads and unloads end that are due."""
+        for adapter, ready_at in list(self.incoming.items()):
+            if now >= ready_at:
+                del self.incoming[adapter]
+                self.held[adapter] = 1
+        if self.waits_for and self.waits_for not in self.used:
+            self.held.pop(self.waits_for, None)
+            self.waits_for = ""
+
+    def order(self, body: dict[str, Any], now: float) -> int:
+        """Carries out an order; returns the status of its answer."""
+        self.settle(now)
+        adapter = body["adapter"]
+        is_load = body["operation"] == "load"
+        if is_load and adapter in self.incoming:
+            return 202
+        if is_load and adapter in self.held and adapter != self.waits_for:
+            return 200
+        if not is_load and adapter not in self.held:
+            return 200
+        if self.waits_for:
+            return 409
+        if body.get("expected_revision", self.taken) != self.taken:
+            return 409
+        return self._load(adapter, now) if is_load else self._unload(adapter)
+
+    def _load(self, adapter: str, now: float) -> int:
+        if len(self.incoming) >= _LOADS_AT_ONCE:
+            return 409
+        self.taken += 1
+        self.incoming[adapter] = now + _LOAD_SECONDS
+        if len(self.held) + len(self.incoming) > self.places:
+            self.fell = True
+        return 202
+
+    def _unload(self, adapter: str) -> int:
+        self.taken += 1
+        if adapter in self.used:
+            self.waits_for = adapter
+            return 202
+        del self.held[adapter]
+        return 200
+
+    def report(self, now: float) -> dict[str, Any]:
+        """Returns what it says of itself, some hundred milliseconds old."""
+        self.settle(now)
+        said = {
+            "sequence": self.taken,
+            "busy_slots": bool(self.waits_for),
+            "models": [
+                {
+                    "name": MODEL,
+                    "version": 1,
+                    "adapters": [f"{a}@1" for a in self.held],
+                }
+            ],
+            "incoming": [f"{MODEL}/{a}@1" for a in self.incoming],
+        }
+        self.reports.append((now, said))
+        old = [r for at, r in self.reports if at <= now - _REPORT_LAG]
+        return old[-1] if old else self.reports[0][1]
+
+
+class SimulatedExchange:
+    """An answer, or none."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self._status = status
+        self._body = body
+
+    async def read_head(self) -> ResponseHead:
+        """Returns the head, or waits in vain."""
+        if not self._status:
+            await asyncio.Event().wait()
+        return ResponseHead(self._status, ())
+
+    async def read_data(self) -> bytes:
+        """Returns the body once."""
+        body, self._body = self._body, b""
+        return body
+
+    def cancel(self) -> None:
+        """Ends it."""
+
+
+class SimulatedChannels:
+    """Carries orders to simulated engines.
+
+    Args:
+        engines: by address.
+        rng: the source of faults.
+        lost: share of the orders that get no answer.
+    """
+
+    def __init__(
+        self,
+        engines: dict[str, SimulatedEngine],
+        rng: random.Random,
+        lost: float,
+    ) -> None:
+        self._engines = engines
+        self._rng = rng
+        self.lost = lost
+        self._loop = asyncio.get_running_loop()
+
+    async def send(
+        self, address: str, request: HttpRequest
+    ) -> SimulatedExchange:
+        """Carries a call; some orders are carried out late or unheard."""
+        engine = self._engines[address]
+        await asyncio.sleep(0.001)
+        now = self._loop.time()
+        if request.method == b"GET":
+            said = engine.report(now)
+            return SimulatedExchange(200, msgspec.json.encode(said))
+        body = msgspec.json.decode(request.body)
+        engine.report(now)
+        if self._rng.random() >= self.lost:
+            return SimulatedExchange(engine.order(body, now), b"{}")
+        late = self._rng.choice((0.0, self._rng.uniform(2.0, 12.0)))
+        self._loop.call_later(
+            late, lambda: engine.order(body, self._loop.time())
+        )
+        return SimulatedExchange(0, b"")
+
+
+class EngineWorld:
+    """An owner's loads over simulated engines.
+
+    Args:
+        count: how many engines.
+        places: for adapters on each.
+        seed: of the faults.
+        lost: share of the orders that get no answer.
+    """
+
+    def __init__(
+        self, count: int, places: int, seed: int = 1, lost: float = 0.0
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.simulated = [
+            SimulatedEngine(f"u{n}", places) for n in range(count)
+        ]
+        by_address = {f"10.0.0.{n}:80": e for n, e in enumerate(self.simulated)}
+        self.channels = SimulatedChannels(by_address, random.Random(seed), lost)
+        spec = EngineSpec(
+            8, 1e6, places, 4.0, (Model(MODEL, 1000.0, 1.0, 99, 1.0),)
+        )
+        self.placement = Placement()
+        for address, simulated in by_address.items():
+            engine = Engine(simulated.name, address, "a", spec)
+            engine.adopt({MODEL: 1}, self.loop.time())
+            self.placement.engines[simulated.name] = engine
+        self.authority: Authority | None = Authority("vm", 7)
+        self.versions: dict[str, int] = {}
+        self.orders = EngineOrders(
+            self.channels,  # type: ignore[arg-type]
+            PlatformEngines(),
+            lambda: self.authority,
+        )
+        self.loads = FleetLoads(
+            self.placement,
+            self.orders,
+            LoadsView(
+                lambda _service: list(self.placement.engines.values()),
+                dict,
+                self._using,
+                lambda artifact: self.versions.get(artifact, 0),
+                lambda _engine: None,
+                lambda: 0.0,
+            ),
+        )
+
+    def _using(self, name: str) -> set[str]:
+        engine = next(e for e in self.simulated if e.name == name)
+        return {f"{MODEL}/{adapter}" for adapter in engine.used}
+
+    async def tend(self) -> None:
+        """Does what the owner does ten times a second."""
+        while True:
+            self.loads.tend("s", (MODEL,))
+            await asyncio.sleep(0.1)
--- /dev/null
+++ b/testing/app/test_explain.py
@@ -0,0 +1,69 @@
+"""Tests of explaining a request from logs."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from ridgesill.app.explain import NoSuchRequestError, explain, read_lines
+
+
+def write(path: Path, *lines: dict[str, object]) -> str:
+    """Writes a log as the platform shows it, with a prefix on each line."""
+    text = "\n".join(
+        f"  1.0 vm {msgspec.json.encode(line).decode()}" for line in lines
+    )
+    path.write_text("not a line\n" + text + "\n")
+    return str(path)
+
+
+def line(kind: str, at: float, **fields: object) -> dict[str, object]:
+    """Returns a line of a log."""
+    return {"vm": "v", "timestamp": at, "message_type": kind, **fields}
+
+
+@pytest.fixture
+def logs(tmp_path: Path) -> list[str]:
+    """Returns a front's log and the owner's."""
+    front = write(
+        tmp_path / "front",
+        line("request:want", 10.3, request="q1", artifact="m/a1"),
+        line("request:end", 10.4, request="q2", outcome="served"),
+        line(
+            "request:end",
+            10.5,
+            request="q1",
+            artifact="m/a1",
+            outcome="refused",
+            reason="no_place",
+            seconds=0.5,
+            waited=0.4,
+        ),
+    )
+    owner = write(
+        tmp_path / "owner",
+        line("fleet:order", 10.2, artifact="m/a1", verdict="refused"),
+        line("fleet:order", 10.2, artifact="m/a2", verdict="taken"),
+        line("fleet:order", 30.0, artifact="m/a1", verdict="taken"),
+    )
+    return [front, owner]
+
+
+class TestExplain:
+    def test_lines_of_all_processes_in_order(self, logs: list[str]) -> None:
+        said = explain("q1", read_lines(logs)).splitlines()
+        kinds = [text.split()[2] for text in said[:-1]]
+        assert kinds == ["fleet:order", "request:want", "request:end"]
+        assert "verdict=refused" in said[0]
+
+    def test_the_last_line_says_what_became_of_it(
+        self, logs: list[str]
+    ) -> None:
+        said = explain("q1", read_lines(logs)).splitlines()[-1]
+        assert "was refused, and has not run" in said
+        assert "no_place" in said
+        assert "waited 0.4 s for m/a1" in said
+
+    def test_an_unknown_id_says_what_to_do(self, logs: list[str]) -> None:
+        with pytest.raises(NoSuchRequestError, match="every front"):
+            explain("q9", read_lines(logs))
--- /dev/null
+++ b/testing/app/test_fleet_loads.py
@@ -0,0 +1,106 @@
+"""Tests of loads and of orders whose answers are lost."""
+
+import asyncio
+import random
+
+import pytest
+
+from ridgesill.core.fleet.messages import ArtifactReady, WantArtifact
+from testing.app.engine_world import EngineWorld
+
+pytestmark = pytest.mark.looptime
+
+
+def want(adapter: str, patience: float = 2.0) -> WantArtifact:
+    """Returns a want for an adapter."""
+    return WantArtifact("s", f"base/{adapter}", 0, (), patience)
+
+
+class TestWants:
+    async def test_a_load_is_answered_when_it_is_there(self) -> None:
+        world = EngineWorld(2, 4)
+        began = world.loop.time()
+        answer = await world.loads.want(want("a1"))
+        assert answer.upstream in ("u0", "u1")
+        assert 0.25 <= world.loop.time() - began < 0.35
+
+    async def test_many_who_want_the_same_share_one_load(self) -> None:
+        world = EngineWorld(2, 4)
+        answers = await asyncio.gather(
+            *(world.loads.want(want("a1")) for _ in range(20))
+        )
+        assert len({answer.upstream for answer in answers}) == 1
+        assert sum(engine.taken for engine in world.simulated) == 1
+
+    async def test_the_least_wanted_gives_way(self) -> None:
+        world = EngineWorld(1, 2)
+        now = world.loop.time()
+        world.placement.note_used({"base/a1": 9, "base/a2": 2}, now)
+        for adapter in ("a1", "a2"):
+            await world.loads.want(want(adapter))
+        await asyncio.sleep(1.0)
+        await world.loads.want(want("a3"))
+        assert set(world.simulated[0].held) == {"a1", "a3"}
+
+    async def test_one_in_use_does_not_give_way(self) -> None:
+        world = EngineWorld(1, 1)
+        await world.loads.want(want("a1"))
+        world.simulated[0].used.add("a1")
+        answer = await world.loads.want(want("a2", patience=1.0))
+        assert (answer.upstream, answer.reason) == ("", "no_place")
+        world.simulated[0].used.clear()
+        assert (await world.loads.want(want("a2"))).upstream == "u0"
+
+    async def test_without_authority_nothing_is_ordered(self) -> None:
+        world = EngineWorld(1, 2)
+        world.authority = None
+        answer = await world.loads.want(want("a1", patience=0.5))
+        assert answer.upstream == ""
+        assert world.simulated[0].taken == 0
+
+    async def test_an_unload_that_waits_does_not_block_others_for_ever(
+        self,
+    ) -> None:
+        world = EngineWorld(1, 2)
+        for adapter in ("a1", "a2"):
+            await world.loads.want(want(adapter))
+        engine = world.placement.engines["u0"]
+        world.simulated[0].used.add("a1")
+        await world.loads._unload(engine, "base/a1")
+        assert engine.waits_for == "base/a1"
+        await asyncio.sleep(1.0)
+        world.simulated[0].used.clear()
+        assert (await world.loads.want(want("a3"))).upstream == "u0"
+
+
+class TestLostAnswers:
+    @pytest.mark.parametrize("seed", range(12))
+    async def test_no_engine_is_ordered_over_its_places(
+        self, seed: int
+    ) -> None:
+        world = EngineWorld(3, 4, seed, lost=0.35)
+        rng = random.Random(seed)
+        tending = asyncio.create_task(world.tend())
+        served = 0
+        for number in range(150):
+            if number == 100:
+                world.channels.lost = 0.0
+            adapter = f"a{int(rng.paretovariate(0.8)) % 40}"
+            world.placement.note_used({f"base/{adapter}": 1}, world.loop.time())
+            answer = await world.loads.want(want(adapter))
+            served += bool(answer.upstream)
+            await asyncio.sleep(rng.uniform(0.0, 0.2))
+        tending.cancel()
+        assert not any(engine.fell for engine in world.simulated)
+        assert served > 120
+
+    async def test_an_answer_that_says_ready_is_true(self) -> None:
+        world = EngineWorld(3, 4, 5, lost=0.35)
+        for number in range(60):
+            answer: ArtifactReady = await world.loads.want(want(f"a{number}"))
+            if answer.upstream:
+                engine = next(
+                    e for e in world.simulated if e.name == answer.upstream
+                )
+                engine.settle(world.loop.time())
+                assert f"a{number}" in engine.held
--- a/testing/core/fleet/test_engines.py
+++ b/testing/core/fleet/test_engines.py
@@ -28,18 +28,21 @@
     def test_loads_and_unloads_under_way_take_places(
         self, engine: Engine
     ) -> None:
-        assert engine.free_places(100.0) == 1
+        assert engine.free_places() == 1
         engine.loading["base/a2"] = Pending(1, 100.0)
-        assert engine.free_places(100.0) == 0
+        assert engine.free_places() == 0
         engine.leaving["base/a3"] = 100.0
-        assert engine.is_overfull(100.0)
+        assert engine.is_overfull()
 
-    def test_an_order_without_an_answer_takes_a_place_until_it_is_void(
+    def test_an_order_without_an_answer_takes_a_place_until_a_report(
         self, engine: Engine
     ) -> None:
         engine.ghosts["base/a2"] = 113.0
-        assert engine.free_places(112.0) == 0
-        assert engine.free_places(114.0) == 1
+        report = EngineReport(3, False, {MODEL: 1, "base/a1": 1}, {})
+        engine.take_report(report, 112.0)
+        assert engine.free_places() == 0
+        engine.take_report(report, 114.0)
+        assert engine.free_places() == 1
 
 
 class TestHeartbeats:
