--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -111,8 +111,7 @@
             if unknown and verdict is OrderVerdict.REFUSED:
                 # Refused now, but the order before may have been taken.
                 verdict = OrderVerdict.UNKNOWN
-            counted = unknown or not again
-            self._note(engine, action, artifact, verdict, counted=counted)
+            self._note(engine, action, artifact, verdict, counted=not again)
             return verdict
 
     def _make(
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -38,6 +38,8 @@
 _TRIES = 3
 # Copies wait while more wants than this are under way.
 _SPREAD_WANTS_MOST = 6
+# How often copies are thought of, in seconds: all counts are looked at.
+_SPREAD_SECONDS = 0.3
 # Replacements wait this long for requests on the old version to end, so that
 # the engine isn't blocked by them.
 _REPLACE_PATIENCE = 2.5
@@ -90,6 +92,7 @@
         self._loadings: dict[tuple[str, str], _Loading] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._copying = False
+        self._spread_at = float("-inf")
         self._replace_since: dict[tuple[str, str], float] = {}
 
     def end(self) -> None:
@@ -329,6 +332,9 @@
         """Loads a copy of a much wanted adapter, one at a time."""
         if self._copying or len(self._loadings) > _SPREAD_WANTS_MOST:
             return
+        if now < self._spread_at:
+            return
+        self._spread_at = now + _SPREAD_SECONDS
         chosen = self._placement.choose_copy(
             self._view.engines(service),
             self._view.busy(),
--- a/testing/app/test_fleet_loads.py
+++ b/testing/app/test_fleet_loads.py
@@ -74,7 +74,10 @@
 
 
 class TestLostAnswers:
-    @pytest.mark.parametrize("seed", range(12))
+    # Seed 9: an order without an answer was forgotten after 13 s although it
+    # had been carried out. Seed 129: a question without an answer, repeated,
+    # was counted as another order, and came true when the count fitted.
+    @pytest.mark.parametrize("seed", [*range(12), 129])
     async def test_no_engine_is_ordered_over_its_places(
         self, seed: int
     ) -> None:
