Give copies of much wanted adapters also while loads are under way

Change: a copy may go to an engine with two loads under way, once ten requests are in progress at all holders, while at most ten wants wait.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -37,7 +37,7 @@
 # Engines that one want tries.
 _TRIES = 3
 # Copies wait while more wants than this are under way.
-_SPREAD_WANTS_MOST = 6
+_SPREAD_WANTS_MOST = 10
 # How often copies are thought of, in seconds: all counts are looked at.
 _SPREAD_SECONDS = 0.3
 # Replacements wait this long for requests on the old version to end, so that
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -32,10 +32,15 @@
 _LATELY_BONUS = 1.0
 # Copies divide an adapter's requests; the last copy is worth more than that.
 _COPY_SHARE = 0.5
-# Share of the requests from which an adapter may get another copy, and how full
-# all its holders must be. On calm days copies cost more loads than they save.
+# Share of the requests from which an adapter may get another copy, and how many
+# requests all its holders must have in progress, or which share of their places
+# if that is less. An engine reads one prompt at a time, so some ten in progress
+# already wait for each other. On calm days copies cost more than they save.
 _SPREAD_SHARE = 0.015
-_SPREAD_BUSY = 0.3
+_SPREAD_BUSY = 10
+_SPREAD_FULL = 0.5
+# Loads on their way to an engine that may get a copy; the rest is for misses.
+_SPREAD_LOADING = 2
 # How many adapters are looked at for copies.
 _SPREAD_MOST = 12
 # Requests counted before shares mean something.
@@ -88,7 +93,7 @@
                 [e for e in engines if artifact in e.held], busy
             ):
                 continue
-            idle = [engine for engine in engines if not engine.loading]
+            idle = [e for e in engines if len(e.loading) <= _SPREAD_LOADING]
             choice = self.choose(artifact, idle, busy, using, now)
             if choice is not None and self._is_better(artifact, choice, now):
                 return artifact, choice
@@ -221,7 +226,8 @@
 def _are_full(holders: list[Engine], busy: dict[str, int]) -> bool:
     """Whether every holder of an adapter has enough to do."""
     return bool(holders) and all(
-        busy.get(engine.name, 0) >= _SPREAD_BUSY * engine.spec.slots
+        busy.get(engine.name, 0)
+        >= min(_SPREAD_BUSY, _SPREAD_FULL * engine.spec.slots)
         for engine in holders
     )
 
