--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -8,7 +8,6 @@
 import asyncio
 from typing import Any
 
-import attrs
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
@@ -30,12 +29,12 @@
     Heartbeat,
     Taken,
     Upstream,
-    UpstreamChange,
     WantArtifact,
     WatchFleet,
 )
 from ridgesill.core.fleet.placement import Placement
 from ridgesill.core.fleet.registry import Registry
+from ridgesill.core.fleet.usage import Usage
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import EngineCalls
 from ridgesill.ports.peers import PeerError
@@ -57,7 +56,6 @@
 _NEWS_SECONDS = 0.1
 # Heartbeats that may be missed before an upstream counts as gone.
 _HEARTBEATS_MISSED = 4.0
-_FRONT_HEARD_SECONDS = 2.0
 # Reason of a refusal by a node that does not own the fleet.
 NOT_OWNER = "not_owner"
 
@@ -82,12 +80,6 @@
     """This node does not own the fleet, or can't be sure that it does."""
 
 
-@attrs.define
-class _Front:
-    heard_at: float
-    busy: dict[str, dict[str, int]]
-
-
 class FleetOwner:
     """Owns the fleet while this node leads the log.
 
@@ -121,20 +113,20 @@
         self._registry: Registry | None = None
         self._orders_from = float("inf")
         self._placement = Placement()
+        self._usage = Usage()
         self._orders = EngineOrders(channels, calls, self._authority)
         self._loads = FleetLoads(
             self._placement,
             self._orders,
             LoadsView(
                 self._engines_of,
-                self._busy,
-                self._using,
+                self._usage.busy,
+                self._usage.artifacts,
                 self._version,
                 self._tell_resident,
                 lambda: self._orders_from,
             ),
         )
-        self._fronts: dict[str, _Front] = {}
         self._news = asyncio.Event()
 
     def use_telemetry(self, telemetry: Telemetry) -> None:
@@ -226,9 +218,7 @@
             self._forget_engine(name)
         if registry.number != number:
             self._wake()
-        for front, heard in list(self._fronts.items()):
-            if now - heard.heard_at > _FRONT_HEARD_SECONDS:
-                del self._fronts[front]
+        self._usage.forget_silent(now)
         self._channels.sweep()
         self._tend()
 
@@ -370,7 +360,7 @@
     ) -> FleetNews:
         """Answers a front, or a node that may own the fleet next."""
         if not self.is_owner():
-            return self._tell_newcomer(question)
+            return self._follower.view.remembered(question)
         self._note_front(sender, question)
         began = self._loop.time()
         deadline = began + question.wait
@@ -380,33 +370,21 @@
             left = deadline - self._loop.time()
             if left <= 0 or not await self._news_within(left):
                 break
-        spacing = _NEWS_SECONDS + _NEWS_SECONDS_A_FRONT * len(self._fronts)
+        spacing = _NEWS_SECONDS + _NEWS_SECONDS_A_FRONT * self._usage.fronts
         await asyncio.sleep(max(began + spacing - self._loop.time(), 0.0))
         if not self.is_owner() or self._registry is None:
             return FleetNews(0)
         return self._registry.news(
             question.epoch,
             question.number,
-            max(len(self._fronts), 1),
-            self._busy(),
-        )
-
-    def _tell_newcomer(self, question: WatchFleet) -> FleetNews:
-        """Tells a front that knows nothing what an earlier owner said."""
-        view = self._follower.view
-        if question.epoch or not view.epoch:
-            return FleetNews(0)
-        changes = tuple(
-            UpstreamChange(name, upstream)
-            for name, upstream in view.upstreams.items()
+            max(self._usage.fronts, 1),
+            self._usage.busy(),
         )
-        # Number 0 makes it ask the next owner for everything.
-        return FleetNews(view.epoch, 0, True, changes, view.fronts)
 
     def _note_front(self, sender: str, question: WatchFleet) -> None:
         now = self._loop.time()
         if question.is_front:
-            self._fronts[sender] = _Front(now, question.busy)
+            self._usage.note(sender, question.busy, now)
         if question.used:
             self._placement.note_used(question.used, now)
 
@@ -417,19 +395,6 @@
             return False
         return True
 
-    def _busy(self) -> dict[str, int]:
-        totals: dict[str, int] = {}
-        for front in self._fronts.values():
-            for name, using in front.busy.items():
-                totals[name] = totals.get(name, 0) + sum(using.values())
-        return totals
-
-    def _using(self, upstream: str) -> set[str]:
-        using: set[str] = set()
-        for front in self._fronts.values():
-            using.update(front.busy.get(upstream, ()))
-        return using
-
     def _version(self, artifact: str) -> int:
         return self._control.state.artifact_versions.get(artifact, 0)
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -5,26 +5,24 @@
 """
 
 import asyncio
-import random
 
 import attrs
 from eliot import log_message
 
-from ridgesill.adapters.http1.client import Exchange, UpstreamChannels
-from ridgesill.app.fleet_client import FleetClient
+from ridgesill.adapters.http1.client import Exchange
+from ridgesill.app.front import Front
 from ridgesill.core.fleet.messages import Upstream, WantArtifact
-from ridgesill.core.serving.choice import Chooser, Wanted
+from ridgesill.core.serving.choice import Wanted
 from ridgesill.core.serving.events import EventSplitter
-from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
-from ridgesill.core.serving.routes import STREAM, Route, RouteTable, Service
-from ridgesill.ports.dialect import Dialect, ForwardTerms, RequestFacts
+from ridgesill.core.serving.routes import STREAM, Route, Service
+from ridgesill.ports.dialect import ForwardTerms, RequestFacts
 from ridgesill.ports.http import (
     ChannelError,
     HttpRequest,
     Responder,
     ResponseHead,
 )
-from ridgesill.ports.telemetry import NoTelemetry, RequestEnd, Telemetry
+from ridgesill.ports.telemetry import RequestEnd
 
 # A route's time-out is kept with this much to spare, in seconds.
 _TIMEOUT_MARGIN = 0.02
@@ -75,61 +73,15 @@
     arrived: bool = True
 
 
-class Front:
-    """What the requests of a front share.
-
-    Args:
-        chooser: the choice of an upstream.
-        fleet: the link to the owner.
-        channels: to upstreams.
-        dialect: how clients and upstreams speak.
-        bounds: of retries.
-    """
-
-    def __init__(
-        self,
-        chooser: Chooser,
-        fleet: FleetClient,
-        channels: UpstreamChannels,
-        dialect: Dialect,
-        bounds: RetryBounds,
-    ) -> None:
-        self.table = RouteTable()
-        self.versions: dict[str, int] = {}
-        self.chooser = chooser
-        self.fleet = fleet
-        self.channels = channels
-        self.dialect = dialect
-        self.rng = random.Random()
-        self.in_progress = 0
-        self.used: dict[str, int] = {}
-        self.telemetry: Telemetry = NoTelemetry()
-        self._bounds = bounds
-        self._retries: dict[str, ServiceRetries] = {}
-
-    def retries(self, service: str) -> ServiceRetries:
-        """Returns the retry budget of a service."""
-        budget = self._retries.get(service)
-        if budget is None:
-            budget = self._retries[service] = ServiceRetries(self._bounds)
-        return budget
-
-    def note_used(self, artifact: str) -> None:
-        """Counts a request for an artifact, to be told the owner."""
-        self.used[artifact] = self.used.get(artifact, 0) + 1
-
-    def take_used(self) -> dict[str, int]:
-        """Returns the requests by artifact since the last call."""
-        used, self.used = self.used, {}
-        return used
-
-    async def serve(self, request: HttpRequest, responder: Responder) -> None:
-        """Serves a client's request."""
-        self.in_progress += 1
-        try:
-            await Forwarding(self, request, responder).run()
-        finally:
-            self.in_progress -= 1
+async def serve_request(
+    front: Front, request: HttpRequest, responder: Responder
+) -> None:
+    """Serves a client's request."""
+    front.in_progress += 1
+    try:
+        await Forwarding(front, request, responder).run()
+    finally:
+        front.in_progress -= 1
 
 
 class Forwarding:
--- /dev/null
+++ b/src/ridgesill/app/front.py
@@ -0,0 +1,60 @@
+"""What the requests of a front share."""
+
+import random
+
+from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.app.fleet_client import FleetClient
+from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
+from ridgesill.core.serving.routes import RouteTable
+from ridgesill.ports.dialect import Dialect
+from ridgesill.ports.telemetry import NoTelemetry, Telemetry
+
+
+class Front:
+    """What the requests of a front share.
+
+    Args:
+        chooser: the choice of an upstream.
+        fleet: the link to the owner.
+        channels: to upstreams.
+        dialect: how clients and upstreams speak.
+        bounds: of retries.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        fleet: FleetClient,
+        channels: UpstreamChannels,
+        dialect: Dialect,
+        bounds: RetryBounds,
+    ) -> None:
+        self.table = RouteTable()
+        self.versions: dict[str, int] = {}
+        self.chooser = chooser
+        self.fleet = fleet
+        self.channels = channels
+        self.dialect = dialect
+        self.rng = random.Random()
+        self.in_progress = 0
+        self.used: dict[str, int] = {}
+        self.telemetry: Telemetry = NoTelemetry()
+        self._bounds = bounds
+        self._retries: dict[str, ServiceRetries] = {}
+
+    def retries(self, service: str) -> ServiceRetries:
+        """Returns the retry budget of a service."""
+        budget = self._retries.get(service)
+        if budget is None:
+            budget = self._retries[service] = ServiceRetries(self._bounds)
+        return budget
+
+    def note_used(self, artifact: str) -> None:
+        """Counts a request for an artifact, to be told the owner."""
+        self.used[artifact] = self.used.get(artifact, 0) + 1
+
+    def take_used(self) -> dict[str, int]:
+        """Returns the requests by artifact since the last call."""
+        used, self.used = self.used, {}
+        return used
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -1,6 +1,7 @@
 """The process on a VM that clients reach: takes and forwards requests."""
 
 import asyncio
+import functools
 import secrets
 import signal
 import zlib
@@ -14,7 +15,8 @@
 from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
 from ridgesill.app.control import Control, ControlSettings
 from ridgesill.app.fleet_client import FleetClient, Usage
-from ridgesill.app.forwarding import Front
+from ridgesill.app.forwarding import serve_request
+from ridgesill.app.front import Front
 from ridgesill.app.telemetry import serve_metrics
 from ridgesill.core.commands import Node
 from ridgesill.core.serving.choice import Chooser
@@ -93,7 +95,9 @@
                 bounds.retry_share, bounds.retry_slack, bounds.retry_window
             ),
         )
-        self._callers = HttpListener(settings.callers, self.front.serve)
+        self._callers = HttpListener(
+            settings.callers, functools.partial(serve_request, self.front)
+        )
         self._readiness = HttpListener(settings.readiness, self._tell_ready)
         self._peer_server = PeerServer(self._handle, identity)
 
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -12,6 +12,7 @@
     Heartbeat,
     Upstream,
     UpstreamChange,
+    WatchFleet,
 )
 
 # Changes kept for those who ask; who is further behind gets everything.
@@ -204,6 +205,17 @@
         self.busy = news.busy
         self.known_at = now
 
+    def remembered(self, question: WatchFleet) -> FleetNews:
+        """Tells a front that knows nothing what an earlier owner said."""
+        if question.epoch or not self.epoch:
+            return FleetNews(0)
+        changes = tuple(
+            UpstreamChange(name, upstream)
+            for name, upstream in self.upstreams.items()
+        )
+        # Number 0 makes it ask the next owner for everything.
+        return FleetNews(self.epoch, 0, True, changes, self.fronts)
+
     def _apply(self, change: UpstreamChange) -> None:
         if change.gone:
             self.upstreams.pop(change.name, None)
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -1,12 +1,12 @@
 """Clients' requests and upstreams' answers, as the platform words them."""
 
-from ridgesill.adapters.http1.client import without_channel_headers
 from ridgesill.ports.dialect import ForwardTerms, RequestFacts
 from ridgesill.ports.http import (
     Headers,
     HttpRequest,
     ResponseHead,
     find_header,
+    without_channel_headers,
 )
 
 _REQUEST_ID = b"request-id"
--- a/src/ridgesill/ports/http.py
+++ b/src/ridgesill/ports/http.py
@@ -15,6 +15,31 @@
     return ""
 
 
+# Headers that concern one channel only (RFC 9110, 7.6.1).
+_CHANNEL_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+def without_channel_headers(headers: Headers) -> Headers:
+    """Returns the headers that travel beyond one channel."""
+    named = find_header(headers, b"connection").lower().encode()
+    listed = {name.strip() for name in named.split(b",")}
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in _CHANNEL_HEADERS and name not in listed
+    )
+
+
 @attrs.frozen
 class HttpRequest:
     """A whole request.
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -1,6 +1,7 @@
 """A front between loopback clients and scripted upstreams."""
 
 import asyncio
+import functools
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -11,7 +12,8 @@
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.app.fleet_client import FleetClient
-from ridgesill.app.forwarding import Front
+from ridgesill.app.forwarding import serve_request
+from ridgesill.app.front import Front
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
@@ -180,7 +182,9 @@
         )
         self.front.table = make_table()
         self.address = free_address()
-        self._listener = HttpListener(self.address, self.front.serve)
+        self._listener = HttpListener(
+            self.address, functools.partial(serve_request, self.front)
+        )
         self._upstreams: list[ScriptedUpstream] = []
 
     async def start(self) -> None:
--- a/testing/core/fleet/test_registry.py
+++ b/testing/core/fleet/test_registry.py
@@ -1,6 +1,11 @@
 """Tests of what is known of the upstreams, and how it is told."""
 
-from ridgesill.core.fleet.messages import DRAINING, READY, Heartbeat
+from ridgesill.core.fleet.messages import (
+    DRAINING,
+    READY,
+    Heartbeat,
+    WatchFleet,
+)
 from ridgesill.core.fleet.registry import FleetView, Registry
 
 _PATIENCE = 5.0
@@ -103,3 +108,14 @@
             registry.set_resident("u1", {"m": number})
         assert registry.news(1, 1, 1, {}).whole
         assert not registry.news(1, registry.number - 5, 1, {}).whole
+
+    def test_a_newcomer_is_told_what_is_remembered(self) -> None:
+        registry = Registry(3, _PATIENCE)
+        registry.hear(heartbeat("u1", 1), 0.0)
+        view = FleetView()
+        assert not view.remembered(WatchFleet(0, 0, 0.5)).epoch
+        follow(registry, view)
+        news = view.remembered(WatchFleet(0, 0, 0.5))
+        assert (news.epoch, news.number, news.whole) == (3, 0, True)
+        assert [change.name for change in news.changes] == ["u1"]
+        assert not view.remembered(WatchFleet(2, 9, 0.5)).epoch
