--- a/src/ridgesill/adapters/peer_rpc.py
+++ b/src/ridgesill/adapters/peer_rpc.py
@@ -28,7 +28,7 @@
 # How often a stream in use is looked at, and after how long without any answer
 # it is given up, in seconds. A stream that a cut has held up would else hang
 # until the system sends again, which it does less and less often.
-_CHECK_SECONDS = 0.3
+_CHECK_SECONDS = 0.4
 _SILENT_SECONDS = 0.7
 _STREAM_ERRORS = (
     OSError,
@@ -136,7 +136,6 @@
     calls: dict[int, asyncio.Future[Envelope]] = attrs.Factory(dict)
     task: asyncio.Task[None] | None = None
     sent: int = 0
-    heard: int = 0
 
 
 class PeerLinks:
@@ -242,7 +241,7 @@
             try:
                 await self._exchange(link)
             except _STREAM_ERRORS as error:
-                self._fail(link, str(error) or type(error).__name__)
+                self._fail(link, str(error) or "no answer of any kind in time")
             else:
                 self._fail(link, "stream ended")
             await asyncio.sleep(_RECONNECT)
@@ -274,28 +273,31 @@
     async def _read(self, link: _Link, stream: Any) -> None:
         async for envelope in stream:
             self.traffic.received(envelope)
-            link.heard += 1
             future = link.calls.get(envelope.call)
             if future and not future.done():
                 future.set_result(envelope)
 
     async def _check(self, link: _Link, stream: Any) -> None:
         """Raises once what was sent gets no answer of any kind."""
-        loop = asyncio.get_running_loop()
-        sent = link.sent - 1
-        heard = link.heard
-        heard_at = loop.time()
+        covered = 0
         while True:
             await asyncio.sleep(_CHECK_SECONDS)
-            now = loop.time()
-            if link.heard != heard or link.sent == sent:
-                heard, sent, heard_at = link.heard, link.sent, now
+            if link.sent == covered:
                 continue
-            if now - heard_at > _SILENT_SECONDS:
-                raise StreamTerminatedError("no answer of any kind in time")
-            question = Envelope(call=next(self._numbers), sender=self._identity)
             async with asyncio.timeout(_SILENT_SECONDS):
-                await self._send(link, stream, question)
+                await self._ask_whether_open(link, stream)
+            covered = link.sent
+
+    async def _ask_whether_open(self, link: _Link, stream: Any) -> None:
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        link.calls[number] = future
+        question = Envelope(call=number, sender=self._identity)
+        try:
+            await self._send(link, stream, question)
+            await future
+        finally:
+            link.calls.pop(number, None)
 
     def _fail(self, link: _Link, reason: str) -> None:
         for future in link.calls.values():
--- /dev/null
+++ b/testing/app/test_following.py
@@ -0,0 +1,113 @@
+"""Tests of whom a node without a disk follows, and of reading the newest."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from ridgesill.app.control import Control, ControlSettings, UnavailableError
+from ridgesill.core import codec
+from ridgesill.core.commands import Node, PutRoutes
+from ridgesill.core.following import AskLatest, Follow, FollowReply, Latest
+from ridgesill.core.log.messages import Entry
+from ridgesill.ports.peers import PeerError
+
+pytestmark = pytest.mark.looptime
+
+_VOTERS = ("10.0.0.1:70", "10.0.0.2:70", "10.0.0.3:70")
+
+
+class ScriptedVoters:
+    """Voters that answer as a test says; implements `ports.peers.Peers`."""
+
+    def __init__(self) -> None:
+        self.age = dict.fromkeys(_VOTERS, 0.1)
+        self.entries: tuple[Entry, ...] = ()
+        self.latest = Latest(-1)
+        self.asked: list[str] = []
+
+    def send(self, address: str, message: Any) -> None:
+        """Loses a message."""
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        """Answers for a voter."""
+        await asyncio.sleep(0.01)
+        if isinstance(message, AskLatest):
+            return self.latest
+        assert isinstance(message, Follow)
+        self.asked.append(address)
+        age = self.age[address]
+        if age is None:
+            await asyncio.sleep(timeout)
+            raise PeerError("Follow", address, "no answer in time")
+        await asyncio.sleep(message.wait)
+        # A voter that is out of touch doesn't have what was accepted since.
+        fresh = age < 1.0
+        entries = self.entries if fresh else ()
+        upto = entries[-1].index if entries else message.beat.applied
+        return FollowReply(age, upto, entries, b"", _VOTERS[0])
+
+
+def follower(voters: ScriptedVoters) -> Control:
+    """Returns the control plane of a front."""
+    node = Node("10.0.9.9:70", "1", "10.0.9.9:70", "a")
+    settings = ControlSettings(
+        {name: name for name in _VOTERS},
+        lease=1.2,
+        follow_wait=0.3,
+        names_are_addresses=True,
+    )
+    return Control(node, settings, voters, lambda: ())
+
+
+class TestFollowing:
+    async def test_a_voter_out_of_touch_is_left_within_two_seconds(
+        self,
+    ) -> None:
+        voters = ScriptedVoters()
+        control = follower(voters)
+        following = asyncio.create_task(control.follow())
+        await asyncio.sleep(2.0)
+        first = voters.asked[-1]
+        voters.age = dict.fromkeys(_VOTERS, 0.1)
+        voters.age[first] = 9.0
+        command = codec.encode(PutRoutes(5, b"x"))
+        voters.entries = (Entry(3, 1, command),)
+        await asyncio.sleep(1.9)
+        assert control.state.routes_version == 5
+        following.cancel()
+
+    async def test_the_one_that_works_is_kept(self) -> None:
+        voters = ScriptedVoters()
+        control = follower(voters)
+        following = asyncio.create_task(control.follow())
+        await asyncio.sleep(1.0)
+        first = voters.asked[-1]
+        voters.age[first] = 9.0
+        await asyncio.sleep(2.0)
+        voters.asked.clear()
+        await asyncio.sleep(5.0)
+        assert first not in voters.asked
+        following.cancel()
+
+
+class TestReading:
+    async def test_a_node_that_is_not_sure_says_so(self) -> None:
+        control = follower(ScriptedVoters())
+        control.leader = _VOTERS[0]
+        with pytest.raises(UnavailableError, match="newest"):
+            await control.confirm_latest(0.5)
+
+    async def test_it_waits_for_what_was_committed(self) -> None:
+        voters = ScriptedVoters()
+        control = follower(voters)
+        control.leader = _VOTERS[0]
+        voters.latest = Latest(3)
+        voters.entries = (Entry(3, 1, codec.encode(PutRoutes(5, b"x"))),)
+        reading = asyncio.create_task(control.confirm_latest(2.0))
+        await asyncio.sleep(0.2)
+        assert not reading.done()
+        following = asyncio.create_task(control.follow())
+        await reading
+        assert control.state.routes_version == 5
+        following.cancel()
--- /dev/null
+++ b/testing/core/test_voter_changes.py
@@ -0,0 +1,96 @@
+"""Tests of who becomes a voter where their number is bounded."""
+
+import random
+
+import pytest
+
+from ridgesill.core.commands import Node
+from ridgesill.core.following import Beat
+from ridgesill.core.log.messages import AppendResponse, Stored, Voters
+from ridgesill.core.log.messages import HardState as State
+from ridgesill.core.log.replica import (
+    ChangeVoters,
+    Replica,
+    found_snapshot,
+)
+from ridgesill.core.voter_changes import decide_change
+
+_VOTERS = ("10.0.0.1:70.a", "10.0.0.2:70.b", "10.0.0.3:70.c")
+_NEW = "10.0.0.9:70.z"
+
+
+def beat(identity: str) -> Beat:
+    """Returns the beat of a node with a disk that does not vote."""
+    name = identity.rpartition(".")[0]
+    return Beat(Node(name, "1", name, "a", identity), 0, 0, learner=True)
+
+
+class Leader:
+    """A leader whose followers answer as a test says."""
+
+    def __init__(self) -> None:
+        snapshot = found_snapshot(_VOTERS, b"", 1)
+        self.replica = Replica(
+            _VOTERS[0], Stored(State(), (), snapshot), 0.0, random.Random(1)
+        )
+        self.replica.term = 1
+        self.replica._lead(0.0)
+        self.now = 0.0
+
+    def hear(self, *identities: str) -> None:
+        """Has followers acknowledge everything now."""
+        for identity in identities:
+            self.replica.progress.setdefault(
+                identity, type(self.replica.progress[_VOTERS[1]])(1)
+            )
+            last = self.replica.log.last_index
+            answer = AppendResponse(1, True, last, self.now)
+            self.replica.receive(answer, identity, self.now)
+        self.replica.take_output()
+
+    def decide(self, identity: str, most: int) -> Voters | None:
+        """Returns the change that a learner causes, and makes it."""
+        change = decide_change(self.replica, [beat(identity)], self.now, most)
+        if change is None:
+            return None
+        assert isinstance(change, ChangeVoters)
+        self.replica.propose(change, self.now)
+        self.hear(*[v for v in self.replica.voters.members if v != _VOTERS[0]])
+        return change.voters
+
+
+@pytest.fixture
+def leader() -> Leader:
+    """Returns a leader that all followers have just heard."""
+    made = Leader()
+    made.hear(*_VOTERS[1:])
+    return made
+
+
+class TestBoundedVoters:
+    def test_a_newcomer_waits_while_every_voter_is_heard(
+        self, leader: Leader
+    ) -> None:
+        assert leader.decide(_NEW, 3).learners == (_NEW,)
+        leader.now = 20.0
+        leader.hear(*_VOTERS[1:], _NEW)
+        assert leader.decide(_NEW, 3) is None
+
+    def test_it_takes_the_place_of_one_that_is_silent(
+        self, leader: Leader
+    ) -> None:
+        leader.decide(_NEW, 3)
+        leader.now = 20.0
+        leader.hear(_VOTERS[1], _NEW)
+        without = leader.decide(_NEW, 3)
+        assert set(without.voters) == set(_VOTERS[:2])
+        final = leader.decide(_NEW, 3)
+        assert set(final.voters) == {*_VOTERS[:2], _NEW}
+
+    def test_a_wiped_voter_is_replaced_at_once(self, leader: Leader) -> None:
+        again = "10.0.0.3:70.d"
+        leader.decide(again, 3)
+        leader.hear(_VOTERS[1], again)
+        without = leader.decide(again, 3)
+        assert set(without.voters) == set(_VOTERS[:2])
+        assert again in leader.decide(again, 3).voters
