--- a/testing/adapters/http1/test_server.py
+++ b/testing/adapters/http1/test_server.py
@@ -89,3 +89,17 @@
         request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
         answer = await exchange(listener, request)
         assert b"connection: close" in answer.lower()
+
+    async def test_new_channels_are_refused_while_open_ones_go_on(
+        self, listener: HttpListener
+    ) -> None:
+        host, _, port = listener._address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        listener.close()
+        with pytest.raises(OSError):
+            await asyncio.open_connection(host, int(port))
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert await reader.readuntil(b"\r\n\r\n")
+        writer.close()
--- /dev/null
+++ b/testing/app/lone_node.py
@@ -0,0 +1,81 @@
+"""A control node that leads alone, on the paused clock."""
+
+import asyncio
+import random
+from typing import Any
+
+from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.app.control import Control, ControlSettings
+from ridgesill.app.fleet_client import FleetClient
+from ridgesill.app.fleet_owner import FLEET, FleetOwner
+from ridgesill.app.log_driver import LogDriver
+from ridgesill.core import codec
+from ridgesill.core.commands import GrantPool, Node
+from ridgesill.core.log.messages import Entry, HardState
+from ridgesill.core.log.replica import found_snapshot
+from ridgesill.platform.upstreams import PlatformEngines
+from testing.app.control_world import MemoryStorage, _run_inline
+
+NAME = "10.0.0.1:70"
+LEASE = 3.0
+
+
+class NoPeers:
+    """Nobody else is there."""
+
+    def send(self, address: str, message: Any) -> None:
+        """Loses a message."""
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        """Never called by a node that leads alone."""
+        raise AssertionError(f"{type(message).__name__} to {address}")
+
+
+class LoneNode:
+    """A node that leads alone and owns the fleet."""
+
+    def __init__(self, storage: MemoryStorage) -> None:
+        node = Node(NAME, "1", NAME, "a", storage.identity)
+        settings = ControlSettings({NAME: NAME}, names_are_addresses=True)
+        self.control = Control(node, settings, NoPeers(), lambda: ())
+        self.driver = LogDriver(
+            storage,
+            lambda _to, _message: None,
+            self.control.note_applied,
+            run_blocking=_run_inline,
+            rng=random.Random(1),
+        )
+        self.control.driver = self.driver
+        follower = FleetClient(NoPeers(), lambda: NAME, NAME)
+        self.owner = FleetOwner(
+            self.control,
+            follower,
+            UpstreamChannels(0.5),
+            PlatformEngines(),
+            LEASE,
+            1.2,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Runs until the fleet is owned."""
+        self._tasks = [
+            asyncio.create_task(self.driver.run()),
+            asyncio.create_task(self.owner.run()),
+        ]
+        while not self.owner.is_owner():
+            await asyncio.sleep(0.05)
+
+    def stop(self) -> None:
+        """Ends its tasks."""
+        for task in self._tasks:
+            task.cancel()
+
+
+def storage_of(owner: str) -> MemoryStorage:
+    """Returns the disk of a node whose log grants the fleet to a node."""
+    storage = MemoryStorage(f"{NAME}.a", found_snapshot((f"{NAME}.a",), b""))
+    if owner:
+        command = codec.encode(GrantPool(FLEET, owner, "0"))
+        storage.append(HardState(1, ""), [Entry(1, 1, command)])
+    return storage
--- a/testing/core/test_state.py
+++ b/testing/core/test_state.py
@@ -12,6 +12,8 @@
     GrantPool,
     JoinNode,
     Node,
+    PutArtifactVersion,
+    PutRoutes,
     ReleasePool,
     RemoveNode,
 )
@@ -117,6 +119,34 @@
 NODE = Node("n1", "x", "127.0.0.1:1", "east")
 
 
+class TestRoutes:
+    def test_the_highest_version_holds(self) -> None:
+        log = Log()
+        log.apply(PutRoutes(5, b"five"))
+        log.apply(PutRoutes(3, b"three"))
+        log.apply(PutRoutes(5, b"other"))
+        assert log.state.routes_document == b"five"
+        log.apply(PutRoutes(9, b"nine"))
+        assert (log.state.routes_version, log.state.routes_document) == (
+            9,
+            b"nine",
+        )
+
+    def test_artifact_versions_never_fall(self) -> None:
+        log = Log()
+        log.apply(PutArtifactVersion("m/a1", 4))
+        log.apply(PutArtifactVersion("m/a1", 2))
+        assert log.state.artifact_versions == {"m/a1": 4}
+
+    def test_a_snapshot_keeps_both(self) -> None:
+        log = Log()
+        log.apply(PutRoutes(5, b"five"))
+        log.apply(PutArtifactVersion("m/a1", 4))
+        loaded = State.load(log.state.dump())
+        assert loaded.routes_document == b"five"
+        assert loaded.artifact_versions == {"m/a1": 4}
+
+
 class TestOwners:
     def test_a_first_owner_need_not_wait(self) -> None:
         log = Log()
