Keep a refusal on resuming out of the stream; send nothing to one that left during the wait

Found by reading: an answer other than 200 from the second upstream of a resumed stream would have been passed on as its rest, and an engine that began to leave while its load was awaited still got the request. Both tests fail without the change.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -219,7 +219,9 @@
 
     async def _unload(self, engine: Engine, artifact: str) -> bool:
         """Returns whether an adapter's place is free now."""
-        held = engine.held.pop(artifact)
+        held = engine.held.pop(artifact, None)
+        if held is None:
+            return True
         engine.leaving[artifact] = self._loop.time()
         self._view.tell(engine)
         verdict = await self._orders.give(Action.UNLOAD, engine, artifact)
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -11,7 +11,7 @@
 
 from ridgesill.adapters.http1.client import Exchange
 from ridgesill.app.front import Front
-from ridgesill.core.fleet.messages import Upstream, WantArtifact
+from ridgesill.core.fleet.messages import READY, Upstream, WantArtifact
 from ridgesill.core.serving.choice import Wanted
 from ridgesill.core.serving.events import EventSplitter
 from ridgesill.core.serving.routes import STREAM, Route, Service
@@ -37,6 +37,7 @@
 # upstream may just have closed them. Seconds.
 _FRESH_FOR_UNSAFE = 3.0
 _PROMISES = frozenset((408, 421, 429, 503))
+_OK = 200
 _SERVER_ERROR = 500
 _MOST_WANTS = 3
 
@@ -216,7 +217,7 @@
                 seconds=round(now - asked_at, 4),
             )
             upstream = front.chooser.view.upstreams.get(answer.upstream)
-            if upstream is not None:
+            if upstream is not None and upstream.state == READY:
                 upstream.resident[wanted.artifact] = answer.version
                 return upstream
             chosen = front.chooser.choose(wanted, self._tried, now)
@@ -294,6 +295,10 @@
         if head.status >= _SERVER_ERROR or head.status in _PROMISES:
             body = await _read_rest(exchange)
             return Failure(f"status {head.status}", False, (head, body))
+        if self._responder.started and head.status != _OK:
+            # A stream that goes on elsewhere must not end in a refusal's body.
+            await _read_rest(exchange)
+            return Failure(f"status {head.status} on resuming", False)
         if route.kind == STREAM:
             await self._relay(upstream, exchange, head)
         else:
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 
+import attrs
 import pytest
 
-from ridgesill.core.fleet.messages import ArtifactReady
+from ridgesill.core.fleet.messages import DRAINING, ArtifactReady
 from testing.app.front_world import Call, FrontWorld, make_table
 
 ADAPTER = "base/a1"
@@ -242,8 +243,39 @@
             "id: 3",
         ]
 
+    async def test_a_refusal_on_resuming_does_not_end_up_in_the_stream(
+        self, world: FrontWorld
+    ) -> None:
+        async def cut_or_refuse(call: Call) -> None:
+            if call.header("last-event-id"):
+                await call.answer(404, b"what stream?")
+                return
+            await call.begin_stream()
+            await call.event(1)
+            call.reset()
+
+        for name in ("u1", "u2"):
+            await world.add(name, cut_or_refuse, "engine", base__a1=1)
+        client = await world.open()
+        answer = await client.ask("/resume/x", b"b", **STREAM)
+        assert not answer.complete
+        assert b"what" not in answer.body
+
 
 class TestAdapters:
+    async def test_one_that_left_during_the_wait_gets_nothing(
+        self, world: FrontWorld
+    ) -> None:
+        upstream = await world.add("u1", stream_three, "engine", base=1)
+        view = world.fleet.view
+        leaving = attrs.evolve(view.upstreams["u1"], state=DRAINING)
+        view.upstreams["u1"] = leaving
+        world.fleet.answer = ArtifactReady("u1", 1)
+        client = await world.open()
+        answer = await client.ask("/stream/x", b"b", **STREAM)
+        assert answer.status == 503
+        assert not upstream.calls
+
     async def test_a_missing_one_is_wanted_from_the_owner(
         self, world: FrontWorld
     ) -> None:
