Drop what nothing calls; constants beside the others; explain also joined lines

Found by reading the diff: a counter of events, a count of open channels and a hook on opening that nobody used.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import socket
-from collections.abc import Callable
 
 import attrs
 
@@ -85,24 +84,13 @@
 
     Args:
         connect_seconds: within which a channel must come up.
-        on_open: called with the address for each channel that is opened.
     """
 
-    def __init__(
-        self,
-        connect_seconds: float,
-        on_open: Callable[[str], None] = lambda _: None,
-    ) -> None:
+    def __init__(self, connect_seconds: float) -> None:
         self._connect_seconds = connect_seconds
-        self._on_open = on_open
         self._addresses: dict[str, _AddressChannels] = {}
         self._loop = asyncio.get_running_loop()
 
-    def open_count(self, address: str) -> int:
-        """Returns how many channels to an address are open."""
-        known = self._addresses.get(address)
-        return known.open if known else 0
-
     async def send(
         self, address: str, request: HttpRequest, *, fresh_within: float = 60.0
     ) -> Exchange:
@@ -160,7 +148,6 @@
             self._count_closed(address)
             raise
         _set_user_timeout(transport)
-        self._on_open(address)
         return channel
 
     def give_back(self, channel: UpstreamChannel, head: ResponseHead) -> None:
--- a/src/ridgesill/adapters/logs.py
+++ b/src/ridgesill/adapters/logs.py
@@ -20,6 +20,8 @@
 _STDOUT = 1
 # Bytes handed to the system at once; what a pipe takes as a whole is less.
 _CHUNK_BYTES = 32 * 1024
+# Fields of eliot's that say nothing on lines which stand by themselves.
+_LEFT_OUT = frozenset(("task_uuid", "task_level"))
 
 
 def open_log(path: str) -> None:
@@ -115,10 +117,6 @@
         self.flush()
 
 
-# Fields of eliot's that say nothing on lines which stand by themselves.
-_LEFT_OUT = frozenset(("task_uuid", "task_level"))
-
-
 def open_bounded_log(vm: str) -> BoundedLog:
     """Sends log lines to standard output without ever waiting for it."""
     os.set_blocking(_STDOUT, False)
--- a/src/ridgesill/app/explain.py
+++ b/src/ridgesill/app/explain.py
@@ -1,11 +1,10 @@
 """Gathers from logs what became of one request, and says it in a sentence."""
 
-from collections.abc import Iterable
+import json
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
 # How far from the request's own lines the owner's lines on its adapter are
 # still of interest, in seconds; clocks of VMs differ by some milliseconds.
 _NEARBY_SECONDS = 0.5
@@ -24,22 +23,32 @@
 
 
 def read_lines(paths: Iterable[str]) -> list[dict[str, Any]]:
-    """Returns the JSON lines of files, by time; others are passed over."""
+    """Returns the JSON lines of files, by time; others are passed over.
+
+    Several may stand in one line of a file, where a reader of many processes
+    has joined them.
+    """
     lines = []
     for path in paths:
         for text in Path(path).read_text(errors="replace").splitlines():
-            start = text.find("{")
-            if start < 0:
-                continue
-            try:
-                line = msgspec.json.decode(text[start:].strip())
-            except msgspec.DecodeError:
-                continue
-            if isinstance(line, dict) and "message_type" in line:
-                lines.append(line)
+            lines.extend(_objects(text))
     return sorted(lines, key=_time)
 
 
+def _objects(text: str) -> Iterator[dict[str, Any]]:
+    decoder = json.JSONDecoder()
+    at = text.find("{")
+    while at >= 0:
+        try:
+            found, end = decoder.raw_decode(text, at)
+        except ValueError:
+            end = at + 1
+        else:
+            if "message_type" in found:
+                yield found
+        at = text.find("{", end)
+
+
 def explain(request: str, lines: list[dict[str, Any]]) -> str:
     """Returns the lines on a request in order, and what became of it.
 
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -18,9 +18,7 @@
 from ridgesill.app.log_driver import LogDriver
 from ridgesill.core import codec
 from ridgesill.core.commands import GrantPool
-from ridgesill.core.fleet.engines import (
-    Engine,
-)
+from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
@@ -56,6 +54,9 @@
 _NEWS_SECONDS = 0.1
 # Heartbeats that may be missed before an upstream counts as gone.
 _HEARTBEATS_MISSED = 4.0
+# How long another node's owner has to take what was passed on, in seconds; the
+# upstream goes to another node after a second.
+_PASS_ON_SECONDS = 0.7
 # Reason of a refusal by a node that does not own the fleet.
 NOT_OWNER = "not_owner"
 
@@ -105,7 +106,6 @@
         self._control = control
         self._follower = follower
         self._channels = channels
-        self._calls = calls
         self._lease = lease
         self._patience = heartbeat * _HEARTBEATS_MISSED
         self._loop = asyncio.get_running_loop()
@@ -430,8 +430,3 @@
             if service.engine is not None:
                 models = tuple(model.name for model in service.engine.models)
                 self._loads.tend(service.name, models)
-
-
-# How long another node's owner has to take what was passed on, in seconds; the
-# upstream goes to another node after a second.
-_PASS_ON_SECONDS = 0.7
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -45,6 +45,9 @@
 _SPREAD_MOST = 12
 # Requests counted before shares mean something.
 _SPREAD_AFTER = 60.0
+# Requests for one adapter counted from one question, so that a report after a
+# long silence doesn't take long to count.
+_MOST_COUNTED = 200
 
 
 @attrs.frozen
@@ -230,8 +233,3 @@
         >= min(_SPREAD_BUSY, _SPREAD_FULL * engine.spec.slots)
         for engine in holders
     )
-
-
-# Requests for one adapter counted from one question, so that a report after a
-# long silence doesn't take long to count.
-_MOST_COUNTED = 200
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -1,7 +1,7 @@
 """A front's choice of the upstream that gets a request."""
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 import attrs
 
@@ -139,8 +139,3 @@
             for upstream in self.view.of_service(service)
             if self.outcomes.is_ejected(upstream.name, now)
         ]
-
-    def least_share(self, upstreams: Iterable[Upstream]) -> float:
-        """Returns how full the emptiest of some upstreams is; 1 for full."""
-        shares = [self.busy(u.name) / max(u.slots, 1) for u in upstreams]
-        return min(shares, default=1.0)
--- a/src/ridgesill/core/serving/events.py
+++ b/src/ridgesill/core/serving/events.py
@@ -9,12 +9,10 @@
 
     Attributes:
         last_id: of the last whole event; empty before it.
-        events: whole events with an id so far.
     """
 
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
-        self.events = 0
         self._rest = b""
 
     def take(self, data: bytes) -> bytes:
@@ -29,7 +27,6 @@
     def _note(self, whole: bytes) -> None:
         for line in whole.split(b"\n"):
             if line.startswith(_ID):
-                self.events += 1
                 self.last_id = line[len(_ID) :].strip().decode("latin-1")
 
     def drop_rest(self) -> None:
--- a/testing/app/test_explain.py
+++ b/testing/app/test_explain.py
@@ -67,3 +67,17 @@
     def test_an_unknown_id_says_what_to_do(self, logs: list[str]) -> None:
         with pytest.raises(NoSuchRequestError, match="every front"):
             explain("q9", read_lines(logs))
+
+    def test_lines_that_were_joined_are_told_apart(
+        self, tmp_path: Path
+    ) -> None:
+        parts = [
+            line("request:want", 10.3, request="q1"),
+            line("request:end", 10.5, request="q1", outcome="served"),
+        ]
+        joined = " 2.0 core ".join(
+            msgspec.json.encode(part).decode() for part in parts
+        )
+        path = tmp_path / "joined"
+        path.write_text(f" 1.0 front {joined}\n")
+        assert len(explain("q1", read_lines([str(path)])).splitlines()) == 3
