--- a/src/ridgesill/app/explain.py
+++ b/src/ridgesill/app/explain.py
@@ -28,7 +28,7 @@
     Several may stand in one line of a file, where a reader of many processes
     has joined them.
     """
-    lines = []
+    lines: list[dict[str, Any]] = []
     for path in paths:
         for text in Path(path).read_text(errors="replace").splitlines():
             lines.extend(_objects(text))
