--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -1,16 +1,14 @@
 """Channels to upstreams, kept for reuse, and exchanges on them."""
 
 import asyncio
-import collections
 import socket
 
-import attrs
-
 from ridgesill.adapters.http1.channel import (
     REQUEST_ID,
     ChannelBrokenError,
     UpstreamChannel,
 )
+from ridgesill.core.addresses import split_address
 from ridgesill.ports.http import (
     ChannelError,
     HttpRequest,
@@ -23,16 +21,6 @@
 _USER_TIMEOUT_MS = 800
 
 
-@attrs.define
-class _AddressChannels:
-    """The channels to one address."""
-
-    resting: collections.deque[UpstreamChannel] = attrs.Factory(
-        collections.deque
-    )
-    open: int = 0
-
-
 class Exchange:
     """One request and its answer on a channel."""
 
@@ -62,6 +50,13 @@
             self._finish()
         return data
 
+    async def read_rest(self) -> bytes:
+        """Returns what is left of the body, up to its whole end."""
+        parts = []
+        while data := await self.read_data():
+            parts.append(data)
+        return b"".join(parts)
+
     def _error(self, step: str, error: Exception) -> ChannelError:
         self.cancel()
         return ChannelError(step, self._channel.address, str(error), True)
@@ -88,7 +83,7 @@
 
     def __init__(self, connect_seconds: float) -> None:
         self._connect_seconds = connect_seconds
-        self._addresses: dict[str, _AddressChannels] = {}
+        self._resting: dict[str, list[UpstreamChannel]] = {}
         self._loop = asyncio.get_running_loop()
 
     async def send(
@@ -114,77 +109,60 @@
     def _take_resting(
         self, address: str, fresh_within: float
     ) -> UpstreamChannel | None:
-        known = self._addresses.get(address)
-        if known is None:
-            return None
+        resting = self._resting.get(address, [])
         now = self._loop.time()
-        while known.resting:
-            channel = known.resting.pop()
+        while resting:
+            channel = resting.pop()
             rested = now - channel.rested_at
             if channel.is_open and rested < channel.rest_seconds:
                 if rested < fresh_within:
                     return channel
-                known.resting.append(channel)
+                resting.append(channel)
                 return None
             self.discard(channel)
         return None
 
     async def _open(self, address: str) -> UpstreamChannel:
-        host, _, port = address.rpartition(":")
-        known = self._addresses.setdefault(address, _AddressChannels())
-        known.open += 1
+        host, port = split_address(address)
+        connecting = self._loop.create_connection(
+            lambda: UpstreamChannel(address), host, port
+        )
         try:
-            connecting = self._loop.create_connection(
-                lambda: UpstreamChannel(address), host, int(port)
-            )
             transport, channel = await asyncio.wait_for(
                 connecting, self._connect_seconds
             )
         except (OSError, TimeoutError) as error:
-            self._count_closed(address)
             detail = str(error) or "no channel came up in time"
             raise ChannelError("connect", address, detail, False) from error
-        except asyncio.CancelledError:
-            self._count_closed(address)
-            raise
         _set_user_timeout(transport)
         return channel
 
     def give_back(self, channel: UpstreamChannel, head: ResponseHead) -> None:
         """Keeps a channel whose answer was read whole, if it can be."""
         if channel.finish(head):
-            self._addresses[channel.address].resting.append(channel)
-        else:
-            self._count_closed(channel.address)
+            self._resting.setdefault(channel.address, []).append(channel)
 
     def discard(self, channel: UpstreamChannel) -> None:
         """Closes a channel that is in use or was taken from those at rest."""
         channel.close("given up")
-        self._count_closed(channel.address)
-
-    def _count_closed(self, address: str) -> None:
-        known = self._addresses.get(address)
-        if known is None:
-            return
-        known.open -= 1
-        if known.open <= 0:
-            del self._addresses[address]
 
     def sweep(self) -> None:
         """Closes channels that have rested for too long."""
         now = self._loop.time()
-        for known in list(self._addresses.values()):
-            for channel in list(known.resting):
+        for address, resting in list(self._resting.items()):
+            for channel in list(resting):
                 rested = now - channel.rested_at
                 if not channel.is_open or rested >= channel.rest_seconds:
-                    known.resting.remove(channel)
+                    resting.remove(channel)
                     self.discard(channel)
+            if not resting:
+                del self._resting[address]
 
     def close(self) -> None:
         """Closes all channels at rest."""
-        for known in list(self._addresses.values()):
-            while known.resting:
-                self.discard(known.resting.pop())
+        for resting in self._resting.values():
+            while resting:
+                self.discard(resting.pop())
 
 
 def _set_user_timeout(transport: asyncio.BaseTransport) -> None:
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -8,10 +8,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import attrs
 import h11
 from eliot import log_message, write_traceback
 
+from ridgesill.core.addresses import split_address
+from ridgesill.core.serving.routes import ClientLimits
 from ridgesill.ports.http import Headers, HttpRequest, Responder
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
@@ -23,25 +24,6 @@
 _SWEEP_SECONDS = 0.5
 
 
-@attrs.define
-class ConnectionLimits:
-    """What a client may send, and for how long it may keep quiet.
-
-    They change with the configuration, while connections are open.
-
-    Attributes:
-        header_bytes: of the request line and all headers.
-        body_bytes: of a request's body.
-        header_seconds: from the first byte of a head to its end.
-        idle_seconds: that a channel may rest between requests.
-    """
-
-    header_bytes: int = 16 * 1024
-    body_bytes: int = 4 * 2**20
-    header_seconds: float = 3.0
-    idle_seconds: float = 15.0
-
-
 class _BodyTooLargeError(Exception):
     """A request's body that is over the limit."""
 
@@ -113,8 +95,13 @@
         if not self._receiving and self._task is None:
             self._since = self._loop.time()
             self._receiving = True
+        self._advance(data)
+
+    def _advance(self, data: bytes = b"") -> None:
+        """Takes what has come, or rejects it."""
         try:
-            self._http.receive_data(data)
+            if data:
+                self._http.receive_data(data)
             self._take_events()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
@@ -200,12 +187,7 @@
             http.start_next_cycle()
             if http.trailing_data[0]:
                 self._receiving = True
-            try:
-                self._take_events()
-            except h11.RemoteProtocolError as error:
-                self._reject(error.error_status_hint, str(error))
-            except _BodyTooLargeError:
-                self._reject(413, "the body is over the limit")
+            self._advance()
             return
         self._close()
 
@@ -322,10 +304,10 @@
         self,
         address: str,
         handler: Handler,
-        limits: ConnectionLimits | None = None,
+        limits: ClientLimits | None = None,
     ) -> None:
         self.handler = handler
-        self.limits = limits or ConnectionLimits()
+        self.limits = limits or ClientLimits()
         self.connections: set[ServerConnection] = set()
         self.closing = False
         self._address = address
@@ -334,12 +316,12 @@
 
     async def start(self) -> None:
         """Begins to accept."""
-        host, _, port = self._address.rpartition(":")
+        host, port = split_address(self._address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ServerConnection(self),
             host,
-            int(port),
+            port,
             backlog=_BACKLOG,
             reuse_address=True,
         )
--- a/src/ridgesill/adapters/http_server.py
+++ b/src/ridgesill/adapters/http_server.py
@@ -10,7 +10,7 @@
 from cheroot import wsgi
 from eliot import write_traceback
 
-from ridgesill.adapters.peer_rpc import split_address
+from ridgesill.core.addresses import split_address
 
 StartResponse = Callable[..., Any]
 WsgiApp = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
--- a/src/ridgesill/adapters/peer_rpc.py
+++ b/src/ridgesill/adapters/peer_rpc.py
@@ -15,6 +15,7 @@
 from ridgesill.adapters.wire.peer_grpc import PeerBase, PeerStub
 from ridgesill.adapters.wire.peer_pb2 import Envelope
 from ridgesill.core import codec
+from ridgesill.core.addresses import split_address
 from ridgesill.ports.peers import PeerError
 
 # A handler returns the reply to a call, or None to a message without one.
@@ -38,12 +39,6 @@
 )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Returns the host and port of `host:port`."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 @attrs.define
 class Traffic:
     """Messages and bytes of a process, without HTTP/2's own overhead."""
--- /dev/null
+++ b/src/ridgesill/app/change_signal.py
@@ -0,0 +1,23 @@
+"""Wakes tasks that wait for something to change."""
+
+import asyncio
+
+
+class ChangeSignal:
+    """Tells everyone who waits of a change, and nobody who comes later."""
+
+    def __init__(self) -> None:
+        self._changed = asyncio.Event()
+
+    def note(self) -> None:
+        """Wakes everyone who waits now."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def within(self, seconds: float) -> bool:
+        """Returns whether there is a change within some seconds."""
+        try:
+            await asyncio.wait_for(self._changed.wait(), seconds)
+        except TimeoutError:
+            return False
+        return True
--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -7,6 +7,7 @@
 import attrs
 from eliot import log_message
 
+from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.log_driver import (
     LogDriver,
     LostLeadershipError,
@@ -98,7 +99,7 @@
         self._peers = peers
         self._pools = pools
         self._loop = asyncio.get_running_loop()
-        self._applied = asyncio.Event()
+        self._applied = ChangeSignal()
         self._membership = Membership(settings.patience, self._loop.time())
         self._relay = Relay()
         self._leading_term = 0
@@ -139,12 +140,17 @@
             return self.node.name
         return self._known_leader()
 
+    def leader_address(self) -> str:
+        """Returns where the leader is reached; empty if it is not known."""
+        name = self.leader_name()
+        return self.address_of(name) if name else ""
+
     async def wait_version(self, version: int, timeout: float) -> None:
         """Waits until a configuration version, or a later one, is applied."""
         deadline = self._loop.time() + timeout
         while self.state.version < version:
             left = deadline - self._loop.time()
-            if left <= 0 or not await self._changed_within(left):
+            if left <= 0 or not await self._applied.within(left):
                 return
 
     def watch(self, watcher: Callable[[], None]) -> None:
@@ -153,8 +159,7 @@
 
     def note_applied(self) -> None:
         """Wakes everyone who waits for the state to change."""
-        self._applied.set()
-        self._applied = asyncio.Event()
+        self._applied.note()
         for watcher in self._watchers:
             watcher()
 
@@ -272,16 +277,9 @@
         deadline = self._loop.time() + _APPLY_WAIT
         while self.state.index < index:
             left = deadline - self._loop.time()
-            if left <= 0 or not await self._changed_within(left):
+            if left <= 0 or not await self._applied.within(left):
                 return
 
-    async def _changed_within(self, seconds: float) -> bool:
-        try:
-            await asyncio.wait_for(self._applied.wait(), seconds)
-        except TimeoutError:
-            return False
-        return True
-
     # -- being followed ------------------------------------------------
 
     async def handle_follow(self, request: Follow) -> FollowReply:
@@ -293,7 +291,7 @@
         deadline = now + request.wait
         while self.state.index <= request.beat.applied:
             left = deadline - self._loop.time()
-            if left <= 0 or not await self._changed_within(left):
+            if left <= 0 or not await self._applied.within(left):
                 break
         return attrs.evolve(self._reply(request.beat), unknown=unknown)
 
@@ -365,7 +363,7 @@
         index = await self._ask_latest(deadline)
         while index >= 0 and self.state.index < index:
             left = deadline - self._loop.time()
-            if left <= 0 or not await self._changed_within(left):
+            if left <= 0 or not await self._applied.within(left):
                 index = -1
         if index < 0:
             raise UnavailableError(
--- a/src/ridgesill/app/control_api.py
+++ b/src/ridgesill/app/control_api.py
@@ -90,9 +90,9 @@
 
     @_carry_out.register
     async def _(self, call: PutRoutesCall) -> CallReply:
-        document = zlib.compress(call.document)
         held = self._control.state.routes_version
         if call.version > held:
+            document = zlib.compress(call.document)
             command = PutRoutes(call.version, document)
             try:
                 await self._control.propose(command, _PROPOSE_SECONDS)
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -1,9 +1,7 @@
 """The process on a VM with a disk: votes, takes calls, owns the fleet."""
 
 import asyncio
-import secrets
 import signal
-import zlib
 from collections.abc import Callable
 from functools import singledispatchmethod
 from pathlib import Path
@@ -15,18 +13,19 @@
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
-from ridgesill.app.control import Control, ControlSettings
 from ridgesill.app.control_api import ControlApi
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.fleet_owner import FleetOwner, last_owner
 from ridgesill.app.formation import Formation
-from ridgesill.app.front_process import (
-    FOLLOW_LEASE_SECONDS,
-    FOLLOW_WAIT_SECONDS,
-)
 from ridgesill.app.log_driver import LogDriver, ReplicaMessage
+from ridgesill.app.platform_node import (
+    CONNECT_SECONDS,
+    make_control,
+    make_node,
+    read_newer_table,
+)
 from ridgesill.app.telemetry import serve_metrics
-from ridgesill.core.commands import Node
+from ridgesill.core.addresses import split_address, with_port
 from ridgesill.core.fleet.messages import (
     HeardHeartbeat,
     HeardLeave,
@@ -36,13 +35,11 @@
 from ridgesill.core.following import AskLatest, Follow, Propose
 from ridgesill.core.log.messages import Timing
 from ridgesill.core.voter_changes import voter_name
-from ridgesill.platform.configuration import decode_configuration
 from ridgesill.platform.control_calls import PlatformControlCalls
 from ridgesill.platform.settings import METRICS_PATH, PlatformSettings
 from ridgesill.platform.upstreams import PlatformEngines
 from ridgesill.ports.peers import PeerError
 
-_CONNECT_SECONDS = 0.4
 # Shorter than the product's own, since the data centres are a millisecond
 # apart and no adapter is loaded while there is no leader.
 _TIMING = Timing(heartbeat=0.15, election_min=0.7, election_max=1.4)
@@ -71,40 +68,23 @@
             self._storage,
             settings.peers,
             settings.seeds,
-            2 * settings.losses + 1,
+            settings.voters,
             is_first_start=settings.is_first_start,
         )
-        node = Node(
-            settings.peers,
-            secrets.token_hex(4),
-            settings.peers,
-            settings.data_centre,
-            self._formation.identity,
-        )
-        self._node = node
-        identity = f"{node.name}#{node.incarnation}"
+        self._node = make_node(settings, self._formation.identity)
         self._peers = PeerLinks(
-            identity, own_address=settings.peers, handler=self._handle
-        )
-        self.control = Control(
-            node,
-            ControlSettings(
-                {seed: seed for seed in settings.seeds},
-                lease=FOLLOW_LEASE_SECONDS,
-                follow_wait=FOLLOW_WAIT_SECONDS,
-                voters_most=2 * settings.losses + 1,
-                names_are_addresses=True,
-            ),
-            self._peers,
-            lambda: (),
+            self._node.identity,
+            own_address=settings.peers,
+            handler=self._handle,
         )
+        self.control = make_control(settings, self._node, self._peers)
         self.fleet = FleetClient(
-            self._peers, self._owner_address, settings.peers
+            self._peers, self.control.leader_address, settings.peers
         )
         self.owner = FleetOwner(
             self.control,
             self.fleet,
-            UpstreamChannels(_CONNECT_SECONDS),
+            UpstreamChannels(CONNECT_SECONDS),
             PlatformEngines(),
             settings.bounds.lease,
             settings.heartbeat,
@@ -117,26 +97,20 @@
             self._heartbeat_address,
         )
         self._calls = HttpListener(settings.control, api.serve)
-        self._peer_server = PeerServer(self._handle, identity)
-
-    def _owner_address(self) -> str:
-        name = self.control.leader_name()
-        return self.control.address_of(name) if name else ""
+        self._peer_server = PeerServer(self._handle, self._node.identity)
 
     def _heartbeat_address(self) -> str:
         """Returns the owner's control address; its port is the same here."""
-        owner = self._owner_address()
+        owner = self.control.leader_address()
         if not owner:
             return ""
-        port = self._settings.control.rpartition(":")[2]
-        return f"{owner.rpartition(':')[0]}:{port}"
+        _, port = split_address(self._settings.control)
+        return with_port(owner, port)
 
     def _note_state(self) -> None:
-        state = self.control.state
-        if state.routes_version <= self.owner.table.version:
-            return
-        document = zlib.decompress(state.routes_document)
-        self.owner.note_table(decode_configuration(document))
+        table = read_newer_table(self.control.state, self.owner.table)
+        if table is not None:
+            self.owner.note_table(table)
 
     # -- messages ------------------------------------------------------
 
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -197,10 +197,7 @@
         exchange = await self._channels.send(address, request)
         try:
             head = await exchange.read_head()
-            parts = []
-            while data := await exchange.read_data():
-                parts.append(data)
-            return head.status, b"".join(parts)
+            return head.status, await exchange.read_rest()
         finally:
             exchange.cancel()
 
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -31,7 +31,7 @@
 
 
 @attrs.frozen
-class Usage:
+class UsageReport:
     """What a front tells the owner with each question."""
 
     used: dict[str, int] = attrs.Factory(dict)
@@ -54,7 +54,7 @@
         peers: Peers,
         owner: Callable[[], str],
         own_address: str,
-        usage: Callable[[], Usage] | None = None,
+        usage: Callable[[], UsageReport] | None = None,
         others: Sequence[str] = (),
     ) -> None:
         self.view = FleetView()
@@ -85,7 +85,7 @@
                 return
 
     async def _ask(self, owner: str) -> bool:
-        usage = self._usage() if self._usage else Usage()
+        usage = self._usage() if self._usage else UsageReport()
         question = WatchFleet(
             self.view.epoch,
             self.view.number,
@@ -124,7 +124,7 @@
     async def want(self, want: WantArtifact) -> ArtifactReady:
         """Returns the owner's answer to a want.
 
-        While no owner answers, another is looked for until the patience ends.
+        While no owner answers, another is looked for, but not for long.
         """
         began = self._loop.time()
         deadline = began + want.patience
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -209,7 +209,7 @@
     async def _load(self, choice: Choice, artifact: str, version: int) -> bool:
         """Unloads what gives way, loads, and waits until it is there."""
         engine = choice.engine
-        engine.loading[artifact] = Pending(version, self._loop.time())
+        engine.loading[artifact] = Pending()
         try:
             if choice.victim and not await self._unload(engine, choice.victim):
                 return False
@@ -368,7 +368,7 @@
         for model in models:
             if engine.loading or not engine.has_room(model):
                 return
-            engine.loading[model] = Pending(0, self._loop.time())
+            engine.loading[model] = Pending()
             self._spawn(self._load(Choice(engine), model, 0))
 
     def _replace_old(self, engine: Engine, now: float) -> None:
@@ -382,7 +382,7 @@
             if in_use and now - since < _REPLACE_PATIENCE:
                 continue
             del self._replace_since[key]
-            engine.loading[artifact] = Pending(version, now)
+            engine.loading[artifact] = Pending()
             self._spawn(self._replace(engine, artifact, version))
             return
 
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -11,6 +11,7 @@
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.control import Control, UnavailableError
 from ridgesill.app.engine_orders import Authority, EngineOrders
 from ridgesill.app.fleet_client import FleetClient
@@ -127,7 +128,7 @@
                 lambda: self._orders_from,
             ),
         )
-        self._news = asyncio.Event()
+        self._news = ChangeSignal()
 
     def use_telemetry(self, telemetry: Telemetry) -> None:
         """Has orders and loads counted."""
@@ -194,7 +195,7 @@
         self._placement.engines.clear()
         for upstream in registry.upstreams.values():
             self._meet_engine(upstream, now)
-        self._wake()
+        self._news.note()
 
     def _give_up(self) -> None:
         if self._registry is None:
@@ -205,7 +206,7 @@
         self._term = 0
         self._orders_from = float("inf")
         self._loads.end()
-        self._wake()
+        self._news.note()
 
     def _tick(self) -> None:
         registry = self._registry
@@ -217,15 +218,11 @@
             log_message("fleet:upstream_silent", upstream=name)
             self._forget_engine(name)
         if registry.number != number:
-            self._wake()
+            self._news.note()
         self._usage.forget_silent(now)
         self._channels.sweep()
         self._tend()
 
-    def _wake(self) -> None:
-        self._news.set()
-        self._news = asyncio.Event()
-
     # -- heartbeats ----------------------------------------------------
 
     async def hear(self, heartbeat: Heartbeat) -> None:
@@ -247,12 +244,11 @@
             await self._pass_on(HeardLeave(name))
 
     async def _pass_on(self, message: Any) -> None:
-        leader = self._control.leader_name()
-        if not leader or leader == self._control.node.name:
+        leader = self._control.leader_address()
+        if not leader or leader == self._control.node.address:
             raise NotOwnerError("no owner is known")
-        address = self._control.address_of(leader)
         try:
-            await self._control.peers.call(address, message, _PASS_ON_SECONDS)
+            await self._control.peers.call(leader, message, _PASS_ON_SECONDS)
         except PeerError as error:
             raise NotOwnerError(str(error)) from error
 
@@ -292,7 +288,7 @@
             if name not in registry.upstreams:
                 self._forget_engine(name)
         if registry.number != number:
-            self._wake()
+            self._news.note()
 
     def take_leave(self, name: str) -> None:
         """Notes as the owner that an upstream leaves."""
@@ -304,7 +300,7 @@
         if engine is not None:
             engine.draining = True
         log_message("fleet:upstream", upstream=name, state="leaving")
-        self._wake()
+        self._news.note()
 
     def _note_engine(
         self, heartbeat: Heartbeat, upstream: Upstream, now: float
@@ -351,7 +347,7 @@
         number = self._registry.number
         self._registry.set_resident(engine.name, engine.resident())
         if self._registry.number != number:
-            self._wake()
+            self._news.note()
 
     # -- fronts --------------------------------------------------------
 
@@ -368,7 +364,7 @@
             if self._registry.has_news(question.epoch, question.number):
                 break
             left = deadline - self._loop.time()
-            if left <= 0 or not await self._news_within(left):
+            if left <= 0 or not await self._news.within(left):
                 break
         spacing = _NEWS_SECONDS + _NEWS_SECONDS_A_FRONT * self._usage.fronts
         await asyncio.sleep(max(began + spacing - self._loop.time(), 0.0))
@@ -388,13 +384,6 @@
         if question.used:
             self._placement.note_used(question.used, now)
 
-    async def _news_within(self, seconds: float) -> bool:
-        try:
-            await asyncio.wait_for(self._news.wait(), seconds)
-        except TimeoutError:
-            return False
-        return True
-
     def _version(self, artifact: str) -> int:
         return self._control.state.artifact_versions.get(artifact, 0)
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -14,7 +14,7 @@
 from ridgesill.core.fleet.messages import READY, Upstream, WantArtifact
 from ridgesill.core.serving.choice import Wanted
 from ridgesill.core.serving.events import EventSplitter
-from ridgesill.core.serving.routes import STREAM, Route, Service
+from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import ForwardTerms, RequestFacts
 from ridgesill.ports.http import (
     ChannelError,
@@ -165,16 +165,13 @@
     # -- finding an upstream -------------------------------------------
 
     def _wanted(self) -> Wanted:
+        service = self._front.table.services.get(self._service)
+        if service is None or service.engine is None:
+            return Wanted(self._service)
         artifact = self._facts.artifact
         version = self._front.versions.get(artifact, 0)
-        if self._engine_service() is None:
-            artifact = ""
         return Wanted(self._service, artifact, version)
 
-    def _engine_service(self) -> Service | None:
-        service = self._front.table.services.get(self._service)
-        return service if service and service.engine else None
-
     async def _find_upstream(self) -> Upstream | Refusal:
         front = self._front
         wanted = self._wanted()
@@ -259,16 +256,13 @@
 
     async def _open(self, route: Route, upstream: Upstream) -> Exchange:
         front = self._front
-        version = 0
-        if self._engine_service() is not None:
-            version = front.versions.get(self._facts.artifact, 0)
         last_event = self._facts.last_event
         if self._splitter is not None:
             last_event = self._splitter.last_id
         terms = ForwardTerms(
             upstream.name,
             self._deadline - self._loop.time(),
-            version,
+            self._wanted().version,
             last_event,
         )
         forwarded = front.dialect.forward(self._request, terms)
@@ -286,23 +280,23 @@
     ) -> Failure | None:
         dialect = self._front.dialect
         if dialect.is_not_run(head):
-            await _read_rest(exchange)
+            await exchange.read_rest()
             return Failure(
                 f"not run: {head.status}",
                 True,
                 misdirected=dialect.is_misdirected(head),
             )
-        if head.status >= _SERVER_ERROR or head.status in _PROMISES:
-            body = await _read_rest(exchange)
+        if head.status >= _SERVER_ERROR or _promises(head):
+            body = await exchange.read_rest()
             return Failure(f"status {head.status}", False, (head, body))
         if self._responder.started and head.status != _OK:
             # A stream that goes on elsewhere must not end in a refusal's body.
-            await _read_rest(exchange)
+            await exchange.read_rest()
             return Failure(f"status {head.status} on resuming", False)
         if route.kind == STREAM:
             await self._relay(upstream, exchange, head)
         else:
-            body = await _read_rest(exchange)
+            body = await exchange.read_rest()
             self._deliver(head, body)
         self._note_served(upstream, head)
         return None
@@ -405,7 +399,7 @@
         if self._responder.started:
             self._responder.abort()
             self._end("cut", reason=failure.reason)
-        elif failure.answer is not None and self._is_deliverable(failure):
+        elif failure.answer is not None and not _promises(failure.answer[0]):
             self._deliver(*failure.answer)
             self._end("failed", reason=failure.reason)
         elif self._may_have_run:
@@ -414,13 +408,6 @@
         else:
             self._refuse(Refusal(failure.reason))
 
-    def _is_deliverable(self, failure: Failure) -> bool:
-        # A status that promises "not run" would be untrue here.
-        return (
-            failure.answer is not None
-            and failure.answer[0].status not in _PROMISES
-        )
-
     def _time_out(self) -> None:
         if self._asked and not self._first_at:
             now = self._loop.time()
@@ -483,13 +470,11 @@
         )
 
 
+def _promises(head: ResponseHead) -> bool:
+    """Whether a status says "not run", which is untrue once it has run."""
+    return head.status in _PROMISES
+
+
 def _bounded(reason: str) -> str:
     """Returns a reason without what differs from request to request."""
     return reason.partition(" ")[0].partition(":")[0]
-
-
-async def _read_rest(exchange: Exchange) -> bytes:
-    parts = []
-    while data := await exchange.read_data():
-        parts.append(data)
-    return b"".join(parts)
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -2,41 +2,33 @@
 
 import asyncio
 import functools
-import secrets
 import signal
-import zlib
 from collections.abc import Callable
-from typing import Any
 
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
-from ridgesill.adapters.http1.server import ConnectionLimits, HttpListener
-from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
-from ridgesill.app.control import Control, ControlSettings
-from ridgesill.app.fleet_client import FleetClient, Usage
+from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.adapters.peer_rpc import PeerLinks
+from ridgesill.app.fleet_client import FleetClient, UsageReport
 from ridgesill.app.forwarding import serve_request
 from ridgesill.app.front import Front
+from ridgesill.app.platform_node import (
+    CONNECT_SECONDS,
+    make_control,
+    make_node,
+    read_newer_table,
+)
 from ridgesill.app.telemetry import serve_metrics
-from ridgesill.core.commands import Node
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.retries import RetryBounds
-from ridgesill.platform.configuration import decode_configuration
 from ridgesill.platform.control_calls import READY_PATH
 from ridgesill.platform.requests import PlatformDialect
 from ridgesill.platform.settings import METRICS_PATH, PlatformSettings
 from ridgesill.ports.http import HttpRequest, Responder
-from ridgesill.ports.peers import PeerError
 from ridgesill.ports.telemetry import Telemetry
 
-# A front leaves a voter that has been out of touch with the leader for longer
-# than this, in seconds: a change must be in force two seconds after it was
-# accepted. Voters ask the leader at least as often as the wait says.
-FOLLOW_LEASE_SECONDS = 1.2
-FOLLOW_WAIT_SECONDS = 0.3
-# Within which a channel to an upstream must come up, in seconds.
-_CONNECT_SECONDS = 0.4
 _SWEEP_SECONDS = 1.0
 # After SIGTERM, until the balancer has surely stopped sending new channels:
 # it asks once a second and believes the second answer.
@@ -58,29 +50,13 @@
         self._loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
         self._draining = False
-        node = Node(
-            settings.peers,
-            secrets.token_hex(4),
-            settings.peers,
-            settings.data_centre,
-        )
-        identity = f"{node.name}#{node.incarnation}"
-        self._peers = PeerLinks(identity)
-        self.control = Control(
-            node,
-            ControlSettings(
-                {seed: seed for seed in settings.seeds},
-                lease=FOLLOW_LEASE_SECONDS,
-                follow_wait=FOLLOW_WAIT_SECONDS,
-                names_are_addresses=True,
-            ),
-            self._peers,
-            lambda: (),
-        )
+        node = make_node(settings)
+        self._peers = PeerLinks(node.identity)
+        self.control = make_control(settings, node, self._peers)
         self.control.watch(self._note_state)
         self.fleet = FleetClient(
             self._peers,
-            self._owner_address,
+            self.control.leader_address,
             settings.peers,
             self._usage,
             settings.seeds,
@@ -89,7 +65,7 @@
         self.front = Front(
             Chooser(settings.data_centre, self.fleet.view, Outcomes()),
             self.fleet,
-            UpstreamChannels(_CONNECT_SECONDS),
+            UpstreamChannels(CONNECT_SECONDS),
             PlatformDialect(),
             RetryBounds(
                 bounds.retry_share, bounds.retry_slack, bounds.retry_window
@@ -99,35 +75,23 @@
             settings.callers, functools.partial(serve_request, self.front)
         )
         self._readiness = HttpListener(settings.readiness, self._tell_ready)
-        self._peer_server = PeerServer(self._handle, identity)
-
-    def _owner_address(self) -> str:
-        name = self.control.leader_name()
-        return self.control.address_of(name) if name else ""
-
-    def _usage(self) -> Usage:
-        return Usage(self.front.take_used(), self.front.chooser.tell_busy())
 
-    async def _handle(self, sender: str, message: Any) -> Any:
-        raise PeerError(type(message).__name__, sender, "a front answers none")
+    def _usage(self) -> UsageReport:
+        return UsageReport(
+            self.front.take_used(), self.front.chooser.tell_busy()
+        )
 
     # -- configuration -------------------------------------------------
 
     def _note_state(self) -> None:
         state = self.control.state
         self.front.versions = state.artifact_versions
-        if state.routes_version <= self.front.table.version:
+        table = read_newer_table(state, self.front.table)
+        if table is None:
             return
-        document = zlib.decompress(state.routes_document)
-        table = decode_configuration(document)
         self.front.table = table
         if table.limits is not None:
-            self._callers.limits = ConnectionLimits(
-                table.limits.header_bytes,
-                table.limits.body_bytes,
-                table.limits.header_seconds,
-                table.limits.idle_seconds,
-            )
+            self._callers.limits = table.limits
         log_message(
             "front:configuration", version=table.version, index=state.index
         )
--- a/src/ridgesill/app/node.py
+++ b/src/ridgesill/app/node.py
@@ -68,7 +68,7 @@
             settings.data_centre,
             storage.identity if storage else "",
         )
-        self.identity = f"{self.node.name}#{self.node.incarnation}"
+        self.identity = self.node.identity
         self._peers = PeerLinks(
             self.identity,
             lambda: self._tls.client if self._tls else None,
--- a/src/ridgesill/app/pools.py
+++ b/src/ridgesill/app/pools.py
@@ -173,7 +173,7 @@
 
     def _sync_nodes(self, owner: PoolOwner) -> None:
         nodes = self._view.state().nodes.values()
-        alive = {f"{node.name}#{node.incarnation}" for node in nodes}
+        alive = {node.identity for node in nodes}
         for node in owner.entry_nodes() - alive:
             owner.lose_node(node)
 
--- a/src/ridgesill/core/commands.py
+++ b/src/ridgesill/core/commands.py
@@ -25,6 +25,11 @@
     data_centre: str
     voter: str = ""
 
+    @property
+    def identity(self) -> str:
+        """Its name and incarnation, under which it sends messages."""
+        return f"{self.name}#{self.incarnation}"
+
 
 @register
 @attrs.frozen
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -43,10 +43,12 @@
 
 @attrs.define
 class Pending:
-    """A load that was ordered, or is about to be."""
+    """A load that is about to be ordered, or was.
+
+    Attributes:
+        taken: whether the engine has taken the order.
+    """
 
-    version: int
-    since: float
     taken: bool = False
 
 
--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -110,12 +110,19 @@
 
 @attrs.frozen
 class ClientLimits:
-    """What a client may send; sizes in bytes, times in seconds."""
+    """What a client may send, and for how long it may keep quiet.
 
-    header_bytes: int
-    body_bytes: int
-    header_seconds: float
-    idle_seconds: float
+    Attributes:
+        header_bytes: of the request line and all headers.
+        body_bytes: of a request's body.
+        header_seconds: from the first byte of a head to its end.
+        idle_seconds: that a channel may rest between requests.
+    """
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 2**20
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
 
 
 class RouteTable:
--- a/src/ridgesill/platform/configuration.py
+++ b/src/ridgesill/platform/configuration.py
@@ -207,9 +207,12 @@
 
 
 def _limits(item: dict[str, Any]) -> ClientLimits:
+    usual = ClientLimits()
+    header_ms = _number(item, "header_ms", usual.header_seconds * _MILLISECONDS)
+    idle_ms = _number(item, "idle_ms", usual.idle_seconds * _MILLISECONDS)
     return ClientLimits(
-        header_bytes=int(_number(item, "header_bytes", 16384)),
-        body_bytes=int(_number(item, "body_bytes", 4 * 2**20)),
-        header_seconds=_number(item, "header_ms", 3000) / _MILLISECONDS,
-        idle_seconds=_number(item, "idle_ms", 15000) / _MILLISECONDS,
+        header_bytes=int(_number(item, "header_bytes", usual.header_bytes)),
+        body_bytes=int(_number(item, "body_bytes", usual.body_bytes)),
+        header_seconds=header_ms / _MILLISECONDS,
+        idle_seconds=idle_ms / _MILLISECONDS,
     )
--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -7,6 +7,8 @@
 import attrs
 import yaml
 
+from ridgesill.core.addresses import with_port
+
 # The environment variable that holds the file's path.
 _PATH_VARIABLE = "RIDGESILL_SETTINGS"
 
@@ -86,6 +88,11 @@
     heartbeat: float
     bounds: Bounds
 
+    @property
+    def voters(self) -> int:
+        """How many voters bear the loss of `losses` of them."""
+        return 2 * self.losses + 1
+
 
 def settings_path() -> str:
     """Returns the path of this process's settings file."""
@@ -133,7 +140,7 @@
             control=str(listen.get("control") or ""),
             peers=f"{self._text('ip')}:{port}",
             metrics=f"{self._text('ip')}:{_METRICS_PORT}",
-            seeds=tuple(_with_port(seed, port) for seed in self._seeds()),
+            seeds=tuple(with_port(seed, port) for seed in self._seeds()),
             is_first_start=bool(self._document.get("bootstrap", False)),
             data_folder=str(self._document.get("data_directory") or ""),
             losses=int(tolerance.get("machines", 0)),
@@ -192,8 +199,3 @@
             retry_slack=float(given.get("budget_slack", default.retry_slack)),
             version=milliseconds("version_ms", default.version),
         )
-
-
-def _with_port(address: str, port: int) -> str:
-    host, _, _ = address.rpartition(":")
-    return f"{host}:{port}"
--- a/testing/adapters/http1/test_server.py
+++ b/testing/adapters/http1/test_server.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from ridgesill.adapters.http1.server import ConnectionLimits, HttpListener
+from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.core.serving.routes import ClientLimits
 from ridgesill.ports.http import HttpRequest, Responder
 from testing.processes import free_address
 
@@ -23,7 +24,7 @@
 @pytest.fixture
 async def listener() -> AsyncIterator[HttpListener]:
     """Returns a listener that answers with what it gets."""
-    limits = ConnectionLimits(1024, 2048, 0.3, 1.0)
+    limits = ClientLimits(1024, 2048, 0.3, 1.0)
     made = HttpListener(free_address(), echo, limits)
     await made.start()
     yield made
--- a/testing/adapters/test_peer_rpc.py
+++ b/testing/adapters/test_peer_rpc.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer, split_address
+from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
+from ridgesill.core.addresses import split_address
 from ridgesill.core.following import AskLatest, Latest
 from ridgesill.ports.peers import PeerError
 from testing.processes import free_address
--- a/testing/app/engine_world.py
+++ b/testing/app/engine_world.py
@@ -117,10 +117,9 @@
             await asyncio.Event().wait()
         return ResponseHead(self._status, ())
 
-    async def read_data(self) -> bytes:
-        """Returns the body once."""
-        body, self._body = self._body, b""
-        return body
+    async def read_rest(self) -> bytes:
+        """Returns the body."""
+        return self._body
 
     def cancel(self) -> None:
         """Ends it."""
--- a/testing/core/fleet/test_engines.py
+++ b/testing/core/fleet/test_engines.py
@@ -29,7 +29,7 @@
         self, engine: Engine
     ) -> None:
         assert engine.free_places() == 1
-        engine.loading["base/a2"] = Pending(1, 100.0)
+        engine.loading["base/a2"] = Pending()
         assert engine.free_places() == 0
         engine.leaving["base/a3"] = 100.0
         assert engine.is_overfull()
