Copies for every crowded adapter at once; back to the engine that had one lately

Copies of much wanted adapters came one at a time, and not at all while ten wants waited, which is when engines are crowded.

Change: what an engine had among its last 96 counts three requests (it was one, and 256); a copy goes to an engine with under 0.7 of the least busy holder's requests, as many at once as there are holders.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -54,9 +54,8 @@
 # A front that is gone reports nothing; what was handed out longer ago than
 # this shows in the reports of those that are there. Seconds; several reports.
 _SETTLE_SECONDS = 0.4
-# Copies wait while more wants than this are under way.
-_SPREAD_WANTS_MOST = 10
-# How often copies are thought of, in seconds: all counts are looked at.
+# How often copies are thought of, in seconds: all counts are looked at, and
+# fronts report what they use a few times a second.
 _SPREAD_SECONDS = 0.3
 # How long before its first order an owner asks engines what they hold, in
 # seconds: a report takes some milliseconds, and is asked for once.
@@ -118,8 +117,7 @@
         self._told_at = float("-inf")
         self._dispatching: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._copying = False
-        self._spread_at = float("-inf")
+        self._spread_at: dict[str, float] = {}
         self._replace_since: dict[tuple[str, str], float] = {}
 
     def end(self) -> None:
@@ -462,25 +460,16 @@
             self._spread(service, now)
 
     def _spread(self, service: str, now: float) -> None:
-        """Loads a copy of a much wanted adapter, one at a time."""
-        if self._copying or len(self._loadings) > _SPREAD_WANTS_MOST:
+        """Loads copies of much wanted adapters."""
+        if now < self._spread_at.get(service, now):
             return
-        if now < self._spread_at:
-            return
-        self._spread_at = now + _SPREAD_SECONDS
-        chosen = self._placement.choose_copy(self._survey(service))
-        if chosen is not None:
-            artifact, choice = chosen
-            self._copying = True
+        self._spread_at[service] = now + _SPREAD_SECONDS
+        survey = self._survey(service)
+        for artifact, choice in self._placement.choose_copies(survey):
             self._reserve(choice, artifact)
-            self._spawn(self._copy(artifact, choice))
-
-    async def _copy(self, artifact: str, choice: Choice) -> None:
-        try:
+            survey.note_chosen(choice.engine)
             version = self._view.version(artifact)
-            await self._load(choice, artifact, version)
-        finally:
-            self._copying = False
+            self._spawn(self._load(choice, artifact, version))
 
     def _make_room(self, service: str, engine: Engine) -> None:
         """Unloads from an engine that is believed to hold too much."""
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -22,7 +22,7 @@
 # Heartbeats that must lack an artifact before it counts as gone.
 _MISSED_MOST = 3
 # Adapters that an engine had before and loads again without the store.
-_LATELY_KEPT = 256
+_LATELY_KEPT = 96
 
 
 def is_adapter(artifact: str) -> bool:
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -1,7 +1,7 @@
 """Which engine gets a missing artifact, and what gives way for it."""
 
 import collections
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 
 import attrs
 
@@ -26,7 +26,7 @@
 _ELSEWHERE_COST = 0.3
 # What it is worth, in the same measure, that an engine had an adapter lately:
 # it loads ten times as fast, and costs the store nothing.
-_LATELY_BONUS = 1.0
+_LATELY_BONUS = 3.0
 # Copies divide an adapter's requests; the last copy is worth more than that.
 _COPY_SHARE = 0.5
 # Share of the requests from which an adapter may get another copy, and how many
@@ -36,6 +36,9 @@
 _SPREAD_SHARE = 0.015
 _SPREAD_BUSY = 10
 _SPREAD_FULL = 0.5
+# Requests in progress at an engine that may get a copy, as a share of those
+# at the least busy holder; where all are as busy, a copy helps nobody.
+_SPREAD_IDLER = 0.7
 # Loads on their way to an engine that may get a copy; the rest is for misses.
 _SPREAD_LOADING = 2
 # How many adapters are looked at for copies.
@@ -93,24 +96,26 @@
         """Returns a basis for choices that are made at the same moment."""
         return Survey(self.popularity, engines, demand, now)
 
-    def choose_copy(self, survey: "Survey") -> tuple[str, Choice] | None:
-        """Returns an adapter that deserves a copy, and where it should go."""
+    def choose_copies(self, survey: "Survey") -> Iterator[tuple[str, Choice]]:
+        """Yields adapters that deserve a copy, and where it should go.
+
+        The caller has each under way before it asks for the next one.
+        """
         now = survey.now
         total = self.popularity.total(now)
         if total < _SPREAD_AFTER:
-            return None
+            return
         for artifact, value in self.popularity.top(_SPREAD_MOST, now):
             if value < _SPREAD_SHARE * total:
-                return None
-            if not is_adapter(artifact) or not survey.is_crowded(artifact):
+                return
+            if not is_adapter(artifact):
                 continue
-            choice = survey.choose(artifact, loading_most=_SPREAD_LOADING)
+            choice = survey.choose_for_copy(artifact)
             if choice is None:
                 continue
             victim_worth = survey.worth(choice.victim) if choice.victim else 0.0
             if victim_worth < value * _COPY_SHARE / 3:
-                return artifact, choice
-        return None
+                yield artifact, choice
 
     def choose_for_model(
         self,
@@ -164,15 +169,29 @@
         value = self._popularity.value(artifact, self.now)
         return value if copies <= 1 else value * _COPY_SHARE / copies
 
-    def is_crowded(self, artifact: str) -> bool:
-        """Whether every engine that holds an adapter has enough to do."""
-        busy = self._demand.busy
+    def choose_for_copy(self, artifact: str) -> Choice | None:
+        """Returns where a copy would help the engines that hold an adapter.
+
+        They must all have enough to do, and the other one much less. Copies
+        on their way are waited for once there are as many as holders.
+        """
         holders = [e for e in self._engines if artifact in e.held]
-        return bool(holders) and all(
-            busy.get(engine.name, 0)
-            >= min(_SPREAD_BUSY, _SPREAD_FULL * engine.spec.slots)
-            for engine in holders
-        )
+        coming = sum(artifact in e.loading for e in self._engines)
+        if not holders or coming >= len(holders):
+            return None
+        least = min(map(self._busy, holders))
+        slots = holders[0].spec.slots
+        if least < min(_SPREAD_BUSY, _SPREAD_FULL * slots):
+            return None
+        busier = {
+            engine.name
+            for engine in self._engines
+            if self._busy(engine) > _SPREAD_IDLER * least
+        }
+        return self.choose(artifact, avoid=busier, loading_most=_SPREAD_LOADING)
+
+    def _busy(self, engine: Engine) -> int:
+        return self._demand.busy.get(engine.name, 0)
 
     def choose(
         self,
@@ -212,8 +231,7 @@
         if free < 0:
             return None
         cost = _LOADING_COST * len(engine.loading)
-        share = self._demand.busy.get(engine.name, 0) / engine.spec.slots
-        cost += _BUSY_COST * share
+        cost += _BUSY_COST * self._busy(engine) / engine.spec.slots
         if engine.had_lately(artifact):
             cost -= _LATELY_BONUS
         if free > 0:
