Deliver an upstream's own failure when no other upstream is left

Ruled out: ejection (the upstream was in use throughout). Change: the refusal delivers the answer of the failure before it. The test failed before.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -159,10 +159,15 @@
             self._splitter = EventSplitter(self._facts.last_event)
 
     async def _attempt(self, route: Route) -> None:
+        failure: Failure | None = None
         while True:
             upstream = await self._find_upstream()
             if isinstance(upstream, Refusal):
-                self._give_up(upstream)
+                if failure is not None and failure.answer is not None:
+                    # Nobody else could do better than this answer.
+                    self._fail(failure)
+                else:
+                    self._give_up(upstream)
                 return
             failure = await self._send(route, upstream)
             if failure is None:
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -86,6 +86,16 @@
 
 
 class TestRetries:
+    async def test_an_upstream_s_own_failure_is_delivered_if_nobody_is_left(
+        self, world: FrontWorld
+    ) -> None:
+        # It was replaced by a 502 (tjn-ops scale-1, two of three had left).
+        await world.add("u1", fail)
+        client = await world.open()
+        answer = await client.ask("/safe/x")
+        assert (answer.status, answer.body) == (500, b"broken")
+        assert answer.headers["server-stamp"] == "s2"
+
     async def test_a_request_that_was_not_run_goes_elsewhere(
         self, world: FrontWorld
     ) -> None:
