A fault soak on real processes, and the time until service after disasters

Both play on the same deployment: control nodes behind proxies that delay, reset, swallow one way or both, fronts, plain services and engines that note what they run, callers that keep their channels, an operator. Faults come from outside, in series and overlapping: kill, pause, wiped and full disks, SIGTERM, SIGHUP, upstreams that crash, refuse, hang or leave. The system uses no time of day, so its clock isn't stepped. Checked: at most one run, true refusals, right and whole answers, no configuration lost or taken back, no request cut by planned work alone, one holder of orders.

A process can be told to listen for its peers elsewhere than where it is reached (RIDGESILL_PEERS_LISTEN), so that something can stand between.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: test lint format demo build proofs check-long bench-control \
-	bench-routing bench-path bench-capacity bench-storage clean
+	bench-routing bench-path bench-capacity bench-storage bench-recovery soak \
+	clean
 
 $(STAMP): requirements/dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -36,7 +37,13 @@
 proofs: $(STAMP)
 	$(BIN)/python -m bench.proofs
 
-bench-control bench-routing bench-path bench-capacity bench-storage: $(STAMP)
+# How many seeds; for more options see `python -m testing.soak --help`.
+SEEDS ?= 50
+soak: $(STAMP)
+	$(BIN)/python -m testing.soak --seeds $(SEEDS)
+
+bench-control bench-routing bench-path bench-capacity bench-storage \
+bench-recovery: $(STAMP)
 	$(BIN)/python -m bench.$(subst bench-,,$@)
 
 build: $(STAMP)
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -167,7 +167,7 @@
         self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self._peer_server.start(self._settings.peers)
+        await self._peer_server.start(self._settings.peers_listen)
         await self._calls.start()
         stopping = self._loop.create_task(self._stopping.wait())
         working = self._loop.create_task(self._work())
--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -13,6 +13,9 @@
 _PATH_VARIABLE = "RIDGESILL_SETTINGS"
 
 
+# Own address for peers where something stands before it, as the fault soak's
+# proxies do; deploy/system.toml may set it under `env`.
+_PEERS_LISTEN_VARIABLE = "RIDGESILL_PEERS_LISTEN"
 # Where each role serves its figures; deploy/system.toml names the same.
 _METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
@@ -64,7 +67,9 @@
         callers: address for clients; empty if this role has none.
         readiness: address for the balancer's question.
         control: address for upstreams and the operator.
-        peers: address for the project's own processes.
+        peers: address at which the project's own processes reach this one.
+        peers_listen: address on which it takes their messages; the same
+            unless something forwards between the two.
         metrics: address for this process's figures.
         seeds: addresses, for the project's own processes, of the first VMs
             that serve control.
@@ -80,6 +85,7 @@
     readiness: str
     control: str
     peers: str
+    peers_listen: str
     metrics: str
     seeds: tuple[str, ...]
     is_first_start: bool
@@ -131,6 +137,7 @@
         """Returns all settings."""
         listen = self._table("listen")
         port = self._peer_port()
+        peers = f"{self._text('ip')}:{port}"
         tolerance = self._table("tolerance")
         return PlatformSettings(
             vm=self._text("node"),
@@ -138,7 +145,8 @@
             callers=str(listen.get("front") or ""),
             readiness=str(listen.get("ready") or ""),
             control=str(listen.get("control") or ""),
-            peers=f"{self._text('ip')}:{port}",
+            peers=peers,
+            peers_listen=os.environ.get(_PEERS_LISTEN_VARIABLE) or peers,
             metrics=f"{self._text('ip')}:{_METRICS_PORT}",
             seeds=tuple(with_port(seed, port) for seed in self._seeds()),
             is_first_start=bool(self._document.get("bootstrap", False)),
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -57,6 +57,7 @@
     ip: str
     settings: Path
     data: Path | None
+    environment: dict[str, str] = attrs.Factory(dict)
     process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -64,6 +65,7 @@
         log = self.settings.with_suffix(".log").open("ab")
         environment = {
             **os.environ,
+            **self.environment,
             "RIDGESILL_SETTINGS": str(self.settings),
         }
         self.process = subprocess.Popen(
--- /dev/null
+++ b/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes under injected faults."""
--- /dev/null
+++ b/testing/soak/faults.py
@@ -0,0 +1,217 @@
+"""Faults that are injected from outside, one after the other or at once."""
+
+import asyncio
+import resource
+import signal
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from testing.platform_world import Vm
+from testing.soak.proxy import Mode
+from testing.soak.upstreams import SoakUpstream
+from testing.soak.world import SoakWorld
+
+_GRACE_SECONDS = 7.0
+# Bytes that a disk which is full still takes for one file.
+_FULL_BYTES = 64
+
+
+@attrs.frozen
+class Happened:
+    """A fault that was injected.
+
+    Attributes:
+        planned: whether it is planned work, which must cut no request.
+    """
+
+    name: str
+    began: float
+    ended: float
+    planned: bool = False
+
+
+class Faults:
+    """Injects faults into a world.
+
+    Args:
+        world: where.
+    """
+
+    def __init__(self, world: SoakWorld) -> None:
+        self.happened: list[Happened] = []
+        self._world = world
+        self._rng = world.rng
+        self._loop = asyncio.get_running_loop()
+        self._busy: set[str] = set()
+        self._wiped = False
+        self._kinds: tuple[tuple[Callable[[], Awaitable[None]], bool], ...] = (
+            (self._kill, False),
+            (self._pause, False),
+            (self._wipe, False),
+            (self._kill_all_controls, False),
+            (self._proxy_fault, False),
+            (self._proxy_reset, False),
+            (self._fill_disk, False),
+            (self._crash_upstream, False),
+            (self._sicken_upstream, False),
+            (self._leave, True),
+            (self._terminate, True),
+            (self._reload, True),
+        )
+
+    async def run(self, seconds: float) -> None:
+        """Injects faults for some seconds; returns once all are over."""
+        until = self._loop.time() + seconds
+        running: set[asyncio.Task[None]] = set()
+        planned_only = self._rng.random() < 0.25
+        while self._loop.time() < until:
+            kinds = [k for k in self._kinds if k[1] or not planned_only]
+            work, planned = self._rng.choice(kinds)
+            task = asyncio.create_task(self._inject(work, planned=planned))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(self._rng.uniform(0.1, 1.2))
+        await asyncio.gather(*running)
+
+    async def _inject(
+        self, work: Callable[[], Awaitable[None]], *, planned: bool
+    ) -> None:
+        began = self._loop.time()
+        await work()
+        name = work.__name__.strip("_")
+        ended = self._loop.time()
+        self.happened.append(Happened(name, began, ended, planned))
+
+    def _take(self, vms: list[Vm]) -> Vm | None:
+        """Returns a VM on which no other fault is at work."""
+        free = [vm for vm in vms if vm.name not in self._busy]
+        if not free:
+            return None
+        chosen = self._rng.choice(free)
+        self._busy.add(chosen.name)
+        return chosen
+
+    async def _wait(self, least: float, most: float) -> None:
+        await asyncio.sleep(self._rng.uniform(least, most))
+
+    # -- processes -----------------------------------------------------
+
+    async def _kill(self) -> None:
+        vm = self._take(self._world.vms)
+        if vm is not None:
+            vm.kill()
+            await self._come_back(vm)
+
+    async def _come_back(self, vm: Vm) -> None:
+        await self._wait(0.1, 1.5)
+        self._world.restart(vm)
+        self._busy.discard(vm.name)
+
+    async def _pause(self) -> None:
+        vm = self._take(self._world.vms)
+        if vm is None:
+            return
+        vm.signal(signal.SIGSTOP)
+        await self._wait(0.3, 2.5)
+        vm.signal(signal.SIGCONT)
+        self._world.paused_until[vm.name] = self._loop.time()
+        self._busy.discard(vm.name)
+
+    async def _wipe(self) -> None:
+        """One disk of three at a time may be lost, as the settings allow."""
+        if self._wiped:
+            return
+        vm = self._take(self._world.controls)
+        if vm is None:
+            return
+        self._wiped = True
+        vm.kill()
+        vm.wipe()
+        await self._come_back(vm)
+        # Until the others have made up for it, no other disk may go.
+        await asyncio.sleep(6.0)
+        self._wiped = False
+
+    async def _kill_all_controls(self) -> None:
+        vms = [v for v in self._world.controls if v.name not in self._busy]
+        self._busy.update(vm.name for vm in vms)
+        for vm in vms:
+            vm.kill()
+        for vm in vms:
+            self._world.restart(vm)
+            self._busy.discard(vm.name)
+
+    async def _terminate(self) -> None:
+        vm = self._take(self._world.vms)
+        if vm is None or vm.process is None:
+            return
+        vm.signal(signal.SIGTERM)
+        deadline = self._loop.time() + _GRACE_SECONDS
+        while vm.process.poll() is None and self._loop.time() < deadline:
+            await asyncio.sleep(0.05)
+        vm.kill()
+        self._world.restart(vm)
+        self._busy.discard(vm.name)
+
+    async def _reload(self) -> None:
+        self._rng.choice(self._world.vms).signal(signal.SIGHUP)
+
+    async def _fill_disk(self) -> None:
+        """Refuses every write above a size, as a full disk does."""
+        vm = self._take(self._world.controls)
+        if vm is None or vm.process is None:
+            return
+        pid = vm.process.pid
+        _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (_FULL_BYTES, hard))
+        await self._wait(0.5, 2.0)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (hard, hard))
+        self._busy.discard(vm.name)
+
+    # -- links ---------------------------------------------------------
+
+    async def _proxy_fault(self) -> None:
+        proxy = self._rng.choice(list(self._world.proxies.values()))
+        proxy.delay = self._rng.uniform(0.01, 0.3)
+        proxy.mode = self._rng.choice(
+            (Mode.DELAYED, Mode.SILENT, Mode.NO_ANSWERS)
+        )
+        await self._wait(0.5, 3.0)
+        proxy.mode = Mode.OPEN
+
+    async def _proxy_reset(self) -> None:
+        self._rng.choice(list(self._world.proxies.values())).reset()
+
+    # -- upstreams -----------------------------------------------------
+
+    def _upstream(self) -> SoakUpstream:
+        return self._rng.choice(self._world.upstreams)
+
+    async def _crash_upstream(self) -> None:
+        upstream = self._upstream()
+        if upstream.name in self._busy:
+            return
+        self._busy.add(upstream.name)
+        upstream.crash()
+        await self._wait(0.2, 1.5)
+        await upstream.restart()
+
+    async def _sicken_upstream(self) -> None:
+        upstream = self._upstream()
+        upstream.refusing = self._rng.choice((0.0, 0.5))
+        upstream.hanging = self._rng.choice((0.0, 0.3))
+        await self._wait(0.5, 2.0)
+        upstream.refusing = 0.0
+        upstream.hanging = 0.0
+
+    async def _leave(self) -> None:
+        """Has an upstream leave as planned, and another one come."""
+        upstream = self._upstream()
+        if upstream.name in self._busy:
+            return
+        self._busy.add(upstream.name)
+        upstream.state = "draining"
+        await asyncio.sleep(4.0)
+        upstream.crash()
+        await upstream.restart()
--- /dev/null
+++ b/testing/soak/test_soak.py
@@ -0,0 +1,114 @@
+"""A short seeded soak, and every seed that ever failed."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from testing.soak.__main__ import play, summarize
+from testing.soak.checks import Verdict, judge
+from testing.soak.clients import Told
+from testing.soak.faults import Happened
+from testing.soak.proxy import FaultyProxy, Mode
+from testing.soak.upstreams import Ledger
+
+_SHORT = [(1, 5.0, 3, 2), (2, 5.0, 3, 2)]
+_REGRESSIONS = Path(__file__).with_name("regressions.txt")
+
+
+def read_regressions() -> list[tuple[int, float, int, int]]:
+    """Returns what the file of regressions names."""
+    lines = _REGRESSIONS.read_text().splitlines()
+    rows = [line.split(maxsplit=4) for line in lines if line[:1].isdigit()]
+    return [(int(r[0]), float(r[1]), int(r[2]), int(r[3])) for r in rows]
+
+
+class TestSeeds:
+    @pytest.mark.process
+    @pytest.mark.parametrize("case", [*_SHORT, *read_regressions()])
+    def test_every_promise_is_kept(
+        self, case: tuple[int, float, int, int]
+    ) -> None:
+        verdict = play(*case)
+        assert verdict.requests > 100
+        assert not verdict.broken, verdict.broken
+
+
+class JudgedWorld:
+    """What `judge` looks at, without any process."""
+
+    def __init__(self, *told: Told) -> None:
+        self.told = list(told)
+        self.ledger = Ledger()
+        self.reverted: list[str] = []
+        self.upstreams: list[object] = []
+        self.controls: list[object] = []
+        self.paused_until: dict[str, float] = {}
+
+    def judge(self, *happened: Happened) -> Verdict:
+        """Returns the verdict."""
+        return judge(1, self, list(happened))  # type: ignore[arg-type]
+
+
+class TestChecks:
+    def test_an_unsafe_request_that_ran_twice_is_found(self) -> None:
+        world = JudgedWorld(Told("r1", "unsafe", "f", 0.0, 1.0, 200, True))
+        world.ledger.runs["r1"] = 2
+        assert world.judge().count("doubled") == 1
+
+    def test_a_refusal_of_what_ran_is_found(self) -> None:
+        world = JudgedWorld(Told("r1", "unsafe", "f", 0.0, 1.0, 503, True))
+        world.ledger.runs["r1"] = 1
+        assert world.judge().count("false_not_run") == 1
+
+    @pytest.mark.parametrize(
+        ("name", "planned", "cut"), [("terminate", True, 1), ("kill", False, 0)]
+    )
+    def test_only_planned_work_must_cut_nothing(
+        self, name: str, planned: bool, cut: int
+    ) -> None:
+        told = Told("r1", "unsafe", "f", 5.0, 6.0, cut=True)
+        world = JudgedWorld(told)
+        world.ledger.runs["r1"] = 1
+        fault = Happened(name, 4.8, 7.0, planned)
+        assert world.judge(fault).count("cut") == cut
+
+    def test_two_holders_within_the_lease_are_found(self) -> None:
+        world = JudgedWorld()
+        world.ledger.orders["i-1"] = [("a:1", 3, 1.0), ("b:1", 4, 1.5)]
+        assert world.judge().count("two_holders") == 1
+        world.ledger.orders["i-1"] = [("a:1", 4, 1.0), ("b:1", 3, 9.0)]
+        assert world.judge().count("fencing") == 1
+
+    def test_the_line_names_every_total(self) -> None:
+        verdict = Verdict(3, 10, {"doubled": ["r1", "r2"]})
+        assert summarize([verdict, Verdict(4, 5)]) == (
+            "soak: seeds=2 requests=15 lost=0 doubled=2 false_not_run=0"
+            " reverted=0 cut=0 open=1"
+        )
+
+
+class TestProxy:
+    async def test_it_passes_swallows_and_resets(self) -> None:
+        async def echo(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while data := await reader.read(100):
+                writer.write(data)
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        proxy = FaultyProxy("127.0.0.1:0", f"127.0.0.1:{port}")
+        await proxy.start()
+        reader, writer = await asyncio.open_connection(*proxy.address)
+        writer.write(b"one")
+        assert await asyncio.wait_for(reader.read(100), 1.0) == b"one"
+        proxy.mode = Mode.NO_ANSWERS
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(100), 0.2)
+        proxy.reset()
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(100), 1.0)
+        proxy.stop()
+        server.close()
--- /dev/null
+++ b/testing/soak/upstreams.py
@@ -0,0 +1,197 @@
+"""Upstreams that note what they run, so that promises can be checked."""
+
+import asyncio
+import itertools
+import random
+import time
+from typing import Any
+
+import attrs
+import msgspec
+
+from testing.app.engine_world import MODEL, SimulatedEngine
+from testing.app.front_world import Call, ScriptedUpstream
+from testing.platform_world import call
+
+PLACES = 4
+_HEARTBEAT_SECONDS = 0.5
+_EVENTS = 3
+_NOT_RUN = "Not-Run: 1"
+_incarnations = itertools.count(1)
+
+
+@attrs.define
+class Ledger:
+    """What all upstreams have run, and in whose name they were ordered.
+
+    Attributes:
+        runs: how often each request was run, by its id.
+        orders: holder, fencing token and time of each order, by engine.
+    """
+
+    runs: dict[str, int] = attrs.Factory(dict)
+    orders: dict[str, list[tuple[str, int, float]]] = attrs.Factory(dict)
+
+    def note_run(self, request: str) -> None:
+        """Counts a run."""
+        self.runs[request] = self.runs.get(request, 0) + 1
+
+
+class SoakUpstream:
+    """A plain service that may fail, fall and come back.
+
+    Args:
+        service: its name.
+        ledger: where it notes what it runs.
+        controls: addresses that take heartbeats.
+        rng: the source of its faults.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        ledger: Ledger,
+        controls: list[str],
+        rng: random.Random,
+    ) -> None:
+        self.service = service
+        self.refusing = 0.0
+        self.hanging = 0.0
+        self._ledger = ledger
+        self._controls = list(controls)
+        self._rng = rng
+        self._tasks: list[asyncio.Task[None]] = []
+        self._begin()
+
+    def _begin(self) -> None:
+        self.name = f"i-{next(_incarnations)}"
+        self.state = "ready"
+        self._sequence = 0
+        self._served = ScriptedUpstream(self.name, self._serve)
+
+    async def start(self) -> None:
+        """Begins to listen and to send heartbeats."""
+        await self._served.start()
+        self._tasks = [asyncio.create_task(self._beat())]
+
+    def crash(self) -> None:
+        """Ends it without a word; requests in progress are cut."""
+        for task in self._tasks:
+            task.cancel()
+        self._served.stop()
+        for made in self._served.calls:
+            if not made.writer.is_closing():
+                made.reset()
+
+    async def restart(self) -> None:
+        """Starts it as another incarnation."""
+        self._begin()
+        await self.start()
+
+    # -- heartbeats ----------------------------------------------------
+
+    async def _beat(self) -> None:
+        while True:
+            await self._say()
+            await asyncio.sleep(_HEARTBEAT_SECONDS)
+
+    async def _say(self) -> None:
+        self._sequence += 1
+        said = {
+            "service": self.service,
+            "address": self._served.address,
+            "zone": "a",
+            "slots": 8,
+            "state": self.state,
+            "sequence": self._sequence,
+            **self._holdings(),
+        }
+        body = msgspec.json.encode(said)
+        for address in self._controls:
+            path = f"/ridgesill/Instances.Heartbeat/{self.name}"
+            answer = await call("POST", f"http://{address}{path}", body)
+            if answer is not None and answer.status == 200:
+                return
+
+    def _holdings(self) -> dict[str, Any]:
+        return {}
+
+    # -- requests ------------------------------------------------------
+
+    async def _serve(self, made: Call) -> None:
+        if made.header("expect-instance") not in ("", self.name):
+            await made.answer(421, b"", _NOT_RUN)
+        elif self._rng.random() < self.refusing:
+            await made.answer(503, b"", _NOT_RUN)
+        else:
+            await self._run(made)
+
+    async def _run(self, made: Call) -> None:
+        request = made.header("request-id")
+        self._ledger.note_run(request)
+        if self._rng.random() < self.hanging:
+            await asyncio.sleep(3.0)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.05))
+        await made.answer(200, request.encode(), f"Server-Stamp: {self.name}")
+
+
+class SoakEngine(SoakUpstream):
+    """A model engine that takes orders and streams."""
+
+    def _begin(self) -> None:
+        super()._begin()
+        self.engine = SimulatedEngine(self.name, PLACES)
+
+    def _holdings(self) -> dict[str, Any]:
+        return {"models": self.engine.report(time.monotonic())["models"]}
+
+    async def _serve(self, made: Call) -> None:
+        path = made.head.split(" ")[1]
+        if made.header("expect-instance") not in ("", self.name):
+            await made.answer(421, b"", _NOT_RUN)
+        elif path == "/ridgesill/order":
+            await self._take_order(made)
+        elif path == "/ridgesill/report":
+            said = self.engine.report(time.monotonic())
+            await made.answer(200, msgspec.json.encode(said))
+        else:
+            await self._stream(made)
+
+    async def _take_order(self, made: Call) -> None:
+        now = time.monotonic()
+        body = msgspec.json.decode(made.body)
+        noted = (body["holder"], body["fencing_token"], now)
+        self._ledger.orders.setdefault(self.name, []).append(noted)
+        if "adapter" not in body:
+            await made.answer(200)
+            return
+        await made.answer(self.engine.order(body, now), b"{}")
+
+    async def _stream(self, made: Call) -> None:
+        self.engine.settle(time.monotonic())
+        adapter = made.header("model").partition("/")[2]
+        if adapter not in self.engine.held:
+            await made.answer(421, b"", _NOT_RUN)
+            return
+        request = made.header("request-id")
+        self._ledger.note_run(request)
+        self.engine.used.add(adapter)
+        try:
+            await made.begin_stream()
+            for number in range(1, _EVENTS + 1):
+                await asyncio.sleep(0.02)
+                await made.event(number)
+            await made.end_stream()
+        finally:
+            self.engine.used.discard(adapter)
+
+
+MODELS = [
+    {
+        "name": MODEL,
+        "weights_mb": 1000.0,
+        "load_time_s": 0.1,
+        "adapters": 40,
+        "adapter_mb": 1.0,
+    }
+]
--- /dev/null
+++ b/testing/soak/world.py
@@ -0,0 +1,200 @@
+"""A deployment under faults: processes, proxies, upstreams and callers."""
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from testing.platform_world import PlatformDeployment, Vm, call
+from testing.soak.clients import Caller, Told
+from testing.soak.proxy import FaultyProxy
+from testing.soak.upstreams import (
+    MODELS,
+    PLACES,
+    Ledger,
+    SoakEngine,
+    SoakUpstream,
+)
+
+_CALLERS_A_FRONT = 2
+# Added to the port on which a control node is reached by its peers.
+_BEHIND_PROXY = 5
+
+
+def make_document(version: int) -> bytes:
+    """Returns a configuration with a route of each kind."""
+    kinds = {"safe": "plain", "unsafe": "plain", "stream": "engine"}
+    routes = [
+        {
+            "name": kind,
+            "host": "a.example",
+            "prefix": f"/{kind}/",
+            "kind": kind,
+            "timeout_ms": 2500,
+            "goal_ms": 500,
+            "priority": 0,
+            "service": service,
+            "attempts": 2 if kind == "safe" else 1,
+        }
+        for kind, service in kinds.items()
+    ]
+    engine = {
+        "slots": 8,
+        "weights_mb": 1100.0,
+        "adapter_slots": PLACES,
+        "loads_per_s": 10.0,
+        "models": MODELS,
+    }
+    plain = {"name": "plain", "health_path": "/health", "connection_limit": 99}
+    services = [plain, {**plain, "name": "engine", "engine": engine}]
+    return msgspec.json.encode(
+        {"version": version, "routes": routes, "services": services}
+    )
+
+
+class SoakWorld(PlatformDeployment):
+    """Everything that a seed plays with.
+
+    Args:
+        folder: for settings, disks and logs.
+        seed: of all chance.
+        controls: how many control nodes.
+        fronts: how many fronts.
+    """
+
+    def __init__(
+        self, folder: Path, seed: int, controls: int = 3, fronts: int = 3
+    ) -> None:
+        super().__init__(folder, controls, fronts)
+        self.rng = random.Random(seed)
+        self.ledger = Ledger()
+        self.told: list[Told] = []
+        self.acknowledged = 0
+        self.sent = 0
+        self.reverted: list[str] = []
+        self.paused_until: dict[str, float] = {}
+        addresses = [self.control_address(vm) for vm in self.controls]
+        self.upstreams = [
+            kind(
+                service,
+                self.ledger,
+                addresses,
+                random.Random(self.rng.random()),
+            )
+            for kind, service in (
+                (SoakUpstream, "plain"),
+                (SoakUpstream, "plain"),
+                (SoakEngine, "engine"),
+                (SoakEngine, "engine"),
+            )
+        ]
+        self.proxies = {vm.name: self._make_proxy(vm) for vm in self.controls}
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    def _make_proxy(self, vm: Vm) -> FaultyProxy:
+        peers = f"{vm.ip}:{self._ports[3]}"
+        behind = f"{vm.ip}:{self._ports[3] + _BEHIND_PROXY}"
+        vm.environment["RIDGESILL_PEERS_LISTEN"] = behind
+        return FaultyProxy(peers, behind)
+
+    # -- life ----------------------------------------------------------
+
+    async def start(self) -> None:
+        """Starts everything, and waits until each front serves."""
+        for proxy in self.proxies.values():
+            await proxy.start()
+        for vm in self.vms:
+            vm.start()
+        for upstream in self.upstreams:
+            await upstream.start()
+        await self.put_next()
+        await self.until_served()
+        self._tasks = [
+            asyncio.create_task(self._caller(vm, number).run())
+            for vm in self.fronts
+            for number in range(_CALLERS_A_FRONT)
+        ]
+        self._tasks.append(asyncio.create_task(self._operate()))
+
+    def _caller(self, vm: Vm, number: int) -> Caller:
+        front = (vm.name, f"{vm.ip}:{self._ports[0]}")
+        rng = random.Random(self.rng.random())
+        return Caller(f"{vm.name}-{number}", front, rng, self.told)
+
+    async def end_traffic(self) -> None:
+        """Stops callers and the operator."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def stop(self) -> None:
+        """Ends every process and socket that this world started."""
+        for task in self._tasks:
+            task.cancel()
+        for vm in self.vms:
+            vm.signal(signal.SIGCONT)
+            vm.kill()
+        for upstream in self.upstreams:
+            upstream.crash()
+        for proxy in self.proxies.values():
+            proxy.stop()
+
+    # -- the operator --------------------------------------------------
+
+    async def _operate(self) -> None:
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.2, 0.8))
+            await self.put_next(patience=2.0)
+            await self.read_back()
+
+    async def put_next(self, patience: float = 20.0) -> None:
+        """Sends the next configuration until it is taken or time is up."""
+        self.sent += self.rng.randint(1, 3)
+        version = self.sent
+        body = make_document(version)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + patience
+        while loop.time() < deadline:
+            vm = self.rng.choice(self.controls)
+            if await self._call(vm, "POST", "Configuration.Put", body):
+                self.acknowledged = max(self.acknowledged, version)
+                return
+            await asyncio.sleep(0.1)
+
+    async def read_back(self) -> int | None:
+        """Reads the configuration at a node that is sure of it."""
+        before = self.acknowledged
+        vm = self.rng.choice(self.controls)
+        answer = await self._call(vm, "GET", "Configuration.Get")
+        if answer is None:
+            return None
+        version = int(msgspec.json.decode(answer.data)["version"])
+        if version < before:
+            self.reverted.append(f"{vm.name} read {version} after {before}")
+        return version
+
+    async def _call(
+        self, vm: Vm, method: str, name: str, body: bytes = b""
+    ) -> Any:
+        url = f"http://{self.control_address(vm)}/ridgesill/{name}"
+        answer = await call(method, url, body)
+        return answer if answer is not None and answer.status == 200 else None
+
+    # -- recovery ------------------------------------------------------
+
+    async def until_served(self, seconds: float = 20.0) -> None:
+        """Waits until every front serves every kind of request."""
+        for number, vm in enumerate(self.fronts):
+            for kind in ("safe", "unsafe", "stream"):
+                await self.until(
+                    lambda n=number, v=vm, k=kind: self._try_once(n, v, k),
+                    seconds,
+                )
+
+    async def _try_once(self, number: int, vm: Vm, kind: str) -> Any:
+        caller = self._caller(vm, 100 + number + 10 * len(self.told))
+        told = await caller.ask(kind)
+        return told if told.status == 200 and told.complete else None
