--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -1,6 +1,7 @@
 """Channels to upstreams, kept for reuse, and exchanges on them."""
 
 import asyncio
+import collections
 import socket
 
 from ridgesill.adapters.http1.channel import (
@@ -84,10 +85,17 @@
     def __init__(self, connect_seconds: float) -> None:
         self._connect_seconds = connect_seconds
         self._resting: dict[str, list[UpstreamChannel]] = {}
+        self._opened: dict[str, set[UpstreamChannel]] = {}
+        self._opening: collections.Counter[str] = collections.Counter()
         self._loop = asyncio.get_running_loop()
 
     async def send(
-        self, address: str, request: HttpRequest, *, fresh_within: float = 60.0
+        self,
+        address: str,
+        request: HttpRequest,
+        *,
+        fresh_within: float = 60.0,
+        most: int = 0,
     ) -> Exchange:
         """Sends a request.
 
@@ -95,12 +103,14 @@
             address: the upstream's.
             request: the request, whole.
             fresh_within: seconds that a kept channel may have rested.
+            most: channels that may be open to this upstream; 0 for no bound.
 
         Raises:
             ChannelError: no channel came up; nothing was sent.
         """
         channel = self._take_resting(address, fresh_within)
         if channel is None:
+            self._make_room(address, most)
             channel = await self._open(address)
         request_id = find_header(request.headers, REQUEST_ID).encode()
         channel.send(request, request_id)
@@ -122,11 +132,28 @@
             self.discard(channel)
         return None
 
+    def _make_room(self, address: str, most: int) -> None:
+        """Keeps within the share of an upstream's channels.
+
+        An upstream resets what goes beyond its limit over all callers, and
+        then nobody knows whether the request has run.
+        """
+        opened = self._opened.setdefault(address, set())
+        opened.difference_update([c for c in opened if not c.is_open])
+        if not most or len(opened) + self._opening[address] < most:
+            return
+        resting = self._resting.get(address)
+        if not resting:
+            detail = f"all {most} channels of this process's share are in use"
+            raise ChannelError("connect", address, detail, False)
+        self.discard(resting.pop(0))
+
     async def _open(self, address: str) -> UpstreamChannel:
         host, port = split_address(address)
         connecting = self._loop.create_connection(
             lambda: UpstreamChannel(address), host, port
         )
+        self._opening[address] += 1
         try:
             transport, channel = await asyncio.wait_for(
                 connecting, self._connect_seconds
@@ -134,7 +161,10 @@
         except (OSError, TimeoutError) as error:
             detail = str(error) or "no channel came up in time"
             raise ChannelError("connect", address, detail, False) from error
+        finally:
+            self._opening[address] -= 1
         _set_user_timeout(transport)
+        self._opened.setdefault(address, set()).add(channel)
         return channel
 
     def give_back(self, channel: UpstreamChannel, head: ResponseHead) -> None:
@@ -157,6 +187,10 @@
                     self.discard(channel)
             if not resting:
                 del self._resting[address]
+        for address, opened in list(self._opened.items()):
+            if not any(channel.is_open for channel in opened):
+                del self._opened[address]
+        self._opening = +self._opening
 
     def close(self) -> None:
         """Closes all channels at rest."""
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -65,6 +65,11 @@
         self._others = tuple(others)
         self._loop = asyncio.get_running_loop()
         self._in_touch = False
+        self._watchers: list[Callable[[], None]] = []
+
+    def watch(self, watcher: Callable[[], None]) -> None:
+        """Has a function called whenever news have been taken."""
+        self._watchers.append(watcher)
 
     async def run(self) -> None:
         """Asks for news until cancelled."""
@@ -106,6 +111,8 @@
             return False
         self._note_touch(True, owner, "")
         self.view.take(news, self._loop.time())
+        for watcher in self._watchers:
+            watcher()
         return True
 
     def _note_touch(self, in_touch: bool, owner: str, detail: str) -> None:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 from eliot import log_message
@@ -33,12 +34,21 @@
 # An upstream takes this long for the first event at the least, in seconds: it
 # reads 700 tokens in 20 ms, and some steps of its batch go by.
 _ANSWER_LEAST = 0.04
+# A front that has just started, or whose fleet's owner has, soon learns the
+# routes and the upstreams: upstreams are heard at least each 1.2 s. A request
+# waits for that no longer than this, in seconds, and no longer than this share
+# of its time; most clients that are refused have no second attempt left then.
+_LEARN_SECONDS = 1.0
+_LEARN_SHARE = 0.3
 # A request waits no longer than this for a load, in seconds: clients give a
 # stream up after two seconds without an event at the least.
 _LOAD_WAIT_MOST = 1.8
 # Nor longer than this share of its time: a client that is refused comes back
 # once, and should learn before half of its time is gone that it is in vain.
 _LOAD_WAIT_SHARE = 0.22
+# Channels to an upstream that a front may always have, however many fronts
+# there are: one in use and one for a request that comes meanwhile.
+_CHANNELS_LEAST = 2
 # Channels kept longer than this aren't used for what may not run twice: an
 # upstream may just have closed them. Seconds.
 _FRESH_FOR_UNSAFE = 3.0
@@ -119,6 +129,8 @@
 
     async def run(self) -> None:
         """Answers the request, whatever becomes of it."""
+        if not self._front.table.version:
+            await self._learn(lambda: bool(self._front.table.version))
         route = self._find_route()
         if route is None:
             return
@@ -133,6 +145,25 @@
             self._end("client_left")
             raise
 
+    async def _learn(self, is_known: Callable[[], bool]) -> None:
+        """Waits a little until something is known."""
+        began = self._loop.time()
+        seconds = _LEARN_SECONDS
+        if self._facts.patience:
+            seconds = min(seconds, self._facts.patience * _LEARN_SHARE)
+        while not is_known():
+            left = began + seconds - self._loop.time()
+            if left <= 0 or not await self._front.learned.within(left):
+                break
+        log_message(
+            "request:learned",
+            request=self._facts.request,
+            known=is_known(),
+            version=self._front.table.version,
+            upstreams=len(self._front.fleet.view.upstreams),
+            seconds=round(self._loop.time() - began, 4),
+        )
+
     def _find_route(self) -> Route | None:
         table = self._front.table
         if not table.version:
@@ -190,6 +221,8 @@
     async def _find_upstream(self) -> Upstream | Refusal:
         front = self._front
         wanted = self._wanted()
+        if not self._tried and not self._are_upstreams_known():
+            await self._learn(self._are_upstreams_known)
         now = self._loop.time()
         chosen = front.chooser.choose(wanted, self._tried, now)
         if chosen is not None:
@@ -198,6 +231,9 @@
             return Refusal("no_upstream")
         return await self._want(wanted)
 
+    def _are_upstreams_known(self) -> bool:
+        return bool(self._front.chooser.view.of_service(self._service))
+
     async def _want(self, wanted: Wanted) -> Upstream | Refusal:
         """Has the owner bring what the request needs, and waits for it."""
         front = self._front
@@ -286,9 +322,20 @@
         forwarded = front.dialect.forward(self._request, terms)
         fresh = 60.0 if route.is_idempotent else _FRESH_FOR_UNSAFE
         return await front.channels.send(
-            upstream.address, forwarded, fresh_within=fresh
+            upstream.address,
+            forwarded,
+            fresh_within=fresh,
+            most=self._channels_most(),
         )
 
+    def _channels_most(self) -> int:
+        """Returns this front's share of the channels that an upstream takes."""
+        service = self._front.table.services.get(self._service)
+        if service is None or not service.connections:
+            return 0
+        share = service.connections // self._front.fleet.view.fronts
+        return max(share, _CHANNELS_LEAST)
+
     async def _take(
         self,
         route: Route,
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -3,6 +3,7 @@
 import random
 
 from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
@@ -40,6 +41,8 @@
         self.in_progress = 0
         self.used: dict[str, int] = {}
         self.telemetry: Telemetry = NoTelemetry()
+        # Noted when routes or upstreams become known.
+        self.learned = ChangeSignal()
         self._bounds = bounds
         self._retries: dict[str, ServiceRetries] = {}
 
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -71,6 +71,7 @@
                 bounds.retry_share, bounds.retry_slack, bounds.retry_window
             ),
         )
+        self.fleet.watch(self.front.learned.note)
         self._callers = HttpListener(
             settings.callers, functools.partial(serve_request, self.front)
         )
@@ -90,6 +91,7 @@
         if table is None:
             return
         self.front.table = table
+        self.front.learned.note()
         if table.limits is not None:
             self._callers.limits = table.limits
         log_message(
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -39,6 +39,9 @@
 # Requests in progress at an engine that may get a copy, as a share of those
 # at the least busy holder; where all are as busy, a copy helps nobody.
 _SPREAD_IDLER = 0.7
+# Share of the requests from which an adapter gets a copy in every data centre:
+# what it saves in bytes between them then pays for the load within seconds.
+_LOCAL_SHARE = 0.035
 # Loads on their way to an engine that may get a copy; the rest is for misses.
 _SPREAD_LOADING = 2
 # How many adapters are looked at for copies.
@@ -110,7 +113,11 @@
                 return
             if not is_adapter(artifact):
                 continue
-            choice = survey.choose_for_copy(artifact)
+            choice = None
+            if value >= _LOCAL_SHARE * total:
+                choice = survey.choose_elsewhere(artifact)
+            if choice is None:
+                choice = survey.choose_for_copy(artifact)
             if choice is None:
                 continue
             victim_worth = survey.worth(choice.victim) if choice.victim else 0.0
@@ -190,6 +197,16 @@
         }
         return self.choose(artifact, avoid=busier, loading_most=_SPREAD_LOADING)
 
+    def choose_elsewhere(self, artifact: str) -> Choice | None:
+        """Returns an engine in a data centre without the adapter."""
+        served = {
+            engine.data_centre
+            for engine in self._engines
+            if artifact in engine.held or artifact in engine.loading
+        }
+        near = {e.name for e in self._engines if e.data_centre in served}
+        return self.choose(artifact, avoid=near, loading_most=_SPREAD_LOADING)
+
     def _busy(self, engine: Engine) -> int:
         return self._demand.busy.get(engine.name, 0)
 
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -10,13 +10,20 @@
 from ridgesill.core.serving.outcomes import Outcomes
 
 # What a request across data centres costs beside the load of an upstream: as
-# a share of its places. Bytes between data centres are priced.
-_ELSEWHERE = 0.15
-# What a failure rate of 1 costs, in the same measure.
+# a share of its places. Bytes between data centres are priced at some four
+# hundredths of a request's worth, while an upstream that is half full answers
+# hardly later than an idle one.
+_ELSEWHERE = 0.35
+# What a failure rate of 1 costs, in the same measure, and the rate up to which
+# it costs nothing: one failure among many successes, which healthy upstreams
+# have too.
 _FAILING = 3.0
-# Differences below this are left to chance, so that fronts with the same view
-# don't all pick the same upstream.
-_JITTER = 0.02
+_FAILING_FROM = 0.25
+# Differences below this many requests for each front are left to chance, up to
+# so many fronts: what others have sent since the last news isn't known, and
+# many fronts with the same view would all pick the same upstream.
+_JITTER_A_FRONT = 0.5
+_JITTER_FRONTS = 8
 
 
 @attrs.frozen
@@ -126,11 +133,15 @@
 
     def cost(self, upstream: Upstream, now: float) -> float:
         """Ranks upstreams; the lowest is the best."""
-        cost = self.busy(upstream.name) / max(upstream.slots, 1)
+        fronts = min(self.view.fronts, _JITTER_FRONTS)
+        unknown = self._rng.random() * _JITTER_A_FRONT * fronts
+        busy = self.busy(upstream.name) + unknown
+        cost = busy / max(upstream.slots, 1)
         if upstream.data_centre != self.data_centre:
             cost += _ELSEWHERE
-        cost += _FAILING * self.outcomes.failure_rate(upstream.name, now)
-        return cost + self._rng.random() * _JITTER
+        failing = self.outcomes.failure_rate(upstream.name, now) - _FAILING_FROM
+        cost += _FAILING * max(failing, 0.0)
+        return cost
 
     def out_of_use(self, service: str, now: float) -> list[str]:
         """Returns the upstreams of a service that get no new requests now."""
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ridgesill.core.fleet.messages import DRAINING, ArtifactReady
+from ridgesill.core.serving.routes import RouteTable
 from testing.app.front_world import Call, FrontWorld, make_table
 
 ADAPTER = "base/a1"
@@ -26,6 +27,11 @@
     await call.answer(200, b"fine", "Server-Stamp: s1")
 
 
+async def answer_slowly(call: Call) -> None:
+    await asyncio.sleep(0.2)
+    await answer_ok(call)
+
+
 async def refuse(call: Call) -> None:
     await call.answer(503, b"", "Not-Run: 1")
 
@@ -194,6 +200,43 @@
         assert world.front.in_progress == 0
 
 
+class TestStart:
+    """A front that has just started knows neither routes nor upstreams."""
+
+    async def test_a_request_waits_for_the_routes(
+        self, world: FrontWorld
+    ) -> None:
+        await world.add("u1", answer_ok)
+        client = await world.open()
+        table, world.front.table = world.front.table, RouteTable()
+        asking = asyncio.create_task(client.ask("/safe/x"))
+        await asyncio.sleep(0.1)
+        world.front.table = table
+        world.front.learned.note()
+        assert (await asking).status == 200
+
+    async def test_a_request_waits_for_an_upstream(
+        self, world: FrontWorld
+    ) -> None:
+        client = await world.open()
+        asking = asyncio.create_task(client.ask("/safe/x"))
+        await asyncio.sleep(0.1)
+        await world.add("u1", answer_ok)
+        world.front.learned.note()
+        assert (await asking).status == 200
+
+    async def test_it_is_refused_in_time_to_come_back(
+        self, world: FrontWorld
+    ) -> None:
+        client = await world.open()
+        began = asyncio.get_running_loop().time()
+        answer = await client.ask("/safe/x", request_deadline="1000")
+        took = asyncio.get_running_loop().time() - began
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert 0.2 < took < 0.5
+
+
 class TestPriority:
     async def test_one_that_will_be_late_goes_behind_others(
         self, world: FrontWorld
@@ -330,6 +373,19 @@
 
 
 class TestChannels:
+    async def test_a_front_keeps_within_its_share(
+        self, world: FrontWorld
+    ) -> None:
+        upstream = await world.add("u1", answer_slowly)
+        # Ten channels for five fronts.
+        world.front.fleet.view.fronts = 5
+        clients = [await world.open() for _ in range(3)]
+        answers = await asyncio.gather(
+            *(client.ask("/unsafe/x") for client in clients)
+        )
+        assert sorted(answer.status for answer in answers) == [200, 200, 503]
+        assert len(upstream.calls) == 2
+
     async def test_a_second_answer_is_not_taken_for_the_next_one(
         self, world: FrontWorld
     ) -> None:
