--- a/src/ridgesill/adapters/peer_rpc.py
+++ b/src/ridgesill/adapters/peer_rpc.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import ssl
+import zlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -31,6 +32,12 @@
 # until the system sends again, which it does less and less often.
 _CHECK_SECONDS = 0.4
 _SILENT_SECONDS = 0.7
+# Bodies from this size on are compressed, in bytes: news to a front repeat the
+# names of fields and upstreams, and bytes between data centres are priced.
+_COMPRESS_FROM = 400
+_COMPRESS_LEVEL = 1
+# How a compressed body begins; an encoded message is an array of two.
+_COMPRESSED = b"\x78"
 _STREAM_ERRORS = (
     OSError,
     GRPCError,
@@ -39,6 +46,28 @@
 )
 
 
+def encode_body(message: Any) -> bytes:
+    """Returns a message as the body of an envelope."""
+    body = codec.encode(message)
+    if len(body) < _COMPRESS_FROM:
+        return body
+    return zlib.compress(body, _COMPRESS_LEVEL)
+
+
+def decode_body(body: bytes) -> Any:
+    """Returns the message in the body of an envelope.
+
+    Raises:
+        codec.DecodeError: it holds none.
+    """
+    if body.startswith(_COMPRESSED):
+        try:
+            body = zlib.decompress(body)
+        except zlib.error as error:
+            raise codec.DecodeError(f"damaged body: {error}") from error
+    return codec.decode(body)
+
+
 @attrs.define
 class Traffic:
     """Messages and bytes of a process, without HTTP/2's own overhead."""
@@ -102,10 +131,10 @@
     ) -> None:
         reply = Envelope(call=envelope.call, reply=True, sender=self._identity)
         try:
-            message = codec.decode(envelope.body)
+            message = decode_body(envelope.body)
             answer = await self._handler(envelope.sender, message)
             if answer is not None:
-                reply.body = codec.encode(answer)
+                reply.body = encode_body(answer)
         except (codec.DecodeError, PeerError) as error:
             reply.error = str(error)
         if not envelope.call:
@@ -166,7 +195,7 @@
             self._own_tasks.add(task)
             task.add_done_callback(self._own_tasks.discard)
             return
-        envelope = Envelope(sender=self._identity, body=codec.encode(message))
+        envelope = Envelope(sender=self._identity, body=encode_body(message))
         self._post(address, envelope)
 
     async def call(self, address: str, message: Any, timeout: float) -> Any:
@@ -176,7 +205,7 @@
             return await self._call_self(step, message, timeout)
         number = next(self._numbers)
         envelope = Envelope(
-            call=number, sender=self._identity, body=codec.encode(message)
+            call=number, sender=self._identity, body=encode_body(message)
         )
         link = self._link(address)
         future = asyncio.get_running_loop().create_future()
@@ -192,7 +221,7 @@
             link.calls.pop(number, None)
         if reply.error or not reply.body:
             raise PeerError(step, address, reply.error or "empty answer")
-        return codec.decode(reply.body)
+        return decode_body(reply.body)
 
     async def _call_self(self, step: str, message: Any, timeout: float) -> Any:
         assert self._handler is not None
--- a/testing/adapters/test_peer_rpc.py
+++ b/testing/adapters/test_peer_rpc.py
@@ -6,8 +6,15 @@
 
 import pytest
 
-from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
+from ridgesill.adapters.peer_rpc import (
+    PeerLinks,
+    PeerServer,
+    decode_body,
+    encode_body,
+)
+from ridgesill.core import codec
 from ridgesill.core.addresses import split_address
+from ridgesill.core.fleet.messages import WatchFleet
 from ridgesill.core.following import AskLatest, Latest
 from ridgesill.ports.peers import PeerError
 from testing.processes import free_address
@@ -103,3 +110,20 @@
         await asyncio.sleep(1.5)
         assert proxy._opened == 1
         await links.close()
+
+
+class TestBodies:
+    @pytest.mark.parametrize("count", [1, 100])
+    def test_a_body_comes_back_as_it_was(self, count: int) -> None:
+        named = {f"base/a{number}": 1 for number in range(count)}
+        question = WatchFleet(3, 4, 0.5, used=named)
+        assert decode_body(encode_body(question)) == question
+
+    def test_a_large_body_is_compressed(self) -> None:
+        named = {f"base/a{number}": 1 for number in range(100)}
+        question = WatchFleet(3, 4, 0.5, used=named)
+        assert len(encode_body(question)) < len(codec.encode(question)) / 2
+
+    def test_a_damaged_body_is_an_error(self) -> None:
+        with pytest.raises(codec.DecodeError, match="damaged"):
+            decode_body(b"\x78\x01rubbish")
