Split the fleet's loads: wants, one engine's loads, upkeep; bound loads of base models

Wants and places stay there; engine_loads.py has orders on one engine, fleet_upkeep.py what engines should hold without being asked.

--- /dev/null
+++ b/src/ridgesill/app/engine_loads.py
@@ -0,0 +1,204 @@
+"""Loads and unloads on one engine: orders, and what they change there."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from eliot import log_message
+
+from ridgesill.app.engine_orders import EngineOrders
+from ridgesill.core.fleet.engines import Engine, Held, Pending
+from ridgesill.core.fleet.orders import Action, OrderVerdict
+from ridgesill.core.fleet.placement import Choice
+
+# What an adapter takes from the store while few are on their way (the users'
+# second letter), and where it was lately (their protocol: ten times faster).
+_LOAD_SECONDS = 0.25
+_RELOAD_SECONDS = 0.025
+# How often an engine is asked whether a load is done.
+_POLL_SECONDS = 0.02
+# An engine that waits for the runs of one artifact answers no other questions;
+# a load there counts as done after this long.
+_SURELY_LOADED_SECONDS = 0.4
+_LOAD_MOST_SECONDS = 3.0
+# How often a wait for the runs of an artifact is looked at, and how long it
+# may last; the longest time-outs are 12 s.
+_UNLOAD_POLL_SECONDS = 0.1
+_UNLOAD_MOST_SECONDS = 15.0
+# Answers, or none, after which a load is given up: the engine is gone, cut off
+# or follows another owner.
+_FAILED = frozenset(
+    (OrderVerdict.MISDIRECTED, OrderVerdict.FENCED, OrderVerdict.UNKNOWN)
+)
+
+
+@attrs.frozen
+class LoadsView:
+    """What loading needs to know of its owner.
+
+    Attributes:
+        engines: returns the engines of a service that may be ordered.
+        busy: returns requests in progress by upstream.
+        using: returns artifacts in use by upstream.
+        heard_since: whether every front has reported after a moment.
+        version: returns the oldest version of an artifact that may serve.
+        tell: called with an engine whose holdings have changed.
+        orders_from: returns from when orders are allowed.
+    """
+
+    engines: Callable[[str], list[Engine]]
+    busy: Callable[[], dict[str, int]]
+    using: Callable[[str], set[str]]
+    heard_since: Callable[[float], bool]
+    version: Callable[[str], int]
+    tell: Callable[[Engine], None]
+    orders_from: Callable[[], float]
+
+
+class EngineLoads:
+    """Has engines load and unload, and keeps the books on them.
+
+    Args:
+        orders: gives orders to engines.
+        view: what it needs to know of the owner.
+    """
+
+    def __init__(self, orders: EngineOrders, view: LoadsView) -> None:
+        self._orders = orders
+        self._view = view
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Any) -> None:
+        """Runs work on its own, and keeps it until it is done."""
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def reserve(self, choice: Choice, artifact: str) -> None:
+        """Takes a place, so that no other choice counts on it."""
+        engine = choice.engine
+        engine.loading[artifact] = Pending(choice.victim)
+        if choice.victim:
+            self.let_go(engine, choice.victim)
+
+    def let_go(self, engine: Engine, artifact: str) -> None:
+        """Has fronts send no more requests for what is to be unloaded."""
+        engine.held.pop(artifact, None)
+        engine.leaving[artifact] = self._loop.time()
+        self._view.tell(engine)
+
+    async def load(self, choice: Choice, artifact: str, version: int) -> bool:
+        """Unloads what gives way, loads, and waits until it is there."""
+        engine = choice.engine
+        try:
+            if choice.victim and not await self.unload(engine, choice.victim):
+                return False
+            return await self._order_load(engine, artifact, version)
+        finally:
+            engine.loading.pop(artifact, None)
+
+    async def unload(self, engine: Engine, artifact: str) -> bool:
+        """Returns whether the place of an adapter let go is free now."""
+        verdict = await self._orders.give(Action.UNLOAD, engine, artifact)
+        if verdict is OrderVerdict.HOLDS:
+            self._note_unloaded(engine, artifact)
+            return True
+        if verdict is OrderVerdict.TAKEN:
+            engine.waits_for = artifact
+            self.spawn(self._await_unload(engine, artifact))
+        elif verdict is OrderVerdict.REFUSED:
+            # Certainly not done: it is still there.
+            engine.leaving.pop(artifact, None)
+            now = self._loop.time()
+            engine.held[artifact] = Held(self._version_of(artifact), now, now)
+            self._view.tell(engine)
+        return False
+
+    def _note_unloaded(self, engine: Engine, artifact: str) -> None:
+        engine.leaving.pop(artifact, None)
+        engine.note_left(artifact, self._loop.time())
+
+    def _version_of(self, artifact: str) -> int:
+        """Returns the version that a load brings."""
+        return max(self._view.version(artifact), 1)
+
+    async def _await_unload(self, engine: Engine, artifact: str) -> None:
+        """Waits for the runs of an adapter that is to leave."""
+        began = self._loop.time()
+        while self._loop.time() - began < _UNLOAD_MOST_SECONDS:
+            await asyncio.sleep(_UNLOAD_POLL_SECONDS)
+            verdict = await self._orders.give(
+                Action.UNLOAD, engine, artifact, again=True
+            )
+            if verdict is OrderVerdict.HOLDS:
+                self._note_unloaded(engine, artifact)
+                break
+            if verdict is OrderVerdict.MISDIRECTED:
+                break
+        if engine.waits_for == artifact:
+            engine.waits_for = ""
+
+    async def _order_load(
+        self, engine: Engine, artifact: str, version: int
+    ) -> bool:
+        began = self._loop.time()
+        verdict = await self._orders.give(
+            Action.LOAD, engine, artifact, version
+        )
+        if verdict is OrderVerdict.HOLDS:
+            self._note_loaded(engine, artifact, version, began)
+            return True
+        if verdict is not OrderVerdict.TAKEN:
+            return False
+        pending = engine.loading.get(artifact)
+        if pending is not None:
+            pending.taken = True
+        soon = engine.had_lately(artifact) or artifact in engine.held
+        await asyncio.sleep(_RELOAD_SECONDS if soon else _LOAD_SECONDS)
+        while self._loop.time() - began < _LOAD_MOST_SECONDS:
+            verdict = await self._orders.give(
+                Action.LOAD, engine, artifact, version, again=True
+            )
+            took = self._loop.time() - began
+            blocked = engine.waits_for not in ("", artifact)
+            surely = blocked and took > _SURELY_LOADED_SECONDS
+            if verdict is OrderVerdict.HOLDS or surely:
+                self._note_loaded(engine, artifact, version, began)
+                return True
+            if verdict in _FAILED:
+                break
+            await asyncio.sleep(_POLL_SECONDS)
+        engine.note_under_way(artifact, self._loop.time())
+        return False
+
+    def _note_loaded(
+        self, engine: Engine, artifact: str, version: int, began: float
+    ) -> None:
+        now = self._loop.time()
+        newest = max(self._version_of(artifact), version)
+        engine.held[artifact] = Held(newest, now, now)
+        engine.ghosts.pop(artifact, None)
+        self._view.tell(engine)
+        self._orders.telemetry.note_load(now - began)
+        log_message(
+            "fleet:loaded",
+            upstream=engine.name,
+            artifact=artifact,
+            version=newest,
+            places=engine.places_taken(),
+            seconds=round(now - began, 4),
+        )
+
+    async def replace(
+        self, engine: Engine, artifact: str, version: int
+    ) -> None:
+        """Brings a newer version of an adapter, which waits for its runs."""
+        engine.waits_for = artifact
+        try:
+            await self._order_load(engine, artifact, version)
+        finally:
+            engine.loading.pop(artifact, None)
+            if engine.waits_for == artifact:
+                engine.waits_for = ""
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -13,9 +13,10 @@
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.control import Control, UnavailableError
+from ridgesill.app.engine_loads import LoadsView
 from ridgesill.app.engine_orders import Authority, EngineOrders
 from ridgesill.app.fleet_client import FleetClient
-from ridgesill.app.fleet_loads import FleetLoads, LoadsView
+from ridgesill.app.fleet_loads import FleetLoads
 from ridgesill.app.log_driver import LogDriver
 from ridgesill.core import codec
 from ridgesill.core.commands import GrantPool
--- /dev/null
+++ b/src/ridgesill/app/fleet_upkeep.py
@@ -0,0 +1,157 @@
+"""What engines should hold without being asked: models, copies, versions."""
+
+import asyncio
+from collections.abc import Callable
+
+from ridgesill.app.engine_loads import EngineLoads, LoadsView
+from ridgesill.app.engine_orders import EngineOrders
+from ridgesill.core.fleet.engines import Engine
+from ridgesill.core.fleet.model_rate import ModelRate
+from ridgesill.core.fleet.placement import Choice, Placement, Survey
+
+# How often copies are thought of, in seconds: all counts are looked at, and
+# fronts report what they use a few times a second.
+_SPREAD_SECONDS = 0.3
+# How long before its first order an owner asks engines what they hold, in
+# seconds: a report takes some milliseconds, and is asked for once.
+_PREPARE_SECONDS = 0.3
+# Replacements wait this long for requests on the old version to end, so that
+# the engine isn't blocked by them.
+_REPLACE_PATIENCE = 2.5
+
+
+class FleetUpkeep:
+    """Tends engines a few times a second.
+
+    Args:
+        placement: which adapters deserve copies.
+        orders: asks engines what they hold.
+        loads: has engines load and unload.
+        view: what it needs to know of the owner.
+        survey: returns a basis for choices among a service's engines.
+    """
+
+    def __init__(
+        self,
+        placement: Placement,
+        orders: EngineOrders,
+        loads: EngineLoads,
+        view: LoadsView,
+        survey: Callable[[str], Survey],
+    ) -> None:
+        self._placement = placement
+        self._orders = orders
+        self._loads = loads
+        self._view = view
+        self._survey = survey
+        self._loop = asyncio.get_running_loop()
+        self._rate = ModelRate()
+        self._spread_at: dict[str, float] = {}
+        self._replace_since: dict[tuple[str, str], float] = {}
+
+    def tend(self, service: str, models: tuple[str, ...]) -> None:
+        """Asks engines what they hold, and mends what they lack."""
+        now = self._loop.time()
+        orders_in = self._view.orders_from() - now
+        if orders_in > _PREPARE_SECONDS:
+            return
+        for engine in self._view.engines(service):
+            if not engine.can_order(now) or engine.is_busy():
+                continue
+            if self._is_known(engine, now) and orders_in <= 0:
+                self._mend(service, engine, models, now)
+        if orders_in <= 0:
+            self._spread(service, now)
+
+    def _is_known(self, engine: Engine, now: float) -> bool:
+        """Whether it is known what an engine holds; else has it asked."""
+        if engine.has_old_ghosts(now):
+            engine.revision = None
+        if engine.revision is not None or engine.loading:
+            return True
+        self._loads.spawn(self._orders.prepare(engine))
+        return False
+
+    def _mend(
+        self, service: str, engine: Engine, models: tuple[str, ...], now: float
+    ) -> None:
+        """Does the most urgent thing that an engine needs."""
+        if engine.free_places() < 0:
+            self._make_room(service, engine)
+        elif not any(engine.has_model(model) for model in models):
+            self._begin_model(engine, models, now)
+        else:
+            self._renew_old(service, engine, now)
+
+    def _spread(self, service: str, now: float) -> None:
+        """Loads copies of much wanted adapters."""
+        if now < self._spread_at.get(service, now):
+            return
+        self._spread_at[service] = now + _SPREAD_SECONDS
+        survey = self._survey(service)
+        for artifact, choice in self._placement.choose_copies(survey):
+            self._loads.reserve(choice, artifact)
+            survey.note_chosen(choice.engine)
+            version = self._view.version(artifact)
+            self._loads.spawn(self._loads.load(choice, artifact, version))
+
+    def _make_room(self, service: str, engine: Engine) -> None:
+        """Unloads from an engine that is believed to hold too much."""
+        if engine.loading or engine.leaving:
+            return
+        victim = self._survey(service).victim(engine)
+        if victim is not None:
+            self._let_go(engine, victim)
+
+    def _let_go(self, engine: Engine, artifact: str) -> None:
+        self._loads.let_go(engine, artifact)
+        self._loads.spawn(self._loads.unload(engine, artifact))
+
+    def _begin_model(
+        self, engine: Engine, models: tuple[str, ...], now: float
+    ) -> None:
+        for model in models:
+            if engine.loading or not engine.has_room(model):
+                return
+            if not self._rate.take(engine.spec.loads_per_second, now):
+                return
+            choice = Choice(engine)
+            self._loads.reserve(choice, model)
+            self._loads.spawn(self._loads.load(choice, model, 0))
+
+    # -- new versions --------------------------------------------------
+
+    def _renew_old(self, service: str, engine: Engine, now: float) -> None:
+        """Replaces or unloads one adapter of which a newer version is named."""
+        for artifact, held in list(engine.held.items()):
+            version = self._view.version(artifact)
+            if held.version >= version or artifact in engine.loading:
+                continue
+            if self._is_settled(engine, artifact, now):
+                self._renew(service, engine, artifact, version)
+                return
+
+    def _is_settled(self, engine: Engine, artifact: str, now: float) -> bool:
+        """Whether requests on the old version have ended, or had the time."""
+        key = (engine.name, artifact)
+        since = self._replace_since.setdefault(key, now)
+        in_use = artifact in self._view.using(engine.name)
+        if in_use and now - since < _REPLACE_PATIENCE:
+            return False
+        del self._replace_since[key]
+        return True
+
+    def _renew(
+        self, service: str, engine: Engine, artifact: str, version: int
+    ) -> None:
+        newer = any(
+            other.held[artifact].version >= version
+            for other in self._view.engines(service)
+            if artifact in other.held
+        )
+        if newer:
+            # A request has had it loaded elsewhere; a copy comes when needed.
+            self._let_go(engine, artifact)
+            return
+        self._loads.reserve(Choice(engine), artifact)
+        self._loads.spawn(self._loads.replace(engine, artifact, version))
--- a/testing/app/engine_world.py
+++ b/testing/app/engine_world.py
@@ -7,8 +7,9 @@
 import attrs
 import msgspec
 
+from ridgesill.app.engine_loads import LoadsView
 from ridgesill.app.engine_orders import Authority, EngineOrders
-from ridgesill.app.fleet_loads import FleetLoads, LoadsView
+from ridgesill.app.fleet_loads import FleetLoads
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.placement import Placement
 from ridgesill.core.serving.routes import EngineSpec, Model
@@ -195,6 +196,7 @@
             self.placement.engines[simulated.name] = engine
         self.authority: Authority | None = Authority("vm", 7)
         self.versions: dict[str, int] = {}
+        self.busy: dict[str, int] = {}
         self.orders = EngineOrders(
             self.channels,  # type: ignore[arg-type]
             PlatformEngines(),
@@ -205,7 +207,7 @@
             self.orders,
             LoadsView(
                 lambda _service: list(self.placement.engines.values()),
-                dict,
+                lambda: self.busy,
                 self._using,
                 lambda _at: False,
                 lambda artifact: self.versions.get(artifact, 0),
--- a/testing/app/test_fleet_loads.py
+++ b/testing/app/test_fleet_loads.py
@@ -66,8 +66,8 @@
             await world.loads.want(want(adapter))
         engine = world.placement.engines["u0"]
         world.simulated[0].used.add("a1")
-        world.loads._let_go(engine, "base/a1")
-        await world.loads._unload(engine, "base/a1")
+        world.loads.engine_loads.let_go(engine, "base/a1")
+        await world.loads.engine_loads.unload(engine, "base/a1")
         assert engine.waits_for == "base/a1"
         await asyncio.sleep(1.0)
         world.simulated[0].used.clear()
--- /dev/null
+++ b/testing/app/test_fleet_upkeep.py
@@ -0,0 +1,78 @@
+"""Tests of what engines get without being asked."""
+
+import asyncio
+
+import pytest
+
+from ridgesill.core.fleet.engines import Held
+from ridgesill.core.fleet.messages import WantArtifact
+from testing.app.engine_world import EngineWorld
+
+pytestmark = pytest.mark.looptime
+
+
+async def load(world: EngineWorld, adapter: str) -> str:
+    """Has an adapter loaded somewhere; returns where."""
+    answer = await world.loads.want(
+        WantArtifact("s", f"base/{adapter}", 0, (), 2.0)
+    )
+    return answer.upstream
+
+
+class TestVersions:
+    async def test_an_old_one_is_replaced_where_it_is(self) -> None:
+        world = EngineWorld(1, 2)
+        name = await load(world, "a1")
+        world.versions["base/a1"] = 2
+        tending = asyncio.create_task(world.tend())
+        await asyncio.sleep(1.0)
+        tending.cancel()
+        held = world.placement.engines[name].held["base/a1"]
+        assert held.version == 2
+
+    async def test_an_old_copy_makes_room_once_the_new_one_is_elsewhere(
+        self,
+    ) -> None:
+        world = EngineWorld(2, 2)
+        name = await load(world, "a1")
+        other = next(n for n in world.placement.engines if n != name)
+        world.placement.engines[other].held["base/a1"] = Held(2, 0.0, 0.0)
+        world.versions["base/a1"] = 2
+        tending = asyncio.create_task(world.tend())
+        await asyncio.sleep(1.0)
+        tending.cancel()
+        assert "base/a1" not in world.placement.engines[name].held
+
+
+class TestCopies:
+    async def test_a_crowded_adapter_gets_copies_on_idle_engines(self) -> None:
+        world = EngineWorld(4, 2)
+        name = await load(world, "a1")
+        now = world.loop.time()
+        world.placement.note_used({"base/a1": 100}, now)
+        world.busy[name] = 8
+        tending = asyncio.create_task(world.tend())
+        await asyncio.sleep(0.7)
+        tending.cancel()
+        holders = [
+            engine.name
+            for engine in world.placement.engines.values()
+            if "base/a1" in engine.held
+        ]
+        assert len(holders) >= 2
+
+    async def test_where_all_are_as_busy_a_copy_helps_nobody(self) -> None:
+        world = EngineWorld(2, 2)
+        await load(world, "a1")
+        now = world.loop.time()
+        world.placement.note_used({"base/a1": 100}, now)
+        world.busy.update({"u0": 8, "u1": 8})
+        tending = asyncio.create_task(world.tend())
+        await asyncio.sleep(1.0)
+        tending.cancel()
+        held = [
+            engine
+            for engine in world.placement.engines.values()
+            if "base/a1" in engine.held
+        ]
+        assert len(held) == 1
--- /dev/null
+++ b/testing/core/fleet/test_wants.py
@@ -0,0 +1,45 @@
+"""Tests of which wants get a place first."""
+
+from ridgesill.core.fleet.messages import WantArtifact
+from ridgesill.core.fleet.wants import Waiter, Waiting, WantQueue
+
+
+def waiting(adapter: str, asked_at: float, *goals: float) -> Waiting:
+    """Returns a want with a request for each goal."""
+    want = WantArtifact("s", f"base/{adapter}", 0)
+    return Waiting(want, asked_at, [Waiter(goal) for goal in goals])
+
+
+def order(*wants: Waiting, now: float) -> list[str]:
+    """Returns the adapters in the order in which they get a place."""
+    queue = WantQueue()
+    for want in wants:
+        queue.add(want)
+    return [w.want.artifact.partition("/")[2] for w in queue.ranked(now)]
+
+
+class TestWantQueue:
+    def test_those_that_can_be_in_time_go_before_those_that_are_late(
+        self,
+    ) -> None:
+        late = waiting("late", 0.0, 0.6)
+        fresh = waiting("fresh", 1.0, 1.6)
+        assert order(late, fresh, now=1.0) == ["fresh", "late"]
+
+    def test_the_nearest_goal_goes_first_among_them(self) -> None:
+        patient = waiting("patient", 0.0, 1.0)
+        hasty = waiting("hasty", 0.0, 0.6)
+        assert order(patient, hasty, now=0.0) == ["hasty", "patient"]
+
+    def test_one_load_for_many_requests_goes_before_one_for_few(self) -> None:
+        few = waiting("few", 0.0, 0.6)
+        many = waiting("many", 0.1, 0.7, 0.7)
+        assert order(few, many, now=0.1) == ["many", "few"]
+
+    def test_what_waits_no_more_is_forgotten(self) -> None:
+        queue = WantQueue()
+        want = waiting("a1", 0.0, 0.6)
+        queue.add(want)
+        queue.discard(want)
+        assert want not in queue
+        assert not len(queue)
