--- a/testing/scenarios/test_platform.py
+++ b/testing/scenarios/test_platform.py
@@ -121,3 +121,17 @@
         kinds = [msgspec.json.decode(line)["message_type"] for line in lines]
         assert f"{vm.role}:started" in kinds
         assert f"{vm.role}:stopped" in kinds
+
+
+async def test_a_hangup_right_after_a_start_ends_nothing(
+    deployment: PlatformDeployment,
+) -> None:
+    # Soak seed 117: settings changed while a restarted front was importing.
+    front = deployment.fronts[0]
+    front.kill()
+    deployment.restart(front)
+    await asyncio.sleep(0.12)
+    for _ in range(20):
+        front.signal(signal.SIGHUP)
+        await asyncio.sleep(0.02)
+    await deployment.served(front, "/x/1")
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -36,6 +36,8 @@
         problem = await _recover(world)
         await world.end_traffic()
         verdict = judge(seed, world, faults.happened)
+        for name in faults.exits:
+            verdict.note("exit", name)
         if problem:
             verdict.note("lost", problem)
         if verdict.broken:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -13,6 +13,8 @@
 from testing.soak.world import SoakWorld
 
 _GRACE_SECONDS = 7.0
+# How often processes that have ended by themselves are looked for, in seconds.
+_SUPERVISE_SECONDS = 0.3
 # Bytes that a disk which is full still takes for one file.
 _FULL_BYTES = 64
 
@@ -40,6 +42,7 @@
 
     def __init__(self, world: SoakWorld) -> None:
         self.happened: list[Happened] = []
+        self.exits: list[str] = []
         self._world = world
         self._rng = world.rng
         self._loop = asyncio.get_running_loop()
@@ -65,6 +68,7 @@
         until = self._loop.time() + seconds
         running: set[asyncio.Task[None]] = set()
         planned_only = self._rng.random() < 0.25
+        supervising = asyncio.create_task(self._supervise())
         while self._loop.time() < until:
             kinds = [k for k in self._kinds if k[1] or not planned_only]
             work, planned = self._rng.choice(kinds)
@@ -73,6 +77,18 @@
             task.add_done_callback(running.discard)
             await asyncio.sleep(self._rng.uniform(0.1, 1.2))
         await asyncio.gather(*running)
+        await asyncio.sleep(2 * _SUPERVISE_SECONDS)
+        supervising.cancel()
+
+    async def _supervise(self) -> None:
+        """Starts processes that ended by themselves, as a platform does."""
+        while True:
+            await asyncio.sleep(_SUPERVISE_SECONDS)
+            for vm in self._world.vms:
+                ended = vm.process is not None and vm.process.poll() is not None
+                if ended and vm.name not in self._busy:
+                    self.exits.append(vm.name)
+                    self._world.restart(vm)
 
     async def _inject(
         self, work: Callable[[], Awaitable[None]], *, planned: bool
