Refuse a part of new requests at once when first events near the goal

Change: each front measures how long engines take for the first event; as the mean goes from 0.6 of the goal to the whole, up to half of the new requests are refused with when to come back, and none while a quarter of the places is free.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -34,6 +34,9 @@
 # An upstream takes this long for the first event at the least, in seconds: it
 # reads 700 tokens in 20 ms, and some steps of its batch go by.
 _ANSWER_LEAST = 0.04
+# Seconds after which a client that was refused for overload may come back; most
+# bursts and losses are over after a few.
+_OVERLOAD_AFTER = 1.0
 # A front that has just started, or whose fleet's owner has, soon learns the
 # routes and the upstreams: upstreams are heard at least each 1.2 s. A request
 # waits for that no longer than this, in seconds, and no longer than this share
@@ -122,6 +125,7 @@
         self._wants = 0
         self._waited = 0.0
         self._first_at = 0.0
+        self._sent_at = 0.0
         self._asked = ""
         self._splitter: EventSplitter | None = None
 
@@ -225,6 +229,8 @@
             await self._learn(self._are_upstreams_known)
         now = self._loop.time()
         chosen = front.chooser.choose(wanted, self._tried, now)
+        if wanted.artifact and self._is_refused():
+            return Refusal("overload", _OVERLOAD_AFTER)
         if chosen is not None:
             return chosen
         if not wanted.artifact:
@@ -234,6 +240,18 @@
     def _are_upstreams_known(self) -> bool:
         return bool(self._front.chooser.view.of_service(self._service))
 
+    def _is_refused(self) -> bool:
+        """Whether a request that no engine has seen is one too many."""
+        route = self._route
+        if route is None or self._tried or self._responder.started:
+            return False
+        front = self._front
+        load = front.chooser.load(self._service)
+        share = front.admission(self._service).share_refused(
+            load, route.goal, self._loop.time()
+        )
+        return front.rng.random() < share
+
     async def _want(self, wanted: Wanted) -> Upstream | Refusal:
         """Has the owner bring what the request needs, and waits for it."""
         front = self._front
@@ -287,7 +305,8 @@
         chooser = self._front.chooser
         artifact = self._facts.artifact
         chooser.begin(upstream.name, artifact)
-        chooser.outcomes.note_sent(upstream.name, self._loop.time())
+        self._sent_at = self._loop.time()
+        chooser.outcomes.note_sent(upstream.name, self._sent_at)
         self._asked = upstream.name
         exchange: Exchange | None = None
         try:
@@ -386,13 +405,21 @@
             if splitter is not None:
                 data = splitter.take(data)
             if data:
-                self._first_at = self._first_at or self._loop.time()
+                self._note_first()
                 responder.send_data(data)
                 await responder.drain()
         if splitter is not None and splitter.rest:
             responder.send_data(splitter.rest)
         responder.finish()
 
+    def _note_first(self) -> None:
+        """Notes the first event of the answer."""
+        if self._first_at:
+            return
+        now = self._first_at = self._loop.time()
+        took = now - self._sent_at
+        self._front.admission(self._service).note_first(took, now)
+
     def _deliver(self, head: ResponseHead, body: bytes) -> None:
         responder = self._responder
         headers = [
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -5,6 +5,7 @@
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
+from ridgesill.core.serving.admission import Admission
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
 from ridgesill.core.serving.routes import RouteTable
@@ -45,6 +46,7 @@
         self.learned = ChangeSignal()
         self._bounds = bounds
         self._retries: dict[str, ServiceRetries] = {}
+        self._admissions: dict[str, Admission] = {}
 
     def retries(self, service: str) -> ServiceRetries:
         """Returns the retry budget of a service."""
@@ -53,6 +55,10 @@
             budget = self._retries[service] = ServiceRetries(self._bounds)
         return budget
 
+    def admission(self, service: str) -> Admission:
+        """Returns the measure of how long a service's engines take."""
+        return self._admissions.setdefault(service, Admission())
+
     def note_used(self, artifact: str) -> None:
         """Counts a request for an artifact, to be told the owner."""
         self.used[artifact] = self.used.get(artifact, 0) + 1
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -93,6 +93,13 @@
         own = sum(self._own.get(upstream, {}).values())
         return max(others, 0) + own
 
+    def load(self, service: str) -> float:
+        """Returns requests in progress for each place of a service."""
+        upstreams = self.view.of_service(service)
+        slots = sum(upstream.slots for upstream in upstreams)
+        busy = sum(self.busy(upstream.name) for upstream in upstreams)
+        return busy / slots if slots else 0.0
+
     # -- choice --------------------------------------------------------
 
     def candidates(self, wanted: Wanted) -> list[Upstream]:
