--- a/src/ridgesill/app/formation.py
+++ b/src/ridgesill/app/formation.py
@@ -18,6 +18,8 @@
 from ridgesill.core.log.replica import found_snapshot
 from ridgesill.core.state import State
 
+# How often the founder looks who has introduced itself, in seconds; all nodes
+# start within some tenths.
 _TICK = 0.05
 # Where the log starts: above 0, so that the other voters, whose disks start
 # empty, are sent the snapshot that names the voters.
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -29,6 +29,8 @@
 from ridgesill.ports.http import HttpRequest, Responder
 from ridgesill.ports.telemetry import Telemetry
 
+# How often channels that rested for too long are closed, in seconds; upstreams
+# let them rest for some.
 _SWEEP_SECONDS = 1.0
 # After SIGTERM, until the balancer has surely stopped sending new channels:
 # it asks once a second and believes the second answer.
