Let a leader that was only killed lead again; a restarted owner takes nothing away

Where it did lead again it knew no upstream, and its first news took all of them away from fronts that served well.

Change: elections begin after 1.2 s (0.7): a real loss costs no more, since the lease ends later than the election. Voters answer the one that they knew as leader at once, since one that asks for votes leads no more. News of an owner that has just begun add to what fronts know until it has had the time to hear everyone. A node that starts asks others what they remember.

The scenario of a restarted leader and of a view under a restarted owner failed before.

--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -41,8 +41,10 @@
 from ridgesill.ports.peers import PeerError
 
 # Shorter than the product's own, since the data centres are a millisecond
-# apart and no adapter is loaded while there is no leader.
-_TIMING = Timing(heartbeat=0.15, election_min=0.7, election_max=1.4)
+# apart. A leader that was only killed is back within 1.1 s and, as the last
+# owner, need not wait for anybody's lease; another one would wait for 3.7 s,
+# however soon it is elected.
+_TIMING = Timing(heartbeat=0.15, election_min=1.2, election_max=1.9)
 # When a node that has just started stands for election, in seconds: the last
 # owner of the fleet first, the other voters one after the other. With delays
 # by lot, three voters that had to agree took two elections.
@@ -79,7 +81,10 @@
         )
         self.control = make_control(settings, self._node, self._peers)
         self.fleet = FleetClient(
-            self._peers, self.control.leader_address, settings.peers
+            self._peers,
+            self.control.leader_address,
+            settings.peers,
+            others=settings.seeds,
         )
         self.owner = FleetOwner(
             self.control,
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -204,6 +204,8 @@
     def _begin(self, epoch: int, now: float) -> None:
         registry = Registry(epoch, self._patience)
         registry.adopt(self._follower.view.upstreams.values(), now)
+        if not registry.upstreams:
+            registry.begin_empty(now)
         self._registry = registry
         self._placement.engines.clear()
         for upstream in registry.upstreams.values():
@@ -384,10 +386,10 @@
         if not self.is_owner() or self._registry is None:
             return FleetNews(0)
         return self._registry.news(
-            question.epoch,
-            question.number,
+            question,
             max(self._usage.fronts, 1),
             self._usage.busy(),
+            self._loop.time(),
         )
 
     def _note_front(self, sender: str, question: WatchFleet) -> None:
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -123,6 +123,8 @@
         whole: whether `changes` make up everything known.
         fronts: how many fronts ask.
         busy: requests in progress by upstream, from all fronts.
+        settled: whether the owner has had the time to hear every upstream; one
+            that has just started knows none, though all may be there.
     """
 
     epoch: int
@@ -131,6 +133,7 @@
     changes: tuple[UpstreamChange, ...] = ()
     fronts: int = 1
     busy: dict[str, int] = attrs.Factory(dict)
+    settled: bool = True
 
 
 @register
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -41,6 +41,7 @@
         self.number = 0
         self.upstreams: dict[str, Upstream] = {}
         self._patience = patience
+        self._settled_at = float("-inf")
         self._heard: dict[str, _Heard] = {}
         self._left: dict[str, float] = {}
         self._changes: collections.deque[tuple[int, UpstreamChange]] = (
@@ -54,6 +55,10 @@
             self._heard[upstream.name] = _Heard(-1, now)
             self._note(UpstreamChange(upstream.name, upstream))
 
+    def begin_empty(self, now: float) -> None:
+        """Notes that upstreams are there which nobody here has heard yet."""
+        self._settled_at = now + self._patience
+
     # -- what upstreams say --------------------------------------------
 
     def hear(self, heartbeat: Heartbeat, now: float) -> bool:
@@ -157,9 +162,14 @@
         return epoch != self.epoch or number < self.number
 
     def news(
-        self, epoch: int, number: int, fronts: int, busy: dict[str, int]
+        self,
+        question: WatchFleet,
+        fronts: int,
+        busy: dict[str, int],
+        now: float,
     ) -> FleetNews:
-        """Returns what has changed since a number, or everything."""
+        """Returns what has changed since a question's number, or everything."""
+        epoch, number = question.epoch, question.number
         if epoch == self.epoch and number > 0 and number >= self._oldest():
             changes = tuple(c for n, c in self._changes if n > number)
             whole = False
@@ -168,7 +178,15 @@
                 UpstreamChange(u.name, u) for u in self.upstreams.values()
             )
             whole = True
-        return FleetNews(self.epoch, self.number, whole, changes, fronts, busy)
+        return FleetNews(
+            self.epoch,
+            self.number,
+            whole,
+            changes,
+            fronts,
+            busy,
+            now >= self._settled_at,
+        )
 
     def _oldest(self) -> int:
         """Returns the lowest number from which all changes are kept."""
@@ -190,21 +208,31 @@
     known_at: float = float("-inf")
     upstreams: dict[str, Upstream] = attrs.Factory(dict)
     busy: dict[str, int] = attrs.Factory(dict)
+    _unconfirmed: set[str] = attrs.Factory(set)
 
     def take(self, news: FleetNews, now: float) -> None:
         """Takes what the owner answers."""
         if news.epoch < self.epoch:
             return
         if news.whole:
-            self.upstreams = {}
+            # An owner that has just started must not take away what is there.
+            self._unconfirmed = set(self.upstreams)
         for change in news.changes:
+            self._unconfirmed.discard(change.name)
             self._apply(change)
+        if news.settled:
+            self._forget_unconfirmed()
         self.epoch = news.epoch
         self.number = news.number
         self.fronts = max(news.fronts, 1)
         self.busy = news.busy
         self.known_at = now
 
+    def _forget_unconfirmed(self) -> None:
+        for name in self._unconfirmed:
+            self.upstreams.pop(name, None)
+        self._unconfirmed.clear()
+
     def remembered(self, question: WatchFleet) -> FleetNews:
         """Tells a front that knows nothing what an earlier owner said."""
         if question.epoch or not self.epoch:
--- a/src/ridgesill/core/log/replica.py
+++ b/src/ridgesill/core/log/replica.py
@@ -185,8 +185,9 @@
 
     @receive.register
     def _(self, message: VoteRequest, sender: str, now: float) -> None:
-        if self._hears_leader(now):
-            # A replica that was cut off must not disturb a working leader.
+        if self._hears_leader(now) and sender != self.leader:
+            # A replica that was cut off must not disturb a working leader. One
+            # that led and asks has been restarted, and leads no more.
             return
         if message.pre:
             granted = message.term > self.term and self._up_to_date(message)
--- a/testing/core/fleet/test_registry.py
+++ b/testing/core/fleet/test_registry.py
@@ -24,10 +24,10 @@
     return Heartbeat(name=name, sequence=sequence, **given)  # type: ignore[arg-type]
 
 
-def follow(registry: Registry, view: FleetView) -> None:
+def follow(registry: Registry, view: FleetView, now: float = 0.0) -> None:
     """Brings a view in line with a registry."""
-    news = registry.news(view.epoch, view.number, 1, {})
-    view.take(news, 0.0)
+    news = registry.news(WatchFleet(view.epoch, view.number, 0.5), 1, {}, now)
+    view.take(news, now)
 
 
 class TestHeartbeats:
@@ -92,13 +92,30 @@
         follow(second, view)
         assert set(view.upstreams) == {"u2"}
 
+    def test_an_owner_that_was_restarted_takes_nothing_away(self) -> None:
+        view = FleetView()
+        first = Registry(1, _PATIENCE)
+        first.hear(heartbeat("u1", 1), 0.0)
+        first.hear(heartbeat("u2", 1), 0.0)
+        follow(first, view)
+        second = Registry(7, _PATIENCE)
+        second.begin_empty(1.0)
+        follow(second, view, 1.0)
+        assert set(view.upstreams) == {"u1", "u2"}
+        second.hear(heartbeat("u2", 2), 2.0)
+        follow(second, view, 2.0)
+        assert set(view.upstreams) == {"u1", "u2"}
+        # By now it would have heard the other one if it were there.
+        follow(second, view, 1.0 + _PATIENCE)
+        assert set(view.upstreams) == {"u2"}
+
     def test_an_earlier_owner_is_not_believed(self) -> None:
         view = FleetView()
         second = Registry(7, _PATIENCE)
         second.hear(heartbeat("u2", 1), 0.0)
         follow(second, view)
         first = Registry(1, _PATIENCE)
-        view.take(first.news(0, 0, 1, {}), 0.0)
+        view.take(first.news(WatchFleet(0, 0, 0.5), 1, {}, 0.0), 0.0)
         assert set(view.upstreams) == {"u2"}
 
     def test_one_who_is_far_behind_gets_everything(self) -> None:
@@ -106,8 +123,10 @@
         registry.hear(heartbeat("u1", 1), 0.0)
         for number in range(5000):
             registry.set_resident("u1", {"m": number})
-        assert registry.news(1, 1, 1, {}).whole
-        assert not registry.news(1, registry.number - 5, 1, {}).whole
+        assert registry.news(WatchFleet(1, 1, 0.5), 1, {}, 0.0).whole
+        assert not registry.news(
+            WatchFleet(1, registry.number - 5, 0.5), 1, {}, 0.0
+        ).whole
 
     def test_a_newcomer_is_told_what_is_remembered(self) -> None:
         registry = Registry(3, _PATIENCE)
--- a/testing/core/log/test_replica.py
+++ b/testing/core/log/test_replica.py
@@ -70,6 +70,23 @@
         cluster.run(timing.election_max + 0.2)
         assert cluster.leader() not in ("", first)
 
+    @pytest.mark.parametrize("seed", range(10))
+    def test_a_leader_that_was_only_restarted_leads_again(
+        self, seed: int
+    ) -> None:
+        # Another one would have to wait for its lease before the first order.
+        cluster = Cluster(
+            ("n1", "n2", "n3", "n4", "n5"), seed, Faults(0.0, 0.0, 0.01, 0.0)
+        )
+        cluster.run(8.0)
+        first = cluster.leader()
+        cluster.crash(first)
+        cluster.run(0.8)
+        cluster.restart(first)
+        cluster.members[first].replica.expect_election(cluster.now, 0.15)
+        cluster.run(0.35)
+        assert cluster.leader() == first
+
     def test_a_leader_knows_until_when_another_may_have_led(self) -> None:
         cluster = calm_cluster()
         first = cluster.leader()
