--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -14,6 +14,13 @@
 # hundredths of a request's worth, while an upstream that is half full answers
 # hardly later than an idle one.
 _ELSEWHERE = 0.35
+# Above this share of its places in use, each more costs so much in addition: a
+# queue is then likely.
+_CROWDED_FROM = 0.6
+_CROWDED = 2.0
+# What others' requests to a plain service count for: they last some 50 ms, and
+# what is known of them is 100 to 300 ms old.
+_SHORT_LIVED = 0.3
 # What a failure rate of 1 costs, in the same measure, and the rate up to which
 # it costs nothing: one failure among many successes, which healthy upstreams
 # have too.
@@ -89,9 +96,14 @@
 
     def busy(self, upstream: str) -> int:
         """Returns the requests in progress at an upstream, as far as known."""
-        others = self.view.busy.get(upstream, 0) - self._told.get(upstream, 0)
-        own = sum(self._own.get(upstream, {}).values())
-        return max(others, 0) + own
+        return self._busy_of_others(upstream) + self._busy_here(upstream)
+
+    def _busy_of_others(self, upstream: str) -> int:
+        told = self._told.get(upstream, 0)
+        return max(self.view.busy.get(upstream, 0) - told, 0)
+
+    def _busy_here(self, upstream: str) -> int:
+        return sum(self._own.get(upstream, {}).values())
 
     def load(self, service: str) -> float:
         """Returns requests in progress for each place of a service."""
@@ -121,7 +133,9 @@
         ]
         allowed = self._without_ejected(wanted, candidates, now)
         return min(
-            allowed, key=lambda upstream: self.cost(upstream, now), default=None
+            allowed,
+            key=lambda upstream: self._cost(wanted, upstream, now),
+            default=None,
         )
 
     def _without_ejected(
@@ -138,12 +152,16 @@
         out = {u.name for u in ejected[: len(everyone) // 2]}
         return [u for u in candidates if u.name not in out]
 
-    def cost(self, upstream: Upstream, now: float) -> float:
+    def _cost(self, wanted: Wanted, upstream: Upstream, now: float) -> float:
         """Ranks upstreams; the lowest is the best."""
+        others = float(self._busy_of_others(upstream.name))
+        if not wanted.artifact:
+            others *= _SHORT_LIVED
         fronts = min(self.view.fronts, _JITTER_FRONTS)
         unknown = self._rng.random() * _JITTER_A_FRONT * fronts
-        busy = self.busy(upstream.name) + unknown
-        cost = busy / max(upstream.slots, 1)
+        busy = others + self._busy_here(upstream.name) + unknown
+        share = busy / max(upstream.slots, 1)
+        cost = share + _CROWDED * max(share - _CROWDED_FROM, 0.0)
         if upstream.data_centre != self.data_centre:
             cost += _ELSEWHERE
         failing = self.outcomes.failure_rate(upstream.name, now) - _FAILING_FROM
