--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -20,7 +20,7 @@
 _CROWDED = 2.0
 # What others' requests to a plain service count for: they last some 50 ms, and
 # what is known of them is 100 to 300 ms old.
-_SHORT_LIVED = 0.3
+_SHORT_LIVED = 0.6
 # What a failure rate of 1 costs, in the same measure, and the rate up to which
 # it costs nothing: one failure among many successes, which healthy upstreams
 # have too.
