--- a/src/ridgesill/app/engine_loads.py
+++ b/src/ridgesill/app/engine_loads.py
@@ -179,7 +179,7 @@
         now = self._loop.time()
         newest = max(self._version_of(artifact), version)
         engine.held[artifact] = Held(newest, now, now)
-        engine.ghosts.pop(artifact, None)
+        engine.unanswered.pop(artifact, None)
         self._view.tell(engine)
         self._orders.telemetry.note_load(now - began)
         log_message(
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -12,7 +12,11 @@
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
-from ridgesill.core.fleet.engines import GHOST_SECONDS, Engine, Ghost
+from ridgesill.core.fleet.engines import (
+    UNANSWERED_SECONDS,
+    Engine,
+    UnansweredLoad,
+)
 from ridgesill.core.fleet.orders import (
     Action,
     EngineReport,
@@ -155,8 +159,8 @@
             engine.note_taken(now)
         elif verdict is OrderVerdict.UNKNOWN:
             if action is Action.LOAD:
-                ghost = Ghost(now + GHOST_SECONDS, engine.revision)
-                engine.ghosts[artifact] = ghost
+                load = UnansweredLoad(now + UNANSWERED_SECONDS, engine.revision)
+                engine.unanswered[artifact] = load
             engine.revision = None
             engine.suspended_until = now + _SUSPEND_SECONDS
         elif verdict is OrderVerdict.MISDIRECTED:
--- a/src/ridgesill/app/fleet_upkeep.py
+++ b/src/ridgesill/app/fleet_upkeep.py
@@ -65,7 +65,7 @@
 
     def _is_known(self, engine: Engine, now: float) -> bool:
         """Whether it is known what an engine holds; else has it asked."""
-        if engine.has_old_ghosts(now):
+        if engine.has_overdue_loads(now):
             engine.revision = None
         if engine.revision is not None or engine.loading:
             return True
@@ -127,11 +127,11 @@
             version = self._view.version(artifact)
             if held.version >= version or artifact in engine.loading:
                 continue
-            if self._is_settled(engine, artifact, now):
+            if self._may_renew(engine, artifact, now):
                 self._renew(service, engine, artifact, version)
                 return
 
-    def _is_settled(self, engine: Engine, artifact: str, now: float) -> bool:
+    def _may_renew(self, engine: Engine, artifact: str, now: float) -> bool:
         """Whether requests on the old version have ended, or had the time."""
         key = (engine.name, artifact)
         since = self._replace_since.setdefault(key, now)
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -10,7 +10,7 @@
 LOADS_AT_ONCE = 4
 # How long an order without an answer may still be carried out, in seconds
 # (the platform's protocol: 2 to 12, and the way there).
-GHOST_SECONDS = 13.0
+UNANSWERED_SECONDS = 13.0
 # How long an adapter that a report names as on its way still takes, in
 # seconds: a quarter of a second from the store, more while many are loaded.
 _INCOMING_SECONDS = 1.0
@@ -51,7 +51,7 @@
 
 
 @attrs.frozen
-class Ghost:
+class UnansweredLoad:
     """An order to load without an answer, which may be carried out late.
 
     Attributes:
@@ -84,7 +84,7 @@
     Attributes:
         revision: orders that it has taken; None when that isn't known.
         leaving: artifacts whose unload was ordered and is not yet done.
-        ghosts: artifacts of loads without an answer; kept until a report or a
+        unanswered: artifacts of loads without an answer, until a report or a
             later order tells what became of them.
         waits_for: the artifact whose runs an order waits for; meanwhile the
             engine takes no other order.
@@ -100,7 +100,7 @@
     held: dict[str, Held] = attrs.Factory(dict)
     loading: dict[str, Pending] = attrs.Factory(dict)
     leaving: dict[str, float] = attrs.Factory(dict)
-    ghosts: dict[str, Ghost] = attrs.Factory(dict)
+    unanswered: dict[str, UnansweredLoad] = attrs.Factory(dict)
     waits_for: str = ""
     ordered_at: float = float("-inf")
     suspended_until: float = 0.0
@@ -114,7 +114,7 @@
         A load and what is unloaded for it share a place.
         """
         replaced = {pending.victim for pending in self.loading.values()}
-        taken = {*self.held, *self.loading, *self.ghosts}
+        taken = {*self.held, *self.loading, *self.unanswered}
         taken.update(a for a in self.leaving if a not in replaced)
         return sum(map(is_adapter, taken))
 
@@ -125,14 +125,20 @@
     def has_place_for(self, artifact: str) -> bool:
         """Whether an order to load can't take it over its places or room."""
         ordered = (a for a, pending in self.loading.items() if pending.taken)
-        there = {*self.held, *self.leaving, *self.ghosts, *ordered, artifact}
+        there = {
+            *self.held,
+            *self.leaving,
+            *self.unanswered,
+            *ordered,
+            artifact,
+        }
         if sum(map(is_adapter, there)) > self.spec.adapter_slots:
             return False
         return self.weights_taken() <= self.spec.weights_mb
 
-    def has_old_ghosts(self, now: float) -> bool:
+    def has_overdue_loads(self, now: float) -> bool:
         """Whether a report must tell what became of orders without answer."""
-        return any(ghost.until <= now for ghost in self.ghosts.values())
+        return any(load.until <= now for load in self.unanswered.values())
 
     def weights_taken(self) -> float:
         """Returns the megabytes that models and adapters take."""
@@ -160,17 +166,17 @@
         """Notes that an order was taken at the revision that was expected."""
         if self.revision is None:
             return
-        for artifact, ghost in list(self.ghosts.items()):
-            if ghost.revision is not None and ghost.revision <= self.revision:
+        for artifact, load in list(self.unanswered.items()):
+            if load.revision is not None and load.revision <= self.revision:
                 # It expects a count that is past, and wasn't carried out when
                 # that count was learned.
-                del self.ghosts[artifact]
+                del self.unanswered[artifact]
         self.revision += 1
         self.ordered_at = now
 
     def note_under_way(self, artifact: str, now: float) -> None:
         """Notes a load that was taken, and that nobody here waits for."""
-        self.ghosts[artifact] = Ghost(now + _INCOMING_SECONDS)
+        self.unanswered[artifact] = UnansweredLoad(now + _INCOMING_SECONDS)
 
     def note_left(self, artifact: str, now: float) -> None:
         """Notes that an adapter was unloaded; a copy stays near for a while."""
@@ -217,7 +223,7 @@
             if held is None:
                 # Not ordered here, or an order without an answer came true.
                 self.held[artifact] = _learned(version)
-                self.ghosts.pop(artifact, None)
+                self.unanswered.pop(artifact, None)
             elif version > held.version:
                 held.version = version
         for artifact in list(self.leaving):
@@ -241,9 +247,9 @@
         """Takes a report that was asked for after a quiet moment."""
         self.revision = report.revision
         self._drop_unreported(report, now)
-        for artifact, ghost in list(self.ghosts.items()):
-            if ghost.until <= now or _is_past(ghost, report.revision):
-                del self.ghosts[artifact]
+        for artifact, load in list(self.unanswered.items()):
+            if load.until <= now or _is_past(load, report.revision):
+                del self.unanswered[artifact]
         for artifact in report.incoming:
             if artifact not in self.loading and artifact not in self.held:
                 self.note_under_way(artifact, now)
@@ -270,6 +276,6 @@
     return Held(version, float("-inf"), float("-inf"))
 
 
-def _is_past(ghost: Ghost, revision: int) -> bool:
+def _is_past(load: UnansweredLoad, revision: int) -> bool:
     """Whether a report made at a revision tells what became of an order."""
-    return ghost.revision is not None and ghost.revision < revision
+    return load.revision is not None and load.revision < revision
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -300,7 +300,7 @@
             "in_use": sum(map(len, using)),
             "loading": sum(len(e.loading) for e in self._engines),
             "leaving": sum(len(e.leaving) for e in self._engines),
-            "ghosts": sum(len(e.ghosts) for e in self._engines),
+            "unanswered": sum(len(e.unanswered) for e in self._engines),
             "requests": sum(self._demand.busy.values()),
         }
 
--- a/testing/core/fleet/test_engines.py
+++ b/testing/core/fleet/test_engines.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ridgesill.core.fleet.engines import Engine, Ghost, Held, Pending
+from ridgesill.core.fleet.engines import Engine, Held, Pending, UnansweredLoad
 from ridgesill.core.fleet.orders import EngineReport
 from ridgesill.core.serving.routes import EngineSpec, Model
 
@@ -37,7 +37,7 @@
     def test_an_order_without_an_answer_takes_a_place_until_a_report(
         self, engine: Engine
     ) -> None:
-        engine.ghosts["base/a2"] = Ghost(113.0)
+        engine.unanswered["base/a2"] = UnansweredLoad(113.0)
         report = EngineReport(3, False, {MODEL: 1, "base/a1": 1}, {})
         engine.take_report(report, 112.0)
         assert engine.free_places() == 0
@@ -110,7 +110,7 @@
     def test_a_report_tells_what_became_of_a_load(
         self, engine: Engine, revision: int, places: int
     ) -> None:
-        engine.ghosts["base/a2"] = Ghost(113.0, 3)
+        engine.unanswered["base/a2"] = UnansweredLoad(113.0, 3)
         held = {MODEL: 1, "base/a1": 1}
         engine.take_report(EngineReport(revision, False, held, {}), 105.0)
         assert engine.free_places() == places
@@ -119,6 +119,6 @@
         self, engine: Engine
     ) -> None:
         engine.revision = 3
-        engine.ghosts["base/a2"] = Ghost(113.0, 3)
+        engine.unanswered["base/a2"] = UnansweredLoad(113.0, 3)
         engine.note_taken(105.0)
         assert (engine.revision, engine.free_places()) == (4, 1)
