--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of one request's way through a front, over loopback."""
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 
 import attrs
@@ -23,6 +24,13 @@
     await made.stop()
 
 
+class NoChance(random.Random):
+    """Always draws the lowest number."""
+
+    def random(self) -> float:
+        return 0.0
+
+
 async def answer_ok(call: Call) -> None:
     await call.answer(200, b"fine", "Server-Stamp: s1")
 
@@ -237,6 +245,24 @@
         assert 0.2 < took < 0.5
 
 
+class TestOverload:
+    @pytest.mark.parametrize(("busy", "status"), [(99, 503), (0, 200)])
+    async def test_a_part_is_refused_at_once_while_engines_are_full(
+        self, world: FrontWorld, busy: int, status: int
+    ) -> None:
+        upstream = await world.add("u1", stream_three, "engine", base__a1=1)
+        world.front.fleet.view.busy = {"u1": busy}
+        world.front.rng = NoChance()
+        now = asyncio.get_running_loop().time()
+        for _ in range(50):
+            world.front.admission("engine").note_first(5.0, now)
+        client = await world.open()
+        answer = await client.ask("/stream/x", **STREAM)
+        assert answer.status == status
+        assert ("retry-after" in answer.headers) == (status == 503)
+        assert len(upstream.calls) == (status == 200)
+
+
 class TestPriority:
     async def test_one_that_will_be_late_goes_behind_others(
         self, world: FrontWorld
