--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -9,6 +9,9 @@
 from ridgesill.core.fleet.registry import FleetView
 from ridgesill.core.serving.outcomes import Outcomes
 
+# Places that count at the most: an engine of 64 reads one prompt at a time, and
+# some ten requests in progress already wait for each other there.
+_SLOTS_MOST = 16
 # What a request across data centres costs beside the load of an upstream: as
 # a share of its places. Bytes between data centres are priced at some four
 # hundredths of a request's worth, while an upstream that is half full answers
@@ -160,7 +163,7 @@
         fronts = min(self.view.fronts, _JITTER_FRONTS)
         unknown = self._rng.random() * _JITTER_A_FRONT * fronts
         busy = others + self._busy_here(upstream.name) + unknown
-        share = busy / max(upstream.slots, 1)
+        share = busy / min(max(upstream.slots, 1), _SLOTS_MOST)
         cost = share + _CROWDED * max(share - _CROWDED_FROM, 0.0)
         if upstream.data_centre != self.data_centre:
             cost += _ELSEWHERE
--- a/testing/core/serving/test_decisions.py
+++ b/testing/core/serving/test_decisions.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from ridgesill.core.fleet.messages import DRAINING, FleetNews, Upstream
 from ridgesill.core.fleet.messages import UpstreamChange as Change
 from ridgesill.core.fleet.registry import FleetView
@@ -84,6 +86,17 @@
             choice.begin("u2", "")
         assert choice.choose(PLAIN, (), 0.0).name == "u1"
 
+    def test_many_places_are_no_reason_to_fill_the_near_one(self) -> None:
+        # Engines of 64 places got 20 requests more than those elsewhere, and
+        # answered late (tanuru-book quiet-1).
+        near, far = upstream("u1", "a"), upstream("u2", "b")
+        choice = chooser(
+            attrs.evolve(near, slots=64), attrs.evolve(far, slots=64)
+        )
+        for _ in range(10):
+            choice.begin("u1", "")
+        assert choice.choose(PLAIN, (), 0.0).name == "u2"
+
     def test_one_that_leaves_gets_nothing(self) -> None:
         choice = chooser(upstream("u1", state=DRAINING))
         assert choice.choose(PLAIN, (), 0.0) is None
