--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -15,6 +15,11 @@
 _GRACE_SECONDS = 7.0
 # How often processes that have ended by themselves are looked for, in seconds.
 _SUPERVISE_SECONDS = 0.3
+# Calm that a node with an empty disk needs before another disk may be lost, in
+# seconds (the platform's bounds).
+_CATCH_UP_SECONDS = 4.0
+# For how long it is waited for before the seed goes on to its checks, seconds.
+_CATCH_UP_MOST_SECONDS = 30.0
 # Bytes that a disk which is full still takes for one file.
 _FULL_BYTES = 64
 
@@ -48,6 +53,7 @@
         self._loop = asyncio.get_running_loop()
         self._busy: set[str] = set()
         self._wiped = False
+        self._disturbed_at = self._loop.time()
         self._kinds: tuple[tuple[Callable[[], Awaitable[None]], bool], ...] = (
             (self._kill, False),
             (self._pause, False),
@@ -93,10 +99,10 @@
     async def _inject(
         self, work: Callable[[], Awaitable[None]], *, planned: bool
     ) -> None:
-        began = self._loop.time()
+        began = self._disturbed_at = self._loop.time()
         await work()
         name = work.__name__.strip("_")
-        ended = self._loop.time()
+        ended = self._disturbed_at = self._loop.time()
         self.happened.append(Happened(name, began, ended, planned))
 
     def _take(self, vms: list[Vm]) -> Vm | None:
@@ -145,9 +151,20 @@
         vm.kill()
         vm.wipe()
         await self._come_back(vm)
-        # Until the others have made up for it, no other disk may go.
-        await asyncio.sleep(6.0)
-        self._wiped = False
+        # Until it has caught up, no other disk may go: it still counts as lost.
+        deadline = self._loop.time() + _CATCH_UP_MOST_SECONDS
+        while self._loop.time() < deadline:
+            await asyncio.sleep(_SUPERVISE_SECONDS)
+            if await self._is_caught_up(vm):
+                self._wiped = False
+                return
+
+    async def _is_caught_up(self, vm: Vm) -> bool:
+        """Whether a control node had calm for long enough, and follows."""
+        calm = self._loop.time() - self._disturbed_at
+        if calm < _CATCH_UP_SECONDS:
+            return False
+        return await self._world.is_sure(vm)
 
     async def _kill_all_controls(self) -> None:
         vms = [v for v in self._world.controls if v.name not in self._busy]
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -176,6 +176,10 @@
             self.reverted.append(f"{vm.name} read {version} after {before}")
         return version
 
+    async def is_sure(self, vm: Vm) -> bool:
+        """Whether a control node can tell the newest configuration."""
+        return await self._call(vm, "GET", "Configuration.Get") is not None
+
     async def _call(
         self, vm: Vm, method: str, name: str, body: bytes = b""
     ) -> Any:
