Have a node wait for an empty disk that refuses its first identity

Traced with its errors on a pipe, since its log was refused too. Ruled out: a running node (goes on), a start on a disk with a log (writes nothing). Change: it is tried again every 0.2 s, with one log line.

--- a/src/ridgesill/app/formation.py
+++ b/src/ridgesill/app/formation.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import secrets
+import time
 from collections.abc import Sequence
 
 from eliot import log_message
@@ -21,6 +22,9 @@
 # How often the founder looks who has introduced itself, in seconds; all nodes
 # start within some tenths.
 _TICK = 0.05
+# How soon a disk that refused the first identity is tried again, in seconds; a
+# node can do nothing else until then.
+_RETRY_SECONDS = 0.2
 # Where the log starts: above 0, so that the other voters, whose disks start
 # empty, are sent the snapshot that names the voters.
 _FOUNDING_INDEX = 1
@@ -55,7 +59,7 @@
             is_first_start and not storage.identity and name == min(seeds)
         )
         if not storage.identity and not self._founds:
-            storage.join(name)
+            _join(storage, name)
         self.identity = storage.identity or f"{name}.{secrets.token_hex(4)}"
 
     def hear(self, node: Node) -> None:
@@ -85,3 +89,18 @@
             return True
         majority = self._expected // 2 + 1
         return waited >= _PATIENCE and len(self._heard) >= majority
+
+
+def _join(storage: FileLog, name: str) -> None:
+    """Gives an empty disk an identity, however long it refuses to keep one."""
+    failing = False
+    while True:
+        try:
+            storage.join(name)
+        except OSError as error:
+            if not failing:
+                log_message("log:disk_refuses", step="join", detail=str(error))
+            failing = True
+            time.sleep(_RETRY_SECONDS)
+        else:
+            return
--- a/testing/app/test_formation.py
+++ b/testing/app/test_formation.py
@@ -102,3 +102,26 @@
         later = form_on(tmp_path / "new", _SEEDS[0], first=False)
         await later.form(as_node(_SEEDS[0], later.identity))
         assert later.identity not in identities
+
+
+class FullDisk(FileLog):
+    """Refuses the first identities that it is given."""
+
+    refusals = 2
+
+    def join(self, name: str) -> None:
+        if self.refusals:
+            self.refusals -= 1
+            raise OSError(28, "No space left on device")
+        super().join(name)
+
+
+class TestFullDisk:
+    def test_a_start_on_an_empty_disk_that_is_full_ends_nothing(
+        self, tmp_path: Path
+    ) -> None:
+        # Soak seed 227: a wiped node that started on a full disk ended.
+        disk = FullDisk(tmp_path)
+        formation = Formation(disk, "n1:1", ["n0:1"], 3, is_first_start=False)
+        assert formation.identity.startswith("n1:1.")
+        assert disk.refusals == 0
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -196,11 +196,16 @@
         if vm is None or vm.process is None:
             return
         pid = vm.process.pid
-        _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
-        resource.prlimit(pid, resource.RLIMIT_FSIZE, (_FULL_BYTES, hard))
-        await self._wait(0.5, 2.0)
-        resource.prlimit(pid, resource.RLIMIT_FSIZE, (hard, hard))
-        self._busy.discard(vm.name)
+        try:
+            _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (_FULL_BYTES, hard))
+            await self._wait(0.5, 2.0)
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (hard, hard))
+        except ProcessLookupError:
+            # It ended by itself; the supervisor notes that and restarts it.
+            pass
+        finally:
+            self._busy.discard(vm.name)
 
     # -- links ---------------------------------------------------------
 
