Stop a draining front once its channels are closed

One that had just been read was sent on to its upstream in the next moment, while the channels were closed under it. Read from the code: the logs have no line for the two requests. Ruled out: the grace time (it stopped 3.0 s after SIGTERM). Change: it waits until every channel is closed; idle ones are closed at once, the others after their answer.

--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -197,7 +197,9 @@
         for connection in list(self._callers.connections):
             connection.close_if_idle()
         deadline = began + self._settings.bounds.grace - _GRACE_MARGIN
-        while self.front.in_progress and self._loop.time() < deadline:
+        # By the channels, not by what is in progress: a request that has just
+        # been read isn't counted yet, and is sent on in the next moment.
+        while self._callers.connections and self._loop.time() < deadline:
             await asyncio.sleep(_DRAIN_TICK)
         self._stopping.set()
 
