Take back what an engine refuses to unload under the version that was held

What leaves now keeps its version. Also: admission is asked before an upstream is chosen in vain, and the two branches of an election's start that asked the same thing are one.

--- a/src/ridgesill/app/engine_loads.py
+++ b/src/ridgesill/app/engine_loads.py
@@ -8,7 +8,7 @@
 from eliot import log_message
 
 from ridgesill.app.engine_orders import EngineOrders
-from ridgesill.core.fleet.engines import Engine, Held, Pending
+from ridgesill.core.fleet.engines import Engine, Held, Leaving, Pending
 from ridgesill.core.fleet.orders import Action, OrderVerdict
 from ridgesill.core.fleet.placement import Choice
 
@@ -85,8 +85,8 @@
 
     def let_go(self, engine: Engine, artifact: str) -> None:
         """Has fronts send no more requests for what is to be unloaded."""
-        engine.held.pop(artifact, None)
-        engine.leaving[artifact] = self._loop.time()
+        held = engine.held.pop(artifact)
+        engine.leaving[artifact] = Leaving(self._loop.time(), held.version)
         self._view.tell(engine)
 
     async def load(self, choice: Choice, artifact: str, version: int) -> bool:
@@ -110,20 +110,20 @@
             self.spawn(self._await_unload(engine, artifact))
         elif verdict is OrderVerdict.REFUSED:
             # Certainly not done: it is still there.
-            engine.leaving.pop(artifact, None)
+            self._take_back(engine, artifact)
+        return False
+
+    def _take_back(self, engine: Engine, artifact: str) -> None:
+        leaving = engine.leaving.pop(artifact, None)
+        if leaving is not None:
             now = self._loop.time()
-            engine.held[artifact] = Held(self._version_of(artifact), now, now)
+            engine.held[artifact] = Held(leaving.version, now, now)
             self._view.tell(engine)
-        return False
 
     def _note_unloaded(self, engine: Engine, artifact: str) -> None:
         engine.leaving.pop(artifact, None)
         engine.note_left(artifact, self._loop.time())
 
-    def _version_of(self, artifact: str) -> int:
-        """Returns the version that a load brings."""
-        return max(self._view.version(artifact), 1)
-
     async def _await_unload(self, engine: Engine, artifact: str) -> None:
         """Waits for the runs of an adapter that is to leave."""
         began = self._loop.time()
@@ -177,7 +177,7 @@
         self, engine: Engine, artifact: str, version: int, began: float
     ) -> None:
         now = self._loop.time()
-        newest = max(self._version_of(artifact), version)
+        newest = max(self._view.version(artifact), version, 1)
         engine.held[artifact] = Held(newest, now, now)
         engine.unanswered.pop(artifact, None)
         self._view.tell(engine)
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -227,10 +227,10 @@
         wanted = self._wanted()
         if not self._tried and not self._are_upstreams_known():
             await self._learn(self._are_upstreams_known)
-        now = self._loop.time()
-        chosen = front.chooser.choose(wanted, self._tried, now)
         if wanted.artifact and self._is_refused():
             return Refusal("overload", _OVERLOAD_AFTER)
+        now = self._loop.time()
+        chosen = front.chooser.choose(wanted, self._tried, now)
         if chosen is not None:
             return chosen
         if not wanted.artifact:
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -50,6 +50,19 @@
     handed_at: float
 
 
+@attrs.frozen
+class Leaving:
+    """Something whose unload was ordered.
+
+    Attributes:
+        at: when fronts were first told to send no more requests to it.
+        version: that was held, and still is if the order is refused.
+    """
+
+    at: float
+    version: int
+
+
 @attrs.frozen
 class UnansweredLoad:
     """An order to load without an answer, which may be carried out late.
@@ -99,7 +112,7 @@
     revision: int | None = None
     held: dict[str, Held] = attrs.Factory(dict)
     loading: dict[str, Pending] = attrs.Factory(dict)
-    leaving: dict[str, float] = attrs.Factory(dict)
+    leaving: dict[str, Leaving] = attrs.Factory(dict)
     unanswered: dict[str, UnansweredLoad] = attrs.Factory(dict)
     waits_for: str = ""
     ordered_at: float = float("-inf")
@@ -227,7 +240,7 @@
             elif version > held.version:
                 held.version = version
         for artifact in list(self.leaving):
-            old = now - self.leaving[artifact] > _REPORT_LAG
+            old = now - self.leaving[artifact].at > _REPORT_LAG
             if old and artifact not in resident:
                 del self.leaving[artifact]
         self._drop_missing(resident, now)
--- a/src/ridgesill/core/log/replica.py
+++ b/src/ridgesill/core/log/replica.py
@@ -187,7 +187,7 @@
     def _(self, message: VoteRequest, sender: str, now: float) -> None:
         if self._hears_leader(now) and sender != self.leader:
             # A replica that was cut off must not disturb a working leader. One
-            # that led and asks has been restarted, and leads no more.
+            # that led and asks was restarted or gave up, and leads no more.
             return
         if message.pre:
             granted = message.term > self.term and self._up_to_date(message)
@@ -251,7 +251,6 @@
             self._repeat_soon(now)
         else:
             self._delay_election(now)
-        if not pre:
             self.term += 1
             self.voted_for = self.identity
             self._store_hard_state()
--- a/testing/app/test_fleet_loads.py
+++ b/testing/app/test_fleet_loads.py
@@ -74,6 +74,20 @@
         assert (await world.loads.want(want("a3"))).upstream == "u0"
 
 
+class TestUnloads:
+    async def test_a_refused_one_leaves_the_version_that_was_held(self) -> None:
+        # It was taken for the newest one, which nobody had loaded.
+        world = EngineWorld(1, 2)
+        await world.loads.want(want("a1"))
+        world.versions["base/a1"] = 2
+        engine = world.placement.engines["u0"]
+        world.simulated[0].used.add("other")
+        world.simulated[0].waits_for = "other"
+        world.loads.engine_loads.let_go(engine, "base/a1")
+        assert not await world.loads.engine_loads.unload(engine, "base/a1")
+        assert engine.held["base/a1"].version == 1
+
+
 class TestLostAnswers:
     # Seed 9: an order without an answer was forgotten after 13 s although it
     # had been carried out. Seed 129: a question without an answer, repeated,
--- a/testing/core/fleet/test_engines.py
+++ b/testing/core/fleet/test_engines.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from ridgesill.core.fleet.engines import Engine, Held, Pending, UnansweredLoad
+from ridgesill.core.fleet.engines import (
+    Engine,
+    Held,
+    Leaving,
+    Pending,
+    UnansweredLoad,
+)
 from ridgesill.core.fleet.orders import EngineReport
 from ridgesill.core.serving.routes import EngineSpec, Model
 
@@ -31,7 +37,7 @@
         assert engine.free_places() == 1
         engine.loading["base/a2"] = Pending()
         assert engine.free_places() == 0
-        engine.leaving["base/a3"] = 100.0
+        engine.leaving["base/a3"] = Leaving(100.0, 1)
         assert engine.free_places() == -1
 
     def test_an_order_without_an_answer_takes_a_place_until_a_report(
