Keep headers that are the system's to set out of what clients send on

Cause: Hold, Pin-Duration, Kv-Backup, Kv-From and Kv-Fetch of a client travelled on. Found besides, by test: a client that listed Model, Request-Id, Token-Counts or Prompt-Prefix in Connection had them dropped, and only the first Connection header was read. Ruled out: trailers, chunk extensions, doubled and oddly spelt names (tested). Change: one list of reserved names; what a request is travels on always.

--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -26,9 +26,31 @@
 _NOT_RUN = b"not-run"
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED = 421
-_SET_HERE = frozenset(
-    (_DEADLINE, _INSTANCE, _VERSION, _LAST_EVENT, _PRIORITY, b"content-length")
+# What only this side may ask of an upstream; a client that could would set
+# memory and places aside there, or go on from another client's run.
+_RESERVED = frozenset(
+    (
+        _DEADLINE,
+        _INSTANCE,
+        _VERSION,
+        _LAST_EVENT,
+        _PRIORITY,
+        # A place and memory that were set aside.
+        b"hold",
+        # Keeps the memory of a run after its end.
+        b"pin-duration",
+        # Where a copy of a run's memory is sent as it grows.
+        b"kv-backup",
+        # The copy that a run goes on from.
+        b"kv-from",
+        # An upstream to take parts of a prompt from.
+        b"kv-fetch",
+    )
 )
+_LENGTH = b"content-length"
+# What a request is. A client that lists one of these as concerning its channel
+# only would have another request run.
+_IDENTITY = frozenset((_REQUEST_ID, _MODEL, _TOKENS, _PARTS, b"host"))
 
 
 class PlatformDialect:
@@ -55,8 +77,10 @@
         """Returns the request as it goes to an upstream."""
         kept = [
             (name, value)
-            for name, value in without_channel_headers(request.headers)
-            if name not in _SET_HERE
+            for name, value in without_channel_headers(
+                request.headers, keep=_IDENTITY
+            )
+            if name not in _RESERVED and name != _LENGTH
         ]
         if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
             kept.append((b"content-length", b"%d" % len(request.body)))
--- a/src/ridgesill/ports/http.py
+++ b/src/ridgesill/ports/http.py
@@ -29,14 +29,25 @@
 )
 
 
-def without_channel_headers(headers: Headers) -> Headers:
-    """Returns the headers that travel beyond one channel."""
-    named = find_header(headers, b"connection").lower().encode()
-    listed = {name.strip() for name in named.split(b",")}
+def without_channel_headers(
+    headers: Headers, keep: frozenset[bytes] = frozenset()
+) -> Headers:
+    """Returns the headers that travel beyond one channel.
+
+    Args:
+        headers: all headers, names in lower case.
+        keep: names that travel on even where the sender lists them as
+            concerning its channel only.
+    """
+    listed = {
+        name.strip()
+        for key, value in headers
+        if key == b"connection"
+        for name in value.lower().split(b",")
+    }
+    dropped = _CHANNEL_HEADERS | (listed - keep)
     return tuple(
-        (name, value)
-        for name, value in headers
-        if name not in _CHANNEL_HEADERS and name not in listed
+        (name, value) for name, value in headers if name not in dropped
     )
 
 
--- /dev/null
+++ b/testing/platform/test_requests.py
@@ -0,0 +1,121 @@
+"""Tests of what goes on to an upstream, whatever a client sends."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from ridgesill.core.fleet.messages import READY
+from ridgesill.platform.requests import PlatformDialect
+from ridgesill.ports.dialect import ForwardTerms
+from ridgesill.ports.http import Headers, HttpRequest
+from testing.app.front_world import Call, FrontWorld
+
+RESERVED = (
+    "Hold",
+    "Pin-Duration",
+    "Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+    "Expect-Instance",
+    "Expect-Version",
+    "Request-Priority",
+)
+IDENTITY = ("Request-Id", "Model", "Token-Counts", "Prompt-Prefix")
+
+
+def forward(*headers: tuple[str, str]) -> Headers:
+    """Returns the headers that reach an upstream."""
+    given = tuple((n.lower().encode(), v.encode()) for n, v in headers)
+    request = HttpRequest(b"POST", b"/x", given, b"body")
+    return PlatformDialect().forward(request, ForwardTerms("u1", 1.0)).headers
+
+
+async def answer_ok(call: Call) -> None:
+    await call.answer(200)
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[FrontWorld]:
+    """Returns a front without upstreams."""
+    made = FrontWorld()
+    await made.start()
+    yield made
+    await made.stop()
+
+
+class TestReservedHeaders:
+    @pytest.mark.parametrize("name", RESERVED)
+    def test_a_client_can_t_set_one(self, name: str) -> None:
+        # Four of them travelled on; engines refused such requests, and plain
+        # services ran them.
+        sent = forward((name, "smuggled"), (name.upper(), "again"))
+        assert b"smuggled" not in [value for _, value in sent]
+        assert b"again" not in [value for _, value in sent]
+
+    @pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
+    async def test_none_reaches_an_upstream_in_any_place(
+        self, world: FrontWorld, path: str
+    ) -> None:
+        upstream = await world.add("u1", answer_ok)
+        client = await world.open()
+        smuggled = "".join(
+            f"{name}: 1\r\n{name.swapcase()}:\t2\r\n" for name in RESERVED
+        )
+        client.writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+            f"{smuggled}Transfer-Encoding: chunked\r\nTrailer: Hold\r\n\r\n"
+            "4;hold=1;kv-from=2\r\nbody\r\n0\r\nHold: 3\r\n"
+            "Kv-From: 4\r\n\r\n".encode()
+        )
+        assert (await client.read()).status == 200
+        call = upstream.calls[0]
+        assert call.body == b"body"
+        for name in ("hold", "pin-duration", "kv-backup", "kv-from"):
+            assert name not in call.head.lower()
+        assert call.header("expect-instance") == "u1"
+
+    async def test_the_next_request_of_the_channel_is_untouched(
+        self, world: FrontWorld
+    ) -> None:
+        upstream = await world.add("u1", answer_ok)
+        client = await world.open()
+        await client.ask("/unsafe/x", b"one", hold="1", kv_from="a:1/2")
+        answer = await client.ask("/unsafe/x", b"two")
+        assert answer.status == 200
+        assert [call.body for call in upstream.calls] == [b"one", b"two"]
+
+
+class TestIdentity:
+    @pytest.mark.parametrize("name", IDENTITY)
+    def test_a_client_can_t_have_it_dropped(self, name: str) -> None:
+        # A name in `Connection` concerns the channel only and is dropped.
+        sent = forward(("Connection", f"close, {name}"), (name, "own"))
+        assert (name.lower().encode(), b"own") in sent
+
+    def test_others_in_any_connection_header_are_dropped(self) -> None:
+        sent = forward(
+            ("Connection", "close"), ("Connection", "X-Hop"), ("X-Hop", "1")
+        )
+        assert not [name for name, _ in sent if name == b"x-hop"]
+
+
+class TestMalformed:
+    @pytest.mark.parametrize(
+        "line", ["Hold : 1", "Kv-From\x00: 1", "Ho ld: 1", ": 1", "Hold: \x00"]
+    )
+    async def test_a_malformed_header_is_refused_and_nothing_is_run(
+        self, world: FrontWorld, line: str
+    ) -> None:
+        upstream = await world.add("u1", answer_ok)
+        client = await world.open()
+        client.writer.write(
+            f"GET /safe/x HTTP/1.1\r\nHost: a.example\r\n{line}\r\n\r\n".encode(
+                "latin-1"
+            )
+        )
+        assert (await asyncio.wait_for(client.read(), 2.0)).status == 400
+        assert upstream.calls == []
+        other = await world.open()
+        assert (await other.ask("/safe/x")).status == 200
+        assert world.fleet.view.upstreams["u1"].state == READY
