Refuse late in a stop what may outlast the front; probe silent channels

Change: such a channel ends with its answer; from 2.8 s on a request that may outlast the process is refused at once (come back in 20 ms: another front takes it), one that surely ends in time is served; what waits gets its refusal before the process stops. The kernel probes channels to upstreams at rest: one that goes silent for good while an answer is awaited gave no error, as nothing was sent. Request ends say tokens and when they were sent.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -20,6 +20,11 @@
 # After this long without an acknowledgement the kernel gives a channel up;
 # without it, a channel to a VM without power hangs for minutes.
 _USER_TIMEOUT_MS = 800
+# A channel on which nothing is sent is probed after this many seconds of rest:
+# one may go silent for good, without a reset, while its answer is awaited. The
+# next probe without an acknowledgement in time gives it up, 2 s after the last
+# byte; clients give a stream up after two seconds of silence at the least.
+_PROBE_AFTER_SECONDS = 1
 
 
 class Exchange:
@@ -163,7 +168,7 @@
             raise ChannelError("connect", address, detail, False) from error
         finally:
             self._opening[address] -= 1
-        _set_user_timeout(transport)
+        _detect_silence(transport)
         self._opened.setdefault(address, set()).add(channel)
         return channel
 
@@ -199,9 +204,14 @@
                 self.discard(resting.pop())
 
 
-def _set_user_timeout(transport: asyncio.BaseTransport) -> None:
+def _detect_silence(transport: asyncio.BaseTransport) -> None:
+    """Has the kernel end a channel whose other side says nothing."""
     opened = transport.get_extra_info("socket")
-    if opened is not None:
-        opened.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
-        )
+    if opened is None:
+        return
+    opened.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+    )
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
+        opened.setsockopt(socket.IPPROTO_TCP, option, _PROBE_AFTER_SECONDS)
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -183,13 +183,24 @@
 
     def _go_on(self) -> None:
         http = self._http
-        if http.our_state is h11.DONE and http.their_state is h11.DONE:
-            http.start_next_cycle()
-            if http.trailing_data[0]:
-                self._receiving = True
-            self._advance()
+        reusable = http.our_state is h11.DONE and http.their_state is h11.DONE
+        if not reusable or self._is_to_end():
+            self._close()
             return
-        self._close()
+        http.start_next_cycle()
+        if http.trailing_data[0]:
+            self._receiving = True
+        self._advance()
+
+    def _is_to_end(self) -> bool:
+        """Whether the channel ends although its last answer didn't say so.
+
+        That answer began before the listener drained, and its client would go
+        on sending requests here until the process is gone. One that is here
+        already is still answered: to close over it would reset the channel
+        and take the last answer's end away.
+        """
+        return self.closing and not self._http.trailing_data[0]
 
     def _reject(self, status: int, detail: str) -> None:
         log_message(
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -49,6 +49,9 @@
 # Nor longer than this share of its time: a client that is refused comes back
 # once, and should learn before half of its time is gone that it is in vain.
 _LOAD_WAIT_SHARE = 0.22
+# Seconds after which a client that was refused by a stopping front may come
+# back; it meets another front, on a new channel.
+_STOPPING_AFTER = 0.02
 # Channels to an upstream that a front may always have, however many fronts
 # there are: one in use and one for a request that comes meanwhile.
 _CHANNELS_LEAST = 2
@@ -140,6 +143,10 @@
             return
         self._route = route
         self._begin(route)
+        if self._may_outlast_front():
+            self._refuse(Refusal("stopping", _STOPPING_AFTER))
+            return
+        self._deadline = min(self._deadline, self._front.stops_at)
         try:
             async with asyncio.timeout_at(self._deadline):
                 await self._attempt(route)
@@ -193,6 +200,16 @@
         if route.kind == STREAM and route.resumable:
             self._splitter = EventSplitter(self._facts.last_event)
 
+    def _may_outlast_front(self) -> bool:
+        """Whether this front may stop before the request has its answer.
+
+        Without this, requests that came on channels kept by clients late in a
+        stop were sent on and cut: five of sixteen played days with a stop.
+        """
+        front = self._front
+        now = self._loop.time()
+        return now >= front.refuses_from and self._deadline > front.stops_at
+
     async def _attempt(self, route: Route) -> None:
         failure: Failure | None = None
         while True:
@@ -557,6 +574,8 @@
             status=status,
             attempts=len(self._tried),
             waited=round(self._waited, 4),
+            tokens=self._facts.prompt_tokens,
+            sent=round(max(self._sent_at - arrived_at, 0.0), 4),
             first=round(first, 4),
             seconds=round(seconds, 4),
         )
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -44,6 +44,10 @@
         self.telemetry: Telemetry = NoTelemetry()
         # Noted when routes or upstreams become known.
         self.learned = ChangeSignal()
+        # From when requests that may outlast this process are refused, and
+        # when it cuts what is left, on the loop's clock.
+        self.refuses_from = float("inf")
+        self.stops_at = float("inf")
         self._bounds = bounds
         self._retries: dict[str, ServiceRetries] = {}
         self._admissions: dict[str, Admission] = {}
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -35,6 +35,9 @@
 # After SIGTERM, until the balancer has surely stopped sending new channels:
 # it asks once a second and believes the second answer.
 _NOTICE_SECONDS = 3.0
+# From then on, after SIGTERM, requests that may outlast the process are
+# refused; a little before the notice ends, for what is on its way. Seconds.
+_SERVES_SECONDS = 2.8
 # Kept back from the time until SIGKILL, in seconds.
 _GRACE_MARGIN = 0.7
 _DRAIN_TICK = 0.05
@@ -191,12 +194,14 @@
 
     async def _finish_work(self) -> None:
         began = self._loop.time()
+        deadline = began + self._settings.bounds.grace - _GRACE_MARGIN
+        self.front.refuses_from = began + _SERVES_SECONDS
+        self.front.stops_at = deadline
         self._callers.drain()
         await asyncio.sleep(_NOTICE_SECONDS)
         self._callers.close()
         for connection in list(self._callers.connections):
             connection.close_if_idle()
-        deadline = began + self._settings.bounds.grace - _GRACE_MARGIN
         # By the channels, not by what is in progress: a request that has just
         # been read isn't counted yet, and is sent on in the next moment.
         while self._callers.connections and self._loop.time() < deadline:
--- a/testing/adapters/http1/test_server.py
+++ b/testing/adapters/http1/test_server.py
@@ -13,6 +13,12 @@
 
 async def echo(request: HttpRequest, responder: Responder) -> None:
     """Answers with the request's body."""
+    if request.path == "/slow":
+        responder.send_head(200, ((b"content-length", b"4"),))
+        await asyncio.sleep(0.2)
+        responder.send_data(b"slow")
+        responder.finish()
+        return
     if request.path == "/fault":
         raise RuntimeError("a fault of the handler")
     length = b"%d" % len(request.body)
@@ -104,3 +110,32 @@
         writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         assert await reader.readuntil(b"\r\n\r\n")
         writer.close()
+
+    async def test_a_channel_ends_with_an_answer_begun_before(
+        self, listener: HttpListener
+    ) -> None:
+        # Its client would go on sending requests until the process is gone.
+        host, _, port = listener._address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"close" not in head.lower()
+        listener.drain()
+        # Well before a channel at rest is closed.
+        rest = await asyncio.wait_for(reader.read(), 0.7)
+        assert rest == b"slow"
+        writer.close()
+
+    async def test_a_request_that_came_meanwhile_is_still_answered(
+        self, listener: HttpListener
+    ) -> None:
+        host, _, port = listener._address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        listener.drain()
+        writer.write(b"GET /next HTTP/1.1\r\nHost: a\r\n\r\n")
+        rest = await asyncio.wait_for(reader.read(), 2.0)
+        assert rest.startswith(b"slowHTTP/1.1 200")
+        assert b"connection: close" in rest.lower()
+        writer.close()
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import AsyncIterator
 
 import attrs
@@ -245,6 +246,44 @@
         assert 0.2 < took < 0.5
 
 
+class TestStop:
+    """A front that has got its notice and stops 1.5 s from now."""
+
+    @pytest.fixture
+    async def stopping(self, world: FrontWorld) -> FrontWorld:
+        now = asyncio.get_running_loop().time()
+        world.front.refuses_from = now
+        world.front.stops_at = now + 1.5
+        return world
+
+    async def test_one_that_may_outlast_the_front_is_refused_at_once(
+        self, stopping: FrontWorld
+    ) -> None:
+        upstream = await stopping.add("u1", answer_ok)
+        client = await stopping.open()
+        answer = await client.ask("/unsafe/x", b"b", request_deadline="2000")
+        assert answer.status == 503
+        assert 0 < float(answer.headers["retry-after"]) < 0.1
+        assert upstream.calls == []
+
+    async def test_one_that_surely_ends_before_is_served(
+        self, stopping: FrontWorld
+    ) -> None:
+        await stopping.add("u1", answer_slowly)
+        client = await stopping.open()
+        answer = await client.ask("/unsafe/x", b"b", request_deadline="1000")
+        assert answer.status == 200
+
+    async def test_one_that_waits_gets_its_answer_before_the_stop(
+        self, stopping: FrontWorld
+    ) -> None:
+        stopping.front.refuses_from = float("inf")
+        stopping.front.stops_at = asyncio.get_running_loop().time() + 0.3
+        client = await stopping.open()
+        answer = await client.ask("/unsafe/x", b"b", request_deadline="2000")
+        assert answer.status == 503
+
+
 class TestOverload:
     @pytest.mark.parametrize(("busy", "status"), [(99, 503), (0, 200)])
     async def test_a_part_is_refused_at_once_while_engines_are_full(
@@ -398,6 +437,27 @@
         assert new.calls[0].header("expect-version") == "2"
 
 
+class TestSilence:
+    async def test_the_kernel_ends_a_channel_that_went_silent(
+        self, world: FrontWorld
+    ) -> None:
+        # While only an answer is awaited nothing is sent, so that no
+        # acknowledgement is missing: probes must ask for one.
+        await world.add("u1", answer_ok)
+        client = await world.open()
+        await client.ask("/safe/x")
+        (resting,) = world.front.channels._resting.values()
+        opened = resting[0]._transport.get_extra_info("socket")
+
+        def option(level: int, name: int) -> int:
+            return opened.getsockopt(level, name)
+
+        assert option(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        assert option(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 1
+        assert option(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL) == 1
+        assert option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) < 1000
+
+
 class TestChannels:
     async def test_a_front_keeps_within_its_share(
         self, world: FrontWorld
