Doubt a heartbeat of an unknown incarnation at the address of a live one

Cause: a cut may hold a heartbeat back until its sender has crashed and another incarnation serves at that address. An owner that never knew the earlier one took it for the newer, dropped the one that serves, and passed over its heartbeats for 30 s. Change: such a one is believed once it is heard again while the other is silent. test_a_new_process_at_an_address_replaces_the_old_one moves its second heartbeat from 1.0 to 3.0 s after the first: at 1.0 s the two can't be told apart, and two new tests say what happens then, in both directions.

--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -20,6 +20,9 @@
 # How long a sequence number is remembered after its upstream is gone, so that
 # a heartbeat that was long on its way can't bring it back; seconds.
 _REMEMBERED_SECONDS = 30.0
+# An incarnation heard within this share of the patience is likely alive; four
+# intervals between heartbeats make the patience.
+_ALIVE_SHARE = 0.3
 
 
 @attrs.define
@@ -44,6 +47,9 @@
         self._settled_at = float("-inf")
         self._heard: dict[str, _Heard] = {}
         self._left: dict[str, float] = {}
+        # Incarnations that nobody here knows, with when they were last heard,
+        # at the address of one that seems alive.
+        self._doubted: dict[str, float] = {}
         self._changes: collections.deque[tuple[int, UpstreamChange]] = (
             collections.deque(maxlen=_CHANGES_KEPT)
         )
@@ -69,6 +75,10 @@
             return False
         if heard is not None and heartbeat.sequence <= heard.sequence:
             return False
+        if name not in self.upstreams and self._is_doubtful(heartbeat, now):
+            self._doubted[name] = now
+            return False
+        self._doubted.pop(name, None)
         self._heard[name] = _Heard(heartbeat.sequence, now)
         self._forget_predecessors(heartbeat, now)
         known = self.upstreams.get(name)
@@ -90,6 +100,27 @@
             self._note(UpstreamChange(name, record))
         return True
 
+    def _is_doubtful(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Whether this may be an earlier incarnation's word, long on its way.
+
+        A cut may hold a heartbeat back until its sender has crashed and a new
+        incarnation has begun at the same address. An owner that never knew the
+        earlier one would take it for the newer, and drop the one that serves
+        for as long as names are remembered. Which one is alive shows with the
+        next heartbeat of either.
+        """
+        for other in self.upstreams.values():
+            if other.address != heartbeat.address or other.state == DRAINING:
+                continue
+            heard_at = self._heard[other.name].at
+            doubted_at = self._doubted.get(heartbeat.name)
+            if doubted_at is not None and heard_at < doubted_at:
+                # Only this one has been heard since.
+                continue
+            if now - heard_at <= self._patience * _ALIVE_SHARE:
+                return True
+        return False
+
     def _forget_predecessors(self, heartbeat: Heartbeat, now: float) -> None:
         """Forgets who had this address before: it has ended."""
         for other in list(self.upstreams.values()):
@@ -128,6 +159,9 @@
             if now - at > _REMEMBERED_SECONDS:
                 del self._left[name]
                 self._heard.pop(name, None)
+        for name, at in list(self._doubted.items()):
+            if now - at > self._patience:
+                del self._doubted[name]
         return silent
 
     def silence(self, name: str, now: float) -> float:
