Ask engines to begin what can be in time first, short prompts before long ones

Load: more prompts than engines read in time. Change: fronts learn how fast engines read from the fastest of their answers; what can't be in time goes last, else by length.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -15,8 +15,13 @@
 from ridgesill.core.fleet.messages import READY, Upstream, WantArtifact
 from ridgesill.core.serving.choice import Wanted
 from ridgesill.core.serving.events import EventSplitter
+from ridgesill.core.serving.rank import rank_request
 from ridgesill.core.serving.routes import STREAM, Route
-from ridgesill.ports.dialect import ForwardTerms, RequestFacts
+from ridgesill.ports.dialect import (
+    NORMAL_PRIORITY,
+    ForwardTerms,
+    RequestFacts,
+)
 from ridgesill.ports.http import (
     ChannelError,
     HttpRequest,
@@ -31,9 +36,6 @@
 _COME_BACK = 0.5
 # A want for an artifact leaves this much of the time for the answer, seconds.
 _ANSWER_SECONDS = 0.3
-# An upstream takes this long for the first event at the least, in seconds: it
-# reads 700 tokens in 20 ms, and some steps of its batch go by.
-_ANSWER_LEAST = 0.04
 # Seconds after which a client that was refused for overload may come back; most
 # bursts and losses are over after a few.
 _OVERLOAD_AFTER = 1.0
@@ -132,6 +134,11 @@
         self._asked = ""
         self._splitter: EventSplitter | None = None
 
+    @property
+    def was_offered(self) -> bool:
+        """Whether the request has reached an upstream."""
+        return bool(self._sent_at)
+
     # -- the whole -----------------------------------------------------
 
     async def run(self) -> None:
@@ -353,7 +360,7 @@
             self._deadline - now,
             self._wanted().version,
             last_event,
-            now + _ANSWER_LEAST > self._goal_at,
+            self._rank(now),
         )
         forwarded = front.dialect.forward(self._request, terms)
         fresh = 60.0 if route.is_idempotent else _FRESH_FOR_UNSAFE
@@ -364,6 +371,14 @@
             most=self._channels_most(),
         )
 
+    def _rank(self, now: float) -> int:
+        """Returns the request's order among those that an engine has yet."""
+        if not self._facts.artifact:
+            return NORMAL_PRIORITY
+        tokens = self._facts.prompt_tokens
+        seconds = self._front.reading(self._service).seconds(tokens)
+        return rank_request(seconds, self._goal_at - now)
+
     def _channels_most(self) -> int:
         """Returns this front's share of the channels that an upstream takes."""
         service = self._front.table.services.get(self._service)
@@ -436,6 +451,8 @@
         now = self._first_at = self._loop.time()
         took = now - self._sent_at
         self._front.admission(self._service).note_first(took, now)
+        tokens = self._facts.prompt_tokens
+        self._front.reading(self._service).note(tokens, took)
 
     def _deliver(self, head: ResponseHead, body: bytes) -> None:
         responder = self._responder
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -7,6 +7,7 @@
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.core.serving.admission import Admission
 from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.reading import ReadingRate
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import Dialect
@@ -51,6 +52,7 @@
         self._bounds = bounds
         self._retries: dict[str, ServiceRetries] = {}
         self._admissions: dict[str, Admission] = {}
+        self._readings: dict[str, ReadingRate] = {}
 
     def retries(self, service: str) -> ServiceRetries:
         """Returns the retry budget of a service."""
@@ -63,6 +65,10 @@
         """Returns the measure of how long a service's engines take."""
         return self._admissions.setdefault(service, Admission())
 
+    def reading(self, service: str) -> ReadingRate:
+        """Returns the measure of how fast a service's engines read."""
+        return self._readings.setdefault(service, ReadingRate())
+
     def note_used(self, artifact: str) -> None:
         """Counts a request for an artifact, to be told the owner."""
         self.used[artifact] = self.used.get(artifact, 0) + 1
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -149,6 +149,10 @@
         data_centre: where the request came in.
         goal: seconds until the answer's first event is late; negative when it
             is late already.
+        request: its id.
+        tokens: of its prompt.
+        is_held: whether the asker knows an upstream that holds it; it then
+            goes there by itself unless it is answered at once.
     """
 
     service: str
@@ -158,6 +162,23 @@
     patience: float = 1.0
     data_centre: str = ""
     goal: float = 1.0
+    request: str = ""
+    tokens: int = 0
+    is_held: bool = False
+
+
+@register
+@attrs.frozen
+class ReadingEnded:
+    """Tells the owner that a prompt was read, or never will be.
+
+    Attributes:
+        was_read: whether its first event has come.
+    """
+
+    request: str
+    upstream: str
+    was_read: bool
 
 
 @register
@@ -166,6 +187,7 @@
     """An engine holds it; or, when `upstream` is empty, none will in time.
 
     Attributes:
+        read_seconds: that the prompt takes to read there; 0 if not known.
         after: seconds after which asking again may help.
         reason: why there is none.
     """
@@ -174,3 +196,4 @@
     version: int = 0
     after: float = 0.0
     reason: str = ""
+    read_seconds: float = 0.0
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -1,6 +1,10 @@
 """Clients' requests and upstreams' answers, as the platform words them."""
 
-from ridgesill.ports.dialect import ForwardTerms, RequestFacts
+from ridgesill.ports.dialect import (
+    NORMAL_PRIORITY,
+    ForwardTerms,
+    RequestFacts,
+)
 from ridgesill.ports.http import (
     Headers,
     HttpRequest,
@@ -22,7 +26,6 @@
 _VERSION = b"expect-version"
 # From 0, which goes first, to 9; 5 without it.
 _PRIORITY = b"request-priority"
-_BEHIND_OTHERS = b"7"
 _NOT_RUN = b"not-run"
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED = 421
@@ -89,8 +92,8 @@
         kept.append((_INSTANCE, terms.upstream.encode()))
         if terms.version:
             kept.append((_VERSION, b"%d" % terms.version))
-        if terms.is_late:
-            kept.append((_PRIORITY, _BEHIND_OTHERS))
+        if terms.priority != NORMAL_PRIORITY:
+            kept.append((_PRIORITY, b"%d" % terms.priority))
         if terms.last_event:
             kept.append((_LAST_EVENT, terms.last_event.encode()))
         return HttpRequest(
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -11,6 +11,9 @@
 from ridgesill.core.fleet.orders import EngineReport, FleetOrder, OrderVerdict
 from ridgesill.ports.http import Headers, HttpRequest, ResponseHead
 
+# What a request without a priority has; from 0, which goes first, to 9.
+NORMAL_PRIORITY = 5
+
 
 @attrs.frozen
 class RequestFacts:
@@ -55,14 +58,15 @@
         seconds_left: until the answer is of no use.
         version: of the adapter, where one is required; 0 for any.
         last_event: to go on after; empty for a start.
-        is_late: whether the answer will be late, so that others go first.
+        priority: among the requests that an engine has not begun; 0 goes
+            first.
     """
 
     upstream: str
     seconds_left: float
     version: int = 0
     last_event: str = ""
-    is_late: bool = False
+    priority: int = NORMAL_PRIORITY
 
 
 class Dialect(Protocol):
--- /dev/null
+++ b/testing/core/serving/test_rank.py
@@ -0,0 +1,45 @@
+"""Tests of the order at engines, and of how fast they read."""
+
+import pytest
+
+from ridgesill.core.serving.rank import rank_request
+from ridgesill.core.serving.reading import ReadingRate
+
+
+class TestRank:
+    def test_shorter_prompts_go_first(self) -> None:
+        ranks = [rank_request(s, 0.8) for s in (0.03, 0.2, 0.3, 0.6)]
+        assert ranks == sorted(set(ranks))
+
+    def test_one_that_can_be_in_time_goes_before_one_that_cannot(self) -> None:
+        assert rank_request(0.7, 0.8) < rank_request(0.03, 0.02)
+        assert rank_request(0.7, 0.8) < rank_request(0.9, 0.8)
+
+    @pytest.mark.parametrize("seconds", [0.001, 0.3, 5.0])
+    @pytest.mark.parametrize("left", [-3.0, 0.0, 0.5, 20.0])
+    def test_it_is_one_that_engines_know(
+        self, seconds: float, left: float
+    ) -> None:
+        assert 0 <= rank_request(seconds, left) <= 9
+
+
+class TestReadingRate:
+    def test_it_follows_engines_of_another_speed(self) -> None:
+        rate = ReadingRate()
+        for number in range(600):
+            # Every third waits behind another one.
+            wait = 0.5 if number % 3 == 0 else 0.0
+            rate.note(8000, 8000 / 8000 + wait)
+        assert rate.seconds(8000) == pytest.approx(1.0, rel=0.15)
+
+    def test_parts_that_were_kept_do_not_mislead_it(self) -> None:
+        rate = ReadingRate()
+        before = rate.seconds(9000)
+        rate.note(9000, 0.03)
+        assert rate.seconds(9000) > 0.85 * before
+
+    def test_short_prompts_say_nothing(self) -> None:
+        rate = ReadingRate()
+        before = rate.seconds(9000)
+        rate.note(300, 2.0)
+        assert rate.seconds(9000) == before
