Have the owner place each request of an engine by what engines have yet to read

Load: fronts that each see a sixth of what is sent to an engine. Cause: by counts a tenth of a second old, several send long prompts to the same engine, and counts say little, since a prompt of 30 ms counts like one of 300 ms. Change: a front that knows a holder asks the owner at once (80 ms at most, then by itself; not again for 0.5 s), which knows each prompt on its way until its first event, learns each engine's rate, and picks the least predicted time.

--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -29,6 +29,7 @@
 from ridgesill.core.fleet.messages import (
     HeardHeartbeat,
     HeardLeave,
+    ReadingEnded,
     WantArtifact,
     WatchFleet,
 )
@@ -157,6 +158,10 @@
     async def _(self, message: WantArtifact, sender: str) -> Any:
         return await self.owner.handle_want(message)
 
+    @_take.register
+    async def _(self, message: ReadingEnded, sender: str) -> None:
+        await self.owner.handle_reading_ended(message)
+
     @_take.register
     async def _(self, message: HeardHeartbeat, sender: str) -> Any:
         return await self.owner.handle_passed(message)
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -9,6 +9,7 @@
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
+    ReadingEnded,
     WantArtifact,
     WatchFleet,
 )
@@ -24,6 +25,13 @@
 # election takes a second, and then the earlier owner's lease is waited out.
 _NO_OWNER_SECONDS = 0.6
 _NO_OWNER_AFTER = 1.5
+# Within which the owner says where a request goes that this node could place
+# by itself, in seconds: its answer takes some milliseconds, and a request of an
+# engine has some hundred.
+_ASSIGN_SECONDS = 0.08
+# How long it isn't asked after it didn't answer so soon, in seconds; an
+# election takes a second, and each question in vain costs the request time.
+_ASSIGN_PAUSE = 0.5
 # Above a want's patience, for the way there and back.
 _WANT_MARGIN = 0.2
 # Answers after which another owner may know more.
@@ -65,6 +73,7 @@
         self._others = tuple(others)
         self._loop = asyncio.get_running_loop()
         self._in_touch = False
+        self._assigns_from = float("-inf")
         self._watchers: list[Callable[[], None]] = []
 
     def watch(self, watcher: Callable[[], None]) -> None:
@@ -148,6 +157,27 @@
             await asyncio.sleep(_RETRY)
         return ArtifactReady("", reason=reason, after=_NO_OWNER_AFTER)
 
+    async def assign(self, want: WantArtifact) -> ArtifactReady | None:
+        """Returns where the owner sends a request; None if it doesn't say."""
+        owner = self._owner()
+        if not owner or self._loop.time() < self._assigns_from:
+            return None
+        try:
+            answer: ArtifactReady = await self._peers.call(
+                owner, want, _ASSIGN_SECONDS
+            )
+        except PeerError as error:
+            self._assigns_from = self._loop.time() + _ASSIGN_PAUSE
+            log_message("fleet:no_answer", step=error.step, peer=error.peer)
+            return None
+        return answer if answer.upstream else None
+
+    def tell_reading_ended(self, ended: ReadingEnded) -> None:
+        """Tells the owner that a prompt was read, or never will be."""
+        owner = self._owner()
+        if owner:
+            self._peers.send(owner, ended)
+
     async def _want_once(
         self, owner: str, want: WantArtifact, patience: float
     ) -> ArtifactReady:
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -8,6 +8,8 @@
 from ridgesill.app.engine_loads import EngineLoads, LoadsView
 from ridgesill.app.engine_orders import EngineOrders
 from ridgesill.app.fleet_upkeep import FleetUpkeep
+from ridgesill.core.fleet.assignment import choose_holder, rank_want
+from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import is_adapter
 from ridgesill.core.fleet.messages import ArtifactReady, WantArtifact
 from ridgesill.core.fleet.placement import Choice, Demand, Placement, Survey
@@ -46,13 +48,19 @@
         placement: which engine loads and what gives way.
         orders: gives orders to engines.
         view: what it needs to know of the owner.
+        backlogs: what engines have yet to read.
     """
 
     def __init__(
-        self, placement: Placement, orders: EngineOrders, view: LoadsView
+        self,
+        placement: Placement,
+        orders: EngineOrders,
+        view: LoadsView,
+        backlogs: Backlogs | None = None,
     ) -> None:
         self._placement = placement
         self._view = view
+        self._backlogs = backlogs or Backlogs()
         self._loop = asyncio.get_running_loop()
         self._queue = WantQueue()
         self._loadings: dict[tuple[str, str], _Loading] = {}
@@ -80,13 +88,19 @@
 
     async def want(self, want: WantArtifact) -> ArtifactReady:
         """Returns once an engine holds what is wanted, or none will."""
-        deadline = self._loop.time() + want.patience
+        asked_at = self._loop.time()
+        deadline = asked_at + want.patience
         answer = ArtifactReady("", reason="no_time", after=0.5)
         while True:
-            ready = self._find_ready(want)
+            now = self._loop.time()
+            ready = self._assign(
+                attrs.evolve(want, goal=want.goal - (now - asked_at))
+            )
             if ready is not None:
                 return ready
-            left = deadline - self._loop.time()
+            if want.is_held:
+                return ArtifactReady("", reason="not_held")
+            left = deadline - now
             if left <= 0:
                 return answer
             wait = self._view.orders_from() - self._loop.time()
@@ -96,19 +110,24 @@
                 await asyncio.sleep(wait)
                 continue
             answer = await self._await_load(want, left)
-            if answer.upstream or answer.reason == "owner_changed":
+            if answer.reason == "owner_changed":
                 return answer
-            await asyncio.sleep(_RETRY_SECONDS)
+            if not answer.upstream:
+                await asyncio.sleep(_RETRY_SECONDS)
 
-    def _find_ready(self, want: WantArtifact) -> ArtifactReady | None:
-        for engine in self._view.engines(want.service):
-            held = engine.held.get(want.artifact)
-            if held is None or held.version < want.version:
-                continue
-            if engine.name not in want.avoid and not engine.draining:
-                held.handed_at = self._loop.time()
-                return ArtifactReady(engine.name, held.version)
-        return None
+    def _assign(self, want: WantArtifact) -> ArtifactReady | None:
+        """Sends a request to an engine that holds what it needs, if any."""
+        now = self._loop.time()
+        engines = self._view.engines(want.service)
+        engine = choose_holder(want, engines, self._backlogs, now)
+        if engine is None:
+            return None
+        rank = rank_want(want, engine, self._backlogs)
+        seconds = self._backlogs.read_seconds(engine.name, want.tokens)
+        self._backlogs.begin(engine.name, want.request, want.tokens, rank, now)
+        held = engine.held[want.artifact]
+        held.handed_at = now
+        return ArtifactReady(engine.name, held.version, read_seconds=seconds)
 
     async def _await_load(
         self, want: WantArtifact, seconds: float
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -20,6 +20,7 @@
 from ridgesill.app.log_driver import LogDriver
 from ridgesill.core import codec
 from ridgesill.core.commands import GrantPool
+from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
@@ -27,6 +28,7 @@
     HeardHeartbeat,
     HeardLeave,
     Heartbeat,
+    ReadingEnded,
     Taken,
     Upstream,
     WantArtifact,
@@ -117,6 +119,7 @@
         self._orders_from = float("inf")
         self._placement = Placement()
         self._usage = Usage()
+        self._backlogs = Backlogs()
         self._orders = EngineOrders(channels, calls, self._authority)
         self._loads = FleetLoads(
             self._placement,
@@ -130,6 +133,7 @@
                 self._tell_resident,
                 lambda: self._orders_from,
             ),
+            self._backlogs,
         )
         self._news = ChangeSignal()
 
@@ -235,6 +239,8 @@
         if registry.number != number:
             self._news.note()
         self._usage.forget_silent(now)
+        self._backlogs.forget_lost(now)
+        self._backlogs.keep_only(set(registry.upstreams))
         self._channels.sweep()
         self._tend()
 
@@ -411,6 +417,15 @@
             return ArtifactReady("", after=1.0, reason=NOT_OWNER)
         return await self._loads.want(want)
 
+    async def handle_reading_ended(self, ended: ReadingEnded) -> None:
+        """Notes that an engine has read a prompt, or never will."""
+        self._backlogs.end(
+            ended.upstream,
+            ended.request,
+            self._loop.time(),
+            was_read=ended.was_read,
+        )
+
     def _engines_of(self, service: str) -> list[Engine]:
         registry = self._registry
         if registry is None:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -12,7 +12,13 @@
 
 from ridgesill.adapters.http1.client import Exchange
 from ridgesill.app.front import Front
-from ridgesill.core.fleet.messages import READY, Upstream, WantArtifact
+from ridgesill.core.fleet.messages import (
+    READY,
+    ArtifactReady,
+    ReadingEnded,
+    Upstream,
+    WantArtifact,
+)
 from ridgesill.core.serving.choice import Wanted
 from ridgesill.core.serving.events import EventSplitter
 from ridgesill.core.serving.rank import rank_request
@@ -132,6 +138,10 @@
         self._first_at = 0.0
         self._sent_at = 0.0
         self._asked = ""
+        # Where the owner counts this prompt as not yet read, and how long the
+        # reading takes there as far as it knows.
+        self._reading_at = ""
+        self._read_seconds = 0.0
         self._splitter: EventSplitter | None = None
 
     @property
@@ -255,10 +265,10 @@
             return Refusal("overload", _OVERLOAD_AFTER)
         now = self._loop.time()
         chosen = front.chooser.choose(wanted, self._tried, now)
-        if chosen is not None:
-            return chosen
         if not wanted.artifact:
-            return Refusal("no_upstream")
+            return chosen or Refusal("no_upstream")
+        if chosen is not None:
+            return await self._ask_assignment(wanted) or chosen
         return await self._want(wanted)
 
     def _are_upstreams_known(self) -> bool:
@@ -276,6 +286,42 @@
         )
         return front.rng.random() < share
 
+    def _make_want(
+        self, wanted: Wanted, patience: float, *, is_held: bool
+    ) -> WantArtifact:
+        now = self._loop.time()
+        return WantArtifact(
+            wanted.service,
+            wanted.artifact,
+            wanted.version,
+            self._avoided(now),
+            patience,
+            self._front.chooser.data_centre,
+            self._goal_at - now,
+            self._facts.request,
+            self._facts.prompt_tokens,
+            is_held,
+        )
+
+    async def _ask_assignment(self, wanted: Wanted) -> Upstream | None:
+        """Returns which holder the owner chooses, if it says so at once."""
+        want = self._make_want(wanted, 0.0, is_held=True)
+        answer = await self._front.fleet.assign(want)
+        return self._take_assignment(wanted, answer) if answer else None
+
+    def _take_assignment(
+        self, wanted: Wanted, answer: ArtifactReady
+    ) -> Upstream | None:
+        """Returns the upstream of an owner's answer, unless it has left."""
+        view = self._front.chooser.view
+        upstream = view.upstreams.get(answer.upstream)
+        if upstream is None or upstream.state != READY:
+            return None
+        upstream.resident[wanted.artifact] = answer.version
+        self._read_seconds = answer.read_seconds
+        self._reading_at = upstream.name
+        return upstream
+
     async def _want(self, wanted: Wanted) -> Upstream | Refusal:
         """Has the owner bring what the request needs, and waits for it."""
         front = self._front
@@ -286,15 +332,7 @@
             patience = min(left, self._load_patience - self._waited)
             if patience <= 0:
                 return Refusal("no_time_to_load")
-            want = WantArtifact(
-                wanted.service,
-                wanted.artifact,
-                wanted.version,
-                self._avoided(asked_at),
-                patience,
-                front.chooser.data_centre,
-                self._goal_at - asked_at,
-            )
+            want = self._make_want(wanted, patience, is_held=False)
             answer = await front.fleet.want(want)
             now = self._loop.time()
             self._waited += now - asked_at
@@ -307,9 +345,8 @@
                 reason=answer.reason,
                 seconds=round(now - asked_at, 4),
             )
-            upstream = front.chooser.view.upstreams.get(answer.upstream)
-            if upstream is not None and upstream.state == READY:
-                upstream.resident[wanted.artifact] = answer.version
+            upstream = self._take_assignment(wanted, answer)
+            if upstream is not None:
                 return upstream
             chosen = front.chooser.choose(wanted, self._tried, now)
             if chosen is not None:
@@ -344,6 +381,7 @@
                 self._tried.append(upstream.name)
             return Failure(str(error), not error.sent, arrived=error.sent)
         finally:
+            self._tell_reading_ended(was_read=False)
             chooser.end(upstream.name, artifact)
             chooser.outcomes.note_ended(upstream.name)
             if exchange is not None:
@@ -376,7 +414,8 @@
         if not self._facts.artifact:
             return NORMAL_PRIORITY
         tokens = self._facts.prompt_tokens
-        seconds = self._front.reading(self._service).seconds(tokens)
+        reading = self._front.reading(self._service)
+        seconds = self._read_seconds or reading.seconds(tokens)
         return rank_request(seconds, self._goal_at - now)
 
     def _channels_most(self) -> int:
@@ -437,6 +476,7 @@
             if splitter is not None:
                 data = splitter.take(data)
             if data:
+                self._tell_reading_ended(was_read=True)
                 self._note_first()
                 responder.send_data(data)
                 await responder.drain()
@@ -444,6 +484,14 @@
             responder.send_data(splitter.rest)
         responder.finish()
 
+    def _tell_reading_ended(self, *, was_read: bool) -> None:
+        """Tells the owner, once, what became of the prompt at an engine."""
+        if self._reading_at:
+            upstream, self._reading_at = self._reading_at, ""
+            self._front.fleet.tell_reading_ended(
+                ReadingEnded(self._facts.request, upstream, was_read)
+            )
+
     def _note_first(self) -> None:
         """Notes the first event of the answer."""
         if self._first_at:
--- a/src/ridgesill/standin/emulator/world.py
+++ b/src/ridgesill/standin/emulator/world.py
@@ -11,7 +11,11 @@
 from ridgesill.app.fleet_client import FleetClient, UsageReport
 from ridgesill.app.fleet_owner import FleetOwner
 from ridgesill.app.front import Front
-from ridgesill.core.fleet.messages import WantArtifact, WatchFleet
+from ridgesill.core.fleet.messages import (
+    ReadingEnded,
+    WantArtifact,
+    WatchFleet,
+)
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.retries import RetryBounds
@@ -381,4 +385,6 @@
         return await owner.handle_watch(sender, message)
     if isinstance(message, WantArtifact):
         return await owner.handle_want(message)
+    if isinstance(message, ReadingEnded):
+        return await owner.handle_reading_ended(message)
     raise PeerError(type(message).__name__, sender, "unknown message")
