Copy adapters for prompts that wait rather than for requests in progress

Change: a copy for 0.3 s of reading ahead at all holders, or for a batch that is half full; engines are chosen by what they have yet to read. The choice of copies stands in a module of its own.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -225,10 +225,14 @@
             )
 
     def _survey(self, service: str) -> Survey:
-        demand = Demand(self._view.busy(), self._view.using, self._is_settled)
-        return self._placement.survey(
-            self._view.engines(service), demand, self._loop.time()
+        now = self._loop.time()
+        demand = Demand(
+            self._view.busy(),
+            self._view.using,
+            self._is_settled,
+            lambda engine: self._backlogs.backlog(engine, now),
         )
+        return self._placement.survey(self._view.engines(service), demand, now)
 
     def _is_settled(self, handed_at: float) -> bool:
         """Whether what was handed out at a moment shows in fronts' reports."""
--- a/src/ridgesill/app/fleet_upkeep.py
+++ b/src/ridgesill/app/fleet_upkeep.py
@@ -5,6 +5,7 @@
 
 from ridgesill.app.engine_loads import EngineLoads, LoadsView
 from ridgesill.app.engine_orders import EngineOrders
+from ridgesill.core.fleet.copies import choose_copies
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.model_rate import ModelRate
 from ridgesill.core.fleet.placement import Choice, Placement, Survey
@@ -89,7 +90,9 @@
             return
         self._spread_at[service] = now + _SPREAD_SECONDS
         survey = self._survey(service)
-        for artifact, choice in self._placement.choose_copies(survey):
+        for artifact, choice in choose_copies(
+            self._placement.popularity, survey
+        ):
             self._loads.reserve(choice, artifact)
             survey.note_chosen(choice.engine)
             version = self._view.version(artifact)
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -1,7 +1,7 @@
 """Which engine gets a missing artifact, and what gives way for it."""
 
 import collections
-from collections.abc import Callable, Collection, Iterator, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 
@@ -17,8 +17,10 @@
 # thousand requests, since a few at a time lose their demand and keep a place
 # too long, but a shorter memory forgets the many of middling demand.
 HALF_LIFE = 60.0
-# What a full batch costs beside the worth of what gives way, in requests.
+# What a full batch costs beside the worth of what gives way, in requests, and
+# each second of reading ahead: a request that waits so long is late.
 _BUSY_COST = 2.0
+_BACKLOG_COST = 4.0
 # What each load on its way to the same engine costs, in the same measure.
 _LOADING_COST = 0.3
 # What it costs that the request has to go to another data centre: some 3 KB
@@ -29,25 +31,6 @@
 _LATELY_BONUS = 3.0
 # Copies divide an adapter's requests; the last copy is worth more than that.
 _COPY_SHARE = 0.5
-# Share of the requests from which an adapter may get another copy, and how many
-# requests all its holders must have in progress, or which share of their places
-# if that is less. An engine reads one prompt at a time, so some ten in progress
-# already wait for each other. On calm days copies cost more than they save.
-_SPREAD_SHARE = 0.015
-_SPREAD_BUSY = 10
-_SPREAD_FULL = 0.5
-# Requests in progress at an engine that may get a copy, as a share of those
-# at the least busy holder; where all are as busy, a copy helps nobody.
-_SPREAD_IDLER = 0.7
-# Share of the requests from which an adapter gets a copy in every data centre:
-# what it saves in bytes between them then pays for the load within seconds.
-_LOCAL_SHARE = 0.035
-# Loads on their way to an engine that may get a copy; the rest is for misses.
-_SPREAD_LOADING = 2
-# How many adapters are looked at for copies.
-_SPREAD_MOST = 12
-# Requests counted before shares mean something.
-_SPREAD_AFTER = 60.0
 # Requests for one adapter counted from one question, so that a report after a
 # long silence doesn't take long to count.
 _MOST_COUNTED = 200
@@ -73,11 +56,13 @@
         busy: requests in progress by engine.
         using: returns the artifacts in use on an engine.
         is_settled: whether what was handed out at a moment shows in those.
+        backlog: returns seconds of reading ahead at an engine.
     """
 
     busy: dict[str, int]
     using: Callable[[str], set[str]]
     is_settled: Callable[[float], bool]
+    backlog: Callable[[str], float] = lambda _engine: 0.0
 
 
 class Placement:
@@ -99,31 +84,6 @@
         """Returns a basis for choices that are made at the same moment."""
         return Survey(self.popularity, engines, demand, now)
 
-    def choose_copies(self, survey: "Survey") -> Iterator[tuple[str, Choice]]:
-        """Yields adapters that deserve a copy, and where it should go.
-
-        The caller has each under way before it asks for the next one.
-        """
-        now = survey.now
-        total = self.popularity.total(now)
-        if total < _SPREAD_AFTER:
-            return
-        for artifact, value in self.popularity.top(_SPREAD_MOST, now):
-            if value < _SPREAD_SHARE * total:
-                return
-            if not is_adapter(artifact):
-                continue
-            choice = None
-            if value >= _LOCAL_SHARE * total:
-                choice = survey.choose_elsewhere(artifact)
-            if choice is None:
-                choice = survey.choose_for_copy(artifact)
-            if choice is None:
-                continue
-            victim_worth = survey.worth(choice.victim) if choice.victim else 0.0
-            if victim_worth < value * _COPY_SHARE / 3:
-                yield artifact, choice
-
     def choose_for_model(
         self,
         model: str,
@@ -163,7 +123,7 @@
     ) -> None:
         self.now = now
         self._popularity = popularity
-        self._engines = engines
+        self.engines = engines
         self._demand = demand
         self._copies = collections.Counter(
             artifact for engine in engines for artifact in engine.held
@@ -176,39 +136,13 @@
         value = self._popularity.value(artifact, self.now)
         return value if copies <= 1 else value * _COPY_SHARE / copies
 
-    def choose_for_copy(self, artifact: str) -> Choice | None:
-        """Returns where a copy would help the engines that hold an adapter.
-
-        They must all have enough to do, and the other one much less. Copies
-        on their way are waited for once there are as many as holders.
-        """
-        holders = [e for e in self._engines if artifact in e.held]
-        coming = sum(artifact in e.loading for e in self._engines)
-        if not holders or coming >= len(holders):
-            return None
-        least = min(map(self._busy, holders))
-        slots = holders[0].spec.slots
-        if least < min(_SPREAD_BUSY, _SPREAD_FULL * slots):
-            return None
-        busier = {
-            engine.name
-            for engine in self._engines
-            if self._busy(engine) > _SPREAD_IDLER * least
-        }
-        return self.choose(artifact, avoid=busier, loading_most=_SPREAD_LOADING)
-
-    def choose_elsewhere(self, artifact: str) -> Choice | None:
-        """Returns an engine in a data centre without the adapter."""
-        served = {
-            engine.data_centre
-            for engine in self._engines
-            if artifact in engine.held or artifact in engine.loading
-        }
-        near = {e.name for e in self._engines if e.data_centre in served}
-        return self.choose(artifact, avoid=near, loading_most=_SPREAD_LOADING)
+    def busy_share(self, engine: Engine) -> float:
+        """Returns requests in progress for each place of the batch."""
+        return self._demand.busy.get(engine.name, 0) / engine.spec.slots
 
-    def _busy(self, engine: Engine) -> int:
-        return self._demand.busy.get(engine.name, 0)
+    def backlog(self, engine: Engine) -> float:
+        """Returns seconds of reading ahead at an engine."""
+        return self._demand.backlog(engine.name)
 
     def choose(
         self,
@@ -226,7 +160,7 @@
             loading_most: loads under way on an engine that gets another one.
         """
         best: tuple[float, Choice] | None = None
-        for engine in self._engines:
+        for engine in self.engines:
             if engine.name in avoid or len(engine.loading) > loading_most:
                 continue
             ranked = self._rank(artifact, engine)
@@ -248,7 +182,8 @@
         if free < 0:
             return None
         cost = _LOADING_COST * len(engine.loading)
-        cost += _BUSY_COST * self._busy(engine) / engine.spec.slots
+        cost += _BUSY_COST * self.busy_share(engine)
+        cost += _BACKLOG_COST * self.backlog(engine)
         if engine.had_lately(artifact):
             cost -= _LATELY_BONUS
         if free > 0:
@@ -289,18 +224,18 @@
     def describe(self) -> dict[str, int]:
         """Returns counts that say why an adapter finds no place."""
         using = [
-            self._demand.using(e.name) & e.held.keys() for e in self._engines
+            self._demand.using(e.name) & e.held.keys() for e in self.engines
         ]
         return {
-            "engines": len(self._engines),
-            "suspended": sum(not e.can_order(self.now) for e in self._engines),
-            "waiting_for_runs": sum(bool(e.waits_for) for e in self._engines),
-            "unknown_revision": sum(e.revision is None for e in self._engines),
-            "held": sum(len(e.held) for e in self._engines),
+            "engines": len(self.engines),
+            "suspended": sum(not e.can_order(self.now) for e in self.engines),
+            "waiting_for_runs": sum(bool(e.waits_for) for e in self.engines),
+            "unknown_revision": sum(e.revision is None for e in self.engines),
+            "held": sum(len(e.held) for e in self.engines),
             "in_use": sum(map(len, using)),
-            "loading": sum(len(e.loading) for e in self._engines),
-            "leaving": sum(len(e.leaving) for e in self._engines),
-            "unanswered": sum(len(e.unanswered) for e in self._engines),
+            "loading": sum(len(e.loading) for e in self.engines),
+            "leaving": sum(len(e.leaving) for e in self.engines),
+            "unanswered": sum(len(e.unanswered) for e in self.engines),
             "requests": sum(self._demand.busy.values()),
         }
 
