--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -17,6 +17,7 @@
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
+    ReadingEnded,
     Upstream,
     UpstreamChange,
     WantArtifact,
@@ -161,12 +162,23 @@
         super().__init__(peers, lambda: "", "front")
         self.wants: list[WantArtifact] = []
         self.answer = ArtifactReady("", reason="none", after=0.7)
+        # Which holder it names when asked; None while it doesn't answer.
+        self.assigned: ArtifactReady | None = None
+        self.ended: list[ReadingEnded] = []
 
     async def want(self, want: WantArtifact) -> ArtifactReady:
         """Returns the answer that the test has set."""
         self.wants.append(want)
         return self.answer
 
+    async def assign(self, want: WantArtifact) -> ArtifactReady | None:
+        """Returns the holder that the test has set."""
+        return self.assigned
+
+    def tell_reading_ended(self, ended: ReadingEnded) -> None:
+        """Notes what the front tells."""
+        self.ended.append(ended)
+
 
 class FrontWorld:
     """A front and its upstreams."""
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -8,9 +8,18 @@
 import attrs
 import pytest
 
-from ridgesill.core.fleet.messages import DRAINING, ArtifactReady
+from ridgesill.core.fleet.messages import (
+    DRAINING,
+    ArtifactReady,
+    ReadingEnded,
+)
 from ridgesill.core.serving.routes import RouteTable
-from testing.app.front_world import Call, FrontWorld, make_table
+from testing.app.front_world import (
+    Call,
+    FrontWorld,
+    ScriptedUpstream,
+    make_table,
+)
 
 ADAPTER = "base/a1"
 STREAM = {"model": ADAPTER, "token_counts": "10,70"}
@@ -449,6 +458,63 @@
         assert new.calls[0].header("expect-version") == "2"
 
 
+class TestAssignment:
+    """Two engines hold the adapter; the owner says which one it shall be."""
+
+    @pytest.fixture
+    async def holders(self, world: FrontWorld) -> list[ScriptedUpstream]:
+        held = {"base": 1, "base__a1": 1}
+        return [
+            await world.add(name, stream_three, "engine", **held)
+            for name in ("u1", "u2")
+        ]
+
+    @pytest.mark.parametrize("chosen", [0, 1])
+    async def test_the_owner_s_choice_is_followed(
+        self, world: FrontWorld, holders: list[ScriptedUpstream], chosen: int
+    ) -> None:
+        name = holders[chosen].name
+        world.fleet.assigned = ArtifactReady(name, 1, read_seconds=0.3)
+        client = await world.open()
+        for _ in range(4):
+            assert (await client.ask("/stream/x", **STREAM)).status == 200
+        assert len(holders[chosen].calls) == 4
+        said = holders[chosen].calls[0].header("request-priority")
+        assert said == "4"
+
+    async def test_without_one_the_front_chooses(
+        self, world: FrontWorld, holders: list[ScriptedUpstream]
+    ) -> None:
+        client = await world.open()
+        assert (await client.ask("/stream/x", **STREAM)).status == 200
+        assert sum(len(holder.calls) for holder in holders) == 1
+        assert world.fleet.ended == []
+
+    async def test_one_that_has_left_meanwhile_is_not_followed(
+        self, world: FrontWorld, holders: list[ScriptedUpstream]
+    ) -> None:
+        world.fleet.assigned = ArtifactReady("gone", 1)
+        client = await world.open()
+        assert (await client.ask("/stream/x", **STREAM)).status == 200
+
+    async def test_the_owner_hears_once_that_a_prompt_was_read(
+        self, world: FrontWorld, holders: list[ScriptedUpstream]
+    ) -> None:
+        world.fleet.assigned = ArtifactReady("u1", 1)
+        client = await world.open()
+        await client.ask("/stream/x", **STREAM)
+        assert world.fleet.ended == [ReadingEnded("r1", "u1", True)]
+
+    async def test_and_that_it_never_will_be(
+        self, world: FrontWorld, holders: list[ScriptedUpstream]
+    ) -> None:
+        holders[0].script = refuse
+        world.fleet.assigned = ArtifactReady("u1", 1)
+        client = await world.open()
+        await client.ask("/stream/x", **STREAM)
+        assert world.fleet.ended[0] == ReadingEnded("r1", "u1", False)
+
+
 class TestSilence:
     async def test_the_kernel_ends_a_channel_that_went_silent(
         self, world: FrontWorld
