--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -199,7 +199,10 @@
         self.front.stops_at = deadline
         self._callers.drain()
         await asyncio.sleep(_NOTICE_SECONDS)
-        self._callers.close()
+        # It goes on listening: while fewer than half of a data centre's fronts
+        # are ready the balancer sends clients to all of them, and a refusal
+        # with when to come back serves them better than a channel that doesn't
+        # come up.
         for connection in list(self._callers.connections):
             connection.close_if_idle()
         # By the channels, not by what is in progress: a request that has just
