Add the experiment tool: scenarios and variants side by side, by paired seeds

A variant gives named constants other values, so that any limit can be varied or a mechanism switched off without a switch in the product. Plots and statistics come from an extra that VMs don't need. Tests replay the loads that the rank at engines and the owner's choice answer, by seed.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 .PHONY: test lint format demo build proofs check-long bench-control \
 	bench-routing bench-path bench-capacity bench-storage bench-recovery soak \
-	clean
+	experiment clean
 
 $(STAMP): requirements/dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,6 +37,16 @@
 proofs: $(STAMP)
 	$(BIN)/python -m bench.proofs
 
+$(VENV)/.experiment: requirements/experiment.txt $(STAMP)
+	$(BIN)/pip install -q --disable-pip-version-check --require-hashes \
+		-r requirements/experiment.txt
+	touch $@
+
+# Plays an experiment; its tables are printed, its plots are in build/.
+PLAN ?= bench/experiments/long-prompts.toml
+experiment: $(VENV)/.experiment
+	$(BIN)/ridgesill experiment $(PLAN) build/experiment
+
 # How many seeds; for more options see `python -m testing.soak --help`.
 SEEDS ?= 50
 soak: $(STAMP)
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -226,6 +226,25 @@
             return f"{trace}: {len(requests)} requests"
         return Player(_split(nodes)).play(requests).line()
 
+    def experiment(self, plan: str, out: str, jobs: int = 0) -> str:
+        """Plays emulated days with variants of the decisions, side by side.
+
+        Writes each run as a JSON line, tables and plots into a folder. Needs
+        requirements/experiment.txt beside the program.
+
+        Args:
+            plan: path of the experiment, TOML; docs/how-to/experiment.md.
+            out: path of the folder to write to.
+            jobs: processes at once; 0 for all processors but one.
+        """
+        from ridgesill.standin.experiment.plan import PlanError, read_plan
+        from ridgesill.standin.experiment.report import write_report
+
+        try:
+            return write_report(read_plan(plan), Path(out), jobs)
+        except (OSError, PlanError, ImportError) as error:
+            raise CommandError(str(error)) from error
+
 
 def _ask(
     admin: str,
--- a/src/ridgesill/core/serving/rank.py
+++ b/src/ridgesill/core/serving/rank.py
@@ -5,7 +5,7 @@
 in time again. So what can't be in time any more goes behind what can, and short
 prompts go before long ones, which they hardly delay. Among long ones the order
 of arrival stays: by length, the largest tenth would always be the last (four
-emulated seeds: 0.36 of its worth by length, 0.38 by arrival, all the same else).
+emulated seeds: 0.36 of its worth by length, 0.38 by arrival, else the same).
 """
 
 # A prompt that takes no longer to read, in seconds, is short: it delays a long
--- /dev/null
+++ b/src/ridgesill/standin/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: scenarios played with variants of the decisions, by seed."""
--- /dev/null
+++ b/testing/standin/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the emulator."""
--- /dev/null
+++ b/testing/standin/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of experiments."""
--- /dev/null
+++ b/testing/standin/experiment/test_runs.py
@@ -0,0 +1,67 @@
+"""Tests that replay loads over the decisions, by seed."""
+
+import attrs
+import pytest
+
+from ridgesill.standin.emulator.world import Scenario
+from ridgesill.standin.experiment.constants import Value, with_constants
+from ridgesill.standin.experiment.figures import measure_day
+from ridgesill.standin.experiment.plan import read_plan
+from ridgesill.standin.experiment.runs import play_day
+from testing.standin.experiment.test_plan import GIVEN
+
+
+def scenario(name: str, seconds: float = 16.0) -> Scenario:
+    """Returns a scenario of the project's, cut short."""
+    plan = read_plan(str(GIVEN))
+    found = next(s for s in plan.scenarios if s.name == name)
+    return attrs.evolve(found, seconds=seconds)
+
+
+def figures(
+    name: str, constants: dict[str, Value] | None = None, seed: int = 1
+) -> dict[str, float]:
+    """Returns the figures of a short day."""
+    with with_constants(constants or {}):
+        return measure_day(play_day(scenario(name), seed))
+
+
+class TestSeeds:
+    def test_equal_seeds_play_alike(self) -> None:
+        short = scenario("losses", 6.0)
+        days = [measure_day(play_day(short, 3)) for _ in range(2)]
+        assert days[0] == days[1]
+
+    def test_no_engine_is_ordered_over_its_places(self) -> None:
+        assert not play_day(scenario("losses"), 2).overfull
+
+
+class TestLoads:
+    """The loads that decisions answer; each is off in the second figure."""
+
+    def test_short_prompts_beside_long_ones_are_in_time(self) -> None:
+        # Ranked alike, they wait behind prompts of 0.3 s.
+        kept = figures("load")
+        alike = figures("load", {"core.serving.rank._SHORT_SECONDS": 0.0})
+        assert kept["draft in time"] > alike["draft in time"] + 0.03
+        assert kept["worth"] > alike["worth"]
+
+    def test_the_owner_spreads_long_prompts(self) -> None:
+        worths = [
+            (
+                figures("calm", seed=seed)["worth"],
+                figures(
+                    "calm", {"app.fleet_client._ASSIGN_SECONDS": 0.0}, seed
+                )["worth"],
+            )
+            for seed in (1, 2)
+        ]
+        assert sum(kept for kept, _ in worths) > sum(off for _, off in worths)
+
+    @pytest.mark.parametrize("name", ["load", "losses"])
+    def test_requests_are_served_while_engines_and_owners_are_lost(
+        self, name: str
+    ) -> None:
+        found = figures(name)
+        assert found["digest served"] > 0.85
+        assert found["draft served"] > 0.8
