Split how a request finds its upstream from how it is forwarded

Found while moving it: a request that left, or ran out of time, while the owner was being asked stayed counted as unread at an engine for 3 s and more; the owner is told now (test first).

--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -168,6 +168,8 @@
             )
         except PeerError as error:
             self._assigns_from = self._loop.time() + _ASSIGN_PAUSE
+            # It may have counted the prompt, and answered too late.
+            self._peers.send(owner, ReadingEnded(want.request, "", False))
             log_message("fleet:no_answer", step=error.step, peer=error.peer)
             return None
         return answer if answer.upstream else None
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -5,26 +5,23 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 import attrs
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import Exchange
 from ridgesill.app.front import Front
+from ridgesill.app.upstream_search import (
+    Refusal,
+    SearchTerms,
+    UpstreamSearch,
+)
 from ridgesill.core.fleet.messages import (
-    READY,
-    ArtifactReady,
-    ReadingEnded,
     Upstream,
-    WantArtifact,
 )
-from ridgesill.core.serving.choice import Wanted
 from ridgesill.core.serving.events import EventSplitter
-from ridgesill.core.serving.rank import rank_request
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
-    NORMAL_PRIORITY,
     ForwardTerms,
     RequestFacts,
 )
@@ -38,25 +35,6 @@
 
 # A route's time-out is kept with this much to spare, in seconds.
 _TIMEOUT_MARGIN = 0.02
-# Seconds after which a refused client may come back, unless more is known.
-_COME_BACK = 0.5
-# A want for an artifact leaves this much of the time for the answer, seconds.
-_ANSWER_SECONDS = 0.3
-# Seconds after which a client that was refused for overload may come back; most
-# bursts and losses are over after a few.
-_OVERLOAD_AFTER = 1.0
-# A front that has just started, or whose fleet's owner has, soon learns the
-# routes and the upstreams: upstreams are heard at least each 1.2 s. A request
-# waits for that no longer than this, in seconds, and no longer than this share
-# of its time; most clients that are refused have no second attempt left then.
-_LEARN_SECONDS = 1.0
-_LEARN_SHARE = 0.3
-# A request waits no longer than this for a load, in seconds: clients give a
-# stream up after two seconds without an event at the least.
-_LOAD_WAIT_MOST = 1.8
-# Nor longer than this share of its time: a client that is refused comes back
-# once, and should learn before half of its time is gone that it is in vain.
-_LOAD_WAIT_SHARE = 0.22
 # Seconds after which a client that was refused by a stopping front may come
 # back; it meets another front, on a new channel.
 _STOPPING_AFTER = 0.02
@@ -69,21 +47,6 @@
 _PROMISES = frozenset((408, 421, 429, 503))
 _OK = 200
 _SERVER_ERROR = 500
-_MOST_WANTS = 3
-
-
-@attrs.frozen
-class Refusal:
-    """Why a request has not run and will not.
-
-    Attributes:
-        reason: for logs and metrics.
-        after: seconds after which the client may come back.
-    """
-
-    reason: str
-    after: float = _COME_BACK
-    status: int = 503
 
 
 @attrs.frozen
@@ -126,22 +89,16 @@
         self._responder = responder
         self._loop = asyncio.get_running_loop()
         self._facts: RequestFacts = front.dialect.read_request(request)
+        self._search = UpstreamSearch(front, self._facts)
         self._route: Route | None = None
         self._service = ""
         self._deadline = 0.0
         self._goal_at = 0.0
-        self._load_patience = 0.0
         self._tried: list[str] = []
         self._may_have_run = False
-        self._wants = 0
-        self._waited = 0.0
         self._first_at = 0.0
         self._sent_at = 0.0
         self._asked = ""
-        # Where the owner counts this prompt as not yet read, and how long the
-        # reading takes there as far as it knows.
-        self._reading_at = ""
-        self._read_seconds = 0.0
         self._splitter: EventSplitter | None = None
 
     @property
@@ -154,7 +111,7 @@
     async def run(self) -> None:
         """Answers the request, whatever becomes of it."""
         if not self._front.table.version:
-            await self._learn(lambda: bool(self._front.table.version))
+            await self._search.learn(lambda: bool(self._front.table.version))
         route = self._find_route()
         if route is None:
             return
@@ -168,30 +125,13 @@
             async with asyncio.timeout_at(self._deadline):
                 await self._attempt(route)
         except TimeoutError:
+            self._search.abandon()
             self._time_out()
         except asyncio.CancelledError:
+            self._search.abandon()
             self._end("client_left")
             raise
 
-    async def _learn(self, is_known: Callable[[], bool]) -> None:
-        """Waits a little until something is known."""
-        began = self._loop.time()
-        seconds = _LEARN_SECONDS
-        if self._facts.patience:
-            seconds = min(seconds, self._facts.patience * _LEARN_SHARE)
-        while not is_known():
-            left = began + seconds - self._loop.time()
-            if left <= 0 or not await self._front.learned.within(left):
-                break
-        log_message(
-            "request:learned",
-            request=self._facts.request,
-            known=is_known(),
-            version=self._front.table.version,
-            upstreams=len(self._front.fleet.view.upstreams),
-            seconds=round(self._loop.time() - began, 4),
-        )
-
     def _find_route(self) -> Route | None:
         table = self._front.table
         if not table.version:
@@ -209,8 +149,16 @@
         margin = min(_TIMEOUT_MARGIN, seconds / 4)
         self._deadline = self._request.arrived_at + seconds - margin
         self._goal_at = self._request.arrived_at + route.goal
-        self._load_patience = min(seconds * _LOAD_WAIT_SHARE, _LOAD_WAIT_MOST)
         self._service = route.choose_target(self._front.rng.random())
+        self._search.begin(
+            SearchTerms(
+                self._service,
+                route.goal,
+                self._request.arrived_at,
+                seconds,
+                min(self._deadline, self._front.stops_at),
+            )
+        )
         self._front.retries(self._service).note_request(self._loop.time())
         if self._facts.artifact:
             self._front.note_used(self._facts.artifact)
@@ -230,7 +178,9 @@
     async def _attempt(self, route: Route) -> None:
         failure: Failure | None = None
         while True:
-            upstream = await self._find_upstream()
+            upstream = await self._search.find(
+                self._tried, is_new=not self._responder.started
+            )
             if isinstance(upstream, Refusal):
                 if failure is not None and failure.answer is not None:
                     # Nobody else could do better than this answer.
@@ -246,120 +196,6 @@
                 self._fail(failure)
                 return
 
-    # -- finding an upstream -------------------------------------------
-
-    def _wanted(self) -> Wanted:
-        service = self._front.table.services.get(self._service)
-        if service is None or service.engine is None:
-            return Wanted(self._service)
-        artifact = self._facts.artifact
-        version = self._front.versions.get(artifact, 0)
-        return Wanted(self._service, artifact, version)
-
-    async def _find_upstream(self) -> Upstream | Refusal:
-        front = self._front
-        wanted = self._wanted()
-        if not self._tried and not self._are_upstreams_known():
-            await self._learn(self._are_upstreams_known)
-        if wanted.artifact and self._is_refused():
-            return Refusal("overload", _OVERLOAD_AFTER)
-        now = self._loop.time()
-        chosen = front.chooser.choose(wanted, self._tried, now)
-        if not wanted.artifact:
-            return chosen or Refusal("no_upstream")
-        if chosen is not None:
-            return await self._ask_assignment(wanted) or chosen
-        return await self._want(wanted)
-
-    def _are_upstreams_known(self) -> bool:
-        return bool(self._front.chooser.view.of_service(self._service))
-
-    def _is_refused(self) -> bool:
-        """Whether a request that no engine has seen is one too many."""
-        route = self._route
-        if route is None or self._tried or self._responder.started:
-            return False
-        front = self._front
-        load = front.chooser.load(self._service)
-        share = front.admission(self._service).share_refused(
-            load, route.goal, self._loop.time()
-        )
-        return front.rng.random() < share
-
-    def _make_want(
-        self, wanted: Wanted, patience: float, *, is_held: bool
-    ) -> WantArtifact:
-        now = self._loop.time()
-        return WantArtifact(
-            wanted.service,
-            wanted.artifact,
-            wanted.version,
-            self._avoided(now),
-            patience,
-            self._front.chooser.data_centre,
-            self._goal_at - now,
-            self._facts.request,
-            self._facts.prompt_tokens,
-            self._facts.answer_tokens,
-            is_held,
-        )
-
-    async def _ask_assignment(self, wanted: Wanted) -> Upstream | None:
-        """Returns which holder the owner chooses, if it says so at once."""
-        want = self._make_want(wanted, 0.0, is_held=True)
-        answer = await self._front.fleet.assign(want)
-        return self._take_assignment(wanted, answer) if answer else None
-
-    def _take_assignment(
-        self, wanted: Wanted, answer: ArtifactReady
-    ) -> Upstream | None:
-        """Returns the upstream of an owner's answer, unless it has left."""
-        view = self._front.chooser.view
-        upstream = view.upstreams.get(answer.upstream)
-        if upstream is None or upstream.state != READY:
-            return None
-        upstream.resident[wanted.artifact] = answer.version
-        self._read_seconds = answer.read_seconds
-        self._reading_at = upstream.name
-        return upstream
-
-    async def _want(self, wanted: Wanted) -> Upstream | Refusal:
-        """Has the owner bring what the request needs, and waits for it."""
-        front = self._front
-        while self._wants < _MOST_WANTS:
-            self._wants += 1
-            asked_at = self._loop.time()
-            left = self._deadline - asked_at - _ANSWER_SECONDS
-            patience = min(left, self._load_patience - self._waited)
-            if patience <= 0:
-                return Refusal("no_time_to_load")
-            want = self._make_want(wanted, patience, is_held=False)
-            answer = await front.fleet.want(want)
-            now = self._loop.time()
-            self._waited += now - asked_at
-            log_message(
-                "request:want",
-                request=self._facts.request,
-                artifact=wanted.artifact,
-                version=wanted.version,
-                upstream=answer.upstream,
-                reason=answer.reason,
-                seconds=round(now - asked_at, 4),
-            )
-            upstream = self._take_assignment(wanted, answer)
-            if upstream is not None:
-                return upstream
-            chosen = front.chooser.choose(wanted, self._tried, now)
-            if chosen is not None:
-                return chosen
-            if not answer.upstream:
-                return Refusal(answer.reason or "not_loaded", answer.after)
-        return Refusal("not_loaded")
-
-    def _avoided(self, now: float) -> tuple[str, ...]:
-        ejected = self._front.chooser.out_of_use(self._service, now)
-        return tuple({*self._tried, *ejected})
-
     # -- one attempt ---------------------------------------------------
 
     async def _send(self, route: Route, upstream: Upstream) -> Failure | None:
@@ -382,7 +218,7 @@
                 self._tried.append(upstream.name)
             return Failure(str(error), not error.sent, arrived=error.sent)
         finally:
-            self._tell_reading_ended(was_read=False)
+            self._search.note_reading_ended(was_read=False)
             chooser.end(upstream.name, artifact)
             chooser.outcomes.note_ended(upstream.name)
             if exchange is not None:
@@ -397,9 +233,9 @@
         terms = ForwardTerms(
             upstream.name,
             self._deadline - now,
-            self._wanted().version,
+            self._search.wanted().version,
             last_event,
-            self._rank(now),
+            self._search.rank(now),
         )
         forwarded = front.dialect.forward(self._request, terms)
         fresh = 60.0 if route.is_idempotent else _FRESH_FOR_UNSAFE
@@ -410,15 +246,6 @@
             most=self._channels_most(),
         )
 
-    def _rank(self, now: float) -> int:
-        """Returns the request's order among those that an engine has yet."""
-        if not self._facts.artifact:
-            return NORMAL_PRIORITY
-        tokens = self._facts.prompt_tokens
-        reading = self._front.reading(self._service)
-        seconds = self._read_seconds or reading.seconds(tokens)
-        return rank_request(seconds, self._goal_at - now)
-
     def _channels_most(self) -> int:
         """Returns this front's share of the channels that an upstream takes."""
         service = self._front.table.services.get(self._service)
@@ -477,7 +304,7 @@
             if splitter is not None:
                 data = splitter.take(data)
             if data:
-                self._tell_reading_ended(was_read=True)
+                self._search.note_reading_ended(was_read=True)
                 self._note_first()
                 responder.send_data(data)
                 await responder.drain()
@@ -485,14 +312,6 @@
             responder.send_data(splitter.rest)
         responder.finish()
 
-    def _tell_reading_ended(self, *, was_read: bool) -> None:
-        """Tells the owner, once, what became of the prompt at an engine."""
-        if self._reading_at:
-            upstream, self._reading_at = self._reading_at, ""
-            self._front.fleet.tell_reading_ended(
-                ReadingEnded(self._facts.request, upstream, was_read)
-            )
-
     def _note_first(self) -> None:
         """Notes the first event of the answer."""
         if self._first_at:
@@ -624,7 +443,7 @@
                 _bounded(reason),
                 seconds,
                 first,
-                self._waited,
+                self._search.waited,
                 len(self._tried),
             )
         )
@@ -639,7 +458,7 @@
             reason=reason,
             status=status,
             attempts=len(self._tried),
-            waited=round(self._waited, 4),
+            waited=round(self._search.waited, 4),
             tokens=self._facts.prompt_tokens,
             sent=round(max(self._sent_at - arrived_at, 0.0), 4),
             first=round(first, 4),
--- /dev/null
+++ b/src/ridgesill/app/upstream_search.py
@@ -0,0 +1,288 @@
+"""How one request finds the upstream that it goes to."""
+
+import asyncio
+from collections.abc import Callable, Collection
+
+import attrs
+from eliot import log_message
+
+from ridgesill.app.front import Front
+from ridgesill.core.fleet.messages import (
+    READY,
+    ArtifactReady,
+    ReadingEnded,
+    Upstream,
+    WantArtifact,
+)
+from ridgesill.core.serving.choice import Wanted
+from ridgesill.core.serving.rank import rank_request
+from ridgesill.ports.dialect import NORMAL_PRIORITY, RequestFacts
+
+# Seconds after which a refused client may come back, unless more is known.
+_COME_BACK = 0.5
+# A want for an artifact leaves this much of the time for the answer, seconds.
+_ANSWER_SECONDS = 0.3
+# Seconds after which a client that was refused for overload may come back; most
+# bursts and losses are over after a few.
+_OVERLOAD_AFTER = 1.0
+# A front that has just started, or whose fleet's owner has, soon learns the
+# routes and the upstreams: upstreams are heard at least each 1.2 s. A request
+# waits for that no longer than this, in seconds, and no longer than this share
+# of its time; most clients that are refused have no second attempt left then.
+_LEARN_SECONDS = 1.0
+_LEARN_SHARE = 0.3
+# A request waits no longer than this for a load, in seconds: clients give a
+# stream up after two seconds without an event at the least.
+_LOAD_WAIT_MOST = 1.8
+# Nor longer than this share of its time: a client that is refused comes back
+# once, and should learn before half of its time is gone that it is in vain.
+_LOAD_WAIT_SHARE = 0.22
+_MOST_WANTS = 3
+
+
+@attrs.frozen
+class Refusal:
+    """Why a request has not run and will not.
+
+    Attributes:
+        reason: for logs and metrics.
+        after: seconds after which the client may come back.
+    """
+
+    reason: str
+    after: float = _COME_BACK
+    status: int = 503
+
+
+@attrs.frozen
+class SearchTerms:
+    """What a request asks of its upstream, once its route is known.
+
+    Attributes:
+        goal: seconds from its arrival within which its answer is in time.
+        arrived_at: when it arrived, on the loop's clock.
+        patience: seconds that it may take in all.
+        deadline: when its time is over, on the loop's clock.
+    """
+
+    service: str
+    goal: float
+    arrived_at: float
+    patience: float
+    deadline: float
+
+
+class UpstreamSearch:
+    """Finds upstreams for one request, and tells the owner of its prompt.
+
+    Args:
+        front: what all requests share.
+        facts: what the client says of the request.
+    """
+
+    def __init__(self, front: Front, facts: RequestFacts) -> None:
+        self.waited = 0.0
+        self._front = front
+        self._facts = facts
+        self._terms = SearchTerms("", 0.0, 0.0, 0.0, 0.0)
+        self._loop = asyncio.get_running_loop()
+        self._tried: Collection[str] = ()
+        self._wants = 0
+        # Whether the owner is being asked; it may count the prompt already.
+        self._is_asking = False
+        # Where the owner counts this prompt as not yet read, and how long the
+        # reading takes there as far as it knows.
+        self._reading_at = ""
+        self._read_seconds = 0.0
+
+    def begin(self, terms: SearchTerms) -> None:
+        """Takes what the request's route says."""
+        self._terms = terms
+
+    def wanted(self) -> Wanted:
+        """Returns what the upstream must hold."""
+        name = self._terms.service
+        service = self._front.table.services.get(name)
+        if service is None or service.engine is None:
+            return Wanted(name)
+        artifact = self._facts.artifact
+        return Wanted(name, artifact, self._front.versions.get(artifact, 0))
+
+    async def find(
+        self, tried: Collection[str], *, is_new: bool
+    ) -> Upstream | Refusal:
+        """Returns the upstream that the request should go to next.
+
+        Args:
+            tried: upstreams that it has gone to.
+            is_new: whether nothing of its answer has been sent.
+        """
+        self._tried = tried
+        wanted = self.wanted()
+        if not tried and not self._are_upstreams_known():
+            await self.learn(self._are_upstreams_known)
+        if wanted.artifact and is_new and self._is_refused():
+            return Refusal("overload", _OVERLOAD_AFTER)
+        now = self._loop.time()
+        chosen = self._front.chooser.choose(wanted, tried, now)
+        if not wanted.artifact:
+            return chosen or Refusal("no_upstream")
+        if chosen is not None:
+            return await self._ask_assignment(wanted) or chosen
+        return await self._want(wanted)
+
+    async def learn(self, is_known: Callable[[], bool]) -> None:
+        """Waits a little until something is known."""
+        began = self._loop.time()
+        seconds = _LEARN_SECONDS
+        if self._facts.patience:
+            seconds = min(seconds, self._facts.patience * _LEARN_SHARE)
+        while not is_known():
+            left = began + seconds - self._loop.time()
+            if left <= 0 or not await self._front.learned.within(left):
+                break
+        log_message(
+            "request:learned",
+            request=self._facts.request,
+            known=is_known(),
+            version=self._front.table.version,
+            upstreams=len(self._front.fleet.view.upstreams),
+            seconds=round(self._loop.time() - began, 4),
+        )
+
+    def _are_upstreams_known(self) -> bool:
+        view = self._front.chooser.view
+        return bool(view.of_service(self._terms.service))
+
+    def _is_refused(self) -> bool:
+        """Whether a request that no engine has seen is one too many."""
+        if self._tried:
+            return False
+        front = self._front
+        service = self._terms.service
+        share = front.admission(service).share_refused(
+            front.chooser.load(service), self._terms.goal, self._loop.time()
+        )
+        return front.rng.random() < share
+
+    # -- the owner's word ----------------------------------------------
+
+    def _make_want(
+        self, wanted: Wanted, patience: float, *, is_held: bool
+    ) -> WantArtifact:
+        now = self._loop.time()
+        chooser = self._front.chooser
+        ejected = chooser.out_of_use(self._terms.service, now)
+        return WantArtifact(
+            wanted.service,
+            wanted.artifact,
+            wanted.version,
+            tuple({*self._tried, *ejected}),
+            patience,
+            chooser.data_centre,
+            self._goal_at() - now,
+            self._facts.request,
+            self._facts.prompt_tokens,
+            self._facts.answer_tokens,
+            is_held,
+        )
+
+    def _goal_at(self) -> float:
+        return self._terms.arrived_at + self._terms.goal
+
+    async def _ask_assignment(self, wanted: Wanted) -> Upstream | None:
+        """Returns which holder the owner chooses, if it says so at once."""
+        want = self._make_want(wanted, 0.0, is_held=True)
+        self._is_asking = True
+        answer = await self._front.fleet.assign(want)
+        self._is_asking = False
+        return self._take_answer(wanted, answer) if answer else None
+
+    def _take_answer(
+        self, wanted: Wanted, answer: ArtifactReady
+    ) -> Upstream | None:
+        """Returns the upstream of an owner's answer, unless it has left."""
+        view = self._front.chooser.view
+        upstream = view.upstreams.get(answer.upstream)
+        if upstream is None or upstream.state != READY:
+            return None
+        upstream.resident[wanted.artifact] = answer.version
+        self._read_seconds = answer.read_seconds
+        self._reading_at = upstream.name
+        return upstream
+
+    async def _want(self, wanted: Wanted) -> Upstream | Refusal:
+        """Has the owner bring what the request needs, and waits for it."""
+        while self._wants < _MOST_WANTS:
+            self._wants += 1
+            patience = self._load_patience()
+            if patience <= 0:
+                return Refusal("no_time_to_load")
+            answer = await self._want_once(wanted, patience)
+            upstream = self._take_answer(wanted, answer)
+            if upstream is not None:
+                return upstream
+            now = self._loop.time()
+            chosen = self._front.chooser.choose(wanted, self._tried, now)
+            if chosen is not None:
+                return chosen
+            if not answer.upstream:
+                return Refusal(answer.reason or "not_loaded", answer.after)
+        return Refusal("not_loaded")
+
+    def _load_patience(self) -> float:
+        """Returns how much longer the request may wait for a load."""
+        terms = self._terms
+        left = terms.deadline - self._loop.time() - _ANSWER_SECONDS
+        most = min(terms.patience * _LOAD_WAIT_SHARE, _LOAD_WAIT_MOST)
+        return min(left, most - self.waited)
+
+    async def _want_once(
+        self, wanted: Wanted, patience: float
+    ) -> ArtifactReady:
+        asked_at = self._loop.time()
+        self._is_asking = True
+        answer = await self._front.fleet.want(
+            self._make_want(wanted, patience, is_held=False)
+        )
+        self._is_asking = False
+        took = self._loop.time() - asked_at
+        self.waited += took
+        log_message(
+            "request:want",
+            request=self._facts.request,
+            artifact=wanted.artifact,
+            version=wanted.version,
+            upstream=answer.upstream,
+            reason=answer.reason,
+            seconds=round(took, 4),
+        )
+        return answer
+
+    # -- the prompt at an engine ---------------------------------------
+
+    def rank(self, now: float) -> int:
+        """Returns the request's order among those that an engine has yet."""
+        if not self._facts.artifact:
+            return NORMAL_PRIORITY
+        reading = self._front.reading(self._terms.service)
+        seconds = self._read_seconds
+        if not self._reading_at or not seconds:
+            seconds = reading.seconds(self._facts.prompt_tokens)
+        return rank_request(seconds, self._goal_at() - now)
+
+    def note_reading_ended(self, *, was_read: bool) -> None:
+        """Tells the owner, once, what became of the prompt at an engine."""
+        if self._reading_at:
+            upstream, self._reading_at = self._reading_at, ""
+            self._tell_ended(upstream, was_read)
+
+    def abandon(self) -> None:
+        """Tells the owner, if it is being asked, not to count the prompt."""
+        if self._is_asking:
+            self._is_asking = False
+            self._tell_ended("", False)
+
+    def _tell_ended(self, upstream: str, was_read: bool) -> None:
+        ended = ReadingEnded(self._facts.request, upstream, was_read)
+        self._front.fleet.tell_reading_ended(ended)
--- a/src/ridgesill/core/fleet/backlog.py
+++ b/src/ridgesill/core/fleet/backlog.py
@@ -110,10 +110,21 @@
     def end(
         self, engine: str, request: str, now: float, *, was_read: bool
     ) -> None:
-        """Notes a first event, or that none will come."""
-        known = self._engines.get(engine)
-        reading = known.readings.pop(request, None) if known else None
-        if known is None or reading is None:
+        """Notes a first event, or that none will come.
+
+        Args:
+            engine: its name; empty when the asker doesn't know it.
+            request: the request's id.
+            now: the clock, in seconds.
+            was_read: whether its prompt was read.
+        """
+        if not engine:
+            for known in self._engines.values():
+                known.readings.pop(request, None)
+            return
+        known = self._of(engine)
+        reading = known.readings.pop(request, None)
+        if reading is None:
             return
         if was_read:
             self._learn(known, reading, now)
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -175,6 +175,7 @@
     """Tells the owner that a prompt was read, or never will be.
 
     Attributes:
+        upstream: where; empty from one that left before it was told.
         was_read: whether its first event has come.
     """
 
--- a/src/ridgesill/standin/emulator/demand.py
+++ b/src/ridgesill/standin/emulator/demand.py
@@ -143,6 +143,7 @@
         self._model = model
         self._rng = rng
         self._numbers = itertools.count()
+        self._salt = rng.random()
         weights = (
             (rank + 1) ** -popularity.exponent
             for rank in range(popularity.adapters)
@@ -193,8 +194,8 @@
         path = kind.name
         for shared in kind.shared:
             path += f".{self._rng.randrange(shared.variants)}"
-            # Equal parts have equal sizes.
-            sized = random.Random(path)
+            # Equal parts have equal sizes within a day.
+            sized = random.Random(f"{self._salt} {path}")
             parts.append((path, max(int(shared.tokens.draw(sized)), 1)))
         parts.append((name, max(int(kind.prompt.draw(self._rng)), 1)))
         events = max(int(kind.events.draw(self._rng)), 1)
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -12,6 +12,7 @@
     DRAINING,
     ArtifactReady,
     ReadingEnded,
+    WantArtifact,
 )
 from ridgesill.core.serving.routes import RouteTable
 from testing.app.front_world import (
@@ -62,6 +63,11 @@
     await call.answer(500, b"broken", "Server-Stamp: s2")
 
 
+async def wait_in_vain(want: WantArtifact) -> ArtifactReady:
+    await asyncio.Event().wait()
+    raise AssertionError(want)
+
+
 async def stream_three(call: Call) -> None:
     await call.begin_stream()
     for number in (1, 2, 3):
@@ -514,6 +520,18 @@
         await client.ask("/stream/x", **STREAM)
         assert world.fleet.ended[0] == ReadingEnded("r1", "u1", False)
 
+    async def test_one_that_leaves_while_the_owner_is_asked_counts_nowhere(
+        self, world: FrontWorld
+    ) -> None:
+        await world.add("u1", stream_three, "engine", base=1)
+        client = await world.open()
+        world.fleet.want = wait_in_vain  # type: ignore[method-assign]
+        await client.send("/stream/x", **STREAM)
+        await asyncio.sleep(0.1)
+        client.leave()
+        await asyncio.sleep(0.1)
+        assert world.fleet.ended == [ReadingEnded("r1", "", False)]
+
 
 class TestSilence:
     async def test_the_kernel_ends_a_channel_that_went_silent(
--- a/testing/core/fleet/test_assignment.py
+++ b/testing/core/fleet/test_assignment.py
@@ -30,7 +30,7 @@
         for number in range(6):
             best = choose_holder(want(), engines, backlogs, 0.0)
             assert best is not None
-            backlogs.begin(best.name, f"r{number}", 9000, 4, 0.0)
+            backlogs.begin(best.name, f"r{number}", 9000, 3, 0.0)
             chosen.append(best.name)
         assert sorted(chosen) == ["e0", "e0", "e1", "e1", "e2", "e2"]
 
--- a/testing/core/fleet/test_backlog.py
+++ b/testing/core/fleet/test_backlog.py
@@ -49,6 +49,12 @@
         backlogs.end("e1", "l1", 0.4, was_read=True)
         assert backlogs.backlog("e1", 0.4) == 0.0
 
+    def test_one_that_left_before_it_was_told_counts_nowhere(self) -> None:
+        backlogs = Backlogs()
+        backlogs.begin("e1", "l1", 9000, 4, 0.0)
+        backlogs.end("", "l1", 0.1, was_read=False)
+        assert backlogs.backlog("e1", 0.1) == 0.0
+
 
 class TestRate:
     @pytest.mark.parametrize("rate", [12_000, 60_000])
