--- a/src/ridgesill/standin/emulator/batch.py
+++ b/src/ridgesill/standin/emulator/batch.py
@@ -163,10 +163,9 @@
 
     def cancel(self, request: str) -> None:
         """Drops a sequence."""
-        keep = lambda s: s.request != request  # noqa: E731
-        self.running = list(filter(keep, self.running))
-        self.reading = list(filter(keep, self.reading))
-        self._waiting = [w for w in self._waiting if keep(w[2])]
+        self.running = [s for s in self.running if s.request != request]
+        self.reading = [s for s in self.reading if s.request != request]
+        self._waiting = [w for w in self._waiting if w[2].request != request]
         heapq.heapify(self._waiting)
 
     def end_all(self, reason: str) -> None:
--- a/src/ridgesill/standin/emulator/control.py
+++ b/src/ridgesill/standin/emulator/control.py
@@ -1,11 +1,12 @@
 """A control plane of one emulated node that is granted the fleet."""
 
-from typing import Any
+from collections.abc import Callable
 
 import attrs
 
-from ridgesill.core.commands import Node
-from ridgesill.core.state import State
+from ridgesill.core.commands import GrantPool, Node
+from ridgesill.core.state import Owner, State
+from ridgesill.ports.peers import Peers
 
 
 @attrs.define
@@ -46,16 +47,32 @@
     """
 
     def __init__(
-        self, name: str, state: State, peers: Any, leader: Any
+        self, name: str, state: State, peers: Peers, leader: Callable[[], str]
     ) -> None:
         self.node = Node(name, "1", name, "", "")
         self.state = state
         self.peers = peers
         self.driver = EmulatedDriver()
         self.leader_address = leader
-        self._index = 0
 
-    async def propose(self, command: Any, timeout: float) -> Granted:
-        """Grants what is asked."""
-        self._index = self.driver.replica.term * 10
-        return Granted(self._index)
+    def lead(self, term: int, predecessor_until: float) -> None:
+        """Has this node lead the log in a new term.
+
+        Args:
+            term: of its leadership.
+            predecessor_until: when a quorum last followed the leader before.
+        """
+        self.driver.is_leader = True
+        self.driver.replica.term = term
+        self.driver.replica.predecessor_until = predecessor_until
+
+    def follow(self) -> None:
+        """Has this node lead no more."""
+        self.driver.is_leader = False
+
+    async def propose(self, command: GrantPool, timeout: float) -> Granted:
+        """Grants what is asked; each term has one grant."""
+        index = self.driver.replica.term
+        owner = Owner(command.node, command.incarnation, index)
+        self.state.owners[command.pool] = owner
+        return Granted(index)
--- a/src/ridgesill/standin/emulator/world.py
+++ b/src/ridgesill/standin/emulator/world.py
@@ -59,7 +59,7 @@
 # From the loss of an owner until the next one leads, in seconds: elections
 # begin after 1.2 to 1.9.
 _ELECTION = 1.6
-# An engine that has crashed is back after so long, in seconds.
+# Nodes that may own the fleet, by turns.
 _OWNERS = ("10.0.0.1:70", "10.0.0.2:70")
 
 
@@ -170,6 +170,7 @@
         self._state = State()
         self._nodes: dict[str, Callable[..., Any]] = {}
         self._leader = ""
+        self._term = 0
         self._store = Store(scenario.load_seconds, scenario.fast_loads)
         self._engines: dict[str, EmulatedEngine] = {}
         self._all_engines: list[EmulatedEngine] = []
@@ -268,10 +269,8 @@
 
     def _lead(self, name: str, predecessor_until: float) -> None:
         """Has a node lead the log."""
-        driver = self._controls[name].driver
-        driver.is_leader = True
-        driver.replica.term += len(self._state.owners) + int(self._loop.time())
-        driver.replica.predecessor_until = predecessor_until
+        self._term += 1
+        self._controls[name].lead(self._term, predecessor_until)
         self._leader = name
 
     def _make_front(self, number: int) -> Front:
@@ -365,7 +364,7 @@
     async def _lose_owner(self, at: float) -> None:
         await asyncio.sleep(at)
         before = self._leader
-        self._controls[before].driver.is_leader = False
+        self._controls[before].follow()
         handle = self._nodes.pop(before)
         self._leader = ""
         lost_at = self._loop.time()
