--- a/src/ridgesill/standin/emulator/world.py
+++ b/src/ridgesill/standin/emulator/world.py
@@ -30,22 +30,17 @@
 )
 from ridgesill.core.state import State
 from ridgesill.ports.peers import PeerError
-from ridgesill.standin.emulator.batch import EngineShape
 from ridgesill.standin.emulator.callers import Caller
 from ridgesill.standin.emulator.control import EmulatedControl
-from ridgesill.standin.emulator.demand import (
-    Arrival,
-    Burst,
-    Demand,
-    Popularity,
-    RequestKind,
-)
+from ridgesill.standin.emulator.demand import Arrival, Demand
 from ridgesill.standin.emulator.engines import (
     EmulatedChannels,
     EmulatedEngine,
 )
 from ridgesill.standin.emulator.messages import EmulatedCalls, EmulatedDialect
+from ridgesill.standin.emulator.network import EmulatedPeers
 from ridgesill.standin.emulator.places import Places, Store
+from ridgesill.standin.emulator.scenario import Crash, Scenario
 from ridgesill.standin.emulator.worth import Outcome
 
 SERVICE = "engines"
@@ -63,49 +58,6 @@
 _OWNERS = ("10.0.0.1:70", "10.0.0.2:70")
 
 
-@attrs.frozen
-class Crash:
-    """An engine that is gone for a while, and comes back empty."""
-
-    at: float
-    seconds: float
-    engine: int = 0
-
-
-@attrs.frozen
-class Scenario:
-    """A deployment and its day. Times in seconds.
-
-    Attributes:
-        shapes: of the engines, in turn.
-        places: for adapters, on each engine.
-        kept: adapters given up lately that an engine loads without the store.
-        near: one way within a data centre or to another one.
-        caller_delay: one way to a front.
-        owner_losses: when the owner of the fleet is lost.
-        versions: when a new version of the adapter of some rank is named.
-    """
-
-    name: str
-    seconds: float = 34.0
-    fronts: int = 6
-    engines: int = 6
-    data_centres: int = 3
-    shapes: tuple[EngineShape, ...] = (EngineShape(),)
-    places: int = 9
-    kept: int = 54
-    load_seconds: float = 0.25
-    fast_loads: int = 8
-    near: float = 0.0012
-    caller_delay: float = 0.003
-    rate_factor: float = 1.0
-    kinds: tuple[RequestKind, ...] = ()
-    popularity: Popularity = Popularity()
-    bursts: tuple[Burst, ...] = ()
-    crashes: tuple[Crash, ...] = ()
-    owner_losses: tuple[float, ...] = ()
-
-
 @attrs.define
 class Day:
     """What was seen of a played day."""
@@ -118,48 +70,6 @@
     overfull: bool = False
 
 
-class EmulatedPeers:
-    """Carries messages between nodes, with a delay.
-
-    Args:
-        nodes: takes a message from a sender, by address.
-        name: of the sender.
-        delay: one way.
-    """
-
-    def __init__(
-        self, nodes: dict[str, Callable[..., Any]], name: str, delay: float
-    ) -> None:
-        self._nodes = nodes
-        self._name = name
-        self._delay = delay
-
-    def send(self, address: str, message: Any) -> None:
-        """Sends a message that expects no answer."""
-        task = asyncio.ensure_future(self._deliver(address, message))
-        task.add_done_callback(lambda done: done.exception())
-
-    async def _deliver(self, address: str, message: Any) -> Any:
-        await asyncio.sleep(self._delay)
-        handle = self._nodes.get(address)
-        if handle is None:
-            await asyncio.Event().wait()
-            return None
-        answer = await handle(self._name, message)
-        await asyncio.sleep(self._delay)
-        return answer
-
-    async def call(self, address: str, message: Any, timeout: float) -> Any:
-        """Returns the answer to a message."""
-        try:
-            return await asyncio.wait_for(
-                self._deliver(address, message), timeout
-            )
-        except TimeoutError as error:
-            step = type(message).__name__
-            raise PeerError(step, address, "no answer in time") from error
-
-
 class World:
     """Plays one scenario with one seed."""
 
--- a/src/ridgesill/standin/experiment/plan.py
+++ b/src/ridgesill/standin/experiment/plan.py
@@ -15,7 +15,7 @@
     SharedPart,
     Size,
 )
-from ridgesill.standin.emulator.world import Crash, Scenario
+from ridgesill.standin.emulator.scenario import Crash, Scenario
 from ridgesill.standin.experiment.constants import (
     UnknownConstantError,
     Value,
--- a/src/ridgesill/standin/experiment/runs.py
+++ b/src/ridgesill/standin/experiment/runs.py
@@ -8,7 +8,8 @@
 import attrs
 
 from ridgesill.standin.emulator.clock import run_virtually
-from ridgesill.standin.emulator.world import Day, Scenario, World
+from ridgesill.standin.emulator.scenario import Scenario
+from ridgesill.standin.emulator.world import Day, World
 from ridgesill.standin.experiment.constants import with_constants
 from ridgesill.standin.experiment.figures import measure_day, share_by_window
 from ridgesill.standin.experiment.plan import Plan, Variant
--- a/testing/standin/experiment/test_runs.py
+++ b/testing/standin/experiment/test_runs.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ridgesill.standin.emulator.demand import Popularity
-from ridgesill.standin.emulator.world import Scenario
+from ridgesill.standin.emulator.scenario import Scenario
 from ridgesill.standin.experiment.constants import Value, with_constants
 from ridgesill.standin.experiment.figures import measure_day
 from ridgesill.standin.experiment.plan import read_plan
