Take numbers of a client only for what can be reckoned with

Cause: a deadline or token count of hundreds of digits overflowed, and superscript digits passed isdigit but not int; each ended its own request with our 502. Found by reading; four of ten cases failed before.

--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -29,6 +29,8 @@
 _NOT_RUN = b"not-run"
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED = 421
+# Of a number that a client gives: milliseconds and tokens have far fewer.
+_DIGITS_MOST = 8
 # What only this side may ask of an upstream; a client that could would set
 # memory and places aside there, or go on from another client's run.
 _RESERVED = frozenset(
@@ -120,7 +122,13 @@
 
 
 def _whole(text: str) -> int:
-    return int(text) if text.isdigit() else 0
+    """Returns a whole number that a client gives; 0 for what is none.
+
+    Digits beyond the ten, and numbers too long to reckon with, would end the
+    request with a fault of our own.
+    """
+    is_number = text.isdecimal() and len(text) <= _DIGITS_MOST
+    return int(text) if is_number else 0
 
 
 def _counts(text: str) -> tuple[int, int]:
--- a/testing/platform/test_requests.py
+++ b/testing/platform/test_requests.py
@@ -100,6 +100,23 @@
         assert not [name for name, _ in sent if name == b"x-hop"]
 
 
+class TestNumbers:
+    @pytest.mark.parametrize(
+        "number", ["9" * 400, "\xb2", "-1", "1e9", "\xb9,7"]
+    )
+    @pytest.mark.parametrize("name", ["Request-Deadline", "Token-Counts"])
+    async def test_one_that_is_none_ends_no_request(
+        self, world: FrontWorld, name: str, number: str
+    ) -> None:
+        await world.add("u1", answer_ok)
+        client = await world.open()
+        client.writer.write(
+            "GET /safe/x HTTP/1.1\r\nHost: a.example\r\n"
+            f"{name}: {number}\r\n\r\n".encode("latin-1")
+        )
+        assert (await asyncio.wait_for(client.read(), 2.0)).status == 200
+
+
 class TestMalformed:
     @pytest.mark.parametrize(
         "line", ["Hold : 1", "Kv-From\x00: 1", "Ho ld: 1", ": 1", "Hold: \x00"]
