Load adapters where those who wait are in time

Change: prompts that wait for a load count at their engine from the moment at which it is chosen; the reading that is under way counts with what is left of it rather than by half; reading times follow a curve, since attention makes the longest dearer; and the choice of an engine counts how many of those who wait would be late there.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -10,7 +10,8 @@
 from ridgesill.app.fleet_upkeep import FleetUpkeep
 from ridgesill.core.fleet.assignment import choose_holder, rank_want
 from ridgesill.core.fleet.backlog import Backlogs
-from ridgesill.core.fleet.engines import is_adapter
+from ridgesill.core.fleet.engines import Engine, is_adapter
+from ridgesill.core.fleet.lateness import count_late, load_seconds
 from ridgesill.core.fleet.messages import ArtifactReady, WantArtifact
 from ridgesill.core.fleet.placement import Choice, Demand, Placement, Survey
 from ridgesill.core.fleet.wants import (
@@ -19,6 +20,7 @@
     Waiting,
     WantQueue,
 )
+from ridgesill.core.serving.rank import rank_request
 
 # How often wants without a place are looked at again, in seconds: places come
 # free with what fronts report, some ten times a second each.
@@ -48,10 +50,17 @@
 
 @attrs.define(eq=False)
 class _Loading:
-    """What requests wait for, and their answer."""
+    """What requests wait for, and their answer.
+
+    Attributes:
+        engine: that loads it; None while it has no place.
+        loaded_at: when it should be there.
+    """
 
     waiting: Waiting
     answer: asyncio.Future[ArtifactReady]
+    engine: Engine | None = None
+    loaded_at: float = 0.0
 
 
 class FleetLoads:
@@ -132,7 +141,7 @@
 
     def _least_seconds(self, want: WantArtifact) -> float:
         """Returns what the first event takes from the order to load on."""
-        return LOAD_SECONDS + want.tokens / self._backlogs.rate()
+        return LOAD_SECONDS + self._backlogs.mean_read_seconds(want.tokens)
 
     def _assign(self, want: WantArtifact) -> ArtifactReady | None:
         """Sends a request to an engine that holds what it needs, if any."""
@@ -153,9 +162,16 @@
     ) -> ArtifactReady:
         now = self._loop.time()
         loading = self._join(want, now)
-        waiter = Waiter(now + want.goal, want.tokens / self._backlogs.rate())
+        waiter = Waiter(
+            now + want.goal,
+            self._backlogs.mean_read_seconds(want.tokens),
+            want.request,
+            want.tokens,
+        )
         waiting = loading.waiting
         waiting.waiters.append(waiter)
+        if loading.engine is not None:
+            self._promise(loading, waiter, now)
         self._dispatch()
         try:
             return await asyncio.wait_for(
@@ -167,6 +183,7 @@
             return ArtifactReady("", after=_NO_PLACE_AFTER, reason="no_place")
         finally:
             waiting.waiters.remove(waiter)
+            self._backlogs.release(want.request)
             if not waiting.waiters and waiting in self._queue:
                 self._finish(loading, ArtifactReady("", reason="not_wanted"))
 
@@ -272,16 +289,38 @@
         avoid = waiting.avoid
         if not waiting.can_be_in_time(self._loop.time()):
             avoid = avoid | survey.crowded()
-        return survey.choose(want.artifact, want.data_centre, avoid)
+        now = self._loop.time()
+        return survey.choose(
+            want.artifact,
+            want.data_centre,
+            avoid,
+            lateness=lambda engine: count_late(
+                waiting, engine, self._backlogs, now
+            ),
+        )
 
     def _begin_load(self, waiting: Waiting, choice: Choice) -> None:
         want = waiting.want
         self._queue.discard(waiting)
         waiting.tries += 1
+        loading = self._loadings[(want.service, want.artifact)]
+        now = self._loop.time()
+        loading.engine = choice.engine
+        loading.loaded_at = now + load_seconds(choice.engine, want.artifact)
+        for waiter in waiting.waiters:
+            self._promise(loading, waiter, now)
         self.engine_loads.reserve(choice, want.artifact)
-        self.engine_loads.spawn(
-            self._bring(self._loadings[(want.service, want.artifact)], choice)
-        )
+        self.engine_loads.spawn(self._bring(loading, choice))
+
+    def _promise(self, loading: _Loading, waiter: Waiter, now: float) -> None:
+        """Counts a prompt that goes to an engine once its load is done."""
+        if loading.engine is None:
+            return
+        name = loading.engine.name
+        seconds = self._backlogs.read_seconds(name, waiter.tokens)
+        at = max(loading.loaded_at, now)
+        rank = rank_request(seconds, waiter.goal_at - at)
+        self._backlogs.promise(name, waiter.request, waiter.tokens, rank, at)
 
     async def _bring(self, loading: _Loading, choice: Choice) -> None:
         waiting = loading.waiting
@@ -302,5 +341,8 @@
             self._finish(loading, failed)
         elif not loading.answer.done():
             waiting.avoid.add(choice.engine.name)
+            loading.engine = None
+            for waiter in waiting.waiters:
+                self._backlogs.release(waiter.request)
             self._queue.add(waiting)
         self.dispatch()
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -21,6 +21,8 @@
 # each second of reading ahead: a request that waits so long is late.
 _BUSY_COST = 2.0
 _BACKLOG_COST = 4.0
+# What it costs that a request is late, in the same measure.
+_LATENESS_COST = 8.0
 # What each load on its way to the same engine costs, in the same measure.
 _LOADING_COST = 0.3
 # What it costs that the request has to go to another data centre: some 3 KB
@@ -156,6 +158,7 @@
         data_centre: str = "",
         avoid: Collection[str] = (),
         loading_most: int = LOADS_AT_ONCE - 1,
+        lateness: Callable[[Engine], float] = lambda _engine: 0.0,
     ) -> Choice | None:
         """Returns where to load an adapter, or None if nothing can give way.
 
@@ -164,6 +167,7 @@
             data_centre: where it is wanted; empty for no matter.
             avoid: engines that are not to be chosen.
             loading_most: loads under way on an engine that gets another one.
+            lateness: returns how many of those who wait would be late there.
         """
         best: tuple[float, Choice] | None = None
         for engine in self.engines:
@@ -173,6 +177,7 @@
             if ranked is None:
                 continue
             cost, choice = ranked
+            cost += _LATENESS_COST * lateness(engine)
             if data_centre and engine.data_centre != data_centre:
                 cost += _ELSEWHERE_COST
             if best is None or cost < best[0]:
--- a/src/ridgesill/core/fleet/wants.py
+++ b/src/ridgesill/core/fleet/wants.py
@@ -8,6 +8,8 @@
 # of its prompt, in seconds: the load from the store takes 0.25 (the users'
 # second letter), the rest is the way there and a step of the batch.
 LOAD_SECONDS = 0.3
+# The same for what the engine had lately, which loads ten times as fast.
+RELOAD_SECONDS = 0.08
 # What an answer that comes late is worth beside one in time; the sheets pay
 # three tenths of the whole.
 _LATE_WORTH = 0.3
@@ -20,10 +22,14 @@
     Attributes:
         goal_at: when its first event is late.
         read_seconds: that its prompt takes to read.
+        request: its id.
+        tokens: of its prompt.
     """
 
     goal_at: float
     read_seconds: float = 0.05
+    request: str = ""
+    tokens: int = 0
 
     def can_be_in_time(self, now: float) -> bool:
         """Whether a load that begins now comes early enough."""
