Load a copy for a request that all holders would serve late

Change: the owner, asked to place a request, has it wait for a copy where all holders are likely late and a load elsewhere likely isn't, and places are to spare there. The log of a request says what first event the owner foretold.

--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -158,7 +158,7 @@
         return ArtifactReady("", reason=reason, after=_NO_OWNER_AFTER)
 
     async def assign(self, want: WantArtifact) -> ArtifactReady | None:
-        """Returns where the owner sends a request; None if it doesn't say."""
+        """Returns what the owner says of the holders; None if nothing."""
         owner = self._owner()
         if not owner or self._loop.time() < self._assigns_from:
             return None
@@ -172,7 +172,7 @@
             self._peers.send(owner, ReadingEnded(want.request, "", False))
             log_message("fleet:no_answer", step=error.step, peer=error.peer)
             return None
-        return answer if answer.upstream else None
+        return answer
 
     def tell_reading_ended(self, ended: ReadingEnded) -> None:
         """Tells the owner that a prompt was read, or never will be."""
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -8,11 +8,23 @@
 from ridgesill.app.engine_loads import EngineLoads, LoadsView
 from ridgesill.app.engine_orders import EngineOrders
 from ridgesill.app.fleet_upkeep import FleetUpkeep
-from ridgesill.core.fleet.assignment import choose_holder, rank_want
+from ridgesill.core.fleet.assignment import (
+    choose_holder,
+    predict_first,
+    rank_want,
+)
 from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine, is_adapter
-from ridgesill.core.fleet.lateness import count_late, load_seconds
-from ridgesill.core.fleet.messages import ArtifactReady, WantArtifact
+from ridgesill.core.fleet.lateness import (
+    count_late,
+    load_seconds,
+    share_late,
+)
+from ridgesill.core.fleet.messages import (
+    COPY_IS_SOONER,
+    ArtifactReady,
+    WantArtifact,
+)
 from ridgesill.core.fleet.placement import Choice, Demand, Placement, Survey
 from ridgesill.core.fleet.wants import (
     LOAD_SECONDS,
@@ -38,6 +50,9 @@
 # When one that found no place may come back, in seconds: answers hold places
 # for 1 to 8 s.
 _NO_PLACE_AFTER = 1.5
+# How much less likely a request must be late with a copy loaded for it than at
+# the best holder. A load costs a third of a request's worth.
+_COPY_GAIN = 0.3
 # How often the log says why wants wait, in seconds.
 _TELL_SECONDS = 0.5
 # An adapter that was handed to a front doesn't give way before the front has
@@ -113,15 +128,19 @@
         asked_at = self._loop.time()
         deadline = asked_at + want.patience
         answer = ArtifactReady("", reason="no_time", after=0.5)
+        copied = False
         while True:
             now = self._loop.time()
-            ready = self._assign(
-                attrs.evolve(want, goal=want.goal - (now - asked_at))
-            )
+            current = attrs.evolve(want, goal=want.goal - (now - asked_at))
+            copy_is_sooner = not copied and self._is_copy_sooner(current)
+            if copy_is_sooner and want.is_held:
+                return ArtifactReady("", reason=COPY_IS_SOONER)
+            ready = None if copy_is_sooner else self._assign(current)
             if ready is not None:
                 return ready
             if want.is_held:
                 return ArtifactReady("", reason="not_held")
+            copied |= copy_is_sooner
             left = deadline - now
             if left <= 0:
                 return answer
@@ -139,6 +158,43 @@
             if not answer.upstream:
                 await asyncio.sleep(_RETRY_SECONDS)
 
+    def _is_copy_sooner(self, want: WantArtifact) -> bool:
+        """Whether all holders are late and a load elsewhere likely isn't."""
+        now = self._loop.time()
+        if now < self._view.orders_from() or not is_adapter(want.artifact):
+            return False
+        engines = self._view.engines(want.service)
+        holder = choose_holder(want, engines, self._backlogs, now)
+        if holder is None:
+            return False
+        first = predict_first(want, holder, self._backlogs, now)
+        late_there = share_late(want.goal - first)
+        if late_there < _COPY_GAIN:
+            return False
+        survey = self._survey(want.service)
+        waiting = Waiting(want, now, [self._make_waiter(want, now)])
+
+        def lateness(engine: Engine) -> float:
+            return count_late(waiting, engine, self._backlogs, now)
+
+        choice = survey.choose(
+            want.artifact,
+            want.data_centre,
+            survey.crowded() | set(want.avoid),
+            lateness=lateness,
+        )
+        if choice is None:
+            return False
+        return late_there - lateness(choice.engine) > _COPY_GAIN
+
+    def _make_waiter(self, want: WantArtifact, now: float) -> Waiter:
+        return Waiter(
+            now + want.goal,
+            self._backlogs.mean_read_seconds(want.tokens),
+            want.request,
+            want.tokens,
+        )
+
     def _least_seconds(self, want: WantArtifact) -> float:
         """Returns what the first event takes from the order to load on."""
         return LOAD_SECONDS + self._backlogs.mean_read_seconds(want.tokens)
@@ -151,23 +207,24 @@
         if engine is None:
             return None
         rank = rank_want(want, engine, self._backlogs)
+        first = predict_first(want, engine, self._backlogs, now)
         seconds = self._backlogs.read_seconds(engine.name, want.tokens)
         self._backlogs.begin(engine.name, want.request, want.tokens, rank, now)
         held = engine.held[want.artifact]
         held.handed_at = now
-        return ArtifactReady(engine.name, held.version, read_seconds=seconds)
+        return ArtifactReady(
+            engine.name,
+            held.version,
+            read_seconds=seconds,
+            first_seconds=first,
+        )
 
     async def _await_load(
         self, want: WantArtifact, seconds: float
     ) -> ArtifactReady:
         now = self._loop.time()
         loading = self._join(want, now)
-        waiter = Waiter(
-            now + want.goal,
-            self._backlogs.mean_read_seconds(want.tokens),
-            want.request,
-            want.tokens,
-        )
+        waiter = self._make_waiter(want, now)
         waiting = loading.waiting
         waiting.waiters.append(waiter)
         if loading.engine is not None:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -462,6 +462,7 @@
             waited=round(self._search.waited, 4),
             tokens=self._facts.prompt_tokens,
             sent=round(max(self._sent_at - arrived_at, 0.0), 4),
+            foretold=round(self._search.foretold, 4),
             first=round(first, 4),
             seconds=round(seconds, 4),
         )
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -8,6 +8,7 @@
 
 from ridgesill.app.front import Front
 from ridgesill.core.fleet.messages import (
+    COPY_IS_SOONER,
     READY,
     ArtifactReady,
     ReadingEnded,
@@ -82,6 +83,9 @@
 
     def __init__(self, front: Front, facts: RequestFacts) -> None:
         self.waited = 0.0
+        # Seconds until the first event that the owner foretold last; 0 without
+        # its word.
+        self.foretold = 0.0
         self._front = front
         self._facts = facts
         self._terms = SearchTerms("", 0.0, 0.0, 0.0, 0.0)
@@ -127,9 +131,14 @@
         chosen = self._front.chooser.choose(wanted, tried, now)
         if not wanted.artifact:
             return chosen or Refusal("no_upstream")
-        if chosen is not None:
-            return await self._ask_assignment(wanted) or chosen
-        return await self._want(wanted)
+        if chosen is None:
+            return await self._want(wanted)
+        answer = await self._ask_assignment(wanted)
+        if answer is None:
+            return chosen
+        if answer.reason == COPY_IS_SOONER and self._load_patience() > 0:
+            return await self._want(wanted)
+        return self._take_answer(wanted, answer) or chosen
 
     async def learn(self, is_known: Callable[[], bool]) -> None:
         """Waits a little until something is known."""
@@ -190,13 +199,13 @@
     def _goal_at(self) -> float:
         return self._terms.arrived_at + self._terms.goal
 
-    async def _ask_assignment(self, wanted: Wanted) -> Upstream | None:
-        """Returns which holder the owner chooses, if it says so at once."""
+    async def _ask_assignment(self, wanted: Wanted) -> ArtifactReady | None:
+        """Returns what the owner says of the holders, if it does at once."""
         want = self._make_want(wanted, 0.0, is_held=True)
         self._is_asking = True
         answer = await self._front.fleet.assign(want)
         self._is_asking = False
-        return self._take_answer(wanted, answer) if answer else None
+        return answer
 
     def _take_answer(
         self, wanted: Wanted, answer: ArtifactReady
@@ -208,6 +217,7 @@
             return None
         upstream.resident[wanted.artifact] = answer.version
         self._read_seconds = answer.read_seconds
+        self.foretold = answer.first_seconds
         self._reading_at = upstream.name
         return upstream
 
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -184,6 +184,11 @@
     was_read: bool
 
 
+# Reason why an owner names no holder at once although there is one: the answer
+# comes sooner once another engine has loaded a copy.
+COPY_IS_SOONER = "copy_is_sooner"
+
+
 @register
 @attrs.frozen
 class ArtifactReady:
@@ -191,6 +196,7 @@
 
     Attributes:
         read_seconds: that the prompt takes to read there; 0 if not known.
+        first_seconds: predicted until the first event; 0 if not known.
         after: seconds after which asking again may help.
         reason: why there is none.
     """
@@ -200,3 +206,4 @@
     after: float = 0.0
     reason: str = ""
     read_seconds: float = 0.0
+    first_seconds: float = 0.0
--- a/testing/standin/experiment/test_runs.py
+++ b/testing/standin/experiment/test_runs.py
@@ -89,6 +89,24 @@
             off = measure_day(play_day(busy, seed))["worth"]
         assert kept > off + 0.05
 
+    @pytest.mark.parametrize("seed", [2, 3])
+    def test_what_would_be_late_at_all_holders_gets_a_copy(
+        self, seed: int
+    ) -> None:
+        # Eight adapters, the first asked for by two in five: their engines
+        # get more than they can read before others have a copy.
+        calm = scenario("calm", 8.0)
+        hot = attrs.evolve(
+            calm,
+            rate_factor=1.0,
+            kinds=calm.kinds[:1],
+            popularity=Popularity(adapters=8, exponent=1.2, share=1.0),
+        )
+        kept = measure_day(play_day(hot, seed))["worth"]
+        with with_constants({"app.fleet_loads._COPY_GAIN": 9.0}):
+            off = measure_day(play_day(hot, seed))["worth"]
+        assert kept > off + 0.05
+
     @pytest.mark.parametrize("name", ["load", "losses"])
     def test_requests_are_served_while_engines_and_owners_are_lost(
         self, name: str
