Deliver orders through holders of leases, so that a lost leader costs an election

Change: the owner decides as before, but each engine's orders are delivered by the VM that holds its order lease, granted through the log, spread over the voters that don't lead. A holder delivers only on a fresh word: each order carries the last stamp of the holder's own clock that the leader has heard, so that a leader knows without comparing clocks until when one that falls silent may still deliver. The next leader goes on with the same holders; a holder's loss stops its own engines alone, for 0.5 s and the lease; one that restarts goes on at once.

Tests of the owner that read its one moment for all orders now ask from when each engine may be ordered.

--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -33,6 +33,7 @@
     WantArtifact,
     WatchFleet,
 )
+from ridgesill.core.fleet.orders import DeliverOrder, HolderAlive
 from ridgesill.core.following import AskLatest, Follow, Propose
 from ridgesill.core.log.messages import Timing
 from ridgesill.core.voter_changes import voter_name
@@ -170,6 +171,14 @@
     async def _(self, message: HeardLeave, sender: str) -> Any:
         return await self.owner.handle_passed(message)
 
+    @_take.register
+    async def _(self, message: HolderAlive, sender: str) -> None:
+        self.owner.hear_holder(message)
+
+    @_take.register
+    async def _(self, message: DeliverOrder, sender: str) -> Any:
+        return await self.owner.holder.handle(message)
+
     # -- running -------------------------------------------------------
 
     async def run(self) -> None:
@@ -213,6 +222,7 @@
             group.create_task(self.control.follow())
             group.create_task(self.control.lead())
             group.create_task(self.owner.run())
+            group.create_task(self.owner.holder.run())
             group.create_task(self.fleet.run())
             group.create_task(
                 serve_metrics(
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -1,4 +1,4 @@
-"""Orders to engines: one at a time to each, under the owner's lease.
+"""Orders to engines: one at a time to each, through who holds their lease.
 
 An engine counts the orders it has taken, and refuses one that expects another
 count. So an order whose answer was lost can't be carried out late once a later
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 from eliot import log_message
@@ -19,8 +19,10 @@
 )
 from ridgesill.core.fleet.orders import (
     Action,
+    Delivery,
     EngineReport,
     FleetOrder,
+    OrderAnswer,
     OrderVerdict,
 )
 from ridgesill.ports.dialect import EngineCalls
@@ -29,7 +31,7 @@
 
 # Within which an engine answers an order, in seconds, unless the answer is
 # lost: the slowest of 7,564 answers of a played day took 23 ms.
-_ORDER_SECONDS = 0.05
+ORDER_SECONDS = 0.05
 # How often an order without an answer is given in all. When all are lost, the
 # engine gets no orders for a second and more; with three in ten lost, that
 # happened to one order in forty at three times.
@@ -41,17 +43,32 @@
 _SUSPEND_SECONDS = 1.0
 
 
+# What a delivery without an answer says of an order; None where the engine
+# surely never got it.
+_VERDICTS = {
+    Delivery.NO_ANSWER: OrderVerdict.UNKNOWN,
+    Delivery.UNREACHABLE: OrderVerdict.MISDIRECTED,
+    Delivery.NOT_SENT: None,
+}
+
+
 @attrs.frozen
 class Authority:
-    """In whose name orders are given.
+    """Through whom orders to an engine are given.
 
     Attributes:
-        holder: the VM.
-        token: the fencing token.
+        holder: the VM that delivers them.
+        token: the fencing token of its lease.
+        stamp: the last that was heard from it, on its own clock.
     """
 
     holder: str
     token: int
+    stamp: float = 0.0
+
+
+# Has the holder of a lease deliver an order; returns the engine's answer.
+Deliver = Callable[[FleetOrder, Authority], Awaitable[OrderAnswer]]
 
 
 class EngineOrders:
@@ -60,19 +77,22 @@
     Args:
         channels: to engines.
         calls: how orders and reports are worded.
-        authority: returns in whose name to order now, or None when this node
-            must not; asked just before each order leaves.
+        authority: returns through whom an engine can be ordered now, or None
+            when it can't; asked just before each order leaves.
+        deliver: has an order delivered.
     """
 
     def __init__(
         self,
         channels: UpstreamChannels,
         calls: EngineCalls,
-        authority: Callable[[], Authority | None],
+        authority: Callable[[Engine], Authority | None],
+        deliver: Deliver,
     ) -> None:
         self._channels = channels
         self._calls = calls
         self._authority = authority
+        self._deliver = deliver
         self.telemetry: Telemetry = NoTelemetry()
         self._locks: dict[str, asyncio.Lock] = {}
         self._loop = asyncio.get_running_loop()
@@ -106,11 +126,15 @@
             unknown = False
             verdict = OrderVerdict.REFUSED
             for _ in range(_TIMES):
-                order = self._make(action, engine, artifact, version)
-                if order is None:
+                authority = self._authority(engine)
+                sent = None
+                if authority and self._has_place(action, engine, artifact):
+                    order = _make(authority, action, engine, artifact, version)
+                    sent = await self._send(order, authority)
+                if sent is None:
                     # Nothing was sent, or no more than what came before.
                     return OrderVerdict.UNKNOWN if unknown else verdict
-                verdict = await self._send(order)
+                verdict = sent
                 if verdict is not OrderVerdict.UNKNOWN:
                     break
                 unknown = True
@@ -121,25 +145,9 @@
                 self._note(engine, action, artifact, verdict)
             return verdict
 
-    def _make(
-        self, action: Action, engine: Engine, artifact: str, version: int
-    ) -> FleetOrder | None:
-        authority = self._authority()
-        if authority is None:
-            return None
-        if action is Action.LOAD and not engine.has_place_for(artifact):
-            # What was learned since the engine was chosen leaves no place.
-            return None
-        return FleetOrder(
-            action,
-            engine.name,
-            engine.address,
-            artifact,
-            version,
-            authority.holder,
-            authority.token,
-            engine.revision,
-        )
+    def _has_place(self, action: Action, engine: Engine, artifact: str) -> bool:
+        """Whether what was learned since the choice still leaves a place."""
+        return action is not Action.LOAD or engine.has_place_for(artifact)
 
     def _note(
         self,
@@ -169,20 +177,15 @@
             engine.suspended_until = now + _REPORT_LAG
             engine.revision = None
 
-    async def _send(self, order: FleetOrder) -> OrderVerdict:
-        request = self._calls.write_order(order)
+    async def _send(
+        self, order: FleetOrder, authority: Authority
+    ) -> OrderVerdict | None:
+        """Returns what became of an order; None if it surely wasn't sent."""
         began = self._loop.time()
-        status = 0
-        try:
-            async with asyncio.timeout(_ORDER_SECONDS):
-                status, body = await self._exchange(order.address, request)
-            verdict = self._calls.read_verdict(status)
-            detail = body[:80].decode("latin-1")
-        except (ChannelError, TimeoutError) as error:
-            sent = not isinstance(error, ChannelError) or error.sent
-            verdict = OrderVerdict.UNKNOWN if sent else OrderVerdict.MISDIRECTED
-            detail = str(error) or "no answer in time"
-        self.telemetry.note_order(order.action.value, verdict.value)
+        answer = await self._deliver(order, authority)
+        verdict = self._read(answer)
+        said = verdict.value if verdict else answer.delivery.value
+        self.telemetry.note_order(order.action.value, said)
         log_message(
             "fleet:order",
             action=order.action.value,
@@ -191,14 +194,20 @@
             artifact=order.artifact,
             version=order.version,
             revision=order.revision,
+            holder=order.holder,
             token=order.token,
-            verdict=verdict.value,
-            status=status,
-            detail=detail,
+            verdict=said,
+            status=answer.status,
+            detail=answer.detail,
             seconds=round(self._loop.time() - began, 4),
         )
         return verdict
 
+    def _read(self, answer: OrderAnswer) -> OrderVerdict | None:
+        if answer.delivery is Delivery.ANSWERED:
+            return self._calls.read_verdict(answer.status)
+        return _VERDICTS[answer.delivery]
+
     async def _exchange(
         self, address: str, request: HttpRequest
     ) -> tuple[int, bytes]:
@@ -231,7 +240,7 @@
     async def _ask_report(self, engine: Engine) -> EngineReport | None:
         request = self._calls.ask_report(engine.name, engine.address)
         try:
-            async with asyncio.timeout(_ORDER_SECONDS):
+            async with asyncio.timeout(ORDER_SECONDS):
                 status, body = await self._exchange(engine.address, request)
             if status != 200:
                 raise ValueError(f"status {status}")
@@ -254,3 +263,22 @@
             incoming=len(report.incoming),
         )
         return report
+
+
+def _make(
+    authority: Authority,
+    action: Action,
+    engine: Engine,
+    artifact: str,
+    version: int,
+) -> FleetOrder:
+    return FleetOrder(
+        action,
+        engine.name,
+        engine.address,
+        artifact,
+        version,
+        authority.holder,
+        authority.token,
+        engine.revision,
+    )
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -330,9 +330,9 @@
 
     def _is_settled(self, handed_at: float) -> bool:
         """Whether what was handed out at a moment shows in fronts' reports."""
-        if self._loop.time() - handed_at > _SETTLE_SECONDS:
+        if self._view.heard_since(handed_at + _REPORT_MARGIN):
             return True
-        return self._view.heard_since(handed_at + _REPORT_MARGIN)
+        return self._loop.time() - handed_at > _SETTLE_SECONDS
 
     def _choose(self, waiting: Waiting, survey: Survey) -> Choice | None:
         want = waiting.want
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -1,8 +1,7 @@
 """The owner of the fleet: hears heartbeats, tells fronts, orders engines.
 
-The log's leader owns the fleet. The grant in the log gives it a fencing token
-and says which VM gave orders before; a different one waits out that VM's lease
-before its first order.
+The log's leader owns the fleet and decides which orders are given. The VMs that
+hold engines' order leases deliver them (`core/fleet/order_leases.py`).
 """
 
 import asyncio
@@ -14,15 +13,21 @@
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.control import Control, UnavailableError
 from ridgesill.app.engine_loads import LoadsView
-from ridgesill.app.engine_orders import Authority, EngineOrders
+from ridgesill.app.engine_orders import (
+    ORDER_SECONDS,
+    Authority,
+    EngineOrders,
+)
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.fleet_loads import FleetLoads
 from ridgesill.app.log_driver import LogDriver
+from ridgesill.app.order_holder import OrderHolder
 from ridgesill.core import codec
-from ridgesill.core.commands import GrantPool
+from ridgesill.core.commands import GrantPool, ReleasePool
 from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.messages import (
+    READY,
     ArtifactReady,
     FleetNews,
     HeardHeartbeat,
@@ -34,10 +39,22 @@
     WantArtifact,
     WatchFleet,
 )
+from ridgesill.core.fleet.order_leases import (
+    PREFIX,
+    OrderLeases,
+    Place,
+    held_addresses,
+)
+from ridgesill.core.fleet.orders import (
+    DeliverOrder,
+    Delivery,
+    FleetOrder,
+    HolderAlive,
+    OrderAnswer,
+)
 from ridgesill.core.fleet.placement import Placement
 from ridgesill.core.fleet.registry import Registry
 from ridgesill.core.fleet.usage import Usage
-from ridgesill.core.log.replica import Replica
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import EngineCalls
 from ridgesill.ports.peers import PeerError
@@ -49,9 +66,16 @@
 # An owner acts only while a quorum has followed it within this time, in
 # seconds; below the shortest election, so that no successor acts yet.
 _QUORUM_SECONDS = 0.6
-# Added to the lease of the VM that gave orders before, in seconds. It stopped
-# before it could be succeeded, so this covers only an order on its way.
-_LEASE_MARGIN = 0.15
+# Above what an engine has to answer an order, for the way through the holder of
+# its lease and back, in seconds.
+_DELIVERY_MARGIN = 0.05
+# How long a new owner waits for as many fronts as there were before, in
+# seconds:
+# they learn of it within half a second, and report ten times a second.
+_FRONTS_SECONDS = 1.5
+# How long an engine must be gone before its order lease is released, in
+# seconds; longer than any lease, and than most restarts.
+_RELEASE_AFTER = 60.0
 _PROPOSE_SECONDS = 2.0
 # Least time between two answers with news to the same front, in seconds, for
 # each front that asks.
@@ -111,16 +135,22 @@
         self._control = control
         self._follower = follower
         self._channels = channels
-        self._lease = lease
         self._patience = heartbeat * _HEARTBEATS_MISSED
         self._loop = asyncio.get_running_loop()
         self._term = 0
         self._registry: Registry | None = None
-        self._orders_from = float("inf")
+        self._leases = OrderLeases(lease)
+        self._granting: set[str] = set()
+        self._unused_since: dict[str, float] = {}
+        self._owned_at = float("-inf")
+        self._fronts_before = 0
         self._placement = Placement()
         self._usage = Usage()
         self._backlogs = Backlogs()
-        self._orders = EngineOrders(channels, calls, self._authority)
+        self._orders = EngineOrders(
+            channels, calls, self._authority, self._deliver
+        )
+        self.holder = OrderHolder(control, channels, calls, self.hear_holder)
         self._loads = FleetLoads(
             self._placement,
             self._orders,
@@ -128,10 +158,10 @@
                 self._engines_of,
                 self._usage.busy,
                 self._usage.artifacts,
-                self._usage.heard_since,
+                self._have_fronts_told,
                 self._version,
                 self._tell_resident,
-                lambda: self._orders_from,
+                self._usable_from,
             ),
             self._backlogs,
         )
@@ -182,9 +212,8 @@
         if driver is None or driver.replica.term != term:
             return
         now = self._loop.time()
-        self._orders_from = now
-        if before is not None and before.node != me.name:
-            self._orders_from = self._lease_end(driver.replica, now)
+        ordered_until = driver.replica.predecessor_until + _QUORUM_SECONDS
+        self._leases.begin(now, ordered_until)
         self._term = term
         self._begin(done.index, now)
         log_message(
@@ -192,20 +221,13 @@
             epoch=done.index,
             term=term,
             before=before.node if before else "",
-            orders_in=round(self._orders_from - now, 3),
+            ordered_until=round(ordered_until - now, 3),
             upstreams=len(self._follower.view.upstreams),
         )
 
-    def _lease_end(self, replica: Replica, now: float) -> float:
-        """Returns when the lease of the VM that gave orders before is over.
-
-        It gave none once no quorum had followed it for a while, and a voter
-        for this node's election belonged to every such quorum.
-        """
-        ordered_until = replica.predecessor_until + _QUORUM_SECONDS
-        return max(now, ordered_until + self._lease + _LEASE_MARGIN)
-
     def _begin(self, epoch: int, now: float) -> None:
+        self._owned_at = now
+        self._fronts_before = self._follower.view.fronts
         registry = Registry(epoch, self._patience)
         registry.adopt(self._follower.view.upstreams.values(), now)
         if not registry.upstreams:
@@ -223,7 +245,6 @@
         self._follower.view.upstreams = dict(self._registry.upstreams)
         self._registry = None
         self._term = 0
-        self._orders_from = float("inf")
         self._loads.end()
         self._news.note()
 
@@ -242,6 +263,8 @@
         self._backlogs.forget_lost(now)
         self._backlogs.keep_only(set(registry.upstreams))
         self._channels.sweep()
+        self._note_holders(now)
+        self._grant_leases(now)
         self._tend()
 
     # -- heartbeats ----------------------------------------------------
@@ -345,7 +368,11 @@
             upstream.data_centre,
             service.engine,
         )
-        engine.adopt(upstream.resident)
+        engine.draining = upstream.state != READY
+        # Fronts may still use all of it, until they have said what they use.
+        engine.adopt(upstream.resident, handed_at=now)
+        # A report must be from after an earlier owner's last order.
+        engine.ordered_at = min(now, self._leases.ordered_until)
         self._placement.engines[upstream.name] = engine
 
     def _forget_engine(self, name: str) -> None:
@@ -372,6 +399,17 @@
 
     # -- fronts --------------------------------------------------------
 
+    def _have_fronts_told(self, at: float) -> bool:
+        """Whether every front has told what it uses after a moment.
+
+        A new owner expects as many as its predecessor had: what fronts that
+        it has not heard use must not be unloaded.
+        """
+        is_new = self._loop.time() < self._owned_at + _FRONTS_SECONDS
+        if is_new and self._usage.fronts < self._fronts_before:
+            return False
+        return self._usage.heard_since(at)
+
     async def handle_watch(
         self, sender: str, question: WatchFleet
     ) -> FleetNews:
@@ -437,13 +475,108 @@
             and registry.upstreams[engine.name].service == service
         ]
 
-    def _authority(self) -> Authority | None:
-        """Returns in whose name to order now; None when this node must not."""
+    # -- order leases --------------------------------------------------
+
+    def hear_holder(self, alive: HolderAlive) -> None:
+        """Notes that a VM can deliver orders."""
+        now = self._loop.time()
+        was_heard = self._leases.is_heard(alive.name, now)
+        self._leases.hear(alive.name, alive.stamp, alive.data_centre, now)
+        if not was_heard and self._registry is not None:
+            self._note_holders(now)
+            self._loads.dispatch()
+
+    def _note_holders(self, now: float) -> None:
+        """Notes which engines can be ordered now."""
+        owners = self._control.state.owners
+        for engine in self._placement.engines.values():
+            holder = self._leases.holder(engine.address, owners, now)
+            engine.has_holder = holder is not None
+
+    def _usable_from(self) -> float:
+        """Returns from when some engine can be ordered."""
+        if self._registry is None:
+            return float("inf")
+        now = self._loop.time()
+        addresses = [e.address for e in self._placement.engines.values()]
+        owners = self._control.state.owners
+        return self._leases.usable_from(addresses, owners, now)
+
+    def _grant_leases(self, now: float) -> None:
+        """Grants what nobody holds, and releases what nobody needs."""
+        owners = self._control.state.owners
+        places = [
+            Place(engine.address, engine.data_centre)
+            for engine in self._placement.engines.values()
+            if engine.address not in self._granting
+        ]
+        leader = self._control.node.name
+        for grant in self._leases.choose_grants(places, owners, leader, now):
+            self._granting.add(grant.address)
+            command = GrantPool(PREFIX + grant.address, grant.node, "")
+            self._loads.engine_loads.spawn(
+                self._propose(grant.address, command)
+            )
+        used = {engine.address for engine in self._placement.engines.values()}
+        for address in held_addresses(owners):
+            if address in used:
+                self._unused_since.pop(address, None)
+                continue
+            since = self._unused_since.setdefault(address, now)
+            if now - since > _RELEASE_AFTER and address not in self._granting:
+                del self._unused_since[address]
+                self._granting.add(address)
+                pool = PREFIX + address
+                release = ReleasePool(pool, owners[pool].epoch)
+                self._loads.engine_loads.spawn(self._propose(address, release))
+
+    async def _propose(
+        self, address: str, command: GrantPool | ReleasePool
+    ) -> None:
+        try:
+            done = await self._control.propose(command, _PROPOSE_SECONDS)
+        except UnavailableError as error:
+            log_message("fleet:not_granted", peer=address, detail=str(error))
+        else:
+            holder = command.node if isinstance(command, GrantPool) else ""
+            log_message(
+                "fleet:lease",
+                peer=address,
+                holder=holder,
+                token=done.index,
+            )
+        finally:
+            self._granting.discard(address)
+
+    def _authority(self, engine: Engine) -> Authority | None:
+        """Returns who delivers orders to an engine now; None if nobody."""
         if self._registry is None or not self.is_owner():
             return None
-        if self._loop.time() < self._orders_from:
+        if engine.address in self._granting:
+            return None
+        owners = self._control.state.owners
+        now = self._loop.time()
+        holder = self._leases.holder(engine.address, owners, now)
+        if holder is None:
             return None
-        return Authority(self._control.node.name, self._registry.epoch)
+        self._leases.note_used(engine.address, holder.name, now)
+        return Authority(holder.name, holder.token, holder.stamp)
+
+    async def _deliver(
+        self, order: FleetOrder, authority: Authority
+    ) -> OrderAnswer:
+        """Has the holder of an engine's lease deliver an order."""
+        message = DeliverOrder(order, authority.stamp, self._term)
+        if authority.holder == self._control.node.name:
+            return await self.holder.handle(message)
+        address = self._control.address_of(authority.holder)
+        try:
+            answer: OrderAnswer = await self._control.peers.call(
+                address, message, ORDER_SECONDS + _DELIVERY_MARGIN
+            )
+        except PeerError as error:
+            return OrderAnswer(Delivery.NO_ANSWER, str(error))
+        return answer
 
     def _tend(self) -> None:
         for service in self.table.services.values():
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -103,6 +103,7 @@
             engine takes no other order.
         ordered_at: when it last took an order.
         suspended_until: until when it gets no orders, after failures.
+        has_holder: whether a VM can deliver orders to it now.
     """
 
     name: str
@@ -117,6 +118,7 @@
     waits_for: str = ""
     ordered_at: float = float("-inf")
     suspended_until: float = 0.0
+    has_holder: bool = True
     draining: bool = False
     _left_at: dict[str, float] = attrs.Factory(dict)
     _missed: dict[str, int] = attrs.Factory(dict)
@@ -212,7 +214,9 @@
 
     def can_order(self, now: float) -> bool:
         """Whether it takes orders now, as far as is known."""
-        return not self.draining and now >= self.suspended_until
+        if self.draining or not self.has_holder:
+            return False
+        return now >= self.suspended_until
 
     def resident(self) -> dict[str, int]:
         """Returns the versions of what it holds."""
@@ -220,10 +224,17 @@
 
     # -- what it says --------------------------------------------------
 
-    def adopt(self, resident: dict[str, int]) -> None:
-        """Takes what it holds as given, from a heartbeat or a predecessor."""
+    def adopt(
+        self, resident: dict[str, int], handed_at: float = float("-inf")
+    ) -> None:
+        """Takes what it holds as given, from a heartbeat or a predecessor.
+
+        Args:
+            resident: versions by artifact.
+            handed_at: until when a predecessor may have sent requests there.
+        """
         for artifact, version in resident.items():
-            self.held[artifact] = _learned(version)
+            self.held[artifact] = Held(version, float("-inf"), handed_at)
 
     def reconcile(self, resident: dict[str, int], now: float) -> None:
         """Brings what is believed in line with a heartbeat, which may lag."""
@@ -239,12 +250,27 @@
                 self.unanswered.pop(artifact, None)
             elif version > held.version:
                 held.version = version
-        for artifact in list(self.leaving):
-            old = now - self.leaving[artifact].at > _REPORT_LAG
-            if old and artifact not in resident:
-                del self.leaving[artifact]
+        self._settle_leaving(resident, now, _REPORT_LAG)
         self._drop_missing(resident, now)
 
+    def _settle_leaving(
+        self, resident: dict[str, int], now: float, lag: float
+    ) -> None:
+        """Decides unloads whose fate was unknown.
+
+        What is still there long after was not unloaded: its order was lost.
+        Without this it would keep its place, and serve nobody, for good.
+        """
+        replaced = {pending.victim for pending in self.loading.values()}
+        for artifact, leaving in list(self.leaving.items()):
+            if now - leaving.at <= lag or artifact in replaced:
+                continue
+            if artifact not in resident:
+                del self.leaving[artifact]
+            elif artifact != self.waits_for:
+                del self.leaving[artifact]
+                self.held[artifact] = _learned(resident[artifact])
+
     def _drop_missing(self, resident: dict[str, int], now: float) -> None:
         for artifact, held in list(self.held.items()):
             if artifact in resident or now - held.since < _REPORT_LAG:
@@ -260,6 +286,7 @@
         """Takes a report that was asked for after a quiet moment."""
         self.revision = report.revision
         self._drop_unreported(report, now)
+        self._settle_leaving(report.resident, now, _ASKED_REPORT_LAG)
         for artifact, load in list(self.unanswered.items()):
             if load.until <= now or _is_past(load, report.revision):
                 del self.unanswered[artifact]
--- a/src/ridgesill/core/fleet/orders.py
+++ b/src/ridgesill/core/fleet/orders.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ridgesill.core.codec import register
+
 
 class Action(enum.Enum):
     """What an engine is ordered to do."""
@@ -23,6 +25,7 @@
     UNKNOWN = "unknown"
 
 
+@register
 @attrs.frozen
 class FleetOrder:
     """An order.
@@ -31,8 +34,8 @@
         upstream: the incarnation that is meant.
         artifact: `model` or `model/adapter`.
         version: to load; 0 for the newest.
-        holder: the VM that gives it.
-        token: the fencing token of its ownership.
+        holder: the VM that delivers it.
+        token: the fencing token of its lease.
         revision: the count of orders that the engine must have taken so far;
             None when it isn't known.
     """
@@ -47,6 +50,60 @@
     revision: int | None
 
 
+@register
+@attrs.frozen
+class HolderAlive:
+    """A VM tells the leader that it can deliver orders.
+
+    Attributes:
+        name: of the node.
+        stamp: its own steady clock, in seconds.
+    """
+
+    name: str
+    data_centre: str
+    stamp: float
+
+
+@register
+@attrs.frozen
+class DeliverOrder:
+    """The leader has the holder of an engine's lease deliver an order.
+
+    Attributes:
+        stamp: the last that the leader has heard from the holder.
+        term: of the leadership.
+    """
+
+    order: FleetOrder
+    stamp: float
+    term: int
+
+
+class Delivery(enum.Enum):
+    """How far an order came."""
+
+    ANSWERED = "answered"
+    NO_ANSWER = "no_answer"
+    UNREACHABLE = "unreachable"
+    NOT_SENT = "not_sent"
+
+
+@register
+@attrs.frozen
+class OrderAnswer:
+    """What became of the delivery of an order.
+
+    Attributes:
+        detail: the start of the engine's answer, or why there is none.
+        status: of that answer.
+    """
+
+    delivery: Delivery
+    detail: str
+    status: int = 0
+
+
 @attrs.frozen
 class EngineReport:
     """What an engine says when asked; some hundred milliseconds old.
--- a/src/ridgesill/standin/emulator/control.py
+++ b/src/ridgesill/standin/emulator/control.py
@@ -1,5 +1,6 @@
 """A control plane of one emulated node that is granted the fleet."""
 
+import itertools
 from collections.abc import Callable
 
 import attrs
@@ -8,6 +9,9 @@
 from ridgesill.core.state import Owner, State
 from ridgesill.ports.peers import Peers
 
+# Grants in a term, at the most; their numbers rise from term to term.
+_GRANTS_MOST = 1_000_000
+
 
 @attrs.define
 class EmulatedReplica:
@@ -54,6 +58,7 @@
         self.peers = peers
         self.driver = EmulatedDriver()
         self.leader_address = leader
+        self._granted = itertools.count(1)
 
     def lead(self, term: int, predecessor_until: float) -> None:
         """Has this node lead the log in a new term.
@@ -71,8 +76,12 @@
         self.driver.is_leader = False
 
     async def propose(self, command: GrantPool, timeout: float) -> Granted:
-        """Grants what is asked; each term has one grant."""
-        index = self.driver.replica.term
+        """Grants what is asked."""
+        index = self.driver.replica.term * _GRANTS_MOST + next(self._granted)
         owner = Owner(command.node, command.incarnation, index)
         self.state.owners[command.pool] = owner
         return Granted(index)
+
+    def address_of(self, name: str) -> str:
+        """Returns a node's address, which is its name."""
+        return name
--- a/src/ridgesill/standin/emulator/world.py
+++ b/src/ridgesill/standin/emulator/world.py
@@ -16,6 +16,7 @@
     WantArtifact,
     WatchFleet,
 )
+from ridgesill.core.fleet.orders import DeliverOrder, HolderAlive
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.retries import RetryBounds
@@ -55,7 +56,7 @@
 # begin after 1.2 to 1.9.
 _ELECTION = 1.6
 # Nodes that may own the fleet, by turns.
-_OWNERS = ("10.0.0.1:70", "10.0.0.2:70")
+_OWNERS = tuple(f"10.0.0.{number}:70" for number in range(1, 6))
 
 
 @attrs.define
@@ -175,6 +176,7 @@
             owner, sender, message
         )
         self._spawn(owner.run())
+        self._spawn(owner.holder.run())
         self._spawn(follower.run())
 
     def _lead(self, name: str, predecessor_until: float) -> None:
@@ -279,8 +281,8 @@
         self._leader = ""
         lost_at = self._loop.time()
         await asyncio.sleep(_ELECTION)
-        after = next(name for name in _OWNERS if name != before)
-        self._lead(after, lost_at)
+        turn = (_OWNERS.index(before) + 1) % len(_OWNERS)
+        self._lead(_OWNERS[turn], lost_at)
         self._nodes[before] = handle
 
 
@@ -294,6 +296,10 @@
         return await owner.handle_watch(sender, message)
     if isinstance(message, WantArtifact):
         return await owner.handle_want(message)
+    if isinstance(message, HolderAlive):
+        return owner.hear_holder(message)
+    if isinstance(message, DeliverOrder):
+        return await owner.holder.handle(message)
     if isinstance(message, ReadingEnded):
         return await owner.handle_reading_ended(message)
     raise PeerError(type(message).__name__, sender, "unknown message")
--- a/testing/app/engine_world.py
+++ b/testing/app/engine_world.py
@@ -10,7 +10,9 @@
 from ridgesill.app.engine_loads import LoadsView
 from ridgesill.app.engine_orders import Authority, EngineOrders
 from ridgesill.app.fleet_loads import FleetLoads
+from ridgesill.app.order_holder import deliver_order
 from ridgesill.core.fleet.engines import Engine
+from ridgesill.core.fleet.orders import FleetOrder, OrderAnswer
 from ridgesill.core.fleet.placement import Placement
 from ridgesill.core.serving.routes import EngineSpec, Model
 from ridgesill.platform.upstreams import PlatformEngines
@@ -200,7 +202,8 @@
         self.orders = EngineOrders(
             self.channels,  # type: ignore[arg-type]
             PlatformEngines(),
-            lambda: self.authority,
+            lambda _engine: self.authority,
+            self._deliver,
         )
         self.loads = FleetLoads(
             self.placement,
@@ -216,6 +219,15 @@
             ),
         )
 
+    async def _deliver(
+        self, order: FleetOrder, _authority: Authority
+    ) -> OrderAnswer:
+        return await deliver_order(
+            self.channels,  # type: ignore[arg-type]
+            PlatformEngines(),
+            order,
+        )
+
     def _using(self, name: str) -> set[str]:
         engine = next(e for e in self.simulated if e.name == name)
         return {f"{MODEL}/{adapter}" for adapter in engine.used}
--- a/testing/app/lone_node.py
+++ b/testing/app/lone_node.py
@@ -17,6 +17,7 @@
 from testing.app.control_world import MemoryStorage, _run_inline
 
 NAME = "10.0.0.1:70"
+ENGINE = "10.0.2.1:80"
 LEASE = 3.0
 
 
@@ -62,6 +63,7 @@
         self._tasks = [
             asyncio.create_task(self.driver.run()),
             asyncio.create_task(self.owner.run()),
+            asyncio.create_task(self.owner.holder.run()),
         ]
         while not self.owner.is_owner():
             await asyncio.sleep(0.05)
@@ -73,9 +75,11 @@
 
 
 def storage_of(owner: str) -> MemoryStorage:
-    """Returns the disk of a node whose log grants the fleet to a node."""
+    """Returns a disk whose log grants the fleet and its orders to a node."""
     storage = MemoryStorage(f"{NAME}.a", found_snapshot((f"{NAME}.a",), b""))
     if owner:
         command = codec.encode(GrantPool(FLEET, owner, "0"))
-        storage.append(HardState(1, ""), [Entry(1, 1, command)])
+        lease = codec.encode(GrantPool(f"orders/{ENGINE}", owner, ""))
+        entries = [Entry(1, 1, command), Entry(2, 1, lease)]
+        storage.append(HardState(1, ""), entries)
     return storage
--- a/testing/app/test_fleet_owner.py
+++ b/testing/app/test_fleet_owner.py
@@ -7,7 +7,19 @@
 
 from ridgesill.app.fleet_owner import last_owner
 from ridgesill.core.fleet.messages import Heartbeat, WantArtifact, WatchFleet
-from testing.app.lone_node import LEASE, NAME, LoneNode, storage_of
+from ridgesill.core.serving.routes import (
+    EngineSpec,
+    Model,
+    RouteTable,
+    Service,
+)
+from testing.app.lone_node import (
+    ENGINE,
+    LEASE,
+    NAME,
+    LoneNode,
+    storage_of,
+)
 
 pytestmark = pytest.mark.looptime
 
@@ -20,23 +32,48 @@
     )
 
 
+def engine_table() -> RouteTable:
+    """Returns a configuration with one service of engines."""
+    spec = EngineSpec(4, 9.0, 4, 1.0, (Model("m", 1.0, 1.0, 9, 1.0),))
+    return RouteTable(1, [], [Service("s", "/", 0, spec)])
+
+
+def engine_heartbeat() -> Heartbeat:
+    """Returns a heartbeat of an engine."""
+    return Heartbeat("e1", "s", ENGINE, "a", 4, False, 1, {"m": 1})
+
+
 class TestOwnership:
     @pytest.mark.parametrize("before", ["", NAME])
     async def test_its_own_lease_is_not_waited_out(self, before: str) -> None:
         owning = LoneNode(storage_of(before))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        owning.owner.note_table(engine_table())
         await owning.start()
-        assert owning.owner._orders_from <= owning.control._loop.time()
+        owning.owner.take_heartbeat(engine_heartbeat())
+        while owning.owner._usable_from() > loop.time():
+            await asyncio.sleep(0.05)
+        # What nobody holds is granted once all holders could be heard.
+        assert loop.time() - began < 3.0
         owning.stop()
 
     async def test_another_vm_s_lease_is_waited_out(self) -> None:
         owning = LoneNode(storage_of("10.0.0.2:70"))
-        began = owning.control._loop.time()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        owning.owner.note_table(engine_table())
         await owning.start()
+        owning.owner.take_heartbeat(engine_heartbeat())
         # It voted for itself, and can't say whom it followed before it
-        # started. An owner gives orders for 0.6 s after it last heard a
-        # quorum; 0.15 s are for an order on its way.
-        expected = began + 0.6 + LEASE + 0.15
-        assert owning.owner._orders_from == pytest.approx(expected, abs=0.01)
+        # started. An owner has orders delivered for 0.6 s after it last heard
+        # a quorum, the holder delivers for 0.5 s after its last stamp, and
+        # 0.15 s are for an order on its way.
+        expected = began + 0.6 + 0.5 + LEASE + 0.15
+        engine = owning.owner._placement.engines["e1"]
+        while owning.owner._authority(engine) is None:
+            await asyncio.sleep(0.05)
+        assert expected <= loop.time() < expected + 0.5
         owning.stop()
 
     async def test_the_log_says_who_owned_it_last(self) -> None:
--- a/testing/core/fleet/test_engines.py
+++ b/testing/core/fleet/test_engines.py
@@ -80,6 +80,33 @@
         assert "base/a1" not in engine.held
 
 
+class TestUnloadsWithoutAnswer:
+    def test_what_is_still_there_long_after_is_held_again(
+        self, engine: Engine
+    ) -> None:
+        del engine.held["base/a1"]
+        engine.leaving["base/a1"] = Leaving(200.0, 1)
+        engine.reconcile({MODEL: 1, "base/a1": 1}, 203.0)
+        assert "base/a1" not in engine.held
+        engine.reconcile({MODEL: 1, "base/a1": 1}, 205.0)
+        assert "base/a1" in engine.held
+        assert not engine.leaving
+
+    def test_a_report_tells_sooner(self, engine: Engine) -> None:
+        del engine.held["base/a1"]
+        engine.leaving["base/a1"] = Leaving(200.0, 1)
+        report = EngineReport(7, False, {MODEL: 1, "base/a1": 1}, {})
+        engine.take_report(report, 201.5)
+        assert "base/a1" in engine.held
+
+    def test_one_that_waits_for_its_runs_goes_on(self, engine: Engine) -> None:
+        del engine.held["base/a1"]
+        engine.leaving["base/a1"] = Leaving(200.0, 1)
+        engine.waits_for = "base/a1"
+        engine.reconcile({MODEL: 1, "base/a1": 1}, 205.0)
+        assert "base/a1" not in engine.held
+
+
 class TestReports:
     def test_what_was_unloaded_just_before_is_not_believed(
         self, engine: Engine
