--- a/testing/app/control_world.py
+++ b/testing/app/control_world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container, Iterable
 from typing import Any
 
 import attrs
@@ -18,7 +18,7 @@
 from ridgesill.core.log.replica import found_snapshot
 from ridgesill.core.pool.messages import Digest
 from ridgesill.core.runners import Announcement, Order
-from ridgesill.ports.peers import PeerError
+from testing.app.faulty_network import FaultyNetwork, FaultyPeers
 
 VOTERS = ("a", "b", "c")
 LEASE = 4.0
@@ -60,35 +60,6 @@
         self.entries = list(entries)
 
 
-class FaultyPeers:
-    """A node's way to the others."""
-
-    def __init__(self, world: "ControlWorld", name: str) -> None:
-        self._world = world
-        self._name = name
-
-    def send(self, address: str, message: Any) -> None:
-        """Sends a message that may be lost."""
-        work = self._world.carry(self._name, address, message)
-        self._world.spawn(_ignore_errors(work))
-
-    async def call(self, address: str, message: Any, timeout: float) -> Any:
-        """Returns the answer, or raises `PeerError`."""
-        work = self._world.carry(self._name, address, message)
-        try:
-            return await asyncio.wait_for(work, timeout)
-        except TimeoutError as error:
-            step = type(message).__name__
-            raise PeerError(step, address, "no answer in time") from error
-
-
-async def _ignore_errors(work: Any) -> None:
-    try:
-        await work
-    except (TimeoutError, PeerError):
-        return
-
-
 class RecordedOrders:
     """Notes who orders what, and when the order arrives."""
 
@@ -116,7 +87,7 @@
     tasks: list[asyncio.Task[None]]
 
 
-class ControlWorld:
+class ControlWorld(FaultyNetwork):
     """Three voters and some nodes without a disk.
 
     Args:
@@ -128,12 +99,9 @@
     def __init__(
         self, others: tuple[str, ...], seed: int, loss: float = 0.02
     ) -> None:
-        self.rng = random.Random(seed)
-        self.loss = loss
+        super().__init__(seed, loss, (0.001, 0.02))
         self.members: dict[str, Member] = {}
         self.ordered: list[tuple[float, str, Order]] = []
-        self.cut: set[tuple[str, str]] = set()
-        self.reply_delay: dict[str, float] = {}
         self._storages = {
             name: MemoryStorage(
                 f"{name}.0",
@@ -143,13 +111,6 @@
         }
         self._others = others
         self._incarnation = 0
-        self._spawned: set[asyncio.Task[Any]] = set()
-
-    def spawn(self, work: Any) -> None:
-        """Runs a coroutine on its own."""
-        task = asyncio.ensure_future(work)
-        self._spawned.add(task)
-        task.add_done_callback(self._spawned.discard)
 
     # -- nodes ------------------------------------------------------------
 
@@ -207,36 +168,20 @@
         """Ends all."""
         for name in list(self.members):
             self.stop_node(name)
-        for task in list(self._spawned):
-            task.cancel()
+        self.stop_spawned()
 
     # -- network ------------------------------------------------------------
 
-    def isolate(self, name: str, *, inbound: bool, outbound: bool) -> None:
-        """Cuts a node off in one direction or both."""
-        for other in (*VOTERS, *self._others):
-            if inbound:
-                self.cut.add((other, name))
-            if outbound:
-                self.cut.add((name, other))
-
-    async def carry(self, sender: str, to: str, message: Any) -> Any:
-        """Takes a message to a node and its answer back."""
-        await self._travel(sender, to)
-        answer = await self._take(to, message)
-        await asyncio.sleep(self.reply_delay.get(sender, 0.0))
-        await self._travel(to, sender)
-        return answer
-
-    async def _travel(self, sender: str, to: str) -> None:
-        await asyncio.sleep(self.rng.uniform(0.001, 0.02))
-        lost = self.rng.random() < self.loss
-        if lost or (sender, to) in self.cut or to not in self.members:
-            # As on a real network, a loss shows only by silence.
-            await asyncio.sleep(60.0)
-            raise PeerError("travel", to, "lost")
-
-    async def _take(self, name: str, message: Any) -> Any:
+    def names(self) -> Iterable[str]:
+        """Returns all nodes."""
+        return (*VOTERS, *self._others)
+
+    def running(self) -> Container[str]:
+        """Returns the nodes that take messages."""
+        return self.members
+
+    async def take(self, sender: str, name: str, message: Any) -> Any:
+        """Has a node take a message; returns its answer."""
         member = self.members[name]
         if isinstance(message, ReplicaMessage):
             if member.control.driver is not None:
--- a/testing/app/order_world.py
+++ b/testing/app/order_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Container, Iterable
 from typing import Any
 
 import attrs
@@ -26,17 +27,14 @@
 from ridgesill.platform.upstreams import PlatformEngines
 from ridgesill.ports.http import HttpRequest
 from ridgesill.ports.peers import PeerError
-from testing.app.control_world import (
-    FaultyPeers,
-    MemoryStorage,
-    _run_inline,
-)
+from testing.app.control_world import MemoryStorage, _run_inline
 from testing.app.engine_world import (
     MODEL,
     SimulatedChannels,
     SimulatedEngine,
     SimulatedExchange,
 )
+from testing.app.faulty_network import FaultyNetwork, FaultyPeers
 
 VOTERS = tuple(f"10.0.0.{number}:70" for number in range(1, 6))
 LEASE = 3.0
@@ -94,7 +92,7 @@
     tasks: list[asyncio.Task[None]]
 
 
-class OrderWorld:
+class OrderWorld(FaultyNetwork):
     """Five voters and some engines that are asked for adapters all the time.
 
     Args:
@@ -106,11 +104,9 @@
     def __init__(
         self, seed: int, loss: float = 0.02, lost_orders: float = 0.1
     ) -> None:
-        self.rng = random.Random(seed)
-        self.loss = loss
+        super().__init__(seed, loss, (0.0005, 0.01))
         self.members: dict[str, Member] = {}
         self.orders: list[SeenOrder] = []
-        self.cut: set[tuple[str, str]] = set()
         self.engines = [SimulatedEngine(f"u{n}", _PLACES) for n in range(4)]
         self.channels = SimulatedChannels(
             {f"10.0.1.{n}:80": e for n, e in enumerate(self.engines)},
@@ -126,13 +122,6 @@
             for name in VOTERS
         }
         self._incarnation = 0
-        self._spawned: set[asyncio.Task[Any]] = set()
-
-    def spawn(self, work: Any) -> None:
-        """Runs a coroutine on its own."""
-        task = asyncio.ensure_future(work)
-        self._spawned.add(task)
-        task.add_done_callback(self._spawned.discard)
 
     # -- nodes ---------------------------------------------------------
 
@@ -149,7 +138,7 @@
         self._incarnation += 1
         storage = self._storages[name]
         node = Node(name, f"i{self._incarnation}", name, "a", storage.identity)
-        peers = FaultyPeers(self, name)  # type: ignore[arg-type]
+        peers = FaultyPeers(self, name)
         control = Control(
             node,
             ControlSettings({v: v for v in VOTERS}, names_are_addresses=True),
@@ -194,8 +183,7 @@
         """Ends all."""
         for name in list(self.members):
             self.stop_node(name)
-        for task in list(self._spawned):
-            task.cancel()
+        self.stop_spawned()
 
     def leader(self) -> str:
         """Returns the node that surely owns the fleet; empty if none."""
@@ -210,30 +198,16 @@
 
     # -- network -------------------------------------------------------
 
-    def isolate(self, name: str, *, inbound: bool, outbound: bool) -> None:
-        """Cuts a node off from the others in one direction or both."""
-        for other in VOTERS:
-            if inbound:
-                self.cut.add((other, name))
-            if outbound:
-                self.cut.add((name, other))
-
-    async def carry(self, sender: str, to: str, message: Any) -> Any:
-        """Takes a message to a node and its answer back."""
-        await self._travel(sender, to)
-        answer = await self._take(sender, to, message)
-        await self._travel(to, sender)
-        return answer
-
-    async def _travel(self, sender: str, to: str) -> None:
-        await asyncio.sleep(self.rng.uniform(0.0005, 0.01))
-        is_lost = self.rng.random() < self.loss
-        if is_lost or (sender, to) in self.cut or to not in self.members:
-            # As on a real network, a loss shows only by silence.
-            await asyncio.sleep(60.0)
-            raise PeerError("travel", to, "lost")
-
-    async def _take(self, sender: str, name: str, message: Any) -> Any:
+    def names(self) -> Iterable[str]:
+        """Returns all nodes."""
+        return VOTERS
+
+    def running(self) -> Container[str]:
+        """Returns the nodes that take messages."""
+        return self.members
+
+    async def take(self, sender: str, name: str, message: Any) -> Any:
+        """Has a node take a message; returns its answer."""
         member = self.members[name]
         if isinstance(message, ReplicaMessage):
             if member.control.driver is not None:
