Count an earlier leader's orders beside a holder's last word

Read in the code: a new leader counted the lease of a holder that it had heard from that word, although an earlier leader that doesn't know yet that it leads no more may send orders through it for up to 0.6 s after a quorum last followed it. The later of both moments counts now. With a test that fails before.

--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -53,9 +53,8 @@
 # An owner acts only while a quorum has followed it within this time, in
 # seconds; below the shortest election, so that no successor acts yet.
 _QUORUM_SECONDS = 0.6
-# How long a new owner waits for as many fronts as there were before, in
-# seconds:
-# they learn of it within half a second, and report ten times a second.
+# How long a new owner waits to hear as many fronts as there were before, in
+# seconds; they learn of it within half a second, and report ten times a second.
 _FRONTS_SECONDS = 1.5
 _PROPOSE_SECONDS = 2.0
 # Least time between two answers with news to the same front, in seconds, for
--- a/src/ridgesill/core/fleet/order_leases.py
+++ b/src/ridgesill/core/fleet/order_leases.py
@@ -148,9 +148,15 @@
         return self._silent_from + STAMP_SECONDS
 
     def free_from(self, name: str) -> float:
-        """Returns from when another VM may order what a silent one held."""
+        """Returns from when another VM may order what a silent one held.
+
+        It may have fallen silent after a word to this leader, while an earlier
+        one, which doesn't know that it leads no more, still sends orders.
+        """
         heard = self._heard.get(name)
-        silent_from = self._silent_from if heard is None else heard.at
+        silent_from = self._silent_from
+        if heard is not None:
+            silent_from = max(silent_from, heard.at)
         return silent_from + STAMP_SECONDS + self._lease + _MARGIN
 
     def usable_from(
--- a/testing/core/fleet/test_order_leases.py
+++ b/testing/core/fleet/test_order_leases.py
@@ -100,6 +100,13 @@
         # Until 98.0 the leader before may have sent orders.
         assert leases.free_from("b") == pytest.approx(98.0 + FREE_AFTER)
 
+    def test_an_earlier_leader_may_use_one_that_was_heard(self) -> None:
+        leases = OrderLeases(LEASE)
+        # That leader stops 0.4 s after this one has begun.
+        leases.begin(100.0, 100.4)
+        leases.hear("b", 7.0, "a", 100.1)
+        assert leases.free_from("b") == pytest.approx(100.4 + FREE_AFTER)
+
 
 class TestUsableFrom:
     def test_at_once_where_any_holder_is_heard(self) -> None:
