--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -56,6 +56,8 @@
 # How long a new owner waits to hear as many fronts as there were before, in
 # seconds; they learn of it within half a second, and report ten times a second.
 _FRONTS_SECONDS = 1.5
+# How long a grant of the fleet may take to be applied, in seconds; it is
+# proposed again after that.
 _PROPOSE_SECONDS = 2.0
 # Least time between two answers with news to the same front, in seconds, for
 # each front that asks.
--- a/src/ridgesill/app/order_lease_keeper.py
+++ b/src/ridgesill/app/order_lease_keeper.py
@@ -32,6 +32,8 @@
 # How long an engine must be gone before its order lease is released, in
 # seconds; longer than any lease, and than most restarts.
 _RELEASE_AFTER = 60.0
+# How long a grant of a lease may take to be applied, in seconds; it is proposed
+# again after that.
 _PROPOSE_SECONDS = 2.0
 
 
