Choose a request's holder once, and say each sum of an order lease once

The owner looked for the best holder twice for each request that it places, once to weigh a copy and once to send it there; now both get the one that was found. What a request that waits is made of stood in two places, and so did the time for which a silent holder's lease is waited out. Of two moments that were both called ordered_until, the later one, until which orders may have been delivered, is called so.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -15,7 +15,7 @@
 )
 from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine, is_adapter
-from ridgesill.core.fleet.lateness import count_late, load_seconds
+from ridgesill.core.fleet.lateness import count_late, load_seconds, make_waiter
 from ridgesill.core.fleet.messages import (
     COPY_IS_SOONER,
     ArtifactReady,
@@ -126,15 +126,15 @@
         while True:
             now = self._loop.time()
             current = attrs.evolve(want, goal=want.goal - (now - asked_at))
-            copy_is_sooner = not copied and self._is_copy_sooner(current)
-            if copy_is_sooner and want.is_held:
-                return ArtifactReady("", reason=COPY_IS_SOONER)
-            ready = None if copy_is_sooner else self._assign(current)
-            if ready is not None:
-                return ready
+            engines = self._view.engines(want.service)
+            holder = choose_holder(current, engines, self._backlogs, now)
+            if holder is not None:
+                if copied or not self._is_copy_sooner(current, holder):
+                    return self._assign(current, holder)
+                copied = True
             if want.is_held:
-                return ArtifactReady("", reason="not_held")
-            copied |= copy_is_sooner
+                reason = COPY_IS_SOONER if copied else "not_held"
+                return ArtifactReady("", reason=reason)
             left = deadline - now
             if left <= 0:
                 return answer
@@ -152,38 +152,26 @@
             if not answer.upstream:
                 await asyncio.sleep(_RETRY_SECONDS)
 
-    def _is_copy_sooner(self, want: WantArtifact) -> bool:
+    def _is_copy_sooner(self, want: WantArtifact, holder: Engine) -> bool:
         """Whether a request should wait for a copy rather than a holder."""
         now = self._loop.time()
         if now < self._view.orders_from() or not is_adapter(want.artifact):
             return False
         return is_copy_sooner(
             want,
-            self._view.engines(want.service),
+            holder,
             self._backlogs,
             now,
             lambda: self._survey(want.service),
         )
 
-    def _make_waiter(self, want: WantArtifact, now: float) -> Waiter:
-        return Waiter(
-            now + want.goal,
-            self._backlogs.mean_read_seconds(want.tokens),
-            want.request,
-            want.tokens,
-        )
-
     def _least_seconds(self, want: WantArtifact) -> float:
         """Returns what the first event takes from the order to load on."""
         return LOAD_SECONDS + self._backlogs.mean_read_seconds(want.tokens)
 
-    def _assign(self, want: WantArtifact) -> ArtifactReady | None:
-        """Sends a request to an engine that holds what it needs, if any."""
+    def _assign(self, want: WantArtifact, engine: Engine) -> ArtifactReady:
+        """Sends a request to an engine that holds what it needs."""
         now = self._loop.time()
-        engines = self._view.engines(want.service)
-        engine = choose_holder(want, engines, self._backlogs, now)
-        if engine is None:
-            return None
         rank = rank_want(want, engine, self._backlogs)
         first = predict_first(want, engine, self._backlogs, now)
         seconds = self._backlogs.read_seconds(engine.name, want.tokens)
@@ -202,7 +190,7 @@
     ) -> ArtifactReady:
         now = self._loop.time()
         loading = self._join(want, now)
-        waiter = self._make_waiter(want, now)
+        waiter = make_waiter(want, self._backlogs, now)
         waiting = loading.waiting
         waiting.waiters.append(waiter)
         if loading.engine is not None:
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -358,7 +358,7 @@
         # Fronts may still use all of it, until they have said what they use.
         engine.adopt(upstream.resident, handed_at=now)
         # A report must be from after an earlier owner's last order.
-        engine.ordered_at = min(now, self._leases.earlier_orders_until())
+        engine.ordered_at = min(now, self._leases.delivered_until())
         self._placement.engines[upstream.name] = engine
 
     def _forget_engine(self, name: str) -> None:
--- a/src/ridgesill/app/order_lease_keeper.py
+++ b/src/ridgesill/app/order_lease_keeper.py
@@ -69,9 +69,9 @@
         self._term = term
         self._leases.begin(self._loop.time(), ordered_until)
 
-    def earlier_orders_until(self) -> float:
+    def delivered_until(self) -> float:
         """Returns until when an earlier leader's orders may have arrived."""
-        return self._leases.ordered_until
+        return self._leases.delivered_until
 
     def hear(self, alive: HolderAlive) -> bool:
         """Notes that a VM can deliver orders; returns whether that is new."""
--- a/src/ridgesill/core/fleet/lateness.py
+++ b/src/ridgesill/core/fleet/lateness.py
@@ -9,7 +9,13 @@
 
 from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine
-from ridgesill.core.fleet.wants import LOAD_SECONDS, RELOAD_SECONDS, Waiting
+from ridgesill.core.fleet.messages import WantArtifact
+from ridgesill.core.fleet.wants import (
+    LOAD_SECONDS,
+    RELOAD_SECONDS,
+    Waiter,
+    Waiting,
+)
 from ridgesill.core.serving.rank import rank_request
 
 # Spread of what becomes of a prediction, in seconds: emulated, the first event
@@ -19,6 +25,16 @@
 _SURE = 20.0
 
 
+def make_waiter(want: WantArtifact, backlogs: Backlogs, now: float) -> Waiter:
+    """Returns a request as one that waits from now on."""
+    return Waiter(
+        now + want.goal,
+        backlogs.mean_read_seconds(want.tokens),
+        want.request,
+        want.tokens,
+    )
+
+
 def load_seconds(engine: Engine, artifact: str) -> float:
     """Returns how long an engine takes to have an adapter."""
     return RELOAD_SECONDS if engine.had_lately(artifact) else LOAD_SECONDS
--- a/src/ridgesill/core/fleet/order_leases.py
+++ b/src/ridgesill/core/fleet/order_leases.py
@@ -84,7 +84,9 @@
     """
 
     def __init__(self, lease: float) -> None:
-        self._lease = lease
+        # From the last stamp of a silent holder until another may order: the
+        # stamp's life, the lease, and an order on its way.
+        self._free_after = STAMP_SECONDS + lease + _MARGIN
         self._heard: dict[str, _Heard] = {}
         # Who was last used for each address, and when.
         self._used: dict[str, tuple[str, float]] = {}
@@ -140,11 +142,11 @@
         used, at = self._used.get(address, (name, 0.0))
         if used == name:
             return float("-inf")
-        return at + STAMP_SECONDS + self._lease + _MARGIN
+        return at + self._free_after
 
     @property
-    def ordered_until(self) -> float:
-        """Until when orders of an earlier leader may still have been sent."""
+    def delivered_until(self) -> float:
+        """Until when orders of an earlier leader may have been delivered."""
         return self._silent_from + STAMP_SECONDS
 
     def free_from(self, name: str) -> float:
@@ -157,7 +159,7 @@
         silent_from = self._silent_from
         if heard is not None:
             silent_from = max(silent_from, heard.at)
-        return silent_from + STAMP_SECONDS + self._lease + _MARGIN
+        return silent_from + self._free_after
 
     def usable_from(
         self,
--- a/src/ridgesill/core/fleet/sooner.py
+++ b/src/ridgesill/core/fleet/sooner.py
@@ -5,15 +5,15 @@
 nothing, and copies by popularity come only after many requests.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
-from ridgesill.core.fleet.assignment import choose_holder, predict_first
+from ridgesill.core.fleet.assignment import predict_first
 from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine
-from ridgesill.core.fleet.lateness import count_late, share_late
+from ridgesill.core.fleet.lateness import count_late, make_waiter, share_late
 from ridgesill.core.fleet.messages import WantArtifact
 from ridgesill.core.fleet.placement import Survey
-from ridgesill.core.fleet.wants import Waiter, Waiting
+from ridgesill.core.fleet.wants import Waiting
 
 # How much less likely a request must be late with a copy loaded for it than at
 # the best holder. A load costs a third of a request's worth. Emulated, five
@@ -23,7 +23,7 @@
 
 def is_copy_sooner(
     want: WantArtifact,
-    engines: Sequence[Engine],
+    holder: Engine,
     backlogs: Backlogs,
     now: float,
     make_survey: Callable[[], Survey],
@@ -32,26 +32,17 @@
 
     Args:
         want: of the request.
-        engines: of its service.
+        holder: the best of them.
         backlogs: what engines have yet to read.
         now: the clock, in seconds.
         make_survey: returns a basis for choosing an engine; called only when
             the holders are late, since it looks at all that engines hold.
     """
-    holder = choose_holder(want, engines, backlogs, now)
-    if holder is None:
-        return False
     first = predict_first(want, holder, backlogs, now)
     late_there = share_late(want.goal - first)
     if late_there < _COPY_GAIN:
         return False
-    waiter = Waiter(
-        now + want.goal,
-        backlogs.mean_read_seconds(want.tokens),
-        want.request,
-        want.tokens,
-    )
-    waiting = Waiting(want, now, [waiter])
+    waiting = Waiting(want, now, [make_waiter(want, backlogs, now)])
 
     def lateness(engine: Engine) -> float:
         return count_late(waiting, engine, backlogs, now)
