--- a/testing/standin/experiment/test_runs.py
+++ b/testing/standin/experiment/test_runs.py
@@ -29,6 +29,14 @@
         return measure_day(play_day(scenario(name), seed))
 
 
+def play_worth(
+    played: Scenario, seed: int, constants: dict[str, Value] | None = None
+) -> float:
+    """Returns the worth of a day."""
+    with with_constants(constants or {}):
+        return measure_day(play_day(played, seed))["worth"]
+
+
 def mean_figures(
     name: str, constants: dict[str, Value] | None = None
 ) -> dict[str, float]:
@@ -69,9 +77,10 @@
             kinds=calm.kinds[:1],
             popularity=Popularity(exponent=0.3, share=1.0),
         )
-        kept = measure_day(play_day(cold, seed))["worth"]
-        with with_constants({"core.fleet.placement._LATENESS_COST": 0.0}):
-            off = measure_day(play_day(cold, seed))["worth"]
+        kept = play_worth(cold, seed)
+        off = play_worth(
+            cold, seed, {"core.fleet.placement._LATENESS_COST": 0.0}
+        )
         assert kept > off + 0.02
 
     @pytest.mark.parametrize("seed", [2, 3])
@@ -84,9 +93,8 @@
             kinds=calm.kinds[:1],
             popularity=Popularity(adapters=4, exponent=0.1, share=1.0),
         )
-        kept = measure_day(play_day(busy, seed))["worth"]
-        with with_constants({"app.fleet_client._ASSIGN_SECONDS": 0.0}):
-            off = measure_day(play_day(busy, seed))["worth"]
+        kept = play_worth(busy, seed)
+        off = play_worth(busy, seed, {"app.fleet_client._ASSIGN_SECONDS": 0.0})
         assert kept > off + 0.05
 
     @pytest.mark.parametrize("seed", [2, 3])
@@ -102,9 +110,8 @@
             kinds=calm.kinds[:1],
             popularity=Popularity(adapters=8, exponent=1.2, share=1.0),
         )
-        kept = measure_day(play_day(hot, seed))["worth"]
-        with with_constants({"core.fleet.sooner._COPY_GAIN": 9.0}):
-            off = measure_day(play_day(hot, seed))["worth"]
+        kept = play_worth(hot, seed)
+        off = play_worth(hot, seed, {"core.fleet.sooner._COPY_GAIN": 9.0})
         assert kept > off + 0.05
 
     @pytest.mark.parametrize("name", ["load", "losses"])
