Log what an engine was believed to hold when an order left, and write lines whole

Lines were lost: a write of up to 32 KB reached a reader that takes 8,192 bytes of each, up to a third of an owner's lines in a busy second. New: places and orders without an answer on fleet:order, fleet:revision_forgotten with its reason, fleet:appeared.

No decision is changed.

--- a/src/ridgesill/adapters/logs.py
+++ b/src/ridgesill/adapters/logs.py
@@ -18,8 +18,10 @@
 _LINES_WAITING = 5000
 _FLUSH_SECONDS = 0.1
 _STDOUT = 1
-# Bytes handed to the system at once; what a pipe takes as a whole is less.
-_CHUNK_BYTES = 32 * 1024
+# Bytes handed to the system at once: what a pipe takes as a whole (PIPE_BUF).
+# A reader that takes 8 KB of each write lost up to a third of an owner's lines
+# on a busy day.
+_CHUNK_BYTES = 4096
 # Fields of eliot's that say nothing on lines which stand by themselves.
 _LEFT_OUT = frozenset(("task_uuid", "task_level"))
 
@@ -103,12 +105,13 @@
             self._rest = self._rest[written:]
 
     def _take_chunk(self) -> bytes:
-        taken = []
+        taken: list[bytes] = []
         size = 0
-        while self._lines and size < _CHUNK_BYTES:
-            line = self._lines.popleft()
-            taken.append(line)
-            size += len(line)
+        while self._lines:
+            size += len(self._lines[0])
+            if taken and size > _CHUNK_BYTES:
+                break
+            taken.append(self._lines.popleft())
         return b"".join(taken)
 
     def close(self) -> None:
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -130,7 +130,7 @@
                 sent = None
                 if authority and self._has_place(action, engine, artifact):
                     order = _make(authority, action, engine, artifact, version)
-                    sent = await self._send(order, authority)
+                    sent = await self._send(order, authority, engine, again)
                 if sent is None:
                     # Nothing was sent, or no more than what came before.
                     return OrderVerdict.UNKNOWN if unknown else verdict
@@ -169,19 +169,26 @@
             if action is Action.LOAD:
                 load = UnansweredLoad(now + UNANSWERED_SECONDS, engine.revision)
                 engine.unanswered[artifact] = load
-            engine.revision = None
+            forget_revision(engine, "no_answer")
             engine.suspended_until = now + _SUSPEND_SECONDS
         elif verdict is OrderVerdict.MISDIRECTED:
             engine.suspended_until = now + _SUSPEND_SECONDS
         elif verdict is OrderVerdict.REFUSED and not engine.is_busy():
             engine.suspended_until = now + _REPORT_LAG
-            engine.revision = None
+            forget_revision(engine, "refused")
 
     async def _send(
-        self, order: FleetOrder, authority: Authority
+        self,
+        order: FleetOrder,
+        authority: Authority,
+        engine: Engine,
+        again: bool,
     ) -> OrderVerdict | None:
         """Returns what became of an order; None if it surely wasn't sent."""
         began = self._loop.time()
+        # What was believed as it left, not once its answer is there.
+        places = engine.places_taken()
+        unanswered = len(engine.unanswered)
         answer = await self._deliver(order, authority)
         verdict = self._read(answer)
         said = verdict.value if verdict else answer.delivery.value
@@ -196,6 +203,9 @@
             revision=order.revision,
             holder=order.holder,
             token=order.token,
+            again=again,
+            places=places,
+            unanswered=unanswered,
             verdict=said,
             status=answer.status,
             detail=answer.detail,
@@ -265,6 +275,19 @@
         return report
 
 
+def forget_revision(engine: Engine, reason: str) -> None:
+    """Has an engine asked how many orders it has taken before the next one."""
+    log_message(
+        "fleet:revision_forgotten",
+        upstream=engine.name,
+        peer=engine.address,
+        revision=engine.revision,
+        reason=reason,
+        unanswered=list(engine.unanswered),
+    )
+    engine.revision = None
+
+
 def _make(
     authority: Authority,
     action: Action,
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -341,7 +341,14 @@
             return
         engine.draining = heartbeat.draining
         if heartbeat.resident is not None:
-            engine.reconcile(heartbeat.resident, now)
+            appeared = engine.reconcile(heartbeat.resident, now)
+            if appeared:
+                log_message(
+                    "fleet:appeared",
+                    upstream=engine.name,
+                    artifacts=appeared,
+                    places=engine.places_taken(),
+                )
             self._tell_resident(engine)
 
     def _meet_engine(self, upstream: Upstream, now: float) -> None:
--- a/src/ridgesill/app/fleet_upkeep.py
+++ b/src/ridgesill/app/fleet_upkeep.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ridgesill.app.engine_loads import EngineLoads, LoadsView
-from ridgesill.app.engine_orders import EngineOrders
+from ridgesill.app.engine_orders import EngineOrders, forget_revision
 from ridgesill.core.fleet.copies import choose_copies
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.model_rate import ModelRate
@@ -69,7 +69,7 @@
     def _is_known(self, engine: Engine, now: float) -> bool:
         """Whether it is known what an engine holds; else has it asked."""
         if engine.has_overdue_loads(now):
-            engine.revision = None
+            forget_revision(engine, "overdue")
         if engine.revision is not None or engine.loading:
             return True
         self._loads.spawn(self._orders.prepare(engine))
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -236,8 +236,13 @@
         for artifact, version in resident.items():
             self.held[artifact] = Held(version, float("-inf"), handed_at)
 
-    def reconcile(self, resident: dict[str, int], now: float) -> None:
-        """Brings what is believed in line with a heartbeat, which may lag."""
+    def reconcile(self, resident: dict[str, int], now: float) -> list[str]:
+        """Brings what is believed in line with a heartbeat, which may lag.
+
+        Returns:
+            What it holds and nobody here waited for.
+        """
+        appeared = []
         for artifact, version in resident.items():
             if artifact in self.leaving or artifact in self.loading:
                 continue
@@ -248,10 +253,12 @@
                 # Not ordered here, or an order without an answer came true.
                 self.held[artifact] = _learned(version)
                 self.unanswered.pop(artifact, None)
+                appeared.append(artifact)
             elif version > held.version:
                 held.version = version
         self._settle_leaving(resident, now, _REPORT_LAG)
         self._drop_missing(resident, now)
+        return appeared
 
     def _settle_leaving(
         self, resident: dict[str, int], now: float, lag: float
