Test that a copy of an order names the count that the first one named

Fails on the code as it is: the simulated engine of three places is made to load a fourth adapter by a copy that is carried out ten seconds late.

--- a/testing/app/engine_world.py
+++ b/testing/app/engine_world.py
@@ -1,6 +1,7 @@
 """Engines that take orders on the paused clock, and lose some answers."""
 
 import asyncio
+import collections
 import random
 from typing import Any
 
@@ -58,6 +59,8 @@
         self.settle(now)
         adapter = body["adapter"]
         is_load = body["operation"] == "load"
+        if body.get("expected_revision", self.taken) != self.taken:
+            return 409
         if is_load and adapter in self.incoming:
             return 202
         if is_load and adapter in self.held and adapter != self.waits_for:
@@ -66,8 +69,6 @@
             return 200
         if self.waits_for:
             return 409
-        if body.get("expected_revision", self.taken) != self.taken:
-            return 409
         return self._load(adapter, now) if is_load else self._unload(adapter)
 
     def _load(self, adapter: str, now: float) -> int:
@@ -135,6 +136,11 @@
         engines: by address.
         rng: the source of faults.
         lost: share of the orders that get no answer.
+
+    Attributes:
+        orders: the bodies of all orders that were sent.
+        fates: of the next orders: after how many seconds each is carried out,
+            unheard.
     """
 
     def __init__(
@@ -146,6 +152,8 @@
         self._engines = engines
         self._rng = rng
         self.lost = lost
+        self.orders: list[dict[str, Any]] = []
+        self.fates: collections.deque[float] = collections.deque()
         self._loop = asyncio.get_running_loop()
 
     async def send(
@@ -160,9 +168,13 @@
             return SimulatedExchange(200, msgspec.json.encode(said))
         body = msgspec.json.decode(request.body)
         engine.report(now)
-        if self._rng.random() >= self.lost:
+        self.orders.append(body)
+        if self.fates:
+            late = self.fates.popleft()
+        elif self._rng.random() >= self.lost:
             return SimulatedExchange(engine.order(body, now), b"{}")
-        late = self._rng.choice((0.0, self._rng.uniform(2.0, 12.0)))
+        else:
+            late = self._rng.choice((0.0, self._rng.uniform(2.0, 12.0)))
         self._loop.call_later(
             late, lambda: engine.order(body, self._loop.time())
         )
