Have all copies of an order name the count at which it was decided

Cause: give read an engine's count of orders anew for each copy that it sent, and the upkeep set it to unknown meanwhile, whenever a load without an answer was overdue for a report. Such a copy named no count; the engine carried it out whenever it arrived, up to 12 s late, when its place had been given away. Class: an order whose effect depends on when it arrives. The count is now part of the order as it was decided, and an order without one can't be written.

The same cause elsewhere, found by reading: an order that was taken without a count wasn't counted; one that couldn't be sent again after a first copy without an answer wasn't noted at all; heartbeats, which may be seconds old and name no count, took from what an engine may hold; loads without an answer weren't counted in megabytes. What an engine may hold is now lowered by answers and reports alone, and one function checks each order against it just before it leaves.

--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -12,11 +12,7 @@
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
-from ridgesill.core.fleet.engines import (
-    UNANSWERED_SECONDS,
-    Engine,
-    UnansweredLoad,
-)
+from ridgesill.core.fleet.engines import Engine, UnansweredLoad
 from ridgesill.core.fleet.orders import (
     Action,
     Delivery,
@@ -25,6 +21,11 @@
     OrderAnswer,
     OrderVerdict,
 )
+from ridgesill.core.fleet.sent_orders import (
+    UNANSWERED_SECONDS,
+    SentOrder,
+    SentOrders,
+)
 from ridgesill.ports.dialect import EngineCalls
 from ridgesill.ports.http import ChannelError, HttpRequest
 from ridgesill.ports.telemetry import NoTelemetry, Telemetry
@@ -67,6 +68,33 @@
     stamp: float = 0.0
 
 
+@attrs.frozen
+class _Wanted:
+    """An order as it was decided, of which copies are sent.
+
+    Attributes:
+        revision: the count of orders at which it was decided.
+    """
+
+    action: Action
+    artifact: str
+    version: int
+    revision: int
+
+    def to_order(self, engine: Engine, authority: Authority) -> FleetOrder:
+        """Returns a copy for who delivers it."""
+        return FleetOrder(
+            self.action,
+            engine.name,
+            engine.address,
+            self.artifact,
+            self.version,
+            authority.holder,
+            authority.token,
+            self.revision,
+        )
+
+
 # Has the holder of a lease deliver an order; returns the engine's answer.
 Deliver = Callable[[FleetOrder, Authority], Awaitable[OrderAnswer]]
 
@@ -94,6 +122,7 @@
         self._authority = authority
         self._deliver = deliver
         self.telemetry: Telemetry = NoTelemetry()
+        self._sent = SentOrders()
         self._locks: dict[str, asyncio.Lock] = {}
         self._loop = asyncio.get_running_loop()
 
@@ -101,6 +130,14 @@
         """Forgets an engine that is gone."""
         self._locks.pop(name, None)
 
+    def strays(self, instance: str, start: int) -> list[SentOrder]:
+        """Returns orders of earlier starts that a start may carry out."""
+        return self._sent.strays(instance, start, self._loop.time())
+
+    def forget_past(self) -> None:
+        """Forgets orders that can't be carried out any more."""
+        self._sent.forget_past(self._loop.time())
+
     async def give(
         self,
         action: Action,
@@ -121,39 +158,60 @@
         """
         lock = self._locks.setdefault(engine.name, asyncio.Lock())
         async with lock:
+            if engine.has_ended:
+                return OrderVerdict.MISDIRECTED
             if engine.revision is None and not await self._learn(engine):
                 return OrderVerdict.REFUSED
-            unknown = False
-            verdict = OrderVerdict.REFUSED
-            for _ in range(_TIMES):
-                authority = self._authority(engine)
-                sent = None
-                if authority and self._has_place(action, engine, artifact):
-                    order = _make(authority, action, engine, artifact, version)
-                    sent = await self._send(order, authority, engine, again)
-                if sent is None:
-                    # Nothing was sent, or no more than what came before.
-                    return OrderVerdict.UNKNOWN if unknown else verdict
-                verdict = sent
-                if verdict is not OrderVerdict.UNKNOWN:
-                    break
-                unknown = True
-            if unknown and verdict is OrderVerdict.REFUSED:
-                # Refused now, but the order before may have been taken.
-                verdict = OrderVerdict.UNKNOWN
+            # All copies name this count, whatever is learned meanwhile: a copy
+            # that named none came seconds late, when its place was given away.
+            wanted = _Wanted(action, artifact, version, engine.revision or 0)
+            verdict = await self._repeat(wanted, engine, again)
             if not again:
-                self._note(engine, action, artifact, verdict)
+                self._note(engine, wanted, verdict)
             return verdict
 
-    def _has_place(self, action: Action, engine: Engine, artifact: str) -> bool:
-        """Whether what was learned since the choice still leaves a place."""
-        return action is not Action.LOAD or engine.has_place_for(artifact)
+    async def _repeat(
+        self, wanted: "_Wanted", engine: Engine, again: bool
+    ) -> OrderVerdict:
+        """Sends copies of an order until one is answered."""
+        unknown = False
+        for _ in range(_TIMES):
+            verdict = await self._send_once(wanted, engine, again)
+            if verdict is None:
+                # Nothing was sent, or no more than what came before.
+                break
+            if verdict is OrderVerdict.REFUSED and unknown:
+                # Refused now, but a copy before it may have been taken.
+                engine.ordered_at = self._loop.time()
+                break
+            if verdict is not OrderVerdict.UNKNOWN:
+                return verdict
+            unknown = True
+        return OrderVerdict.UNKNOWN if unknown else OrderVerdict.REFUSED
+
+    async def _send_once(
+        self, wanted: "_Wanted", engine: Engine, again: bool
+    ) -> OrderVerdict | None:
+        """Sends one copy, if it may leave; None if it surely wasn't sent."""
+        authority = self._authority(engine)
+        if authority is None or engine.has_ended:
+            return None
+        now = self._loop.time()
+        if not engine.may_order(
+            wanted.action, wanted.artifact, wanted.revision, now
+        ):
+            return None
+        order = wanted.to_order(engine, authority)
+        sent = self._sent.note(engine.instance, engine.start, order, now)
+        verdict = await self._send(order, authority, engine, again)
+        if verdict is not OrderVerdict.UNKNOWN:
+            self._sent.settle(engine.instance, sent)
+        return verdict
 
     def _note(
         self,
         engine: Engine,
-        action: Action,
-        artifact: str,
+        wanted: "_Wanted",
         verdict: OrderVerdict,
     ) -> None:
         """Notes what an order did to an engine.
@@ -162,19 +220,22 @@
         """
         now = self._loop.time()
         if verdict is OrderVerdict.TAKEN or (
-            verdict is OrderVerdict.HOLDS and action is Action.UNLOAD
+            verdict is OrderVerdict.HOLDS and wanted.action is Action.UNLOAD
         ):
-            engine.note_taken(now)
+            engine.note_taken(wanted.revision, now)
         elif verdict is OrderVerdict.UNKNOWN:
-            if action is Action.LOAD:
-                load = UnansweredLoad(now + UNANSWERED_SECONDS, engine.revision)
-                engine.unanswered[artifact] = load
+            if wanted.action is Action.LOAD:
+                until = now + UNANSWERED_SECONDS
+                load = UnansweredLoad(until, wanted.revision)
+                engine.unanswered[wanted.artifact] = load
             forget_revision(engine, "no_answer")
             engine.suspended_until = now + _SUSPEND_SECONDS
         elif verdict is OrderVerdict.MISDIRECTED:
             engine.suspended_until = now + _SUSPEND_SECONDS
         elif verdict is OrderVerdict.REFUSED and not engine.is_busy():
             engine.suspended_until = now + _REPORT_LAG
+            # A report from before the refusal would tell the same count.
+            engine.ordered_at = now
             forget_revision(engine, "refused")
 
     async def _send(
@@ -229,24 +290,46 @@
             exchange.cancel()
 
     async def prepare(self, engine: Engine) -> None:
-        """Learns what an engine holds before the first order needs it."""
+        """Learns what an engine holds before an order needs it."""
         lock = self._locks.setdefault(engine.name, asyncio.Lock())
         async with lock:
-            if engine.revision is None:
+            if engine.must_ask(self._loop.time()):
                 await self._learn(engine)
 
     async def _learn(self, engine: Engine) -> bool:
-        """Learns how many orders an engine has taken."""
+        """Learns how many orders an engine has taken, and what it holds."""
+        known = engine.revision
+        engine.asked_at = self._loop.time()
         wait = engine.ordered_at + _REPORT_LAG - self._loop.time()
-        if wait > 0:
+        if known is None and wait > 0:
             await asyncio.sleep(wait)
         report = await self._ask_report(engine)
         if report is None:
             engine.suspended_until = self._loop.time() + _SUSPEND_SECONDS
             return False
+        if known is not None and report.revision < known:
+            # From before the last order; it is asked again.
+            return True
+        if report.start and report.start != engine.start:
+            self._note_restart(engine, report)
+            return False
         engine.take_report(report, self._loop.time())
         return True
 
+    def _note_restart(self, engine: Engine, report: EngineReport) -> None:
+        """Has an engine that began anew get no more orders under this start."""
+        if report.start < engine.start:
+            return
+        log_message(
+            "fleet:restarted",
+            upstream=engine.name,
+            peer=engine.address,
+            start=report.start,
+            before=engine.start,
+            source="report",
+        )
+        engine.has_ended = True
+
     async def _ask_report(self, engine: Engine) -> EngineReport | None:
         request = self._calls.ask_report(engine.name, engine.address)
         try:
@@ -286,22 +369,3 @@
         unanswered=list(engine.unanswered),
     )
     engine.revision = None
-
-
-def _make(
-    authority: Authority,
-    action: Action,
-    engine: Engine,
-    artifact: str,
-    version: int,
-) -> FleetOrder:
-    return FleetOrder(
-        action,
-        engine.name,
-        engine.address,
-        artifact,
-        version,
-        authority.holder,
-        authority.token,
-        engine.revision,
-    )
--- a/src/ridgesill/app/fleet_upkeep.py
+++ b/src/ridgesill/app/fleet_upkeep.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ridgesill.app.engine_loads import EngineLoads, LoadsView
-from ridgesill.app.engine_orders import EngineOrders, forget_revision
+from ridgesill.app.engine_orders import EngineOrders
 from ridgesill.core.fleet.copies import choose_copies
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.model_rate import ModelRate
@@ -16,6 +16,9 @@
 # How long before its first order an owner asks engines what they hold, in
 # seconds: a report takes some milliseconds, and is asked for once.
 _PREPARE_SECONDS = 0.3
+# How often an engine is asked for the same report, in seconds: one that takes
+# an order each tenth of a second seldom has one from after the last.
+_ASK_SECONDS = 0.4
 # How long replacements wait for requests on the old version to end, in seconds:
 # an engine that waits for them takes no other order. No new ones go there, and
 # the longest time-outs are 12 s. After 2.5 s one engine of six was blocked for
@@ -68,12 +71,9 @@
 
     def _is_known(self, engine: Engine, now: float) -> bool:
         """Whether it is known what an engine holds; else has it asked."""
-        if engine.has_overdue_loads(now):
-            forget_revision(engine, "overdue")
-        if engine.revision is not None or engine.loading:
-            return True
-        self._loads.spawn(self._orders.prepare(engine))
-        return False
+        if engine.must_ask(now) and now >= engine.asked_at + _ASK_SECONDS:
+            self._loads.spawn(self._orders.prepare(engine))
+        return engine.revision is not None or bool(engine.loading)
 
     def _mend(
         self, service: str, engine: Engine, models: tuple[str, ...], now: float
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -2,15 +2,13 @@
 
 import attrs
 
-from ridgesill.core.fleet.orders import EngineReport
+from ridgesill.core.fleet.orders import Action, EngineReport
+from ridgesill.core.fleet.sent_orders import SentOrder, find_chain
 from ridgesill.core.serving.routes import EngineSpec
 
 # Adapters that may be on their way to one engine at once (the platform's
 # protocol).
 LOADS_AT_ONCE = 4
-# How long an order without an answer may still be carried out, in seconds
-# (the platform's protocol: 2 to 12, and the way there).
-UNANSWERED_SECONDS = 13.0
 # How long an adapter that a report names as on its way still takes, in
 # seconds: a quarter of a second from the store, more while many are loaded.
 _INCOMING_SECONDS = 1.0
@@ -95,13 +93,21 @@
     """One engine.
 
     Attributes:
+        instance: what it calls itself, at each of its starts.
+        start: tells its starts apart; 0 when it doesn't tell.
         revision: orders that it has taken; None when that isn't known.
         leaving: artifacts whose unload was ordered and is not yet done.
         unanswered: artifacts of loads without an answer, until a report or a
             later order tells what became of them.
+        unsure: what heartbeats lack, which may be old; it keeps its place until
+            a report tells.
+        strays: orders of its earlier starts that may be carried out on this
+            one.
+        has_ended: whether a later start is known; it gets no orders then.
         waits_for: the artifact whose runs an order waits for; meanwhile the
             engine takes no other order.
-        ordered_at: when it last took an order.
+        ordered_at: when it last took an order, or refused one for its count.
+        asked_at: when it was last asked for a report.
         suspended_until: until when it gets no orders, after failures.
         has_holder: whether a VM can deliver orders to it now.
     """
@@ -115,8 +121,14 @@
     loading: dict[str, Pending] = attrs.Factory(dict)
     leaving: dict[str, Leaving] = attrs.Factory(dict)
     unanswered: dict[str, UnansweredLoad] = attrs.Factory(dict)
+    unsure: set[str] = attrs.Factory(set)
+    strays: list[SentOrder] = attrs.Factory(list)
+    instance: str = ""
+    start: int = 0
+    has_ended: bool = False
     waits_for: str = ""
     ordered_at: float = float("-inf")
+    asked_at: float = float("-inf")
     suspended_until: float = 0.0
     has_holder: bool = True
     draining: bool = False
@@ -129,36 +141,60 @@
         A load and what is unloaded for it share a place.
         """
         replaced = {pending.victim for pending in self.loading.values()}
-        taken = {*self.held, *self.loading, *self.unanswered}
+        taken = {*self.held, *self.loading, *self.unanswered, *self.unsure}
         taken.update(a for a in self.leaving if a not in replaced)
         return sum(map(is_adapter, taken))
 
-    def free_places(self) -> int:
-        """Returns the places for adapters that are certainly free."""
-        return self.spec.adapter_slots - self.places_taken()
+    def may_hold(self) -> set[str]:
+        """Returns all that it may hold at its count of orders.
 
-    def has_place_for(self, artifact: str) -> bool:
-        """Whether an order to load can't take it over its places or room."""
+        Orders that are still to leave don't count.
+        """
         ordered = (a for a, pending in self.loading.items() if pending.taken)
-        there = {
+        return {
             *self.held,
             *self.leaving,
             *self.unanswered,
+            *self.unsure,
             *ordered,
-            artifact,
         }
+
+    def free_places(self) -> int:
+        """Returns the places for adapters that are certainly free."""
+        return self.spec.adapter_slots - self.places_taken()
+
+    def may_order(
+        self, action: Action, artifact: str, revision: int, now: float
+    ) -> bool:
+        """Whether an order can't take it over its places or room.
+
+        Neither by itself nor by what may be carried out after it: an order
+        moves the count by one, from where orders of an earlier start may run.
+        """
+        after = find_chain(self.strays, revision + 1, now)
+        if action is Action.UNLOAD and not after:
+            # It makes room, however much is believed to be there.
+            return True
+        there = self.may_hold() | after | {artifact}
         if sum(map(is_adapter, there)) > self.spec.adapter_slots:
             return False
-        return self.weights_taken() <= self.spec.weights_mb
+        return self._weights_of(there) <= self.spec.weights_mb
 
-    def has_overdue_loads(self, now: float) -> bool:
-        """Whether a report must tell what became of orders without answer."""
-        return any(load.until <= now for load in self.unanswered.values())
+    def must_ask(self, now: float) -> bool:
+        """Whether a report must tell how many orders it took, or what it holds.
+
+        Until then what is doubtful keeps its place; orders may go on.
+        """
+        overdue = any(load.until <= now for load in self.unanswered.values())
+        return self.revision is None or overdue or bool(self.unsure)
 
     def weights_taken(self) -> float:
-        """Returns the megabytes that models and adapters take."""
+        """Returns the megabytes that models and adapters may take."""
+        return self._weights_of(self.may_hold() | self.loading.keys())
+
+    def _weights_of(self, artifacts: set[str]) -> float:
         total = 0.0
-        for artifact in {*self.held, *self.loading, *self.leaving}:
+        for artifact in artifacts:
             model = self.spec.model(model_of(artifact))
             if model is not None:
                 is_small = is_adapter(artifact)
@@ -177,16 +213,14 @@
         taken = sum(pending.taken for pending in self.loading.values())
         return bool(self.waits_for) or taken >= LOADS_AT_ONCE
 
-    def note_taken(self, now: float) -> None:
-        """Notes that an order was taken at the revision that was expected."""
-        if self.revision is None:
-            return
+    def note_taken(self, revision: int, now: float) -> None:
+        """Notes that an order was taken at the revision that it named."""
         for artifact, load in list(self.unanswered.items()):
-            if load.revision is not None and load.revision <= self.revision:
+            if load.revision is not None and load.revision <= revision:
                 # It expects a count that is past, and wasn't carried out when
                 # that count was learned.
                 del self.unanswered[artifact]
-        self.revision += 1
+        self.revision = revision + 1
         self.ordered_at = now
 
     def note_under_way(self, artifact: str, now: float) -> None:
@@ -214,7 +248,7 @@
 
     def can_order(self, now: float) -> bool:
         """Whether it takes orders now, as far as is known."""
-        if self.draining or not self.has_holder:
+        if self.draining or self.has_ended or not self.has_holder:
             return False
         return now >= self.suspended_until
 
@@ -253,6 +287,7 @@
                 # Not ordered here, or an order without an answer came true.
                 self.held[artifact] = _learned(version)
                 self.unanswered.pop(artifact, None)
+                self.unsure.discard(artifact)
                 appeared.append(artifact)
             elif version > held.version:
                 held.version = version
@@ -274,6 +309,7 @@
                 continue
             if artifact not in resident:
                 del self.leaving[artifact]
+                self.unsure.add(artifact)
             elif artifact != self.waits_for:
                 del self.leaving[artifact]
                 self.held[artifact] = _learned(resident[artifact])
@@ -288,12 +324,16 @@
             if missed >= _MISSED_MOST:
                 del self.held[artifact]
                 del self._missed[artifact]
+                self.unsure.add(artifact)
 
     def take_report(self, report: EngineReport, now: float) -> None:
         """Takes a report that was asked for after a quiet moment."""
         self.revision = report.revision
         self._drop_unreported(report, now)
         self._settle_leaving(report.resident, now, _ASKED_REPORT_LAG)
+        # Only what it says at a known count takes from what it may hold.
+        self.unsure.clear()
+        self.strays = [sent for sent in self.strays if sent.until > now]
         for artifact, load in list(self.unanswered.items()):
             if load.until <= now or _is_past(load, report.revision):
                 del self.unanswered[artifact]
--- a/src/ridgesill/core/fleet/orders.py
+++ b/src/ridgesill/core/fleet/orders.py
@@ -36,8 +36,9 @@
         version: to load; 0 for the newest.
         holder: the VM that delivers it.
         token: the fencing token of its lease.
-        revision: the count of orders that the engine must have taken so far;
-            None when it isn't known.
+        revision: the count of orders that the engine must have taken so far.
+            Without one it would be carried out whenever it arrives: an order
+            that came seconds late took an engine over its places.
     """
 
     action: Action
@@ -47,7 +48,7 @@
     version: int
     holder: str
     token: int
-    revision: int | None
+    revision: int
 
 
 @register
@@ -109,6 +110,7 @@
     """What an engine says when asked; some hundred milliseconds old.
 
     Attributes:
+        start: of the engine; 0 when it doesn't tell.
         revision: how many orders it has taken.
         busy: whether a model is being loaded or unloaded.
         resident: versions by artifact.
@@ -123,3 +125,4 @@
     incoming: dict[str, int]
     running: int = 0
     queued: int = 0
+    start: int = 0
--- a/src/ridgesill/platform/upstreams.py
+++ b/src/ridgesill/platform/upstreams.py
@@ -96,8 +96,7 @@
             body["adapter"] = adapter
         if order.version and order.action is Action.LOAD:
             body["version"] = order.version
-        if order.revision is not None:
-            body["expected_revision"] = order.revision
+        body["expected_revision"] = order.revision
         body["holder"] = order.holder
         body["fencing_token"] = order.token
         return _call(b"POST", _ORDER_PATH, order.upstream, order.address, body)
--- a/testing/core/fleet/test_engines.py
+++ b/testing/core/fleet/test_engines.py
@@ -153,5 +153,5 @@
     ) -> None:
         engine.revision = 3
         engine.unanswered["base/a2"] = UnansweredLoad(113.0, 3)
-        engine.note_taken(105.0)
+        engine.note_taken(3, 105.0)
         assert (engine.revision, engine.free_places()) == (4, 1)
