Tell an upstream's starts apart, and refuse what isn't its word

Cause: an upstream may start again under the name that it had, and its counts begin anew; its heartbeats were passed over as older than the last, for as long as the name was known, and its places, revision and holdings stayed in the books. Each start is now an upstream of its own: the platform's adapter makes a name of what it calls itself and of its start, so that registry, fronts, backlogs, usage and what a successor adopts begin anew without a rule of their own. What remains is told by the start: which of two is the later one, and which orders without an answer were meant for an earlier one. Those may run on the later start when its count comes to theirs; each order leaves only if a chain of them after it can't take the engine over its places.

Words without a start, where the upstream tells it, aren't its own.

One failure of test_forwarding.py (a request that was not run goes elsewhere, once): six choices by unseeded chance must include one of two upstreams, which fails in one run of 64; the world's chance is seeded.

--- a/src/ridgesill/app/control_api.py
+++ b/src/ridgesill/app/control_api.py
@@ -10,6 +10,7 @@
 from ridgesill.app.control import Control, UnavailableError
 from ridgesill.app.fleet_owner import FleetOwner, NotOwnerError
 from ridgesill.core.commands import PutArtifactVersion, PutRoutes
+from ridgesill.core.fleet.messages import HeardLeave
 from ridgesill.ports.control_calls import (
     BadCall,
     CallReply,
@@ -27,6 +28,7 @@
 _PROPOSE_SECONDS = 0.9
 _READ_SECONDS = 0.9
 _UNAVAILABLE = 503
+_BAD_REQUEST = 400
 
 
 class ControlApi:
@@ -74,6 +76,10 @@
 
     @_carry_out.register
     async def _(self, call: HeartbeatCall) -> CallReply:
+        service = call.heartbeat.service
+        if self._owner.is_foreign(service):
+            detail = f"service: no configuration names {service!r}"
+            return await self._carry_out(BadCall(_BAD_REQUEST, detail))
         try:
             await self._owner.hear(call.heartbeat)
         except NotOwnerError as error:
@@ -83,7 +89,7 @@
     @_carry_out.register
     async def _(self, call: LeaveCall) -> CallReply:
         try:
-            await self._owner.hear_leave(call.name)
+            await self._owner.hear_leave(HeardLeave(call.instance, call.start))
         except NotOwnerError as error:
             return _unavailable("leave", str(error))
         return CallReply(200)
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -108,6 +108,8 @@
         authority: returns through whom an engine can be ordered now, or None
             when it can't; asked just before each order leaves.
         deliver: has an order delivered.
+        hear_later_start: called with an engine and the report of a later start
+            under its name.
     """
 
     def __init__(
@@ -116,11 +118,15 @@
         calls: EngineCalls,
         authority: Callable[[Engine], Authority | None],
         deliver: Deliver,
+        hear_later_start: Callable[[Engine, EngineReport], None] = (
+            lambda _engine, _report: None
+        ),
     ) -> None:
         self._channels = channels
         self._calls = calls
         self._authority = authority
         self._deliver = deliver
+        self._hear_later_start = hear_later_start
         self.telemetry: Telemetry = NoTelemetry()
         self._sent = SentOrders()
         self._locks: dict[str, asyncio.Lock] = {}
@@ -307,29 +313,16 @@
         if report is None:
             engine.suspended_until = self._loop.time() + _SUSPEND_SECONDS
             return False
+        if report.start > engine.start > 0:
+            engine.has_ended = True
+            self._hear_later_start(engine, report)
+            return False
         if known is not None and report.revision < known:
             # From before the last order; it is asked again.
             return True
-        if report.start and report.start != engine.start:
-            self._note_restart(engine, report)
-            return False
         engine.take_report(report, self._loop.time())
         return True
 
-    def _note_restart(self, engine: Engine, report: EngineReport) -> None:
-        """Has an engine that began anew get no more orders under this start."""
-        if report.start < engine.start:
-            return
-        log_message(
-            "fleet:restarted",
-            upstream=engine.name,
-            peer=engine.address,
-            start=report.start,
-            before=engine.start,
-            source="report",
-        )
-        engine.has_ended = True
-
     async def _ask_report(self, engine: Engine) -> EngineReport | None:
         request = self._calls.ask_report(engine.name, engine.address)
         try:
@@ -350,6 +343,7 @@
             "fleet:report",
             upstream=engine.name,
             peer=engine.address,
+            start=report.start,
             revision=report.revision,
             busy=report.busy,
             resident=len(report.resident),
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -34,6 +34,9 @@
 # How often wants without a place are looked at again, in seconds: places come
 # free with what fronts report, some ten times a second each.
 _RETRY_SECONDS = 0.02
+# The shortest wait for an earlier owner's lease, in seconds: a timer that is
+# shorter than the clock's resolution ends in the moment in which it began.
+_LEAST_WAIT = 0.001
 # Engines that one want tries.
 _TRIES = 3
 # Wants in a row that find no place before the rest isn't looked at: what one
@@ -142,7 +145,7 @@
             if wait > left:
                 return ArtifactReady("", after=wait, reason="earlier_owner")
             if wait > 0:
-                await asyncio.sleep(wait)
+                await asyncio.sleep(max(wait, _LEAST_WAIT))
                 continue
             late_in = asked_at + want.goal - self._least_seconds(want) - now
             patience = max(late_in, 0.0) + _LATE_PATIENCE
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -38,9 +38,10 @@
     WatchFleet,
 )
 from ridgesill.core.fleet.order_leases import OrderLeases
-from ridgesill.core.fleet.orders import HolderAlive
+from ridgesill.core.fleet.orders import EngineReport, HolderAlive
 from ridgesill.core.fleet.placement import Placement
 from ridgesill.core.fleet.registry import Registry
+from ridgesill.core.fleet.sent_orders import UNANSWERED_SECONDS
 from ridgesill.core.fleet.usage import Usage
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import EngineCalls
@@ -114,9 +115,13 @@
         heartbeat: float,
     ) -> None:
         self.table = RouteTable()
+        # Of this configuration and those before: upstreams of a service that
+        # was dropped are heard until they are gone.
+        self._services: set[str] = set()
         self._control = control
         self._follower = follower
         self._channels = channels
+        self._calls = calls
         self._patience = heartbeat * _HEARTBEATS_MISSED
         self._loop = asyncio.get_running_loop()
         self._term = 0
@@ -131,7 +136,11 @@
         self._usage = Usage()
         self._backlogs = Backlogs()
         self._orders = EngineOrders(
-            channels, calls, self._authority, self._leases.deliver
+            channels,
+            calls,
+            self._authority,
+            self._leases.deliver,
+            self._hear_report,
         )
         self._loads = FleetLoads(
             self._placement,
@@ -248,6 +257,7 @@
         self._backlogs.forget_lost(now)
         self._backlogs.keep_only(set(registry.upstreams))
         self._channels.sweep()
+        self._orders.forget_past()
         engines = self._placement.engines.values()
         self._leases.note_holders(engines)
         self._leases.tend(engines)
@@ -255,6 +265,10 @@
 
     # -- heartbeats ----------------------------------------------------
 
+    def is_foreign(self, service: str) -> bool:
+        """Whether no configuration has named a service, though there is one."""
+        return bool(self._services) and service not in self._services
+
     async def hear(self, heartbeat: Heartbeat) -> None:
         """Takes a heartbeat, here or through the owner.
 
@@ -266,12 +280,12 @@
         else:
             await self._pass_on(HeardHeartbeat(heartbeat))
 
-    async def hear_leave(self, name: str) -> None:
+    async def hear_leave(self, leave: HeardLeave) -> None:
         """Takes an upstream's word that it leaves."""
         if self.is_owner():
-            self.take_leave(name)
+            self.take_leave(leave)
         else:
-            await self._pass_on(HeardLeave(name))
+            await self._pass_on(leave)
 
     async def _pass_on(self, message: Any) -> None:
         leader = self._control.leader_address()
@@ -289,7 +303,7 @@
         if not self.is_owner():
             raise PeerError(type(message).__name__, "here", "not the owner")
         if isinstance(message, HeardLeave):
-            self.take_leave(message.name)
+            self.take_leave(message)
         else:
             self.take_heartbeat(message.heartbeat)
         return Taken()
@@ -302,6 +316,7 @@
         now = self._loop.time()
         number = registry.number
         known = registry.upstreams.get(heartbeat.name)
+        before = registry.find(heartbeat.instance or heartbeat.name)
         if not registry.hear(heartbeat, now):
             return
         upstream = registry.upstreams[heartbeat.name]
@@ -313,6 +328,8 @@
                 peer=upstream.address,
                 state=upstream.state,
             )
+        if before is not None and before.name != upstream.name:
+            self._note_restart(before, upstream)
         self._note_engine(heartbeat, upstream, now)
         for name in list(self._placement.engines):
             if name not in registry.upstreams:
@@ -320,16 +337,22 @@
         if registry.number != number:
             self._news.note()
 
-    def take_leave(self, name: str) -> None:
+    def take_leave(self, leave: HeardLeave) -> None:
         """Notes as the owner that an upstream leaves."""
         registry = self._registry
         if registry is None:
             return
-        registry.drain(name, self._loop.time())
+        name = registry.leave(leave.name, leave.start, self._loop.time())
         engine = self._placement.engines.get(name)
         if engine is not None:
             engine.draining = True
-        log_message("fleet:upstream", upstream=name, state="leaving")
+        log_message(
+            "fleet:upstream",
+            upstream=leave.name,
+            start=leave.start,
+            leaves=name,
+            state="leaving",
+        )
         self._news.note()
 
     def _note_engine(
@@ -360,7 +383,16 @@
             upstream.address,
             upstream.data_centre,
             service.engine,
+            instance=upstream.instance,
+            start=upstream.start,
         )
+        if upstream.has_strays:
+            # An earlier owner's orders to an earlier start may run on this one;
+            # which isn't known here.
+            engine.suspended_until = (
+                self._leases.delivered_until() + UNANSWERED_SECONDS
+            )
+        engine.strays = self._orders.strays(engine.instance, engine.start)
         engine.draining = upstream.state != READY
         # Fronts may still use all of it, until they have said what they use.
         engine.adopt(upstream.resident, handed_at=now)
@@ -368,13 +400,50 @@
         engine.ordered_at = min(now, self._leases.delivered_until())
         self._placement.engines[upstream.name] = engine
 
+    def _note_restart(self, before: Upstream, upstream: Upstream) -> None:
+        """Begins anew with an engine that started again under its name."""
+        log_message(
+            "fleet:restarted",
+            upstream=upstream.name,
+            peer=upstream.address,
+            start=upstream.start,
+            before=before.start,
+        )
+        self._forget_engine(before.name)
+
+    def _hear_report(self, engine: Engine, report: EngineReport) -> None:
+        """Takes a report of a later start than the one that was asked."""
+        registry = self._registry
+        if registry is None or engine.name not in registry.upstreams:
+            return
+        upstream = registry.upstreams[engine.name]
+        name = self._calls.name_start(engine.name, report.start)
+        # Below any number of its own heartbeats.
+        heartbeat = Heartbeat(
+            name,
+            upstream.service,
+            upstream.address,
+            upstream.data_centre,
+            upstream.slots,
+            False,
+            -1,
+            report.resident,
+            instance=engine.instance,
+            start=report.start,
+        )
+        self.take_heartbeat(heartbeat)
+
     def _forget_engine(self, name: str) -> None:
-        self._placement.engines.pop(name, None)
+        engine = self._placement.engines.pop(name, None)
+        if engine is not None:
+            # Loads that are under way there give no more orders.
+            engine.has_ended = True
         self._orders.forget(name)
 
     def note_table(self, table: RouteTable) -> None:
         """Takes a new configuration."""
         self.table = table
+        self._services.update(table.services)
         if self._registry is None:
             return
         now = self._loop.time()
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -14,12 +14,15 @@
     """What an upstream says of itself.
 
     Attributes:
-        name: of this incarnation; a restart has another.
+        name: of this start; another start has another.
         slots: requests that it works on at once.
         sequence: rises with each heartbeat; an older one is passed over.
         resident: versions of the models (`model`) and adapters
             (`model/adapter`) that it holds; None for a plain service.
         gone_in: seconds until it is gone; None when it doesn't say.
+        instance: what it calls itself, at each of its starts; empty when that
+            is its name.
+        start: rises with each of its starts; 0 when it doesn't tell.
     """
 
     name: str
@@ -31,6 +34,8 @@
     sequence: int
     resident: dict[str, int] | None = None
     gone_in: float | None = None
+    instance: str = ""
+    start: int = 0
 
 
 @register
@@ -44,9 +49,15 @@
 @register
 @attrs.frozen
 class HeardLeave:
-    """An upstream's word that it is leaving, passed on to the owner."""
+    """An upstream's word that it is leaving, passed on to the owner.
+
+    Attributes:
+        name: what it calls itself.
+        start: which of its starts; 0 when it doesn't tell.
+    """
 
     name: str
+    start: int = 0
 
 
 @register
@@ -62,6 +73,10 @@
 
     Attributes:
         resident: versions by `model` or `model/adapter`.
+        instance: what it calls itself, at each of its starts.
+        start: rises with each of its starts; 0 when it doesn't tell.
+        has_strays: whether orders of an earlier start may run on this one,
+            which a successor of the owner that gave them doesn't know.
     """
 
     name: str
@@ -71,6 +86,9 @@
     slots: int
     state: str = READY
     resident: dict[str, int] = attrs.Factory(dict)
+    instance: str = ""
+    start: int = 0
+    has_strays: bool = False
 
 
 @register
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -14,6 +14,7 @@
     UpstreamChange,
     WatchFleet,
 )
+from ridgesill.core.fleet.sent_orders import UNANSWERED_SECONDS
 
 # Changes kept for those who ask; who is further behind gets everything.
 _CHANGES_KEPT = 4096
@@ -31,6 +32,22 @@
     at: float
 
 
+@attrs.frozen
+class _Start:
+    """The latest start of an instance.
+
+    Attributes:
+        start: 0 when it doesn't tell.
+        left_at: when it said that it leaves, though nobody here knew it; None
+            when it didn't.
+        at: when this was noted.
+    """
+
+    start: int
+    at: float
+    left_at: float | None = None
+
+
 class Registry:
     """The upstreams known to a node.
 
@@ -47,6 +64,9 @@
         self._settled_at = float("-inf")
         self._heard: dict[str, _Heard] = {}
         self._left: dict[str, float] = {}
+        self._starts: dict[str, _Start] = {}
+        # When each start that followed an earlier one was first heard.
+        self._anew_at: dict[str, float] = {}
         # Incarnations that nobody here knows, with when they were last heard,
         # at the address of one that seems alive.
         self._doubted: dict[str, float] = {}
@@ -57,8 +77,13 @@
     def adopt(self, upstreams: Iterable[Upstream], now: float) -> None:
         """Takes over what an earlier owner knew, as if just heard."""
         for upstream in upstreams:
+            if not upstream.instance:
+                upstream = attrs.evolve(upstream, instance=upstream.name)
             self.upstreams[upstream.name] = upstream
             self._heard[upstream.name] = _Heard(-1, now)
+            if upstream.has_strays:
+                self._anew_at[upstream.name] = now
+            self._starts[upstream.instance] = _Start(upstream.start, now)
             self._note(UpstreamChange(upstream.name, upstream))
 
     def begin_empty(self, now: float) -> None:
@@ -71,7 +96,7 @@
         """Takes a heartbeat; returns False for one that is out of date."""
         name = heartbeat.name
         heard = self._heard.get(name)
-        if name in self._left:
+        if name in self._left or self._is_of_earlier_start(heartbeat):
             return False
         if heard is not None and heartbeat.sequence <= heard.sequence:
             return False
@@ -80,6 +105,11 @@
             return False
         self._doubted.pop(name, None)
         self._heard[name] = _Heard(heartbeat.sequence, now)
+        instance = heartbeat.instance or name
+        before = self._starts.get(instance)
+        if before is not None and before.start != heartbeat.start:
+            self._anew_at[name] = now
+        self._starts[instance] = _Start(heartbeat.start, now)
         self._forget_predecessors(heartbeat, now)
         known = self.upstreams.get(name)
         state = DRAINING if heartbeat.draining else READY
@@ -94,12 +124,27 @@
             heartbeat.slots,
             state,
             known.resident if known else dict(heartbeat.resident or {}),
+            instance,
+            heartbeat.start,
+            name in self._anew_at,
         )
         if record != known:
             self.upstreams[name] = record
             self._note(UpstreamChange(name, record))
         return True
 
+    def _is_of_earlier_start(self, heartbeat: Heartbeat) -> bool:
+        """Whether it is of an earlier start than one known, or may be.
+
+        Counts of heartbeats begin anew with each start, so that only the start
+        tells. One that doesn't tell it, where others did, isn't the upstream's
+        own.
+        """
+        known = self._starts.get(heartbeat.instance or heartbeat.name)
+        if known is None or heartbeat.start > known.start > 0:
+            return False
+        return known.left_at is not None or heartbeat.start < known.start
+
     def _is_doubtful(self, heartbeat: Heartbeat, now: float) -> bool:
         """Whether this may be an earlier incarnation's word, long on its way.
 
@@ -112,6 +157,9 @@
         for other in self.upstreams.values():
             if other.address != heartbeat.address or other.state == DRAINING:
                 continue
+            if other.instance == (heartbeat.instance or heartbeat.name):
+                # Its starts tell which of the two is the later one.
+                continue
             heard_at = self._heard[other.name].at
             doubted_at = self._doubted.get(heartbeat.name)
             if doubted_at is not None and heard_at < doubted_at:
@@ -122,12 +170,41 @@
         return False
 
     def _forget_predecessors(self, heartbeat: Heartbeat, now: float) -> None:
-        """Forgets who had this address before: it has ended."""
+        """Forgets who had this address or this instance: it has ended."""
+        instance = heartbeat.instance or heartbeat.name
         for other in list(self.upstreams.values()):
             same = other.address == heartbeat.address
+            same = same or other.instance == instance
             if same and other.name != heartbeat.name:
                 self.forget(other.name, now)
 
+    def find(self, instance: str) -> Upstream | None:
+        """Returns the start of an instance that is known."""
+        return next(
+            (u for u in self.upstreams.values() if u.instance == instance), None
+        )
+
+    def leave(self, instance: str, start: int, now: float) -> str:
+        """Notes that a start of an instance leaves.
+
+        Args:
+            instance: what it calls itself.
+            start: which of its starts; 0 when it doesn't tell.
+            now: the clock, in seconds.
+
+        Returns:
+            The name of the start that leaves; empty when it isn't known.
+        """
+        known = self.find(instance)
+        if known is None:
+            self._starts[instance] = _Start(start, now, left_at=now)
+            return ""
+        if start and start < known.start:
+            # A word of an earlier start, long on its way.
+            return ""
+        self.drain(known.name, now)
+        return known.name
+
     def drain(self, name: str, now: float) -> None:
         """Notes that an upstream leaves."""
         known = self.upstreams.get(name)
@@ -159,11 +236,29 @@
             if now - at > _REMEMBERED_SECONDS:
                 del self._left[name]
                 self._heard.pop(name, None)
+        self._settle_strays(now)
+        known_instances = {u.instance for u in self.upstreams.values()}
+        for instance, noted in list(self._starts.items()):
+            is_old = now - noted.at > _REMEMBERED_SECONDS
+            if is_old and instance not in known_instances:
+                del self._starts[instance]
         for name, at in list(self._doubted.items()):
             if now - at > self._patience:
                 del self._doubted[name]
         return silent
 
+    def _settle_strays(self, now: float) -> None:
+        """Notes which starts can't run orders of earlier ones any more."""
+        for name, at in list(self._anew_at.items()):
+            if now - at <= UNANSWERED_SECONDS:
+                continue
+            del self._anew_at[name]
+            known = self.upstreams.get(name)
+            if known is not None:
+                record = attrs.evolve(known, has_strays=False)
+                self.upstreams[name] = record
+                self._note(UpstreamChange(name, record))
+
     def silence(self, name: str, now: float) -> float:
         """Returns the seconds since an upstream was heard."""
         heard = self._heard.get(name)
--- a/src/ridgesill/platform/control_calls.py
+++ b/src/ridgesill/platform/control_calls.py
@@ -7,7 +7,12 @@
     decode_adapter_version,
     decode_configuration,
 )
-from ridgesill.platform.upstreams import MalformedError, read_heartbeat
+from ridgesill.platform.upstreams import (
+    MalformedError,
+    read_heartbeat,
+    read_identifier,
+    read_leave,
+)
 from ridgesill.ports.control_calls import (
     BadCall,
     CallReply,
@@ -44,10 +49,11 @@
 
     def _read_post(self, path: str, body: bytes) -> object:
         if path.startswith(_HEARTBEAT):
-            name = path[len(_HEARTBEAT) :]
-            return HeartbeatCall(read_heartbeat(name, body))
+            identifier = read_identifier(path[len(_HEARTBEAT) :])
+            return HeartbeatCall(read_heartbeat(identifier, body))
         if path.startswith(_LEAVE):
-            return LeaveCall(path[len(_LEAVE) :])
+            identifier = read_identifier(path[len(_LEAVE) :])
+            return LeaveCall(identifier, read_leave(body))
         if path == _PUT:
             table = decode_configuration(body)
             return PutRoutesCall(table.version, body)
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -1,5 +1,6 @@
 """Clients' requests and upstreams' answers, as the platform words them."""
 
+from ridgesill.platform.upstreams import read_instance
 from ridgesill.ports.dialect import (
     NORMAL_PRIORITY,
     ForwardTerms,
@@ -91,7 +92,7 @@
             kept.append((b"content-length", b"%d" % len(request.body)))
         milliseconds = max(int(terms.seconds_left * 1000), 1)
         kept.append((_DEADLINE, b"%d" % milliseconds))
-        kept.append((_INSTANCE, terms.upstream.encode()))
+        kept.append((_INSTANCE, read_instance(terms.upstream).encode()))
         if terms.version:
             kept.append((_VERSION, b"%d" % terms.version))
         if terms.priority != NORMAL_PRIORITY:
--- a/src/ridgesill/platform/upstreams.py
+++ b/src/ridgesill/platform/upstreams.py
@@ -1,9 +1,16 @@
-"""Upstreams' heartbeats and reports, and orders to them."""
+"""Upstreams' heartbeats and reports, and orders to them.
 
-from typing import Any
+What they say may come from another writer: it is decoded into the types below
+by the codec, whose errors name the field, or refused.
+"""
+
+import ipaddress
+import re
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 
+from ridgesill.core.addresses import split_address
 from ridgesill.core.fleet.messages import Heartbeat
 from ridgesill.core.fleet.orders import (
     Action,
@@ -22,67 +29,168 @@
     412: OrderVerdict.FENCED,
     421: OrderVerdict.MISDIRECTED,
 }
+# What a path may hold as a name, and an adapter in a list.
+_IDENTIFIER = re.compile(r"[A-Za-z0-9._~-]{1,128}")
+_LISTED = re.compile(r"[^@]+(@[0-9]{1,15})?")
+# Stands between an upstream's own name and its start, and in neither.
+_START_MARK = "#"
+# Largest number that other programs' JSON keeps whole.
+_WHOLE_MOST = 2**53
+# Requests that a runner may say it works on at once.
+_SLOTS_MOST = 1_000_000
+# How much of a decoder's message goes into an answer, in characters.
+_DETAIL_MOST = 200
+_PORT_MOST = 65535
+
+_Whole = Annotated[int, msgspec.Meta(ge=0, le=_WHOLE_MOST)]
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_T = TypeVar("_T")
 
 
 class MalformedError(ValueError):
-    """A body that can't be understood; says which field."""
+    """What can't be understood; says which field."""
+
+
+class _HeldModel(msgspec.Struct):
+    """A model that an engine holds, with its adapters as NAME@VERSION."""
+
+    name: _Text
+    version: _Whole = 1
+    adapters: list[_Text] | None = None
+
+
+class _SaidHeartbeat(msgspec.Struct):
+    """A registration or status report, without the fields not used here."""
+
+    service: _Text
+    address: _Text
+    zone: _Text
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_SLOTS_MOST)]
+    state: Literal["ready", "draining"]
+    # Counts status reports here; in a report it counts orders taken.
+    sequence: _Whole
+    # The Unix millisecond of its start; older engines don't tell.
+    born: _Whole = 0
+    remaining_ms: float | None = None
+    models: list[_HeldModel] | None = None
+
+
+class _SaidReport(msgspec.Struct):
+    """What an engine says when asked."""
+
+    sequence: _Whole
+    born: _Whole = 0
+    busy_slots: bool = False
+    models: list[_HeldModel] = []
+    # Adapters on their way, as MODEL/NAME@VERSION.
+    incoming: list[_Text] = []
+    running_requests: _Whole = 0
+    queued_requests: _Whole = 0
+
+
+class _SaidLeave(msgspec.Struct):
+    """An upstream's word that it leaves, which mostly is empty."""
+
+    born: _Whole = 0
+
+
+def read_identifier(text: str) -> str:
+    """Returns the name that an upstream gives itself in a path.
+
+    Raises:
+        MalformedError: it is none.
+    """
+    if not _IDENTIFIER.fullmatch(text):
+        raise MalformedError(f"identifier: not a name: {text[:40]!r}")
+    return text
 
 
-def read_heartbeat(name: str, body: bytes) -> Heartbeat:
+def name_start(identifier: str, born: int) -> str:
+    """Returns the name by which one start of an upstream is known here.
+
+    What is known of an upstream, and what runs there, ends with its start. A
+    name for each keeps a later start apart from it everywhere.
+    """
+    return f"{identifier}{_START_MARK}{born}" if born else identifier
+
+
+def read_instance(name: str) -> str:
+    """Returns the name that an upstream itself answers to."""
+    return name.partition(_START_MARK)[0]
+
+
+def read_heartbeat(identifier: str, body: bytes) -> Heartbeat:
     """Returns an upstream's heartbeat.
 
     Raises:
         MalformedError: a field is missing or wrong.
     """
-    said = _object(body)
+    said = _decode(body, _SaidHeartbeat)
+    _check_address(said.address)
+    remaining = said.remaining_ms
+    return Heartbeat(
+        name=name_start(identifier, said.born),
+        service=said.service,
+        address=said.address,
+        data_centre=said.zone,
+        slots=said.slots,
+        draining=said.state == "draining",
+        sequence=said.sequence,
+        resident=None if said.models is None else _resident(said.models),
+        gone_in=None if remaining is None else remaining / 1000,
+        instance=identifier,
+        start=said.born,
+    )
+
+
+def read_leave(body: bytes) -> int:
+    """Returns the start that says it leaves; 0 when it doesn't tell.
+
+    Raises:
+        MalformedError: the body holds something else.
+    """
+    return _decode(body, _SaidLeave).born if body.strip() else 0
+
+
+def _decode(body: bytes, shape: type[_T]) -> _T:
     try:
-        remaining = said.get("remaining_ms")
-        models = said.get("models")
-        return Heartbeat(
-            name=name,
-            service=str(said["service"]),
-            address=str(said["address"]),
-            data_centre=str(said["zone"]),
-            slots=int(said.get("slots") or 1),
-            draining=said.get("state") == "draining",
-            # Counts heartbeats here; in a report it counts orders taken.
-            sequence=int(said.get("sequence") or 0),
-            resident=None if models is None else _resident(models),
-            gone_in=None if remaining is None else float(remaining) / 1000,
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise MalformedError(f"heartbeat of {name}: {error!r}") from error
+        return msgspec.json.decode(body, type=shape)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise MalformedError(str(error)[:_DETAIL_MOST]) from error
 
 
-def _object(body: bytes) -> dict[str, Any]:
+def _check_address(address: str) -> None:
     try:
-        said = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise MalformedError(f"not JSON: {error}") from error
-    if not isinstance(said, dict):
-        raise MalformedError("not a JSON object")
-    return said
+        host, port = split_address(address)
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise MalformedError(f"address: {str(error)[:_DETAIL_MOST]}") from error
+    if not 0 < port <= _PORT_MOST:
+        raise MalformedError(f"address: no port: {port}")
 
 
-def _resident(models: list[dict[str, Any]]) -> dict[str, int]:
+def _resident(models: list[_HeldModel]) -> dict[str, int]:
     """Returns versions by `model` and `model/adapter`."""
     resident = {}
     for model in models:
-        name = str(model["name"])
-        resident[name] = int(model.get("version") or 1)
-        for listed in model.get("adapters") or ():
-            adapter, _, version = str(listed).partition("@")
-            resident[f"{name}/{adapter}"] = int(version or 1)
+        resident[model.name] = model.version
+        for listed in model.adapters or ():
+            adapter, version = _split_listed("models", listed)
+            resident[f"{model.name}/{adapter}"] = version
     return resident
 
 
 def _incoming(listed: list[str]) -> dict[str, int]:
-    """Returns versions by artifact, from MODEL/NAME@VERSION."""
-    incoming = {}
-    for item in listed:
-        artifact, _, version = str(item).partition("@")
-        incoming[artifact] = int(version or 1)
-    return incoming
+    """Returns versions by artifact."""
+    return dict(_split_listed("incoming", item) for item in listed)
+
+
+def _split_listed(field: str, listed: str) -> tuple[str, int]:
+    """Returns name and version of NAME@VERSION."""
+    if not _LISTED.fullmatch(listed):
+        raise MalformedError(f"{field}: not NAME@VERSION: {listed[:40]!r}")
+    name, _, version = listed.partition("@")
+    return name, int(version or 1)
 
 
 class PlatformEngines:
@@ -115,20 +223,21 @@
         Raises:
             MalformedError: a field is missing or wrong.
         """
-        said = _object(body)
-        try:
-            return EngineReport(
-                # Counts orders taken here; in a heartbeat, heartbeats.
-                revision=int(said["sequence"]),
-                # Whether an order is under way, whatever its name says.
-                busy=bool(said.get("busy_slots")),
-                resident=_resident(said.get("models") or []),
-                incoming=_incoming(said.get("incoming") or []),
-                running=int(said.get("running_requests") or 0),
-                queued=int(said.get("queued_requests") or 0),
-            )
-        except (KeyError, TypeError, ValueError) as error:
-            raise MalformedError(f"report: {error!r}") from error
+        said = _decode(body, _SaidReport)
+        return EngineReport(
+            revision=said.sequence,
+            # Whether an order is under way, whatever its name says.
+            busy=said.busy_slots,
+            resident=_resident(said.models),
+            incoming=_incoming(said.incoming),
+            running=said.running_requests,
+            queued=said.queued_requests,
+            start=said.born,
+        )
+
+    def name_start(self, upstream: str, start: int) -> str:
+        """Returns the name of another start of an upstream."""
+        return name_start(read_instance(upstream), start)
 
 
 def _call(
@@ -141,7 +250,7 @@
     encoded = msgspec.json.encode(body) if body is not None else b""
     headers = [
         (b"host", address.encode()),
-        (b"expect-instance", upstream.encode()),
+        (b"expect-instance", read_instance(upstream).encode()),
     ]
     if body is not None:
         headers.append((b"content-type", b"application/json"))
--- a/src/ridgesill/ports/control_calls.py
+++ b/src/ridgesill/ports/control_calls.py
@@ -17,9 +17,15 @@
 
 @attrs.frozen
 class LeaveCall:
-    """An upstream's word that it is leaving."""
+    """An upstream's word that it is leaving.
 
-    name: str
+    Attributes:
+        instance: what it calls itself.
+        start: which of its starts; 0 when it doesn't tell.
+    """
+
+    instance: str
+    start: int = 0
 
 
 @attrs.frozen
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -103,6 +103,9 @@
     def ask_report(self, upstream: str, address: str) -> HttpRequest:
         """Returns the call that asks an engine for its report."""
 
+    def name_start(self, upstream: str, start: int) -> str:
+        """Returns the name of another start of an upstream."""
+
     def read_report(self, body: bytes) -> EngineReport:
         """Returns what an engine reports."""
 
--- a/src/ridgesill/standin/emulator/messages.py
+++ b/src/ridgesill/standin/emulator/messages.py
@@ -102,6 +102,10 @@
         """Returns the call that asks an engine for its report."""
         return HttpRequest(b"GET", _REPORT, ())
 
+    def name_start(self, upstream: str, start: int) -> str:
+        """Returns the name of another start; emulated engines have new ones."""
+        return f"{upstream}.{start}"
+
     def read_report(self, body: bytes) -> EngineReport:
         """Returns what an engine reports."""
         return msgspec.json.decode(body, type=EngineReport)
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import random
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -186,7 +187,7 @@
     def __init__(self) -> None:
         self.fleet = FixedOwner(None)
         self.front = Front(
-            Chooser("a", self.fleet.view, Outcomes()),
+            Chooser("a", self.fleet.view, Outcomes(), random.Random(1)),
             self.fleet,
             UpstreamChannels(0.5),
             PlatformDialect(),
