--- a/testing/app/test_late_orders.py
+++ b/testing/app/test_late_orders.py
@@ -6,6 +6,7 @@
 
 from ridgesill.app.engine_loads import EngineLoads
 from ridgesill.core.fleet.messages import WantArtifact
+from ridgesill.core.fleet.orders import Action, OrderVerdict
 from testing.app.engine_world import EngineWorld
 
 pytestmark = pytest.mark.looptime
@@ -56,3 +57,16 @@
         sent = world.channels.orders
         assert all("expected_revision" in order for order in sent)
         assert not world.simulated[0].fell
+
+    async def test_one_that_was_not_sent_was_not_refused(self) -> None:
+        # Without a holder of its lease for a moment, an engine was taken for
+        # one that had refused an order, and got none for 0.8 s.
+        world = EngineWorld(1, 3)
+        await world.loads.want(want("a1"))
+        engine = world.placement.engines["u0"]
+        authority, world.authority = world.authority, None
+        verdict = await world.orders.give(Action.LOAD, engine, "base/a2")
+        assert verdict is OrderVerdict.REFUSED
+        world.authority = authority
+        assert engine.revision == 1
+        assert engine.can_order(world.loop.time())
