Take nothing from an order that wasn't sent

Cause: the loop over an order's copies said refused both for a refusal and where nothing was sent, so that an engine without a holder for a moment got no orders for 0.8 s and was asked for a report.

--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -172,14 +172,17 @@
             # that named none came seconds late, when its place was given away.
             wanted = _Wanted(action, artifact, version, engine.revision or 0)
             verdict = await self._repeat(wanted, engine, again)
+            if verdict is None:
+                # Nothing was sent: the engine has refused nothing.
+                return OrderVerdict.REFUSED
             if not again:
                 self._note(engine, wanted, verdict)
             return verdict
 
     async def _repeat(
-        self, wanted: "_Wanted", engine: Engine, again: bool
-    ) -> OrderVerdict:
-        """Sends copies of an order until one is answered."""
+        self, wanted: _Wanted, engine: Engine, again: bool
+    ) -> OrderVerdict | None:
+        """Sends copies of an order until one is answered; None if none was."""
         unknown = False
         for _ in range(_TIMES):
             verdict = await self._send_once(wanted, engine, again)
@@ -193,10 +196,10 @@
             if verdict is not OrderVerdict.UNKNOWN:
                 return verdict
             unknown = True
-        return OrderVerdict.UNKNOWN if unknown else OrderVerdict.REFUSED
+        return OrderVerdict.UNKNOWN if unknown else None
 
     async def _send_once(
-        self, wanted: "_Wanted", engine: Engine, again: bool
+        self, wanted: _Wanted, engine: Engine, again: bool
     ) -> OrderVerdict | None:
         """Sends one copy, if it may leave; None if it surely wasn't sent."""
         authority = self._authority(engine)
@@ -215,10 +218,7 @@
         return verdict
 
     def _note(
-        self,
-        engine: Engine,
-        wanted: "_Wanted",
-        verdict: OrderVerdict,
+        self, engine: Engine, wanted: _Wanted, verdict: OrderVerdict
     ) -> None:
         """Notes what an order did to an engine.
 
