Wait for a new start only where an owner knew nobody and wasn't the first

The 13 s without orders that a successor gives a start which it can't know would have met every engine at the first start of the whole system, and each new engine after a change of owners. Now: an owner that knew no upstream although another owned the fleet before. A departure that tells no start is of the last one known.

--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -139,8 +139,9 @@
             control, OrderLeases(lease), self.holder, self._spawn
         )
         self._time_of_day = time_of_day
-        # Starts of upstreams that an earlier owner knew.
-        self._adopted: set[str] = set()
+        # Whether this owner knew no upstream, though an earlier one may have
+        # ordered some.
+        self._began_blind = False
         self._owned_at = float("-inf")
         self._fronts_before = 0
         self._placement = Placement()
@@ -220,6 +221,8 @@
         ordered_until = driver.replica.predecessor_until + _QUORUM_SECONDS
         self._leases.begin(term, ordered_until)
         self._term = term
+        is_first = before is None
+        self._began_blind = not (is_first or self._follower.view.upstreams)
         self._begin(done.index, now)
         log_message(
             "fleet:owned",
@@ -238,7 +241,6 @@
         if not registry.upstreams:
             registry.begin_empty(now)
         self._registry = registry
-        self._adopted = set(registry.upstreams)
         self._placement.engines.clear()
         for upstream in registry.upstreams.values():
             self._meet_engine(upstream, now)
@@ -418,7 +420,7 @@
         Only the engine's own word tells when it began, by the time of day,
         which may differ here by some seconds.
         """
-        if not upstream.start or upstream.name in self._adopted:
+        if not upstream.start or not self._began_blind:
             return False
         return self._time_of_day() - upstream.start / 1000 < _BEGAN_LATELY
 
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -197,7 +197,9 @@
         """
         known = self.find(instance)
         if known is None:
-            self._starts[instance] = _Start(start, now, left_at=now)
+            before = self._starts.get(instance)
+            last = before.start if before else 0
+            self._starts[instance] = _Start(start or last, now, left_at=now)
             return ""
         if start and start < known.start:
             # A word of an earlier start, long on its way.
--- a/testing/core/fleet/test_registry.py
+++ b/testing/core/fleet/test_registry.py
@@ -202,6 +202,15 @@
         assert not registry.hear(heartbeat("u1#1", 9, start=1, **given), 0.1)
         assert registry.hear(heartbeat("u1#2", 0, start=2, **given), 0.2)
 
+    def test_a_departure_that_tells_no_start_is_of_the_last_one(self) -> None:
+        registry = Registry(1, _PATIENCE)
+        given = {"instance": "u1", "address": "10.0.0.1:80"}
+        registry.hear(heartbeat("u1#1", 9, start=1, **given), 0.0)
+        registry.expire(6.0)
+        registry.leave("u1", 0, 6.1)
+        assert not registry.hear(heartbeat("u1#1", 10, start=1, **given), 6.2)
+        assert registry.hear(heartbeat("u1#2", 0, start=2, **given), 6.3)
+
     def test_a_successor_learns_where_strays_may_run(self) -> None:
         registry = Registry(1, _PATIENCE)
         given = {"instance": "u1", "address": "10.0.0.1:80"}
