--- a/testing/platform/test_upstreams.py
+++ b/testing/platform/test_upstreams.py
@@ -3,14 +3,19 @@
 from typing import Any
 
 import msgspec
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ridgesill.core.fleet.orders import Action, FleetOrder
 from ridgesill.core.fleet.registry import Registry
 from ridgesill.platform.control_calls import PlatformControlCalls
-from ridgesill.platform.upstreams import PlatformEngines, read_heartbeat
-from ridgesill.ports.control_calls import BadCall, HeartbeatCall
+from ridgesill.platform.upstreams import (
+    MalformedError,
+    PlatformEngines,
+    read_heartbeat,
+)
+from ridgesill.ports.control_calls import BadCall, HeartbeatCall, LeaveCall
 from ridgesill.ports.http import HttpRequest
 
 _SAID = {
@@ -131,3 +136,23 @@
     ) -> None:
         new = {f"new-{name}": value for name, value in more.items()}
         assert isinstance(read(say(**new)), HeartbeatCall)
+
+    @given(st.binary(max_size=200))
+    @example(b"[" * 100_000)
+    @example(b'{"sequence": "7"}')
+    @example(b'{"sequence": 7, "models": 3}')
+    @example(b'{"sequence": 7, "incoming": ["m/a1@x"]}')
+    @example(b'{"sequence": -1}')
+    def test_a_report_that_cannot_be_read_is_no_report(
+        self, body: bytes
+    ) -> None:
+        with pytest.raises(MalformedError):
+            PlatformEngines().read_report(body)
+
+    def test_a_departure_may_say_nothing_or_its_start(self) -> None:
+        path = b"/ridgesill/Instances.Leave/i-1"
+        assert read(b"", path) == LeaveCall("i-1", 0)
+        assert read(b'{"born": 7}', path) == LeaveCall("i-1", 7)
+        call = read(b'{"born": "7"}', path)
+        assert isinstance(call, BadCall)
+        assert "born" in call.detail
