Close a front's listener before it ends, so that nobody comes in between

Cause: a front that drains goes on listening, and ended as soon as it saw no open channel. A client that came between that look and the end of the process had its request read and run by an upstream, and was cut 2 ms after the answer.

Change: once no channel is open the listener is closed, and whoever was accepted in that moment is waited for.

--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -207,9 +207,19 @@
             connection.close_if_idle()
         # By the channels, not by what is in progress: a request that has just
         # been read isn't counted yet, and is sent on in the next moment.
+        await self._wait_for_channels(deadline)
+        # Who comes between that and the end would be cut: a request that an
+        # upstream had run was. One accepted in the last moment shows a little
+        # later.
+        self._callers.close()
+        await asyncio.sleep(_DRAIN_TICK)
+        await self._wait_for_channels(deadline)
+        self._stopping.set()
+
+    async def _wait_for_channels(self, deadline: float) -> None:
+        """Waits until no client's channel is open, or until a deadline."""
         while self._callers.connections and self._loop.time() < deadline:
             await asyncio.sleep(_DRAIN_TICK)
-        self._stopping.set()
 
     def _reload(self) -> None:
         # What may change at run time is the list of seeds.
