Test that lost loads of an earlier start alone take no engine over; known red

The owner gives no order to the later start; loads meant for the earlier one run in a row at its lowest counts.

--- a/testing/explorer/test_explorer.py
+++ b/testing/explorer/test_explorer.py
@@ -74,6 +74,29 @@
         found, _ = play(schedule)
         assert not found
 
+    def test_orders_of_an_earlier_start_alone_take_no_engine_over(self) -> None:
+        # An engine started again under its name within seconds of its first
+        # orders, most of which had no answer. On the later start four loads that
+        # were meant for the earlier one ran one after another, at the counts 0 to
+        # 3, on three places; between them the earlier start had unloaded. The
+        # owner gave the later start no order:
+        #
+        #     4.100  starts as u0
+        #     4.156  load a1 at 0: 409, holds [] [a2]
+        #     5.308  load a5 at 1: 202, holds [a2] [a5]
+        #     5.356  load a3 at 2: 202, holds [a2] [a3, a5]
+        #     5.510  load a6 at 3: 202, holds [a2] [a3, a5, a6]
+        schedule = Schedule(
+            10100,
+            (
+                LoseAnswers(2.0, 0.9, (3.0, 2.0, 2.0)),
+                Pause(2.5),
+                Restart(0, same_name=True),
+            ),
+        )
+        found, _ = play(schedule)
+        assert not found
+
 
 class TestMutants:
     @pytest.mark.parametrize(("mutant", "seed"), list(_FOUND_BY.items()))
