--- a/testing/explorer/test_explorer.py
+++ b/testing/explorer/test_explorer.py
@@ -76,10 +76,10 @@
 
     def test_orders_of_an_earlier_start_alone_take_no_engine_over(self) -> None:
         # An engine started again under its name within seconds of its first
-        # orders, most of which had no answer. On the later start four loads that
-        # were meant for the earlier one ran one after another, at the counts 0 to
-        # 3, on three places; between them the earlier start had unloaded. The
-        # owner gave the later start no order:
+        # orders, most of which had no answer. On the later start four loads
+        # that were meant for the earlier one ran one after another, at the
+        # counts 0 to 3, on three places; between them the earlier start had
+        # unloaded. The owner gave the later start no order:
         #
         #     4.100  starts as u0
         #     4.156  load a1 at 0: 409, holds [] [a2]
