Wait for the next owner of a pool that is being handed over

Entry nodes now remember for ten seconds which pools lost their owner, and ask again for these within the request's patience; a pool that never had an owner, or none for longer, is refused at once as before.

Weighed: to keep a released owner in the replicated state (leases of engines that are gone would stay there for good); to let a new leader grant at once (whoever it hears first would get all pools).

--- a/src/ridgesill/app/entry.py
+++ b/src/ridgesill/app/entry.py
@@ -1,7 +1,7 @@
 """An entry node's side of admission: which owner is asked, and when again."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from typing import Any
 
 import attrs
@@ -37,6 +37,10 @@
 _ASK_AGAIN = 0.25
 _ANSWER_MARGIN = 0.5
 _HOLDING_EVERY = 1.0
+# How long a pool that lost its owner is taken to be between two, in seconds:
+# an election takes up to two, a new leader listens for four by default, and
+# the only node that hears the pool's runners may be starting again meanwhile.
+_HANDOVER_SECONDS = 10.0
 
 
 @attrs.frozen
@@ -71,6 +75,9 @@
         self._peers = peers
         self._held: dict[str, Admission] = {}
         self._epochs: dict[str, int] = {}
+        self._owned: set[str] = set()
+        # When pools lost their owner, on the loop's clock.
+        self._vacant_since: dict[str, float] = {}
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -125,14 +132,34 @@
         self._send_owner(admission.pool, message)
 
     def note_owners(self) -> None:
-        """Tells new owners at once what this node holds of their pools."""
-        pools = {held.pool for held in self._held.values()}
+        """Takes in who owns which pool.
+
+        New owners are told at once what this node holds of their pools.
+        """
         owners = self._view.state().owners
+        self._note_vacant(owners.keys())
+        pools = {held.pool for held in self._held.values()}
         epochs = {p: owners[p].epoch for p in pools if p in owners}
         if any(self._epochs.get(p) != epoch for p, epoch in epochs.items()):
             self.send_holdings(set())
         self._epochs = epochs
 
+    def _note_vacant(self, owned: Set[str]) -> None:
+        now = self._loop.time()
+        for pool in self._owned - owned:
+            self._vacant_since[pool] = now
+        self._owned = set(owned)
+        self._vacant_since = {
+            pool: since
+            for pool, since in self._vacant_since.items()
+            if pool not in owned and now - since < _HANDOVER_SECONDS
+        }
+
+    def _is_handed_over(self, pool: str) -> bool:
+        """Whether a pool without an owner will soon have its next one."""
+        since = self._vacant_since.get(pool, float("-inf"))
+        return self._loop.time() - since < _HANDOVER_SECONDS
+
     async def report_holdings(self) -> None:
         """Tells each owner regularly what this node holds of its pool."""
         before: set[str] = set()
@@ -177,9 +204,14 @@
         return Err(min(refusals, key=_soonest))
 
     def _pools(self, target: Target) -> list[str]:
+        """Returns the pools that can admit it, now or when handed over.
+
+        To refuse what a restart of an owner leaves without one for a moment
+        cost up to a ninth of all requests while each node was restarted.
+        """
         owners = self._view.state().owners
         pools = [pool_name(place, target.service) for place in target.places]
-        return [pool for pool in pools if pool in owners]
+        return [p for p in pools if p in owners or self._is_handed_over(p)]
 
     async def _ask(
         self,
