Keep orders back that a next start of an engine couldn't all carry out

Cause: an engine that starts again under its name begins at count 0, where orders without an answer of the earlier start may run one after another before anybody hears of it.

Ruled out: orders that move the count past theirs sooner: nobody knows of the later start then.

Of those at one count one is carried out at most, so a count takes one place.

--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -211,12 +211,37 @@
         ):
             return None
         order = wanted.to_order(engine, authority)
+        if not self._may_run_late(engine, order, now):
+            return None
         sent = self._sent.note(engine.instance, engine.start, order, now)
         verdict = await self._send(order, authority, engine, again)
         if verdict is not OrderVerdict.UNKNOWN:
             self._sent.settle(engine.instance, sent)
         return verdict
 
+    def _may_run_late(
+        self, engine: Engine, order: FleetOrder, now: float
+    ) -> bool:
+        """Whether an order does no harm should the engine start again.
+
+        With those without an answer it may run from an empty start's first
+        count on, where three loads in a row took one over its two places.
+        """
+        chain = self._sent.chain_with(engine.instance, order, now)
+        if engine.can_run_from_empty(chain):
+            return True
+        engine.suspended_until = now + _SUSPEND_SECONDS
+        log_message(
+            "fleet:order_held_back",
+            action=order.action.value,
+            upstream=order.upstream,
+            peer=order.address,
+            artifact=order.artifact,
+            revision=order.revision,
+            unanswered_in_a_row=len(chain),
+        )
+        return False
+
     def _note(
         self, engine: Engine, wanted: _Wanted, verdict: OrderVerdict
     ) -> None:
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -171,7 +171,7 @@
         Neither by itself nor by what may be carried out after it: an order
         moves the count by one, from where orders of an earlier start may run.
         """
-        after = find_chain(self.strays, revision + 1, now)
+        after = set().union(*find_chain(self.strays, revision + 1, now))
         if action is Action.UNLOAD and not after:
             # It makes room, however much is believed to be there.
             return True
@@ -180,6 +180,22 @@
             return False
         return self._weights_of(there) <= self.spec.weights_mb
 
+    def can_run_from_empty(self, chain: list[set[str]]) -> bool:
+        """Whether a start that holds nothing has room for a chain of orders.
+
+        Args:
+            chain: the artifacts that may be loaded at each count, one of each.
+        """
+        there = set().union(*chain)
+        places = min(
+            sum(any(map(is_adapter, loads)) for loads in chain),
+            sum(map(is_adapter, there)),
+        )
+        return (
+            places <= self.spec.adapter_slots
+            and self._weights_of(there) <= self.spec.weights_mb
+        )
+
     def must_ask(self, now: float) -> bool:
         """Whether a report must tell how many orders it took, or what it holds.
 
--- a/src/ridgesill/core/fleet/sent_orders.py
+++ b/src/ridgesill/core/fleet/sent_orders.py
@@ -71,6 +71,17 @@
             if sent.start != start and sent.until > now
         ]
 
+    def chain_with(
+        self, instance: str, order: FleetOrder, now: float
+    ) -> list[set[str]]:
+        """Returns what a next start may load by itself, were an order sent."""
+        kept = list(self._sent.get(instance, ()))
+        until = now + UNANSWERED_SECONDS
+        kept.append(
+            SentOrder(order.action, order.artifact, 0, order.revision, until)
+        )
+        return find_chain(kept, 0, now)
+
     def forget_past(self, now: float) -> None:
         """Forgets what can't be carried out any more."""
         for instance, kept in list(self._sent.items()):
@@ -80,7 +91,9 @@
                 del self._sent[instance]
 
 
-def find_chain(strays: list[SentOrder], revision: int, now: float) -> set[str]:
+def find_chain(
+    strays: list[SentOrder], revision: int, now: float
+) -> list[set[str]]:
     """Returns what an engine may load by itself from a count on.
 
     A stray is carried out at its count alone, and moves it by one. So those at
@@ -91,6 +104,10 @@
         strays: orders of earlier starts.
         revision: the engine's count of orders.
         now: the clock, in seconds.
+
+    Returns:
+        For each count in turn the artifacts of its loads, one of which at
+        most is carried out.
     """
     by_count: dict[int, set[str]] = {}
     for sent in strays:
@@ -98,8 +115,8 @@
             loads = by_count.setdefault(sent.revision, set())
             if sent.action is Action.LOAD:
                 loads.add(sent.artifact)
-    artifacts: set[str] = set()
+    chain = []
     while revision in by_count:
-        artifacts |= by_count[revision]
+        chain.append(by_count[revision])
         revision += 1
-    return artifacts
+    return chain
--- a/testing/core/fleet/test_sent_orders.py
+++ b/testing/core/fleet/test_sent_orders.py
@@ -1,5 +1,6 @@
 """Tests of orders without an answer, and of what a later start may run."""
 
+import attrs
 import pytest
 
 from ridgesill.core.fleet.engines import Engine, Pending, UnansweredLoad
@@ -59,25 +60,58 @@
 
 class TestChains:
     @pytest.mark.parametrize(
-        ("strays", "artifacts"),
+        ("strays", "chain"),
         [
-            ([], set()),
+            ([], []),
             # At the count that the engine has.
-            ([stray(4, "a")], {"a"}),
+            ([stray(4, "a")], [{"a"}]),
             # A count is missing between: nothing moves the count over it.
-            ([stray(5, "a")], set()),
-            ([stray(4, "a"), stray(5, "b"), stray(7, "c")], {"a", "b"}),
+            ([stray(5, "a")], []),
+            ([stray(4, "a"), stray(5, "b"), stray(7, "c")], [{"a"}, {"b"}]),
             # An unload moves the count as well.
-            ([stray(4), stray(5, "b")], {"b"}),
+            ([stray(4), stray(5, "b")], [set(), {"b"}]),
             # Of two at one count only one runs; which isn't known.
-            ([stray(4, "a"), stray(4, "b")], {"a", "b"}),
-            ([stray(4, "a", until=9.0)], set()),
+            ([stray(4, "a"), stray(4, "b")], [{"a", "b"}]),
+            ([stray(4, "a", until=9.0)], []),
         ],
     )
     def test_what_may_run_one_after_another(
-        self, strays: list[SentOrder], artifacts: set[str]
+        self, strays: list[SentOrder], chain: list[set[str]]
     ) -> None:
-        assert find_chain(strays, 4, 10.0) == artifacts
+        assert find_chain(strays, 4, 10.0) == chain
+
+    def test_an_order_to_be_sent_may_close_a_gap_in_it(self) -> None:
+        sent = SentOrders()
+        sent.note("i", 1, order("a", 0), 10.0)
+        sent.note("i", 1, order("c", 2), 10.0)
+        unload = attrs.evolve(order("b", 1), action=Action.UNLOAD)
+        assert sent.chain_with("i", unload, 11.0) == [{"a"}, set(), {"c"}]
+        after = 10.0 + UNANSWERED_SECONDS
+        assert sent.chain_with("i", unload, after) == []
+
+
+class TestChainsFromEmpty:
+    @pytest.fixture
+    def engine(self) -> Engine:
+        """Returns an engine of two places for adapters and 1,020 MB."""
+        return Engine("i-1", "10.0.0.1:80", "a", SPEC)
+
+    @pytest.mark.parametrize(
+        ("chain", "fits"),
+        [
+            ([], True),
+            ([{MODEL}, {"base/a"}, {"base/b"}], True),
+            ([{MODEL}, {"base/a"}, set(), {"base/b"}, {"base/c"}], False),
+            # One of those at a count is carried out.
+            ([{"base/a", "base/b"}, {"base/c"}], True),
+            # The same adapter takes one place.
+            ([{"base/a"}, set(), {"base/a"}, {"base/b"}], True),
+        ],
+    )
+    def test_whether_an_empty_start_has_room(
+        self, engine: Engine, chain: list[set[str]], fits: bool
+    ) -> None:
+        assert engine.can_run_from_empty(chain) is fits
 
 
 class TestOrdersBesideStrays:
--- a/testing/explorer/mutants.py
+++ b/testing/explorer/mutants.py
@@ -76,7 +76,14 @@
 @contextlib.contextmanager
 def _no_strays() -> Iterator[None]:
     """What earlier starts were ordered isn't reckoned with."""
-    with mock.patch.object(engines, "find_chain", lambda *_: set()):
+    with mock.patch.object(engines, "find_chain", lambda *_: []):
+        yield
+
+
+@contextlib.contextmanager
+def _no_thought_of_a_next_start() -> Iterator[None]:
+    """What a next start may carry out by itself isn't reckoned with."""
+    with mock.patch.object(EngineOrders, "_may_run_late", lambda *_: True):
         yield
 
 
@@ -148,6 +155,7 @@
     "no-look-before-it-leaves": _no_look_before_it_leaves,
     "forget-the-unanswered": _forget_the_unanswered,
     "no-strays": _no_strays,
+    "no-thought-of-a-next-start": _no_thought_of_a_next_start,
     "no-starts": _no_starts,
     "successor-trusts": _successor_trusts,
     "newcomers-trusted": _newcomers_trusted,
--- a/testing/explorer/test_explorer.py
+++ b/testing/explorer/test_explorer.py
@@ -29,6 +29,16 @@
     "newcomers-trusted": 424,
 }
 
+# An engine starts again after its first orders had no answer.
+_LOST_FROM_THE_START = Schedule(
+    10100,
+    (
+        LoseAnswers(2.0, 0.9, (3.0, 2.0, 2.0)),
+        Pause(2.5),
+        Restart(0, same_name=True),
+    ),
+)
+
 
 class TestOrders:
     @pytest.mark.timeout(300)
@@ -88,15 +98,7 @@
         #     5.308  load a5 at 1: 202, holds [a2] [a5]
         #     5.356  load a3 at 2: 202, holds [a2] [a3, a5]
         #     5.510  load a6 at 3: 202, holds [a2] [a3, a5, a6]
-        schedule = Schedule(
-            10100,
-            (
-                LoseAnswers(2.0, 0.9, (3.0, 2.0, 2.0)),
-                Pause(2.5),
-                Restart(0, same_name=True),
-            ),
-        )
-        found, _ = play(schedule)
+        found, _ = play(_LOST_FROM_THE_START)
         assert not found
 
 
@@ -123,3 +125,8 @@
         with take_out("successor-trusts"):
             found, _ = play(schedule)
         assert found
+
+    def test_orders_that_do_not_think_of_a_next_start_are_found(self) -> None:
+        with take_out("no-thought-of-a-next-start"):
+            found, _ = play(_LOST_FROM_THE_START)
+        assert found
