--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -21,6 +21,7 @@
     OrderAnswer,
     OrderVerdict,
 )
+from ridgesill.core.fleet.room import fits_from_empty
 from ridgesill.core.fleet.sent_orders import (
     UNANSWERED_SECONDS,
     SentOrder,
@@ -231,7 +232,7 @@
         count on, where three loads in a row took one over its two places.
         """
         chain = self._sent.chain_with(engine.instance, order, now)
-        if engine.can_run_from_empty(chain):
+        if fits_from_empty(engine.spec, chain):
             return True
         engine.suspended_until = now + _SUSPEND_SECONDS
         log_message(
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -14,7 +14,7 @@
     rank_want,
 )
 from ridgesill.core.fleet.backlog import Backlogs
-from ridgesill.core.fleet.engines import Engine, is_adapter
+from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.lateness import count_late, load_seconds, make_waiter
 from ridgesill.core.fleet.messages import (
     COPY_IS_SOONER,
@@ -22,6 +22,7 @@
     WantArtifact,
 )
 from ridgesill.core.fleet.placement import Choice, Demand, Placement, Survey
+from ridgesill.core.fleet.room import is_adapter
 from ridgesill.core.fleet.sooner import is_copy_sooner
 from ridgesill.core.fleet.wants import (
     LOAD_SECONDS,
--- a/src/ridgesill/core/fleet/copies.py
+++ b/src/ridgesill/core/fleet/copies.py
@@ -8,8 +8,8 @@
 
 from collections.abc import Iterator
 
-from ridgesill.core.fleet.engines import is_adapter
 from ridgesill.core.fleet.placement import Choice, Survey
+from ridgesill.core.fleet.room import is_adapter
 from ridgesill.core.pool.popularity import Popularity
 
 # Share of the requests from which an adapter may get another copy.
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ridgesill.core.fleet.orders import Action, EngineReport
+from ridgesill.core.fleet.room import count_places, fits, is_adapter, weigh
 from ridgesill.core.fleet.sent_orders import SentOrder, find_chain
 from ridgesill.core.serving.routes import EngineSpec
 
@@ -23,16 +24,6 @@
 _LATELY_KEPT = 96
 
 
-def is_adapter(artifact: str) -> bool:
-    """Whether an artifact is an adapter rather than a base model."""
-    return "/" in artifact
-
-
-def model_of(artifact: str) -> str:
-    """Returns the base model of an artifact."""
-    return artifact.partition("/")[0]
-
-
 @attrs.define
 class Held:
     """Something that an engine holds.
@@ -140,7 +131,7 @@
 
         A load and what is unloaded for it share a place.
         """
-        return sum(map(is_adapter, self._promised()))
+        return count_places(self._promised())
 
     def _promised(self) -> set[str]:
         """Returns what it holds or may hold once loads here have ended."""
@@ -177,16 +168,7 @@
             adapter: that isn't there.
             without: what gives way first; empty when nothing does.
         """
-        there = (self._promised() - {without}) | {adapter}
-        if sum(map(is_adapter, there)) > self.spec.adapter_slots:
-            return False
-        return self._fits_in(there)
-
-    def _fits_in(self, artifacts: set[str]) -> bool:
-        """Whether it has the megabytes for all of some artifacts."""
-        if self.spec.has_room_for_all():
-            return True
-        return self._weights_of(artifacts) <= self.spec.weights_mb
+        return fits(self.spec, (self._promised() - {without}) | {adapter})
 
     def may_order(
         self, action: Action, artifact: str, revision: int, now: float
@@ -200,29 +182,7 @@
         if action is Action.UNLOAD and not after:
             # It makes room, however much is believed to be there.
             return True
-        there = self.may_hold() | after | {artifact}
-        if sum(map(is_adapter, there)) > self.spec.adapter_slots:
-            return False
-        return self._fits_in(there)
-
-    def can_run_from_empty(self, chain: list[set[str]]) -> bool:
-        """Whether a start that holds nothing has room for a chain of orders.
-
-        Args:
-            chain: the artifacts that may be loaded at each count, one of each.
-        """
-        there = set().union(*chain)
-        places = min(
-            sum(any(map(is_adapter, loads)) for loads in chain),
-            sum(map(is_adapter, there)),
-        )
-        if places > self.spec.adapter_slots:
-            return False
-        most = sum(
-            max((self._weights_of({artifact}) for artifact in loads), default=0)
-            for loads in chain
-        )
-        return most <= self.spec.weights_mb or self._fits_in(there)
+        return fits(self.spec, self.may_hold() | after | {artifact})
 
     def must_ask(self, now: float) -> bool:
         """Whether a report must tell how many orders it took, or what it holds.
@@ -234,16 +194,7 @@
 
     def weights_taken(self) -> float:
         """Returns the megabytes that models and adapters may take."""
-        return self._weights_of(self.may_hold() | self.loading.keys())
-
-    def _weights_of(self, artifacts: set[str]) -> float:
-        total = 0.0
-        for artifact in artifacts:
-            model = self.spec.model(model_of(artifact))
-            if model is not None:
-                is_small = is_adapter(artifact)
-                total += model.adapter_mb if is_small else model.weights_mb
-        return total
+        return weigh(self.spec, self.may_hold() | self.loading.keys())
 
     def has_room(self, model: str) -> bool:
         """Whether a base model fits beside what is there."""
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -5,12 +5,8 @@
 
 import attrs
 
-from ridgesill.core.fleet.engines import (
-    LOADS_AT_ONCE,
-    Engine,
-    is_adapter,
-    model_of,
-)
+from ridgesill.core.fleet.engines import LOADS_AT_ONCE, Engine
+from ridgesill.core.fleet.room import is_adapter, model_of
 from ridgesill.core.pool.popularity import Popularity
 
 # Half-life of requests counted for an adapter's worth, in seconds: some
--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -93,12 +93,6 @@
         """Returns a model by name."""
         return next((m for m in self.models if m.name == name), None)
 
-    def has_room_for_all(self) -> bool:
-        """Whether all models and full places fit, so that none need count."""
-        adapters = max((m.adapter_mb for m in self.models), default=0.0)
-        models = sum(m.weights_mb for m in self.models)
-        return models + self.adapter_slots * adapters <= self.weights_mb
-
 
 @attrs.frozen
 class Service:
--- a/testing/explorer/mutants.py
+++ b/testing/explorer/mutants.py
@@ -14,6 +14,7 @@
 from ridgesill.core.fleet import engines
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.registry import Registry
+from ridgesill.core.fleet.room import count_places
 from ridgesill.platform import upstreams
 
 
@@ -155,7 +156,11 @@
 @contextlib.contextmanager
 def _places_alone() -> Iterator[None]:
     """Engines are chosen by free places, however few megabytes are left."""
-    with mock.patch.object(Engine, "_fits_in", lambda *_: True):
+
+    def fits(spec: Any, artifacts: Any) -> bool:
+        return count_places(artifacts) <= spec.adapter_slots
+
+    with mock.patch.object(engines, "fits", fits):
         yield
 
 
