--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -17,6 +17,7 @@
 from ridgesill.app.engine_loads import LoadsView
 from ridgesill.app.engine_orders import Authority, EngineOrders
 from ridgesill.app.fleet_client import FleetClient
+from ridgesill.app.fleet_engines import FleetEngines
 from ridgesill.app.fleet_loads import FleetLoads
 from ridgesill.app.log_driver import LogDriver
 from ridgesill.app.order_holder import OrderHolder
@@ -26,7 +27,6 @@
 from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.messages import (
-    READY,
     ArtifactReady,
     FleetNews,
     HeardHeartbeat,
@@ -34,7 +34,6 @@
     Heartbeat,
     ReadingEnded,
     Taken,
-    Upstream,
     WantArtifact,
     WatchFleet,
 )
@@ -42,7 +41,6 @@
 from ridgesill.core.fleet.orders import EngineReport, HolderAlive
 from ridgesill.core.fleet.placement import Placement
 from ridgesill.core.fleet.registry import Registry
-from ridgesill.core.fleet.sent_orders import UNANSWERED_SECONDS
 from ridgesill.core.fleet.usage import Usage
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import EngineCalls
@@ -70,11 +68,6 @@
 # How long another node's owner has to take what was passed on, in seconds; the
 # upstream goes to another node after a second.
 _PASS_ON_SECONDS = 0.7
-# An engine that began longer ago than this gets no more orders that were meant
-# for an earlier start, in seconds: they are carried out 13 s late at the most,
-# and sent for four heartbeats until the earlier start counts as silent; 7 s are
-# for clocks that differ.
-_BEGAN_LATELY = 25.0
 # Reason of a refusal by a node that does not own the fleet.
 NOT_OWNER = "not_owner"
 
@@ -122,7 +115,6 @@
         heartbeat: float,
         time_of_day: Callable[[], float] = time.time,
     ) -> None:
-        self.table = RouteTable()
         # Of this configuration and those before: upstreams of a service that
         # was dropped are heard until they are gone.
         self._services: set[str] = set()
@@ -133,15 +125,10 @@
         self._patience = heartbeat * _HEARTBEATS_MISSED
         self._loop = asyncio.get_running_loop()
         self._term = 0
-        self._registry: Registry | None = None
         self.holder = OrderHolder(control, channels, calls, self.hear_holder)
         self._leases = OrderLeaseKeeper(
             control, OrderLeases(lease), self.holder, self._spawn
         )
-        self._time_of_day = time_of_day
-        # Whether this owner knew no upstream, though an earlier one may have
-        # ordered some.
-        self._began_blind = False
         self._owned_at = float("-inf")
         self._fronts_before = 0
         self._placement = Placement()
@@ -152,23 +139,35 @@
             calls,
             self._authority,
             self._leases.deliver,
-            self._hear_report,
+            self._hear_later_start,
+        )
+        self._news = ChangeSignal()
+        self._engines = FleetEngines(
+            self._placement,
+            self._orders,
+            calls,
+            self._leases.delivered_until,
+            self._news.note,
+            self._loop.time,
+            time_of_day,
         )
         self._loads = FleetLoads(
             self._placement,
             self._orders,
             LoadsView(
-                self._engines_of,
+                self._engines.of_service,
                 self._usage.busy,
                 self._usage.artifacts,
                 self._have_fronts_told,
                 self._version,
-                self._tell_resident,
+                self._engines.tell_resident,
                 self._usable_from,
             ),
             self._backlogs,
         )
-        self._news = ChangeSignal()
+
+    def _hear_later_start(self, engine: Engine, report: EngineReport) -> None:
+        self._engines.hear_later_start(engine, report)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._loads.engine_loads.spawn(work)
@@ -177,6 +176,16 @@
         """Has orders and loads counted."""
         self._orders.telemetry = telemetry
 
+    @property
+    def table(self) -> RouteTable:
+        """The configuration in force here."""
+        return self._engines.table
+
+    @property
+    def _registry(self) -> Registry | None:
+        """What is known of the upstreams; None while another owns them."""
+        return self._engines.registry
+
     # -- ownership -----------------------------------------------------
 
     def is_owner(self) -> bool:
@@ -222,8 +231,8 @@
         self._leases.begin(term, ordered_until)
         self._term = term
         is_first = before is None
-        self._began_blind = not (is_first or self._follower.view.upstreams)
-        self._begin(done.index, now)
+        blind = not (is_first or self._follower.view.upstreams)
+        self._begin(done.index, now, blind=blind)
         log_message(
             "fleet:owned",
             epoch=done.index,
@@ -233,17 +242,14 @@
             upstreams=len(self._follower.view.upstreams),
         )
 
-    def _begin(self, epoch: int, now: float) -> None:
+    def _begin(self, epoch: int, now: float, *, blind: bool) -> None:
         self._owned_at = now
         self._fronts_before = self._follower.view.fronts
         registry = Registry(epoch, self._patience)
         registry.adopt(self._follower.view.upstreams.values(), now)
         if not registry.upstreams:
             registry.begin_empty(now)
-        self._registry = registry
-        self._placement.engines.clear()
-        for upstream in registry.upstreams.values():
-            self._meet_engine(upstream, now)
+        self._engines.begin(registry, blind=blind)
         self._news.note()
 
     def _give_up(self) -> None:
@@ -251,7 +257,7 @@
             return
         log_message("fleet:given_up", epoch=self._registry.epoch)
         self._follower.view.upstreams = dict(self._registry.upstreams)
-        self._registry = None
+        self._engines.end()
         self._term = 0
         self._loads.end()
         self._news.note()
@@ -261,12 +267,7 @@
         if registry is None:
             return
         now = self._loop.time()
-        number = registry.number
-        for name in registry.expire(now):
-            log_message("fleet:upstream_silent", upstream=name)
-            self._forget_engine(name)
-        if registry.number != number:
-            self._news.note()
+        self._engines.forget_silent()
         self._usage.forget_silent(now)
         self._backlogs.forget_lost(now)
         self._backlogs.keep_only(set(registry.upstreams))
@@ -324,164 +325,16 @@
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Takes a heartbeat as the owner."""
-        registry = self._registry
-        if registry is None:
-            return
-        now = self._loop.time()
-        number = registry.number
-        known = registry.upstreams.get(heartbeat.name)
-        before = registry.find(heartbeat.identity)
-        if not registry.hear(heartbeat, now):
-            return
-        upstream = registry.upstreams[heartbeat.name]
-        if known is None or known.state != upstream.state:
-            log_message(
-                "fleet:upstream",
-                upstream=upstream.name,
-                service=upstream.service,
-                peer=upstream.address,
-                state=upstream.state,
-            )
-        if before is not None and before.name != upstream.name:
-            self._note_restart(before, upstream)
-        self._note_engine(heartbeat, upstream, now)
-        for name in list(self._placement.engines):
-            if name not in registry.upstreams:
-                self._forget_engine(name)
-        if registry.number != number:
-            self._news.note()
+        self._engines.hear(heartbeat)
 
     def take_leave(self, leave: HeardLeave) -> None:
         """Notes as the owner that an upstream leaves."""
-        registry = self._registry
-        if registry is None:
-            return
-        name = registry.leave(leave.name, leave.start, self._loop.time())
-        engine = self._placement.engines.get(name)
-        if engine is not None:
-            engine.draining = True
-        log_message(
-            "fleet:upstream",
-            upstream=leave.name,
-            start=leave.start,
-            leaves=name,
-            state="leaving",
-        )
-        self._news.note()
-
-    def _note_engine(
-        self, heartbeat: Heartbeat, upstream: Upstream, now: float
-    ) -> None:
-        engine = self._placement.engines.get(upstream.name)
-        if engine is None:
-            self._meet_engine(upstream, now)
-            return
-        engine.draining = heartbeat.draining
-        if heartbeat.resident is not None:
-            appeared = engine.reconcile(heartbeat.resident, now)
-            if appeared:
-                log_message(
-                    "fleet:appeared",
-                    upstream=engine.name,
-                    artifacts=appeared,
-                    places=engine.places_taken(),
-                )
-            self._tell_resident(engine)
-
-    def _meet_engine(self, upstream: Upstream, now: float) -> None:
-        service = self.table.services.get(upstream.service)
-        if service is None or service.engine is None:
-            return
-        engine = Engine(
-            upstream.name,
-            upstream.address,
-            upstream.data_centre,
-            service.engine,
-            instance=upstream.instance,
-            start=upstream.start,
-        )
-        if upstream.has_strays or self._may_have_begun_lately(upstream):
-            # An earlier owner's orders to an earlier start may run on this one;
-            # which isn't known here.
-            engine.suspended_until = (
-                self._leases.delivered_until() + UNANSWERED_SECONDS
-            )
-        engine.strays = self._orders.strays(engine.instance, engine.start)
-        engine.draining = upstream.state != READY
-        # Fronts may still use all of it, until they have said what they use.
-        engine.adopt(upstream.resident, handed_at=now)
-        # A report must be from after an earlier owner's last order.
-        engine.ordered_at = min(now, self._leases.delivered_until())
-        self._placement.engines[upstream.name] = engine
-
-    def _may_have_begun_lately(self, upstream: Upstream) -> bool:
-        """Whether an earlier owner may have ordered an earlier start of it.
-
-        Only the engine's own word tells when it began, by the time of day,
-        which may differ here by some seconds.
-        """
-        if not upstream.start or not self._began_blind:
-            return False
-        return self._time_of_day() - upstream.start / 1000 < _BEGAN_LATELY
-
-    def _note_restart(self, before: Upstream, upstream: Upstream) -> None:
-        """Begins anew with an engine that started again under its name."""
-        log_message(
-            "fleet:restarted",
-            upstream=upstream.name,
-            peer=upstream.address,
-            start=upstream.start,
-            before=before.start,
-        )
-        self._forget_engine(before.name)
-
-    def _hear_report(self, engine: Engine, report: EngineReport) -> None:
-        """Takes a report of a later start than the one that was asked."""
-        registry = self._registry
-        if registry is None or engine.name not in registry.upstreams:
-            return
-        upstream = registry.upstreams[engine.name]
-        name = self._calls.name_start(engine.name, report.start)
-        # Below any number of its own heartbeats.
-        heartbeat = Heartbeat(
-            name,
-            upstream.service,
-            upstream.address,
-            upstream.data_centre,
-            upstream.slots,
-            False,
-            -1,
-            report.resident,
-            instance=engine.instance,
-            start=report.start,
-        )
-        self.take_heartbeat(heartbeat)
-
-    def _forget_engine(self, name: str) -> None:
-        engine = self._placement.engines.pop(name, None)
-        if engine is not None:
-            # Loads that are under way there give no more orders.
-            engine.has_ended = True
-        self._orders.forget(name)
+        self._engines.note_leave(leave)
 
     def note_table(self, table: RouteTable) -> None:
         """Takes a new configuration."""
-        self.table = table
         self._services.update(table.services)
-        if self._registry is None:
-            return
-        now = self._loop.time()
-        for upstream in self._registry.upstreams.values():
-            if upstream.name not in self._placement.engines:
-                self._meet_engine(upstream, now)
-
-    def _tell_resident(self, engine: Engine) -> None:
-        if self._registry is None:
-            return
-        number = self._registry.number
-        self._registry.set_resident(engine.name, engine.resident())
-        if self._registry.number != number:
-            self._news.note()
+        self._engines.note_table(table)
 
     # -- fronts --------------------------------------------------------
 
@@ -550,17 +403,6 @@
             was_read=ended.was_read,
         )
 
-    def _engines_of(self, service: str) -> list[Engine]:
-        registry = self._registry
-        if registry is None:
-            return []
-        return [
-            engine
-            for engine in self._placement.engines.values()
-            if engine.name in registry.upstreams
-            and registry.upstreams[engine.name].service == service
-        ]
-
     # -- order leases --------------------------------------------------
 
     def hear_holder(self, alive: HolderAlive) -> None:
--- a/testing/app/test_fleet_owner.py
+++ b/testing/app/test_fleet_owner.py
@@ -130,7 +130,7 @@
         """
         owning = LoneNode(storage_of(owner_before))
         loop = asyncio.get_running_loop()
-        owning.owner._time_of_day = lambda: 1_000.0 + loop.time()
+        owning.owner._engines._time_of_day = lambda: 1_000.0 + loop.time()
         owning.owner.note_table(engine_table())
         await owning.start()
         start = int((1_000.0 + loop.time() - began_ago) * 1000)
--- a/testing/explorer/mutants.py
+++ b/testing/explorer/mutants.py
@@ -9,7 +9,7 @@
 
 from ridgesill.app import engine_orders
 from ridgesill.app.engine_orders import EngineOrders
-from ridgesill.app.fleet_owner import FleetOwner
+from ridgesill.app.fleet_engines import FleetEngines
 from ridgesill.app.fleet_upkeep import FleetUpkeep
 from ridgesill.core.fleet import engines
 from ridgesill.core.fleet.engines import Engine
@@ -141,7 +141,7 @@
 def _newcomers_trusted() -> Iterator[None]:
     """A successor that knew nobody orders engines that began just now."""
     with mock.patch.object(
-        FleetOwner, "_may_have_begun_lately", lambda *_: False
+        FleetEngines, "_may_have_begun_lately", lambda *_: False
     ):
         yield
 
--- a/testing/explorer/world.py
+++ b/testing/explorer/world.py
@@ -178,7 +178,7 @@
         """Ends the owner as the end of its process does, timers included."""
         loads = self.owner._loads
         ended = [*self._node_tasks, *loads.engine_loads._tasks]
-        self.owner._registry = None
+        self.owner._engines.end()
         loads.end()
         for task in ended:
             task.cancel()
