--- a/testing/explorer/schedules.py
+++ b/testing/explorer/schedules.py
@@ -264,8 +264,8 @@
             2,
             lambda: CutOneWay(
                 rng.randrange(2),
-                rng.choice((0.3, 1.0, 3.0, 6.0)),
-                rng.choice(("deaf", "mute", "silent")),
+                rng.choice((0.3, 1.0, 3.0, 6.0, 12.0)),
+                rng.choice(("deaf", "mute", "silent", "late")),
             ),
         ),
     ]
--- a/testing/explorer/world.py
+++ b/testing/explorer/world.py
@@ -47,6 +47,8 @@
 _WANT_EVERY = 0.12
 _FRONT_EVERY = 0.2
 _USE_SECONDS = 0.5
+# How late heartbeats come that are late; longer than what they tell is doubted.
+_BEAT_LATE_SECONDS = 5.0
 # How long an engine goes on after it said that it leaves.
 _LEAVE_SECONDS = 1.0
 # Share of what is wanted that is a base model, where these are loaded.
@@ -63,6 +65,7 @@
         deaf_until: until when nothing reaches it.
         mute_until: until when none of its answers come.
         silent_until: until when its heartbeats are held back.
+        late_until: until when each heartbeat comes seconds late.
         leaves: whether it says that it leaves.
         held_back: heartbeats that a cut holds back.
     """
@@ -74,6 +77,7 @@
     deaf_until: float = 0.0
     mute_until: float = 0.0
     silent_until: float = 0.0
+    late_until: float = 0.0
     leaves: bool = False
     held_back: list[tuple[str, bytes]] = attrs.Factory(list)
 
@@ -271,7 +275,8 @@
         Args:
             number: which engine.
             seconds: for how long.
-            way: "deaf", "mute" or "silent", as a machine's attributes say.
+            way: "deaf", "mute", "silent" or "late", as a machine's attributes
+                say.
         """
         machine = self.machines[number]
         setattr(machine, f"{way}_until", self.loop.time() + seconds)
@@ -321,14 +326,21 @@
             "born": machine.start,
             "models": engine.list_models(),
         }
-        machine.held_back.append((engine.name, msgspec.json.encode(said)))
+        beat = (engine.name, msgspec.json.encode(said))
+        if self.loop.time() < machine.late_until:
+            self.loop.call_later(_BEAT_LATE_SECONDS, self._hear, *beat)
+            return
+        machine.held_back.append(beat)
         if self.loop.time() < machine.silent_until:
             return
         for name, body in machine.held_back:
-            if self.owner.is_owner():
-                self.owner.take_heartbeat(read_heartbeat(name, body))
+            self._hear(name, body)
         machine.held_back.clear()
 
+    def _hear(self, name: str, body: bytes) -> None:
+        if self.owner.is_owner():
+            self.owner.take_heartbeat(read_heartbeat(name, body))
+
     # -- callers -------------------------------------------------------
 
     async def _want(self) -> None:
