Wake the frozen leader of a scenario once its lease is over

The scenario woke it as soon as the others had accepted a newer version. It may rely on what it knew for its lease, 2 s there, and then shows the older version as fresh, as docs/design/staleness.md says. All answers are still checked, each from after the lease.

--- a/testing/scenarios/test_failures.py
+++ b/testing/scenarios/test_failures.py
@@ -14,6 +14,7 @@
 
 from bench.demo import make_configuration
 from testing.clients import Answered, chat, open_stream, request
+from testing.conftest import FAST
 from testing.processes import (
     Deployment,
     NodeHandle,
@@ -36,6 +37,7 @@
     victim: str = ""
     epoch: int = 0
     frozen: str = ""
+    frozen_at: float = 0.0
     answers: list[Any] = attrs.Factory(list)
     texts: list[str] = attrs.Factory(list)
     chunks: Iterator[bytes] | None = None
@@ -214,10 +216,16 @@
     leader = wait_until(story.deployment.leader, "a leader")
     leader.running.signal(signal.SIGSTOP)
     story.frozen = leader.name
+    story.frozen_at = time.monotonic()
 
 
 @when("the frozen node goes on")
 def thaw(story: Story) -> None:
+    # Until its lease is over it may rely on what it knew. Others elect a leader
+    # and accept a version sooner than that on most runs, so that it was woken
+    # within the lease, and once showed the older version as fresh, rightly.
+    lease_ends_at = story.frozen_at + FAST["lease"]["lease_seconds"]
+    time.sleep(max(lease_ends_at - time.monotonic(), 0.0))
     node = story.node(story.frozen)
     node.running.signal(signal.SIGCONT)
     for _ in range(20):
