--- a/testing/explorer/__main__.py
+++ b/testing/explorer/__main__.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+from typing import Any
 
 import fire
 
@@ -68,17 +69,10 @@
     return failed
 
 
-def main(
-    schedules: int = 1000,
-    first: int = 0,
-    without: str = "",
-    jobs: int = 0,
-    enough: int = 0,
-    wide: bool = False,
-) -> None:
-    """Plays schedules and says what didn't hold."""
+def main(schedules: int = 1000, **options: Any) -> None:
+    """Plays schedules and says what didn't hold; options as of `explore`."""
     began = time.monotonic()
-    failed = explore(schedules, first, without, jobs, enough, wide)
+    failed = explore(schedules, **options)
     for seed, found in sorted(failed.items()):
         print(f"seed {seed}: {'; '.join(found)}")
     seconds = time.monotonic() - began
