Drop a field without use, name once how a sent order is noted, skip unchanged owners

Found on reading the whole change; no change of behaviour: - FleetOwner kept how calls are worded, which its engines need now. - SentOrders made the same record in two places. - A report of an unknown order set the count of orders and took it back. - Entry nodes copied the table of owners after each applied command, keyed requests among them, though owners seldom change.

--- a/src/ridgesill/app/entry.py
+++ b/src/ridgesill/app/entry.py
@@ -145,6 +145,9 @@
         self._epochs = epochs
 
     def _note_vacant(self, owned: Set[str]) -> None:
+        if owned == self._owned:
+            # As after nearly all that is applied, keyed requests among it.
+            return
         now = self._loop.time()
         for pool in self._owned - owned:
             self._vacant_since[pool] = now
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -121,7 +121,6 @@
         self._control = control
         self._follower = follower
         self._channels = channels
-        self._calls = calls
         self._patience = heartbeat * _HEARTBEATS_MISSED
         self._loop = asyncio.get_running_loop()
         self._term = 0
--- a/src/ridgesill/core/fleet/engines.py
+++ b/src/ridgesill/core/fleet/engines.py
@@ -323,12 +323,12 @@
 
     def take_report(self, report: EngineReport, now: float) -> None:
         """Takes a report that was asked for after a quiet moment."""
-        self.revision = report.revision
         if report.busy and not self._knows_why_busy():
             # It doesn't tell which base model is on its way, and takes no
             # other order: once it is there, another report shows it.
             self.revision = None
             return
+        self.revision = report.revision
         self._drop_unreported(report, now)
         self._settle_leaving(report.resident, now, _ASKED_REPORT_LAG)
         # Only what it says at a known count takes from what it may hold.
--- a/src/ridgesill/core/fleet/sent_orders.py
+++ b/src/ridgesill/core/fleet/sent_orders.py
@@ -49,10 +49,7 @@
         self, instance: str, start: int, order: FleetOrder, now: float
     ) -> SentOrder:
         """Notes an order that is about to leave."""
-        until = now + UNANSWERED_SECONDS
-        sent = SentOrder(
-            order.action, order.artifact, start, order.revision, until
-        )
+        sent = _to_sent(order, start, now)
         kept = self._sent.setdefault(instance, collections.deque(maxlen=_MOST))
         kept.append(sent)
         return sent
@@ -75,12 +72,8 @@
         self, instance: str, order: FleetOrder, now: float
     ) -> list[set[str]]:
         """Returns what a next start may load by itself, were an order sent."""
-        kept = list(self._sent.get(instance, ()))
-        until = now + UNANSWERED_SECONDS
-        kept.append(
-            SentOrder(order.action, order.artifact, 0, order.revision, until)
-        )
-        return find_chain(kept, 0, now)
+        kept = self._sent.get(instance, ())
+        return find_chain([*kept, _to_sent(order, 0, now)], 0, now)
 
     def forget_past(self, now: float) -> None:
         """Forgets what can't be carried out any more."""
@@ -91,6 +84,11 @@
                 del self._sent[instance]
 
 
+def _to_sent(order: FleetOrder, start: int, now: float) -> SentOrder:
+    until = now + UNANSWERED_SECONDS
+    return SentOrder(order.action, order.artifact, start, order.revision, until)
+
+
 def find_chain(
     strays: list[SentOrder], revision: int, now: float
 ) -> list[set[str]]:
