--- a/src/ridgesill/adapters/peer_rpc.py
+++ b/src/ridgesill/adapters/peer_rpc.py
@@ -68,14 +68,35 @@
     return codec.decode(body)
 
 
+@attrs.define
+class KindTraffic:
+    """What was sent of one kind of message.
+
+    Attributes:
+        far_bytes: of `bytes`, those to other data centres.
+    """
+
+    messages: int = 0
+    bytes: int = 0
+    far_bytes: int = 0
+
+
 @attrs.define
 class Traffic:
-    """Messages and bytes of a process, without HTTP/2's own overhead."""
+    """Messages and bytes of a process, without HTTP/2's own overhead.
+
+    Attributes:
+        kinds: what was sent, by kind of message; answers count by their own.
+        is_far: whether a peer, by address or identity, is in another data
+            centre.
+    """
 
     messages_sent: int = 0
     messages_received: int = 0
     bytes_sent: int = 0
     bytes_received: int = 0
+    kinds: dict[str, KindTraffic] = attrs.Factory(dict)
+    is_far: Callable[[str], bool] = lambda _peer: False
 
     def sent(self, envelope: Envelope) -> None:
         """Counts a message that goes out."""
@@ -87,6 +108,18 @@
         self.messages_received += 1
         self.bytes_received += envelope.ByteSize()
 
+    def note_kind(self, message: Any, envelope: Envelope, peer: str) -> None:
+        """Counts a message by its kind."""
+        name = type(message).__name__
+        kind = self.kinds.get(name)
+        if kind is None:
+            kind = self.kinds[name] = KindTraffic()
+        size = envelope.ByteSize()
+        kind.messages += 1
+        kind.bytes += size
+        if self.is_far(peer):
+            kind.far_bytes += size
+
 
 class PeerServer(PeerBase):
     """Hands every message that arrives to a handler."""
@@ -135,6 +168,7 @@
             answer = await self._handler(envelope.sender, message)
             if answer is not None:
                 reply.body = encode_body(answer)
+                self._traffic.note_kind(answer, reply, envelope.sender)
         except (codec.DecodeError, PeerError) as error:
             reply.error = str(error)
         if not envelope.call:
@@ -196,6 +230,7 @@
             task.add_done_callback(self._own_tasks.discard)
             return
         envelope = Envelope(sender=self._identity, body=encode_body(message))
+        self.traffic.note_kind(message, envelope, address)
         self._post(address, envelope)
 
     async def call(self, address: str, message: Any, timeout: float) -> Any:
@@ -207,6 +242,7 @@
         envelope = Envelope(
             call=number, sender=self._identity, body=encode_body(message)
         )
+        self.traffic.note_kind(message, envelope, address)
         link = self._link(address)
         future = asyncio.get_running_loop().create_future()
         link.calls[number] = future
--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -178,6 +178,11 @@
             return name
         return self.settings.seeds.get(name, "")
 
+    def is_far(self, name: str) -> bool:
+        """Whether a node is known to be in another data centre."""
+        node = self.state.nodes.get(name.partition("#")[0])
+        return node is not None and node.data_centre != self.node.data_centre
+
     # -- following -----------------------------------------------------
 
     async def follow(self) -> None:
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -24,7 +24,8 @@
     make_node,
     read_newer_table,
 )
-from ridgesill.app.telemetry import serve_metrics
+from ridgesill.app.telemetry import Instruments, serve_metrics
+from ridgesill.app.traffic import tell_traffic
 from ridgesill.core.addresses import split_address, with_port
 from ridgesill.core.fleet.messages import (
     HeardHeartbeat,
@@ -106,7 +107,10 @@
             self._heartbeat_address,
         )
         self._calls = HttpListener(settings.control, api.serve)
-        self._peer_server = PeerServer(self._handle, self._node.identity)
+        self._peer_server = PeerServer(
+            self._handle, self._node.identity, self._peers.traffic
+        )
+        self._peers.traffic.is_far = self.control.is_far
 
     def _heartbeat_address(self) -> str:
         """Returns the owner's control address; its port is the same here."""
@@ -234,10 +238,12 @@
                 serve_metrics(
                     self._settings.metrics,
                     METRICS_PATH,
-                    self._gauges(driver),
-                    self.owner.use_telemetry,
+                    Instruments(
+                        self._gauges(driver), self.owner.swap_telemetry
+                    ),
                 )
             )
+            group.create_task(tell_traffic(self._peers.traffic))
 
     def _gauges(self, driver: LogDriver) -> dict[str, Callable[[], float]]:
         return {
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -29,7 +29,7 @@
 )
 from ridgesill.ports.dialect import EngineCalls
 from ridgesill.ports.http import ChannelError, HttpRequest
-from ridgesill.ports.telemetry import NoTelemetry, Telemetry
+from ridgesill.ports.telemetry import KeptTelemetry, Telemetry
 
 # Within which an engine answers an order, in seconds, unless the answer is
 # lost: the slowest of 7,564 answers of a played day took 23 ms.
@@ -131,7 +131,7 @@
         self._authority = authority
         self._deliver = deliver
         self._hear_later_start = hear_later_start
-        self.telemetry: Telemetry = NoTelemetry()
+        self.telemetry: Telemetry = KeptTelemetry()
         self._sent = SentOrders()
         self._locks: dict[str, asyncio.Lock] = {}
         self._loop = asyncio.get_running_loop()
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -169,9 +169,10 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._loads.engine_loads.spawn(work)
 
-    def use_telemetry(self, telemetry: Telemetry) -> None:
-        """Has orders and loads counted."""
-        self._orders.telemetry = telemetry
+    def swap_telemetry(self, telemetry: Telemetry) -> Telemetry:
+        """Has orders and loads counted; returns what has counted them."""
+        before, self._orders.telemetry = self._orders.telemetry, telemetry
+        return before
 
     @property
     def table(self) -> RouteTable:
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -11,7 +11,7 @@
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import Dialect
-from ridgesill.ports.telemetry import NoTelemetry, Telemetry
+from ridgesill.ports.telemetry import KeptTelemetry, Telemetry
 
 
 class Front:
@@ -42,7 +42,7 @@
         self.rng = random.Random()
         self.in_progress = 0
         self.used: dict[str, int] = {}
-        self.telemetry: Telemetry = NoTelemetry()
+        self.telemetry: Telemetry = KeptTelemetry()
         # Noted when routes or upstreams become known.
         self.learned = ChangeSignal()
         # From when requests that may outlast this process are refused, and
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -19,7 +19,8 @@
     make_node,
     read_newer_table,
 )
-from ridgesill.app.telemetry import serve_metrics
+from ridgesill.app.telemetry import Instruments, serve_metrics
+from ridgesill.app.traffic import tell_traffic
 from ridgesill.core.commands import Node
 from ridgesill.core.fleet.relays import find_relays
 from ridgesill.core.fleet.usage import UsageReport
@@ -63,6 +64,7 @@
         self._relays: list[Node] = []
         self._peers = PeerLinks(node.identity)
         self.control = make_control(settings, node, self._peers)
+        self._peers.traffic.is_far = self.control.is_far
         self.control.watch(self._note_state)
         self.fleet = FleetClient(
             self._peers,
@@ -151,9 +153,9 @@
             serve_metrics(
                 self._settings.metrics,
                 METRICS_PATH,
-                self._gauges(),
-                self._use_telemetry,
+                Instruments(self._gauges(), self._swap_telemetry),
             ),
+            tell_traffic(self._peers.traffic),
         )
         tasks = [self._loop.create_task(work) for work in works]
         log_message(
@@ -182,8 +184,9 @@
                 set(self.fleet.view.upstreams)
             )
 
-    def _use_telemetry(self, telemetry: Telemetry) -> None:
-        self.front.telemetry = telemetry
+    def _swap_telemetry(self, telemetry: Telemetry) -> Telemetry:
+        before, self.front.telemetry = self.front.telemetry, telemetry
+        return before
 
     def _gauges(self) -> dict[str, Callable[[], float]]:
         view = self.fleet.view
--- a/src/ridgesill/app/telemetry.py
+++ b/src/ridgesill/app/telemetry.py
@@ -1,8 +1,9 @@
-"""Serves a process's figures once its instruments are there.
+"""Serves a process's figures; its instruments are made when first asked for.
 
-The instruments' libraries take a good part of a second of processor time to
-import on these machines; a front that has just restarted serves its clients
-first, and imports them on another thread.
+Their libraries take 5 MB of memory (resident size of a front before and after)
+and, on these machines, a good part of a second of processor time. They are
+imported on the event loop's own thread: a process beside 200 others was ended
+by an illegal instruction in the C library while another thread imported them.
 """
 
 import asyncio
@@ -14,39 +15,73 @@
 
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.ports.http import HttpRequest, Responder
-from ridgesill.ports.telemetry import Telemetry
+from ridgesill.ports.telemetry import KeptTelemetry, Telemetry
 
-# How long a process serves before it imports the instruments, in seconds.
-_DELAY_SECONDS = 3.0
-_MODULE = "ridgesill.adapters.serving_metrics"
+# Imported one after the other, so that requests go on in between.
+_MODULES = (
+    "prometheus_client",
+    "opentelemetry.metrics",
+    "opentelemetry.sdk.metrics",
+    "ridgesill.adapters.serving_metrics",
+)
+# Between two of them, in seconds.
+_PAUSE_SECONDS = 0.02
 _TEXT = b"text/plain; version=0.0.4"
 
 
+class Instruments:
+    """The instruments of a process, made when they are first asked for.
+
+    Args:
+        gauges: what is read whenever the figures are asked for.
+        swap: called with the instruments; returns what kept counts until then.
+    """
+
+    def __init__(
+        self,
+        gauges: Mapping[str, Callable[[], float]],
+        swap: Callable[[Telemetry], Telemetry],
+    ) -> None:
+        self._gauges = gauges
+        self._swap = swap
+        self._making = asyncio.Lock()
+        self._made: Any = None
+
+    async def render(self) -> bytes:
+        """Returns all figures as text."""
+        async with self._making:
+            if self._made is None:
+                await self._make()
+        return bytes(self._made.render())
+
+    async def _make(self) -> None:
+        for name in _MODULES:
+            module = importlib.import_module(name)
+            await asyncio.sleep(_PAUSE_SECONDS)
+        metrics = module.ServingMetrics()
+        for name, read in self._gauges.items():
+            metrics.watch(name, read)
+        before = self._swap(metrics)
+        if isinstance(before, KeptTelemetry):
+            before.hand_over(metrics)
+        self._made = metrics
+        log_message("metrics:made")
+
+
 async def serve_metrics(
-    address: str,
-    path: str,
-    gauges: Mapping[str, Callable[[], float]],
-    use: Callable[[Telemetry], None],
+    address: str, path: str, instruments: Instruments
 ) -> None:
-    """Makes the instruments, has them used, and serves them until cancelled.
+    """Serves the figures until cancelled.
 
     Args:
         address: `host:port` to serve at.
         path: of the figures.
-        gauges: what is read whenever the figures are asked for.
-        use: called with the instruments.
+        instruments: what they are read from.
     """
-    await asyncio.sleep(_DELAY_SECONDS)
-    loop = asyncio.get_running_loop()
-    module = await loop.run_in_executor(None, importlib.import_module, _MODULE)
-    metrics: Any = module.ServingMetrics()
-    for name, read in gauges.items():
-        metrics.watch(name, read)
-    use(metrics)
 
     async def answer(request: HttpRequest, responder: Responder) -> None:
         found = request.path == path
-        body = metrics.render() if found else b""
+        body = await instruments.render() if found else b""
         headers = (
             (b"content-type", _TEXT),
             (b"content-length", b"%d" % len(body)),
@@ -58,7 +93,6 @@
     listener = HttpListener(address, answer)
     try:
         await listener.start()
-        log_message("metrics:served", peer=address)
     except OSError as error:
         # A process without figures still serves its clients.
         log_message("metrics:not_served", peer=address, detail=str(error))
--- a/src/ridgesill/ports/telemetry.py
+++ b/src/ridgesill/ports/telemetry.py
@@ -1,9 +1,15 @@
 """What processes count, without saying how it is served."""
 
+import collections
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 
+# What is kept for instruments that nobody has asked for yet, in counts: ten
+# minutes of a front's requests in a large fleet, in some 0.3 MB.
+_KEPT_MOST = 1000
+
 
 @attrs.frozen
 class RequestEnd:
@@ -44,14 +50,28 @@
         """Notes how long a load took."""
 
 
-class NoTelemetry:
-    """Counts nothing; until the instruments are there."""
+class KeptTelemetry:
+    """Keeps the latest of what is counted until the instruments are there."""
+
+    def __init__(self) -> None:
+        self._kept: collections.deque[Callable[[Telemetry], None]] = (
+            collections.deque(maxlen=_KEPT_MOST)
+        )
 
     def note_end(self, end: RequestEnd) -> None:
-        """Passes over the end of a request."""
+        """Counts the end of a request."""
+        self._kept.append(lambda to: to.note_end(end))
 
     def note_order(self, action: str, verdict: str) -> None:
-        """Passes over an order."""
+        """Counts an order to an engine."""
+        self._kept.append(lambda to: to.note_order(action, verdict))
 
     def note_load(self, seconds: float) -> None:
-        """Passes over a load."""
+        """Notes how long a load took."""
+        self._kept.append(lambda to: to.note_load(seconds))
+
+    def hand_over(self, to: Telemetry) -> None:
+        """Has the instruments count what was kept."""
+        for note in self._kept:
+            note(to)
+        self._kept.clear()
--- a/testing/adapters/test_peer_rpc.py
+++ b/testing/adapters/test_peer_rpc.py
@@ -127,3 +127,23 @@
     def test_a_damaged_body_is_an_error(self) -> None:
         with pytest.raises(codec.DecodeError, match="damaged"):
             decode_body(b"\x78\x01rubbish")
+
+
+class TestTraffic:
+    async def test_what_is_sent_counts_by_its_kind(self) -> None:
+        near, far = free_address(), free_address()
+        servers = [PeerServer(answer, "b#1"), PeerServer(answer, "c#1")]
+        for server, address in zip(servers, (near, far), strict=True):
+            await server.start(address)
+        links = PeerLinks("a#1")
+        links.traffic.is_far = lambda peer: peer == far
+        await links.call(near, AskLatest(), 1.0)
+        await links.call(far, AskLatest(), 1.0)
+        asked = links.traffic.kinds["AskLatest"]
+        assert asked.messages == 2
+        assert 0 < asked.far_bytes < asked.bytes
+        told = servers[0]._traffic.kinds["Latest"]
+        assert (told.messages, told.far_bytes) == (1, 0)
+        await links.close()
+        for server in servers:
+            await server.stop()
