--- /dev/null
+++ b/src/ridgesill/app/account.py
@@ -0,0 +1,180 @@
+"""Says from logs where requests were lost or late, each by its first cause."""
+
+import collections
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import attrs
+
+# A part of a request's time counts as the cause of its lateness when it alone
+# took this share of its goal.
+_TELLING_SHARE = 0.5
+# An engine that gave the first event this much later than foretold did what
+# nobody here knew of, in seconds; predictions are some 0.1 s beside it.
+_UNFORETOLD_SECONDS = 0.15
+# Width of the moments that losses are listed by, in seconds.
+_MOMENT_SECONDS = 2.0
+# Causes, and moments, that a table shows.
+_ROWS_MOST = 24
+
+
+@attrs.frozen
+class End:
+    """The end of a request, as its front has logged it.
+
+    Attributes:
+        at: seconds since 1970.
+        goal: seconds within which the first part of the answer is in time; 0
+            where none is known.
+        first: seconds until it.
+        waited: seconds for a load.
+        sent: seconds until it was last sent to an upstream; 0 if it never was.
+        foretold: seconds from then until the first event, as foretold.
+    """
+
+    at: float
+    route: str
+    outcome: str
+    reason: str
+    goal: float
+    first: float
+    waited: float
+    sent: float
+    foretold: float
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether its answer began within the goal."""
+        return self.outcome == "served" and (
+            not self.goal or self.first <= self.goal
+        )
+
+
+@attrs.frozen
+class Account:
+    """All ends, and what was lost by cause, route and moment.
+
+    Attributes:
+        causes: of requests that were not served in time.
+        routes: of those, by route and cause.
+        moments: of those, by the start of a moment, in seconds from the first.
+    """
+
+    ends: int
+    in_time: int
+    causes: collections.Counter[str]
+    routes: collections.Counter[tuple[str, str]]
+    moments: collections.Counter[float]
+
+
+class NoEndsError(Exception):
+    """No line of the files tells the end of a request."""
+
+
+def read_ends(lines: Iterable[dict[str, Any]]) -> Iterator[End]:
+    """Yields the ends that log lines tell."""
+    for line in lines:
+        if line.get("message_type") == "request:end":
+            yield End(
+                float(line.get("timestamp", 0.0)),
+                str(line.get("route", "")),
+                str(line.get("outcome", "")),
+                str(line.get("reason", "")),
+                float(line.get("goal", 0.0)),
+                float(line.get("first", 0.0)),
+                float(line.get("waited", 0.0)),
+                float(line.get("sent", 0.0)),
+                float(line.get("foretold", 0.0)),
+            )
+
+
+def find_cause(end: End) -> str:
+    """Returns why a request was not served in time."""
+    if end.outcome == "served":
+        return f"late: {_find_delay(end)}"
+    # Without what differs from request to request.
+    reason = end.reason.partition(" with ")[0].partition(":")[0]
+    return f"{end.outcome}: {reason}" if reason else end.outcome
+
+
+def _find_delay(end: End) -> str:
+    """Returns what took most of a late request's time."""
+    telling = _TELLING_SHARE * end.goal
+    at_engine = end.first - end.sent
+    if end.waited >= telling:
+        return "it waited for a load"
+    if end.sent - end.waited >= telling:
+        return "its front or the owner was slow to send it"
+    if end.foretold and at_engine > end.foretold + _UNFORETOLD_SECONDS:
+        return "the engine was slower than foretold"
+    if end.foretold >= telling:
+        return "it was behind others, or long itself, as foretold"
+    if not end.foretold:
+        return "the upstream was slow; nothing was foretold"
+    return "no part took half of the goal"
+
+
+def make_account(lines: Iterable[dict[str, Any]]) -> Account:
+    """Returns the account of the requests that lines tell of.
+
+    Raises:
+        NoEndsError: they tell of none.
+    """
+    ends = list(read_ends(lines))
+    if not ends:
+        raise NoEndsError(
+            "no line tells the end of a request; give the logs of all fronts"
+        )
+    began_at = min(end.at for end in ends)
+    account = Account(
+        len(ends),
+        sum(end.is_in_time for end in ends),
+        collections.Counter(),
+        collections.Counter(),
+        collections.Counter(),
+    )
+    for end in ends:
+        if end.is_in_time:
+            continue
+        cause = find_cause(end)
+        account.causes[cause] += 1
+        account.routes[end.route, cause] += 1
+        moment = (end.at - began_at) // _MOMENT_SECONDS * _MOMENT_SECONDS
+        account.moments[moment] += 1
+    return account
+
+
+def show_account(account: Account) -> str:
+    """Returns an account as text."""
+    lost = account.ends - account.in_time
+    lines = [
+        f"{account.ends} requests ended, {account.in_time} in time, "
+        f"{lost} not ({lost / account.ends:.1%})",
+        "",
+        *_show_counts("by cause", account.causes, account.ends),
+        "",
+        *_show_counts("by route and cause", account.routes, account.ends),
+        "",
+        "by moment, in seconds from the first end",
+    ]
+    most = max(account.moments.values(), default=1)
+    for moment in sorted(account.moments):
+        count = account.moments[moment]
+        lines.append(f"{moment:8.0f} {count:7d} {'#' * (40 * count // most)}")
+    return "\n".join(lines)
+
+
+def _show_counts(
+    title: str, counts: collections.Counter[Any], ends: int
+) -> list[str]:
+    shown = counts.most_common(_ROWS_MOST)
+    lines = [title]
+    lines += [
+        f"{count:8d} {count / ends:7.2%}  {_name(key)}" for key, count in shown
+    ]
+    rest = counts.total() - sum(count for _, count in shown)
+    return [*lines, f"{rest:8d}          others"] if rest else lines
+
+
+def _name(key: Any) -> str:
+    return key if isinstance(key, str) else "  ".join(key)
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -95,6 +95,25 @@
         except (OSError, NoSuchRequestError) as error:
             raise CommandError(str(error)) from error
 
+    def account(self, *files: str) -> str:
+        """Says from logs how many requests were not in time, and why.
+
+        Args:
+            files: paths of the logs of all fronts; lines of other processes
+                are passed over.
+        """
+        from ridgesill.app.account import (
+            NoEndsError,
+            make_account,
+            show_account,
+        )
+        from ridgesill.app.explain import read_lines
+
+        try:
+            return show_account(make_account(read_lines(map(str, files))))
+        except (OSError, NoEndsError) as error:
+            raise CommandError(str(error)) from error
+
     def check(self, file: str) -> str:
         """Checks a configuration file and lists everything wrong with it.
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -475,6 +475,7 @@
             tokens=self._facts.prompt_tokens,
             sent=round(max(self._sent_at - arrived_at, 0.0), 4),
             foretold=round(self._search.foretold, 4),
+            goal=round(route.goal, 4) if route else 0.0,
             first=round(first, 4),
             seconds=round(seconds, 4),
         )
--- /dev/null
+++ b/testing/app/test_account.py
@@ -0,0 +1,102 @@
+"""Tests of the account of requests that were not in time."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from ridgesill.app.account import (
+    NoEndsError,
+    find_cause,
+    make_account,
+    read_ends,
+    show_account,
+)
+from ridgesill.app.cli import CommandError, Commands
+
+SERVED = {
+    "message_type": "request:end",
+    "timestamp": 100.0,
+    "route": "r1",
+    "outcome": "served",
+    "reason": "",
+    "goal": 0.6,
+    "first": 0.1,
+    "waited": 0.0,
+    "sent": 0.01,
+    "foretold": 0.05,
+}
+
+
+def end(**fields: object) -> dict[str, object]:
+    """Returns the line of an end."""
+    return {**SERVED, **fields}
+
+
+class TestCauses:
+    @pytest.mark.parametrize(
+        ("fields", "cause"),
+        [
+            ({"waited": 0.4, "sent": 0.41, "first": 0.7}, "waited for a load"),
+            ({"sent": 0.5, "first": 0.7}, "slow to send"),
+            ({"first": 0.9}, "slower than foretold"),
+            ({"foretold": 0.8, "first": 0.85}, "behind others"),
+            ({"foretold": 0.0, "first": 0.85}, "nothing was foretold"),
+            ({"outcome": "refused", "reason": "no_place"}, "refused: no_place"),
+            (
+                {
+                    "outcome": "unknown",
+                    "reason": "head with 10.0.0.1:80: reset",
+                },
+                "unknown: head",
+            ),
+            ({"outcome": "client_left"}, "client_left"),
+        ],
+    )
+    def test_each_has_its_first_one(
+        self, fields: dict[str, object], cause: str
+    ) -> None:
+        (read,) = read_ends([end(**fields)])
+        assert not read.is_in_time
+        assert cause in find_cause(read)
+
+
+class TestAccount:
+    def test_it_adds_up(self) -> None:
+        lines = [end() for _ in range(7)]
+        lines += [end(outcome="refused", reason="no_place") for _ in range(2)]
+        lines += [end(first=0.9, timestamp=103.0)]
+        account = make_account(lines)
+        assert (account.ends, account.in_time) == (10, 7)
+        assert account.causes.total() == 3
+        assert account.routes.total() == 3
+        assert account.moments == {0.0: 2, 2.0: 1}
+
+    def test_what_has_no_goal_is_in_time_when_served(self) -> None:
+        assert make_account([end(goal=0.0, first=9.0)]).in_time == 1
+
+    def test_other_lines_are_passed_over(self) -> None:
+        lines = [end(), {"message_type": "fleet:owned"}]
+        assert make_account(lines).ends == 1
+
+    def test_without_ends_it_says_what_to_give(self) -> None:
+        with pytest.raises(NoEndsError, match="logs of all fronts"):
+            make_account([{"message_type": "fleet:owned"}])
+
+    def test_the_text_names_causes_and_moments(self) -> None:
+        lines = [end(), end(outcome="refused", reason="overload")]
+        text = show_account(make_account(lines))
+        assert "2 requests ended, 1 in time, 1 not (50.0%)" in text
+        assert "refused: overload" in text
+        assert "by moment" in text
+
+
+class TestCommand:
+    def test_it_reads_files(self, tmp_path: Path) -> None:
+        log = tmp_path / "front.log"
+        log.write_text(f"  12.5 front-1 {json.dumps(end())}\n")
+        assert "1 requests ended" in Commands().account(str(log))
+
+    def test_a_file_that_is_not_there(self) -> None:
+        with pytest.raises(CommandError, match="nothing.log"):
+            Commands().account("nothing.log")
