--- a/src/ridgesill/app/account.py
+++ b/src/ridgesill/app/account.py
@@ -14,6 +14,8 @@
 _UNFORETOLD_SECONDS = 0.15
 # Width of the moments that losses are listed by, in seconds.
 _MOMENT_SECONDS = 2.0
+# Reason of a refusal that nothing was lost by: the configuration has no route.
+_NO_ROUTE = "no_route"
 # Causes, and moments, that a table shows.
 _ROWS_MOST = 24
 
@@ -55,6 +57,8 @@
     """All ends, and what was lost by cause, route and moment.
 
     Attributes:
+        ends: of requests that a route was found for.
+        without_route: requests beside these, which were refused for that.
         causes: of requests that were not served in time.
         routes: of those, by route and cause.
         moments: of those, by the start of a moment, in seconds from the first.
@@ -62,6 +66,7 @@
 
     ends: int
     in_time: int
+    without_route: int
     causes: collections.Counter[str]
     routes: collections.Counter[tuple[str, str]]
     moments: collections.Counter[float]
@@ -120,7 +125,8 @@
     Raises:
         NoEndsError: they tell of none.
     """
-    ends = list(read_ends(lines))
+    read = list(read_ends(lines))
+    ends = [end for end in read if end.reason != _NO_ROUTE]
     if not ends:
         raise NoEndsError(
             "no line tells the end of a request; give the logs of all fronts"
@@ -129,6 +135,7 @@
     account = Account(
         len(ends),
         sum(end.is_in_time for end in ends),
+        len(read) - len(ends),
         collections.Counter(),
         collections.Counter(),
         collections.Counter(),
@@ -149,7 +156,8 @@
     lost = account.ends - account.in_time
     lines = [
         f"{account.ends} requests ended, {account.in_time} in time, "
-        f"{lost} not ({lost / account.ends:.1%})",
+        f"{lost} not ({lost / account.ends:.1%}); "
+        f"{account.without_route} more had no route",
         "",
         *_show_counts("by cause", account.causes, account.ends),
         "",
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -33,6 +33,11 @@
 from ridgesill.ports.http import HttpRequest, Responder
 from ridgesill.ports.telemetry import Telemetry
 
+# A front that has had no news for this long calls itself not ready, in seconds:
+# it can't have adapters loaded, and others may. An owner without news answers
+# each 0.5 s, and elections that all fronts wait for change nothing, since the
+# balancer uses all fronts of a data centre when few are ready.
+_OUT_OF_TOUCH_SECONDS = 1.5
 # How often channels that rested for too long are closed, in seconds; upstreams
 # let them rest for some.
 _SWEEP_SECONDS = 1.0
@@ -127,9 +132,13 @@
 
     def is_ready(self) -> bool:
         """Whether the balancer should send new clients here."""
-        has_view = bool(self.fleet.view.epoch)
+        view = self.fleet.view
+        is_in_touch = self._loop.time() - view.known_at < _OUT_OF_TOUCH_SECONDS
         return bool(
-            self.front.table.version and has_view and not self._draining
+            self.front.table.version
+            and view.epoch
+            and is_in_touch
+            and not self._draining
         )
 
     async def _tell_ready(
--- a/testing/app/test_account.py
+++ b/testing/app/test_account.py
@@ -72,6 +72,12 @@
         assert account.routes.total() == 3
         assert account.moments == {0.0: 2, 2.0: 1}
 
+    def test_what_has_no_route_is_no_loss(self) -> None:
+        lines = [end(), end(outcome="refused", reason="no_route", route="")]
+        account = make_account(lines)
+        assert (account.ends, account.in_time) == (1, 1)
+        assert account.without_route == 1
+
     def test_what_has_no_goal_is_in_time_when_served(self) -> None:
         assert make_account([end(goal=0.0, first=9.0)]).in_time == 1
 
