--- a/testing/core/serving/test_decisions.py
+++ b/testing/core/serving/test_decisions.py
@@ -1,5 +1,6 @@
 """Tests of a front's retries, its view of outcomes, and its choice."""
 
+import collections
 import random
 
 import attrs
@@ -119,6 +120,40 @@
             choice.note_news(100.0 + number * 0.2)
         assert choice.choose(PLAIN, (), 101.0).name == "u2"
 
+    def test_many_fronts_fill_no_upstream_one_after_the_other(self) -> None:
+        # Load pattern: 75 fronts that are told of each other's requests 0.1 s
+        # late, five times a second, and 210 calls of 45 ms a second for three
+        # upstreams of six places. Choosing the least busy one by the mean, all
+        # went to one at a time, and some 20 a second found its queue full.
+        placed = [upstream(f"u{n}", dc) for n, dc in enumerate("aab")]
+        upstreams = [attrs.evolve(u, slots=6) for u in placed]
+        choosers = [chooser(*upstreams) for _ in range(75)]
+        for number, made in enumerate(choosers):
+            made.data_centre = "abc"[number % 3]
+            made._rng = random.Random(number)
+            made.view.fronts = 75
+        rng = random.Random(5)
+        calls: list[tuple[float, str]] = []
+        counts: list[dict[str, int]] = [{}]
+        most = 0
+        for step in range(10 * 210):
+            now = step / 210
+            calls = [call for call in calls if call[0] > now]
+            busy = collections.Counter(name for _, name in calls)
+            most = max(most, max(busy.values(), default=0))
+            if step % 42 == 21:
+                counts.append(dict(busy))
+            if step % 42 == 0:
+                for made in choosers:
+                    made.view.busy = counts[-1]
+                    made.note_news(now)
+            chosen = rng.choice(choosers).choose(PLAIN, (), now)
+            work = rng.expovariate(1 / 0.045)
+            # Beyond its places a call waits for those before it.
+            waits = max(busy[chosen.name] - 5, 0) * 0.045 / 6
+            calls.append((now + work + waits, chosen.name))
+        assert most <= 14
+
     def test_many_places_are_no_reason_to_fill_the_near_one(self) -> None:
         # Engines of 64 places got 20 requests more than those elsewhere, and
         # answered late (tanuru-book quiet-1).
