--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -44,7 +44,9 @@
 # is given on at once (emulated, ten seeds of high load: 0.745 to 0.755 of the
 # worth), but a look at 37 engines takes a millisecond, and some three hundred
 # reports a second come from 195 fronts: a tenth of the owner's time is enough.
+# A look at this few engines costs no more than the report itself.
 _REPORT_SECONDS_AN_ENGINE = 0.0003
+_FEW_ENGINES = 12
 # Engines that one want tries.
 _TRIES = 3
 # Wants in a row that find no place before the rest isn't looked at: what one
@@ -271,8 +273,10 @@
 
     def note_report(self) -> None:
         """Looks whether what fronts have just told frees a place."""
-        pause = _REPORT_SECONDS_AN_ENGINE * len(self._placement.engines)
-        if self._loop.time() >= self._dispatched_at + pause:
+        engines = len(self._placement.engines)
+        pause = _REPORT_SECONDS_AN_ENGINE * engines
+        since = self._loop.time() - self._dispatched_at
+        if engines <= _FEW_ENGINES or since >= pause:
             self.dispatch()
 
     def _dispatch_later(self) -> None:
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -357,7 +357,7 @@
         """Answers a front, a relay, or a node that may own the fleet next."""
         if not self.is_owner():
             return await self.relay.answer(sender, question)
-        self._note_usage(sender, question)
+        self._note_front(sender, question)
         await await_news(
             lambda: self._has_news(question),
             self._news,
@@ -379,7 +379,7 @@
             return True
         return registry.has_news(question.epoch, question.number)
 
-    def _note_usage(self, sender: str, question: WatchFleet) -> None:
+    def _note_front(self, sender: str, question: WatchFleet) -> None:
         now = self._loop.time()
         self._usage.note(sender, read_report(question), now)
         self._loads.note_report()
--- a/testing/explorer/world.py
+++ b/testing/explorer/world.py
@@ -405,7 +405,11 @@
         self._end_owner()
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        ended = await asyncio.gather(*self._tasks, return_exceptions=True)
+        for outcome in ended:
+            # A world without fronts or heartbeats finds nothing.
+            if isinstance(outcome, Exception):
+                raise outcome
 
     # -- what must hold ------------------------------------------------
 
