--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -119,6 +119,7 @@
         self._watchers: list[Callable[[], None]] = []
         # When voters that failed were left.
         self._left_at: dict[str, float] = {}
+        self._has_followed = False
         self._beats_told_at = float("-inf")
 
     @property
@@ -217,6 +218,10 @@
             elif self.driver is not None:
                 # A voter goes back to the leader at once.
                 failures = 0
+            elif not self._has_followed:
+                # What failed before may not have had a log yet.
+                self._has_followed = True
+                self._left_at.clear()
 
     def _upstream(self, failures: int) -> str:
         """Returns the voter to follow; another one after each failure."""
--- a/testing/app/test_following.py
+++ b/testing/app/test_following.py
@@ -133,7 +133,7 @@
         following = asyncio.create_task(control.follow())
         await asyncio.sleep(3.0)
         voters.age = dict.fromkeys(_VOTERS, 0.1)
-        await asyncio.sleep(11.0)
+        await asyncio.sleep(2.0)
         voters.asked.clear()
         await asyncio.sleep(2.0)
         assert set(voters.asked) == {_VOTERS[2]}
