--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -31,6 +31,7 @@
 from ridgesill.core.rendezvous import rank
 from ridgesill.core.state import State, is_followed
 from ridgesill.core.voter_changes import decide_change, voter_name
+from ridgesill.core.voter_choice import VoterChoice
 from ridgesill.ports.peers import PeerError, Peers
 
 _APPLY_WAIT = 0.5
@@ -49,10 +50,6 @@
 # patience after which they count as gone: 195 names, three times a second, were
 # 50 KB a second between data centres.
 _BEATS_SHARE = 0.25
-# A node without a disk leaves a voter that fails, and doesn't go back to it for
-# so many seconds: it may still be cut off, and each try makes what the node
-# knows a second older. Then the nearest one that was left is tried again.
-_LEFT_SECONDS = 10.0
 # How long a leader tries to confirm that it still leads, and how often it
 # looks, in seconds; a heartbeat round takes 0.3 s.
 _LATEST_WAIT = 0.8
@@ -117,9 +114,7 @@
         self._relay = Relay()
         self._leading_term = 0
         self._watchers: list[Callable[[], None]] = []
-        # When voters that failed were left.
-        self._left_at: dict[str, float] = {}
-        self._has_followed = False
+        self._voter_choice = VoterChoice(node.name, node.data_centre)
         self._beats_told_at = float("-inf")
 
     @property
@@ -211,54 +206,30 @@
                 continue
             name = self._upstream(failures)
             address = self.address_of(name) if name else ""
-            if not address or not await self._follow_once(address):
-                failures += 1
-                self._left_at[name] = self._loop.time()
-                await asyncio.sleep(_RETRY)
-            elif self.driver is not None:
+            if address and await self._follow_once(address):
+                self._voter_choice.note_followed()
                 # A voter goes back to the leader at once.
                 failures = 0
-            elif not self._has_followed:
-                # What failed before may not have had a log yet.
-                self._has_followed = True
-                self._left_at.clear()
+            else:
+                self._voter_choice.note_failed(name, self._loop.time())
+                failures += 1
+                await asyncio.sleep(_RETRY)
 
     def _upstream(self, failures: int) -> str:
         """Returns the voter to follow; another one after each failure."""
         known_leader = self._known_leader()
-        if self.driver and known_leader and failures % 2 == 0:
-            return known_leader
         voters = self._voter_names()
         others = [name for name in voters if name != self.node.name]
-        if not self.driver and len(others) > 1:
+        if self.driver:
+            if known_leader and failures % 2 == 0:
+                return known_leader
+            ranked = rank(self.node.name, others)
+            return ranked[failures % len(ranked)] if ranked else ""
+        if len(others) > 1:
             # The leader has the voters to serve; nodes leave it alone.
             others = [name for name in others if name != known_leader]
-        ranked = rank(self.node.name, others)
-        if not ranked:
-            return ""
-        if self.driver:
-            return ranked[failures % len(ranked)]
-        return self._choose_voter(self._nearest_first(ranked))
-
-    def _choose_voter(self, ranked: list[str]) -> str:
-        """Returns the first that hasn't failed lately."""
-        lately = self._loop.time() - _LEFT_SECONDS
-        never = float("-inf")
-        for name in ranked:
-            if self._left_at.get(name, never) <= lately:
-                return name
-        return min(ranked, key=lambda name: self._left_at[name])
-
-    def _nearest_first(self, names: list[str]) -> list[str]:
-        """Puts the voters of this node's data centre before the others.
-
-        Each node asks its voter three times a second, and bytes between data
-        centres are dear.
-        """
-        here = self.node.data_centre
-        nodes = self.state.nodes
-        near = [n for n in names if n in nodes and nodes[n].data_centre == here]
-        return near + [name for name in names if name not in near]
+        now = self._loop.time()
+        return self._voter_choice.choose(others, self.state.nodes, now)
 
     def _voter_names(self) -> list[str]:
         joined = [n.name for n in self.state.nodes.values() if n.voter]
