--- a/src/ridgesill/app/telemetry.py
+++ b/src/ridgesill/app/telemetry.py
@@ -1,9 +1,9 @@
 """Serves a process's figures; its instruments are made when first asked for.
 
 Their libraries take 5 MB of memory (resident size of a front before and after)
-and, on these machines, a good part of a second of processor time. They are
-imported on the event loop's own thread: a process beside 200 others was ended
-by an illegal instruction in the C library while another thread imported them.
+and, on these machines, a good part of a second of processor time, which a
+process that has just started needs for its clients. They are imported on the
+event loop's own thread, so that a front has no other one.
 """
 
 import asyncio
