--- a/src/ridgesill/core/fleet/health.py
+++ b/src/ridgesill/core/fleet/health.py
@@ -11,8 +11,8 @@
 import attrs
 
 # From this many fronts on engines are judged by all of them. Each of six sees
-# enough by itself, and an engine that is full resets channels: taken out of use,
-# it would leave its requests to others that are full as well.
+# enough by itself, and an engine that is full resets channels: out of use, it
+# would leave its requests to others that are full as well.
 _FRONTS_LEAST = 20
 # Weight of the newest outcome in an engine's failure rate: three failures in a
 # row take it out of use, or two channels that don't come up. One alone never
