--- a/testing/app/news_world.py
+++ b/testing/app/news_world.py
@@ -139,6 +139,13 @@
                 self.owning.owner.take_heartbeat(beat)
             await asyncio.sleep(1.2)
 
+    def load(self, engine: str, artifact: str) -> None:
+        """Has the owner learn that an engine holds something more."""
+        registry = self.owning.owner._registry
+        assert registry is not None
+        registry.set_resident(engine, {"m": 1, artifact: 1})
+        self.owning.owner._news.note()
+
     async def change(self, seconds: float, a_second: int) -> None:
         """Has engines load and unload, as told to fronts."""
         owner = self.owning.owner
--- a/testing/app/test_news_relay.py
+++ b/testing/app/test_news_relay.py
@@ -97,10 +97,7 @@
     async def test_its_fronts_ask_the_owner_within_a_second(self) -> None:
         world = await self.start()
         world.frozen.add("r-b")
-        registry = world.owning.owner._registry
-        assert registry is not None
-        registry.set_resident("e1", {"m": 1, "m/a9": 1})
-        world.owning.owner._news.note()
+        world.load("e1", "m/a9")
         await asyncio.sleep(1.3)
         front = world.clients["f1"]
         assert front.view.upstreams["e1"].resident == {"m": 1, "m/a9": 1}
@@ -133,10 +130,7 @@
         # still reach both.
         world.clients["r-b"]._owner = lambda: ""
         await asyncio.sleep(2.0)
-        registry = world.owning.owner._registry
-        assert registry is not None
-        registry.set_resident("e1", {"m": 1, "m/a9": 1})
-        world.owning.owner._news.note()
+        world.load("e1", "m/a9")
         await asyncio.sleep(1.0)
         front = world.clients["f1"]
         assert front.view.upstreams["e1"].resident == {"m": 1, "m/a9": 1}
