Log of a cut request what its repetitions share

The logs name a request by its id, which is new each time it comes again, so that nothing tells a request that ends its engines from one that is cut with them. A line of a cut attempt now names a hash of method, host, path, caller and body. It is taken only then.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -20,6 +20,11 @@
     Upstream,
 )
 from ridgesill.core.serving.events import EventSplitter
+from ridgesill.core.serving.fingerprints import (
+    Fingerprint,
+    Fingerprints,
+    Identity,
+)
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
     ForwardTerms,
@@ -58,6 +63,7 @@
         answer: the upstream's own answer, whole, if there was one.
         misdirected: whether the upstream lacks what was asked for.
         arrived: whether the request reached the upstream.
+        cut: whether its channel ended before the answer did.
     """
 
     reason: str
@@ -65,6 +71,7 @@
     answer: tuple[ResponseHead, bytes] | None = None
     misdirected: bool = False
     arrived: bool = True
+    cut: bool = False
 
 
 async def serve_request(
@@ -218,7 +225,12 @@
         except ChannelError as error:
             if not error.sent:
                 self._tried.append(upstream.name)
-            failure = Failure(str(error), not error.sent, arrived=error.sent)
+            failure = Failure(
+                str(error),
+                not error.sent,
+                arrived=error.sent,
+                cut=error.sent,
+            )
         finally:
             self._tell_reading_ended(failure)
             chooser.end(upstream.name, artifact)
@@ -372,6 +384,21 @@
             not_run=failure.not_run,
             ejected=ejected,
             view_age=round(now - self._front.fleet.view.known_at, 3),
+            fingerprint=str(self._fingerprint()) if failure.cut else "",
+        )
+
+    def _fingerprint(self) -> Fingerprint:
+        """Returns what this request shares with its repetitions."""
+        request = self._request
+        caller = request.peer.rpartition(":")[0]
+        return Fingerprints().take(
+            Identity(
+                request.method,
+                self._facts.host,
+                request.target,
+                caller,
+                request.body,
+            )
         )
 
     def _may_retry(self, route: Route, failure: Failure) -> bool:
--- /dev/null
+++ b/src/ridgesill/core/serving/fingerprints.py
@@ -0,0 +1,80 @@
+"""Tells whether two requests are the same one, repeated by its caller.
+
+A repeated request has another id each time. What it keeps is its path, its
+caller and its body.
+"""
+
+import hashlib
+
+import attrs
+
+from ridgesill.core.codec import register
+
+_TARGET_BYTES = 8
+_WHOLE_BYTES = 16
+
+
+@register
+@attrs.frozen
+class Fingerprint:
+    """What a request and its repetitions have in common.
+
+    Attributes:
+        target: keyed hash of path and query alone, which is cheap to take.
+        whole: keyed hash of method, host, path, query, caller and body.
+    """
+
+    target: str
+    whole: str
+
+    def __str__(self) -> str:
+        return f"{self.target}-{self.whole}"
+
+
+@attrs.frozen
+class Identity:
+    """The parts of a request that its repetitions share.
+
+    Attributes:
+        target: path and query.
+        caller: the address that it came from, without the port.
+    """
+
+    method: bytes
+    host: str
+    target: bytes
+    caller: str
+    body: bytes
+
+
+class Fingerprints:
+    """Takes fingerprints.
+
+    Args:
+        key: shared by all fronts; without it nobody can make a request that
+            is taken for another caller's.
+    """
+
+    def __init__(self, key: bytes = b"") -> None:
+        self.key = key
+
+    def take_target(self, target: bytes) -> str:
+        """Returns the hash of path and query alone."""
+        taken = hashlib.blake2b(target, key=self.key, digest_size=_TARGET_BYTES)
+        return taken.hexdigest()
+
+    def take(self, identity: Identity) -> Fingerprint:
+        """Returns a request's fingerprint."""
+        taken = hashlib.blake2b(key=self.key, digest_size=_WHOLE_BYTES)
+        parts = (
+            identity.method,
+            identity.host.encode(),
+            identity.target,
+            identity.caller.encode(),
+        )
+        for part in parts:
+            # With its length, so that no two requests run together alike.
+            taken.update(len(part).to_bytes(4, "big"))
+            taken.update(part)
+        taken.update(identity.body)
+        return Fingerprint(self.take_target(identity.target), taken.hexdigest())
