--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -128,9 +128,11 @@
         self.address = ""
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        """Begins to listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Begins to listen, at any port or at a given one."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -4,7 +4,7 @@
 
 from testing.soak.clients import PROMISES, UNSAFE, Told
 from testing.soak.faults import Happened
-from testing.soak.upstreams import Ledger
+from testing.soak.upstreams import Arrival, Ledger
 from testing.soak.world import SoakWorld
 
 _LEASE_SECONDS = 1.0
@@ -14,6 +14,20 @@
 # what became of it, in seconds.
 _AFTERMATH = 3.0
 
+# Ends after which a request is known to be harmful, and the seconds until all
+# fronts in touch know it (the platform's bounds).
+_ENDS_LEAST = 3
+_CONTACT_SECONDS = 3.0
+
+
+def count_late_arrivals(arrivals: list[Arrival]) -> int:
+    """Returns how often a harmful request was sent on once it was known."""
+    ends = [arrival.at for arrival in arrivals if arrival.ended]
+    if len(ends) < _ENDS_LEAST:
+        return 0
+    known_at = ends[_ENDS_LEAST - 1] + _CONTACT_SECONDS
+    return sum(arrival.at > known_at for arrival in arrivals)
+
 
 @attrs.define
 class Verdict:
--- a/testing/soak/clients.py
+++ b/testing/soak/clients.py
@@ -92,11 +92,14 @@
             self._client = Client(*await asyncio.open_connection(host, port))
         headers = {"host": ROUTE_HOST, "request_deadline": "3000"}
         if told.kind == STREAM:
-            number = int(self._rng.paretovariate(0.9)) % _ADAPTERS
+            number = self._adapter()
             headers["model"] = f"{MODEL}/a{number}"
             headers["token_counts"] = "10,20"
         answer = await self._client.ask(
-            f"/{told.kind}/x", request_id=told.request, **headers
+            f"/{told.kind}/x",
+            self._body(),
+            request_id=told.request,
+            **headers,
         )
         told.status = answer.status
         told.complete = answer.complete
@@ -106,6 +109,12 @@
         if told.cut or answer.headers.get("connection") == "close":
             self._drop()
 
+    def _adapter(self) -> int:
+        return int(self._rng.paretovariate(0.9)) % _ADAPTERS
+
+    def _body(self) -> bytes:
+        return b""
+
     def _is_right(
         self, told: Told, headers: dict[str, str], body: bytes
     ) -> bool:
@@ -118,3 +127,60 @@
         if self._client is not None:
             self._client.leave()
             self._client = None
+
+
+class RepeatingCaller:
+    """Sends the same request again and again, at any front.
+
+    Args:
+        name: begins its requests' ids.
+        fronts: names and addresses of the fronts.
+        kind: of its request.
+        body: of its request; by its beginning it may be a harmful one.
+        rng: the source of chance.
+        told: where it notes what it is told.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        fronts: list[tuple[str, str]],
+        kind: str,
+        body: bytes,
+        rng: random.Random,
+        told: list[Told],
+    ) -> None:
+        self._kind = kind
+        self._rng = rng
+        adapter = rng.randrange(_ADAPTERS)
+        self._callers = [
+            _SameRequest(f"{name}-{number}", front, rng, told, body, adapter)
+            for number, front in enumerate(fronts)
+        ]
+
+    async def run(self, least: float = 0.05, most: float = 0.6) -> None:
+        """Sends it until cancelled, with pauses of some seconds."""
+        while True:
+            await self._rng.choice(self._callers).ask(self._kind)
+            await asyncio.sleep(self._rng.uniform(least, most))
+
+
+class _SameRequest(Caller):
+    def __init__(
+        self,
+        name: str,
+        front: tuple[str, str],
+        rng: random.Random,
+        told: list[Told],
+        body: bytes,
+        adapter: int,
+    ) -> None:
+        super().__init__(name, front, rng, told)
+        self._sent_body = body
+        self._sent_adapter = adapter
+
+    def _body(self) -> bytes:
+        return self._sent_body
+
+    def _adapter(self) -> int:
+        return self._sent_adapter
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -17,9 +17,26 @@
 _HEARTBEAT_SECONDS = 0.5
 _EVENTS = 3
 _NOT_RUN = "Not-Run: 1"
+# A request whose body begins so ends every upstream that begins it.
+HARMFUL = b"harmful"
+# How long an upstream that ended so is away, in seconds.
+_AWAY_SECONDS = (0.8, 2.0)
 _incarnations = itertools.count(1)
 
 
+@attrs.define
+class Arrival:
+    """A harmful request that reached an upstream.
+
+    Attributes:
+        ended: whether the upstream began it, and so ended.
+    """
+
+    at: float
+    upstream: str
+    ended: bool
+
+
 @attrs.define
 class Ledger:
     """What all upstreams have run, and in whose name they were ordered.
@@ -27,10 +44,12 @@
     Attributes:
         runs: how often each request was run, by its id.
         orders: holder, fencing token and time of each order, by engine.
+        harmful: arrivals of each harmful request, by its body.
     """
 
     runs: dict[str, int] = attrs.Factory(dict)
     orders: dict[str, list[tuple[str, int, float]]] = attrs.Factory(dict)
+    harmful: dict[bytes, list[Arrival]] = attrs.Factory(dict)
 
     def note_run(self, request: str) -> None:
         """Counts a run."""
@@ -61,6 +80,7 @@
         self._controls = list(controls)
         self._rng = rng
         self._tasks: list[asyncio.Task[None]] = []
+        self._returning: asyncio.Task[None] | None = None
         self._begin()
 
     def _begin(self) -> None:
@@ -76,6 +96,8 @@
 
     def crash(self) -> None:
         """Ends it without a word; requests in progress are cut."""
+        if self._returning is not None:
+            self._returning.cancel()
         for task in self._tasks:
             task.cancel()
         self._served.stop()
@@ -88,6 +110,28 @@
         self._begin()
         await self.start()
 
+    def _end_for_a_while(self) -> None:
+        """Ends it, and has it back at the same address after a while."""
+        self.crash()
+        seconds = self._rng.uniform(*_AWAY_SECONDS)
+        self._returning = asyncio.create_task(self._return(seconds))
+
+    async def _return(self, seconds: float) -> None:
+        port = int(self._served.address.rpartition(":")[2])
+        await asyncio.sleep(seconds)
+        self._begin()
+        await self._served.start(port)
+        self._tasks = [asyncio.create_task(self._beat())]
+
+    def _is_ended_by(self, made: Call) -> bool:
+        """Notes a harmful request; returns whether this one ends under it."""
+        if not made.body.startswith(HARMFUL):
+            return False
+        now = asyncio.get_running_loop().time()
+        arrivals = self._ledger.harmful.setdefault(made.body, [])
+        arrivals.append(Arrival(now, self.name, ended=True))
+        return True
+
     # -- heartbeats ----------------------------------------------------
 
     async def _beat(self) -> None:
@@ -121,6 +165,8 @@
     async def _serve(self, made: Call) -> None:
         if made.header("expect-instance") not in ("", self.name):
             await made.answer(421, b"", _NOT_RUN)
+        elif self._is_ended_by(made):
+            self._end_for_a_while()
         elif self._rng.random() < self.refusing:
             await made.answer(503, b"", _NOT_RUN)
         else:
@@ -154,6 +200,8 @@
         elif path == "/ridgesill/report":
             said = self.engine.report(time.monotonic())
             await made.answer(200, msgspec.json.encode(said))
+        elif self._is_ended_by(made):
+            self._end_for_a_while()
         else:
             await self._stream(made)
 
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from testing.platform_world import PlatformDeployment, Vm, call
-from testing.soak.clients import Caller, Told
+from testing.soak.clients import Caller, RepeatingCaller, Told
 from testing.soak.proxy import FaultyProxy
 from testing.soak.upstreams import (
     MODELS,
@@ -124,6 +124,13 @@
         rng = random.Random(self.rng.random())
         return Caller(f"{vm.name}-{number}", front, rng, self.told)
 
+    def repeat(self, name: str, kind: str, body: bytes) -> None:
+        """Has a caller send one request again and again, at any front."""
+        fronts = [(vm.name, f"{vm.ip}:{self._ports[0]}") for vm in self.fronts]
+        rng = random.Random(self.rng.random())
+        caller = RepeatingCaller(name, fronts, kind, body, rng, self.told)
+        self._tasks.append(asyncio.create_task(caller.run()))
+
     async def end_traffic(self) -> None:
         """Stops callers and the operator."""
         for task in self._tasks:
