Keep a request that ends its upstreams from ending more

What callers saw: engines ended one after the other for more than a minute, each with up to nine streams of other callers, under one request that came again.

Cause: what one front sees in one answer was kept by nobody. A cut channel was a failure of the upstream alone; nothing had an identity beyond the id, which is new each time; nothing tied the end of an upstream to what it was serving.

Change: a request that an upstream cuts is fingerprinted (method, host, path, caller, body; keyed), and the upstream's address is tried once: refused means that it is gone as a whole. That is told the replicated log, which counts ends by request; three without a whole answer in between, and it gets no upstream: 503 with an hour, at once. What a front has seen itself counts there before the log has it.

Weighed: each front by its own evidence forgets with its process and sees a seventh of the ends; the fleet's owner would have to hand the counts on, and lose them with the power; the log keeps them, is followed by every front, and has an entry only for an end. Ruled out: repetition by a front (one attempt each in the logs); silent upstreams and broken answers (they still take channels, or say nothing).

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -172,6 +172,24 @@
         self._opened.setdefault(address, set()).add(channel)
         return channel
 
+    async def is_refused(self, address: str) -> bool:
+        """Whether nothing takes channels at an address, by a try.
+
+        One that is full or cut off takes it, or says nothing.
+        """
+        host, port = split_address(address)
+        opening = self._loop.create_connection(asyncio.Protocol, host, port)
+        try:
+            transport, _ = await asyncio.wait_for(
+                opening, self._connect_seconds
+            )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        transport.abort()
+        return False
+
     def give_back(self, channel: UpstreamChannel, head: ResponseHead) -> None:
         """Keeps a channel whose answer was read whole, if it can be."""
         if channel.finish(head):
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -114,6 +114,35 @@
         except (OSError, NoEndsError) as error:
             raise CommandError(str(error)) from error
 
+    def quarantine(self, control: str) -> str:
+        """Lists the requests that get no upstream, and what ended under them.
+
+        `request:quarantined` in the logs of fronts names the requests that
+        were refused for it.
+
+        Args:
+            control: IP:PORT of any control node's control address.
+        """
+        from ridgesill.platform.control_calls import QUARANTINE_PATH
+
+        said = _read_answer("GET", control, QUARANTINE_PATH)
+        return _pretty(said)
+
+    def lift(self, request: str, control: str) -> str:
+        """Has a request in quarantine get upstreams again.
+
+        Do so once upstreams no longer end under it, as with a repaired
+        version; if they do, it is in quarantine again after three ends.
+
+        Args:
+            request: as `quarantine` names it.
+            control: IP:PORT of any control node's control address.
+        """
+        from ridgesill.platform.control_calls import LIFT_PATH
+
+        _read_answer("POST", control, f"{LIFT_PATH}{request}")
+        return f"{request}: gets upstreams again"
+
     def check(self, file: str) -> str:
         """Checks a configuration file and lists everything wrong with it.
 
@@ -303,6 +332,25 @@
         raise CommandError(f"{admin}: status {response.status}") from error
 
 
+def _read_answer(method: str, control: str, path: str) -> Any:
+    """Returns what a control node answers to a call on the users' platform."""
+    import urllib3
+
+    try:
+        response = urllib3.request(
+            method, f"http://{control}{path}", timeout=_TIMEOUT, retries=False
+        )
+        said = msgspec.json.decode(response.data)
+    except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+        raise CommandError(
+            f"{method} {path} with {control}: {error}; is this a control "
+            "node's control address?"
+        ) from error
+    if response.status != 200:
+        raise CommandError(f"{control}: {said.get('detail', response.status)}")
+    return said
+
+
 def _split(nodes: Any) -> tuple[str, ...]:
     # `fire` itself may already have split the list.
     parts = nodes if isinstance(nodes, tuple | list) else str(nodes).split(",")
--- a/src/ridgesill/app/control_api.py
+++ b/src/ridgesill/app/control_api.py
@@ -5,11 +5,16 @@
 from functools import singledispatchmethod
 from typing import Any
 
+import msgspec
 from eliot import log_message
 
 from ridgesill.app.control import Control, UnavailableError
 from ridgesill.app.fleet_owner import FleetOwner, NotOwnerError
-from ridgesill.core.commands import PutArtifactVersion, PutRoutes
+from ridgesill.core.commands import (
+    LiftQuarantine,
+    PutArtifactVersion,
+    PutRoutes,
+)
 from ridgesill.core.fleet.messages import HeardLeave
 from ridgesill.ports.control_calls import (
     BadCall,
@@ -17,6 +22,8 @@
     ControlCalls,
     HeartbeatCall,
     LeaveCall,
+    LiftQuarantineCall,
+    ListQuarantineCall,
     PutRoutesCall,
     PutVersionCall,
     ReadRoutesCall,
@@ -135,6 +142,30 @@
             return CallReply(404, "no configuration has been put yet")
         return CallReply(200, document=zlib.decompress(document))
 
+    @_carry_out.register
+    async def _(self, call: ListQuarantineCall) -> CallReply:
+        try:
+            await self._control.confirm_latest(_READ_SECONDS)
+        except UnavailableError as error:
+            return _unavailable("quarantine", str(error))
+        said = [
+            {"request": suspect.fingerprint.whole, "ended": suspect.ends}
+            for suspect in self._control.state.suspects.quarantined()
+        ]
+        return CallReply(200, document=msgspec.json.encode(said))
+
+    @_carry_out.register
+    async def _(self, call: LiftQuarantineCall) -> CallReply:
+        if not self._control.state.suspects.has(call.request):
+            return CallReply(404, "nothing is held against such a request")
+        command = LiftQuarantine(call.request)
+        try:
+            await self._control.propose(command, _PROPOSE_SECONDS)
+        except UnavailableError as error:
+            return _unavailable("quarantine", str(error))
+        log_message("control:quarantine_lifted", fingerprint=call.request)
+        return CallReply(200)
+
 
 def _unavailable(step: str, detail: str) -> CallReply:
     log_message("control:unavailable", step=step, detail=detail)
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 
 import attrs
 from eliot import log_message
@@ -20,11 +21,7 @@
     Upstream,
 )
 from ridgesill.core.serving.events import EventSplitter
-from ridgesill.core.serving.fingerprints import (
-    Fingerprint,
-    Fingerprints,
-    Identity,
-)
+from ridgesill.core.serving.fingerprints import Identity
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
     ForwardTerms,
@@ -49,7 +46,12 @@
 # Channels kept longer than this aren't used for what may not run twice: an
 # upstream may just have closed them. Seconds.
 _FRESH_FOR_UNSAFE = 3.0
+# Seconds after which a client whose request is in quarantine may come back. It
+# stays there until an operator lifts it, so that a client that heeds this has
+# stopped.
+_QUARANTINED_AFTER = 3600.0
 _PROMISES = frozenset((408, 421, 429, 503))
+_QUARANTINED = Refusal("quarantined", _QUARANTINED_AFTER)
 _OK = 200
 _SERVER_ERROR = 500
 
@@ -127,6 +129,9 @@
         if self._may_outlast_front():
             self._refuse(Refusal("stopping", _STOPPING_AFTER))
             return
+        if self._is_quarantined():
+            self._refuse(_QUARANTINED)
+            return
         self._deadline = min(self._deadline, self._front.stops_at)
         try:
             async with asyncio.timeout_at(self._deadline):
@@ -196,6 +201,10 @@
                 else:
                     self._give_up(upstream)
                 return
+            if self._is_quarantined():
+                # Since it came, others were cut by the ends of upstreams.
+                self._give_up(_QUARANTINED)
+                return
             failure = await self._send(route, upstream)
             if failure is None:
                 return
@@ -365,6 +374,7 @@
     def _note_served(self, upstream: Upstream, head: ResponseHead) -> None:
         now = self._loop.time()
         self._front.chooser.outcomes.note_success(upstream.name, now)
+        self._clear()
         self._end("served", upstream.name, status=head.status)
 
     def _note_failure(self, upstream: Upstream, failure: Failure) -> None:
@@ -384,23 +394,47 @@
             not_run=failure.not_run,
             ejected=ejected,
             view_age=round(now - self._front.fleet.view.known_at, 3),
-            fingerprint=str(self._fingerprint()) if failure.cut else "",
         )
+        if failure.cut:
+            self._front.quarantine.note_cut(upstream, self._identity)
+        elif failure.answer is not None:
+            self._clear()
 
-    def _fingerprint(self) -> Fingerprint:
-        """Returns what this request shares with its repetitions."""
+    # -- requests that end their upstreams -----------------------------
+
+    @functools.cached_property
+    def _identity(self) -> Identity:
+        """What this request shares with its repetitions."""
         request = self._request
         caller = request.peer.rpartition(":")[0]
-        return Fingerprints().take(
-            Identity(
-                request.method,
-                self._facts.host,
-                request.target,
-                caller,
-                request.body,
-            )
+        return Identity(
+            request.method,
+            self._facts.host,
+            request.target,
+            caller,
+            request.body,
         )
 
+    def _is_quarantined(self) -> bool:
+        """Whether too many upstreams have ended under this request."""
+        quarantine = self._front.quarantine
+        suspect = quarantine.find_suspect(self._identity)
+        if suspect is None or not quarantine.is_quarantined(suspect):
+            return False
+        log_message(
+            "request:quarantined",
+            request=self._facts.request,
+            fingerprint=str(suspect),
+            ended=sorted(quarantine.ends(suspect)),
+        )
+        return True
+
+    def _clear(self) -> None:
+        """Takes back what is held against a request that was answered."""
+        suspect = self._front.quarantine.find_suspect(self._identity)
+        if suspect is not None:
+            self._front.quarantine.note_served(suspect)
+
     def _may_retry(self, route: Route, failure: Failure) -> bool:
         if not failure.not_run and not route.is_idempotent:
             return False
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -5,6 +5,7 @@
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
+from ridgesill.app.quarantine import Quarantine
 from ridgesill.core.serving.admission import Admission
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.reading import ReadingRate
@@ -39,6 +40,7 @@
         self.fleet = fleet
         self.channels = channels
         self.dialect = dialect
+        self.quarantine = Quarantine(channels.is_refused)
         self.rng = random.Random()
         self.in_progress = 0
         self.used: dict[str, int] = {}
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -117,6 +117,7 @@
         state = self.control.state
         self._relays = find_relays(self._node, state.nodes.values())
         self.front.versions = state.artifact_versions
+        self.front.quarantine.take(state)
         table = read_newer_table(state, self.front.table)
         if table is None:
             return
@@ -163,6 +164,7 @@
             self.control.follow(),
             self.fleet.run(),
             self._sweep(),
+            self.front.quarantine.run(self.control.propose),
             serve_metrics(
                 self._settings.metrics,
                 METRICS_PATH,
@@ -213,6 +215,7 @@
             ),
             "ridgesill_upstreams": lambda: len(view.upstreams),
             "ridgesill_fronts": lambda: view.fronts,
+            "ridgesill_quarantined_requests": self.front.quarantine.count,
         }
 
     def _drain(self) -> None:
--- a/src/ridgesill/core/commands.py
+++ b/src/ridgesill/core/commands.py
@@ -4,6 +4,7 @@
 
 from ridgesill.core.codec import register
 from ridgesill.core.configuration import Change
+from ridgesill.core.serving.fingerprints import Fingerprint
 
 
 @register
@@ -151,6 +152,48 @@
     version: int
 
 
+@register
+@attrs.frozen
+class PutFingerprintKey:
+    """Sets the key of all requests' fingerprints, unless there is one."""
+
+    key: bytes
+
+
+@register
+@attrs.frozen
+class NoteUpstreamEnd:
+    """Counts the end of an upstream with the requests that it was serving.
+
+    Attributes:
+        upstream: its name, which is of this start.
+        aboard: requests that were cut by it.
+    """
+
+    upstream: str
+    aboard: tuple[Fingerprint, ...]
+
+
+@register
+@attrs.frozen
+class ClearSuspects:
+    """Takes back what is held against requests that had a whole answer."""
+
+    served: tuple[Fingerprint, ...]
+
+
+@register
+@attrs.frozen
+class LiftQuarantine:
+    """Takes back what is held against a request, on an operator's word.
+
+    Attributes:
+        whole: the hash of the whole request.
+    """
+
+    whole: str
+
+
 # -- answers -----------------------------------------------------------
 
 ACCEPTED = "accepted"
--- a/src/ridgesill/core/state.py
+++ b/src/ridgesill/core/state.py
@@ -13,16 +13,20 @@
 from ridgesill.core import codec, commands
 from ridgesill.core.commands import (
     BeginOnce,
+    ClearSuspects,
     Configure,
     ConfigureAnswer,
     Done,
     FinishOnce,
     GrantPool,
     JoinNode,
+    LiftQuarantine,
     Node,
+    NoteUpstreamEnd,
     OnceAnswer,
     OnceRecord,
     PutArtifactVersion,
+    PutFingerprintKey,
     PutRoutes,
     ReleasePool,
     RemoveNode,
@@ -30,6 +34,7 @@
 from ridgesill.core.configuration import Change, Table
 from ridgesill.core.log.messages import Entry
 from ridgesill.core.log.replica import ChangeVoters, NoOp
+from ridgesill.core.suspects import Suspect, Suspects
 
 _OPERATIONS_KEPT = 1000
 _ONCE_KEPT = 50_000
@@ -78,6 +83,8 @@
     routes_version: int = 0
     routes_document: bytes = b""
     artifact_versions: dict[str, int] = attrs.Factory(dict)
+    fingerprint_key: bytes = b""
+    suspects: tuple[Suspect, ...] = ()
 
 
 class State:
@@ -93,6 +100,8 @@
         routes_version: of the routing document in force; 0 for none.
         routes_document: that document, compressed.
         artifact_versions: the oldest versions that may serve, by artifact.
+        fingerprint_key: of requests' fingerprints; empty until it is drawn.
+        suspects: requests that were aboard upstreams when these ended.
     """
 
     def __init__(self) -> None:
@@ -107,6 +116,8 @@
         self.routes_version = 0
         self.routes_document = b""
         self.artifact_versions: dict[str, int] = {}
+        self.fingerprint_key = b""
+        self.suspects = Suspects()
         self._operations: OrderedDict[str, Operation] = OrderedDict()
 
     def apply(self, entry: Entry) -> Any:
@@ -192,6 +203,28 @@
         self.artifact_versions[command.artifact] = max(known, command.version)
         return Done(self.index)
 
+    # -- requests that end their upstreams -----------------------------
+
+    @_apply.register
+    def _(self, command: PutFingerprintKey) -> Done:
+        self.fingerprint_key = self.fingerprint_key or command.key
+        return Done(self.index)
+
+    @_apply.register
+    def _(self, command: NoteUpstreamEnd) -> Done:
+        self.suspects.note_end(command.upstream, command.aboard)
+        return Done(self.index)
+
+    @_apply.register
+    def _(self, command: ClearSuspects) -> Done:
+        self.suspects.forget(served.whole for served in command.served)
+        return Done(self.index)
+
+    @_apply.register
+    def _(self, command: LiftQuarantine) -> Done:
+        self.suspects.forget([command.whole])
+        return Done(self.index)
+
     # -- nodes and owners ----------------------------------------------
 
     @_apply.register
@@ -294,6 +327,8 @@
                 self.routes_version,
                 self.routes_document,
                 dict(self.artifact_versions),
+                self.fingerprint_key,
+                tuple(self.suspects),
             )
         )
 
@@ -313,6 +348,8 @@
         state.routes_version = image.routes_version
         state.routes_document = image.routes_document
         state.artifact_versions = dict(image.artifact_versions)
+        state.fingerprint_key = image.fingerprint_key
+        state.suspects = Suspects(image.suspects)
         state._operations = OrderedDict(image.operations)
         return state
 
--- a/src/ridgesill/platform/control_calls.py
+++ b/src/ridgesill/platform/control_calls.py
@@ -18,6 +18,8 @@
     CallReply,
     HeartbeatCall,
     LeaveCall,
+    LiftQuarantineCall,
+    ListQuarantineCall,
     PutRoutesCall,
     PutVersionCall,
     ReadRoutesCall,
@@ -29,6 +31,8 @@
 _PUT = "/ridgesill/Configuration.Put"
 _GET = "/ridgesill/Configuration.Get"
 _VERSION = "/ridgesill/version-put"
+QUARANTINE_PATH = "/ridgesill/Quarantine.List"
+LIFT_PATH = "/ridgesill/Quarantine.Lift/"
 READY_PATH = "/ridgesill/ready"
 
 
@@ -40,6 +44,8 @@
         path = request.path
         if path == _GET:
             return ReadRoutesCall()
+        if path == QUARANTINE_PATH:
+            return ListQuarantineCall()
         if request.method != b"POST":
             return BadCall(405, "expected POST")
         try:
@@ -63,6 +69,8 @@
             if named.adapter:
                 artifact = f"{named.model}/{named.adapter}"
             return PutVersionCall(artifact, named.version)
+        if path.startswith(LIFT_PATH):
+            return LiftQuarantineCall(path[len(LIFT_PATH) :])
         return BadCall(404, f"no such call: {path}")
 
     def write(self, reply: CallReply) -> tuple[int, bytes]:
--- a/src/ridgesill/ports/control_calls.py
+++ b/src/ridgesill/ports/control_calls.py
@@ -49,6 +49,22 @@
     version: int
 
 
+@attrs.frozen
+class ListQuarantineCall:
+    """Asks which requests get no upstream."""
+
+
+@attrs.frozen
+class LiftQuarantineCall:
+    """Has a request get upstreams again.
+
+    Attributes:
+        request: the hash of the whole request, as the list names it.
+    """
+
+    request: str
+
+
 @attrs.frozen
 class BadCall:
     """A call that can't be carried out; says why."""
--- a/testing/app/test_control_api.py
+++ b/testing/app/test_control_api.py
@@ -6,6 +6,8 @@
 import pytest
 
 from ridgesill.app.control_api import ControlApi
+from ridgesill.core.commands import NoteUpstreamEnd
+from ridgesill.core.serving.fingerprints import Fingerprint
 from ridgesill.core.serving.routes import RouteTable, Service
 from ridgesill.platform.control_calls import PlatformControlCalls
 from ridgesill.ports.http import Headers, HttpRequest
@@ -27,6 +29,9 @@
     "sequence": 1,
 }
 
+_LIST = b"/ridgesill/Quarantine.List"
+_LIFT = b"/ridgesill/Quarantine.Lift/"
+
 
 class Recorder:
     """Implements `ports.http.Responder`; keeps the answer."""
@@ -150,3 +155,29 @@
 
     async def test_one_that_can_not_be_read(self, api: Api) -> None:
         assert (await api.call(_BEAT, b"{}")).status == 400
+
+
+class TestQuarantine:
+    async def _hold(self, api: Api) -> str:
+        held = Fingerprint("target", "whole")
+        for number in range(3):
+            noted = NoteUpstreamEnd(f"i-{number}", (held,))
+            await api.node.control.propose(noted, 1.0)
+        return held.whole
+
+    async def test_operators_see_what_is_held_and_lift_it(
+        self, api: Api
+    ) -> None:
+        whole = await self._hold(api)
+        listed = await api.call(_LIST)
+        assert msgspec.json.decode(listed.body) == [
+            {"request": whole, "ended": ["i-0", "i-1", "i-2"]}
+        ]
+        lifted = await api.call(_LIFT + whole.encode(), b"{}")
+        assert lifted.status == 200
+        listed = await api.call(_LIST)
+        assert msgspec.json.decode(listed.body) == []
+
+    async def test_what_is_not_held_can_not_be_lifted(self, api: Api) -> None:
+        lifted = await api.call(_LIFT + b"unknown", b"{}")
+        assert lifted.status == 404
