Log what an upstream says of itself in its answers, and who chose it

The logs can't tell whether a front sends into a rest because it didn't read what was asked for, or because the owner's choice isn't looked at. The platform's header of a leaving upstream and Retry-After of a 503 are decoded once, with a bound of a minute, and logged; nothing is decided by them yet.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -26,6 +26,7 @@
 from ridgesill.ports.dialect import (
     ForwardTerms,
     RequestFacts,
+    UpstreamWord,
 )
 from ridgesill.ports.http import (
     ChannelError,
@@ -229,6 +230,7 @@
             exchange = await self._open(route, upstream)
             self._tried.append(upstream.name)
             head = await exchange.read_head()
+            self._take_word(upstream, head)
             chooser.outcomes.note_heard(upstream.name, self._loop.time())
             failure = await self._take(route, upstream, exchange, head)
         except ChannelError as error:
@@ -248,6 +250,23 @@
                 exchange.cancel()
         return failure
 
+    def _take_word(self, upstream: Upstream, head: ResponseHead) -> None:
+        """Notes what an upstream says of itself beside its answer."""
+        word = self._front.dialect.read_word(head)
+        if word == UpstreamWord():
+            return
+        log_message(
+            "request:upstream_word",
+            request=self._facts.request,
+            upstream=upstream.name,
+            peer=upstream.address,
+            status=head.status,
+            rest=word.rest,
+            leaves=word.leaves,
+            unread=word.unread,
+            chosen_by=self._search.chosen_by,
+        )
+
     def _tell_reading_ended(self, failure: Failure | None) -> None:
         """Tells the owner of a prompt that has had no first event."""
         arrived = failure is None or failure.arrived
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -86,6 +86,8 @@
         # Seconds until the first event that the owner foretold last; 0 without
         # its word.
         self.foretold = 0.0
+        # Whose choice the upstream was that was found last, for the log.
+        self.chosen_by = ""
         self._front = front
         self._facts = facts
         self._terms = SearchTerms("", 0.0, 0.0, 0.0, 0.0)
@@ -122,6 +124,7 @@
             is_new: whether nothing of its answer has been sent.
         """
         self._tried = tried
+        self.chosen_by = "front"
         wanted = self.wanted()
         if not tried and not self._are_upstreams_known():
             await self.learn(self._are_upstreams_known)
@@ -219,6 +222,7 @@
         self._read_seconds = answer.read_seconds
         self.foretold = answer.first_seconds
         self._reading_at = upstream.name
+        self.chosen_by = "owner"
         return upstream
 
     async def _want(self, wanted: Wanted) -> Upstream | Refusal:
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -1,10 +1,13 @@
 """Clients' requests and upstreams' answers, as the platform words them."""
 
+import re
+
 from ridgesill.platform.upstreams import read_instance
 from ridgesill.ports.dialect import (
     NORMAL_PRIORITY,
     ForwardTerms,
     RequestFacts,
+    UpstreamWord,
 )
 from ridgesill.ports.http import (
     Headers,
@@ -29,7 +32,18 @@
 _PRIORITY = b"request-priority"
 _NOT_RUN = b"not-run"
 _RETRY_AFTER = b"retry-after"
+# An upstream that leaves says so in all its answers.
+_LEAVING = b"server-leaving"
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+# Seconds, whole or with a fraction; dates and signs are not on the pages.
+_SECONDS = re.compile(r"[0-9]{1,8}(\.[0-9]{1,6})?", re.ASCII)
+# The longest rest that is granted, in seconds: an upstream that asks for more
+# by a slip would be out of use for that long, and one that means it says so
+# again to the next request.
+_REST_MOST = 60.0
+# Of what an upstream asked for and can't be granted, for the log.
+_SHOWN_MOST = 40
 # Of a number that a client gives: milliseconds and tokens have far fewer.
 _DIGITS_MOST = 8
 # What only this side may ask of an upstream; a client that could would set
@@ -113,6 +127,22 @@
         """Whether an upstream lacks what a request asks for."""
         return head.status == _MISDIRECTED
 
+    def read_word(self, head: ResponseHead) -> UpstreamWord:
+        """Returns what an upstream says of itself beside its answer."""
+        leaves = find_header(head.headers, _LEAVING).strip() not in ("", "0")
+        asked = ""
+        if head.status == _UNAVAILABLE:
+            asked = find_header(head.headers, _RETRY_AFTER).strip()
+        if not asked:
+            return UpstreamWord(leaves=leaves)
+        seconds = float(asked) if _SECONDS.fullmatch(asked) else -1.0
+        granted = 0.0 <= seconds <= _REST_MOST
+        return UpstreamWord(
+            min(max(seconds, 0.0), _REST_MOST),
+            leaves,
+            "" if granted else asked[:_SHOWN_MOST],
+        )
+
     def answer_headers(self, head: ResponseHead) -> Headers:
         """Returns the headers of an answer that the client gets."""
         return without_channel_headers(head.headers)
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -69,6 +69,21 @@
     priority: int = NORMAL_PRIORITY
 
 
+@attrs.frozen
+class UpstreamWord:
+    """What an upstream says of itself in the head of any answer.
+
+    Attributes:
+        rest: seconds for which it wants nothing from this process.
+        leaves: whether this start of it is about to end.
+        unread: what it asked for instead of a rest that can be granted.
+    """
+
+    rest: float = 0.0
+    leaves: bool = False
+    unread: str = ""
+
+
 class Dialect(Protocol):
     """Translates what clients and upstreams say."""
 
@@ -84,6 +99,9 @@
     def is_misdirected(self, head: ResponseHead) -> bool:
         """Whether an upstream lacks what a request asks for."""
 
+    def read_word(self, head: ResponseHead) -> UpstreamWord:
+        """Returns what an upstream says of itself beside its answer."""
+
     def answer_headers(self, head: ResponseHead) -> Headers:
         """Returns the headers of an answer that the client gets."""
 
--- a/src/ridgesill/standin/emulator/messages.py
+++ b/src/ridgesill/standin/emulator/messages.py
@@ -7,7 +7,7 @@
     FleetOrder,
     OrderVerdict,
 )
-from ridgesill.ports.dialect import ForwardTerms, RequestFacts
+from ridgesill.ports.dialect import ForwardTerms, RequestFacts, UpstreamWord
 from ridgesill.ports.http import (
     Headers,
     HttpRequest,
@@ -50,6 +50,10 @@
         """Whether an upstream says that it has not run a request."""
         return bool(find_header(head.headers, _NOT_RUN))
 
+    def read_word(self, head: ResponseHead) -> UpstreamWord:
+        """Returns what an engine says of itself: nothing."""
+        return UpstreamWord()
+
     def is_misdirected(self, head: ResponseHead) -> bool:
         """Whether an upstream lacks what a request asks for."""
         return head.status == _MISDIRECTED
