--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -18,6 +18,7 @@
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
+    HeardLeave,
     ReadingEnded,
     Upstream,
     UpstreamChange,
@@ -168,6 +169,7 @@
         # Which holder it names when asked; None while it doesn't answer.
         self.assigned: ArtifactReady | None = None
         self.ended: list[ReadingEnded] = []
+        self.leaves: list[HeardLeave] = []
 
     async def want(self, want: WantArtifact) -> ArtifactReady:
         """Returns the answer that the test has set."""
@@ -178,6 +180,10 @@
         """Returns the holder that the test has set."""
         return self.assigned
 
+    async def tell_leave(self, leave: HeardLeave) -> None:
+        """Notes what the front tells."""
+        self.leaves.append(leave)
+
     def tell_reading_ended(self, ended: ReadingEnded) -> None:
         """Notes what the front tells."""
         self.ended.append(ended)
--- /dev/null
+++ b/testing/app/test_upstream_words.py
@@ -0,0 +1,98 @@
+"""What an upstream says in its answers: that it rests, and that it leaves.
+
+Upstreams that were full turned fronts away and asked for 3 s without requests.
+A front took that for one failure among others: it sent three, paused for 1.5 s
+of its own, sent three more, and paused for 3 s (at 6.12, 6.48, 6.53, 8.18,
+8.34, 8.49 and 8.60 s). What one had turned away went to the other one that
+rested, and its caller was refused after both.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import attrs
+import pytest
+
+from ridgesill.core.fleet.messages import (
+    ArtifactReady,
+    FleetNews,
+    UpstreamChange,
+)
+from testing.app.front_world import Call, FrontWorld, Script
+
+ADAPTER = "base/a1"
+STREAM = {"model": ADAPTER, "token_counts": "10,70"}
+RESTS = "Retry-After: 0.6"
+LEAVES = "Server-Leaving: 1"
+_NOT_RUN = "Not-Run: 1"
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[FrontWorld]:
+    """Returns a front without upstreams."""
+    made = FrontWorld()
+    await made.start()
+    yield made
+    await made.stop()
+
+
+async def answer_ok(call: Call) -> None:
+    await call.answer(200, b"fine", "Server-Stamp: s1")
+
+
+async def ask_for_rest(call: Call) -> None:
+    await call.answer(503, b"", _NOT_RUN, RESTS)
+
+
+def once(first: Script, then: Script) -> Script:
+    """Returns a script that begins differently from how it goes on."""
+
+    async def run(call: Call) -> None:
+        await (first if call.number == 0 else then)(call)
+
+    return run
+
+
+class TestRest:
+    async def test_an_upstream_gets_nothing_until_its_rest_is_over(
+        self, world: FrontWorld
+    ) -> None:
+        resting = await world.add("u1", once(ask_for_rest, answer_ok))
+        client = await world.open()
+        refused = await client.ask("/safe/x")
+        assert refused.status == 503
+        for _ in range(3):
+            await asyncio.sleep(0.1)
+            assert (await client.ask("/safe/x")).status == 503
+        assert len(resting.calls) == 1
+        await asyncio.sleep(0.4)
+        assert (await client.ask("/safe/x")).status == 200
+
+    async def test_the_owner_s_choice_is_looked_at_too(
+        self, world: FrontWorld
+    ) -> None:
+        resting = await world.add("u1", ask_for_rest, "engine", base__a1=1)
+        await world.add("u2", answer_ok, "engine", base__a1=1)
+        world.fleet.assigned = ArtifactReady("u1", 1)
+        client = await world.open()
+        for _ in range(4):
+            assert (await client.ask("/stream/x", **STREAM)).status == 200
+        assert len(resting.calls) == 1
+
+
+class TestLeaving:
+    async def test_news_that_still_call_it_ready_change_nothing(
+        self, world: FrontWorld
+    ) -> None:
+        async def leave(call: Call) -> None:
+            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
+
+        leaving = await world.add("u1", leave)
+        client = await world.open()
+        assert (await client.ask("/unsafe/x", b"b")).status == 200
+        view = world.fleet.view
+        record = attrs.evolve(view.upstreams["u1"])
+        change = UpstreamChange("u1", record)
+        view.take(FleetNews(2, view.number + 1, True, (change,)), 0.0)
+        assert (await client.ask("/unsafe/x", b"b")).status == 503
+        assert len(leaving.calls) == 1
