--- a/src/ridgesill/standin/emulator/engines.py
+++ b/src/ridgesill/standin/emulator/engines.py
@@ -243,11 +243,25 @@
         most: int = 0,
     ) -> EmulatedExchange:
         """Sends a request."""
+        return self.begin(await self.take(address), request)
+
+    async def take(
+        self, address: str, *, fresh_within: float = 60.0, most: int = 0
+    ) -> str:
+        """Returns an address that takes requests, in place of a channel."""
         engine = self._engines.get(address)
         if engine is None or not engine.is_up:
             await asyncio.sleep(_REFUSED_SECONDS)
             raise ChannelError("connect", address, "refused", False)
-        exchange = EmulatedExchange(address, self._delay)
+        return address
+
+    def put_back(self, channel: str) -> None:
+        """Does nothing: no channel is kept."""
+
+    def begin(self, channel: str, request: HttpRequest) -> EmulatedExchange:
+        """Sends a request to an address that was taken."""
+        engine = self._engines[channel]
+        exchange = EmulatedExchange(channel, self._delay)
         is_call = request.target.startswith((b"/order", b"/report"))
         take = engine.take_call if is_call else engine.serve
         asyncio.get_running_loop().call_later(
@@ -255,6 +269,11 @@
         )
         return exchange
 
+    async def is_refused(self, address: str) -> bool:
+        """Whether an engine is down."""
+        engine = self._engines.get(address)
+        return engine is None or not engine.is_up
+
     def sweep(self) -> None:
         """Does nothing: no channel is kept."""
 
