Keep from an upstream what it says it doesn't want

What callers saw: a request that a full engine had turned away was sent to another one that had asked for rest as well, and refused; engines that asked for 3 s got three and four requests in it.

Cause: what an upstream says beside its answer was heard by one request and kept by nobody.

Change: rests and departures are kept by start of an upstream and looked at in the moment of the send, whoever chose it, also after a channel came up. They are named among what the owner must avoid. Where all of a service rest, the client is refused at once with the time of the first that is back. A rest is a minute at the most. An upstream that leaves is told the owner until it has taken that; heartbeats that still say ready don't bring the engine back into the owner's books (they did).

Ruled out: sends on their way when the rest was asked (the worst were 2.2 s later).

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -110,6 +110,22 @@
             fresh_within: seconds that a kept channel may have rested.
             most: channels that may be open to this upstream; 0 for no bound.
 
+        Raises:
+            ChannelError: no channel came up; nothing was sent.
+        """
+        channel = await self.take(address, fresh_within=fresh_within, most=most)
+        return self.begin(channel, request)
+
+    async def take(
+        self, address: str, *, fresh_within: float = 60.0, most: int = 0
+    ) -> UpstreamChannel:
+        """Returns a channel on which a request can begin.
+
+        Args:
+            address: the upstream's.
+            fresh_within: seconds that a kept channel may have rested.
+            most: channels that may be open to this upstream; 0 for no bound.
+
         Raises:
             ChannelError: no channel came up; nothing was sent.
         """
@@ -117,6 +133,15 @@
         if channel is None:
             self._make_room(address, most)
             channel = await self._open(address)
+        return channel
+
+    def put_back(self, channel: UpstreamChannel) -> None:
+        """Keeps a channel that was taken and on which nothing was sent."""
+        channel.rested_at = self._loop.time()
+        self._resting.setdefault(channel.address, []).append(channel)
+
+    def begin(self, channel: UpstreamChannel, request: HttpRequest) -> Exchange:
+        """Sends a request on a channel that was taken."""
         request_id = find_header(request.headers, REQUEST_ID).encode()
         channel.send(request, request_id)
         return Exchange(self, channel)
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -9,6 +9,7 @@
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
+    HeardLeave,
     ReadingEnded,
     WantArtifact,
     WatchFleet,
@@ -42,6 +43,11 @@
 _ASSIGN_PAUSE = 0.5
 # Above a want's patience, for the way there and back.
 _WANT_MARGIN = 0.2
+# How long the owner is told that an upstream leaves, which is gone by then, how
+# long it may take to answer, and the pause between two tries, in seconds.
+_LEAVE_SECONDS = 30.0
+_LEAVE_ANSWER_SECONDS = 0.5
+_LEAVE_PAUSE = 0.1
 # Answers after which another owner may know more.
 _OWNER_LOST = frozenset(("not_owner", "owner_changed", "owner_lost"))
 
@@ -216,6 +222,24 @@
             return None
         return answer
 
+    async def tell_leave(self, leave: HeardLeave) -> None:
+        """Tells the owner that an upstream leaves, until it has taken that."""
+        deadline = self._loop.time() + _LEAVE_SECONDS
+        while self._loop.time() < deadline:
+            owner = self._owner()
+            try:
+                if owner:
+                    await self._peers.call(owner, leave, _LEAVE_ANSWER_SECONDS)
+                    return
+            except PeerError as error:
+                log_message(
+                    "fleet:leave_not_taken",
+                    upstream=leave.name,
+                    peer=error.peer,
+                    detail=str(error),
+                )
+            await asyncio.sleep(_LEAVE_PAUSE)
+
     def tell_reading_ended(self, ended: ReadingEnded) -> None:
         """Tells the owner that a prompt was read, or never will be."""
         owner = self._owner()
--- a/src/ridgesill/app/fleet_engines.py
+++ b/src/ridgesill/app/fleet_engines.py
@@ -161,7 +161,9 @@
         if engine is None:
             self._meet(upstream, now)
             return
-        engine.draining = heartbeat.draining
+        # By what was ever heard of this start: one that said in its answers
+        # that it leaves may send heartbeats that don't say so yet.
+        engine.draining = upstream.state != READY
         if heartbeat.resident is not None:
             appeared = engine.reconcile(heartbeat.resident, now)
             if appeared:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -17,9 +17,7 @@
     SearchTerms,
     UpstreamSearch,
 )
-from ridgesill.core.fleet.messages import (
-    Upstream,
-)
+from ridgesill.core.fleet.messages import HeardLeave, Upstream
 from ridgesill.core.serving.events import EventSplitter
 from ridgesill.core.serving.fingerprints import Identity
 from ridgesill.core.serving.routes import STREAM, Route
@@ -57,6 +55,10 @@
 _SERVER_ERROR = 500
 
 
+class _WithheldError(Exception):
+    """A request was not sent, since its upstream wants none now."""
+
+
 @attrs.frozen
 class Failure:
     """An attempt that gave no answer to deliver.
@@ -67,6 +69,7 @@
         misdirected: whether the upstream lacks what was asked for.
         arrived: whether the request reached the upstream.
         cut: whether its channel ended before the answer did.
+        withheld: whether it was kept back, since the upstream wants none.
     """
 
     reason: str
@@ -75,6 +78,7 @@
     misdirected: bool = False
     arrived: bool = True
     cut: bool = False
+    withheld: bool = False
 
 
 async def serve_request(
@@ -233,6 +237,8 @@
             self._take_word(upstream, head)
             chooser.outcomes.note_heard(upstream.name, self._loop.time())
             failure = await self._take(route, upstream, exchange, head)
+        except _WithheldError as error:
+            failure = Failure(str(error), True, arrived=False, withheld=True)
         except ChannelError as error:
             if not error.sent:
                 self._tried.append(upstream.name)
@@ -266,6 +272,13 @@
             unread=word.unread,
             chosen_by=self._search.chosen_by,
         )
+        unavailable = self._front.chooser.unavailable
+        if word.rest:
+            until = self._loop.time() + word.rest
+            unavailable.note_rest(upstream.name, until)
+        if word.leaves and unavailable.note_leaving(upstream.name):
+            instance = upstream.instance or upstream.name
+            self._front.tell_leave(HeardLeave(instance, upstream.start))
 
     def _tell_reading_ended(self, failure: Failure | None) -> None:
         """Tells the owner of a prompt that has had no first event."""
@@ -273,7 +286,9 @@
         self._search.note_reading_ended(
             was_read=False,
             # An engine that says that it did not run a request is well.
-            failed=failure is not None and not (arrived and failure.not_run),
+            failed=failure is not None
+            and not failure.withheld
+            and not (arrived and failure.not_run),
             unreachable=not arrived,
         )
 
@@ -292,12 +307,16 @@
         )
         forwarded = front.dialect.forward(self._request, terms)
         fresh = 60.0 if route.is_idempotent else _FRESH_FOR_UNSAFE
-        return await front.channels.send(
+        channel = await front.channels.take(
             upstream.address,
-            forwarded,
             fresh_within=fresh,
             most=self._channels_most(),
         )
+        if not front.chooser.takes_requests(upstream.name, self._loop.time()):
+            # Another answer has said so while the channel came up.
+            front.channels.put_back(channel)
+            raise _WithheldError(f"{upstream.name} wants no requests now")
+        return front.channels.begin(channel, forwarded)
 
     def _channels_most(self) -> int:
         """Returns this front's share of the channels that an upstream takes."""
@@ -400,7 +419,7 @@
         self._may_have_run |= not failure.not_run
         now = self._loop.time()
         ejected = False
-        if not failure.misdirected:
+        if not failure.misdirected and not failure.withheld:
             ejected = self._front.chooser.outcomes.note_failure(
                 upstream.name, now, unreachable=not failure.arrived
             )
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -195,9 +195,9 @@
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
             self.front.channels.sweep()
-            self.front.chooser.outcomes.keep_only(
-                set(self.fleet.view.upstreams)
-            )
+            known = set(self.fleet.view.upstreams)
+            self.front.chooser.outcomes.keep_only(known)
+            self.front.chooser.unavailable.keep_only(known, self._loop.time())
 
     def _swap_telemetry(self, telemetry: Telemetry) -> Telemetry:
         before, self.front.telemetry = self.front.telemetry, telemetry
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -124,7 +124,31 @@
             is_new: whether nothing of its answer has been sent.
         """
         self._tried = tried
+        for _ in range(_MOST_WANTS):
+            found = await self._find_once(is_new=is_new)
+            if isinstance(found, Refusal) or self._takes_requests(found.name):
+                return found
+            # What it said while the owner was asked counts more than the
+            # owner's word, or this front's own of before.
+        return self._refuse_resting() or Refusal("no_upstream")
+
+    def _takes_requests(self, upstream: str) -> bool:
+        now = self._loop.time()
+        return self._front.chooser.takes_requests(upstream, now)
+
+    def _refuse_resting(self) -> Refusal | None:
+        """Returns a refusal until the first upstream is back that rests.
+
+        None while one of the service takes requests.
+        """
+        now = self._loop.time()
+        service = self._terms.service
+        seconds = self._front.chooser.soonest_rest_end(service, now)
+        return Refusal("resting", seconds) if seconds else None
+
+    async def _find_once(self, *, is_new: bool) -> Upstream | Refusal:
         self.chosen_by = "front"
+        tried = self._tried
         wanted = self.wanted()
         if not tried and not self._are_upstreams_known():
             await self.learn(self._are_upstreams_known)
@@ -132,6 +156,8 @@
             return Refusal("overload", _OVERLOAD_AFTER)
         now = self._loop.time()
         chosen = self._front.chooser.choose(wanted, tried, now)
+        if chosen is None and (resting := self._refuse_resting()):
+            return resting
         if not wanted.artifact:
             return chosen or Refusal("no_upstream")
         if chosen is None:
@@ -218,6 +244,8 @@
         upstream = view.upstreams.get(answer.upstream)
         if upstream is None or upstream.state != READY:
             return None
+        if not self._takes_requests(upstream.name):
+            return None
         upstream.resident[wanted.artifact] = answer.version
         self._read_seconds = answer.read_seconds
         self.foretold = answer.first_seconds
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -9,6 +9,7 @@
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.fleet.registry import FleetView
 from ridgesill.core.serving.outcomes import Outcomes
+from ridgesill.core.serving.unavailable import Unavailable
 
 # Places that count at the most: an engine of 64 reads one prompt at a time, and
 # some ten requests in progress already wait for each other there.
@@ -80,6 +81,7 @@
     ) -> None:
         self.view = view
         self.outcomes = outcomes
+        self.unavailable = Unavailable()
         self.data_centre = data_centre
         self._rng = rng or random.Random()
         self._own: dict[str, dict[str, int]] = {}
@@ -162,6 +164,7 @@
             upstream
             for upstream in self.candidates(wanted)
             if upstream.name not in avoid
+            and self.unavailable.takes_requests(upstream.name, now)
         ]
         allowed = self._without_ejected(wanted, candidates, now)
         if not wanted.artifact:
@@ -221,4 +224,18 @@
             upstream.name
             for upstream in self.view.of_service(service)
             if self.outcomes.is_ejected(upstream.name, now)
+            or not self.unavailable.takes_requests(upstream.name, now)
         ]
+
+    def takes_requests(self, upstream: str, now: float) -> bool:
+        """Whether an upstream wants requests from here, by its own word."""
+        return self.unavailable.takes_requests(upstream, now)
+
+    def soonest_rest_end(self, service: str, now: float) -> float:
+        """Returns the seconds until the first upstream that rests is back.
+
+        Returns:
+            0 when one of the service takes requests now, or none rests.
+        """
+        names = [upstream.name for upstream in self.view.of_service(service)]
+        return self.unavailable.soonest(names, now)
--- /dev/null
+++ b/src/ridgesill/core/serving/unavailable.py
@@ -0,0 +1,56 @@
+"""Upstreams that want no requests, by their own word in answers.
+
+One that is full asks for some seconds without requests from the front that it
+answers; one that leaves wants none from anybody. Both are of one start: the one
+that follows has another name.
+"""
+
+from collections.abc import Collection
+
+
+class Unavailable:
+    """What upstreams have told this front in their answers."""
+
+    def __init__(self) -> None:
+        self._rests_until: dict[str, float] = {}
+        self._leaving: set[str] = set()
+
+    def note_rest(self, upstream: str, until: float) -> None:
+        """Notes until when an upstream wants nothing from here."""
+        known = self._rests_until.get(upstream, float("-inf"))
+        self._rests_until[upstream] = max(known, until)
+
+    def note_leaving(self, upstream: str) -> bool:
+        """Notes that an upstream leaves; returns whether that is new."""
+        is_new = upstream not in self._leaving
+        self._leaving.add(upstream)
+        return is_new
+
+    def takes_requests(self, upstream: str, now: float) -> bool:
+        """Whether an upstream wants requests from here now."""
+        return upstream not in self._leaving and not self.rest(upstream, now)
+
+    def rest(self, upstream: str, now: float) -> float:
+        """Returns the seconds for which an upstream wants nothing."""
+        until = self._rests_until.get(upstream)
+        return max(until - now, 0.0) if until is not None else 0.0
+
+    def soonest(self, upstreams: Collection[str], now: float) -> float:
+        """Returns when the first of some upstreams takes requests again.
+
+        Returns:
+            Seconds; 0 when one takes them now, or none of them rests.
+        """
+        staying = [name for name in upstreams if name not in self._leaving]
+        return min((self.rest(name, now) for name in staying), default=0.0)
+
+    def resting(self, now: float) -> list[str]:
+        """Returns the upstreams that want nothing from here now."""
+        return [u for u, until in self._rests_until.items() if until > now]
+
+    def keep_only(self, upstreams: Collection[str], now: float) -> None:
+        """Forgets rests that are over, and upstreams that are gone."""
+        self._leaving.intersection_update(upstreams)
+        for name, until in list(self._rests_until.items()):
+            if until <= now:
+                del self._rests_until[name]
--- a/testing/app/test_upstream_words.py
+++ b/testing/app/test_upstream_words.py
@@ -16,7 +16,9 @@
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
+    HeardLeave,
     UpstreamChange,
+    WantArtifact,
 )
 from testing.app.front_world import Call, FrontWorld, Script
 
@@ -68,6 +70,24 @@
         await asyncio.sleep(0.4)
         assert (await client.ask("/safe/x")).status == 200
 
+    async def test_a_client_is_told_when_the_first_one_is_back(
+        self, world: FrontWorld
+    ) -> None:
+        await world.add("u1", ask_for_rest)
+        client = await world.open()
+        await client.ask("/safe/x")
+        refused = await client.ask("/safe/x")
+        assert refused.status == 503
+        assert 0.4 <= float(refused.headers["retry-after"]) <= 0.6
+
+    async def test_others_serve_meanwhile(self, world: FrontWorld) -> None:
+        resting = await world.add("u1", ask_for_rest)
+        await world.add("u2", answer_ok)
+        client = await world.open()
+        for _ in range(12):
+            assert (await client.ask("/safe/x")).status == 200
+        assert len(resting.calls) <= 1
+
     async def test_the_owner_s_choice_is_looked_at_too(
         self, world: FrontWorld
     ) -> None:
@@ -79,8 +99,71 @@
             assert (await client.ask("/stream/x", **STREAM)).status == 200
         assert len(resting.calls) == 1
 
+    async def test_an_upstream_that_asks_while_a_load_is_awaited(
+        self, world: FrontWorld
+    ) -> None:
+        resting = await world.add("u1", ask_for_rest, "engine")
+        other = await world.add("u2", answer_ok, "engine")
+        wants: list[WantArtifact] = []
+
+        async def want(asked: WantArtifact) -> ArtifactReady:
+            wants.append(asked)
+            name = "u1" if len(wants) <= 2 else "u2"
+            await asyncio.sleep(0.2)
+            return ArtifactReady(name, 1)
+
+        world.fleet.want = want  # type: ignore[method-assign]
+        client, second = await world.open(), await world.open()
+        await client.send("/stream/x", **STREAM)
+        await asyncio.sleep(0.1)
+        # The first one is turned away while this one waits for its load.
+        await second.send("/stream/x", **STREAM)
+        assert (await client.read()).status == 200
+        assert (await second.read()).status == 200
+        assert len(resting.calls) == 1
+        assert len(other.calls) == 2
+        assert "u1" in wants[-1].avoid
+
+    @pytest.mark.parametrize("asked", ["-3", "soon", "9" * 30, "1e9", ""])
+    async def test_what_can_not_be_granted_takes_nobody_out_for_long(
+        self, world: FrontWorld, asked: str
+    ) -> None:
+        async def ask(call: Call) -> None:
+            await call.answer(503, b"", _NOT_RUN, f"Retry-After: {asked}")
+
+        await world.add("u1", once(ask, answer_ok))
+        client = await world.open()
+        await client.ask("/safe/x")
+        assert (await client.ask("/safe/x")).status == 200
+
+    async def test_a_long_rest_is_cut_to_a_minute(
+        self, world: FrontWorld
+    ) -> None:
+        async def ask(call: Call) -> None:
+            await call.answer(503, b"", _NOT_RUN, "Retry-After: 3600")
+
+        await world.add("u1", ask)
+        client = await world.open()
+        await client.ask("/safe/x")
+        refused = await client.ask("/safe/x")
+        assert 55 <= float(refused.headers["retry-after"]) <= 60
+
 
 class TestLeaving:
+    @pytest.mark.parametrize("status", [200, 500, 503])
+    async def test_one_that_leaves_gets_nothing_more(
+        self, world: FrontWorld, status: int
+    ) -> None:
+        async def leave(call: Call) -> None:
+            lines = (LEAVES, _NOT_RUN) if status == 503 else (LEAVES,)
+            await call.answer(status, b"x", "Server-Stamp: s1", *lines)
+
+        leaving = await world.add("u1", leave)
+        client = await world.open()
+        await client.ask("/unsafe/x", b"b")
+        assert (await client.ask("/unsafe/x", b"b")).status == 503
+        assert len(leaving.calls) == 1
+
     async def test_news_that_still_call_it_ready_change_nothing(
         self, world: FrontWorld
     ) -> None:
@@ -96,3 +179,28 @@
         view.take(FleetNews(2, view.number + 1, True, (change,)), 0.0)
         assert (await client.ask("/unsafe/x", b"b")).status == 503
         assert len(leaving.calls) == 1
+
+    async def test_the_owner_is_told_once(self, world: FrontWorld) -> None:
+        async def leave(call: Call) -> None:
+            await asyncio.sleep(0.05)
+            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
+
+        await world.add("u1", leave)
+        first, second = await world.open(), await world.open()
+        await first.send("/unsafe/x", b"b")
+        await second.send("/unsafe/x", b"b")
+        assert (await first.read()).status == 200
+        assert (await second.read()).status == 200
+        assert world.fleet.leaves == [HeardLeave("u1")]
+
+    async def test_the_start_that_follows_is_used(
+        self, world: FrontWorld
+    ) -> None:
+        async def leave(call: Call) -> None:
+            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
+
+        await world.add("u1", leave)
+        client = await world.open()
+        await client.ask("/unsafe/x", b"b")
+        await world.add("u1-again", answer_ok)
+        assert (await client.ask("/unsafe/x", b"b")).status == 200
