--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -109,6 +109,17 @@
             assert fronts.is_refused(front, HARMFUL)
             assert not fronts.is_refused(front, HARMLESS)
 
+    async def test_a_caller_with_several_addresses_is_one(
+        self, fronts: Fronts
+    ) -> None:
+        # Its requests came to fronts of three data centres, each of which sees
+        # addresses of its own: of 417 requests none came from another one's.
+        for number in (1, 2, 3):
+            source = attrs.evolve(HARMFUL, caller=f"10.{number}.0.1")
+            await fronts.cut(fronts.first, number, source)
+        source = attrs.evolve(HARMFUL, caller="10.4.0.1")
+        assert fronts.is_refused(fronts.second, source)
+
     async def test_an_upstream_that_is_there_has_not_ended(
         self, fronts: Fronts
     ) -> None:
--- a/testing/soak/clients.py
+++ b/testing/soak/clients.py
@@ -60,6 +60,7 @@
         self._rng = rng
         self._told = told
         self._client: Client | None = None
+        self._source = "127.0.0.1"
         self._count = 0
 
     async def run(self) -> None:
@@ -89,7 +90,11 @@
     async def _exchange(self, told: Told) -> None:
         if self._client is None:
             host, _, port = self._address.rpartition(":")
-            self._client = Client(*await asyncio.open_connection(host, port))
+            self._client = Client(
+                *await asyncio.open_connection(
+                    host, port, local_addr=(self._source, 0)
+                )
+            )
         headers = {"host": ROUTE_HOST, "request_deadline": "3000"}
         if told.kind == STREAM:
             number = self._adapter()
@@ -132,6 +137,9 @@
 class RepeatingCaller:
     """Sends the same request again and again, at any front.
 
+    Each front sees it come from another address, as where a caller's machines
+    stand in several data centres.
+
     Args:
         name: begins its requests' ids.
         fronts: names and addresses of the fronts.
@@ -154,7 +162,13 @@
         self._rng = rng
         adapter = rng.randrange(_ADAPTERS)
         self._callers = [
-            _SameRequest(f"{name}-{number}", front, rng, told, body, adapter)
+            _SameRequest(
+                f"{name}-{number}",
+                front,
+                rng,
+                told,
+                _Repeated(body, adapter, f"127.0.0.{number + 2}"),
+            )
             for number, front in enumerate(fronts)
         ]
 
@@ -165,6 +179,13 @@
             await asyncio.sleep(self._rng.uniform(least, most))
 
 
+@attrs.frozen
+class _Repeated:
+    body: bytes
+    adapter: int
+    source: str
+
+
 class _SameRequest(Caller):
     def __init__(
         self,
@@ -172,15 +193,14 @@
         front: tuple[str, str],
         rng: random.Random,
         told: list[Told],
-        body: bytes,
-        adapter: int,
+        repeated: _Repeated,
     ) -> None:
         super().__init__(name, front, rng, told)
-        self._sent_body = body
-        self._sent_adapter = adapter
+        self._repeated = repeated
+        self._source = repeated.source
 
     def _body(self) -> bytes:
-        return self._sent_body
+        return self._repeated.body
 
     def _adapter(self) -> int:
-        return self._sent_adapter
+        return self._repeated.adapter
