Count ends by what a request says, wherever it comes from

Cause: a caller has an address for each data centre, so that its request counted as several, each with its own three ends. The address was taken for the caller because the stand-in had one.

Change: ends are counted by content, whoever sent it, and beside that by content and address, for what ends upstreams for one caller and is answered for another. Only an answer of success clears: a failure doesn't show that the upstream began it.

--- a/src/ridgesill/app/control_api.py
+++ b/src/ridgesill/app/control_api.py
@@ -149,7 +149,7 @@
         except UnavailableError as error:
             return _unavailable("quarantine", str(error))
         said = [
-            {"request": suspect.fingerprint.whole, "ended": suspect.ends}
+            {"request": suspect.fingerprint.content, "ended": suspect.ends}
             for suspect in self._control.state.suspects.quarantined()
         ]
         return CallReply(200, document=msgspec.json.encode(said))
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -52,6 +52,7 @@
 _PROMISES = frozenset((408, 421, 429, 503))
 _QUARANTINED = Refusal("quarantined", _QUARANTINED_AFTER)
 _OK = 200
+_REDIRECT = 300
 _SERVER_ERROR = 500
 
 
@@ -412,7 +413,9 @@
     def _note_served(self, upstream: Upstream, head: ResponseHead) -> None:
         now = self._loop.time()
         self._front.chooser.outcomes.note_success(upstream.name, now)
-        self._clear()
+        if head.status < _REDIRECT:
+            # A failure doesn't show that the upstream has begun it.
+            self._clear()
         self._end("served", upstream.name, status=head.status)
 
     def _note_failure(self, upstream: Upstream, failure: Failure) -> None:
@@ -435,8 +438,6 @@
         )
         if failure.cut:
             self._front.quarantine.note_cut(upstream, self._identity)
-        elif failure.answer is not None:
-            self._clear()
 
     # -- requests that end their upstreams -----------------------------
 
@@ -462,7 +463,7 @@
         log_message(
             "request:quarantined",
             request=self._facts.request,
-            fingerprint=str(suspect),
+            fingerprint=suspect.content,
             ended=sorted(quarantine.ends(suspect)),
         )
         return True
--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -50,7 +50,7 @@
     """
 
     upstream: str
-    aboard: dict[str, Fingerprint] = attrs.Factory(dict)
+    aboard: set[Fingerprint] = attrs.Factory(set)
     index: int = 0
 
 
@@ -75,7 +75,7 @@
         self._own: collections.deque[_End] = collections.deque(
             maxlen=_UNTOLD_MOST
         )
-        self._served: dict[str, Fingerprint] = {}
+        self._served: set[Fingerprint] = set()
         self._untold = asyncio.Event()
         self._checks: set[asyncio.Task[None]] = set()
 
@@ -111,7 +111,11 @@
 
     def ends(self, fingerprint: Fingerprint) -> set[str]:
         """Returns the upstreams that ended with a request aboard."""
-        own = {e.upstream for e in self._own if fingerprint.whole in e.aboard}
+        own = {
+            end.upstream
+            for end in self._own
+            if any(f.content == fingerprint.content for f in end.aboard)
+        }
         return own.union(self._suspects.ends(fingerprint))
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
@@ -135,7 +139,7 @@
             check = asyncio.create_task(self._check(upstream, end))
             self._checks.add(check)
             check.add_done_callback(self._checks.discard)
-        end.aboard[fingerprint.whole] = fingerprint
+        end.aboard.add(fingerprint)
 
     async def _check(self, upstream: Upstream, end: _End) -> None:
         """Counts an end if the upstream is gone as a whole.
@@ -151,7 +155,7 @@
             upstream=upstream.name,
             peer=upstream.address,
             is_gone=is_gone,
-            fingerprints=[str(f) for f in end.aboard.values()],
+            requests=sorted(f.content for f in end.aboard),
         )
         if is_gone:
             self._own.append(end)
@@ -160,8 +164,8 @@
     def note_served(self, fingerprint: Fingerprint) -> None:
         """Takes back what is held against a request with a whole answer."""
         for end in self._own:
-            end.aboard.pop(fingerprint.whole, None)
-        self._served[fingerprint.whole] = fingerprint
+            end.aboard.discard(fingerprint)
+        self._served.add(fingerprint)
         self._untold.set()
 
     # -- telling the log -----------------------------------------------
@@ -176,13 +180,12 @@
             await self._untold.wait()
             self._untold.clear()
             for end in [end for end in self._own if not end.index]:
-                aboard = tuple(end.aboard.values())
-                noted = NoteUpstreamEnd(end.upstream, aboard)
+                noted = NoteUpstreamEnd(end.upstream, tuple(end.aboard))
                 end.index = await self._tell(propose, noted)
                 self._drop_told()
-            served, self._served = self._served, {}
+            served, self._served = self._served, set()
             if served:
-                cleared = ClearSuspects(tuple(served.values()))
+                cleared = ClearSuspects(tuple(served))
                 await self._tell(propose, cleared)
 
     async def _tell(self, propose: Propose, command: Any) -> int:
--- a/src/ridgesill/core/commands.py
+++ b/src/ridgesill/core/commands.py
@@ -188,10 +188,10 @@
     """Takes back what is held against a request, on an operator's word.
 
     Attributes:
-        whole: the hash of the whole request.
+        content: the hash of its content.
     """
 
-    whole: str
+    content: str
 
 
 # -- answers -----------------------------------------------------------
--- a/src/ridgesill/core/serving/fingerprints.py
+++ b/src/ridgesill/core/serving/fingerprints.py
@@ -1,7 +1,8 @@
 """Tells whether two requests are the same one, repeated by its caller.
 
 A repeated request has another id each time. What it keeps is its path, its
-caller and its body.
+body and its caller, who may have many addresses: fronts of different data
+centres see different ones.
 """
 
 import hashlib
@@ -21,14 +22,13 @@
 
     Attributes:
         target: keyed hash of path and query alone, which is cheap to take.
-        whole: keyed hash of method, host, path, query, caller and body.
+        content: keyed hash of method, host, path, query and body.
+        caller: the same, with the caller's address.
     """
 
     target: str
-    whole: str
-
-    def __str__(self) -> str:
-        return f"{self.target}-{self.whole}"
+    content: str
+    caller: str
 
 
 @attrs.frozen
@@ -66,15 +66,12 @@
     def take(self, identity: Identity) -> Fingerprint:
         """Returns a request's fingerprint."""
         taken = hashlib.blake2b(key=self.key, digest_size=_WHOLE_BYTES)
-        parts = (
-            identity.method,
-            identity.host.encode(),
-            identity.target,
-            identity.caller.encode(),
-        )
-        for part in parts:
+        host = identity.host.encode()
+        for part in (identity.method, host, identity.target, identity.body):
             # With its length, so that no two requests run together alike.
             taken.update(len(part).to_bytes(4, "big"))
             taken.update(part)
-        taken.update(identity.body)
-        return Fingerprint(self.take_target(identity.target), taken.hexdigest())
+        content = taken.hexdigest()
+        taken.update(identity.caller.encode())
+        target = self.take_target(identity.target)
+        return Fingerprint(target, content, taken.hexdigest())
--- a/src/ridgesill/core/state.py
+++ b/src/ridgesill/core/state.py
@@ -217,12 +217,12 @@
 
     @_apply.register
     def _(self, command: ClearSuspects) -> Done:
-        self.suspects.forget(served.whole for served in command.served)
+        self.suspects.clear(command.served)
         return Done(self.index)
 
     @_apply.register
     def _(self, command: LiftQuarantine) -> Done:
-        self.suspects.forget([command.whole])
+        self.suspects.lift(command.content)
         return Done(self.index)
 
     # -- nodes and owners ----------------------------------------------
--- a/src/ridgesill/core/suspects.py
+++ b/src/ridgesill/core/suspects.py
@@ -5,6 +5,10 @@
 others are answered when they do. So a request is counted with each end that it
 was aboard of, a whole answer takes all of that back, and one that was aboard
 of several without an answer gets no upstream any more.
+
+Ends are counted twice: by what a request says, since a caller may have several
+addresses, and by that and its caller's address, since what ends upstreams for
+one caller may be answered for another.
 """
 
 import collections
@@ -31,9 +35,12 @@
     """A request that was aboard of upstreams that ended.
 
     Attributes:
+        key: the hash by which its ends are counted: of its content, with or
+            without its caller.
         ends: names of those upstreams, one for each start.
     """
 
+    key: str
     fingerprint: Fingerprint
     ends: tuple[str, ...]
 
@@ -58,9 +65,16 @@
     def __len__(self) -> int:
         return len(self._suspects)
 
-    def has(self, whole: str) -> bool:
-        """Whether anything is held against a request, by its whole hash."""
-        return whole in self._suspects
+    def has(self, content: str) -> bool:
+        """Whether anything is held against a request, by its content."""
+        return bool(self._of_content(content))
+
+    def _of_content(self, content: str) -> list[str]:
+        return [
+            key
+            for key, suspect in self._suspects.items()
+            if suspect.fingerprint.content == content
+        ]
 
     def has_target(self, target: str) -> bool:
         """Whether a suspect has this hash of its path."""
@@ -68,25 +82,43 @@
 
     def ends(self, fingerprint: Fingerprint) -> tuple[str, ...]:
         """Returns the upstreams that ended with a request aboard."""
-        known = self._suspects.get(fingerprint.whole)
+        counted = map(self._ends, keys_of(fingerprint))
+        return max(counted, key=len)
+
+    def _ends(self, key: str) -> tuple[str, ...]:
+        known = self._suspects.get(key)
         return known.ends if known else ()
 
     def quarantined(self) -> list[Suspect]:
-        """Returns those that get no upstream."""
-        return [s for s in self._suspects.values() if s.is_quarantined]
+        """Returns those that get no upstream, each content once."""
+        by_content = {
+            suspect.fingerprint.content: suspect
+            for suspect in self._suspects.values()
+            if suspect.is_quarantined
+        }
+        return list(by_content.values())
 
     def note_end(self, upstream: str, aboard: Iterable[Fingerprint]) -> None:
         """Counts the end of an upstream with each request aboard, once."""
         for fingerprint in aboard:
-            ends = self.ends(fingerprint)
-            if upstream not in ends and len(ends) < ENDS_LEAST:
-                self._put(Suspect(fingerprint, (*ends, upstream)))
+            for key in keys_of(fingerprint):
+                ends = self._ends(key)
+                if upstream not in ends and len(ends) < ENDS_LEAST:
+                    self._put(Suspect(key, fingerprint, (*ends, upstream)))
         self._forget_oldest()
 
-    def forget(self, wholes: Iterable[str]) -> None:
-        """Forgets requests, by the hash of their whole."""
-        for whole in wholes:
-            known = self._suspects.pop(whole, None)
+    def clear(self, served: Iterable[Fingerprint]) -> None:
+        """Takes back what is held against requests that were answered."""
+        for fingerprint in served:
+            self._forget(keys_of(fingerprint))
+
+    def lift(self, content: str) -> None:
+        """Takes back what is held against a request of any caller."""
+        self._forget(self._of_content(content))
+
+    def _forget(self, keys: Iterable[str]) -> None:
+        for key in keys:
+            known = self._suspects.pop(key, None)
             if known is None:
                 continue
             target = known.fingerprint.target
@@ -95,13 +127,18 @@
                 del self._targets[target]
 
     def _put(self, suspect: Suspect) -> None:
-        whole = suspect.fingerprint.whole
-        self.forget([whole])
-        self._suspects[whole] = suspect
+        self._forget([suspect.key])
+        self._suspects[suspect.key] = suspect
         self._targets[suspect.fingerprint.target] += 1
 
     def _forget_oldest(self) -> None:
-        quarantined = [s.fingerprint.whole for s in self.quarantined()]
-        self.forget(quarantined[:-_QUARANTINED_MOST])
-        others = [w for w in self._suspects if w not in set(quarantined)]
-        self.forget(others[:-_SUSPECTS_MOST])
+        suspects = list(self._suspects.values())
+        quarantined = [s.key for s in suspects if s.is_quarantined]
+        others = [s.key for s in suspects if not s.is_quarantined]
+        self._forget(quarantined[:-_QUARANTINED_MOST])
+        self._forget(others[:-_SUSPECTS_MOST])
+
+
+def keys_of(fingerprint: Fingerprint) -> tuple[str, str]:
+    """Returns the hashes by which a request's ends are counted."""
+    return fingerprint.content, fingerprint.caller
--- a/src/ridgesill/ports/control_calls.py
+++ b/src/ridgesill/ports/control_calls.py
@@ -59,7 +59,7 @@
     """Has a request get upstreams again.
 
     Attributes:
-        request: the hash of the whole request, as the list names it.
+        request: the hash of its content, as the list names it.
     """
 
     request: str
--- a/testing/app/test_control_api.py
+++ b/testing/app/test_control_api.py
@@ -159,21 +159,21 @@
 
 class TestQuarantine:
     async def _hold(self, api: Api) -> str:
-        held = Fingerprint("target", "whole")
+        held = Fingerprint("target", "content", "caller")
         for number in range(3):
             noted = NoteUpstreamEnd(f"i-{number}", (held,))
             await api.node.control.propose(noted, 1.0)
-        return held.whole
+        return held.content
 
     async def test_operators_see_what_is_held_and_lift_it(
         self, api: Api
     ) -> None:
-        whole = await self._hold(api)
+        content = await self._hold(api)
         listed = await api.call(_LIST)
         assert msgspec.json.decode(listed.body) == [
-            {"request": whole, "ended": ["i-0", "i-1", "i-2"]}
+            {"request": content, "ended": ["i-0", "i-1", "i-2"]}
         ]
-        lifted = await api.call(_LIFT + whole.encode(), b"{}")
+        lifted = await api.call(_LIFT + content.encode(), b"{}")
         assert lifted.status == 200
         listed = await api.call(_LIST)
         assert msgspec.json.decode(listed.body) == []
--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -190,7 +190,7 @@
             await fronts.cut(fronts.first, number, HARMFUL)
         suspect = fronts.first.find_suspect(HARMFUL)
         assert suspect is not None
-        await fronts.log.propose(LiftQuarantine(suspect.whole), 1.0)
+        await fronts.log.propose(LiftQuarantine(suspect.content), 1.0)
         assert fronts.first.find_suspect(HARMFUL) is None
         assert fronts.second.find_suspect(HARMFUL) is None
 
--- a/testing/core/serving/test_fingerprints.py
+++ b/testing/core/serving/test_fingerprints.py
@@ -36,4 +36,4 @@
 
     def test_another_key_makes_another(self) -> None:
         taken = Fingerprints(b"key").take(IDENTITY)
-        assert Fingerprints(b"other").take(IDENTITY).whole != taken.whole
+        assert Fingerprints(b"other").take(IDENTITY).content != taken.content
--- a/testing/core/test_suspects.py
+++ b/testing/core/test_suspects.py
@@ -1,13 +1,14 @@
 """Tests of what is held against requests when upstreams end."""
 
+import attrs
 import pytest
 
 from ridgesill.core import suspects
 from ridgesill.core.serving.fingerprints import Fingerprint
 from ridgesill.core.suspects import Suspects
 
-HARMFUL = Fingerprint("t1", "w1")
-HARMLESS = Fingerprint("t1", "w2")
+HARMFUL = Fingerprint("t1", "w1", "w1-a")
+HARMLESS = Fingerprint("t1", "w2", "w2-a")
 
 
 def quarantined(known: Suspects) -> list[Fingerprint]:
@@ -34,17 +35,42 @@
         known = Suspects()
         for upstream in ("i-1", "i-2"):
             known.note_end(upstream, [HARMFUL, HARMLESS])
-        known.forget([HARMLESS.whole])
+        known.clear([HARMLESS])
         known.note_end("i-3", [HARMFUL, HARMLESS])
         assert quarantined(known) == [HARMFUL]
         assert known.ends(HARMLESS) == ("i-3",)
 
+    def test_a_caller_s_addresses_count_together(self) -> None:
+        known = Suspects()
+        for number in range(3):
+            elsewhere = attrs.evolve(HARMFUL, caller=f"w1-{number}")
+            known.note_end(f"i-{number}", [elsewhere])
+        assert len(known.ends(HARMFUL)) == 3
+
+    def test_an_answer_to_another_caller_clears_one_caller_s_no_more(
+        self,
+    ) -> None:
+        known = Suspects()
+        other = attrs.evolve(HARMFUL, caller="w1-b")
+        for upstream in ("i-1", "i-2", "i-3"):
+            known.note_end(upstream, [HARMFUL])
+            known.clear([other])
+        assert len(known.ends(HARMFUL)) == 3
+        assert not known.ends(other)
+
+    def test_a_lifted_one_counts_anew_for_all_callers(self) -> None:
+        known = Suspects()
+        for upstream in ("i-1", "i-2", "i-3"):
+            known.note_end(upstream, [HARMFUL])
+        known.lift(HARMFUL.content)
+        assert not known.ends(HARMFUL)
+
     def test_the_target_is_known_until_all_with_it_are_gone(self) -> None:
         known = Suspects()
         known.note_end("i-1", [HARMFUL, HARMLESS])
-        known.forget([HARMFUL.whole])
+        known.clear([HARMFUL])
         assert known.has_target("t1")
-        known.forget([HARMLESS.whole, HARMLESS.whole])
+        known.clear([HARMLESS, HARMLESS])
         assert not known.has_target("t1")
 
 
@@ -52,22 +78,28 @@
     def test_the_oldest_suspects_are_forgotten_first(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(suspects, "_SUSPECTS_MOST", 3)
+        monkeypatch.setattr(suspects, "_SUSPECTS_MOST", 4)
         known = Suspects()
         for upstream in ("i-1", "i-2", "i-3"):
             known.note_end(upstream, [HARMFUL])
-        many = [Fingerprint("t", f"m{number}") for number in range(9)]
+        many = [
+            Fingerprint("t", f"m{number}", f"m{number}-a")
+            for number in range(9)
+        ]
         known.note_end("i-4", many)
         assert quarantined(known) == [HARMFUL]
-        left = [suspect.fingerprint for suspect in known]
-        assert left == [HARMFUL, *many[-3:]]
+        left = {suspect.fingerprint for suspect in known}
+        assert left == {HARMFUL, *many[-2:]}
 
     def test_quarantines_are_bounded_too(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        monkeypatch.setattr(suspects, "_QUARANTINED_MOST", 2)
+        monkeypatch.setattr(suspects, "_QUARANTINED_MOST", 4)
         known = Suspects()
-        many = [Fingerprint("t", f"m{number}") for number in range(4)]
+        many = [
+            Fingerprint("t", f"m{number}", f"m{number}-a")
+            for number in range(4)
+        ]
         for upstream in ("i-1", "i-2", "i-3"):
             known.note_end(upstream, many)
         assert quarantined(known) == many[-2:]
