Have the soak check what upstreams ask for, and requests that end them

Each seed has a caller that repeats a harmful request and three that repeat harmless ones word for word, at any front; upstreams ask for rest, and say only in answers that they leave. Checked: sends of the harmful one once it is known, harmless ones held back, sends into rests and to upstreams that leave. What earlier seeds inject is unchanged: the new chances are drawn apart.

--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -86,12 +86,15 @@
         self.writer.write(data)
         await self.writer.drain()
 
-    async def begin_stream(self) -> None:
+    async def begin_stream(self, *headers: str) -> None:
         """Sends the head of a stream."""
-        await self.send(
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-            b"Content-Type: text/event-stream\r\n\r\n"
-        )
+        lines = [
+            "HTTP/1.1 200 OK",
+            "Transfer-Encoding: chunked",
+            "Content-Type: text/event-stream",
+            *headers,
+        ]
+        await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
 
     async def event(self, number: int) -> None:
         """Sends an event of a stream."""
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -16,7 +16,17 @@
 _RECOVERY_SECONDS = 12.0
 # For connections to end before the event loop does, in seconds.
 _CLOSE_SECONDS = 0.2
-_KINDS = ("lost", "doubled", "false_not_run", "reverted", "cut")
+_KINDS = (
+    "lost",
+    "doubled",
+    "false_not_run",
+    "reverted",
+    "cut",
+    "harmful",
+    "shut_out",
+    "rest",
+    "leaving",
+)
 
 
 def play(seed: int, seconds: float, controls: int, fronts: int) -> Verdict:
@@ -31,6 +41,7 @@
     world = SoakWorld(folder, seed, controls, fronts)
     try:
         await world.start()
+        world.repeat_some()
         faults = Faults(world)
         await faults.run(seconds)
         problem = await _recover(world)
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -4,7 +4,7 @@
 
 from testing.soak.clients import PROMISES, UNSAFE, Told
 from testing.soak.faults import Happened
-from testing.soak.upstreams import Arrival, Ledger
+from testing.soak.upstreams import Arrival, Heard, Ledger
 from testing.soak.world import SoakWorld
 
 _LEASE_SECONDS = 1.0
@@ -29,6 +29,18 @@
     return sum(arrival.at > known_at for arrival in arrivals)
 
 
+# An upstream that asked for rest gets no more than this many requests from a
+# front from half a second after it asked until the rest is over, and one that
+# leaves none that came to a front two seconds after it had passed that on (the
+# platform's bounds).
+_SENDS_INTO_REST = 2
+_REST_FROM_SECONDS = 0.5
+_DRAIN_SECONDS = 2.0
+_SENDS_WHEN_KNOWN = 3
+# A refusal for so long is one of a request in quarantine.
+_LONG_SECONDS = 600.0
+
+
 @attrs.define
 class Verdict:
     """What a seed showed.
@@ -61,6 +73,9 @@
     for line in world.reverted:
         verdict.note("reverted", line)
     _judge_orders(verdict, world)
+    _judge_quarantine(verdict, world)
+    for name, heard in world.ledger.heard.items():
+        _judge_words(verdict, world, name, heard)
     for upstream in world.upstreams:
         engine = getattr(upstream, "engine", None)
         if engine is not None and engine.fell:
@@ -97,6 +112,54 @@
     return bool(near) and not harmed
 
 
+def _judge_quarantine(verdict: Verdict, world: SoakWorld) -> None:
+    """Checks that a harmful request is held back, and nothing else is."""
+    for body, arrivals in world.ledger.harmful.items():
+        late = count_late_arrivals(arrivals)
+        if late > _SENDS_WHEN_KNOWN:
+            verdict.note("harmful", f"{body!r}: {late} sends once known")
+    for told in world.told:
+        is_harmful = told.request.startswith("harmful")
+        if told.after > _LONG_SECONDS and not is_harmful:
+            verdict.note("shut_out", f"{told.request} at {told.front}")
+
+
+def _judge_words(
+    verdict: Verdict, world: SoakWorld, upstream: str, heard: Heard
+) -> None:
+    """Checks that an upstream got nothing that it had said it didn't want."""
+    told = {t.request: t for t in world.told}
+    arrivals = [(told[r], at) for r, at in heard.arrivals if r in told]
+    for word in heard.words:
+        if word.request not in told:
+            continue
+        answered = told[word.request]
+        later = [
+            (sent, at)
+            for sent, at in arrivals
+            if sent.front == answered.front
+            and at > word.at
+            and not _was_disturbed(world, sent.front, word.at, at)
+        ]
+        first, last = word.at + _REST_FROM_SECONDS, word.at + word.rest
+        into = [sent for sent, at in later if first < at < last]
+        if len(into) > _SENDS_INTO_REST:
+            verdict.note("rest", f"{upstream}: {len(into)} from {word}")
+        if not word.leaves or not answered.ended:
+            continue
+        known_at = answered.ended + _DRAIN_SECONDS
+        after = [sent for sent, _ in later if sent.began > known_at]
+        if after:
+            verdict.note("leaving", f"{upstream}: {after[0].request}")
+
+
+def _was_disturbed(
+    world: SoakWorld, vm: str, since: float, until: float
+) -> bool:
+    times = world.disturbed.get(vm, [])
+    return any(since <= at <= until for at in times)
+
+
 def _judge_orders(verdict: Verdict, world: SoakWorld) -> None:
     for engine, orders in world.ledger.orders.items():
         for before, after in zip(orders, orders[1:], strict=False):
--- a/testing/soak/clients.py
+++ b/testing/soak/clients.py
@@ -25,6 +25,7 @@
         complete: whether the answer came whole.
         right: whether a success was the answer to this request.
         cut: whether the channel ended before the answer did.
+        after: seconds after which it may come back, if it was told.
     """
 
     request: str
@@ -36,6 +37,7 @@
     complete: bool = False
     right: bool = True
     cut: bool = False
+    after: float = 0.0
 
 
 class Caller:
@@ -107,6 +109,7 @@
             **headers,
         )
         told.status = answer.status
+        told.after = float(answer.headers.get("retry-after", 0.0))
         told.complete = answer.complete
         told.cut = not answer.complete
         if answer.status == 200:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults that are injected from outside, one after the other or at once."""
 
 import asyncio
+import random
 import resource
 import signal
 from collections.abc import Awaitable, Callable
@@ -20,6 +21,8 @@
 _CATCH_UP_SECONDS = 4.0
 # For how long it is waited for before the seed goes on to its checks, seconds.
 _CATCH_UP_MOST_SECONDS = 30.0
+# How long an upstream stays that says in its answers that it leaves, seconds.
+_LEAVING_SECONDS = 3.0
 # Bytes that a disk which is full still takes for one file.
 _FULL_BYTES = 64
 
@@ -75,6 +78,7 @@
         running: set[asyncio.Task[None]] = set()
         planned_only = self._rng.random() < 0.25
         supervising = asyncio.create_task(self._supervise())
+        saying = asyncio.create_task(self._have_upstreams_say())
         while self._loop.time() < until:
             kinds = [k for k in self._kinds if k[1] or not planned_only]
             work, planned = self._rng.choice(kinds)
@@ -85,6 +89,8 @@
         await asyncio.gather(*running)
         await asyncio.sleep(2 * _SUPERVISE_SECONDS)
         supervising.cancel()
+        saying.cancel()
+        await self._end_words()
 
     async def _supervise(self) -> None:
         """Starts processes that ended by themselves, as a platform does."""
@@ -95,6 +101,7 @@
                 if ended and vm.name not in self._busy:
                     self.exits.append(vm.name)
                     self._world.restart(vm)
+                    self._note_disturbed(vm)
 
     async def _inject(
         self, work: Callable[[], Awaitable[None]], *, planned: bool
@@ -112,8 +119,13 @@
             return None
         chosen = self._rng.choice(free)
         self._busy.add(chosen.name)
+        self._note_disturbed(chosen)
         return chosen
 
+    def _note_disturbed(self, vm: Vm) -> None:
+        times = self._world.disturbed.setdefault(vm.name, [])
+        times.append(self._loop.time())
+
     async def _wait(self, least: float, most: float) -> None:
         await asyncio.sleep(self._rng.uniform(least, most))
 
@@ -128,6 +140,7 @@
     async def _come_back(self, vm: Vm) -> None:
         await self._wait(0.1, 1.5)
         self._world.restart(vm)
+        self._note_disturbed(vm)
         self._busy.discard(vm.name)
 
     async def _pause(self) -> None:
@@ -138,6 +151,7 @@
         await self._wait(0.3, 2.5)
         vm.signal(signal.SIGCONT)
         self._world.paused_until[vm.name] = self._loop.time()
+        self._note_disturbed(vm)
         self._busy.discard(vm.name)
 
     async def _wipe(self) -> None:
@@ -185,6 +199,7 @@
             await asyncio.sleep(0.05)
         vm.kill()
         self._world.restart(vm)
+        self._note_disturbed(vm)
         self._busy.discard(vm.name)
 
     async def _reload(self) -> None:
@@ -243,6 +258,42 @@
         upstream.refusing = 0.0
         upstream.hanging = 0.0
 
+    async def _have_upstreams_say(self) -> None:
+        """Has upstreams ask for rest, or say only in answers that they leave.
+
+        Beside the other faults and by a chance of its own, so that these are
+        the same for a seed as without it.
+        """
+        rng = random.Random(f"words {self._world.seed}")
+        while True:
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            upstream = rng.choice(self._world.upstreams)
+            if upstream.name in self._busy or upstream.leaves:
+                continue
+            if rng.random() < 0.3:
+                await self._leave_by_answers(upstream)
+                continue
+            upstream.tired = rng.choice((0.3, 1.0))
+            upstream.rest = rng.uniform(0.8, 3.0)
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            upstream.tired = 0.0
+
+    async def _leave_by_answers(self, upstream: SoakUpstream) -> None:
+        """Has an upstream leave that says so in its answers alone."""
+        name = upstream.name
+        upstream.leaves = True
+        await asyncio.sleep(_LEAVING_SECONDS)
+        if upstream.name == name:
+            upstream.crash()
+            await upstream.restart()
+
+    async def _end_words(self) -> None:
+        for upstream in self._world.upstreams:
+            upstream.tired = 0.0
+            if upstream.leaves:
+                upstream.crash()
+                await upstream.restart()
+
     async def _leave(self) -> None:
         """Has an upstream leave as planned, and another one come."""
         upstream = self._upstream()
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -10,7 +10,7 @@
 from testing.soak.clients import Told
 from testing.soak.faults import Happened
 from testing.soak.proxy import FaultyProxy, Mode
-from testing.soak.upstreams import Ledger
+from testing.soak.upstreams import Arrival, Heard, Ledger, Word
 
 _SHORT = [(1, 5.0, 3, 2), (2, 5.0, 3, 2)]
 _REGRESSIONS = Path(__file__).with_name("regressions.txt")
@@ -44,6 +44,7 @@
         self.upstreams: list[object] = []
         self.controls: list[object] = []
         self.paused_until: dict[str, float] = {}
+        self.disturbed: dict[str, list[float]] = {}
 
     def judge(self, *happened: Happened) -> Verdict:
         """Returns the verdict."""
@@ -80,11 +81,44 @@
         world.ledger.orders["i-1"] = [("a:1", 4, 1.0), ("b:1", 3, 9.0)]
         assert world.judge().count("fencing") == 1
 
+    def test_a_harmful_request_that_is_sent_on_is_found(self) -> None:
+        world = JudgedWorld()
+        ends = [Arrival(at, f"i-{at}", True) for at in (1.0, 2.0, 3.0)]
+        late = [Arrival(at, "i-9", True) for at in (6.1, 6.2, 6.3, 6.4)]
+        world.ledger.harmful[b"x"] = [*ends, Arrival(5.9, "i-8", True), *late]
+        assert world.judge().count("harmful") == 1
+        world.ledger.harmful[b"x"].pop()
+        assert not world.judge().count("harmful")
+
+    def test_a_harmless_request_that_is_held_back_is_found(self) -> None:
+        told = Told("harmless-1", "safe", "f", 0.0, 0.1, 503, after=3600.0)
+        assert JudgedWorld(told).judge().count("shut_out") == 1
+
+    def test_sends_into_a_rest_are_found(self) -> None:
+        told = [Told(f"r{n}", "safe", "f", n, n + 0.1) for n in range(5)]
+        world = JudgedWorld(*told)
+        heard = world.ledger.heard["i-1"] = Heard()
+        heard.words.append(Word("r0", 0.0, rest=4.0))
+        heard.arrivals += [(f"r{n}", float(n)) for n in (1, 2, 3)]
+        assert world.judge().count("rest") == 1
+        world.disturbed["f"] = [0.5]
+        assert not world.judge().count("rest")
+
+    def test_sends_to_one_that_leaves_are_found(self) -> None:
+        told = [Told(f"r{n}", "safe", "f", n, n + 0.1) for n in range(4)]
+        world = JudgedWorld(*told)
+        heard = world.ledger.heard["i-1"] = Heard()
+        heard.words.append(Word("r0", 0.0, leaves=True))
+        heard.arrivals.append(("r2", 2.0))
+        assert not world.judge().count("leaving")
+        heard.arrivals.append(("r3", 3.0))
+        assert world.judge().count("leaving") == 1
+
     def test_the_line_names_every_total(self) -> None:
         verdict = Verdict(3, 10, {"doubled": ["r1", "r2"]})
         assert summarize([verdict, Verdict(4, 5)]) == (
             "soak: seeds=2 requests=15 lost=0 doubled=2 false_not_run=0"
-            " reverted=0 cut=0 open=1"
+            " reverted=0 cut=0 harmful=0 shut_out=0 rest=0 leaving=0 open=1"
         )
 
 
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -37,6 +37,34 @@
     ended: bool
 
 
+@attrs.frozen
+class Word:
+    """What an upstream said of itself in an answer.
+
+    Attributes:
+        request: that it answered.
+        rest: seconds for which it wants nothing from that front.
+        leaves: whether it said that it leaves.
+    """
+
+    request: str
+    at: float
+    rest: float = 0.0
+    leaves: bool = False
+
+
+@attrs.define
+class Heard:
+    """What one start of an upstream got and said.
+
+    Attributes:
+        arrivals: when each request came, by its id.
+    """
+
+    arrivals: list[tuple[str, float]] = attrs.Factory(list)
+    words: list[Word] = attrs.Factory(list)
+
+
 @attrs.define
 class Ledger:
     """What all upstreams have run, and in whose name they were ordered.
@@ -45,11 +73,13 @@
         runs: how often each request was run, by its id.
         orders: holder, fencing token and time of each order, by engine.
         harmful: arrivals of each harmful request, by its body.
+        heard: what each start of an upstream got and said, by its name.
     """
 
     runs: dict[str, int] = attrs.Factory(dict)
     orders: dict[str, list[tuple[str, int, float]]] = attrs.Factory(dict)
     harmful: dict[bytes, list[Arrival]] = attrs.Factory(dict)
+    heard: dict[str, Heard] = attrs.Factory(dict)
 
     def note_run(self, request: str) -> None:
         """Counts a run."""
@@ -76,9 +106,15 @@
         self.service = service
         self.refusing = 0.0
         self.hanging = 0.0
+        # Share of requests that it turns away, asking for so many seconds.
+        self.tired = 0.0
+        self.rest = 0.0
         self._ledger = ledger
         self._controls = list(controls)
         self._rng = rng
+        # For what came later than the seeds that are kept, which must not
+        # change what they play.
+        self._later_rng = random.Random(f"{service} {controls}")
         self._tasks: list[asyncio.Task[None]] = []
         self._returning: asyncio.Task[None] | None = None
         self._begin()
@@ -86,6 +122,8 @@
     def _begin(self) -> None:
         self.name = f"i-{next(_incarnations)}"
         self.state = "ready"
+        # Whether it says in its answers that it leaves.
+        self.leaves = False
         self._sequence = 0
         self._served = ScriptedUpstream(self.name, self._serve)
 
@@ -113,7 +151,7 @@
     def _end_for_a_while(self) -> None:
         """Ends it, and has it back at the same address after a while."""
         self.crash()
-        seconds = self._rng.uniform(*_AWAY_SECONDS)
+        seconds = self._later_rng.uniform(*_AWAY_SECONDS)
         self._returning = asyncio.create_task(self._return(seconds))
 
     async def _return(self, seconds: float) -> None:
@@ -167,6 +205,8 @@
             await made.answer(421, b"", _NOT_RUN)
         elif self._is_ended_by(made):
             self._end_for_a_while()
+        elif await self._turns_away(made):
+            pass
         elif self._rng.random() < self.refusing:
             await made.answer(503, b"", _NOT_RUN)
         else:
@@ -178,7 +218,30 @@
         if self._rng.random() < self.hanging:
             await asyncio.sleep(3.0)
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
-        await made.answer(200, request.encode(), f"Server-Stamp: {self.name}")
+        stamp = f"Server-Stamp: {self.name}"
+        await made.answer(
+            200, request.encode(), stamp, *self._say_leaving(made)
+        )
+
+    async def _turns_away(self, made: Call) -> bool:
+        """Notes a request; asks for rest if it is one too many."""
+        now = asyncio.get_running_loop().time()
+        request = made.header("request-id")
+        heard = self._ledger.heard.setdefault(self.name, Heard())
+        heard.arrivals.append((request, now))
+        if self._later_rng.random() >= self.tired:
+            return False
+        heard.words.append(Word(request, now, rest=self.rest))
+        await made.answer(503, b"", _NOT_RUN, f"Retry-After: {self.rest:.2f}")
+        return True
+
+    def _say_leaving(self, made: Call) -> tuple[str, ...]:
+        if not self.leaves:
+            return ()
+        now = asyncio.get_running_loop().time()
+        word = Word(made.header("request-id"), now, leaves=True)
+        self._ledger.heard.setdefault(self.name, Heard()).words.append(word)
+        return ("Server-Leaving: 1",)
 
 
 class SoakEngine(SoakUpstream):
@@ -202,7 +265,7 @@
             await made.answer(200, msgspec.json.encode(said))
         elif self._is_ended_by(made):
             self._end_for_a_while()
-        else:
+        elif not await self._turns_away(made):
             await self._stream(made)
 
     async def _take_order(self, made: Call) -> None:
@@ -225,7 +288,7 @@
         self._ledger.note_run(request)
         self.engine.used.add(adapter)
         try:
-            await made.begin_stream()
+            await made.begin_stream(*self._say_leaving(made))
             for number in range(1, _EVENTS + 1):
                 await asyncio.sleep(0.02)
                 await made.event(number)
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -9,9 +9,17 @@
 import msgspec
 
 from testing.platform_world import PlatformDeployment, Vm, call
-from testing.soak.clients import Caller, RepeatingCaller, Told
+from testing.soak.clients import (
+    SAFE,
+    STREAM,
+    UNSAFE,
+    Caller,
+    RepeatingCaller,
+    Told,
+)
 from testing.soak.proxy import FaultyProxy
 from testing.soak.upstreams import (
+    HARMFUL,
     MODELS,
     PLACES,
     Ledger,
@@ -69,6 +77,7 @@
         self, folder: Path, seed: int, controls: int = 3, fronts: int = 3
     ) -> None:
         super().__init__(folder, controls, fronts)
+        self.seed = seed
         self.rng = random.Random(seed)
         self.ledger = Ledger()
         self.told: list[Told] = []
@@ -76,6 +85,9 @@
         self.sent = 0
         self.reverted: list[str] = []
         self.paused_until: dict[str, float] = {}
+        # When each VM was disturbed, and was back.
+        self.disturbed: dict[str, list[float]] = {}
+        self._repeat_rng = random.Random(f"repeat {seed}")
         addresses = [self.control_address(vm) for vm in self.controls]
         self.upstreams = [
             kind(
@@ -119,6 +131,14 @@
         ]
         self._tasks.append(asyncio.create_task(self._operate()))
 
+    def repeat_some(self) -> None:
+        """Has a harmful request and harmless ones repeated word for word."""
+        kinds = (SAFE, UNSAFE, STREAM)
+        harmful = self._repeat_rng.choice(kinds)
+        self.repeat("harmful", harmful, HARMFUL + b" one")
+        for kind in kinds:
+            self.repeat(f"harmless-{kind}", kind, b"the same again")
+
     def _caller(self, vm: Vm, number: int) -> Caller:
         front = (vm.name, f"{vm.ip}:{self._ports[0]}")
         rng = random.Random(self.rng.random())
@@ -127,7 +147,7 @@
     def repeat(self, name: str, kind: str, body: bytes) -> None:
         """Has a caller send one request again and again, at any front."""
         fronts = [(vm.name, f"{vm.ip}:{self._ports[0]}") for vm in self.fronts]
-        rng = random.Random(self.rng.random())
+        rng = random.Random(self._repeat_rng.random())
         caller = RepeatingCaller(name, fronts, kind, body, rng, self.told)
         self._tasks.append(asyncio.create_task(caller.run()))
 
