--- a/testing/app/test_fleet_owner.py
+++ b/testing/app/test_fleet_owner.py
@@ -7,12 +7,14 @@
 import pytest
 
 from ridgesill.app.fleet_owner import last_owner
+from ridgesill.core.commands import Node
 from ridgesill.core.fleet.messages import (
     Heartbeat,
     Upstream,
     WantArtifact,
     WatchFleet,
 )
+from ridgesill.core.following import Beat
 from ridgesill.core.serving.routes import (
     EngineSpec,
     Model,
@@ -175,3 +177,47 @@
         assert news.epoch == 0
         answer = await owning.owner.handle_want(WantArtifact("s", "m/a1", 0))
         assert (answer.upstream, answer.reason) == ("", "not_owner")
+
+
+class TestSuspension:
+    """The boot clock goes on while a VM is suspended, the steady one stands.
+
+    All timers of the loop are then due at once, and everybody seems to have
+    been silent for as long, before a word that waits in a socket is read.
+    """
+
+    async def _suspend(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        clock = loop.time
+        loop.time = lambda: clock() + seconds  # type: ignore[method-assign]
+        await asyncio.sleep(0.25)
+
+    async def test_nobody_was_silent_while_this_vm_was_suspended(self) -> None:
+        owning = LoneNode(storage_of(""))
+        owning.owner.note_table(engine_table())
+        await owning.start()
+        owning.owner.take_heartbeat(engine_heartbeat())
+        await self._suspend(6.0)
+        registry = owning.owner._registry
+        assert registry is not None
+        assert "e1" in registry.upstreams
+        # Whoever is gone still is, a few heartbeats later.
+        await asyncio.sleep(6.0)
+        assert "e1" not in registry.upstreams
+        owning.stop()
+
+    async def test_no_node_is_removed_for_it(self) -> None:
+        owning = LoneNode(storage_of(""))
+        control = owning.control
+        leading = asyncio.create_task(control.lead())
+        await owning.start()
+        front = Node("10.0.0.9:70", "1", "10.0.0.9:70", "a")
+        beat = Beat(front, 0, 0, False, ())
+        for _ in range(6):
+            control._membership.hear(beat, asyncio.get_running_loop().time())
+            await asyncio.sleep(1.0)
+        assert front.name in control.state.nodes
+        await self._suspend(6.0)
+        assert front.name in control.state.nodes
+        leading.cancel()
+        owning.stop()
