Have a leader that was suspended hear its nodes before it removes any

All timers are due at once after a suspension, and everybody seems to have been silent for as long. The leader's first turn came before it read what nodes had sent: it proposed to remove all of them. A pause of its loop of over a second now begins the time in which silence means nothing anew, as at a new leader. Ruled out: the fleet's owner, which steps down first and takes its upstreams over again.

--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -41,6 +41,8 @@
 _PROPOSE_TIMEOUT = 2.0
 _RETRY = 0.1
 _LEAD_TICK = 0.25
+# A pause of this loop from which this VM was suspended, or as good as that.
+_SUSPENDED_SECONDS = 1.0
 _ENTRIES_MOST = 256
 # Least time from a follower's question to its answer, in seconds: what is
 # committed meanwhile is told at once. While 200 nodes joined, each of them was
@@ -358,7 +360,14 @@
     async def lead(self) -> None:
         """Proposes what the live nodes call for, while this node leads."""
         while True:
+            slept_from = self._loop.time()
             await asyncio.sleep(_LEAD_TICK)
+            now = self._loop.time()
+            if now - slept_from > _LEAD_TICK + _SUSPENDED_SECONDS:
+                # Nobody could be heard meanwhile; without this a leader would
+                # remove all nodes before it reads what they have sent.
+                log_message("log:suspended", seconds=round(now - slept_from, 3))
+                self._membership.begin_anew(now)
             if self.is_leader and self.driver:
                 self.is_fresh()
                 await self._lead_once(self.driver)
--- a/src/ridgesill/core/membership.py
+++ b/src/ridgesill/core/membership.py
@@ -76,6 +76,10 @@
                 self.hear(known.beat, max(known.at, now - age))
         return tuple(unknown)
 
+    def begin_anew(self, now: float) -> None:
+        """Takes silence until now for nothing."""
+        self._since = now
+
     def heard(self, now: float) -> tuple[HeardBeat, ...]:
         """Returns the recent beats, to be passed on to the leader."""
         return tuple(
