Have the owner hear of rests, and of departures in answers to orders

An upstream that rests for most fronts looked idle to the owner, which loaded there what few could use; answers to orders and reports said that an engine leaves, and nobody read it; what only a leaving engine held was loaded at its next request alone, which waits 0.27 s for it.

Fronts tell with each report which upstreams want nothing from them; one that rests for half of them is passed over like a full one.

--- a/src/ridgesill/app/engine_loads.py
+++ b/src/ridgesill/app/engine_loads.py
@@ -46,6 +46,7 @@
         tell: called with an engine whose holdings have changed.
         orders_from: returns from when orders are allowed.
         fronts: returns how many fronts there are.
+        rests: whether an engine wants no requests from most fronts.
     """
 
     engines: Callable[[str], list[Engine]]
@@ -56,6 +57,7 @@
     tell: Callable[[Engine], None]
     orders_from: Callable[[], float]
     fronts: Callable[[], int] = lambda: 1
+    rests: Callable[[str], bool] = lambda _engine: False
 
 
 class EngineLoads:
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -28,7 +28,7 @@
     SentOrders,
 )
 from ridgesill.ports.dialect import EngineCalls
-from ridgesill.ports.http import ChannelError, HttpRequest
+from ridgesill.ports.http import ChannelError, HttpRequest, ResponseHead
 from ridgesill.ports.telemetry import KeptTelemetry, Telemetry
 
 # Within which an engine answers an order, in seconds, unless the answer is
@@ -114,6 +114,7 @@
         deliver: has an order delivered.
         hear_later_start: called with an engine and the report of a later start
             under its name.
+        hear_leaving: called with an engine that says that it leaves.
     """
 
     def __init__(
@@ -125,12 +126,14 @@
         hear_later_start: Callable[[Engine, EngineReport], None] = (
             lambda _engine, _report: None
         ),
+        hear_leaving: Callable[[Engine], None] = lambda _engine: None,
     ) -> None:
         self._channels = channels
         self._calls = calls
         self._authority = authority
         self._deliver = deliver
         self._hear_later_start = hear_later_start
+        self._hear_leaving = hear_leaving
         self.telemetry: Telemetry = KeptTelemetry()
         self._sent = SentOrders()
         self._locks: dict[str, asyncio.Lock] = {}
@@ -308,6 +311,8 @@
             detail=answer.detail,
             seconds=round(self._loop.time() - began, 4),
         )
+        if answer.leaves:
+            self._hear_leaving(engine)
         return verdict
 
     def _read(self, answer: OrderAnswer) -> OrderVerdict | None:
@@ -317,11 +322,11 @@
 
     async def _exchange(
         self, address: str, request: HttpRequest
-    ) -> tuple[int, bytes]:
+    ) -> tuple[ResponseHead, bytes]:
         exchange = await self._channels.send(address, request)
         try:
             head = await exchange.read_head()
-            return head.status, await exchange.read_rest()
+            return head, await exchange.read_rest()
         finally:
             exchange.cancel()
 
@@ -360,9 +365,11 @@
         request = self._calls.ask_report(engine.name, engine.address)
         try:
             async with asyncio.timeout(ORDER_SECONDS):
-                status, body = await self._exchange(engine.address, request)
-            if status != 200:
-                raise ValueError(f"status {status}")
+                head, body = await self._exchange(engine.address, request)
+            if self._calls.is_leaving(head):
+                self._hear_leaving(engine)
+            if head.status != 200:
+                raise ValueError(f"status {head.status}")
             report = self._calls.read_report(body)
         except (ChannelError, TimeoutError, ValueError) as error:
             log_message(
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -142,6 +142,7 @@
             usage.busy,
             usage.fronts,
             usage.age,
+            usage.resting,
         )
         try:
             news: FleetNews = await self._peers.call(
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -173,8 +173,14 @@
                 await asyncio.sleep(_RETRY_SECONDS)
 
     def _engines_in_use(self, service: str) -> list[Engine]:
-        """Returns the engines of a service but for those that fail."""
+        """Returns the engines of a service that take requests and don't fail.
+
+        One that rests for most fronts is full: what is loaded there serves
+        few, and not soon. Where all of them rest, none is better.
+        """
         engines = self._view.engines(service)
+        awake = [e for e in engines if not self._view.rests(e.name)]
+        engines = awake or engines
         names = [engine.name for engine in engines]
         fronts = self._view.fronts()
         out = self._health.find_out(names, fronts, self._loop.time())
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -139,6 +139,7 @@
             self._authority,
             self._leases.deliver,
             self._hear_later_start,
+            self._hear_leaving,
         )
         self._news = ChangeSignal()
         self._engines = FleetEngines(
@@ -162,6 +163,7 @@
                 self._engines.tell_resident,
                 self._usable_from,
                 self._count_fronts,
+                self._usage.rests_for_most,
             ),
             self._backlogs,
             self._health,
@@ -170,6 +172,10 @@
     def _hear_later_start(self, engine: Engine, report: EngineReport) -> None:
         self._engines.hear_later_start(engine, report)
 
+    def _hear_leaving(self, engine: Engine) -> None:
+        if not engine.draining:
+            self.take_leave(HeardLeave(engine.instance, engine.start))
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._loads.engine_loads.spawn(work)
 
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -100,8 +100,12 @@
         self.front.chooser.note_news(self._loop.time())
 
     def _usage(self) -> UsageReport:
+        chooser = self.front.chooser
+        resting = chooser.unavailable.resting(self._loop.time())
         return UsageReport(
-            self.front.take_used(), self.front.chooser.tell_busy()
+            self.front.take_used(),
+            chooser.tell_busy(),
+            resting=dict.fromkeys(resting, 1),
         )
 
     def _relay_address(self) -> str:
--- a/src/ridgesill/app/news_relay.py
+++ b/src/ridgesill/app/news_relay.py
@@ -46,6 +46,7 @@
         question.busy,
         question.fronts if question.is_front else 0,
         question.reported_ago,
+        question.resting,
     )
 
 
--- a/src/ridgesill/app/order_holder.py
+++ b/src/ridgesill/app/order_holder.py
@@ -95,4 +95,5 @@
     except TimeoutError:
         return OrderAnswer(Delivery.NO_ANSWER, "no answer in time")
     detail = body[:_DETAIL_MOST].decode("latin-1")
-    return OrderAnswer(Delivery.ANSWERED, detail, head.status)
+    leaves = calls.is_leaving(head)
+    return OrderAnswer(Delivery.ANSWERED, detail, head.status, leaves)
--- a/src/ridgesill/core/fleet/copies.py
+++ b/src/ridgesill/core/fleet/copies.py
@@ -55,8 +55,8 @@
             return
         if not is_adapter(artifact):
             continue
-        choice = None
-        if value >= _LOCAL_SHARE * total:
+        choice = _choose_successor(survey, artifact)
+        if choice is None and value >= _LOCAL_SHARE * total:
             choice = _choose_elsewhere(survey, artifact)
         if choice is None:
             choice = _choose_idler(survey, artifact)
@@ -67,6 +67,18 @@
             yield artifact, choice
 
 
+def _choose_successor(survey: Survey, artifact: str) -> Choice | None:
+    """Returns an engine for what only engines hold that leave.
+
+    The next request for it would wait for the load.
+    """
+    holders = [e for e in survey.engines if artifact in e.held]
+    is_coming = any(artifact in e.loading for e in survey.engines)
+    if is_coming or not holders or not all(e.draining for e in holders):
+        return None
+    return survey.choose(artifact, loading_most=_LOADING_MOST)
+
+
 def _choose_elsewhere(survey: Survey, artifact: str) -> Choice | None:
     """Returns an engine in a data centre without the adapter."""
     served = {
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -129,6 +129,7 @@
         busy: requests in progress from these fronts, by upstream and artifact.
         fronts: how many fronts it speaks for.
         reported_ago: seconds since each of them has reported.
+        resting: at how many of them an upstream wants no requests.
     """
 
     epoch: int
@@ -139,6 +140,7 @@
     busy: dict[str, dict[str, int]] = attrs.Factory(dict)
     fronts: int = 1
     reported_ago: float = 0.0
+    resting: dict[str, int] = attrs.Factory(dict)
 
 
 @register
--- a/src/ridgesill/core/fleet/orders.py
+++ b/src/ridgesill/core/fleet/orders.py
@@ -98,11 +98,13 @@
     Attributes:
         detail: the start of the engine's answer, or why there is none.
         status: of that answer.
+        leaves: whether the engine says in it that it leaves.
     """
 
     delivery: Delivery
     detail: str
     status: int = 0
+    leaves: bool = False
 
 
 @attrs.frozen
--- a/src/ridgesill/core/fleet/usage.py
+++ b/src/ridgesill/core/fleet/usage.py
@@ -1,5 +1,7 @@
 """What fronts say they are using, added up."""
 
+import collections
+
 import attrs
 
 # After this long without word a front counts as gone, in seconds; it asks at
@@ -16,12 +18,14 @@
         busy: requests in progress by upstream and artifact.
         fronts: how many it speaks for.
         age: seconds since each of them has reported.
+        resting: at how many of them an upstream wants no requests.
     """
 
     used: dict[str, int] = attrs.Factory(dict)
     busy: dict[str, dict[str, int]] = attrs.Factory(dict)
     fronts: int = 1
     age: float = 0.0
+    resting: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -30,6 +34,7 @@
     reported_at: float
     fronts: int
     busy: dict[str, dict[str, int]]
+    resting: dict[str, int]
 
 
 class Usage:
@@ -45,6 +50,7 @@
         self._reporters: dict[str, _Reporter] = {}
         self._sums: dict[str, dict[str, int]] = {}
         self._totals: dict[str, int] = {}
+        self._resting: collections.Counter[str] = collections.Counter()
 
     @property
     def reporters(self) -> int:
@@ -58,9 +64,10 @@
             return
         reported_at = now - report.age
         self._reporters[reporter] = _Reporter(
-            now, reported_at, report.fronts, report.busy
+            now, reported_at, report.fronts, report.busy, report.resting
         )
         self.fronts += report.fronts
+        self._resting.update(report.resting)
         for name, using in report.busy.items():
             sums = self._sums.setdefault(name, {})
             for artifact, count in using.items():
@@ -73,6 +80,7 @@
         if known is None:
             return
         self.fronts -= known.fronts
+        self._resting.subtract(known.resting)
         for name, using in known.busy.items():
             sums = self._sums[name]
             for artifact, count in using.items():
@@ -102,6 +110,15 @@
         """Returns the artifacts in use on an upstream."""
         return set(self._sums.get(upstream, ()))
 
+    def resting(self) -> dict[str, int]:
+        """Returns at how many fronts each upstream wants no requests."""
+        return dict(+self._resting)
+
+    def rests_for_most(self, upstream: str) -> bool:
+        """Whether an upstream wants no requests from half of the fronts."""
+        resting = self._resting[upstream]
+        return resting > 0 and 2 * resting >= self.fronts
+
     def sum_up(self, used: dict[str, int], now: float) -> UsageReport:
         """Returns one report for all fronts.
 
@@ -111,4 +128,10 @@
         """
         ages = (now - r.reported_at for r in self._reporters.values())
         busy = {name: dict(using) for name, using in self._sums.items()}
-        return UsageReport(used, busy, self.fronts, max(ages, default=0.0))
+        return UsageReport(
+            used,
+            busy,
+            self.fronts,
+            max(ages, default=0.0),
+            self.resting(),
+        )
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -2,7 +2,7 @@
 
 import re
 
-from ridgesill.platform.upstreams import read_instance
+from ridgesill.platform.upstreams import is_leaving, read_instance
 from ridgesill.ports.dialect import (
     NORMAL_PRIORITY,
     ForwardTerms,
@@ -32,8 +32,6 @@
 _PRIORITY = b"request-priority"
 _NOT_RUN = b"not-run"
 _RETRY_AFTER = b"retry-after"
-# An upstream that leaves says so in all its answers.
-_LEAVING = b"server-leaving"
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 # Seconds, whole or with a fraction; dates and signs are not on the pages.
@@ -129,7 +127,7 @@
 
     def read_word(self, head: ResponseHead) -> UpstreamWord:
         """Returns what an upstream says of itself beside its answer."""
-        leaves = find_header(head.headers, _LEAVING).strip() not in ("", "0")
+        leaves = is_leaving(head)
         asked = ""
         if head.status == _UNAVAILABLE:
             asked = find_header(head.headers, _RETRY_AFTER).strip()
--- a/src/ridgesill/platform/upstreams.py
+++ b/src/ridgesill/platform/upstreams.py
@@ -18,8 +18,10 @@
     FleetOrder,
     OrderVerdict,
 )
-from ridgesill.ports.http import HttpRequest
+from ridgesill.ports.http import HttpRequest, ResponseHead, find_header
 
+# An upstream that leaves says so in all its answers.
+_LEAVING = b"server-leaving"
 _ORDER_PATH = b"/ridgesill/order"
 _REPORT_PATH = b"/ridgesill/report"
 _VERDICTS = {
@@ -193,6 +195,11 @@
     return name, int(version or 1)
 
 
+def is_leaving(head: ResponseHead) -> bool:
+    """Whether an upstream says in any answer that it leaves."""
+    return find_header(head.headers, _LEAVING).strip() not in ("", "0")
+
+
 class PlatformEngines:
     """Implements `ports.dialect.EngineCalls`."""
 
@@ -213,6 +220,10 @@
         """Returns what an answer says of an order."""
         return _VERDICTS.get(status, OrderVerdict.REFUSED)
 
+    def is_leaving(self, head: ResponseHead) -> bool:
+        """Whether an engine says in an answer that it leaves."""
+        return is_leaving(head)
+
     def ask_report(self, upstream: str, address: str) -> HttpRequest:
         """Returns the call that asks an engine for its report."""
         return _call(b"GET", _REPORT_PATH, upstream, address, None)
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -118,6 +118,9 @@
     def read_verdict(self, status: int) -> OrderVerdict:
         """Returns what an answer says of an order."""
 
+    def is_leaving(self, head: ResponseHead) -> bool:
+        """Whether an engine says in an answer that it leaves."""
+
     def ask_report(self, upstream: str, address: str) -> HttpRequest:
         """Returns the call that asks an engine for its report."""
 
--- a/src/ridgesill/standin/emulator/messages.py
+++ b/src/ridgesill/standin/emulator/messages.py
@@ -102,6 +102,10 @@
         """Returns what an answer says of an order."""
         return _VERDICTS[status]
 
+    def is_leaving(self, head: ResponseHead) -> bool:
+        """Whether an engine says that it leaves: none does."""
+        return False
+
     def ask_report(self, upstream: str, address: str) -> HttpRequest:
         """Returns the call that asks an engine for its report."""
         return HttpRequest(b"GET", _REPORT, ())
--- a/testing/app/test_fleet_owner.py
+++ b/testing/app/test_fleet_owner.py
@@ -179,6 +179,26 @@
         assert (answer.upstream, answer.reason) == ("", "not_owner")
 
 
+class TestLeaving:
+    async def test_heartbeats_that_say_ready_bring_no_engine_back(
+        self,
+    ) -> None:
+        owning = LoneNode(storage_of(""))
+        owner = owning.owner
+        owner.note_table(engine_table())
+        await owning.start()
+        owner.take_heartbeat(engine_heartbeat())
+        engine = owner._placement.engines["e1"]
+        owner._hear_leaving(engine)
+        assert engine.draining
+        owner.take_heartbeat(attrs.evolve(engine_heartbeat(), sequence=2))
+        assert engine.draining
+        news = await owner.handle_watch("f1", WatchFleet(0, 0, 0.0))
+        records = [c.record for c in news.changes if c.record is not None]
+        assert [record.state for record in records] == ["draining"]
+        owning.stop()
+
+
 class TestSuspension:
     """The boot clock goes on while a VM is suspended, the steady one stands.
 
--- a/testing/app/test_upstream_words.py
+++ b/testing/app/test_upstream_words.py
@@ -13,6 +13,7 @@
 import attrs
 import pytest
 
+from ridgesill.app.order_holder import deliver_order
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
@@ -20,6 +21,8 @@
     UpstreamChange,
     WantArtifact,
 )
+from ridgesill.core.fleet.orders import Action, FleetOrder
+from ridgesill.platform.upstreams import PlatformEngines
 from testing.app.front_world import Call, FrontWorld, Script
 
 ADAPTER = "base/a1"
@@ -204,3 +207,22 @@
         await client.ask("/unsafe/x", b"b")
         await world.add("u1-again", answer_ok)
         assert (await client.ask("/unsafe/x", b"b")).status == 200
+
+
+class TestOrders:
+    @pytest.mark.parametrize("status", [202, 409])
+    async def test_an_answer_to_an_order_says_it_as_well(
+        self, world: FrontWorld, status: int
+    ) -> None:
+        async def leave(call: Call) -> None:
+            await call.answer(status, b"{}", LEAVES)
+
+        engine = await world.add("e1", leave, "engine")
+        order = FleetOrder(
+            Action.LOAD, "e1", engine.address, ADAPTER, 1, "vm", 7, 0
+        )
+        answer = await deliver_order(
+            world.front.channels, PlatformEngines(), order
+        )
+        assert answer.leaves
+        assert answer.status == status
--- a/testing/core/fleet/test_copies.py
+++ b/testing/core/fleet/test_copies.py
@@ -44,6 +44,14 @@
         world.backlog = {"e0": 0.6, "e1": 0.0}
         assert world.copies() == [(HOT, "e1")]
 
+    def test_what_only_a_leaving_engine_holds_is_brought_elsewhere(
+        self,
+    ) -> None:
+        world = CopyWorld()
+        assert world.copies() == []
+        world.holder.draining = True
+        assert world.copies() == [(HOT, "e1")]
+
     def test_long_answers_in_progress_are_none(self) -> None:
         # A third of the batch makes tokens for seconds; nobody waits.
         world = CopyWorld()
--- a/testing/core/fleet/test_usage.py
+++ b/testing/core/fleet/test_usage.py
@@ -80,3 +80,18 @@
     def test_without_fronts_there_is_nothing_to_say(self) -> None:
         summed = Usage().sum_up({}, 1.5)
         assert (summed.fronts, summed.busy, summed.age) == (0, {}, 0.0)
+
+
+class TestRests:
+    def test_an_upstream_that_most_fronts_must_leave_alone_shows(self) -> None:
+        usage = Usage()
+        for front in ("f1", "f2", "f3"):
+            usage.note(front, UsageReport(), 0.0)
+        usage.note("f1", UsageReport(resting={"e1": 1}), 0.0)
+        assert not usage.rests_for_most("e1")
+        usage.note("f2", UsageReport(resting={"e1": 1}), 0.0)
+        assert usage.rests_for_most("e1")
+        assert usage.sum_up({}, 0.0).resting == {"e1": 2}
+        usage.note("f1", UsageReport(), 0.1)
+        assert not usage.rests_for_most("e1")
+        assert not usage.rests_for_most("e2")
