--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -19,7 +19,7 @@
 )
 from ridgesill.core.fleet.messages import HeardLeave, Upstream
 from ridgesill.core.serving.events import EventSplitter
-from ridgesill.core.serving.fingerprints import Identity
+from ridgesill.core.serving.fingerprints import Fingerprint, Identity
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
     ForwardTerms,
@@ -454,10 +454,17 @@
             request.body,
         )
 
+    def _find_suspect(self) -> Fingerprint | None:
+        """Returns this request's fingerprint if anything is held against it."""
+        quarantine = self._front.quarantine
+        if not quarantine.has_suspects():
+            return None
+        return quarantine.find_suspect(self._identity)
+
     def _is_quarantined(self) -> bool:
         """Whether too many upstreams have ended under this request."""
         quarantine = self._front.quarantine
-        suspect = quarantine.find_suspect(self._identity)
+        suspect = self._find_suspect()
         if suspect is None or not quarantine.is_quarantined(suspect):
             return False
         log_message(
@@ -470,7 +477,7 @@
 
     def _clear(self) -> None:
         """Takes back what is held against a request that was answered."""
-        suspect = self._front.quarantine.find_suspect(self._identity)
+        suspect = self._find_suspect()
         if suspect is not None:
             self._front.quarantine.note_served(suspect)
 
--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -95,14 +95,16 @@
 
     # -- what is refused -----------------------------------------------
 
+    def has_suspects(self) -> bool:
+        """Whether anything is held against any request."""
+        return bool(self._suspects) or bool(self._own)
+
     def find_suspect(self, identity: Identity) -> Fingerprint | None:
         """Returns a request's fingerprint if anything is held against it.
 
         The hash of a whole request, which costs time on the data path, is
         taken only where one with the same path is a suspect.
         """
-        if not self._suspects and not self._own:
-            return None
         target = self._fingerprints.take_target(identity.target)
         if not self._suspects.has_target(target) and not self._own:
             return None
