--- a/testing/app/test_upstream_words.py
+++ b/testing/app/test_upstream_words.py
@@ -209,6 +209,31 @@
         assert (await client.ask("/unsafe/x", b"b")).status == 200
 
 
+class TestReplaced:
+    async def test_an_address_that_another_one_has_gets_no_more_requests(
+        self, world: FrontWorld
+    ) -> None:
+        async def misdirect(call: Call) -> None:
+            await call.answer(421, b"", "Instance-Id: u9")
+
+        replaced = await world.add("u1", misdirect)
+        client = await world.open()
+        for _ in range(3):
+            assert (await client.ask("/safe/x")).status == 503
+        assert len(replaced.calls) == 1
+
+    async def test_one_that_lacks_what_is_asked_for_is_still_there(
+        self, world: FrontWorld
+    ) -> None:
+        async def lack(call: Call) -> None:
+            await call.answer(421, b"", "Instance-Id: u1")
+
+        await world.add("u1", once(lack, answer_ok))
+        client = await world.open()
+        await client.ask("/safe/x")
+        assert (await client.ask("/safe/x")).status == 200
+
+
 class TestOrders:
     @pytest.mark.parametrize("status", [202, 409])
     async def test_an_answer_to_an_order_says_it_as_well(
