Send nothing to an address once another upstream has answered there

A request that is meant for a start whose address another one has by now is turned away with 421 and the other's name. Each request learned that anew, until a heartbeat had come round by the owner; each of them is a send that the retry budget counts. The front now keeps it, as it keeps departures. A 421 with the same name (an adapter or a version that isn't there) says nothing of the start.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -271,14 +271,19 @@
             rest=word.rest,
             leaves=word.leaves,
             unread=word.unread,
+            instance=word.instance,
             chosen_by=self._search.chosen_by,
         )
         unavailable = self._front.chooser.unavailable
+        instance = upstream.instance or upstream.name
+        if word.instance and word.instance != instance:
+            # Its address is another one's: it has ended, and its successor's
+            # heartbeat tells the owner.
+            unavailable.note_leaving(upstream.name)
         if word.rest:
             until = self._loop.time() + word.rest
             unavailable.note_rest(upstream.name, until)
         if word.leaves and unavailable.note_leaving(upstream.name):
-            instance = upstream.instance or upstream.name
             self._front.tell_leave(HeardLeave(instance, upstream.start))
 
     def _tell_reading_ended(self, failure: Failure | None) -> None:
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -26,6 +26,8 @@
 _LAST_EVENT = b"last-event-id"
 # The upstream's incarnation that is meant; any other answers 421.
 _INSTANCE = b"expect-instance"
+# Who answered, where that is another one.
+_INSTANCE_ID = b"instance-id"
 # Of the adapter, where the request names one.
 _VERSION = b"expect-version"
 # From 0, which goes first, to 9; 5 without it.
@@ -127,6 +129,9 @@
 
     def read_word(self, head: ResponseHead) -> UpstreamWord:
         """Returns what an upstream says of itself beside its answer."""
+        if head.status == _MISDIRECTED:
+            instance = find_header(head.headers, _INSTANCE_ID).strip()
+            return UpstreamWord(leaves=is_leaving(head), instance=instance)
         leaves = is_leaving(head)
         asked = ""
         if head.status == _UNAVAILABLE:
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -77,11 +77,14 @@
         rest: seconds for which it wants nothing from this process.
         leaves: whether this start of it is about to end.
         unread: what it asked for instead of a rest that can be granted.
+        instance: who has the address, where a request meant for another says
+            so; empty otherwise.
     """
 
     rest: float = 0.0
     leaves: bool = False
     unread: str = ""
+    instance: str = ""
 
 
 class Dialect(Protocol):
