Don't put an upstream out of use for the rest that it asked for

Three refusals with a rest put an upstream out of use by the front's own measure as well, for up to 12 s beside the rest of a few; it has said when it wants requests again. Test: out of use after three rests of 0.1 s before, in use after.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -71,6 +71,7 @@
         arrived: whether the request reached the upstream.
         cut: whether its channel ended before the answer did.
         withheld: whether it was kept back, since the upstream wants none.
+        rests: whether the upstream asked for rest.
     """
 
     reason: str
@@ -80,6 +81,15 @@
     arrived: bool = True
     cut: bool = False
     withheld: bool = False
+    rests: bool = False
+
+    @property
+    def tells_of_health(self) -> bool:
+        """Whether it says that the upstream serves badly.
+
+        One that lacks something, or asks for rest, gets what it asks for.
+        """
+        return not (self.misdirected or self.withheld or self.rests)
 
 
 async def serve_request(
@@ -235,9 +245,11 @@
             exchange = await self._open(route, upstream)
             self._tried.append(upstream.name)
             head = await exchange.read_head()
-            self._take_word(upstream, head)
+            rests = self._take_word(upstream, head)
             chooser.outcomes.note_heard(upstream.name, self._loop.time())
             failure = await self._take(route, upstream, exchange, head)
+            if failure is not None and rests:
+                failure = attrs.evolve(failure, rests=True)
         except _WithheldError as error:
             failure = Failure(str(error), True, arrived=False, withheld=True)
         except ChannelError as error:
@@ -257,11 +269,15 @@
                 exchange.cancel()
         return failure
 
-    def _take_word(self, upstream: Upstream, head: ResponseHead) -> None:
-        """Notes what an upstream says of itself beside its answer."""
+    def _take_word(self, upstream: Upstream, head: ResponseHead) -> bool:
+        """Notes what an upstream says of itself beside its answer.
+
+        Returns:
+            Whether it asks for rest.
+        """
         word = self._front.dialect.read_word(head)
         if word == UpstreamWord():
-            return
+            return False
         log_message(
             "request:upstream_word",
             request=self._facts.request,
@@ -285,6 +301,7 @@
             unavailable.note_rest(upstream.name, until)
         if word.leaves and unavailable.note_leaving(upstream.name):
             self._front.tell_leave(HeardLeave(instance, upstream.start))
+        return bool(word.rest)
 
     def _tell_reading_ended(self, failure: Failure | None) -> None:
         """Tells the owner of a prompt that has had no first event."""
@@ -427,7 +444,7 @@
         self._may_have_run |= not failure.not_run
         now = self._loop.time()
         ejected = False
-        if not failure.misdirected and not failure.withheld:
+        if failure.tells_of_health:
             ejected = self._front.chooser.outcomes.note_failure(
                 upstream.name, now, unreachable=not failure.arrived
             )
--- a/testing/app/test_upstream_words.py
+++ b/testing/app/test_upstream_words.py
@@ -73,6 +73,24 @@
         await asyncio.sleep(0.4)
         assert (await client.ask("/safe/x")).status == 200
 
+    async def test_one_that_has_rested_is_not_out_of_use_beside_that(
+        self, world: FrontWorld
+    ) -> None:
+        async def rest_thrice(call: Call) -> None:
+            if call.number < 3:
+                await call.answer(503, b"", _NOT_RUN, "Retry-After: 0.1")
+            else:
+                await answer_ok(call)
+
+        await world.add("u1", rest_thrice)
+        client = await world.open()
+        for _ in range(3):
+            await client.ask("/safe/x")
+            await asyncio.sleep(0.15)
+        assert not world.front.chooser.out_of_use(
+            "plain", asyncio.get_running_loop().time()
+        )
+
     async def test_a_client_is_told_when_the_first_one_is_back(
         self, world: FrontWorld
     ) -> None:
