--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -5,26 +5,25 @@
 """
 
 import asyncio
-import functools
 
 import attrs
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import Exchange
 from ridgesill.app.front import Front
+from ridgesill.app.suspect_request import SuspectRequest
 from ridgesill.app.upstream_search import (
     Refusal,
     SearchTerms,
     UpstreamSearch,
 )
-from ridgesill.core.fleet.messages import HeardLeave, Upstream
+from ridgesill.app.upstream_words import Answered
+from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.serving.events import EventSplitter
-from ridgesill.core.serving.fingerprints import Fingerprint, Identity
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
     ForwardTerms,
     RequestFacts,
-    UpstreamWord,
 )
 from ridgesill.ports.http import (
     ChannelError,
@@ -115,6 +114,7 @@
         self._loop = asyncio.get_running_loop()
         self._facts: RequestFacts = front.dialect.read_request(request)
         self._search = UpstreamSearch(front, self._facts)
+        self._suspect = SuspectRequest(front.quarantine, request, self._facts)
         self._route: Route | None = None
         self._service = ""
         self._deadline = 0.0
@@ -145,7 +145,7 @@
         if self._may_outlast_front():
             self._refuse(Refusal("stopping", _STOPPING_AFTER))
             return
-        if self._is_quarantined():
+        if self._suspect.is_quarantined():
             self._refuse(_QUARANTINED)
             return
         self._deadline = min(self._deadline, self._front.stops_at)
@@ -217,7 +217,7 @@
                 else:
                     self._give_up(upstream)
                 return
-            if self._is_quarantined():
+            if self._suspect.is_quarantined():
                 # Since it came, others were cut by the ends of upstreams.
                 self._give_up(_QUARANTINED)
                 return
@@ -276,31 +276,10 @@
             Whether it asks for rest.
         """
         word = self._front.dialect.read_word(head)
-        if word == UpstreamWord():
-            return False
-        log_message(
-            "request:upstream_word",
-            request=self._facts.request,
-            upstream=upstream.name,
-            peer=upstream.address,
-            status=head.status,
-            rest=word.rest,
-            leaves=word.leaves,
-            unread=word.unread,
-            instance=word.instance,
-            chosen_by=self._search.chosen_by,
+        answered = Answered(
+            self._facts.request, head.status, self._search.chosen_by
         )
-        unavailable = self._front.chooser.unavailable
-        instance = upstream.instance or upstream.name
-        if word.instance and word.instance != instance:
-            # Its address is another one's: it has ended, and its successor's
-            # heartbeat tells the owner.
-            unavailable.note_leaving(upstream.name)
-        if word.rest:
-            until = self._loop.time() + word.rest
-            unavailable.note_rest(upstream.name, until)
-        if word.leaves and unavailable.note_leaving(upstream.name):
-            self._front.tell_leave(HeardLeave(instance, upstream.start))
+        self._front.words.take(upstream, word, answered)
         return bool(word.rest)
 
     def _tell_reading_ended(self, failure: Failure | None) -> None:
@@ -437,7 +416,7 @@
         self._front.chooser.outcomes.note_success(upstream.name, now)
         if head.status < _REDIRECT:
             # A failure doesn't show that the upstream has begun it.
-            self._clear()
+            self._suspect.note_served()
         self._end("served", upstream.name, status=head.status)
 
     def _note_failure(self, upstream: Upstream, failure: Failure) -> None:
@@ -459,49 +438,7 @@
             view_age=round(now - self._front.fleet.view.known_at, 3),
         )
         if failure.cut:
-            self._front.quarantine.note_cut(upstream, self._identity)
-
-    # -- requests that end their upstreams -----------------------------
-
-    @functools.cached_property
-    def _identity(self) -> Identity:
-        """What this request shares with its repetitions."""
-        request = self._request
-        caller = request.peer.rpartition(":")[0]
-        return Identity(
-            request.method,
-            self._facts.host,
-            request.target,
-            caller,
-            request.body,
-        )
-
-    def _find_suspect(self) -> Fingerprint | None:
-        """Returns this request's fingerprint if anything is held against it."""
-        quarantine = self._front.quarantine
-        if not quarantine.has_suspects():
-            return None
-        return quarantine.find_suspect(self._identity)
-
-    def _is_quarantined(self) -> bool:
-        """Whether too many upstreams have ended under this request."""
-        quarantine = self._front.quarantine
-        suspect = self._find_suspect()
-        if suspect is None or not quarantine.is_quarantined(suspect):
-            return False
-        log_message(
-            "request:quarantined",
-            request=self._facts.request,
-            fingerprint=suspect.content,
-            ended=sorted(quarantine.ends(suspect)),
-        )
-        return True
-
-    def _clear(self) -> None:
-        """Takes back what is held against a request that was answered."""
-        suspect = self._find_suspect()
-        if suspect is not None:
-            self._front.quarantine.note_served(suspect)
+            self._suspect.note_cut(upstream)
 
     def _may_retry(self, route: Route, failure: Failure) -> bool:
         if not failure.not_run and not route.is_idempotent:
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -1,13 +1,12 @@
 """What the requests of a front share."""
 
-import asyncio
 import random
 
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.quarantine import Quarantine
-from ridgesill.core.fleet.messages import HeardLeave
+from ridgesill.app.upstream_words import UpstreamWords
 from ridgesill.core.serving.admission import Admission
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.reading import ReadingRate
@@ -43,6 +42,7 @@
         self.channels = channels
         self.dialect = dialect
         self.quarantine = Quarantine(channels.is_refused)
+        self.words = UpstreamWords(chooser.unavailable, fleet)
         self.rng = random.Random()
         self.in_progress = 0
         self.used: dict[str, int] = {}
@@ -54,7 +54,6 @@
         self.refuses_from = float("inf")
         self.stops_at = float("inf")
         self._bounds = bounds
-        self._telling: set[asyncio.Task[None]] = set()
         self._retries: dict[str, ServiceRetries] = {}
         self._admissions: dict[str, Admission] = {}
         self._readings: dict[str, ReadingRate] = {}
@@ -74,12 +73,6 @@
         """Returns the measure of how fast a service's engines read."""
         return self._readings.setdefault(service, ReadingRate())
 
-    def tell_leave(self, leave: HeardLeave) -> None:
-        """Tells the owner of an upstream that leaves, by its own word."""
-        telling = asyncio.create_task(self.fleet.tell_leave(leave))
-        self._telling.add(telling)
-        telling.add_done_callback(self._telling.discard)
-
     def note_used(self, artifact: str) -> None:
         """Counts a request for an artifact, to be told the owner."""
         self.used[artifact] = self.used.get(artifact, 0) + 1
--- /dev/null
+++ b/src/ridgesill/app/suspect_request.py
@@ -0,0 +1,68 @@
+"""One request, and what is held against it and its repetitions."""
+
+from eliot import log_message
+
+from ridgesill.app.quarantine import Quarantine
+from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.serving.fingerprints import Fingerprint, Identity
+from ridgesill.ports.dialect import RequestFacts
+from ridgesill.ports.http import HttpRequest
+
+
+class SuspectRequest:
+    """Looks a request up, and tells what becomes of it.
+
+    It is taken apart only where that can matter: most days nothing is held
+    against any request.
+
+    Args:
+        quarantine: the front's.
+        request: as its client sent it.
+        facts: what the client says of it.
+    """
+
+    def __init__(
+        self, quarantine: Quarantine, request: HttpRequest, facts: RequestFacts
+    ) -> None:
+        self._quarantine = quarantine
+        self._request = request
+        self._facts = facts
+
+    def _identity(self) -> Identity:
+        request = self._request
+        caller = request.peer.rpartition(":")[0]
+        return Identity(
+            request.method,
+            self._facts.host,
+            request.target,
+            caller,
+            request.body,
+        )
+
+    def _find(self) -> Fingerprint | None:
+        if not self._quarantine.has_suspects():
+            return None
+        return self._quarantine.find_suspect(self._identity())
+
+    def is_quarantined(self) -> bool:
+        """Whether too many upstreams have ended under it."""
+        suspect = self._find()
+        if suspect is None or not self._quarantine.is_quarantined(suspect):
+            return False
+        log_message(
+            "request:quarantined",
+            request=self._facts.request,
+            fingerprint=suspect.content,
+            ended=sorted(self._quarantine.ends(suspect)),
+        )
+        return True
+
+    def note_cut(self, upstream: Upstream) -> None:
+        """Notes that its upstream broke its answer off."""
+        self._quarantine.note_cut(upstream, self._identity())
+
+    def note_served(self) -> None:
+        """Takes back what is held against it: it was answered."""
+        suspect = self._find()
+        if suspect is not None:
+            self._quarantine.note_served(suspect)
