Remember departures over a change of owner, and draw the key once the log is followed

A front forgot that an upstream leaves when the owner's news didn't name it for a moment, as with an owner that has just started; it would have sent there again once it was named. Kept for two minutes now, and an owner that still calls it ready is told again each second. Test: after a minute without a name forgotten before, known after.

Fronts of a new fleet all asked for a leader at once to draw the fingerprints' key, 20 times a second each while there was none: only those that follow the log do now.

Times to come back are rounded up, so that nobody is early by a hundredth.

--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -202,6 +202,7 @@
             known = set(self.fleet.view.upstreams)
             self.front.chooser.outcomes.keep_only(known)
             self.front.chooser.unavailable.keep_only(known, self._loop.time())
+            self.front.words.remind(self.fleet.view.upstreams.values())
 
     def _swap_telemetry(self, telemetry: Telemetry) -> Telemetry:
         before, self.front.telemetry = self.front.telemetry, telemetry
--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -35,8 +35,9 @@
 # How long a proposal looks for a leader before that is logged, in seconds.
 _PROPOSE_SECONDS = 2.0
 _KEY_BYTES = 16
-# Up to how long a front waits for another one to draw the key, in seconds.
-_DRAW_SECONDS = 1.0
+# Up to how long a front that follows the log waits for another one to draw the
+# key, in seconds: all fronts of a new fleet start at once.
+_DRAW_SECONDS = 3.0
 # What this front has to say and nobody has heard yet; more isn't kept.
 _UNTOLD_MOST = 512
 
@@ -77,12 +78,16 @@
         )
         self._served: set[Fingerprint] = set()
         self._untold = asyncio.Event()
+        # Whether the log is followed, so that a leader is known.
+        self._follows = asyncio.Event()
         self._checks: set[asyncio.Task[None]] = set()
 
     def take(self, state: State) -> None:
         """Takes what the log says."""
         self._suspects = state.suspects
         self._index = state.index
+        if state.index:
+            self._follows.set()
         if self._fingerprints.key != state.fingerprint_key:
             self._fingerprints = Fingerprints(state.fingerprint_key)
         self._drop_told()
@@ -174,6 +179,7 @@
 
     async def run(self, propose: Propose) -> None:
         """Tells the log what this front has seen, until cancelled."""
+        await self._follows.wait()
         await asyncio.sleep(random.uniform(0.0, _DRAW_SECONDS))
         if not self._fingerprints.key:
             key = secrets.token_bytes(_KEY_BYTES)
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -1,6 +1,7 @@
 """How one request finds the upstream that it goes to."""
 
 import asyncio
+import math
 from collections.abc import Callable, Collection
 
 import attrs
@@ -144,7 +145,10 @@
         now = self._loop.time()
         service = self._terms.service
         seconds = self._front.chooser.soonest_rest_end(service, now)
-        return Refusal("resting", seconds) if seconds else None
+        if not seconds:
+            return None
+        # Clients are told hundredths of seconds; none should be early.
+        return Refusal("resting", math.ceil(100 * seconds) / 100)
 
     async def _find_once(self, *, is_new: bool) -> Upstream | Refusal:
         self.chosen_by = "front"
--- a/src/ridgesill/app/upstream_words.py
+++ b/src/ridgesill/app/upstream_words.py
@@ -1,12 +1,13 @@
 """Keeps, and passes on, what upstreams say of themselves in answers."""
 
 import asyncio
+from collections.abc import Iterable
 
 import attrs
 from eliot import log_message
 
 from ridgesill.app.fleet_client import FleetClient
-from ridgesill.core.fleet.messages import HeardLeave, Upstream
+from ridgesill.core.fleet.messages import READY, HeardLeave, Upstream
 from ridgesill.core.serving.unavailable import Unavailable
 from ridgesill.ports.dialect import UpstreamWord
 
@@ -38,7 +39,7 @@
         self._unavailable = unavailable
         self._fleet = fleet
         self._loop = asyncio.get_running_loop()
-        self._telling: set[asyncio.Task[None]] = set()
+        self._telling: dict[str, asyncio.Task[None]] = {}
 
     def take(
         self, upstream: Upstream, word: UpstreamWord, answered: Answered
@@ -53,18 +54,35 @@
             **attrs.asdict(answered),
             **attrs.asdict(word),
         )
-        instance = upstream.instance or upstream.name
-        if word.instance and word.instance != instance:
-            # Its address is another one's: it has ended, and its successor's
-            # heartbeat tells the owner.
-            self._unavailable.note_leaving(upstream.name)
+        now = self._loop.time()
         if word.rest:
-            until = self._loop.time() + word.rest
-            self._unavailable.note_rest(upstream.name, until)
-        if word.leaves and self._unavailable.note_leaving(upstream.name):
-            self._tell(HeardLeave(instance, upstream.start))
+            self._unavailable.note_rest(upstream.name, now + word.rest)
+        # With its address, another one has all that is meant for it.
+        is_replaced = word.instance not in ("", _instance(upstream))
+        if not word.leaves and not is_replaced:
+            return
+        if self._unavailable.note_leaving(upstream.name, now):
+            self._tell(upstream)
+
+    def remind(self, upstreams: Iterable[Upstream]) -> None:
+        """Tells the owner again of what leaves and it still calls ready.
+
+        An owner that has just started may not have heard it.
+        """
+        for upstream in upstreams:
+            is_known = upstream.state != READY
+            if not is_known and self._unavailable.is_leaving(upstream.name):
+                self._tell(upstream)
 
-    def _tell(self, leave: HeardLeave) -> None:
+    def _tell(self, upstream: Upstream) -> None:
+        if upstream.name in self._telling:
+            return
+        leave = HeardLeave(_instance(upstream), upstream.start)
         telling = self._loop.create_task(self._fleet.tell_leave(leave))
-        self._telling.add(telling)
-        telling.add_done_callback(self._telling.discard)
+        self._telling[upstream.name] = telling
+        telling.add_done_callback(lambda _: self._telling.pop(upstream.name))
+
+
+def _instance(upstream: Upstream) -> str:
+    """Returns what an upstream calls itself."""
+    return upstream.instance or upstream.name
--- a/src/ridgesill/core/serving/unavailable.py
+++ b/src/ridgesill/core/serving/unavailable.py
@@ -7,25 +7,35 @@
 
 from collections.abc import Collection
 
+# How long a departure is remembered though the owner's news don't name the
+# upstream, in seconds: an owner that has just started may name it again, and
+# some serve on for many seconds.
+_LEAVING_SECONDS = 120.0
+
 
 class Unavailable:
     """What upstreams have told this front in their answers."""
 
     def __init__(self) -> None:
         self._rests_until: dict[str, float] = {}
-        self._leaving: set[str] = set()
+        # When it was first heard.
+        self._leaving: dict[str, float] = {}
 
     def note_rest(self, upstream: str, until: float) -> None:
         """Notes until when an upstream wants nothing from here."""
         known = self._rests_until.get(upstream, float("-inf"))
         self._rests_until[upstream] = max(known, until)
 
-    def note_leaving(self, upstream: str) -> bool:
+    def note_leaving(self, upstream: str, now: float) -> bool:
         """Notes that an upstream leaves; returns whether that is new."""
         is_new = upstream not in self._leaving
-        self._leaving.add(upstream)
+        self._leaving.setdefault(upstream, now)
         return is_new
 
+    def is_leaving(self, upstream: str) -> bool:
+        """Whether an upstream has said that it leaves."""
+        return upstream in self._leaving
+
     def takes_requests(self, upstream: str, now: float) -> bool:
         """Whether an upstream wants requests from here now."""
         return upstream not in self._leaving and not self.rest(upstream, now)
@@ -50,7 +60,10 @@
 
     def keep_only(self, upstreams: Collection[str], now: float) -> None:
         """Forgets rests that are over, and upstreams that are gone."""
-        self._leaving.intersection_update(upstreams)
+        for name, noted_at in list(self._leaving.items()):
+            is_old = now - noted_at > _LEAVING_SECONDS
+            if is_old and name not in upstreams:
+                del self._leaving[name]
         for name, until in list(self._rests_until.items()):
             if until <= now:
                 del self._rests_until[name]
--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -89,6 +89,7 @@
 
     made = Fronts(log, Quarantine(is_refused), Quarantine(is_refused), gone)
     log.watchers = [made.first.take, made.second.take]
+    await log.propose(ClearSuspects(()), 1.0)
     tasks = [
         asyncio.create_task(front.run(log.propose))
         for front in (made.first, made.second)
--- a/testing/app/test_upstream_words.py
+++ b/testing/app/test_upstream_words.py
@@ -15,6 +15,7 @@
 
 from ridgesill.app.order_holder import deliver_order
 from ridgesill.core.fleet.messages import (
+    DRAINING,
     ArtifactReady,
     FleetNews,
     HeardLeave,
@@ -214,6 +215,40 @@
         assert (await second.read()).status == 200
         assert world.fleet.leaves == [HeardLeave("u1")]
 
+    async def test_an_owner_that_calls_it_ready_is_told_again(
+        self, world: FrontWorld
+    ) -> None:
+        async def leave(call: Call) -> None:
+            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
+
+        await world.add("u1", leave)
+        client = await world.open()
+        await client.ask("/unsafe/x", b"b")
+        view = world.fleet.view
+        world.front.words.remind(view.upstreams.values())
+        await asyncio.sleep(0.01)
+        assert world.fleet.leaves == 2 * [HeardLeave("u1")]
+        leaving = attrs.evolve(view.upstreams["u1"], state=DRAINING)
+        world.front.words.remind([leaving])
+        await asyncio.sleep(0.01)
+        assert len(world.fleet.leaves) == 2
+
+    async def test_it_is_remembered_while_news_do_not_name_it(
+        self, world: FrontWorld
+    ) -> None:
+        async def leave(call: Call) -> None:
+            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
+
+        await world.add("u1", leave)
+        client = await world.open()
+        await client.ask("/unsafe/x", b"b")
+        now = asyncio.get_running_loop().time()
+        unavailable = world.front.chooser.unavailable
+        unavailable.keep_only((), now + 60.0)
+        assert unavailable.is_leaving("u1")
+        unavailable.keep_only((), now + 200.0)
+        assert not unavailable.is_leaving("u1")
+
     async def test_the_start_that_follows_is_used(
         self, world: FrontWorld
     ) -> None:
