--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -186,6 +186,18 @@
         await fronts.cut(fronts.first, 3, HARMLESS)
         assert not fronts.is_refused(fronts.first, HARMLESS)
 
+    async def test_what_was_answered_a_moment_ago_is_not_suspected(
+        self, fronts: Fronts
+    ) -> None:
+        # One that everybody sends, word for word, is aboard of whatever ends:
+        # three upstreams ended within a second, and it was refused for a
+        # quarter of one, though it had been answered all the time before.
+        for number in (1, 2, 3):
+            fronts.first.note_answered(HARMLESS)
+            await fronts.cut(fronts.first, number, HARMFUL, HARMLESS)
+        assert not fronts.is_refused(fronts.first, HARMLESS)
+        assert fronts.is_refused(fronts.first, HARMFUL)
+
     async def test_an_operator_lifts_a_quarantine(self, fronts: Fronts) -> None:
         for number in (1, 2, 3):
             await fronts.cut(fronts.first, number, HARMFUL)
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -95,7 +95,10 @@
 def _is_cut_by_plan(
     told: Told, ledger: Ledger, happened: list[Happened]
 ) -> bool:
-    """Whether planned work alone cut a request that was passed on."""
+    """Whether planned work alone cut a request that was passed on.
+
+    An upstream that ends under a harmful request cuts what else it serves.
+    """
     if not told.cut or told.request not in ledger.runs:
         return False
     near = [
@@ -109,7 +112,13 @@
         and told.began < fault.ended + _AFTERMATH
         for fault in happened
     )
-    return bool(near) and not harmed
+    ended = any(
+        told.began <= arrival.at <= told.ended
+        for arrivals in ledger.harmful.values()
+        for arrival in arrivals
+        if arrival.ended
+    )
+    return bool(near) and not harmed and not ended
 
 
 def _judge_quarantine(verdict: Verdict, world: SoakWorld) -> None:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -74,6 +74,16 @@
         fault = Happened(name, 4.8, 7.0, planned)
         assert world.judge(fault).count("cut") == cut
 
+    def test_an_upstream_that_ends_is_no_planned_work(self) -> None:
+        told = Told("r1", "unsafe", "f", 5.0, 6.0, cut=True)
+        world = JudgedWorld(told)
+        world.ledger.runs["r1"] = 1
+        world.ledger.harmful[b"x"] = [Arrival(5.9, "i-1", ended=True)]
+        fault = Happened("terminate", 4.8, 7.0, planned=True)
+        assert not world.judge(fault).count("cut")
+        world.ledger.harmful[b"x"] = [Arrival(6.1, "i-1", ended=True)]
+        assert world.judge(fault).count("cut") == 1
+
     def test_two_holders_within_the_lease_are_found(self) -> None:
         world = JudgedWorld()
         world.ledger.orders["i-1"] = [("a:1", 3, 1.0), ("b:1", 4, 1.5)]
