Don't suspect a request that was answered a moment ago

Cause: what everybody sends, word for word, is aboard of whatever ends, and its answers clear it only once fronts know of an end, some tenths of a second later; three upstreams may end before that.

Change: a front remembers for ten seconds what it had answered whole, by a hash of its own process, and holds no end against it. After that it does: the same request may end upstreams of a new version. Ruled out: a limit of four ends (one more upstream lost, and the same race).

--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -18,6 +18,7 @@
     PutFingerprintKey,
 )
 from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.serving.answered import Answered
 from ridgesill.core.serving.fingerprints import (
     Fingerprint,
     Fingerprints,
@@ -68,6 +69,8 @@
     def __init__(self, is_refused: IsRefused) -> None:
         self._is_refused = is_refused
         self._fingerprints = Fingerprints()
+        self._answered = Answered()
+        self._loop = asyncio.get_running_loop()
         self._suspects = Suspects()
         self._index = 0
         # Upstreams that cut requests and haven't been looked at yet, by name.
@@ -139,6 +142,8 @@
         """Notes a request whose answer its upstream broke off."""
         if not self._fingerprints.key:
             return
+        if self._answered.knows(identity, self._loop.time()):
+            return
         fingerprint = self._fingerprints.take(identity)
         end = self._doubted.get(upstream.name)
         if end is None:
@@ -168,6 +173,10 @@
             self._own.append(end)
             self._untold.set()
 
+    def note_answered(self, identity: Identity) -> None:
+        """Notes a whole answer, which speaks for a request for a while."""
+        self._answered.note(identity, self._loop.time())
+
     def note_served(self, fingerprint: Fingerprint) -> None:
         """Takes back what is held against a request with a whole answer."""
         for end in self._own:
--- a/src/ridgesill/app/suspect_request.py
+++ b/src/ridgesill/app/suspect_request.py
@@ -12,8 +12,8 @@
 class SuspectRequest:
     """Looks a request up, and tells what becomes of it.
 
-    It is taken apart only where that can matter: most days nothing is held
-    against any request.
+    The hash that all fronts share is taken only where it can matter: most days
+    nothing is held against any request.
 
     Args:
         quarantine: the front's.
@@ -63,6 +63,7 @@
 
     def note_served(self) -> None:
         """Takes back what is held against it: it was answered."""
+        self._quarantine.note_answered(self._identity())
         suspect = self._find()
         if suspect is not None:
             self._quarantine.note_served(suspect)
--- /dev/null
+++ b/src/ridgesill/core/serving/answered.py
@@ -0,0 +1,42 @@
+"""Requests that were answered a moment ago.
+
+One that many send, word for word, is aboard of every upstream that ends, and
+causes none of it: it is answered all the time.
+"""
+
+from ridgesill.core.serving.fingerprints import Identity
+
+# How long an answer speaks for a request, in seconds: longer than upstreams
+# that end take to come back, and short enough that what ends upstreams of a new
+# version isn't taken for harmless.
+_KEPT_SECONDS = 10.0
+# How many are kept; who sends fewer a second is known for the whole time.
+_KEPT_MOST = 1024
+
+
+class Answered:
+    """The requests that a front has had answered lately."""
+
+    def __init__(self) -> None:
+        # By what they say, the oldest first. This process's own hash will do,
+        # and costs less than one that others could compare.
+        self._answered_at: dict[int, float] = {}
+
+    def note(self, identity: Identity, now: float) -> None:
+        """Notes a whole answer."""
+        key = _hash(identity)
+        self._answered_at.pop(key, None)
+        self._answered_at[key] = now
+        if len(self._answered_at) > _KEPT_MOST:
+            del self._answered_at[next(iter(self._answered_at))]
+
+    def knows(self, identity: Identity, now: float) -> bool:
+        """Whether a request was answered a moment ago."""
+        at = self._answered_at.get(_hash(identity))
+        return at is not None and now - at <= _KEPT_SECONDS
+
+
+def _hash(identity: Identity) -> int:
+    return hash(
+        (identity.method, identity.host, identity.target, identity.body)
+    )
--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -19,6 +19,7 @@
 )
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.log.messages import Entry
+from ridgesill.core.serving import answered
 from ridgesill.core.serving.fingerprints import Fingerprints, Identity
 from ridgesill.core.state import State
 from testing.app.front_world import Call, FrontWorld, ScriptedUpstream
@@ -198,6 +199,17 @@
         assert not fronts.is_refused(fronts.first, HARMLESS)
         assert fronts.is_refused(fronts.first, HARMFUL)
 
+    async def test_an_answer_of_long_ago_says_nothing(
+        self, fronts: Fronts, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # It may end upstreams of a later version.
+        monkeypatch.setattr(answered, "_KEPT_SECONDS", 0.01)
+        fronts.first.note_answered(HARMFUL)
+        await asyncio.sleep(0.02)
+        for number in (1, 2, 3):
+            await fronts.cut(fronts.first, number, HARMFUL)
+        assert fronts.is_refused(fronts.first, HARMFUL)
+
     async def test_an_operator_lifts_a_quarantine(self, fronts: Fronts) -> None:
         for number in (1, 2, 3):
             await fronts.cut(fronts.first, number, HARMFUL)
