--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -276,6 +276,25 @@
         assert (await client.ask("/unsafe/x", b"other")).status == 200
         await world.stop()
 
+    async def test_an_answer_that_ends_with_its_channel_clears_nobody(
+        self,
+    ) -> None:
+        # Without a length, an end of the upstream looks like the answer's.
+        world = FrontWorld()
+        await world.start()
+
+        async def answer(call: Call) -> None:
+            await call.send(b"HTTP/1.1 200 OK\r\n\r\nhalf of it")
+            call.writer.close()
+
+        await world.add("u1", answer)
+        noted: list[Identity] = []
+        world.front.quarantine.note_answered = noted.append  # type: ignore
+        client = await world.open()
+        assert (await client.ask("/unsafe/x", b"b")).status == 200
+        assert not noted
+        await world.stop()
+
 
 class TestCommands:
     def test_a_cleared_request_is_told_by_its_whole(self) -> None:
