Look whether an upstream is gone when only its channel's end ends its answer

An answer without a length ends with its channel, as it does when its upstream ends: a harmful request would have been cleared by that. Such an end is looked at like a cut one; where the upstream is still there, it says nothing.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -414,7 +414,10 @@
     def _note_served(self, upstream: Upstream, head: ResponseHead) -> None:
         now = self._loop.time()
         self._front.chooser.outcomes.note_success(upstream.name, now)
-        if head.status < _REDIRECT:
+        if not head.tells_its_end:
+            # It may be the end of the upstream that looks like the answer's.
+            self._suspect.note_cut(upstream)
+        elif head.status < _REDIRECT:
             # A failure doesn't show that the upstream has begun it.
             self._suspect.note_served()
         self._end("served", upstream.name, status=head.status)
--- a/src/ridgesill/ports/http.py
+++ b/src/ridgesill/ports/http.py
@@ -108,6 +108,15 @@
     headers: Headers
     reason: bytes = b""
 
+    @property
+    def tells_its_end(self) -> bool:
+        """Whether a body that was cut off shows; else its channel's end is its.
+
+        By a length, or in chunks.
+        """
+        names = {name for name, _ in self.headers}
+        return not names.isdisjoint((b"content-length", b"transfer-encoding"))
+
 
 class ChannelError(Exception):
     """An exchange with an upstream that ended without a whole answer.
