--- a/testing/app/test_fleet_loads.py
+++ b/testing/app/test_fleet_loads.py
@@ -103,6 +103,20 @@
         assert (await world.loads.want(want("a3"))).upstream == "u0"
 
 
+class TestComingBack:
+    async def test_while_nobody_can_say_when_it_is_a_few_seconds(self) -> None:
+        # Callers of a service whose engines were all gone were told to come
+        # back after `inf` seconds, which no client understands.
+        world = EngineWorld(0, 4)
+        loads = world.loads
+        loads._view = attrs.evolve(
+            loads._view, orders_from=lambda: float("inf")
+        )
+        answer = await loads.want(want("a1"))
+        assert not answer.upstream
+        assert 0.0 < answer.after <= 5.0
+
+
 class TestDarkEngines:
     """Load pattern: an engine goes dark under many fronts.
 
