Tell callers a time to come back while no engine is known

Cause: until orders go on is infinite while no engine is known, and went into Retry-After as it was. Such a want is refused as no_engine now, with 1.5 s.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -1,6 +1,7 @@
 """Brings artifacts to engines for the requests that wait for them."""
 
 import asyncio
+import math
 
 import attrs
 from eliot import log_message, write_traceback
@@ -57,8 +58,8 @@
 # mostly refused in the end, for which callers pay by the time that it took
 # (emulated, six seeds: 0.597 to 0.610 of the worth).
 _LATE_PATIENCE = 0.2
-# When one that found no place may come back, in seconds: answers hold places
-# for 1 to 8 s.
+# When one that found no place, or no engine, may come back, in seconds: answers
+# hold places for 1 to 8 s, and engines that end are back after a few.
 _NO_PLACE_AFTER = 1.5
 # How often the log says why wants wait, in seconds.
 _TELL_SECONDS = 0.5
@@ -70,6 +71,14 @@
 _SETTLE_SECONDS = 0.4
 
 
+def _refuse_until(wait: float) -> ArtifactReady:
+    """Returns a refusal for the seconds until orders may be given."""
+    if math.isinf(wait):
+        # No engine is known, so that nobody can say when one will be.
+        return ArtifactReady("", after=_NO_PLACE_AFTER, reason="no_engine")
+    return ArtifactReady("", after=wait, reason="earlier_owner")
+
+
 @attrs.define(eq=False)
 class _Loading:
     """What requests wait for, and their answer.
@@ -160,7 +169,7 @@
                 return answer
             wait = self._view.orders_from() - self._loop.time()
             if wait > left:
-                return ArtifactReady("", after=wait, reason="earlier_owner")
+                return _refuse_until(wait)
             if wait > 0:
                 await asyncio.sleep(max(wait, _LEAST_WAIT))
                 continue
