--- a/src/ridgesill/core/serving/fingerprints.py
+++ b/src/ridgesill/core/serving/fingerprints.py
@@ -11,6 +11,8 @@
 
 from ridgesill.core.codec import register
 
+# Of the hash of a path, which only decides whether the other one is taken; and
+# of that one, by which requests are refused, so that no two may share it.
 _TARGET_BYTES = 8
 _WHOLE_BYTES = 16
 
