--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -32,7 +32,7 @@
 from ridgesill.ports.telemetry import KeptTelemetry, Telemetry
 
 # Within which an engine answers an order, in seconds, unless the answer is
-# lost: the slowest of 7,564 answers of a played day took 23 ms.
+# lost; another copy goes out after that.
 ORDER_SECONDS = 0.05
 # How often an order without an answer is given in all. When all are lost, the
 # engine gets no orders for a second and more; with three in ten lost, that
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -42,10 +42,9 @@
 # shorter than the clock's resolution ends in the moment in which it began.
 _LEAST_WAIT = 0.001
 # The same when fronts report, in seconds for each engine. What a report frees
-# is given on at once (emulated, ten seeds of high load: 0.745 to 0.755 of the
-# worth), but a look at 37 engines takes a millisecond, and some three hundred
-# reports a second come from 195 fronts: a tenth of the owner's time is enough.
-# A look at this few engines costs no more than the report itself.
+# is given on at once, but a look at many engines takes a good part of the
+# owner's time where many fronts report. A look at few costs no more than the
+# report itself.
 _REPORT_SECONDS_AN_ENGINE = 0.0003
 _FEW_ENGINES = 12
 # Engines that one want tries.
@@ -55,8 +54,7 @@
 _MISSES_MOST = 3
 # How long a want goes on waiting for a place once it can't be in time, in
 # seconds: what has one is handed on within that, and what waits longer is
-# mostly refused in the end, for which callers pay by the time that it took
-# (emulated, six seeds: 0.597 to 0.610 of the worth).
+# mostly refused in the end, for which callers pay by the time that it took.
 _LATE_PATIENCE = 0.2
 # When one that found no place, or no engine, may come back, in seconds: answers
 # hold places for 1 to 8 s, and engines that end are back after a few.
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -196,9 +196,8 @@
     def _may_outlast_front(self) -> bool:
         """Whether this front may stop before the request has its answer.
 
-        Requests that came late in a stop, on channels that clients had kept,
-        were sent on and cut: four of them on each of two days of seven, none
-        on forty with this.
+        One that comes late in a stop, on a channel that its client has kept,
+        would be sent on and cut.
         """
         front = self._front
         now = self._loop.time()
--- a/src/ridgesill/core/fleet/copies.py
+++ b/src/ridgesill/core/fleet/copies.py
@@ -16,9 +16,7 @@
 _SHARE = 0.015
 # Seconds of reading ahead at all its holders from which it gets one, about half
 # of a goal; or the share of their places in the batch, beyond which requests
-# wait for each other there. Where answers are long that is little better than
-# ten requests in progress (emulated, four seeds: 0.596 to 0.602 of the worth);
-# where they are short, no copies at all cost 0.045.
+# wait for each other there.
 _BACKLOG_SECONDS = 0.3
 _FULL = 0.5
 # What an engine that gets a copy may have of each, as a share of the least at a
--- a/src/ridgesill/core/fleet/usage.py
+++ b/src/ridgesill/core/fleet/usage.py
@@ -41,8 +41,7 @@
     """Requests in progress by upstream and artifact, from all fronts.
 
     The sums are kept up to date with each report, since they are looked at
-    far more often than fronts report. Adding up all engines for each of 195
-    fronts that asked took the owner 28 us a question (timed alone).
+    far more often than fronts report.
     """
 
     def __init__(self) -> None:
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -25,9 +25,7 @@
 _CROWDED = 2.0
 # Requests to a plain service last some 50 ms, and what is known of others' is
 # 0.1 to 0.3 s old. So their mean over this time counts, in seconds, and for
-# this much of it. By their number 75 fronts filled one upstream after another:
-# of six places and 3 requests in the mean, 18 to 26 at the most and over six in
-# a sixth of the looks, against 14 and a twentieth (simulated, three seeds).
+# this much of it: by their number many fronts fill one upstream after another.
 _MEAN_SECONDS = 0.5
 _SHORT_LIVED = 0.3
 # Share of their places that plain upstreams of the own data centre have in use,
