Look at most answers' heads and requests without making anything

Before this each answer made a word and a record of who it answered, and each served request an identity.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -22,6 +22,7 @@
 from ridgesill.core.serving.events import EventSplitter
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
+    NO_WORD,
     ForwardTerms,
     RequestFacts,
 )
@@ -275,6 +276,8 @@
             Whether it asks for rest.
         """
         word = self._front.dialect.read_word(head)
+        if word is NO_WORD:
+            return False
         answered = Answered(
             self._facts.request, head.status, self._search.chosen_by
         )
--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -142,7 +142,7 @@
         """Notes a request whose answer its upstream broke off."""
         if not self._fingerprints.key:
             return
-        if self._answered.knows(identity, self._loop.time()):
+        if self._answered.knows(identity.local_hash(), self._loop.time()):
             return
         fingerprint = self._fingerprints.take(identity)
         end = self._doubted.get(upstream.name)
@@ -173,9 +173,13 @@
             self._own.append(end)
             self._untold.set()
 
-    def note_answered(self, identity: Identity) -> None:
-        """Notes a whole answer, which speaks for a request for a while."""
-        self._answered.note(identity, self._loop.time())
+    def note_answered(self, local_hash: int) -> None:
+        """Notes a whole answer, which speaks for a request for a while.
+
+        Args:
+            local_hash: of the request, as `Identity` takes it.
+        """
+        self._answered.note(local_hash, self._loop.time())
 
     def note_served(self, fingerprint: Fingerprint) -> None:
         """Takes back what is held against a request with a whole answer."""
--- a/src/ridgesill/app/suspect_request.py
+++ b/src/ridgesill/app/suspect_request.py
@@ -4,7 +4,11 @@
 
 from ridgesill.app.quarantine import Quarantine
 from ridgesill.core.fleet.messages import Upstream
-from ridgesill.core.serving.fingerprints import Fingerprint, Identity
+from ridgesill.core.serving.fingerprints import (
+    Fingerprint,
+    Identity,
+    hash_locally,
+)
 from ridgesill.ports.dialect import RequestFacts
 from ridgesill.ports.http import HttpRequest
 
@@ -63,7 +67,12 @@
 
     def note_served(self) -> None:
         """Takes back what is held against it: it was answered."""
-        self._quarantine.note_answered(self._identity())
+        request = self._request
+        self._quarantine.note_answered(
+            hash_locally(
+                request.method, self._facts.host, request.target, request.body
+            )
+        )
         suspect = self._find()
         if suspect is not None:
             self._quarantine.note_served(suspect)
--- a/src/ridgesill/app/upstream_words.py
+++ b/src/ridgesill/app/upstream_words.py
@@ -45,8 +45,6 @@
         self, upstream: Upstream, word: UpstreamWord, answered: Answered
     ) -> None:
         """Takes what an upstream has said in an answer."""
-        if word == UpstreamWord():
-            return
         log_message(
             "request:upstream_word",
             upstream=upstream.name,
--- a/src/ridgesill/core/serving/answered.py
+++ b/src/ridgesill/core/serving/answered.py
@@ -4,8 +4,6 @@
 causes none of it: it is answered all the time.
 """
 
-from ridgesill.core.serving.fingerprints import Identity
-
 # How long an answer speaks for a request, in seconds: longer than upstreams
 # that end take to come back, and short enough that what ends upstreams of a new
 # version isn't taken for harmless.
@@ -18,25 +16,21 @@
     """The requests that a front has had answered lately."""
 
     def __init__(self) -> None:
-        # By what they say, the oldest first. This process's own hash will do,
-        # and costs less than one that others could compare.
+        # The oldest first.
         self._answered_at: dict[int, float] = {}
 
-    def note(self, identity: Identity, now: float) -> None:
-        """Notes a whole answer."""
-        key = _hash(identity)
+    def note(self, key: int, now: float) -> None:
+        """Notes a whole answer to a request, by the hash of what it says.
+
+        This process's own hash will do, and costs less than one that others
+        could compare.
+        """
         self._answered_at.pop(key, None)
         self._answered_at[key] = now
         if len(self._answered_at) > _KEPT_MOST:
             del self._answered_at[next(iter(self._answered_at))]
 
-    def knows(self, identity: Identity, now: float) -> bool:
+    def knows(self, key: int, now: float) -> bool:
         """Whether a request was answered a moment ago."""
-        at = self._answered_at.get(_hash(identity))
+        at = self._answered_at.get(key)
         return at is not None and now - at <= _KEPT_SECONDS
-
-
-def _hash(identity: Identity) -> int:
-    return hash(
-        (identity.method, identity.host, identity.target, identity.body)
-    )
--- a/src/ridgesill/core/serving/fingerprints.py
+++ b/src/ridgesill/core/serving/fingerprints.py
@@ -48,6 +48,15 @@
     caller: str
     body: bytes
 
+    def local_hash(self) -> int:
+        """Returns a hash of what it says, of use in this process alone."""
+        return hash_locally(self.method, self.host, self.target, self.body)
+
+
+def hash_locally(method: bytes, host: str, target: bytes, body: bytes) -> int:
+    """Returns a hash of what a request says, of use in this process alone."""
+    return hash((method, host, target, body))
+
 
 class Fingerprints:
     """Takes fingerprints.
--- a/src/ridgesill/core/serving/unavailable.py
+++ b/src/ridgesill/core/serving/unavailable.py
@@ -38,6 +38,8 @@
 
     def takes_requests(self, upstream: str, now: float) -> bool:
         """Whether an upstream wants requests from here now."""
+        if not self._leaving and not self._rests_until:
+            return True
         return upstream not in self._leaving and not self.rest(upstream, now)
 
     def rest(self, upstream: str, now: float) -> float:
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -4,6 +4,7 @@
 
 from ridgesill.platform.upstreams import is_leaving, read_instance
 from ridgesill.ports.dialect import (
+    NO_WORD,
     NORMAL_PRIORITY,
     ForwardTerms,
     RequestFacts,
@@ -137,7 +138,7 @@
         if head.status == _UNAVAILABLE:
             asked = find_header(head.headers, _RETRY_AFTER).strip()
         if not asked:
-            return UpstreamWord(leaves=leaves)
+            return UpstreamWord(leaves=True) if leaves else NO_WORD
         seconds = float(asked) if _SECONDS.fullmatch(asked) else -1.0
         granted = 0.0 <= seconds <= _REST_MOST
         return UpstreamWord(
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -87,6 +87,10 @@
     instance: str = ""
 
 
+# What nearly every answer says.
+NO_WORD = UpstreamWord()
+
+
 class Dialect(Protocol):
     """Translates what clients and upstreams say."""
 
--- a/src/ridgesill/ports/http.py
+++ b/src/ridgesill/ports/http.py
@@ -114,8 +114,10 @@
 
         By a length, or in chunks.
         """
-        names = {name for name, _ in self.headers}
-        return not names.isdisjoint((b"content-length", b"transfer-encoding"))
+        for name, _ in self.headers:
+            if name in (b"content-length", b"transfer-encoding"):
+                return True
+        return False
 
 
 class ChannelError(Exception):
--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -194,7 +194,7 @@
         # three upstreams ended within a second, and it was refused for a
         # quarter of one, though it had been answered all the time before.
         for number in (1, 2, 3):
-            fronts.first.note_answered(HARMLESS)
+            fronts.first.note_answered(HARMLESS.local_hash())
             await fronts.cut(fronts.first, number, HARMFUL, HARMLESS)
         assert not fronts.is_refused(fronts.first, HARMLESS)
         assert fronts.is_refused(fronts.first, HARMFUL)
@@ -204,7 +204,7 @@
     ) -> None:
         # It may end upstreams of a later version.
         monkeypatch.setattr(answered, "_KEPT_SECONDS", 0.01)
-        fronts.first.note_answered(HARMFUL)
+        fronts.first.note_answered(HARMFUL.local_hash())
         await asyncio.sleep(0.02)
         for number in (1, 2, 3):
             await fronts.cut(fronts.first, number, HARMFUL)
@@ -288,7 +288,7 @@
             call.writer.close()
 
         await world.add("u1", answer)
-        noted: list[Identity] = []
+        noted: list[int] = []
         world.front.quarantine.note_answered = noted.append  # type: ignore
         client = await world.open()
         assert (await client.ask("/unsafe/x", b"b")).status == 200
