--- a/testing/app/test_upstream_words.py
+++ b/testing/app/test_upstream_words.py
@@ -46,6 +46,10 @@
     await call.answer(200, b"fine", "Server-Stamp: s1")
 
 
+async def leave(call: Call) -> None:
+    await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
+
+
 async def ask_for_rest(call: Call) -> None:
     await call.answer(503, b"", _NOT_RUN, RESTS)
 
@@ -189,9 +193,6 @@
     async def test_news_that_still_call_it_ready_change_nothing(
         self, world: FrontWorld
     ) -> None:
-        async def leave(call: Call) -> None:
-            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
-
         leaving = await world.add("u1", leave)
         client = await world.open()
         assert (await client.ask("/unsafe/x", b"b")).status == 200
@@ -218,9 +219,6 @@
     async def test_an_owner_that_calls_it_ready_is_told_again(
         self, world: FrontWorld
     ) -> None:
-        async def leave(call: Call) -> None:
-            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
-
         await world.add("u1", leave)
         client = await world.open()
         await client.ask("/unsafe/x", b"b")
@@ -236,9 +234,6 @@
     async def test_it_is_remembered_while_news_do_not_name_it(
         self, world: FrontWorld
     ) -> None:
-        async def leave(call: Call) -> None:
-            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
-
         await world.add("u1", leave)
         client = await world.open()
         await client.ask("/unsafe/x", b"b")
@@ -252,9 +247,6 @@
     async def test_the_start_that_follows_is_used(
         self, world: FrontWorld
     ) -> None:
-        async def leave(call: Call) -> None:
-            await call.answer(200, b"x", "Server-Stamp: s1", LEAVES)
-
         await world.add("u1", leave)
         client = await world.open()
         await client.ask("/unsafe/x", b"b")
