--- a/testing/platform/test_requests.py
+++ b/testing/platform/test_requests.py
@@ -8,7 +8,7 @@
 from ridgesill.core.fleet.messages import READY
 from ridgesill.platform.requests import PlatformDialect
 from ridgesill.ports.dialect import ForwardTerms
-from ridgesill.ports.http import Headers, HttpRequest
+from ridgesill.ports.http import Headers, HttpRequest, ResponseHead
 from testing.app.front_world import Call, FrontWorld
 
 RESERVED = (
@@ -100,6 +100,33 @@
         assert not [name for name, _ in sent if name == b"x-hop"]
 
 
+class TestRests:
+    @pytest.mark.parametrize(
+        ("asked", "rest"),
+        [
+            (b"3", 3.0),
+            (b"2.5", 2.5),
+            (b"2.9999999999999996", 3.0),
+            (b"86400", 60.0),
+            (b"-1", 0.0),
+            (b"Wed, 02 Dec 2026 10:00:00 GMT", 0.0),
+            (b"1e3", 0.0),
+            (b"9" * 400, 0.0),
+        ],
+    )
+    def test_seconds_are_granted_up_to_a_minute(
+        self, asked: bytes, rest: float
+    ) -> None:
+        head = ResponseHead(503, ((b"retry-after", asked),))
+        word = PlatformDialect().read_word(head)
+        assert word.rest == pytest.approx(rest)
+        assert bool(word.unread) == (rest in (0.0, 60.0))
+
+    def test_only_a_503_asks_for_rest(self) -> None:
+        head = ResponseHead(200, ((b"retry-after", b"3"),))
+        assert not PlatformDialect().read_word(head).rest
+
+
 class TestNumbers:
     @pytest.mark.parametrize(
         "number", ["9" * 400, "\xb2", "-1", "1e9", "\xb9,7"]
