--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -37,8 +37,8 @@
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
-# Seconds, whole or with a fraction, of as many digits as programs write for one;
-# dates and signs are not on the pages.
+# Seconds, whole or with a fraction, of as many digits as programs write for
+# one; dates and signs are not on the pages.
 _SECONDS = re.compile(r"[0-9]{1,8}(\.[0-9]{1,20})?", re.ASCII)
 # The longest rest that is granted, in seconds: an upstream that asks for more
 # by a slip would be out of use for that long, and one that means it says so
