Have the soak end only the start of an upstream that leaves

The start before it had said that it leaves, and ended under a harmful request; the soak ended its successor when the time of the leave was over.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -299,8 +299,11 @@
         upstream = self._upstream()
         if upstream.name in self._busy:
             return
-        self._busy.add(upstream.name)
+        name = upstream.name
+        self._busy.add(name)
         upstream.state = "draining"
         await asyncio.sleep(4.0)
-        upstream.crash()
-        await upstream.restart()
+        if upstream.name == name:
+            # Else it has ended meanwhile, and its successor doesn't leave.
+            upstream.crash()
+            await upstream.restart()
