Compare what an answer says by value, and give its record a name of its own

An answer with nothing to say was told by identity, which holds for most answers only: a 421 without a name, and every answer of the emulator, wrote a line that says nothing. Two classes were called Answered; the record of in whose answer something was said is HeardIn now.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -17,7 +17,7 @@
     SearchTerms,
     UpstreamSearch,
 )
-from ridgesill.app.upstream_words import Answered
+from ridgesill.app.upstream_words import HeardIn
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.serving.events import EventSplitter
 from ridgesill.core.serving.routes import STREAM, Route
@@ -276,12 +276,12 @@
             Whether it asks for rest.
         """
         word = self._front.dialect.read_word(head)
-        if word is NO_WORD:
+        if word == NO_WORD:
             return False
-        answered = Answered(
+        heard_in = HeardIn(
             self._facts.request, head.status, self._search.chosen_by
         )
-        self._front.words.take(upstream, word, answered)
+        self._front.words.take(upstream, word, heard_in)
         return bool(word.rest)
 
     def _tell_reading_ended(self, failure: Failure | None) -> None:
--- a/src/ridgesill/app/upstream_words.py
+++ b/src/ridgesill/app/upstream_words.py
@@ -13,7 +13,7 @@
 
 
 @attrs.frozen
-class Answered:
+class HeardIn:
     """In whose answer something was said.
 
     Attributes:
@@ -42,14 +42,14 @@
         self._telling: dict[str, asyncio.Task[None]] = {}
 
     def take(
-        self, upstream: Upstream, word: UpstreamWord, answered: Answered
+        self, upstream: Upstream, word: UpstreamWord, heard_in: HeardIn
     ) -> None:
         """Takes what an upstream has said in an answer."""
         log_message(
             "request:upstream_word",
             upstream=upstream.name,
             peer=upstream.address,
-            **attrs.asdict(answered),
+            **attrs.asdict(heard_in),
             **attrs.asdict(word),
         )
         now = self._loop.time()
