--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -7,6 +7,7 @@
 
 import attrs
 import pytest
+from eliot import add_destinations, remove_destination
 
 from ridgesill.core.fleet.messages import (
     DRAINING,
@@ -14,6 +15,14 @@
     ReadingEnded,
     WantArtifact,
 )
+from ridgesill.core.freshness import Freshness
+from ridgesill.core.serving.customers import (
+    Customer,
+    Customers,
+    Quota,
+    digest_key,
+)
+from ridgesill.core.serving.quotas import CustomerUse, QuotaState
 from ridgesill.core.serving.routes import RouteTable
 from testing.app.front_world import (
     Call,
@@ -623,3 +632,121 @@
         await world.add("u1", cut)
         client = await world.open()
         assert (await client.ask("/unsafe/x", b"b")).status == 502
+
+
+LIMITED = Customer("alice", None, Quota(1000.0, 1000.0, True, 200))
+
+
+def name_customers(world: FrontWorld, **keys: Customer) -> None:
+    """Has callers need keys, in a configuration that was just confirmed."""
+    table = world.front.table
+    known = {digest_key(key.encode()): c for key, c in keys.items()}
+    world.front.table = RouteTable(
+        table.version + 1,
+        [make_table().find("a.example", "/safe/x")],  # type: ignore[list-item]
+        table.services.values(),
+        customers=Customers(tuple(keys.values()), known),
+    )
+    set_age(world, 0.0)
+
+
+def set_age(world: FrontWorld, age: float) -> None:
+    """Has the front know its configuration as of some time ago."""
+    freshness = Freshness(1.2, asyncio.get_running_loop().time() - age)
+    world.front._freshness = freshness
+    world.front._revocation = 4.5
+
+
+class TestCallers:
+    async def test_the_upstream_learns_the_customer_and_not_the_key(
+        self, world: FrontWorld
+    ) -> None:
+        name_customers(world, k1=LIMITED)
+        upstream = await world.add("u1", answer_ok)
+        client = await world.open()
+        answer = await client.ask("/safe/x", credential="k1", tenant="bob")
+        assert answer.status == 200
+        assert upstream.calls[0].header("tenant") == "alice"
+        assert "k1" not in upstream.calls[0].head
+
+    async def test_an_unknown_key_is_refused(self, world: FrontWorld) -> None:
+        name_customers(world, k1=LIMITED)
+        upstream = await world.add("u1", answer_ok)
+        answer = await (await world.open()).ask("/safe/x", credential="k2")
+        assert (answer.status, upstream.calls) == (401, [])
+
+    async def test_a_key_that_has_just_been_added_is_waited_for(
+        self, world: FrontWorld
+    ) -> None:
+        name_customers(world, k1=LIMITED)
+        await world.add("u1", answer_ok)
+        client = await world.open()
+        asked = asyncio.create_task(client.ask("/safe/x", credential="k2"))
+        await asyncio.sleep(0.05)
+        name_customers(world, k1=LIMITED, k2=Customer("bob"))
+        world.front.learned.note()
+        assert (await asked).status == 200
+
+    async def test_no_key_is_served_once_it_may_have_been_taken_away(
+        self, world: FrontWorld
+    ) -> None:
+        name_customers(world, k1=LIMITED)
+        upstream = await world.add("u1", answer_ok)
+        set_age(world, 4.6)
+        answer = await (await world.open()).ask("/safe/x", credential="k1")
+        assert (answer.status, upstream.calls) == (503, [])
+        assert float(answer.headers["retry-after"]) > 0
+
+    async def test_a_key_is_in_no_log_line(
+        self, world: FrontWorld, capfd: pytest.CaptureFixture[str]
+    ) -> None:
+        messages: list[object] = []
+        add_destinations(messages.append)
+        try:
+            name_customers(world, s3cret=LIMITED)
+            await world.add("u1", reset)
+            client = await world.open()
+            await client.ask("/safe/x", credential="s3cret")
+            await (await world.open()).ask("/safe/x", credential="0ther")
+        finally:
+            remove_destination(messages.append)
+        written = repr(messages) + "".join(capfd.readouterr())
+        assert messages
+        assert "s3cret" not in written
+        assert "0ther" not in written
+
+
+class TestQuotas:
+    async def test_what_lies_beyond_the_limit_is_refused_at_once(
+        self, world: FrontWorld
+    ) -> None:
+        name_customers(world, k1=LIMITED)
+        upstream = await world.add("u1", answer_ok)
+        now = asyncio.get_running_loop().time()
+        states = {"alice": QuotaState(0.0, -9.0)}
+        world.front.quotas.take_news(states, 1, now)
+        answer = await (await world.open()).ask("/safe/x", credential="k1")
+        assert (answer.status, upstream.calls) == (429, [])
+        assert float(answer.headers["retry-after"]) >= 1.0
+
+    async def test_a_retry_of_ours_is_counted_once(
+        self, world: FrontWorld
+    ) -> None:
+        name_customers(world, k1=LIMITED)
+        await world.add("u1", refuse)
+        await world.add("u2", answer_ok)
+        for _ in range(3):
+            client = await world.open()
+            assert (await client.ask("/safe/x", credential="k1")).status == 200
+        assert world.front.quotas.take_uses() == {
+            "alice": CustomerUse(600, 600)
+        }
+
+    async def test_what_has_not_run_is_not_counted(
+        self, world: FrontWorld
+    ) -> None:
+        name_customers(world, k1=LIMITED)
+        await world.add("u1", refuse)
+        client = await world.open()
+        assert (await client.ask("/safe/x", credential="k1")).status == 503
+        assert world.front.quotas.take_uses() == {"alice": CustomerUse()}
--- a/testing/app/test_front_process.py
+++ b/testing/app/test_front_process.py
@@ -10,6 +10,7 @@
 from ridgesill.app import front_process
 from ridgesill.app.front_process import FrontProcess
 from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.http import HttpRequest, Responder
 
 
@@ -28,7 +29,7 @@
         made._draining = False
         view = FleetView(epoch=3, known_at=known_at)
         made.fleet = types.SimpleNamespace(view=view)  # type: ignore[assignment]
-        table = types.SimpleNamespace(version=7)
+        table = RouteTable(7)
         made.front = types.SimpleNamespace(table=table)  # type: ignore[assignment]
         return made
 
--- /dev/null
+++ b/testing/core/serving/test_quotas.py
@@ -0,0 +1,83 @@
+"""Tests of a front's part in keeping customers within their limits."""
+
+import random
+
+from ridgesill.core.serving.customers import Customer, Quota
+from ridgesill.core.serving.quotas import CustomerUse, FrontQuotas, QuotaState
+
+LIMITED = Customer("c", None, Quota(1000.0, 1000.0, True, 200))
+FRONTS = 10
+
+
+def make(**states: QuotaState) -> FrontQuotas:
+    """Returns the part of a front that has just had news."""
+    made = FrontQuotas(random.Random(1))
+    made.take_news(states, FRONTS, 0.0)
+    return made
+
+
+def count_passed(part: FrontQuotas, times: int, now: float) -> int:
+    return sum(part.admit(LIMITED, 100, now) for _ in range(times))
+
+
+class TestNews:
+    def test_a_customer_that_is_not_named_passes(self) -> None:
+        assert count_passed(make(), 50, 0.1) == 50
+
+    def test_the_named_share_of_requests_passes(self) -> None:
+        part = make(c=QuotaState(0.25, 0.0))
+        assert 200 < count_passed(part, 1000, 0.1) < 300
+
+    def test_one_beyond_its_limit_gets_nothing(self) -> None:
+        assert count_passed(make(c=QuotaState(0.0, -500.0)), 50, 0.1) == 0
+
+    def test_one_without_a_limit_is_not_counted(self) -> None:
+        part = make()
+        assert part.admit(Customer("free"), 100, 0.1)
+        assert not part.take_uses()
+
+
+class TestReports:
+    def test_what_passed_and_what_came_are_told_apart(self) -> None:
+        part = make(c=QuotaState(0.0, -1.0))
+        part.admit(LIMITED, 300, 0.1)
+        assert part.take_uses() == {"c": CustomerUse(0, 300)}
+
+    def test_a_request_without_tokens_counts_as_the_limit_says(self) -> None:
+        part = make()
+        part.admit(LIMITED, 0, 0.1)
+        assert part.take_uses() == {"c": CustomerUse(200, 200)}
+
+    def test_one_that_reached_no_upstream_is_taken_back(self) -> None:
+        part = make()
+        part.admit(LIMITED, 300, 0.1)
+        part.give_back(LIMITED, 300)
+        assert part.take_uses() == {"c": CustomerUse(0, 0)}
+
+    def test_a_report_that_was_lost_is_told_again(self) -> None:
+        part = make()
+        part.admit(LIMITED, 300, 0.1)
+        lost = part.take_uses()
+        part.admit(LIMITED, 50, 0.2)
+        part.put_back(lost)
+        assert part.take_uses() == {"c": CustomerUse(350, 350)}
+
+
+class TestWithoutNews:
+    def test_it_spends_its_own_part_of_the_limit(self) -> None:
+        part = make()
+        passed = sum(
+            count_passed(part, 10, 2.0 + tenth / 10) for tenth in range(80)
+        )
+        # Its part is 100 tokens a second, beside a burst of 300.
+        assert 9 <= passed <= 12
+
+    def test_one_that_was_beyond_its_limit_starts_with_nothing(self) -> None:
+        part = make(c=QuotaState(0.3, 0.0))
+        assert count_passed(part, 10, 2.0) == 0
+
+    def test_news_end_it(self) -> None:
+        part = make()
+        count_passed(part, 50, 2.0)
+        part.take_news({}, FRONTS, 3.0)
+        assert count_passed(part, 50, 3.1) == 50
--- a/testing/platform/test_configuration.py
+++ b/testing/platform/test_configuration.py
@@ -1,10 +1,14 @@
 """Tests of what the platform's documents are taken for."""
 
+import time
 from typing import Any
 
 import msgspec
 import pytest
+from hypothesis import given as drawn
+from hypothesis import strategies as st
 
+from ridgesill.core.serving.customers import Customer, Quota, digest_key
 from ridgesill.core.serving.routes import Target
 from ridgesill.platform.configuration import (
     InvalidConfigurationError,
@@ -156,3 +160,96 @@
         assert settings.seeds == ("10.0.0.2:7000",)
         assert settings.bounds.lease == 2.5
         assert settings.bounds.retry_slack == 7
+
+
+def tenant(name: str = "alice", *keys: str, **fields: Any) -> dict[str, Any]:
+    """Returns a customer as the operator sends it."""
+    return {"name": name, "api_keys": list(keys), **fields}
+
+
+_SCALARS = st.none() | st.booleans() | st.floats() | st.text() | st.integers()
+
+
+def _nest(children: Any) -> Any:
+    fields = st.sampled_from(["name", "api_keys", "rate_per_s", "unit"])
+    return st.lists(children) | st.dictionaries(fields, children)
+
+
+class TestCustomers:
+    def test_a_key_names_its_customer(self) -> None:
+        quota = {
+            "priority": 1,
+            "unit": "tokens",
+            "plain_tokens": 200,
+            "rate_per_s": 500,
+            "burst": 700,
+        }
+        given = document(route(), tenants=[tenant("alice", "k1", **quota)])
+        customers = decode_configuration(given).customers
+        assert customers is not None
+        expected = Customer("alice", 1, Quota(500.0, 700.0, True, 200))
+        assert customers.find(digest_key(b"k1")) == expected
+
+    def test_without_customers_nobody_needs_a_key(self) -> None:
+        assert decode_configuration(document(route())).customers is None
+
+    def test_a_limit_of_nothing_is_none(self) -> None:
+        given = document(route(), tenants=[tenant("alice", "k1")])
+        customers = decode_configuration(given).customers
+        assert customers is not None
+        assert not customers.quotas
+
+    def test_a_route_may_be_public(self) -> None:
+        table = decode_configuration(document(route(public=True)))
+        found = table.find("a.example", "/x/1")
+        assert found is not None
+        assert found.is_public
+
+    @pytest.mark.parametrize(
+        "tenants",
+        [
+            [tenant("alice", "k1"), tenant("bob", "k1")],
+            [tenant("alice", "k1"), tenant("alice", "k2")],
+            [tenant("alice", "")],
+            [tenant("alice", "a b")],
+            [tenant("alice", "k\n")],
+            [tenant("alice", "x" * 257)],
+            [tenant("", "k1")],
+            [tenant("a\r\nb", "k1")],
+            [tenant("alice", "k1", rate_per_s=-1)],
+            [tenant("alice", "k1", rate_per_s="9")],
+            [tenant("alice", "k1", unit="bytes")],
+            [{"name": "alice", "api_keys": "k1"}],
+            ["alice"],
+            "alice",
+        ],
+    )
+    def test_what_makes_no_sense_is_refused(self, tenants: Any) -> None:
+        with pytest.raises(InvalidConfigurationError, match="nothing was"):
+            decode_configuration(document(route(), tenants=tenants))
+
+    def test_no_error_shows_a_key(self) -> None:
+        tenants = [tenant("alice", "s3cret"), tenant("bob", "s3cret")]
+        with pytest.raises(InvalidConfigurationError) as caught:
+            decode_configuration(document(route(), tenants=tenants))
+        assert "s3cret" not in str(caught.value)
+        assert "alice" in str(caught.value)
+
+    @drawn(st.recursive(_SCALARS, _nest, max_leaves=8))
+    def test_any_other_document_is_refused_or_read(self, tenants: Any) -> None:
+        try:
+            decode_configuration(document(route(), tenants=tenants))
+        except InvalidConfigurationError as error:
+            assert "nothing was changed" in str(error)
+
+    def test_ten_thousand_customers_decode_in_time(self) -> None:
+        tenants = [
+            tenant(f"c{n}", *(f"key-{n}-{k}" for k in range(50)))
+            for n in range(10_000)
+        ]
+        given = document(route(), tenants=tenants)
+        began = time.process_time()
+        decode_configuration(given)
+        # A fifth of the shortest time in which a change must be in force,
+        # on a core that is shared with another process.
+        assert time.process_time() - began < 4.0
--- a/testing/platform/test_requests.py
+++ b/testing/platform/test_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ridgesill.core.fleet.messages import READY
+from ridgesill.core.serving.customers import digest_key
 from ridgesill.platform.requests import PlatformDialect
 from ridgesill.ports.dialect import ForwardTerms
 from ridgesill.ports.http import Headers, HttpRequest, ResponseHead
@@ -20,6 +21,8 @@
     "Expect-Instance",
     "Expect-Version",
     "Request-Priority",
+    "Credential",
+    "Tenant",
 )
 IDENTITY = ("Request-Id", "Model", "Token-Counts", "Prompt-Prefix")
 
@@ -86,6 +89,44 @@
         assert [call.body for call in upstream.calls] == [b"one", b"two"]
 
 
+class TestCallers:
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            (),
+            (("Credential", ""),),
+            (("Credential", "  "),),
+            (("Credential", "k1"), ("Credential", "k2")),
+        ],
+    )
+    def test_none_or_several_keys_are_no_key(
+        self, sent: tuple[tuple[str, str], ...]
+    ) -> None:
+        headers = tuple((n.lower().encode(), v.encode()) for n, v in sent)
+        facts = PlatformDialect().read_request(
+            HttpRequest(b"GET", b"/x", headers)
+        )
+        assert facts.key_digest == b""
+
+    @pytest.mark.parametrize("key", [b"k1", b"\xff\x00", b"x" * 16_000])
+    def test_any_bytes_may_be_tried_as_a_key(self, key: bytes) -> None:
+        request = HttpRequest(b"GET", b"/x", ((b"credential", key),))
+        facts = PlatformDialect().read_request(request)
+        assert facts.key_digest == digest_key(key)
+
+    def test_an_upstream_learns_the_customer_from_this_side_only(self) -> None:
+        headers = (
+            (b"tenant", b"mallory"),
+            (b"credential", b"k1"),
+            (b"connection", b"tenant, credential"),
+        )
+        terms = ForwardTerms("u1", 1.0, customer="alice")
+        request = HttpRequest(b"GET", b"/x", headers)
+        sent = PlatformDialect().forward(request, terms).headers
+        assert [v for n, v in sent if n == b"tenant"] == [b"alice"]
+        assert b"k1" not in [v for _, v in sent]
+
+
 class TestIdentity:
     @pytest.mark.parametrize("name", IDENTITY)
     def test_a_client_can_t_have_it_dropped(self, name: str) -> None:
