Serve callers by their keys, and keep customers' limits over all fronts

What callers saw: any caller was served, under any key; a customer's excess was served like the rest. Cause: the configuration's customers were dropped unread.

A key is decoded to its digest at the edge and looked up by it; upstreams get the customer and never the key. A front relies on its configuration for nine tenths of the time within which a key that was taken away must be refused, counted by the freshness of the log on the clock that counts suspensions; then it refuses with when to come back, and isn't ready. A key that isn't known waits 0.3 s for a configuration that may just have brought it.

Limits: fronts report what customers offer and what was let through; the owner keeps a bucket for each and tells fronts which share of a customer's requests may pass. A report that nobody heard is told again; a new owner goes on from the last word; a front without news spends its own part of the limit.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: test lint format demo build proofs check-long bench-control \
-	bench-routing bench-path bench-capacity bench-storage bench-recovery soak \
+	bench-routing bench-path bench-capacity bench-storage bench-recovery \
+	bench-quotas soak \
 	experiment clean
 
 $(STAMP): requirements/dev.txt pyproject.toml
@@ -52,7 +53,7 @@
 soak: $(STAMP)
 	$(BIN)/python -m testing.soak --seeds $(SEEDS)
 
-bench-control bench-routing bench-path bench-capacity bench-storage \
+bench-control bench-routing bench-path bench-capacity bench-storage bench-quotas \
 bench-recovery: $(STAMP)
 	$(BIN)/python -m bench.$(subst bench-,,$@)
 
--- /dev/null
+++ b/bench/quotas.py
@@ -0,0 +1,147 @@
+"""Compares ways of keeping a customer's limit over all fronts.
+
+`make bench-quotas`. Prints, for each way and size of fleet, the tokens beyond
+the limit in the busiest window, what was refused below it, and how much of the
+limit a hot customer could use.
+"""
+
+import random
+from collections.abc import Mapping
+
+from ridgesill.core.serving.customers import Customer, Quota
+from ridgesill.core.serving.quotas import (
+    CustomerUse,
+    QuotaState,
+    add_uses,
+)
+from ridgesill.standin.emulator.quotas import (
+    Plan,
+    Play,
+    QuotaEmulation,
+    Silence,
+    share_parts,
+)
+
+_SIZES = (6, 74, 195, 330)
+_LARGE = Quota(145_000, 145_000, counts_tokens=True)
+_SMALL = Quota(29_000, 29_000, counts_tokens=True)
+_SEEDS = (1, 2, 3)
+
+
+class _Reporting:
+    """What all ways do alike."""
+
+    def __init__(self) -> None:
+        self.uses: dict[str, CustomerUse] = {}
+        self.states: Mapping[str, QuotaState] = {}
+        self.fronts = 1
+
+    def take_uses(self) -> dict[str, CustomerUse]:
+        """Returns what there is to report."""
+        uses, self.uses = self.uses, {}
+        return uses
+
+    def put_back(self, uses: Mapping[str, CustomerUse]) -> None:
+        """Takes back a report."""
+        self.uses = add_uses(uses, self.uses)
+
+    def note(self, name: str, cost: int, passed: bool) -> bool:
+        """Counts a request."""
+        use = CustomerUse(cost if passed else 0, cost)
+        self.uses = add_uses(self.uses, {name: use})
+        return passed
+
+
+class EvenParts(_Reporting):
+    """Each front keeps its equal part of the limit, whatever others do."""
+
+    def __init__(self, _rng: random.Random) -> None:
+        super().__init__()
+        self._level = float("inf")
+        self._at = 0.0
+
+    def take_news(
+        self, states: Mapping[str, QuotaState], fronts: int, told_at: float
+    ) -> None:
+        """Takes how many fronts there are."""
+        self.fronts = fronts
+
+    def admit(self, customer: Customer, tokens: int, now: float) -> bool:
+        """Returns whether its own part lasts for a request."""
+        quota = customer.quota
+        assert quota is not None
+        most = quota.burst / self.fronts
+        grown = self._level + (now - self._at) * quota.rate / self.fronts
+        self._level = min(grown, most)
+        self._at = now
+        passed = self._level > 0
+        self._level -= tokens if passed else 0
+        return self.note(customer.name, tokens, passed)
+
+
+class CommonLevel(_Reporting):
+    """The owner tells what is left; each front adds what it has spent since."""
+
+    def __init__(self, _rng: random.Random) -> None:
+        super().__init__()
+        self._since = 0
+
+    def take_news(
+        self, states: Mapping[str, QuotaState], fronts: int, told_at: float
+    ) -> None:
+        """Takes what is left."""
+        self.states = states
+        self._since = 0
+
+    def admit(self, customer: Customer, tokens: int, now: float) -> bool:
+        """Returns whether something is left."""
+        state = self.states.get(customer.name)
+        passed = state is None or state.level > self._since
+        self._since += tokens if passed else 0
+        return self.note(customer.name, tokens, passed)
+
+
+_WAYS = {
+    "equal parts": EvenParts,
+    "common level": CommonLevel,
+    "share of offers": share_parts,
+}
+
+
+def _play(plan: Plan, way: str) -> list[Play]:
+    return [QuotaEmulation(plan, _WAYS[way], seed).play() for seed in _SEEDS]
+
+
+def _print(name: str, plan: Plan) -> None:
+    for way in _WAYS:
+        plays = _play(plan, way)
+        excess = max(p.excess for p in plays)
+        calm = max(p.refused_calm for p in plays)
+        hot = min(p.passed_hot for p in plays)
+        reports = plays[0].reports / plan.seconds
+        print(
+            f"{name:<28} {plan.fronts:>4} {way:<16} {excess:>10,.0f} "
+            f"{calm:>8.3f} {hot:>8.3f} {reports:>8.0f}"
+        )
+
+
+def main() -> None:
+    """Prints the table."""
+    print(
+        f"{'load':<28} {'VMs':>4} {'way':<16} {'excess':>10} {'refused':>8} "
+        f"{'used':>8} {'msgs/s':>8}"
+    )
+    for fronts in _SIZES:
+        _print("largest hot", Plan(fronts, _LARGE))
+        _print("smallest hot", Plan(fronts, _SMALL))
+    cut = Silence(9.0, 4.5, 0.4)
+    _print("two fifths cut off", Plan(74, _LARGE, silences=(cut,)))
+    killed = tuple(Silence(at, 1.0, 0.7, restarts=True) for at in (11.0, 15.0))
+    _print("seven tenths killed twice", Plan(74, _LARGE, silences=killed))
+    lost = Plan(74, _LARGE, owner_lost_at=9.5, owner_seconds=3.5)
+    _print("owner lost as it turns hot", lost)
+    _print("limit lowered", Plan(74, _LARGE, lowered_at=13.0, hot_until=28.0))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -90,6 +90,7 @@
             settings.peers,
             self._report_usage,
             others=settings.seeds,
+            put_back=self._put_back_usage,
         )
         self.owner = FleetOwner(
             self.control,
@@ -124,6 +125,9 @@
         """Returns what the fronts use that ask here for news."""
         return self.owner.relay.report()
 
+    def _put_back_usage(self, report: UsageReport) -> None:
+        self.owner.relay.put_back(report)
+
     def _note_state(self) -> None:
         table = read_newer_table(self.control.state, self.owner.table)
         if table is not None:
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -63,6 +63,7 @@
         others: nodes to ask at the start, while no owner is known.
         relay: returns the address of a node that passes the owner's news on,
             or nothing where the owner itself is to be asked.
+        put_back: takes a report that nobody may have heard.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         usage: Callable[[], UsageReport] | None = None,
         others: Sequence[str] = (),
         relay: Callable[[], str] = lambda: "",
+        put_back: Callable[[UsageReport], None] = lambda report: None,
     ) -> None:
         self.view = FleetView()
         self._peers = peers
@@ -81,6 +83,7 @@
         self._usage = usage
         self._others = tuple(others)
         self._relay = relay
+        self._put_back = put_back
         self._relay_from = float("-inf")
         self._relay_pause = _RELAY_PAUSE
         self._loop = asyncio.get_running_loop()
@@ -143,15 +146,18 @@
             usage.fronts,
             usage.age,
             usage.resting,
+            usage.uses,
         )
         try:
             news: FleetNews = await self._peers.call(
                 address, question, _WAIT + margin
             )
         except PeerError as error:
+            self._put_back(usage)
             self._note_touch(False, address, str(error))
             return False
         if not news.epoch:
+            self._put_back(usage)
             self._note_touch(False, address, "it does not own the fleet")
             return False
         self._note_touch(True, address, "")
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -42,6 +42,7 @@
 from ridgesill.core.fleet.order_leases import OrderLeases
 from ridgesill.core.fleet.orders import EngineReport, HolderAlive
 from ridgesill.core.fleet.placement import Placement
+from ridgesill.core.fleet.quota_ledger import QuotaLedger
 from ridgesill.core.fleet.registry import Registry
 from ridgesill.core.fleet.usage import Usage
 from ridgesill.core.serving.routes import RouteTable
@@ -131,6 +132,7 @@
         self._fronts_before = 0
         self._placement = Placement()
         self._usage = Usage()
+        self._quotas = QuotaLedger()
         self._backlogs = Backlogs()
         self._health = EngineHealth()
         self._orders = EngineOrders(
@@ -258,6 +260,8 @@
         if not registry.upstreams:
             registry.begin_empty(now)
         self._engines.begin(registry, blind=blind)
+        self._quotas.begin(self._follower.view.quotas, now)
+        self._quotas.note(self.relay.take_uses(), now)
         self._news.note()
 
     def _give_up(self) -> None:
@@ -277,6 +281,7 @@
         now = self._loop.time()
         self._engines.forget_silent()
         self._usage.forget_silent(now)
+        self._quotas.note_fronts(self._usage.fronts, now)
         self._backlogs.forget_lost(now)
         self._backlogs.keep_only(set(registry.upstreams))
         self._health.keep_only(set(registry.upstreams))
@@ -344,6 +349,8 @@
         """Takes a new configuration."""
         self._services.update(table.services)
         self._engines.note_table(table)
+        customers = table.customers
+        self._quotas.set_quotas(customers.quotas if customers else {})
 
     # -- fronts --------------------------------------------------------
 
@@ -376,16 +383,18 @@
         )
         if not self.is_owner() or self._registry is None:
             return FleetNews(0)
+        now = self._loop.time()
         return self._registry.news(
             question,
             max(self._usage.fronts, 1),
             self._usage.busy(),
-            self._loop.time(),
+            now,
+            self._quotas.states(now),
         )
 
     def _has_news(self, question: WatchFleet) -> bool:
         registry = self._registry
-        if registry is None:
+        if registry is None or self._quotas.has_limited(self._loop.time()):
             return True
         return registry.has_news(question.epoch, question.number)
 
@@ -393,6 +402,10 @@
         now = self._loop.time()
         self._usage.note(sender, read_report(question), now)
         self._loads.note_report()
+        if question.uses:
+            self._quotas.note(question.uses, now)
+            if self._quotas.has_limited(now):
+                self._news.note()
         if question.used:
             self._placement.note_used(question.used, now)
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -8,6 +8,7 @@
 
 import attrs
 from eliot import log_message
+from result import Err, Result
 
 from ridgesill.adapters.http1.client import Exchange
 from ridgesill.app.front import Front
@@ -19,6 +20,8 @@
 )
 from ridgesill.app.upstream_words import HeardIn
 from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.serving.callers import STALE, UNKNOWN_KEY, check_caller
+from ridgesill.core.serving.customers import Customer
 from ridgesill.core.serving.events import EventSplitter
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
@@ -50,6 +53,16 @@
 # stopped.
 _QUARANTINED_AFTER = 3600.0
 _PROMISES = frozenset((408, 421, 429, 503))
+# How long a key that isn't known waits for a configuration that may just have
+# brought it, in seconds: nearly all fronts know a change by then.
+_KEY_LEARN_SECONDS = 0.3
+# Seconds after which a caller whose key can't be relied on here may come back;
+# it meets another front, on a new channel.
+_STALE_AFTER = 0.5
+_CALLER_REFUSALS = {
+    UNKNOWN_KEY: Refusal(UNKNOWN_KEY, 0.0, 401),
+    STALE: Refusal("stale", _STALE_AFTER),
+}
 _QUARANTINED = Refusal("quarantined", _QUARANTINED_AFTER)
 _OK = 200
 _REDIRECT = 300
@@ -117,11 +130,14 @@
         self._search = UpstreamSearch(front, self._facts)
         self._suspect = SuspectRequest(front.quarantine, request, self._facts)
         self._route: Route | None = None
+        self._customer: Customer | None = None
         self._service = ""
         self._deadline = 0.0
         self._goal_at = 0.0
         self._tried: list[str] = []
         self._may_have_run = False
+        # Whether its answer has said so.
+        self._has_not_run = False
         self._first_at = 0.0
         self._sent_at = 0.0
         self._asked = ""
@@ -136,12 +152,17 @@
 
     async def run(self) -> None:
         """Answers the request, whatever becomes of it."""
-        if not self._front.table.version:
-            await self._search.learn(lambda: bool(self._front.table.version))
+        if not self._knows_enough():
+            await self._search.learn(self._knows_enough)
         route = self._find_route()
         if route is None:
             return
         self._route = route
+        caller = await self._find_caller(route)
+        if isinstance(caller, Err):
+            self._refuse(_CALLER_REFUSALS[caller.err_value])
+            return
+        self._note_customer(caller.ok_value)
         self._begin(route)
         if self._may_outlast_front():
             self._refuse(Refusal("stopping", _STOPPING_AFTER))
@@ -149,6 +170,10 @@
         if self._suspect.is_quarantined():
             self._refuse(_QUARANTINED)
             return
+        if self._is_beyond_quota():
+            after = self._front.quotas.comes_back_after()
+            self._refuse(Refusal("beyond_quota", after, 429))
+            return
         self._deadline = min(self._deadline, self._front.stops_at)
         try:
             async with asyncio.timeout_at(self._deadline):
@@ -160,6 +185,58 @@
             self._search.abandon()
             self._end("client_left")
             raise
+        finally:
+            if self._has_not_run or not self.was_offered:
+                self._give_quota_back()
+
+    def _knows_enough(self) -> bool:
+        """Whether this front can tell routes and callers at all."""
+        table = self._front.table
+        if not table.version or table.customers is None:
+            return bool(table.version)
+        knowledge = self._front.knowledge(self._loop.time())
+        return not (knowledge.is_stale and knowledge.is_missing)
+
+    async def _find_caller(self, route: Route) -> Result[Customer | None, str]:
+        """Returns whose request it is, or why it can't be served."""
+        deadline = self._loop.time() + _KEY_LEARN_SECONDS
+        version = self._front.table.version
+        caller = self._check_caller(route)
+        while caller == Err(UNKNOWN_KEY) and self._facts.key_digest:
+            left = deadline - self._loop.time()
+            if left <= 0 or not await self._front.learned.within(left):
+                break
+            if self._front.table.version != version:
+                caller = self._check_caller(route)
+        return caller
+
+    def _check_caller(self, route: Route) -> Result[Customer | None, str]:
+        return check_caller(
+            route,
+            self._front.table.customers,
+            self._facts.key_digest,
+            self._front.knowledge(self._loop.time()),
+        )
+
+    def _note_customer(self, customer: Customer | None) -> None:
+        self._customer = customer
+        if customer is not None:
+            self._suspect.note_customer(customer.name)
+
+    def _is_beyond_quota(self) -> bool:
+        if self._customer is None:
+            return False
+        return not self._front.quotas.admit(
+            self._customer, self._tokens(), self._loop.time()
+        )
+
+    def _give_quota_back(self) -> None:
+        if self._customer is not None:
+            self._front.quotas.give_back(self._customer, self._tokens())
+
+    def _tokens(self) -> int:
+        """Returns the tokens that count towards a limit."""
+        return self._facts.prompt_tokens + self._facts.answer_tokens
 
     def _find_route(self) -> Route | None:
         table = self._front.table
@@ -308,6 +385,7 @@
             self._search.wanted().version,
             last_event,
             self._search.rank(now),
+            self._customer.name if self._customer else "",
         )
         forwarded = front.dialect.forward(self._request, terms)
         fresh = 60.0 if route.is_idempotent else _FRESH_FOR_UNSAFE
@@ -500,6 +578,7 @@
             self._refuse(Refusal("timeout"))
 
     def _refuse(self, refusal: Refusal) -> None:
+        self._has_not_run = True
         self._answer(refusal.status, refusal.after)
         self._end("refused", reason=refusal.reason)
 
@@ -536,6 +615,7 @@
             request=self._facts.request,
             route=self._route.name if self._route else "",
             version=self._front.table.version,
+            customer=self._customer.name if self._customer else "",
             artifact=self._facts.artifact,
             upstream=upstream,
             outcome=outcome,
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -7,8 +7,11 @@
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.quarantine import Quarantine
 from ridgesill.app.upstream_words import UpstreamWords
+from ridgesill.core.freshness import Freshness
 from ridgesill.core.serving.admission import Admission
+from ridgesill.core.serving.callers import Knowledge
 from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.quotas import FrontQuotas
 from ridgesill.core.serving.reading import ReadingRate
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
 from ridgesill.core.serving.routes import RouteTable
@@ -25,6 +28,8 @@
         channels: to upstreams.
         dialect: how clients and upstreams speak.
         bounds: of retries.
+        freshness: of the configuration here.
+        revocation: seconds from which a key may have been taken away unheard.
     """
 
     def __init__(
@@ -34,6 +39,8 @@
         channels: UpstreamChannels,
         dialect: Dialect,
         bounds: RetryBounds,
+        freshness: Freshness | None = None,
+        revocation: float = float("inf"),
     ) -> None:
         self.table = RouteTable()
         self.versions: dict[str, int] = {}
@@ -44,6 +51,7 @@
         self.quarantine = Quarantine(channels.is_refused)
         self.words = UpstreamWords(chooser.unavailable, fleet)
         self.rng = random.Random()
+        self.quotas = FrontQuotas(self.rng)
         self.in_progress = 0
         self.used: dict[str, int] = {}
         self.telemetry: Telemetry = KeptTelemetry()
@@ -54,10 +62,16 @@
         self.refuses_from = float("inf")
         self.stops_at = float("inf")
         self._bounds = bounds
+        self._freshness = freshness or Freshness(float("inf"))
+        self._revocation = revocation
         self._retries: dict[str, ServiceRetries] = {}
         self._admissions: dict[str, Admission] = {}
         self._readings: dict[str, ReadingRate] = {}
 
+    def knowledge(self, now: float) -> Knowledge:
+        """Returns how sure this front is of its configuration."""
+        return Knowledge(self._freshness.age(now), self._revocation)
+
     def retries(self, service: str) -> ServiceRetries:
         """Returns the retry budget of a service."""
         budget = self._retries.get(service)
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -47,6 +47,9 @@
 # From then on, after SIGTERM, requests that may outlast the process are
 # refused; a little before the notice ends, for what is on its way. Seconds.
 _SERVES_SECONDS = 2.8
+# Share of the time within which a key that was taken away must be refused, for
+# which a front without word of the log goes on serving callers with keys.
+_REVOCATION_SHARE = 0.9
 # Kept back from the time until SIGKILL, in seconds.
 _GRACE_MARGIN = 0.7
 _DRAIN_TICK = 0.05
@@ -78,6 +81,7 @@
             self._usage,
             settings.seeds,
             self._relay_address,
+            lambda report: self.front.quotas.put_back(report.uses),
         )
         bounds = settings.bounds
         self.front = Front(
@@ -88,6 +92,8 @@
             RetryBounds(
                 bounds.retry_share, bounds.retry_slack, bounds.retry_window
             ),
+            self.control.freshness,
+            bounds.revocation * _REVOCATION_SHARE,
         )
         self.fleet.watch(self.front.learned.note)
         self.fleet.watch(self._note_news)
@@ -98,6 +104,8 @@
 
     def _note_news(self) -> None:
         self.front.chooser.note_news(self._loop.time())
+        view = self.fleet.view
+        self.front.quotas.take_news(view.quotas, view.fronts, view.known_at)
 
     def _usage(self) -> UsageReport:
         chooser = self.front.chooser
@@ -106,6 +114,7 @@
             self.front.take_used(),
             chooser.tell_busy(),
             resting=dict.fromkeys(resting, 1),
+            uses=self.front.quotas.take_uses(),
         )
 
     def _relay_address(self) -> str:
@@ -144,8 +153,15 @@
             and view.epoch
             and is_in_touch
             and not self._draining
+            and not self._is_stale()
         )
 
+    def _is_stale(self) -> bool:
+        """Whether callers with keys get nothing here."""
+        if self.front.table.customers is None:
+            return False
+        return self.front.knowledge(self._loop.time()).is_stale
+
     async def _tell_ready(
         self, request: HttpRequest, responder: Responder
     ) -> None:
--- a/src/ridgesill/app/news_relay.py
+++ b/src/ridgesill/app/news_relay.py
@@ -8,6 +8,7 @@
 from ridgesill.core.fleet.messages import FleetNews, WatchFleet
 from ridgesill.core.fleet.relayed_news import RelayedNews
 from ridgesill.core.fleet.usage import Usage, UsageReport
+from ridgesill.core.serving.quotas import CustomerUse, Uses, add_uses
 
 # Least time between two answers with news to the same asker, in seconds, and
 # for each process that asks: what changes in between is told in one answer.
@@ -47,6 +48,7 @@
         question.fronts if question.is_front else 0,
         question.reported_ago,
         question.resting,
+        question.uses,
     )
 
 
@@ -60,6 +62,7 @@
     def __init__(self, fleet: FleetClient) -> None:
         self._usage = Usage()
         self._used: dict[str, int] = {}
+        self._uses: dict[str, CustomerUse] = {}
         self._news = RelayedNews(fleet.view)
         self._view = fleet.view
         self._changed = ChangeSignal()
@@ -75,7 +78,17 @@
         now = self._loop.time()
         self._usage.forget_silent(now)
         used, self._used = self._used, {}
-        return self._usage.sum_up(used, now)
+        uses, self._uses = self._uses, {}
+        return self._usage.sum_up(used, uses, now)
+
+    def put_back(self, report: UsageReport) -> None:
+        """Keeps what customers sent for the next report: nobody heard it."""
+        self._uses = add_uses(report.uses, self._uses)
+
+    def take_uses(self) -> Uses:
+        """Returns what customers have sent since the last report."""
+        uses, self._uses = self._uses, {}
+        return uses
 
     async def answer(self, sender: str, question: WatchFleet) -> FleetNews:
         """Answers a front; epoch 0 says that it should ask the owner."""
@@ -99,3 +112,4 @@
         self._usage.note(sender, read_report(question), self._loop.time())
         for artifact, count in question.used.items():
             self._used[artifact] = self._used.get(artifact, 0) + count
+        self._uses = add_uses(self._uses, question.uses)
--- a/src/ridgesill/app/suspect_request.py
+++ b/src/ridgesill/app/suspect_request.py
@@ -31,10 +31,15 @@
         self._quarantine = quarantine
         self._request = request
         self._facts = facts
+        self._customer = ""
+
+    def note_customer(self, customer: str) -> None:
+        """Takes whose request it is; it may come from several addresses."""
+        self._customer = customer
 
     def _identity(self) -> Identity:
         request = self._request
-        caller = request.peer.rpartition(":")[0]
+        caller = self._customer or request.peer.rpartition(":")[0]
         return Identity(
             request.method,
             self._facts.host,
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ridgesill.core.codec import register
+from ridgesill.core.serving.quotas import CustomerUse, QuotaState
 
 READY = "ready"
 DRAINING = "draining"
@@ -130,6 +131,7 @@
         fronts: how many fronts it speaks for.
         reported_ago: seconds since each of them has reported.
         resting: at how many of them an upstream wants no requests.
+        uses: by customer, what limited ones have sent since the last question.
     """
 
     epoch: int
@@ -141,6 +143,7 @@
     fronts: int = 1
     reported_ago: float = 0.0
     resting: dict[str, int] = attrs.Factory(dict)
+    uses: dict[str, CustomerUse] = attrs.Factory(dict)
 
 
 @register
@@ -156,6 +159,7 @@
         settled: whether the owner has had the time to hear every upstream; one
             that has just started knows none, though all may be there.
         age: seconds since the owner said so, to the node that passes it on.
+        quotas: of the customers near their limits.
     """
 
     epoch: int
@@ -166,6 +170,7 @@
     busy: dict[str, int] = attrs.Factory(dict)
     settled: bool = True
     age: float = 0.0
+    quotas: dict[str, QuotaState] = attrs.Factory(dict)
 
 
 @register
--- /dev/null
+++ b/src/ridgesill/core/fleet/quota_ledger.py
@@ -0,0 +1,148 @@
+"""The owner's account of what customers send, over all fronts.
+
+Each customer has a bucket that fills at its rate up to its burst. The owner
+learns what fronts let through some tenths of a second late, so it doesn't tell
+them how much is left but which share of what is offered keeps the bucket from
+running empty: the share changes only as demand does, however late it is heard.
+"""
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+from ridgesill.core.serving.customers import Quota
+from ridgesill.core.serving.quotas import QuotaState, Uses
+
+# Over which offers are averaged, in seconds.
+_OFFERS_SECONDS = 0.6
+# Within which what a bucket holds may be spent, or is to be won back, in
+# seconds; twice what news take from front to front.
+_LEVEL_SECONDS = 0.8
+# Fronts that fell silent may go on by their own part of each limit for as long
+# as keys are relied on there, in seconds.
+_SILENT_SECONDS = 5.0
+_SHARE_DIGITS = 3
+# From which share on a new owner doesn't take the offers for larger still.
+_SHARE_LEAST = 0.05
+
+
+@attrs.define
+class _Account:
+    quota: Quota
+    level: float
+    at: float
+    offers: float = 0.0
+    offers_at: float = float("-inf")
+
+    def advance(self, now: float) -> None:
+        """Brings the bucket up to now."""
+        passed = max(now - self.at, 0.0)
+        self.level = min(
+            self.level + self.quota.rate * passed, self.quota.burst
+        )
+        self.at = now
+
+    def note_offers(self, offered: int, now: float) -> None:
+        """Adds offers to their moving rate."""
+        self.offers = self.offers_rate(now) + offered / _OFFERS_SECONDS
+        self.offers_at = now
+
+    def offers_rate(self, now: float) -> float:
+        """Returns what is offered a second."""
+        return self.offers * math.exp((self.offers_at - now) / _OFFERS_SECONDS)
+
+    def share(self, kept_back: float, now: float) -> float:
+        """Returns the share of the offers that may pass.
+
+        Args:
+            kept_back: share of the rate that others may be spending.
+            now: the clock, in seconds.
+        """
+        rate = self.quota.rate * (1 - kept_back) + self.level / _LEVEL_SECONDS
+        offers = self.offers_rate(now)
+        if offers <= max(rate, 0.0):
+            return 1.0
+        return max(rate, 0.0) / offers
+
+
+class QuotaLedger:
+    """All customers' accounts."""
+
+    def __init__(self) -> None:
+        self._quotas: Mapping[str, Quota] = {}
+        self._accounts: dict[str, _Account] = {}
+        self._fronts_most = 0
+        self._fronts_most_at = float("-inf")
+        self._fronts = 0
+
+    def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
+        """Takes the limits in force."""
+        self._quotas = quotas
+        for name in list(self._accounts):
+            quota = quotas.get(name)
+            if quota is None:
+                del self._accounts[name]
+                continue
+            account = self._accounts[name]
+            account.quota = quota
+            account.level = min(account.level, quota.burst)
+
+    def begin(self, states: Mapping[str, QuotaState], now: float) -> None:
+        """Goes on from what an earlier owner said last."""
+        self._accounts.clear()
+        for name, state in states.items():
+            quota = self._quotas.get(name)
+            if quota is not None:
+                offers = quota.rate / max(state.share, _SHARE_LEAST)
+                self._accounts[name] = _Account(
+                    quota, state.level, now, offers, now
+                )
+
+    def note_fronts(self, fronts: int, now: float) -> None:
+        """Notes how many fronts report now."""
+        is_old = now - self._fronts_most_at > _SILENT_SECONDS
+        if fronts >= self._fronts_most or is_old:
+            self._fronts_most = fronts
+            self._fronts_most_at = now
+        self._fronts = fronts
+
+    def _silent_share(self) -> float:
+        if not self._fronts_most:
+            return 0.0
+        return 1 - self._fronts / self._fronts_most
+
+    def note(self, uses: Uses, now: float) -> None:
+        """Takes what fronts report."""
+        for name, use in uses.items():
+            quota = self._quotas.get(name)
+            if quota is None:
+                continue
+            account = self._accounts.get(name)
+            if account is None:
+                account = _Account(quota, quota.burst, now)
+                self._accounts[name] = account
+            account.advance(now)
+            account.level -= use.spent
+            account.note_offers(use.offered, now)
+
+    def has_limited(self, now: float) -> bool:
+        """Whether some customer offers more than it may send."""
+        kept_back = self._silent_share()
+        return any(
+            account.share(kept_back, now) < 1
+            for account in self._accounts.values()
+        )
+
+    def states(self, now: float) -> dict[str, QuotaState]:
+        """Returns the customers that must not send all that they offer."""
+        kept_back = self._silent_share()
+        states = {}
+        for name, account in self._accounts.items():
+            account.advance(now)
+            share = account.share(kept_back, now)
+            if share < 1 or account.level < 0:
+                states[name] = QuotaState(
+                    round(share, _SHARE_DIGITS), round(account.level)
+                )
+        return states
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -15,6 +15,7 @@
     WatchFleet,
 )
 from ridgesill.core.fleet.sent_orders import UNANSWERED_SECONDS
+from ridgesill.core.serving.quotas import QuotaState
 
 # Changes kept for those who ask; who is further behind gets everything.
 _CHANGES_KEPT = 4096
@@ -349,6 +350,7 @@
         fronts: int,
         busy: dict[str, int],
         now: float,
+        quotas: dict[str, QuotaState] | None = None,
     ) -> FleetNews:
         """Returns what has changed since a question's number, or everything."""
         epoch, number = question.epoch, question.number
@@ -368,6 +370,7 @@
             fronts,
             busy,
             now >= self._settled_at,
+            quotas=quotas or {},
         )
 
     def _oldest(self) -> int:
@@ -383,6 +386,7 @@
         holders: names of the upstreams that hold an artifact.
         known_at: when the owner's last news arrived, here or at the node that
             passed them on, on the runtime's clock.
+        quotas: of the customers near their limits.
     """
 
     epoch: int = 0
@@ -391,6 +395,7 @@
     known_at: float = float("-inf")
     upstreams: dict[str, Upstream] = attrs.Factory(dict)
     busy: dict[str, int] = attrs.Factory(dict)
+    quotas: dict[str, QuotaState] = attrs.Factory(dict)
     _unconfirmed: set[str] = attrs.Factory(set)
 
     def take(self, news: FleetNews, now: float) -> None:
@@ -409,6 +414,7 @@
         self.number = news.number
         self.fronts = max(news.fronts, 1)
         self.busy = news.busy
+        self.quotas = news.quotas
         self.known_at = now - news.age
 
     def _forget_unconfirmed(self) -> None:
--- a/src/ridgesill/core/fleet/relayed_news.py
+++ b/src/ridgesill/core/fleet/relayed_news.py
@@ -68,7 +68,7 @@
         """Whether there is something that an asker doesn't know."""
         if question.epoch != self._epoch:
             return question.epoch < self._epoch
-        return question.number < self._number
+        return question.number < self._number or bool(self._view.quotas)
 
     def tell(self, question: WatchFleet, now: float) -> FleetNews:
         """Returns what has changed since a question's number, or everything."""
@@ -84,6 +84,7 @@
             self._view.busy,
             self._settled,
             age,
+            self._view.quotas,
         )
 
     def _is_too_far_behind(self, question: WatchFleet) -> bool:
--- a/src/ridgesill/core/fleet/usage.py
+++ b/src/ridgesill/core/fleet/usage.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ridgesill.core.serving.quotas import CustomerUse
+
 # After this long without word a front counts as gone, in seconds; it asks at
 # least twice a second.
 _HEARD_SECONDS = 2.0
@@ -19,6 +21,7 @@
         fronts: how many it speaks for.
         age: seconds since each of them has reported.
         resting: at how many of them an upstream wants no requests.
+        uses: by customer, what limited ones have sent since the last report.
     """
 
     used: dict[str, int] = attrs.Factory(dict)
@@ -26,6 +29,7 @@
     fronts: int = 1
     age: float = 0.0
     resting: dict[str, int] = attrs.Factory(dict)
+    uses: dict[str, CustomerUse] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -118,11 +122,17 @@
         resting = self._resting[upstream]
         return resting > 0 and 2 * resting >= self.fronts
 
-    def sum_up(self, used: dict[str, int], now: float) -> UsageReport:
+    def sum_up(
+        self,
+        used: dict[str, int],
+        uses: dict[str, CustomerUse],
+        now: float,
+    ) -> UsageReport:
         """Returns one report for all fronts.
 
         Args:
             used: requests by artifact since the last report.
+            uses: by customer, what limited ones have sent since.
             now: the clock, in seconds.
         """
         ages = (now - r.reported_at for r in self._reporters.values())
@@ -133,4 +143,5 @@
             self.fronts,
             max(ages, default=0.0),
             self.resting(),
+            uses,
         )
--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ridgesill.core.serving.customers import Customers
+
 SAFE = "safe"
 UNSAFE = "unsafe"
 STREAM = "stream"
@@ -30,6 +32,7 @@
         attempts: upstreams that one request may go to at most.
         affinity: whether requests name the parts of their prompt.
         pause_goal: seconds; the longest pause between events in time.
+        is_public: whether its requests need no key.
     """
 
     name: str
@@ -44,6 +47,7 @@
     affinity: bool = False
     resumable: bool = False
     pause_goal: float = 0.0
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -133,6 +137,7 @@
         routes: all routes.
         services: all services.
         limits: for clients; None where the configuration names none.
+        customers: None where callers need no keys.
     """
 
     def __init__(
@@ -141,9 +146,11 @@
         routes: Iterable[Route] = (),
         services: Iterable[Service] = (),
         limits: ClientLimits | None = None,
+        customers: Customers | None = None,
     ) -> None:
         self.version = version
         self.limits = limits
+        self.customers = customers
         self.services = {service.name: service for service in services}
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
--- a/src/ridgesill/platform/configuration.py
+++ b/src/ridgesill/platform/configuration.py
@@ -5,6 +5,12 @@
 import attrs
 import msgspec
 
+from ridgesill.core.serving.customers import (
+    Customer,
+    Customers,
+    Quota,
+    digest_key,
+)
 from ridgesill.core.serving.routes import (
     ClientLimits,
     EngineSpec,
@@ -17,6 +23,8 @@
 
 _KINDS = ("safe", "unsafe", "stream")
 _MILLISECONDS = 1000.0
+_UNITS = ("requests", "tokens")
+_KEY_MOST = 256
 
 
 class InvalidConfigurationError(Exception):
@@ -50,7 +58,11 @@
     _check_places(routes)
     limits = parsed.get("limits")
     return RouteTable(
-        version, routes, services, _limits(limits) if limits else None
+        version,
+        routes,
+        services,
+        _limits(limits) if limits else None,
+        _customers(parsed) if parsed.get("tenants") is not None else None,
     )
 
 
@@ -137,6 +149,7 @@
         affinity=bool(item.get("session_affinity", False)),
         resumable=bool(item.get("resumable", False)),
         pause_goal=_number(item, "gap_target_ms") / _MILLISECONDS,
+        is_public=bool(item.get("public", False)),
     )
 
 
@@ -206,6 +219,77 @@
     )
 
 
+def _customers(parsed: dict[str, Any]) -> Customers:
+    customers: dict[str, Customer] = {}
+    holders: dict[bytes, Customer] = {}
+    for item in _list(parsed, "tenants"):
+        customer = _customer(item)
+        where = f"tenant {customer.name}"
+        if customer.name in customers:
+            raise InvalidConfigurationError(where, "named twice")
+        customers[customer.name] = customer
+        for digest in _key_digests(item, where):
+            holder = holders.setdefault(digest, customer)
+            if holder is not customer:
+                raise InvalidConfigurationError(
+                    f"{where}: api_keys", f"tenant {holder.name} has one too"
+                )
+    return Customers(tuple(customers.values()), holders)
+
+
+def _customer(item: dict[str, Any]) -> Customer:
+    name = _text(item, "name", "a tenant")
+    if not (name.isascii() and name.isprintable()):
+        raise InvalidConfigurationError(
+            f"tenant {name!r}: name", "not printable ASCII"
+        )
+    priority = item.get("priority")
+    if priority is not None:
+        priority = _integer(item, "priority", f"tenant {name}")
+    return Customer(name, priority, _quota(item, f"tenant {name}"))
+
+
+def _key_digests(item: dict[str, Any], where: str) -> list[bytes]:
+    """Returns the digests of a tenant's keys; no error shows a key."""
+    keys = item.get("api_keys", [])
+    if not isinstance(keys, list):
+        raise InvalidConfigurationError(f"{where}: api_keys", "not a list")
+    if not all(_is_key(key) for key in keys):
+        raise InvalidConfigurationError(
+            f"{where}: api_keys",
+            f"not all are texts of 1 to {_KEY_MOST} visible ASCII characters",
+        )
+    return [digest_key(key.encode()) for key in keys]
+
+
+def _is_key(key: Any) -> bool:
+    return (
+        isinstance(key, str)
+        and 0 < len(key) <= _KEY_MOST
+        and key.isascii()
+        and key.isprintable()
+        and " " not in key
+    )
+
+
+def _quota(item: dict[str, Any], where: str) -> Quota | None:
+    rate = _number(item, "rate_per_s")
+    burst = _number(item, "burst")
+    if min(rate, burst) < 0:
+        raise InvalidConfigurationError(
+            f"{where}: rate_per_s and burst", "not 0 or above"
+        )
+    unit = item.get("unit") or _UNITS[0]
+    if unit not in _UNITS:
+        raise InvalidConfigurationError(
+            f"{where}: unit", f"not one of {', '.join(_UNITS)}"
+        )
+    if not rate:
+        return None
+    plain_tokens = int(_number(item, "plain_tokens"))
+    return Quota(rate, burst, unit == "tokens", plain_tokens)
+
+
 def _limits(item: dict[str, Any]) -> ClientLimits:
     usual = ClientLimits()
     header_ms = _number(item, "header_ms", usual.header_seconds * _MILLISECONDS)
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -2,6 +2,7 @@
 
 import re
 
+from ridgesill.core.serving.customers import digest_key
 from ridgesill.platform.upstreams import is_leaving, read_instance
 from ridgesill.ports.dialect import (
     NO_WORD,
@@ -34,6 +35,10 @@
 # From 0, which goes first, to 9; 5 without it.
 _PRIORITY = b"request-priority"
 _NOT_RUN = b"not-run"
+# The caller's key, which no upstream gets.
+_KEY = b"credential"
+# Whose request it is, in this side's words only.
+_CUSTOMER = b"tenant"
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
@@ -57,6 +62,8 @@
         _VERSION,
         _LAST_EVENT,
         _PRIORITY,
+        _KEY,
+        _CUSTOMER,
         # A place and memory that were set aside.
         b"hold",
         # Keeps the memory of a run after its end.
@@ -93,6 +100,7 @@
             parts=_parts(find_header(headers, _PARTS)),
             patience=_whole(find_header(headers, _DEADLINE)) / 1000,
             last_event=find_header(headers, _LAST_EVENT),
+            key_digest=_key_digest(headers),
         )
 
     def forward(self, request: HttpRequest, terms: ForwardTerms) -> HttpRequest:
@@ -113,6 +121,8 @@
             kept.append((_VERSION, b"%d" % terms.version))
         if terms.priority != NORMAL_PRIORITY:
             kept.append((_PRIORITY, b"%d" % terms.priority))
+        if terms.customer:
+            kept.append((_CUSTOMER, terms.customer.encode()))
         if terms.last_event:
             kept.append((_LAST_EVENT, terms.last_event.encode()))
         return HttpRequest(
@@ -167,6 +177,14 @@
     return int(text) if is_number else 0
 
 
+def _key_digest(headers: Headers) -> bytes:
+    """Returns the digest of a caller's key; empty for none or several."""
+    keys = [value.strip() for name, value in headers if name == _KEY]
+    if len(keys) != 1 or not keys[0]:
+        return b""
+    return digest_key(keys[0])
+
+
 def _counts(text: str) -> tuple[int, int]:
     prompt, _, answer = text.partition(",")
     return _whole(prompt.strip()), _whole(answer.strip())
--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -45,6 +45,8 @@
         retry_share: of requests that may be sent again, over `retry_window`.
         retry_slack: requests more that may be sent again in that window.
         version: within which a new adapter version is in force.
+        revocation: within which a key that was taken away is refused by every
+            front, in touch or not; infinite where only those in touch must.
     """
 
     drain: float = 2.0
@@ -55,6 +57,7 @@
     retry_window: float = 10.0
     retry_slack: float = 50.0
     version: float = 5.0
+    revocation: float = float("inf")
 
 
 @attrs.frozen
@@ -206,4 +209,7 @@
             ),
             retry_slack=float(given.get("budget_slack", default.retry_slack)),
             version=milliseconds("version_ms", default.version),
+            revocation=milliseconds("revoke_ms", default.revocation)
+            if given.get("strict_revocation")
+            else default.revocation,
         )
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -29,6 +29,7 @@
         parts: of the prompt, in order: id and tokens.
         patience: seconds that the client will wait; 0 if it doesn't say.
         last_event: the id of the last event it has; empty at the start.
+        key_digest: of the caller's key; empty without one.
     """
 
     request: str
@@ -40,6 +41,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     patience: float = 0.0
     last_event: str = ""
+    key_digest: bytes = b""
 
     @property
     def artifact(self) -> str:
@@ -60,6 +62,7 @@
         last_event: to go on after; empty for a start.
         priority: among the requests that an engine has not begun; 0 goes
             first.
+        customer: whose request it is; empty where callers need no keys.
     """
 
     upstream: str
@@ -67,6 +70,7 @@
     version: int = 0
     last_event: str = ""
     priority: int = NORMAL_PRIORITY
+    customer: str = ""
 
 
 @attrs.frozen
--- a/testing/core/fleet/test_usage.py
+++ b/testing/core/fleet/test_usage.py
@@ -71,14 +71,14 @@
         relay = Usage()
         relay.note("f1", report({"u1": {"m/a1": 2}}), 1.0)
         relay.note("f2", report({"u1": {"m/a1": 1}, "u2": {"": 4}}), 1.2)
-        summed = relay.sum_up({"m/a1": 3}, 1.5)
+        summed = relay.sum_up({"m/a1": 3}, {}, 1.5)
         assert summed.used == {"m/a1": 3}
         assert summed.busy == {"u1": {"m/a1": 3}, "u2": {"": 4}}
         assert summed.fronts == 2
         assert abs(summed.age - 0.5) < 1e-9
 
     def test_without_fronts_there_is_nothing_to_say(self) -> None:
-        summed = Usage().sum_up({}, 1.5)
+        summed = Usage().sum_up({}, {}, 1.5)
         assert (summed.fronts, summed.busy, summed.age) == (0, {}, 0.0)
 
 
@@ -91,7 +91,7 @@
         assert not usage.rests_for_most("e1")
         usage.note("f2", UsageReport(resting={"e1": 1}), 0.0)
         assert usage.rests_for_most("e1")
-        assert usage.sum_up({}, 0.0).resting == {"e1": 2}
+        assert usage.sum_up({}, {}, 0.0).resting == {"e1": 2}
         usage.note("f1", UsageReport(), 0.1)
         assert not usage.rests_for_most("e1")
         assert not usage.rests_for_most("e2")
