--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -35,6 +35,7 @@
     WatchFleet,
 )
 from ridgesill.core.fleet.orders import DeliverOrder, HolderAlive
+from ridgesill.core.fleet.quota_ledger import Tolerance
 from ridgesill.core.fleet.usage import UsageReport
 from ridgesill.core.following import AskLatest, Follow, Propose
 from ridgesill.core.log.messages import Timing
@@ -99,6 +100,11 @@
             PlatformEngines(),
             settings.bounds.lease,
             settings.heartbeat,
+            tolerance=Tolerance(
+                settings.bounds.quota_window,
+                settings.bounds.quota_share,
+                settings.bounds.quota_slack,
+            ),
         )
         self.control.watch(self._note_state)
         api = ControlApi(
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -42,7 +42,7 @@
 from ridgesill.core.fleet.order_leases import OrderLeases
 from ridgesill.core.fleet.orders import EngineReport, HolderAlive
 from ridgesill.core.fleet.placement import Placement
-from ridgesill.core.fleet.quota_ledger import QuotaLedger
+from ridgesill.core.fleet.quota_ledger import QuotaLedger, Tolerance
 from ridgesill.core.fleet.registry import Registry
 from ridgesill.core.fleet.usage import Usage
 from ridgesill.core.serving.routes import RouteTable
@@ -102,6 +102,7 @@
         lease: seconds within which two VMs must not both give orders.
         heartbeat: seconds between an upstream's heartbeats.
         time_of_day: in seconds since 1970, as upstreams tell their starts.
+        tolerance: of customers' limits.
     """
 
     def __init__(
@@ -113,6 +114,7 @@
         lease: float,
         heartbeat: float,
         time_of_day: Callable[[], float] = time.time,
+        tolerance: Tolerance | None = None,
     ) -> None:
         # Of this configuration and those before: upstreams of a service that
         # was dropped are heard until they are gone.
@@ -132,7 +134,7 @@
         self._fronts_before = 0
         self._placement = Placement()
         self._usage = Usage()
-        self._quotas = QuotaLedger()
+        self._quotas = QuotaLedger(tolerance)
         self._backlogs = Backlogs()
         self._health = EngineHealth()
         self._orders = EngineOrders(
--- a/src/ridgesill/core/fleet/quota_ledger.py
+++ b/src/ridgesill/core/fleet/quota_ledger.py
@@ -23,13 +23,51 @@
 # as keys are relied on there, in seconds.
 _SILENT_SECONDS = 5.0
 _SHARE_DIGITS = 3
+# Share of a burst from which on down fronts, and the next owner, are told what
+# is left.
+_TOLD_BELOW = 0.5
+# How far a customer gets beyond its bucket at the most while fronts are cut off
+# or killed, or the owner is lost, in seconds of its rate.
+_INEXACT_SECONDS = 1.6
 # From which share on a new owner doesn't take the offers for larger still.
 _SHARE_LEAST = 0.05
 
 
+@attrs.frozen
+class Tolerance:
+    """How far customers may go beyond their limits, over all fronts.
+
+    Attributes:
+        window: seconds over which it is judged.
+        share: of what the limit allows in a window.
+        slack: tokens, or requests, beside that.
+    """
+
+    window: float = 8.0
+    share: float = 0.1
+    slack: float = 0.0
+
+    def spare(self, quota: Quota) -> float:
+        """Returns what of it the count over all fronts doesn't need.
+
+        A customer that goes beyond its limit for a moment isn't refused for
+        that much; what it sends for longer is held to its rate all the same.
+        """
+        allowed = self.window * quota.rate + quota.burst
+        needed = _INEXACT_SECONDS * quota.rate
+        return max(self.share * allowed + self.slack - needed, 0.0)
+
+
 @attrs.define
 class _Account:
+    """A customer's bucket, and what it offers.
+
+    Attributes:
+        depth: the most that the bucket holds.
+    """
+
     quota: Quota
+    depth: float
     level: float
     at: float
     offers: float = 0.0
@@ -38,9 +76,7 @@
     def advance(self, now: float) -> None:
         """Brings the bucket up to now."""
         passed = max(now - self.at, 0.0)
-        self.level = min(
-            self.level + self.quota.rate * passed, self.quota.burst
-        )
+        self.level = min(self.level + self.quota.rate * passed, self.depth)
         self.at = now
 
     def note_offers(self, offered: int, now: float) -> None:
@@ -67,9 +103,14 @@
 
 
 class QuotaLedger:
-    """All customers' accounts."""
+    """All customers' accounts.
+
+    Args:
+        tolerance: of the limits.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, tolerance: Tolerance | None = None) -> None:
+        self._tolerance = tolerance or Tolerance()
         self._quotas: Mapping[str, Quota] = {}
         self._accounts: dict[str, _Account] = {}
         self._fronts_most = 0
@@ -86,7 +127,11 @@
                 continue
             account = self._accounts[name]
             account.quota = quota
-            account.level = min(account.level, quota.burst)
+            account.depth = self._depth(quota)
+            account.level = min(account.level, account.depth)
+
+    def _depth(self, quota: Quota) -> float:
+        return quota.burst + self._tolerance.spare(quota)
 
     def begin(self, states: Mapping[str, QuotaState], now: float) -> None:
         """Goes on from what an earlier owner said last."""
@@ -96,7 +141,7 @@
             if quota is not None:
                 offers = quota.rate / max(state.share, _SHARE_LEAST)
                 self._accounts[name] = _Account(
-                    quota, state.level, now, offers, now
+                    quota, self._depth(quota), state.level, now, offers, now
                 )
 
     def note_fronts(self, fronts: int, now: float) -> None:
@@ -120,7 +165,9 @@
                 continue
             account = self._accounts.get(name)
             if account is None:
-                account = _Account(quota, quota.burst, now)
+                # What it sent under an owner before isn't known.
+                depth = self._depth(quota)
+                account = _Account(quota, depth, quota.burst, now)
                 self._accounts[name] = account
             account.advance(now)
             account.level -= use.spent
@@ -135,13 +182,13 @@
         )
 
     def states(self, now: float) -> dict[str, QuotaState]:
-        """Returns the customers that must not send all that they offer."""
+        """Returns the customers that are near their limits, or beyond."""
         kept_back = self._silent_share()
         states = {}
         for name, account in self._accounts.items():
             account.advance(now)
             share = account.share(kept_back, now)
-            if share < 1 or account.level < 0:
+            if share < 1 or account.level < _TOLD_BELOW * account.quota.burst:
                 states[name] = QuotaState(
                     round(share, _SHARE_DIGITS), round(account.level)
                 )
--- a/src/ridgesill/core/fleet/relayed_news.py
+++ b/src/ridgesill/core/fleet/relayed_news.py
@@ -68,7 +68,9 @@
         """Whether there is something that an asker doesn't know."""
         if question.epoch != self._epoch:
             return question.epoch < self._epoch
-        return question.number < self._number or bool(self._view.quotas)
+        if any(state.share < 1 for state in self._view.quotas.values()):
+            return True
+        return question.number < self._number
 
     def tell(self, question: WatchFleet, now: float) -> FleetNews:
         """Returns what has changed since a question's number, or everything."""
--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -47,6 +47,9 @@
         version: within which a new adapter version is in force.
         revocation: within which a key that was taken away is refused by every
             front, in touch or not; infinite where only those in touch must.
+        quota_window: over which customers' limits are judged.
+        quota_share: of a limit, by which a window may go beyond it.
+        quota_slack: tokens or requests beside that.
     """
 
     drain: float = 2.0
@@ -58,6 +61,9 @@
     retry_slack: float = 50.0
     version: float = 5.0
     revocation: float = float("inf")
+    quota_window: float = 8.0
+    quota_share: float = 0.1
+    quota_slack: float = 0.0
 
 
 @attrs.frozen
@@ -212,4 +218,9 @@
             revocation=milliseconds("revoke_ms", default.revocation)
             if given.get("strict_revocation")
             else default.revocation,
+            quota_window=float(
+                given.get("quota_window_s", default.quota_window)
+            ),
+            quota_share=float(given.get("quota_excess", default.quota_share)),
+            quota_slack=float(given.get("quota_slack", default.quota_slack)),
         )
--- a/testing/core/fleet/test_quota_ledger.py
+++ b/testing/core/fleet/test_quota_ledger.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ridgesill.core.fleet.quota_ledger import QuotaLedger
+from ridgesill.core.fleet.quota_ledger import QuotaLedger, Tolerance
 from ridgesill.core.serving.customers import Quota
 from ridgesill.core.serving.quotas import CustomerUse, QuotaState
 from ridgesill.standin.emulator.quotas import (
@@ -63,6 +63,24 @@
         assert ledger.states(10.0)["c"].level == -700
 
 
+class TestTolerance:
+    def test_what_the_count_does_not_need_is_let_through(self) -> None:
+        ledger = QuotaLedger(Tolerance(slack=5000.0))
+        ledger.set_quotas({"c": QUOTA})
+        # It starts with its burst alone, and is calm for long.
+        ledger.note({"c": CustomerUse(1, 1)}, 0.0)
+        ledger.note({"c": CustomerUse(1, 1)}, 60.0)
+        ledger.note({"c": CustomerUse(4000, 4000)}, 61.0)
+        assert ledger.states(61.0)["c"].level > 0
+
+    def test_a_window_keeps_room_for_what_the_count_misses(self) -> None:
+        spare = Tolerance(slack=110_000.0).spare(LARGEST)
+        assert spare < 0.1 * 9 * LARGEST.rate + 110_000 - 1.5 * LARGEST.rate
+
+    def test_without_any_slack_there_is_nothing_to_spare(self) -> None:
+        assert Tolerance().spare(QUOTA) == 0
+
+
 class TestLoads:
     """The limit over all fronts, under loads that go far beyond it."""
 
