--- a/testing/adapters/test_file_log.py
+++ b/testing/adapters/test_file_log.py
@@ -40,6 +40,16 @@
         os.fdatasync(descriptor)
 
 
+class TestPrivacy:
+    def test_others_can_read_no_file(self, tmp_path: Path) -> None:
+        # The log holds the configuration, with callers' keys.
+        log = founded(tmp_path)
+        log.append(HardState(1, ""), entries(1, 3))
+        log.replace(Snapshot(3, 1, Voters(("a.0",)), b""), HardState(1, ""), ())
+        modes = {path.stat().st_mode & 0o077 for path in tmp_path.iterdir()}
+        assert modes == {0}
+
+
 class TestFullDisk:
     def test_a_refused_append_leaves_nothing_behind(
         self, tmp_path: Path
