--- a/src/ridgesill/adapters/file_log.py
+++ b/src/ridgesill/adapters/file_log.py
@@ -182,7 +182,7 @@
 
     def _write_file(self, name: str, data: bytes) -> None:
         temporary = self._folder / f"{name}.new"
-        with temporary.open("wb") as file:
+        with open(temporary, "wb", opener=_open_private) as file:
             file.write(data)
             file.flush()
             self._sync(file.fileno())
@@ -194,6 +194,11 @@
             os.close(folder)
 
 
+def _open_private(path: str, flags: int) -> int:
+    """Opens a file that only its owner can read."""
+    return os.open(path, flags, 0o600)
+
+
 def _frame(body: bytes) -> bytes:
     start = struct.pack("<II", len(body), zlib.crc32(body))
     return start + struct.pack("<I", zlib.crc32(start)) + body
