--- a/testing/app/test_account.py
+++ b/testing/app/test_account.py
@@ -33,6 +33,19 @@
     return {**SERVED, **fields}
 
 
+class TestCustomers:
+    def test_each_is_told_with_its_share_in_time(self) -> None:
+        lines = [
+            end(customer="alice"),
+            end(customer="alice", outcome="refused", reason="beyond_quota"),
+            end(outcome="refused", reason="unknown_key"),
+        ]
+        account = make_account(lines)
+        assert account.customers == {"alice": (2, 1)}
+        assert (account.ends, account.not_owed) == (2, 1)
+        assert "50.00%  alice" in show_account(account)
+
+
 class TestCauses:
     @pytest.mark.parametrize(
         ("fields", "cause"),
@@ -76,7 +89,7 @@
         lines = [end(), end(outcome="refused", reason="no_route", route="")]
         account = make_account(lines)
         assert (account.ends, account.in_time) == (1, 1)
-        assert account.without_route == 1
+        assert account.not_owed == 1
 
     def test_what_has_no_goal_is_in_time_when_served(self) -> None:
         assert make_account([end(goal=0.0, first=9.0)]).in_time == 1
--- a/testing/app/test_control_api.py
+++ b/testing/app/test_control_api.py
@@ -9,6 +9,7 @@
 from ridgesill.core.commands import NoteUpstreamEnd
 from ridgesill.core.serving.fingerprints import Fingerprint
 from ridgesill.core.serving.routes import RouteTable, Service
+from ridgesill.platform.configuration import decode_configuration
 from ridgesill.platform.control_calls import PlatformControlCalls
 from ridgesill.ports.http import Headers, HttpRequest
 from testing.app.lone_node import LoneNode, storage_of
@@ -181,3 +182,27 @@
     async def test_what_is_not_held_can_not_be_lifted(self, api: Api) -> None:
         lifted = await api.call(_LIFT + b"unknown", b"{}")
         assert lifted.status == 404
+
+
+class TestQuotas:
+    async def test_operators_see_what_customers_use(self, api: Api) -> None:
+        customer = {"name": "alice", "api_keys": ["s3cret"], "rate_per_s": 5}
+        put = document(route(), tenants=[{**customer, "burst": 7}])
+        assert (await api.call(_PUT, put)).status == 200
+        api.node.owner.note_table(decode_configuration(put))
+        listed = await api.call(b"/ridgesill/Quotas.List")
+        (said,) = msgspec.json.decode(listed.body)
+        assert (said["customer"], said["rate"], said["burst"]) == (
+            "alice",
+            5,
+            7,
+        )
+        assert b"s3cret" not in listed.body
+
+    async def test_another_node_names_the_one_that_knows(
+        self, api: Api
+    ) -> None:
+        api.node.owner._give_up()
+        listed = await api.call(b"/ridgesill/Quotas.List")
+        assert listed.status == 503
+        assert b"owner is" in listed.body
--- a/testing/core/serving/test_callers.py
+++ b/testing/core/serving/test_callers.py
@@ -11,7 +11,12 @@
     Knowledge,
     check_caller,
 )
-from ridgesill.core.serving.customers import Customer, Customers, digest_key
+from ridgesill.core.serving.customers import (
+    Customer,
+    Customers,
+    Quota,
+    digest_key,
+)
 from ridgesill.core.serving.routes import SAFE, Route, Target
 
 ALICE = Customer("alice")
@@ -67,3 +72,15 @@
 
     def test_nothing_is_known_at_the_start(self) -> None:
         assert Knowledge(float("inf"), 4.5).is_missing
+
+
+class TestLabels:
+    def test_figures_name_the_largest_and_count_the_rest_as_one(self) -> None:
+        all_of_them = tuple(
+            Customer(f"c{n}", None, Quota(float(n + 1), 1.0)) for n in range(20)
+        )
+        customers = Customers(all_of_them, {})
+        labels = {customers.label(customer) for customer in all_of_them}
+        assert "c19" in labels
+        assert "others" in labels
+        assert len(labels) == 9
