Tell operators what customers use, and name them in figures and the account

`ridgesill quota` lists the limits, what is offered, let through and refused; `ridgesill account` counts requests by customer and leaves out those without a key; metrics count requests of the eight customers with the largest limits by name, and the rest as one, by outcome and whether they were in time.

--- a/src/ridgesill/adapters/serving_metrics.py
+++ b/src/ridgesill/adapters/serving_metrics.py
@@ -11,14 +11,15 @@
 class ServingMetrics(MeterSet):
     """Implements `ports.telemetry.Telemetry`.
 
-    Labels are kinds of routes, priorities, outcomes and reasons, so their
-    number doesn't grow with adapters or upstreams.
+    Labels are kinds of routes, priorities, outcomes, reasons and a few
+    customers, so their number doesn't grow with adapters or upstreams.
     """
 
     def __init__(self) -> None:
         super().__init__()
         meter = self._meter
         self._requests = meter.create_counter("ridgesill_requests")
+        self._by_customer = meter.create_counter("ridgesill_customer_requests")
         self._attempts = meter.create_counter("ridgesill_attempts")
         self._total = meter.create_histogram("ridgesill_total_seconds")
         self._first = meter.create_histogram("ridgesill_first_event_seconds")
@@ -34,6 +35,15 @@
         self._requests.add(1, ended)
         self._attempts.add(end.attempts, labels)
         self._total.record(end.seconds, labels)
+        if end.customer:
+            self._by_customer.add(
+                1,
+                {
+                    "customer": end.customer,
+                    "outcome": end.outcome,
+                    "in_time": str(end.in_time).lower(),
+                },
+            )
         if end.outcome == "served":
             self._first.record(end.first_seconds, labels)
         if end.waited_seconds:
--- a/src/ridgesill/app/account.py
+++ b/src/ridgesill/app/account.py
@@ -14,8 +14,9 @@
 _UNFORETOLD_SECONDS = 0.15
 # Width of the moments that losses are listed by, in seconds.
 _MOMENT_SECONDS = 2.0
-# Reason of a refusal that nothing was lost by: the configuration has no route.
-_NO_ROUTE = "no_route"
+# Reasons of refusals that nothing was lost by: the configuration has no route,
+# or the caller no key.
+_NOT_OWED = frozenset(("no_route", "unknown_key"))
 # Causes, and moments, that a table shows.
 _ROWS_MOST = 24
 
@@ -43,6 +44,7 @@
     waited: float
     sent: float
     foretold: float
+    customer: str = ""
 
     @property
     def is_in_time(self) -> bool:
@@ -57,19 +59,21 @@
     """All ends, and what was lost by cause, route and moment.
 
     Attributes:
-        ends: of requests that a route was found for.
-        without_route: requests beside these, which were refused for that.
+        ends: of requests that were owed an answer.
+        not_owed: requests beside these, without a route or a key.
         causes: of requests that were not served in time.
         routes: of those, by route and cause.
         moments: of those, by the start of a moment, in seconds from the first.
+        customers: by customer, all ends and those in time.
     """
 
     ends: int
     in_time: int
-    without_route: int
+    not_owed: int
     causes: collections.Counter[str]
     routes: collections.Counter[tuple[str, str]]
     moments: collections.Counter[float]
+    customers: dict[str, tuple[int, int]]
 
 
 class NoEndsError(Exception):
@@ -90,6 +94,7 @@
                 float(line.get("waited", 0.0)),
                 float(line.get("sent", 0.0)),
                 float(line.get("foretold", 0.0)),
+                str(line.get("customer", "")),
             )
 
 
@@ -126,7 +131,7 @@
         NoEndsError: they tell of none.
     """
     read = list(read_ends(lines))
-    ends = [end for end in read if end.reason != _NO_ROUTE]
+    ends = [end for end in read if end.reason not in _NOT_OWED]
     if not ends:
         raise NoEndsError(
             "no line tells the end of a request; give the logs of all fronts"
@@ -139,6 +144,7 @@
         collections.Counter(),
         collections.Counter(),
         collections.Counter(),
+        _count_customers(ends),
     )
     for end in ends:
         if end.is_in_time:
@@ -151,18 +157,28 @@
     return account
 
 
+def _count_customers(ends: list[End]) -> dict[str, tuple[int, int]]:
+    counts: dict[str, tuple[int, int]] = {}
+    for end in ends:
+        if end.customer:
+            ended, in_time = counts.get(end.customer, (0, 0))
+            counts[end.customer] = ended + 1, in_time + end.is_in_time
+    return counts
+
+
 def show_account(account: Account) -> str:
     """Returns an account as text."""
     lost = account.ends - account.in_time
     lines = [
         f"{account.ends} requests ended, {account.in_time} in time, "
         f"{lost} not ({lost / account.ends:.1%}); "
-        f"{account.without_route} more had no route",
+        f"{account.not_owed} more had no route or no key",
         "",
         *_show_counts("by cause", account.causes, account.ends),
         "",
         *_show_counts("by route and cause", account.routes, account.ends),
         "",
+        *_show_customers(account.customers),
         "by moment, in seconds from the first end",
     ]
     most = max(account.moments.values(), default=1)
@@ -172,6 +188,19 @@
     return "\n".join(lines)
 
 
+def _show_customers(customers: dict[str, tuple[int, int]]) -> list[str]:
+    """Returns lines on the customers with the most requests."""
+    if not customers:
+        return []
+    most = sorted(customers.items(), key=lambda item: item[1], reverse=True)
+    lines = ["by customer: requests, share in time"]
+    lines += [
+        f"{ended:8d} {in_time / ended:7.2%}  {name}"
+        for name, (ended, in_time) in most[:_ROWS_MOST]
+    ]
+    return [*lines, ""]
+
+
 def _show_counts(
     title: str, counts: collections.Counter[Any], ends: int
 ) -> list[str]:
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -143,6 +143,17 @@
         _read_answer("POST", control, f"{LIFT_PATH}{request}")
         return f"{request}: gets upstreams again"
 
+    def quota(self, control: str) -> str:
+        """Lists limited customers, what they send, and how much is refused.
+
+        Args:
+            control: IP:PORT of the control address of the fleet's owner; any
+                other control node names it.
+        """
+        from ridgesill.platform.control_calls import QUOTAS_PATH
+
+        return _pretty(_read_answer("GET", control, QUOTAS_PATH))
+
     def check(self, file: str) -> str:
         """Checks a configuration file and lists everything wrong with it.
 
--- a/src/ridgesill/app/control_api.py
+++ b/src/ridgesill/app/control_api.py
@@ -24,6 +24,7 @@
     LeaveCall,
     LiftQuarantineCall,
     ListQuarantineCall,
+    ListQuotasCall,
     PutRoutesCall,
     PutVersionCall,
     ReadRoutesCall,
@@ -154,6 +155,14 @@
         ]
         return CallReply(200, document=msgspec.json.encode(said))
 
+    @_carry_out.register
+    async def _(self, call: ListQuotasCall) -> CallReply:
+        try:
+            uses = self._owner.list_quotas()
+        except NotOwnerError as error:
+            return _unavailable("quotas", str(error))
+        return CallReply(200, document=msgspec.json.encode(uses))
+
     @_carry_out.register
     async def _(self, call: LiftQuarantineCall) -> CallReply:
         if not self._control.state.suspects.has(call.request):
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -42,7 +42,11 @@
 from ridgesill.core.fleet.order_leases import OrderLeases
 from ridgesill.core.fleet.orders import EngineReport, HolderAlive
 from ridgesill.core.fleet.placement import Placement
-from ridgesill.core.fleet.quota_ledger import QuotaLedger, Tolerance
+from ridgesill.core.fleet.quota_ledger import (
+    QuotaLedger,
+    QuotaUse,
+    Tolerance,
+)
 from ridgesill.core.fleet.registry import Registry
 from ridgesill.core.fleet.usage import Usage
 from ridgesill.core.serving.routes import RouteTable
@@ -411,6 +415,17 @@
         if question.used:
             self._placement.note_used(question.used, now)
 
+    def list_quotas(self) -> list[QuotaUse]:
+        """Returns what limited customers use.
+
+        Raises:
+            NotOwnerError: another node owns the fleet, and knows.
+        """
+        if not self.is_owner():
+            owner = self._control.leader_address() or "nobody known"
+            raise NotOwnerError(f"the fleet's owner is {owner}; ask there")
+        return self._quotas.overview(self._loop.time())
+
     def _version(self, artifact: str) -> int:
         return self._control.state.artifact_versions.get(artifact, 0)
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -53,6 +53,10 @@
 # stopped.
 _QUARANTINED_AFTER = 3600.0
 _PROMISES = frozenset((408, 421, 429, 503))
+_QUARANTINED = Refusal("quarantined", _QUARANTINED_AFTER)
+_OK = 200
+_REDIRECT = 300
+_SERVER_ERROR = 500
 # How long a key that isn't known waits for a configuration that may just have
 # brought it, in seconds: nearly all fronts know a change by then.
 _KEY_LEARN_SECONDS = 0.3
@@ -63,10 +67,6 @@
     UNKNOWN_KEY: Refusal(UNKNOWN_KEY, 0.0, 401),
     STALE: Refusal("stale", _STALE_AFTER),
 }
-_QUARANTINED = Refusal("quarantined", _QUARANTINED_AFTER)
-_OK = 200
-_REDIRECT = 300
-_SERVER_ERROR = 500
 
 
 class _WithheldError(Exception):
@@ -601,13 +601,15 @@
         self._front.telemetry.note_end(
             RequestEnd(
                 route.kind if route else "",
-                route.priority if route else 0,
+                self._priority(),
                 outcome,
                 _bounded(reason),
                 seconds,
                 first,
                 self._search.waited,
                 len(self._tried),
+                self._customer_label(),
+                route is not None and first <= route.goal,
             )
         )
         log_message(
@@ -631,6 +633,18 @@
             seconds=round(seconds, 4),
         )
 
+    def _priority(self) -> int:
+        """Returns the customer's priority, or else its route's."""
+        if self._customer is not None and self._customer.priority is not None:
+            return self._customer.priority
+        return self._route.priority if self._route else 0
+
+    def _customer_label(self) -> str:
+        customers = self._front.table.customers
+        if self._customer is None or customers is None:
+            return ""
+        return customers.label(self._customer)
+
 
 def _promises(head: ResponseHead) -> bool:
     """Whether a status says "not run", which is untrue once it has run."""
--- a/src/ridgesill/core/fleet/quota_ledger.py
+++ b/src/ridgesill/core/fleet/quota_ledger.py
@@ -58,6 +58,26 @@
         return max(self.share * allowed + self.slack - needed, 0.0)
 
 
+@attrs.frozen
+class QuotaUse:
+    """What an operator is told of a customer's limit.
+
+    Attributes:
+        offers: tokens, or requests, that it sends a second.
+        share: of its requests that is let through.
+        level: what it may still send at once; negative once beyond.
+        refused: tokens, or requests, refused since this owner began.
+    """
+
+    customer: str
+    rate: float
+    burst: float
+    offers: float = 0.0
+    share: float = 1.0
+    level: float = 0.0
+    refused: int = 0
+
+
 @attrs.define
 class _Account:
     """A customer's bucket, and what it offers.
@@ -72,6 +92,7 @@
     at: float
     offers: float = 0.0
     offers_at: float = float("-inf")
+    refused: int = 0
 
     def advance(self, now: float) -> None:
         """Brings the bucket up to now."""
@@ -172,6 +193,7 @@
             account.advance(now)
             account.level -= use.spent
             account.note_offers(use.offered, now)
+            account.refused += use.offered - use.spent
 
     def has_limited(self, now: float) -> bool:
         """Whether some customer offers more than it may send."""
@@ -181,6 +203,25 @@
             for account in self._accounts.values()
         )
 
+    def overview(self, now: float) -> list[QuotaUse]:
+        """Returns all limited customers, those that are refused most first."""
+        kept_back = self._silent_share()
+        uses = []
+        for name, quota in self._quotas.items():
+            account = self._accounts.get(name)
+            use = QuotaUse(name, quota.rate, quota.burst, level=quota.burst)
+            if account is not None:
+                account.advance(now)
+                use = attrs.evolve(
+                    use,
+                    offers=round(account.offers_rate(now)),
+                    share=round(account.share(kept_back, now), _SHARE_DIGITS),
+                    level=round(account.level),
+                    refused=account.refused,
+                )
+            uses.append(use)
+        return sorted(uses, key=lambda use: (-use.refused, use.customer))
+
     def states(self, now: float) -> dict[str, QuotaState]:
         """Returns the customers that are near their limits, or beyond."""
         kept_back = self._silent_share()
--- a/src/ridgesill/core/serving/customers.py
+++ b/src/ridgesill/core/serving/customers.py
@@ -9,7 +9,11 @@
 
 import attrs
 
+# Long enough that no two keys have the same digest, in bytes.
 _DIGEST_BYTES = 16
+# Customers that figures name; all others count as one.
+_NAMED_MOST = 8
+_OTHERS = "others"
 
 
 @attrs.frozen
@@ -64,11 +68,21 @@
     ) -> None:
         self._by_digest = dict(by_digest)
         self.quotas = {c.name: c.quota for c in customers if c.quota}
+        largest = sorted(customers, key=_rate, reverse=True)
+        self._named = {c.name for c in largest[:_NAMED_MOST]}
 
     def find(self, digest: bytes) -> Customer | None:
         """Returns the holder of a key; None for an unknown one."""
         return self._by_digest.get(digest)
 
+    def label(self, customer: Customer) -> str:
+        """Returns the name under which figures count a customer."""
+        return customer.name if customer.name in self._named else _OTHERS
+
+
+def _rate(customer: Customer) -> float:
+    return customer.quota.rate if customer.quota else float("inf")
+
 
 def digest_key(key: bytes) -> bytes:
     """Returns the digest under which a key is kept."""
--- a/src/ridgesill/platform/control_calls.py
+++ b/src/ridgesill/platform/control_calls.py
@@ -20,6 +20,7 @@
     LeaveCall,
     LiftQuarantineCall,
     ListQuarantineCall,
+    ListQuotasCall,
     PutRoutesCall,
     PutVersionCall,
     ReadRoutesCall,
@@ -33,6 +34,7 @@
 _VERSION = "/ridgesill/version-put"
 QUARANTINE_PATH = "/ridgesill/Quarantine.List"
 LIFT_PATH = "/ridgesill/Quarantine.Lift/"
+QUOTAS_PATH = "/ridgesill/Quotas.List"
 READY_PATH = "/ridgesill/ready"
 
 
@@ -46,6 +48,8 @@
             return ReadRoutesCall()
         if path == QUARANTINE_PATH:
             return ListQuarantineCall()
+        if path == QUOTAS_PATH:
+            return ListQuotasCall()
         if request.method != b"POST":
             return BadCall(405, "expected POST")
         try:
--- a/src/ridgesill/ports/control_calls.py
+++ b/src/ridgesill/ports/control_calls.py
@@ -54,6 +54,11 @@
     """Asks which requests get no upstream."""
 
 
+@attrs.frozen
+class ListQuotasCall:
+    """Asks what customers use of their limits."""
+
+
 @attrs.frozen
 class LiftQuarantineCall:
     """Has a request get upstreams again.
--- a/src/ridgesill/ports/telemetry.py
+++ b/src/ridgesill/ports/telemetry.py
@@ -25,6 +25,9 @@
         first_seconds: until the first part of the answer.
         waited_seconds: for a load.
         attempts: upstreams it was sent to.
+        customer: whose it is: one of the few with the largest limits, or
+            `others`; empty where callers need no keys.
+        in_time: whether the first part of its answer came within the goal.
     """
 
     kind: str
@@ -35,6 +38,8 @@
     first_seconds: float
     waited_seconds: float
     attempts: int
+    customer: str = ""
+    in_time: bool = False
 
 
 class Telemetry(Protocol):
