Hold customers to what a window allows instead of to a bucket

The owner keeps each customer's use of the last window. What is left is spent over half a window, beside what runs out of it; below three quarters nothing is refused.

--- a/src/ridgesill/core/fleet/quota_ledger.py
+++ b/src/ridgesill/core/fleet/quota_ledger.py
@@ -1,11 +1,17 @@
 """The owner's account of what customers send, over all fronts.
 
-Each customer has a bucket that fills at its rate up to its burst. The owner
-learns what fronts let through some tenths of a second late, so it doesn't tell
-them how much is left but which share of what is offered keeps the bucket from
-running empty: the share changes only as demand does, however late it is heard.
+Load pattern: a customer sends eight times its usual for ten seconds. Held to
+its rate from the first moment on, it is refused what its limit allows; let
+through until the window is full, it then gets next to nothing until the window
+has passed. So the owner keeps the use of the last window, and lets what is left
+of it be spent over half of the next one, beside what runs out of it.
+
+What fronts let through is heard some tenths of a second late. So they aren't
+told how much is left, but which share of what is offered may pass: it changes
+only as demand does.
 """
 
+import collections
 import math
 from collections.abc import Mapping
 
@@ -16,21 +22,29 @@
 
 # Over which offers are averaged, in seconds.
 _OFFERS_SECONDS = 0.6
-# Within which what a bucket holds may be spent, or is to be won back, in
-# seconds; twice what news take from front to front.
-_LEVEL_SECONDS = 0.8
+# Width of the moments by which the use of a window is kept, in seconds.
+_MOMENT_SECONDS = 0.25
+# What is about to run out of the window is averaged over this, in seconds.
+_EXPIRY_SECONDS = 1.0
+# Share of a window within which what is left of a limit is spent.
+_SPENT_WITHIN = 0.5
+# Share of a limit below which nothing is refused, however fast it comes.
+_FREE_SHARE = 0.75
+# How far beyond a limit the owner aims, as a share of it: its count is inexact
+# in both directions, and nothing below the limit should be refused.
+_AIM_BEYOND = 0.05
 # Fronts that fell silent may go on by their own part of each limit for as long
 # as keys are relied on there, in seconds.
 _SILENT_SECONDS = 5.0
 _SHARE_DIGITS = 3
-# Share of a burst from which on down fronts, and the next owner, are told what
-# is left.
-_TOLD_BELOW = 0.5
-# How far a customer gets beyond its bucket at the most while fronts are cut off
-# or killed, or the owner is lost, in seconds of its rate.
-_INEXACT_SECONDS = 1.6
 # From which share on a new owner doesn't take the offers for larger still.
 _SHARE_LEAST = 0.05
+# Share of a limit from which on fronts, and the next owner, are told what of it
+# was used.
+_TOLD_FROM = 0.5
+# How far a customer gets beyond the aim at the most while fronts are cut off or
+# killed, or the owner is lost, in seconds of its rate.
+_INEXACT_SECONDS = 1.7
 
 
 @attrs.frozen
@@ -47,15 +61,16 @@
     share: float = 0.1
     slack: float = 0.0
 
-    def spare(self, quota: Quota) -> float:
-        """Returns what of it the count over all fronts doesn't need.
+    def allowed(self, quota: Quota) -> float:
+        """Returns what a limit allows in a window."""
+        return self.window * quota.rate + quota.burst
 
-        A customer that goes beyond its limit for a moment isn't refused for
-        that much; what it sends for longer is held to its rate all the same.
-        """
-        allowed = self.window * quota.rate + quota.burst
+    def aim(self, quota: Quota) -> float:
+        """Returns what the owner lets through in a window."""
+        allowed = self.allowed(quota)
         needed = _INEXACT_SECONDS * quota.rate
-        return max(self.share * allowed + self.slack - needed, 0.0)
+        spare = max(self.share * allowed + self.slack - needed, 0.0)
+        return allowed + min(spare, _AIM_BEYOND * allowed)
 
 
 @attrs.frozen
@@ -63,43 +78,77 @@
     """What an operator is told of a customer's limit.
 
     Attributes:
-        offers: tokens, or requests, that it sends a second.
+        allowed: tokens, or requests, in a window.
+        used: in the last window.
+        offers: that it sends a second.
         share: of its requests that is let through.
-        level: what it may still send at once; negative once beyond.
-        refused: tokens, or requests, refused since this owner began.
+        refused: since this owner began.
     """
 
     customer: str
-    rate: float
-    burst: float
+    allowed: float
+    used: float = 0.0
     offers: float = 0.0
     share: float = 1.0
-    level: float = 0.0
     refused: int = 0
 
 
+class _Window:
+    """What was let through in the last window, by moments."""
+
+    def __init__(self, seconds: float) -> None:
+        self.used = 0.0
+        self._seconds = seconds
+        self._moments: collections.deque[list[float]] = collections.deque()
+
+    def add(self, spent: float, now: float) -> None:
+        """Takes what was let through by now."""
+        self.used += spent
+        last = self._moments[-1] if self._moments else None
+        if last is None or now - last[0] >= _MOMENT_SECONDS:
+            self._moments.append([now, spent])
+        else:
+            last[1] += spent
+
+    def fill(self, used: float, now: float) -> None:
+        """Takes a use of which only the sum is known as spread evenly."""
+        count = int(self._seconds / _MOMENT_SECONDS)
+        for left in range(count, 0, -1):
+            self.add(used / count, now - left * _MOMENT_SECONDS)
+
+    def advance(self, now: float) -> None:
+        """Forgets what has run out of the window."""
+        oldest = now - self._seconds
+        while self._moments and self._moments[0][0] < oldest:
+            self.used -= self._moments.popleft()[1]
+
+    def expiry(self, now: float) -> float:
+        """Returns what runs out of the window a second."""
+        until = now - self._seconds + _EXPIRY_SECONDS
+        soon = 0.0
+        for at, spent in self._moments:
+            if at >= until:
+                break
+            soon += spent
+        return soon / _EXPIRY_SECONDS
+
+
 @attrs.define
 class _Account:
-    """A customer's bucket, and what it offers.
+    """A customer's use.
 
     Attributes:
-        depth: the most that the bucket holds.
+        aim: what is let through in a window.
     """
 
     quota: Quota
-    depth: float
-    level: float
-    at: float
+    aim: float
+    window: _Window
+    spent_within: float
     offers: float = 0.0
     offers_at: float = float("-inf")
     refused: int = 0
 
-    def advance(self, now: float) -> None:
-        """Brings the bucket up to now."""
-        passed = max(now - self.at, 0.0)
-        self.level = min(self.level + self.quota.rate * passed, self.depth)
-        self.at = now
-
     def note_offers(self, offered: int, now: float) -> None:
         """Adds offers to their moving rate."""
         self.offers = self.offers_rate(now) + offered / _OFFERS_SECONDS
@@ -116,8 +165,13 @@
             kept_back: share of the rate that others may be spending.
             now: the clock, in seconds.
         """
-        rate = self.quota.rate * (1 - kept_back) + self.level / _LEVEL_SECONDS
+        self.window.advance(now)
         offers = self.offers_rate(now)
+        used = self.window.used
+        if used + offers * _OFFERS_SECONDS < _FREE_SHARE * self.aim:
+            return 1.0
+        rate = self.window.expiry(now) - kept_back * self.quota.rate
+        rate += (self.aim - used) / self.spent_within
         if offers <= max(rate, 0.0):
             return 1.0
         return max(rate, 0.0) / offers
@@ -146,13 +200,8 @@
             if quota is None:
                 del self._accounts[name]
                 continue
-            account = self._accounts[name]
-            account.quota = quota
-            account.depth = self._depth(quota)
-            account.level = min(account.level, account.depth)
-
-    def _depth(self, quota: Quota) -> float:
-        return quota.burst + self._tolerance.spare(quota)
+            self._accounts[name].quota = quota
+            self._accounts[name].aim = self._tolerance.aim(quota)
 
     def begin(self, states: Mapping[str, QuotaState], now: float) -> None:
         """Goes on from what an earlier owner said last."""
@@ -160,10 +209,19 @@
         for name, state in states.items():
             quota = self._quotas.get(name)
             if quota is not None:
-                offers = quota.rate / max(state.share, _SHARE_LEAST)
-                self._accounts[name] = _Account(
-                    quota, self._depth(quota), state.level, now, offers, now
-                )
+                account = self._accounts[name] = self._make(quota)
+                account.window.fill(state.used, now)
+                account.offers = quota.rate / max(state.share, _SHARE_LEAST)
+                account.offers_at = now
+
+    def _make(self, quota: Quota) -> _Account:
+        seconds = self._tolerance.window
+        return _Account(
+            quota,
+            self._tolerance.aim(quota),
+            _Window(seconds),
+            _SPENT_WITHIN * seconds,
+        )
 
     def note_fronts(self, fronts: int, now: float) -> None:
         """Notes how many fronts report now."""
@@ -186,12 +244,9 @@
                 continue
             account = self._accounts.get(name)
             if account is None:
-                # What it sent under an owner before isn't known.
-                depth = self._depth(quota)
-                account = _Account(quota, depth, quota.burst, now)
-                self._accounts[name] = account
-            account.advance(now)
-            account.level -= use.spent
+                account = self._accounts[name] = self._make(quota)
+            account.window.advance(now)
+            account.window.add(use.spent, now)
             account.note_offers(use.offered, now)
             account.refused += use.offered - use.spent
 
@@ -208,15 +263,15 @@
         kept_back = self._silent_share()
         uses = []
         for name, quota in self._quotas.items():
+            use = QuotaUse(name, self._tolerance.allowed(quota))
             account = self._accounts.get(name)
-            use = QuotaUse(name, quota.rate, quota.burst, level=quota.burst)
             if account is not None:
-                account.advance(now)
+                share = account.share(kept_back, now)
                 use = attrs.evolve(
                     use,
+                    used=round(account.window.used),
                     offers=round(account.offers_rate(now)),
-                    share=round(account.share(kept_back, now), _SHARE_DIGITS),
-                    level=round(account.level),
+                    share=round(share, _SHARE_DIGITS),
                     refused=account.refused,
                 )
             uses.append(use)
@@ -227,10 +282,10 @@
         kept_back = self._silent_share()
         states = {}
         for name, account in self._accounts.items():
-            account.advance(now)
             share = account.share(kept_back, now)
-            if share < 1 or account.level < _TOLD_BELOW * account.quota.burst:
+            used = account.window.used
+            if share < 1 or used > _TOLD_FROM * account.aim:
                 states[name] = QuotaState(
-                    round(share, _SHARE_DIGITS), round(account.level)
+                    round(share, _SHARE_DIGITS), round(used)
                 )
         return states
--- a/src/ridgesill/core/serving/quotas.py
+++ b/src/ridgesill/core/serving/quotas.py
@@ -54,11 +54,11 @@
 
     Attributes:
         share: of its requests that may pass.
-        level: what it may still send at once; negative once beyond.
+        used: tokens, or requests, let through in the last window.
     """
 
     share: float
-    level: float
+    used: float
 
 
 Uses = Mapping[str, CustomerUse]
