Have the soak use keys, change them, and go beyond a limit

Callers of three customers use the oldest key in force, and sometimes an earlier one; the operator adds and takes away keys with each second configuration. Checked: no upstream runs a request for a key that was taken away longer ago than the bound, none is told another customer or a key, no key in force is called unknown by any front, and the limited customer stays within its limit in every window.

--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -23,6 +23,11 @@
 ROUTE_HOST = "a.example"
 _HEARTBEAT_SECONDS = 0.5
 _READY_SECONDS = 20.0
+# What the settings of each process say of keys and limits.
+REVOKE_SECONDS = 2
+QUOTA_WINDOW_SECONDS = 8
+QUOTA_EXCESS = 0.1
+QUOTA_SLACK = 20
 
 
 def make_document(version: int, *prefixes: str) -> bytes:
@@ -233,7 +238,15 @@
             "data_directory": str(vm.data) if vm.data else None,
             "tolerance": {"machines": len(self.controls) // 2},
             "heartbeat_interval_ms": 1000 * _HEARTBEAT_SECONDS,
-            "bounds": {"grace_s": 6, "lease_ms": 1000},
+            "bounds": {
+                "grace_s": 6,
+                "lease_ms": 1000,
+                "strict_revocation": True,
+                "revoke_ms": REVOKE_SECONDS * 1000,
+                "quota_window_s": QUOTA_WINDOW_SECONDS,
+                "quota_excess": QUOTA_EXCESS,
+                "quota_slack": QUOTA_SLACK,
+            },
         }
         vm.settings.write_text(yaml.safe_dump(settings))
 
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -26,6 +26,10 @@
     "shut_out",
     "rest",
     "leaving",
+    "customer",
+    "revoked",
+    "refused_key",
+    "limit",
 )
 
 
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -1,9 +1,18 @@
 """The promises, checked from what callers and upstreams saw."""
 
+import bisect
+
 import attrs
 
+from testing.platform_world import (
+    QUOTA_EXCESS,
+    QUOTA_SLACK,
+    QUOTA_WINDOW_SECONDS,
+    REVOKE_SECONDS,
+)
 from testing.soak.clients import PROMISES, UNSAFE, Told
 from testing.soak.faults import Happened
+from testing.soak.keys import LIMIT, LIMITED
 from testing.soak.upstreams import Arrival, Heard, Ledger
 from testing.soak.world import SoakWorld
 
@@ -41,6 +50,12 @@
 _LONG_SECONDS = 600.0
 
 
+# Seconds after a new key was acknowledged from which no front may say that
+# there is none, however cut off it is: longer than a front may be sure for.
+_KEY_KNOWN_SECONDS = 1.5
+_UNKNOWN_KEY = 401
+
+
 @attrs.define
 class Verdict:
     """What a seed showed.
@@ -72,6 +87,9 @@
             verdict.note("cut", f"{told.request} at {told.front}")
     for line in world.reverted:
         verdict.note("reverted", line)
+    for told in world.told:
+        _judge_key(verdict, world, told)
+    _judge_limit(verdict, world)
     _judge_orders(verdict, world)
     _judge_quarantine(verdict, world)
     for name, heard in world.ledger.heard.items():
@@ -92,6 +110,36 @@
         verdict.note("wrong", told.request)
 
 
+def _judge_key(verdict: Verdict, world: SoakWorld, told: Told) -> None:
+    """Checks that keys count while they are in force, and name a customer."""
+    key = world.keys.keys[told.key]
+    named = world.ledger.named.get(told.request)
+    if named is not None:
+        if named.customer != key.customer or named.knew_key:
+            verdict.note("customer", f"{told.request}: {named}")
+        if told.began > key.dropped_at + REVOKE_SECONDS:
+            verdict.note("revoked", f"{told.request} at {told.front}: {key}")
+    known_at = key.added_at + _KEY_KNOWN_SECONDS
+    is_in_force = known_at < told.began and told.ended < key.dropped_from
+    if told.status == _UNKNOWN_KEY and is_in_force:
+        verdict.note("refused_key", f"{told.request} at {told.front}: {key}")
+
+
+def _judge_limit(verdict: Verdict, world: SoakWorld) -> None:
+    """Checks what ran of the limited customer in any window."""
+    allowed = (QUOTA_WINDOW_SECONDS * LIMIT + LIMIT) * (1 + QUOTA_EXCESS)
+    times = sorted(
+        named.at
+        for named in world.ledger.named.values()
+        if named.customer == LIMITED
+    )
+    for first, at in enumerate(times):
+        end = bisect.bisect_right(times, at + QUOTA_WINDOW_SECONDS)
+        if end - first > allowed + QUOTA_SLACK:
+            verdict.note("limit", f"{end - first} requests from {at:.2f} s on")
+            return
+
+
 def _is_cut_by_plan(
     told: Told, ledger: Ledger, happened: list[Happened]
 ) -> bool:
--- a/testing/soak/clients.py
+++ b/testing/soak/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -26,6 +27,7 @@
         right: whether a success was the answer to this request.
         cut: whether the channel ended before the answer did.
         after: seconds after which it may come back, if it was told.
+        key: of its caller.
     """
 
     request: str
@@ -38,6 +40,7 @@
     right: bool = True
     cut: bool = False
     after: float = 0.0
+    key: str = ""
 
 
 class Caller:
@@ -48,6 +51,7 @@
         front: name and address of the front that it calls.
         rng: the source of chance.
         told: where it notes what it is told.
+        key: returns the key that it uses now.
     """
 
     def __init__(
@@ -56,7 +60,9 @@
         front: tuple[str, str],
         rng: random.Random,
         told: list[Told],
+        key: Callable[[], str],
     ) -> None:
+        self._key = key
         self._name = name
         self._front, self._address = front
         self._rng = rng
@@ -76,7 +82,7 @@
         self._count += 1
         loop = asyncio.get_running_loop()
         request = f"{self._name}-{self._count}"
-        told = Told(request, kind, self._front, loop.time())
+        told = Told(request, kind, self._front, loop.time(), key=self._key())
         self._told.append(told)
         try:
             async with asyncio.timeout(_ANSWER_SECONDS):
@@ -97,7 +103,12 @@
                     host, port, local_addr=(self._source, 0)
                 )
             )
-        headers = {"host": ROUTE_HOST, "request_deadline": "3000"}
+        headers = {
+            "host": ROUTE_HOST,
+            "request_deadline": "3000",
+            "credential": told.key,
+            "tenant": "mallory",
+        }
         if told.kind == STREAM:
             number = self._adapter()
             headers["model"] = f"{MODEL}/a{number}"
@@ -150,6 +161,7 @@
         body: of its request; by its beginning it may be a harmful one.
         rng: the source of chance.
         told: where it notes what it is told.
+        key: returns the key that it uses now.
     """
 
     def __init__(
@@ -160,6 +172,7 @@
         body: bytes,
         rng: random.Random,
         told: list[Told],
+        key: Callable[[], str],
     ) -> None:
         self._kind = kind
         self._rng = rng
@@ -171,6 +184,7 @@
                 rng,
                 told,
                 _Repeated(body, adapter, f"127.0.0.{number + 2}"),
+                key,
             )
             for number, front in enumerate(fronts)
         ]
@@ -197,8 +211,9 @@
         rng: random.Random,
         told: list[Told],
         repeated: _Repeated,
+        key: Callable[[], str],
     ) -> None:
-        super().__init__(name, front, rng, told)
+        super().__init__(name, front, rng, told, key)
         self._repeated = repeated
         self._source = repeated.source
 
--- /dev/null
+++ b/testing/soak/keys.py
@@ -0,0 +1,100 @@
+"""Callers' keys, which the operator changes all the time."""
+
+import random
+from typing import Any
+
+import attrs
+
+CUSTOMERS = ("alice", "bob", "carol")
+# The customer with a limit; its callers send more than that.
+LIMITED = "carol"
+# Requests a second, and at once.
+LIMIT = 5
+# How likely a change of the configuration changes a customer's key.
+_CHANGE_CHANCE = 0.5
+
+
+@attrs.define
+class Key:
+    """A key and its life, in seconds on the loop's clock.
+
+    Attributes:
+        added_at: when the configuration with it was acknowledged.
+        dropped_from: when the configuration without it was first sent.
+        dropped_at: when that one was acknowledged.
+    """
+
+    text: str
+    customer: str
+    added_at: float = float("inf")
+    dropped_from: float = float("inf")
+    dropped_at: float = float("inf")
+
+
+class KeyRing:
+    """All keys that there ever were.
+
+    Args:
+        rng: the source of chance.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._count = 0
+        self._drafted: list[Key] = []
+        self._dropping: list[Key] = []
+        self.keys: dict[str, Key] = {}
+        self._current: dict[str, list[Key]] = {
+            customer: [self._make(customer)] for customer in CUSTOMERS
+        }
+
+    def _make(self, customer: str) -> Key:
+        self._count += 1
+        key = Key(f"key-{self._count}", customer)
+        self.keys[key.text] = key
+        return key
+
+    def draft(self, now: float) -> list[dict[str, Any]]:
+        """Returns the customers of the next configuration.
+
+        A new key comes beside the last one, which then goes with a later
+        configuration.
+        """
+        if self._rng.random() < _CHANGE_CHANCE:
+            self._change(self._current[self._rng.choice(CUSTOMERS)], now)
+        return [
+            {
+                "name": customer,
+                "api_keys": [key.text for key in keys],
+                **(_limit() if customer == LIMITED else {}),
+            }
+            for customer, keys in self._current.items()
+        ]
+
+    def _change(self, keys: list[Key], now: float) -> None:
+        if len(keys) == 1:
+            keys.append(self._make(keys[0].customer))
+        elif keys[1].added_at < now:
+            dropped = keys.pop(0)
+            dropped.dropped_from = now
+            self._dropping.append(dropped)
+
+    def confirm(self, now: float) -> None:
+        """Notes that the configuration drafted last was acknowledged."""
+        for keys in self._current.values():
+            for key in keys:
+                key.added_at = min(key.added_at, now)
+        for key in self._dropping:
+            key.dropped_at = now
+        self._dropping.clear()
+
+    def choose(self, rng: random.Random, customer: str = "") -> str:
+        """Returns a key that a caller uses: a good one, or an earlier one."""
+        if not customer and rng.random() < 0.1:
+            return rng.choice(list(self.keys))
+        keys = self._current[customer or rng.choice(CUSTOMERS)]
+        return keys[0].text
+
+
+def _limit() -> dict[str, Any]:
+    return {"rate_per_s": LIMIT, "burst": LIMIT, "unit": "requests"}
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -65,6 +65,19 @@
     words: list[Word] = attrs.Factory(list)
 
 
+@attrs.frozen
+class Named:
+    """Whose request an upstream was told that it ran.
+
+    Attributes:
+        knew_key: whether it also got the caller's key.
+    """
+
+    customer: str
+    at: float
+    knew_key: bool
+
+
 @attrs.define
 class Ledger:
     """What all upstreams have run, and in whose name they were ordered.
@@ -74,16 +87,23 @@
         orders: holder, fencing token and time of each order, by engine.
         harmful: arrivals of each harmful request, by its body.
         heard: what each start of an upstream got and said, by its name.
+        named: whose each run was, by the request's id.
     """
 
     runs: dict[str, int] = attrs.Factory(dict)
     orders: dict[str, list[tuple[str, int, float]]] = attrs.Factory(dict)
     harmful: dict[bytes, list[Arrival]] = attrs.Factory(dict)
     heard: dict[str, Heard] = attrs.Factory(dict)
+    named: dict[str, Named] = attrs.Factory(dict)
 
-    def note_run(self, request: str) -> None:
+    def note_run(self, made: Call) -> None:
         """Counts a run."""
+        request = made.header("request-id")
         self.runs[request] = self.runs.get(request, 0) + 1
+        now = asyncio.get_running_loop().time()
+        customer = made.header("tenant")
+        knew_key = bool(made.header("credential"))
+        self.named[request] = Named(customer, now, knew_key)
 
 
 class SoakUpstream:
@@ -214,7 +234,7 @@
 
     async def _run(self, made: Call) -> None:
         request = made.header("request-id")
-        self._ledger.note_run(request)
+        self._ledger.note_run(made)
         if self._rng.random() < self.hanging:
             await asyncio.sleep(3.0)
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
@@ -284,8 +304,7 @@
         if adapter not in self.engine.held:
             await made.answer(421, b"", _NOT_RUN)
             return
-        request = made.header("request-id")
-        self._ledger.note_run(request)
+        self._ledger.note_run(made)
         self.engine.used.add(adapter)
         try:
             await made.begin_stream(*self._say_leaving(made))
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -17,6 +17,7 @@
     RepeatingCaller,
     Told,
 )
+from testing.soak.keys import KeyRing
 from testing.soak.proxy import FaultyProxy
 from testing.soak.upstreams import (
     HARMFUL,
@@ -32,7 +33,7 @@
 _BEHIND_PROXY = 5
 
 
-def make_document(version: int) -> bytes:
+def make_document(version: int, customers: list[dict[str, Any]]) -> bytes:
     """Returns a configuration with a route of each kind."""
     kinds = {"safe": "plain", "unsafe": "plain", "stream": "engine"}
     routes = [
@@ -59,7 +60,12 @@
     plain = {"name": "plain", "health_path": "/health", "connection_limit": 99}
     services = [plain, {**plain, "name": "engine", "engine": engine}]
     return msgspec.json.encode(
-        {"version": version, "routes": routes, "services": services}
+        {
+            "version": version,
+            "routes": routes,
+            "services": services,
+            "tenants": customers,
+        }
     )
 
 
@@ -88,6 +94,8 @@
         # When each VM was disturbed, and was back.
         self.disturbed: dict[str, list[float]] = {}
         self._repeat_rng = random.Random(f"repeat {seed}")
+        self.keys = KeyRing(random.Random(f"keys {seed}"))
+        self._key_rng = random.Random(f"callers' keys {seed}")
         addresses = [self.control_address(vm) for vm in self.controls]
         self.upstreams = [
             kind(
@@ -142,15 +150,25 @@
     def _caller(self, vm: Vm, number: int) -> Caller:
         front = (vm.name, f"{vm.ip}:{self._ports[0]}")
         rng = random.Random(self.rng.random())
-        return Caller(f"{vm.name}-{number}", front, rng, self.told)
+        return Caller(
+            f"{vm.name}-{number}", front, rng, self.told, self._choose_key
+        )
+
+    def _choose_key(self) -> str:
+        return self.keys.choose(self._key_rng)
 
     def repeat(self, name: str, kind: str, body: bytes) -> None:
         """Has a caller send one request again and again, at any front."""
         fronts = [(vm.name, f"{vm.ip}:{self._ports[0]}") for vm in self.fronts]
         rng = random.Random(self._repeat_rng.random())
-        caller = RepeatingCaller(name, fronts, kind, body, rng, self.told)
+        caller = RepeatingCaller(
+            name, fronts, kind, body, rng, self.told, self._choose_steady_key
+        )
         self._tasks.append(asyncio.create_task(caller.run()))
 
+    def _choose_steady_key(self) -> str:
+        return self.keys.choose(self._key_rng, "alice")
+
     async def end_traffic(self) -> None:
         """Stops callers and the operator."""
         for task in self._tasks:
@@ -181,13 +199,14 @@
         """Sends the next configuration until it is taken or time is up."""
         self.sent += self.rng.randint(1, 3)
         version = self.sent
-        body = make_document(version)
         loop = asyncio.get_running_loop()
+        body = make_document(version, self.keys.draft(loop.time()))
         deadline = loop.time() + patience
         while loop.time() < deadline:
             vm = self.rng.choice(self.controls)
             if await self._call(vm, "POST", "Configuration.Put", body):
                 self.acknowledged = max(self.acknowledged, version)
+                self.keys.confirm(loop.time())
                 return
             await asyncio.sleep(0.1)
 
