--- a/testing/core/fleet/test_quota_ledger.py
+++ b/testing/core/fleet/test_quota_ledger.py
@@ -97,6 +97,17 @@
         assert Tolerance().aim(QUOTA) == Tolerance().allowed(QUOTA)
 
 
+class TestManyCustomers:
+    def test_what_is_told_is_not_worked_out_for_each_question(self) -> None:
+        ledger = QuotaLedger()
+        ledger.set_quotas({f"c{n}": QUOTA for n in range(2_000)})
+        uses = {f"c{n}": CustomerUse(9_000, 9_000) for n in range(2_000)}
+        ledger.note(uses, 0.0)
+        first = ledger.states(1.0)
+        assert all(ledger.states(1.0 + n / 1e4) is first for n in range(300))
+        assert ledger.states(1.1) is not first
+
+
 class TestLoads:
     """The limit over all fronts, under loads that go far beyond it."""
 
