Work out what fronts are told of limits twenty times a second at the most

With 2,000 customers it takes 1.3 to 1.6 ms (timed alone), and an owner of 330 fronts answers some 300 questions a second: nearly half of a core. With 16 customers it was 0.05 ms a question.

--- a/src/ridgesill/core/fleet/quota_ledger.py
+++ b/src/ridgesill/core/fleet/quota_ledger.py
@@ -42,6 +42,9 @@
 # Share of a limit from which on fronts, and the next owner, are told what of it
 # was used.
 _TOLD_FROM = 0.5
+# What is told is worked out anew after this long, in seconds: with 2,000
+# customers that takes a millisecond, and hundreds of questions come a second.
+_STATES_SECONDS = 0.05
 # How far a customer gets beyond the aim at the most while fronts are cut off or
 # killed, or the owner is lost, in seconds of its rate.
 _INEXACT_SECONDS = 1.7
@@ -191,10 +194,13 @@
         self._fronts_most = 0
         self._fronts_most_at = float("-inf")
         self._fronts = 0
+        self._states: dict[str, QuotaState] = {}
+        self._states_at = float("-inf")
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
         """Takes the limits in force."""
         self._quotas = quotas
+        self._states_at = float("-inf")
         for name in list(self._accounts):
             quota = quotas.get(name)
             if quota is None:
@@ -206,6 +212,7 @@
     def begin(self, states: Mapping[str, QuotaState], now: float) -> None:
         """Goes on from what an earlier owner said last."""
         self._accounts.clear()
+        self._states_at = float("-inf")
         for name, state in states.items():
             quota = self._quotas.get(name)
             if quota is not None:
@@ -252,11 +259,7 @@
 
     def has_limited(self, now: float) -> bool:
         """Whether some customer offers more than it may send."""
-        kept_back = self._silent_share()
-        return any(
-            account.share(kept_back, now) < 1
-            for account in self._accounts.values()
-        )
+        return any(state.share < 1 for state in self.states(now).values())
 
     def overview(self, now: float) -> list[QuotaUse]:
         """Returns all limited customers, those that are refused most first."""
@@ -279,6 +282,12 @@
 
     def states(self, now: float) -> dict[str, QuotaState]:
         """Returns the customers that are near their limits, or beyond."""
+        if now - self._states_at >= _STATES_SECONDS:
+            self._states = self._work_out_states(now)
+            self._states_at = now
+        return self._states
+
+    def _work_out_states(self, now: float) -> dict[str, QuotaState]:
         kept_back = self._silent_share()
         states = {}
         for name, account in self._accounts.items():
