--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -717,6 +717,22 @@
 
 
 class TestQuotas:
+    async def test_a_front_that_has_just_started_waits_for_news(
+        self, world: FrontWorld
+    ) -> None:
+        # Load pattern: seven tenths of the fronts are killed under a customer
+        # far beyond its limit. Each would spend twice its own part at once.
+        name_customers(world, k1=LIMITED)
+        client = await world.open()
+        asked = asyncio.create_task(client.ask("/safe/x", credential="k1"))
+        await asyncio.sleep(0.05)
+        assert world.front.quotas.take_uses() == {}
+        await world.add("u1", answer_ok)
+        now = asyncio.get_running_loop().time()
+        world.front.quotas.take_news({"alice": QuotaState(0.0, 9.0)}, 1, now)
+        world.front.learned.note()
+        assert (await asked).status == 429
+
     async def test_what_lies_beyond_the_limit_is_refused_at_once(
         self, world: FrontWorld
     ) -> None:
