Have a front that has just started wait for news before it goes by limits

A request that came before the first news was let through by the front's own part of its customer's limit, twice of it at once, while it then waited for upstreams anyway. The emulation has such fronts serve nobody until their first news, as they do.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -190,10 +190,13 @@
                 self._give_quota_back()
 
     def _knows_enough(self) -> bool:
-        """Whether this front can tell routes and callers at all."""
+        """Whether this front can tell routes, callers and limits at all."""
         table = self._front.table
         if not table.version or table.customers is None:
             return bool(table.version)
+        if table.customers.quotas and not self._front.fleet.view.epoch:
+            # Without any news it would go by its own part of each limit.
+            return False
         knowledge = self._front.knowledge(self._loop.time())
         return not (knowledge.is_stale and knowledge.is_missing)
 
--- a/src/ridgesill/standin/emulator/quotas.py
+++ b/src/ridgesill/standin/emulator/quotas.py
@@ -116,6 +116,7 @@
     ) -> None:
         self.make = make
         self.part = make()
+        self.has_news = True
         self.silences = silent
 
     def is_silent(self, now: float) -> bool:
@@ -198,7 +199,8 @@
         sizes, shares = zip(*_SIZES, strict=True)
         tokens = int(self._rng.choices(sizes, shares)[0])
         front = self._rng.choice(self._fronts)
-        if front.is_down(now):
+        if front.is_down(now) or not front.has_news:
+            # One that has just started waits for news first.
             return
         customer = Customer("c", None, self._quota)
         passed = front.part.admit(customer, tokens, now)
@@ -242,6 +244,7 @@
         def tell(now: float) -> None:
             if not front.is_silent(now):
                 front.part.take_news(states, len(self._fronts), told_at)
+                front.has_news = True
 
         return tell
 
@@ -249,6 +252,7 @@
         for front in self._fronts:
             if front.is_down(now):
                 front.part = front.make()
+                front.has_news = False
 
     def _lose_owner(self, now: float) -> None:
         self._is_owned = False
