Hold customers to buckets again, which fill a little faster within what is borne

A bucket has an even pace. It lets 8 of the 9 parts pass that a window allows, so it fills faster by 0.65 of what the platform's settings bear, while the owner hears all fronts and isn't new.

--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -8,7 +8,6 @@
 import random
 from collections.abc import Mapping
 
-from ridgesill.core.fleet.quota_ledger import Tolerance
 from ridgesill.core.serving.customers import Customer, Quota
 from ridgesill.core.serving.quotas import (
     CustomerUse,
@@ -80,8 +79,8 @@
         return self.note(customer.name, tokens, passed)
 
 
-class CommonCount(_Reporting):
-    """The owner tells what was used; each front adds what it spent since."""
+class CommonLevel(_Reporting):
+    """The owner tells what is left; each front adds what it has spent since."""
 
     def __init__(self, _rng: random.Random) -> None:
         super().__init__()
@@ -90,26 +89,21 @@
     def take_news(
         self, states: Mapping[str, QuotaState], fronts: int, told_at: float
     ) -> None:
-        """Takes what was used."""
+        """Takes what is left."""
         self.states = states
         self._since = 0
 
-    def _allowed(self, customer: Customer) -> float:
-        assert customer.quota is not None
-        return Tolerance().allowed(customer.quota)
-
     def admit(self, customer: Customer, tokens: int, now: float) -> bool:
         """Returns whether something is left."""
         state = self.states.get(customer.name)
-        left = self._allowed(customer) - (state.used if state else 0.0)
-        passed = state is None or left > self._since
+        passed = state is None or state.level > self._since
         self._since += tokens if passed else 0
         return self.note(customer.name, tokens, passed)
 
 
 _WAYS = {
     "equal parts": EvenParts,
-    "common count": CommonCount,
+    "common level": CommonLevel,
     "share of offers": share_parts,
 }
 
--- a/src/ridgesill/core/fleet/quota_ledger.py
+++ b/src/ridgesill/core/fleet/quota_ledger.py
@@ -1,17 +1,15 @@
 """The owner's account of what customers send, over all fronts.
 
-Load pattern: a customer sends eight times its usual for ten seconds. Held to
-its rate from the first moment on, it is refused what its limit allows; let
-through until the window is full, it then gets next to nothing until the window
-has passed. So the owner keeps the use of the last window, and lets what is left
-of it be spent over half of the next one, beside what runs out of it.
+Load pattern: a customer sends eight times its usual for ten seconds. A count of
+the last window lets it fill the window at once, and then next to nothing until
+that has passed. A bucket that fills all the time lets it have the same at an
+even pace.
 
 What fronts let through is heard some tenths of a second late. So they aren't
 told how much is left, but which share of what is offered may pass: it changes
 only as demand does.
 """
 
-import collections
 import math
 from collections.abc import Mapping
 
@@ -22,32 +20,28 @@
 
 # Over which offers are averaged, in seconds.
 _OFFERS_SECONDS = 0.6
-# Width of the moments by which the use of a window is kept, in seconds.
-_MOMENT_SECONDS = 0.25
-# What is about to run out of the window is averaged over this, in seconds.
-_EXPIRY_SECONDS = 1.0
-# Share of a window within which what is left of a limit is spent.
-_SPENT_WITHIN = 0.5
-# Share of a limit below which nothing is refused, however fast it comes.
-_FREE_SHARE = 0.75
-# How far beyond a limit the owner aims, as a share of it: its count is inexact
-# in both directions, and nothing below the limit should be refused.
-_AIM_BEYOND = 0.05
+# Within which what a bucket holds may be spent, or is to be won back, in
+# seconds; twice what news take from front to front.
+_LEVEL_SECONDS = 0.8
+# Share of what is borne beyond a limit that the owner lets through while it
+# hears all fronts, and seconds of a customer's rate that its count is behind.
+_BORNE_SHARE = 0.65
+_BEHIND_SECONDS = 0.3
+# For how long an owner is new: what an earlier one let through last is still
+# being reported, in seconds.
+_NEW_SECONDS = 2.0
 # Fronts that fell silent may go on by their own part of each limit for as long
 # as keys are relied on there, in seconds.
 _SILENT_SECONDS = 5.0
 _SHARE_DIGITS = 3
 # From which share on a new owner doesn't take the offers for larger still.
 _SHARE_LEAST = 0.05
-# Share of a limit from which on fronts, and the next owner, are told what of it
-# was used.
-_TOLD_FROM = 0.5
+# Share of a burst from which on down fronts, and the next owner, are told what
+# is left.
+_TOLD_BELOW = 0.5
 # What is told is worked out anew after this long, in seconds: with 2,000
 # customers that takes a millisecond, and hundreds of questions come a second.
 _STATES_SECONDS = 0.05
-# How far a customer gets beyond the aim at the most while fronts are cut off or
-# killed, or the owner is lost, in seconds of its rate.
-_INEXACT_SECONDS = 1.7
 
 
 @attrs.frozen
@@ -68,12 +62,18 @@
         """Returns what a limit allows in a window."""
         return self.window * quota.rate + quota.burst
 
-    def aim(self, quota: Quota) -> float:
-        """Returns what the owner lets through in a window."""
-        allowed = self.allowed(quota)
-        needed = _INEXACT_SECONDS * quota.rate
-        spare = max(self.share * allowed + self.slack - needed, 0.0)
-        return allowed + min(spare, _AIM_BEYOND * allowed)
+    def fill_rate(self, quota: Quota, *, is_steady: bool) -> float:
+        """Returns at which rate a customer's bucket fills.
+
+        Nothing within the limit should be refused, and its count is inexact in
+        both directions. So it is a little more than the limit's rate, unless
+        fronts that aren't heard may be spending the rest of what is borne.
+        """
+        if not is_steady:
+            return quota.rate
+        borne = self.share * self.allowed(quota) + self.slack
+        spare = max(borne - _BEHIND_SECONDS * quota.rate, 0.0)
+        return quota.rate + _BORNE_SHARE * spare / self.window
 
 
 @attrs.frozen
@@ -82,76 +82,37 @@
 
     Attributes:
         allowed: tokens, or requests, in a window.
-        used: in the last window.
         offers: that it sends a second.
         share: of its requests that is let through.
+        level: what it may still send at once; negative once beyond.
         refused: since this owner began.
     """
 
     customer: str
     allowed: float
-    used: float = 0.0
     offers: float = 0.0
     share: float = 1.0
+    level: float = 0.0
     refused: int = 0
 
 
-class _Window:
-    """What was let through in the last window, by moments."""
-
-    def __init__(self, seconds: float) -> None:
-        self.used = 0.0
-        self._seconds = seconds
-        self._moments: collections.deque[list[float]] = collections.deque()
-
-    def add(self, spent: float, now: float) -> None:
-        """Takes what was let through by now."""
-        self.used += spent
-        last = self._moments[-1] if self._moments else None
-        if last is None or now - last[0] >= _MOMENT_SECONDS:
-            self._moments.append([now, spent])
-        else:
-            last[1] += spent
-
-    def fill(self, used: float, now: float) -> None:
-        """Takes a use of which only the sum is known as spread evenly."""
-        count = int(self._seconds / _MOMENT_SECONDS)
-        for left in range(count, 0, -1):
-            self.add(used / count, now - left * _MOMENT_SECONDS)
-
-    def advance(self, now: float) -> None:
-        """Forgets what has run out of the window."""
-        oldest = now - self._seconds
-        while self._moments and self._moments[0][0] < oldest:
-            self.used -= self._moments.popleft()[1]
-
-    def expiry(self, now: float) -> float:
-        """Returns what runs out of the window a second."""
-        until = now - self._seconds + _EXPIRY_SECONDS
-        soon = 0.0
-        for at, spent in self._moments:
-            if at >= until:
-                break
-            soon += spent
-        return soon / _EXPIRY_SECONDS
-
-
 @attrs.define
 class _Account:
-    """A customer's use.
-
-    Attributes:
-        aim: what is let through in a window.
-    """
+    """A customer's bucket, and what it offers."""
 
     quota: Quota
-    aim: float
-    window: _Window
-    spent_within: float
+    level: float
+    at: float
     offers: float = 0.0
     offers_at: float = float("-inf")
     refused: int = 0
 
+    def advance(self, rate: float, now: float) -> None:
+        """Fills the bucket at a rate up to now."""
+        passed = max(now - self.at, 0.0)
+        self.level = min(self.level + rate * passed, self.quota.burst)
+        self.at = now
+
     def note_offers(self, offered: int, now: float) -> None:
         """Adds offers to their moving rate."""
         self.offers = self.offers_rate(now) + offered / _OFFERS_SECONDS
@@ -161,23 +122,16 @@
         """Returns what is offered a second."""
         return self.offers * math.exp((self.offers_at - now) / _OFFERS_SECONDS)
 
-    def share(self, kept_back: float, now: float) -> float:
+    def share(self, rate: float, now: float) -> float:
         """Returns the share of the offers that may pass.
 
         Args:
-            kept_back: share of the rate that others may be spending.
+            rate: at which the bucket fills.
             now: the clock, in seconds.
         """
-        self.window.advance(now)
+        rate = max(rate + self.level / _LEVEL_SECONDS, 0.0)
         offers = self.offers_rate(now)
-        used = self.window.used
-        if used + offers * _OFFERS_SECONDS < _FREE_SHARE * self.aim:
-            return 1.0
-        rate = self.window.expiry(now) - kept_back * self.quota.rate
-        rate += (self.aim - used) / self.spent_within
-        if offers <= max(rate, 0.0):
-            return 1.0
-        return max(rate, 0.0) / offers
+        return 1.0 if offers <= rate else rate / offers
 
 
 class QuotaLedger:
@@ -196,6 +150,7 @@
         self._fronts = 0
         self._states: dict[str, QuotaState] = {}
         self._states_at = float("-inf")
+        self._begun_at = float("-inf")
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
         """Takes the limits in force."""
@@ -206,29 +161,22 @@
             if quota is None:
                 del self._accounts[name]
                 continue
-            self._accounts[name].quota = quota
-            self._accounts[name].aim = self._tolerance.aim(quota)
+            account = self._accounts[name]
+            account.quota = quota
+            account.level = min(account.level, quota.burst)
 
     def begin(self, states: Mapping[str, QuotaState], now: float) -> None:
         """Goes on from what an earlier owner said last."""
         self._accounts.clear()
+        self._begun_at = now
         self._states_at = float("-inf")
         for name, state in states.items():
             quota = self._quotas.get(name)
             if quota is not None:
-                account = self._accounts[name] = self._make(quota)
-                account.window.fill(state.used, now)
-                account.offers = quota.rate / max(state.share, _SHARE_LEAST)
-                account.offers_at = now
-
-    def _make(self, quota: Quota) -> _Account:
-        seconds = self._tolerance.window
-        return _Account(
-            quota,
-            self._tolerance.aim(quota),
-            _Window(seconds),
-            _SPENT_WITHIN * seconds,
-        )
+                offers = quota.rate / max(state.share, _SHARE_LEAST)
+                self._accounts[name] = _Account(
+                    quota, state.level, now, offers, now
+                )
 
     def note_fronts(self, fronts: int, now: float) -> None:
         """Notes how many fronts report now."""
@@ -243,6 +191,17 @@
             return 0.0
         return 1 - self._fronts / self._fronts_most
 
+    def _fill(self, account: _Account, now: float) -> float:
+        """Brings a bucket up to now; returns at which rate it fills."""
+        silent = self._silent_share()
+        is_new = now - self._begun_at < _NEW_SECONDS
+        rate = self._tolerance.fill_rate(
+            account.quota, is_steady=not is_new and not silent
+        )
+        rate -= silent * account.quota.rate
+        account.advance(rate, now)
+        return rate
+
     def note(self, uses: Uses, now: float) -> None:
         """Takes what fronts report."""
         for name, use in uses.items():
@@ -251,9 +210,10 @@
                 continue
             account = self._accounts.get(name)
             if account is None:
-                account = self._accounts[name] = self._make(quota)
-            account.window.advance(now)
-            account.window.add(use.spent, now)
+                account = _Account(quota, quota.burst, now)
+                self._accounts[name] = account
+            self._fill(account, now)
+            account.level -= use.spent
             account.note_offers(use.offered, now)
             account.refused += use.offered - use.spent
 
@@ -263,18 +223,18 @@
 
     def overview(self, now: float) -> list[QuotaUse]:
         """Returns all limited customers, those that are refused most first."""
-        kept_back = self._silent_share()
         uses = []
         for name, quota in self._quotas.items():
-            use = QuotaUse(name, self._tolerance.allowed(quota))
+            allowed = self._tolerance.allowed(quota)
+            use = QuotaUse(name, allowed, level=quota.burst)
             account = self._accounts.get(name)
             if account is not None:
-                share = account.share(kept_back, now)
+                share = account.share(self._fill(account, now), now)
                 use = attrs.evolve(
                     use,
-                    used=round(account.window.used),
                     offers=round(account.offers_rate(now)),
                     share=round(share, _SHARE_DIGITS),
+                    level=round(account.level),
                     refused=account.refused,
                 )
             uses.append(use)
@@ -288,13 +248,11 @@
         return self._states
 
     def _work_out_states(self, now: float) -> dict[str, QuotaState]:
-        kept_back = self._silent_share()
         states = {}
         for name, account in self._accounts.items():
-            share = account.share(kept_back, now)
-            used = account.window.used
-            if share < 1 or used > _TOLD_FROM * account.aim:
+            share = account.share(self._fill(account, now), now)
+            if share < 1 or account.level < _TOLD_BELOW * account.quota.burst:
                 states[name] = QuotaState(
-                    round(share, _SHARE_DIGITS), round(used)
+                    round(share, _SHARE_DIGITS), round(account.level)
                 )
         return states
--- a/src/ridgesill/core/serving/quotas.py
+++ b/src/ridgesill/core/serving/quotas.py
@@ -54,11 +54,11 @@
 
     Attributes:
         share: of its requests that may pass.
-        used: tokens, or requests, let through in the last window.
+        level: what it may still send at once; negative once beyond.
     """
 
     share: float
-    used: float
+    level: float
 
 
 Uses = Mapping[str, CustomerUse]
