--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -24,6 +24,7 @@
 )
 from ridgesill.core.serving.quotas import CustomerUse, QuotaState
 from ridgesill.core.serving.routes import RouteTable
+from ridgesill.ports.telemetry import KeptTelemetry, RequestEnd
 from testing.app.front_world import (
     Call,
     FrontWorld,
@@ -766,3 +767,31 @@
         client = await world.open()
         assert (await client.ask("/safe/x", credential="k1")).status == 503
         assert world.front.quotas.take_uses() == {"alice": CustomerUse()}
+
+
+class Ends(KeptTelemetry):
+    """Keeps the ends of requests."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ends: list[RequestEnd] = []
+
+    def note_end(self, end: RequestEnd) -> None:
+        self.ends.append(end)
+
+
+class TestFigures:
+    async def test_a_refusal_is_not_in_time_however_soon_it_comes(
+        self, world: FrontWorld
+    ) -> None:
+        name_customers(world, k1=LIMITED)
+        await world.add("u1", answer_ok)
+        world.front.telemetry = ends = Ends()
+        client = await world.open()
+        await client.ask("/safe/x", credential="k1")
+        states = {"alice": QuotaState(0.0, -9.0)}
+        now = asyncio.get_running_loop().time()
+        world.front.quotas.take_news(states, 1, now)
+        await client.ask("/safe/x", credential="k1")
+        told = [(end.customer, end.outcome, end.in_time) for end in ends.ends]
+        assert told == [("alice", "served", True), ("alice", "refused", False)]
