--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -612,7 +612,9 @@
                 self._search.waited,
                 len(self._tried),
                 self._customer_label(),
-                route is not None and first <= route.goal,
+                outcome == "served"
+                and route is not None
+                and first <= route.goal,
             )
         )
         log_message(
