Have a new owner make up for the time without one in customers' limits

Fronts let through what the limit allows meanwhile and report it all at once; the new owner began with the last level told, six seconds old, and took all that had been offered for what comes in 0.6 s.

A new owner fills buckets for the time since the last word, for two seconds while it hears what was let through. What a lost report said was offered isn't told again.

--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -266,7 +266,8 @@
         if not registry.upstreams:
             registry.begin_empty(now)
         self._engines.begin(registry, blind=blind)
-        self._quotas.begin(self._follower.view.quotas, now)
+        view = self._follower.view
+        self._quotas.begin(view.quotas, view.known_at, now)
         self._quotas.note(self.relay.take_uses(), now)
         self._news.note()
 
--- a/src/ridgesill/app/news_relay.py
+++ b/src/ridgesill/app/news_relay.py
@@ -8,7 +8,12 @@
 from ridgesill.core.fleet.messages import FleetNews, WatchFleet
 from ridgesill.core.fleet.relayed_news import RelayedNews
 from ridgesill.core.fleet.usage import Usage, UsageReport
-from ridgesill.core.serving.quotas import CustomerUse, Uses, add_uses
+from ridgesill.core.serving.quotas import (
+    CustomerUse,
+    Uses,
+    add_uses,
+    only_spent,
+)
 
 # Least time between two answers with news to the same asker, in seconds, and
 # for each process that asks: what changes in between is told in one answer.
@@ -83,7 +88,7 @@
 
     def put_back(self, report: UsageReport) -> None:
         """Keeps what customers sent for the next report: nobody heard it."""
-        self._uses = add_uses(report.uses, self._uses)
+        self._uses = add_uses(only_spent(report.uses), self._uses)
 
     def take_uses(self) -> Uses:
         """Returns what customers have sent since the last report."""
--- a/src/ridgesill/core/fleet/quota_ledger.py
+++ b/src/ridgesill/core/fleet/quota_ledger.py
@@ -27,9 +27,11 @@
 # hears all fronts, and seconds of a customer's rate that its count is behind.
 _BORNE_SHARE = 0.65
 _BEHIND_SECONDS = 0.3
-# For how long an owner is new: what an earlier one let through last is still
+# For how long an owner is new: what fronts let through before it began is still
 # being reported, in seconds.
 _NEW_SECONDS = 2.0
+# The longest time without an owner that a new one makes up for, in seconds.
+_WITHOUT_OWNER_MOST = 10.0
 # Fronts that fell silent may go on by their own part of each limit for as long
 # as keys are relied on there, in seconds.
 _SILENT_SECONDS = 5.0
@@ -107,10 +109,10 @@
     offers_at: float = float("-inf")
     refused: int = 0
 
-    def advance(self, rate: float, now: float) -> None:
-        """Fills the bucket at a rate up to now."""
+    def advance(self, rate: float, depth: float, now: float) -> None:
+        """Fills the bucket at a rate up to now, but not beyond a depth."""
         passed = max(now - self.at, 0.0)
-        self.level = min(self.level + rate * passed, self.quota.burst)
+        self.level = min(self.level + rate * passed, depth)
         self.at = now
 
     def note_offers(self, offered: int, now: float) -> None:
@@ -129,7 +131,8 @@
             rate: at which the bucket fills.
             now: the clock, in seconds.
         """
-        rate = max(rate + self.level / _LEVEL_SECONDS, 0.0)
+        level = min(self.level, self.quota.burst)
+        rate = max(rate + level / _LEVEL_SECONDS, 0.0)
         offers = self.offers_rate(now)
         return 1.0 if offers <= rate else rate / offers
 
@@ -151,6 +154,8 @@
         self._states: dict[str, QuotaState] = {}
         self._states_at = float("-inf")
         self._begun_at = float("-inf")
+        # How long nobody owned the fleet before this owner, in seconds.
+        self._without_owner = 0.0
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
         """Takes the limits in force."""
@@ -165,18 +170,27 @@
             account.quota = quota
             account.level = min(account.level, quota.burst)
 
-    def begin(self, states: Mapping[str, QuotaState], now: float) -> None:
-        """Goes on from what an earlier owner said last."""
+    def begin(
+        self, states: Mapping[str, QuotaState], told_at: float, now: float
+    ) -> None:
+        """Goes on from what an earlier owner said last.
+
+        Args:
+            states: as it told them.
+            told_at: when it did; minus infinity where there was none.
+            now: the clock, in seconds.
+        """
         self._accounts.clear()
         self._begun_at = now
+        gap = now - told_at
+        self._without_owner = gap if gap <= _WITHOUT_OWNER_MOST else 0.0
         self._states_at = float("-inf")
         for name, state in states.items():
             quota = self._quotas.get(name)
             if quota is not None:
                 offers = quota.rate / max(state.share, _SHARE_LEAST)
-                self._accounts[name] = _Account(
-                    quota, state.level, now, offers, now
-                )
+                level = state.level + self._without_owner * quota.rate
+                self._accounts[name] = _Account(quota, level, now, offers, now)
 
     def note_fronts(self, fronts: int, now: float) -> None:
         """Notes how many fronts report now."""
@@ -199,9 +213,19 @@
             account.quota, is_steady=not is_new and not silent
         )
         rate -= silent * account.quota.rate
-        account.advance(rate, now)
+        account.advance(rate, self._depth(account.quota, now), now)
         return rate
 
+    def _depth(self, quota: Quota, now: float) -> float:
+        """Returns how much a bucket holds.
+
+        While an owner is new, also what has filled it without an owner: fronts
+        have yet to report what they let through in that time.
+        """
+        if now - self._begun_at >= _NEW_SECONDS:
+            return quota.burst
+        return quota.burst + self._without_owner * quota.rate
+
     def note(self, uses: Uses, now: float) -> None:
         """Takes what fronts report."""
         for name, use in uses.items():
@@ -210,12 +234,12 @@
                 continue
             account = self._accounts.get(name)
             if account is None:
-                account = _Account(quota, quota.burst, now)
+                account = _Account(quota, self._depth(quota, now), now)
                 self._accounts[name] = account
             self._fill(account, now)
             account.level -= use.spent
             account.note_offers(use.offered, now)
-            account.refused += use.offered - use.spent
+            account.refused += max(use.offered - use.spent, 0)
 
     def has_limited(self, now: float) -> bool:
         """Whether some customer offers more than it may send."""
--- a/src/ridgesill/core/serving/quotas.py
+++ b/src/ridgesill/core/serving/quotas.py
@@ -20,7 +20,7 @@
 _NEWS_SECONDS = 1.0
 # How much of its part of a burst a front without news may let through at once:
 # requests reach fronts unevenly.
-_UNEVENNESS = 2.0
+_UNEVENNESS = 1.5
 # When a refused caller may come back, in seconds, and how far apart callers
 # that were refused together do.
 _AFTER_SECONDS = 1.0
@@ -73,6 +73,15 @@
     return sums
 
 
+def only_spent(uses: Uses) -> dict[str, CustomerUse]:
+    """Returns what is still to be told of a report that was lost.
+
+    What was offered says how much comes now; told seconds later, all at once,
+    it would be taken for far more.
+    """
+    return {name: CustomerUse(use.spent, 0) for name, use in uses.items()}
+
+
 @attrs.define
 class _OwnPart:
     """A front's part of a limit while it has no news."""
@@ -163,4 +172,4 @@
 
     def put_back(self, uses: Uses) -> None:
         """Keeps for the next report what nobody has heard."""
-        self._uses = add_uses(uses, self._uses)
+        self._uses = add_uses(only_spent(uses), self._uses)
--- a/src/ridgesill/standin/emulator/quotas.py
+++ b/src/ridgesill/standin/emulator/quotas.py
@@ -151,6 +151,7 @@
         self._ledger = QuotaLedger(plan.tolerance)
         self._ledger.set_quotas({"c": plan.quota})
         self._told: dict[str, QuotaState] = {}
+        self._told_at = float("-inf")
         self._is_owned = True
         self._order = itertools.count()
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
@@ -229,6 +230,7 @@
             self._ledger.note_fronts(self._count_heard(now), now)
             self._ledger.note(uses, now)
             self._told = self._ledger.states(now)
+            self._told_at = now
             self._at(now + self._plan.way_seconds, self._teller(front, now))
 
         return hear
@@ -262,7 +264,7 @@
         self._is_owned = True
         self._ledger = QuotaLedger(self._plan.tolerance)
         self._ledger.set_quotas({"c": self._quota})
-        self._ledger.begin(self._told, now)
+        self._ledger.begin(self._told, self._told_at, now)
 
     def _lower(self, now: float) -> None:
         rate = self._quota.rate * self._plan.lowered_to
