--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -112,7 +112,9 @@
 
 def _judge_key(verdict: Verdict, world: SoakWorld, told: Told) -> None:
     """Checks that keys count while they are in force, and name a customer."""
-    key = world.keys.keys[told.key]
+    key = world.keys.keys.get(told.key)
+    if key is None:
+        return
     named = world.ledger.named.get(told.request)
     if named is not None:
         if named.customer != key.customer or named.knew_key:
