--- a/src/ridgesill/app/news_relay.py
+++ b/src/ridgesill/app/news_relay.py
@@ -10,7 +10,6 @@
 from ridgesill.core.fleet.usage import Usage, UsageReport
 from ridgesill.core.serving.quotas import (
     CustomerUse,
-    Uses,
     add_uses,
     only_spent,
 )
@@ -83,14 +82,13 @@
         now = self._loop.time()
         self._usage.forget_silent(now)
         used, self._used = self._used, {}
-        uses, self._uses = self._uses, {}
-        return self._usage.sum_up(used, uses, now)
+        return self._usage.sum_up(used, self.take_uses(), now)
 
     def put_back(self, report: UsageReport) -> None:
         """Keeps what customers sent for the next report: nobody heard it."""
         self._uses = add_uses(only_spent(report.uses), self._uses)
 
-    def take_uses(self) -> Uses:
+    def take_uses(self) -> dict[str, CustomerUse]:
         """Returns what customers have sent since the last report."""
         uses, self._uses = self._uses, {}
         return uses
