Have the emulated limits use the ledger's own window and a front's own part

The emulation worked out a second time what a limit allows in a window, beside its tolerance, with the window as a constant of its own; the comparison's equal parts were a front's own part written again; a function only made a front's part. `make bench-quotas` prints the same table to the last digit.

--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -11,6 +11,8 @@
 from ridgesill.core.serving.customers import Customer, Quota
 from ridgesill.core.serving.quotas import (
     CustomerUse,
+    FrontQuotas,
+    OwnPart,
     QuotaState,
     add_uses,
 )
@@ -19,7 +21,6 @@
     Play,
     QuotaEmulation,
     Silence,
-    share_parts,
 )
 
 _SIZES = (6, 74, 330)
@@ -57,8 +58,7 @@
 
     def __init__(self, _rng: random.Random) -> None:
         super().__init__()
-        self._level = float("inf")
-        self._at = 0.0
+        self._part = OwnPart(float("inf"), 0.0)
 
     def take_news(
         self, states: Mapping[str, QuotaState], fronts: int, told_at: float
@@ -70,12 +70,8 @@
         """Returns whether its own part lasts for a request."""
         quota = customer.quota
         assert quota is not None
-        most = quota.burst / self.fronts
-        grown = self._level + (now - self._at) * quota.rate / self.fronts
-        self._level = min(grown, most)
-        self._at = now
-        passed = self._level > 0
-        self._level -= tokens if passed else 0
+        rate, most = quota.rate / self.fronts, quota.burst / self.fronts
+        passed = self._part.take(tokens, rate, most, now)
         return self.note(customer.name, tokens, passed)
 
 
@@ -104,7 +100,7 @@
 _WAYS = {
     "equal parts": EvenParts,
     "common level": CommonLevel,
-    "share of offers": share_parts,
+    "share of offers": FrontQuotas,
 }
 
 
--- a/src/ridgesill/core/serving/quotas.py
+++ b/src/ridgesill/core/serving/quotas.py
@@ -83,7 +83,7 @@
 
 
 @attrs.define
-class _OwnPart:
+class OwnPart:
     """A front's part of a limit while it has no news."""
 
     level: float
@@ -112,7 +112,7 @@
         self._fronts = 1
         self._told_at = float("-inf")
         self._uses: dict[str, CustomerUse] = {}
-        self._parts: dict[str, _OwnPart] = {}
+        self._parts: dict[str, OwnPart] = {}
 
     def take_news(
         self, states: Mapping[str, QuotaState], fronts: int, told_at: float
@@ -148,7 +148,7 @@
         part = self._parts.get(name)
         if part is None:
             level = most if state is None or state.share >= 1 else 0.0
-            part = self._parts[name] = _OwnPart(level, now)
+            part = self._parts[name] = OwnPart(level, now)
         return part.take(cost, quota.rate / self._fronts, most, now)
 
     def give_back(self, customer: Customer, tokens: int) -> None:
--- a/src/ridgesill/standin/emulator/quotas.py
+++ b/src/ridgesill/standin/emulator/quotas.py
@@ -15,7 +15,7 @@
 
 from ridgesill.core.fleet.quota_ledger import QuotaLedger, Tolerance
 from ridgesill.core.serving.customers import Customer, Quota
-from ridgesill.core.serving.quotas import CustomerUse, FrontQuotas, QuotaState
+from ridgesill.core.serving.quotas import CustomerUse, QuotaState
 
 # Tokens of a request and how often it comes: short ones, and a few long ones.
 _SIZES = ((650, 0.85), (200, 0.10), (9_200, 0.05))
@@ -282,7 +282,7 @@
         passed_hot = _tokens(self._passed, *hot)
         return Play(
             self._most(),
-            _WINDOW_SECONDS * self._quota.rate + self._quota.burst,
+            plan.tolerance.allowed(self._quota),
             calm_refused / max(calm_refused + calm_passed, 1),
             passed_hot / (plan.quota.rate * (hot[1] - hot[0])),
             self._reports,
@@ -293,9 +293,10 @@
 
         A lower limit binds one window after it came.
         """
+        seconds = self._plan.tolerance.window
         since = 0.0
         if self._plan.lowered_at < self._plan.seconds:
-            since = self._plan.lowered_at + _WINDOW_SECONDS
+            since = self._plan.lowered_at + seconds
         window: collections.deque[tuple[float, int]] = collections.deque()
         held = most = 0
         for at, tokens in self._passed:
@@ -303,20 +304,11 @@
                 continue
             window.append((at, tokens))
             held += tokens
-            while window[0][0] < at - _WINDOW_SECONDS:
+            while window[0][0] < at - seconds:
                 held -= window.popleft()[1]
             most = max(most, held)
         return most
 
 
-# The window over which limits are judged, in seconds.
-_WINDOW_SECONDS = 8.0
-
-
 def _tokens(passed: list[tuple[float, int]], begin: float, end: float) -> int:
     return sum(tokens for at, tokens in passed if begin <= at < end)
-
-
-def share_parts(rng: random.Random) -> FrontPart:
-    """Returns a front's part as fronts have it."""
-    return FrontQuotas(rng)
--- a/testing/core/fleet/test_quota_ledger.py
+++ b/testing/core/fleet/test_quota_ledger.py
@@ -4,12 +4,15 @@
 
 from ridgesill.core.fleet.quota_ledger import QuotaLedger, Tolerance
 from ridgesill.core.serving.customers import Quota
-from ridgesill.core.serving.quotas import CustomerUse, QuotaState
+from ridgesill.core.serving.quotas import (
+    CustomerUse,
+    FrontQuotas,
+    QuotaState,
+)
 from ridgesill.standin.emulator.quotas import (
     Plan,
     QuotaEmulation,
     Silence,
-    share_parts,
 )
 
 QUOTA = Quota(1000.0, 1000.0, counts_tokens=True)
@@ -135,7 +138,7 @@
         # Load pattern: 7.5 times its usual for 7 s, at fronts that see 0.4
         # requests a second of it each, of 200 to 9,200 tokens.
         plan = Plan(fronts, quota, seconds=20.0)
-        play = QuotaEmulation(plan, share_parts).play()
+        play = QuotaEmulation(plan, FrontQuotas).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
         assert play.refused_calm == 0
         assert play.passed_hot > 0.8
@@ -144,24 +147,24 @@
         plan = Plan(
             74, LARGEST, seconds=20.0, silences=(Silence(9.0, 4.5, 0.4),)
         )
-        play = QuotaEmulation(plan, share_parts).play()
+        play = QuotaEmulation(plan, FrontQuotas).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
 
     def test_seven_tenths_of_the_fronts_are_killed_twice(self) -> None:
         silences = tuple(Silence(at, 1.0, 0.7, True) for at in (11.0, 15.0))
         plan = Plan(74, LARGEST, seconds=20.0, silences=silences)
-        play = QuotaEmulation(plan, share_parts).play()
+        play = QuotaEmulation(plan, FrontQuotas).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
 
     def test_the_owner_is_lost_as_a_customer_turns_hot(self) -> None:
         plan = Plan(
             74, LARGEST, seconds=20.0, owner_lost_at=9.5, owner_seconds=3.5
         )
-        play = QuotaEmulation(plan, share_parts).play()
+        play = QuotaEmulation(plan, FrontQuotas).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
 
     @pytest.mark.parametrize("seed", [1, 2, 3])
     def test_a_limit_is_lowered_under_load(self, seed: int) -> None:
         plan = Plan(74, LARGEST, hot_until=28.0, lowered_at=13.0)
-        play = QuotaEmulation(plan, share_parts, seed).play()
+        play = QuotaEmulation(plan, FrontQuotas, seed).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
