--- a/src/ridgesill/core/fleet/quota_ledger.py
+++ b/src/ridgesill/core/fleet/quota_ledger.py
@@ -35,14 +35,15 @@
 # Fronts that fell silent may go on by their own part of each limit for as long
 # as keys are relied on there, in seconds.
 _SILENT_SECONDS = 5.0
+# Digits of a share that fronts are told.
 _SHARE_DIGITS = 3
 # From which share on a new owner doesn't take the offers for larger still.
 _SHARE_LEAST = 0.05
 # Share of a burst from which on down fronts, and the next owner, are told what
 # is left.
 _TOLD_BELOW = 0.5
-# What is told is worked out anew after this long, in seconds: with 2,000
-# customers that takes a millisecond, and hundreds of questions come a second.
+# What is told is worked out anew after this long, in seconds: it grows with
+# customers, and fronts ask far more often.
 _STATES_SECONDS = 0.05
 
 
