Log and count words of upstreams that nothing reads; name who chose an upstream

Operators saw engines get three times the limits that they named, and no line told whether a front had read the word: an unknown header left no trace, and request:end didn't say whose choice an upstream was. No decision is changed.

--- a/src/ridgesill/adapters/serving_metrics.py
+++ b/src/ridgesill/adapters/serving_metrics.py
@@ -6,6 +6,8 @@
 from ridgesill.ports.telemetry import RequestEnd
 
 _KIBIBYTE = 1024
+# Unknown words that are counted by name; upstreams may invent any number.
+_WORDS_MOST = 16
 
 
 class ServingMetrics(MeterSet):
@@ -26,6 +28,8 @@
         self._waited = meter.create_histogram("ridgesill_load_wait_seconds")
         self._orders = meter.create_counter("ridgesill_orders")
         self._loads = meter.create_histogram("ridgesill_adapter_load_seconds")
+        self._unknown_words = meter.create_counter("ridgesill_unknown_words")
+        self._named_words: set[str] = set()
         self.watch("ridgesill_peak_memory_bytes", _peak_memory)
 
     def note_end(self, end: RequestEnd) -> None:
@@ -57,6 +61,13 @@
         """Notes how long a load took."""
         self._loads.record(seconds)
 
+    def note_unknown_word(self, word: str) -> None:
+        """Counts a word of an upstream that nothing here reads."""
+        if len(self._named_words) < _WORDS_MOST:
+            self._named_words.add(word)
+        label = word if word in self._named_words else "others"
+        self._unknown_words.add(1, {"word": label})
+
 
 def _peak_memory() -> float:
     used = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -12,6 +12,7 @@
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.app.unknown_words import UnknownWords
 from ridgesill.core.fleet.engines import Engine, UnansweredLoad
 from ridgesill.core.fleet.orders import (
     Action,
@@ -135,6 +136,7 @@
         self._hear_later_start = hear_later_start
         self._hear_leaving = hear_leaving
         self.telemetry: Telemetry = KeptTelemetry()
+        self.unknown_words = UnknownWords(lambda: self.telemetry)
         self._sent = SentOrders()
         self._locks: dict[str, asyncio.Lock] = {}
         self._loop = asyncio.get_running_loop()
@@ -379,6 +381,10 @@
                 detail=str(error) or "no answer in time",
             )
             return None
+        if report.unknown:
+            self.unknown_words.note(
+                engine.name, engine.address, "report", report.unknown
+            )
         log_message(
             "fleet:report",
             upstream=engine.name,
--- a/src/ridgesill/app/fleet_engines.py
+++ b/src/ridgesill/app/fleet_engines.py
@@ -127,6 +127,10 @@
                 peer=upstream.address,
                 state=upstream.state,
             )
+        if heartbeat.unknown:
+            self._orders.unknown_words.note(
+                upstream.name, upstream.address, "heartbeat", heartbeat.unknown
+            )
         if before is not None and before.name != upstream.name:
             self._note_restart(before, upstream)
         self._note_heartbeat(heartbeat, upstream, now)
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -355,7 +355,13 @@
         Returns:
             Whether it asks for rest.
         """
-        word = self._front.dialect.read_word(head)
+        dialect = self._front.dialect
+        unknown = dialect.find_unknown(head)
+        if unknown:
+            self._front.unknown_words.note(
+                upstream.name, upstream.address, "answer", unknown
+            )
+        word = dialect.read_word(head)
         if word == NO_WORD:
             return False
         heard_in = HeardIn(
@@ -625,6 +631,7 @@
             customer=self._customer.name if self._customer else "",
             artifact=self._facts.artifact,
             upstream=upstream,
+            chosen_by=self._search.chosen_by,
             outcome=outcome,
             reason=reason,
             status=status,
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -6,6 +6,7 @@
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.quarantine import Quarantine
+from ridgesill.app.unknown_words import UnknownWords
 from ridgesill.app.upstream_words import UpstreamWords
 from ridgesill.core.freshness import Freshness
 from ridgesill.core.serving.admission import Admission
@@ -55,6 +56,7 @@
         self.in_progress = 0
         self.used: dict[str, int] = {}
         self.telemetry: Telemetry = KeptTelemetry()
+        self.unknown_words = UnknownWords(lambda: self.telemetry)
         # Noted when routes or upstreams become known.
         self.learned = ChangeSignal()
         # From when requests that may outlast this process are refused, and
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -24,6 +24,7 @@
         instance: what it calls itself, at each of its starts; empty when that
             is its name.
         start: rises with each of its starts; 0 when it doesn't tell.
+        unknown: fields that nothing here reads.
     """
 
     name: str
@@ -37,6 +38,7 @@
     gone_in: float | None = None
     instance: str = ""
     start: int = 0
+    unknown: tuple[str, ...] = ()
 
     @property
     def identity(self) -> str:
--- a/src/ridgesill/core/fleet/orders.py
+++ b/src/ridgesill/core/fleet/orders.py
@@ -119,6 +119,7 @@
         incoming: versions of adapters on their way.
         running: requests in its batch.
         queued: requests that wait there.
+        unknown: fields that nothing here reads.
     """
 
     revision: int
@@ -128,3 +129,4 @@
     running: int = 0
     queued: int = 0
     start: int = 0
+    unknown: tuple[str, ...] = ()
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -4,6 +4,7 @@
 
 from ridgesill.core.serving.customers import digest_key
 from ridgesill.platform.upstreams import is_leaving, read_instance
+from ridgesill.platform.words import find_unknown_headers
 from ridgesill.ports.dialect import (
     NO_WORD,
     NORMAL_PRIORITY,
@@ -158,6 +159,10 @@
             "" if granted else asked[:_SHOWN_MOST],
         )
 
+    def find_unknown(self, head: ResponseHead) -> tuple[str, ...]:
+        """Returns the words of an upstream that nothing here reads."""
+        return find_unknown_headers(head)
+
     def answer_headers(self, head: ResponseHead) -> Headers:
         """Returns the headers of an answer that the client gets."""
         return without_channel_headers(head.headers)
--- a/src/ridgesill/platform/upstreams.py
+++ b/src/ridgesill/platform/upstreams.py
@@ -18,6 +18,11 @@
     FleetOrder,
     OrderVerdict,
 )
+from ridgesill.platform.words import (
+    HEARTBEAT_FIELDS,
+    REPORT_FIELDS,
+    find_unknown_fields,
+)
 from ridgesill.ports.http import HttpRequest, ResponseHead, find_header
 
 # An upstream that leaves says so in all its answers.
@@ -142,6 +147,7 @@
         gone_in=None if remaining is None else remaining / 1000,
         instance=identifier,
         start=said.born,
+        unknown=find_unknown_fields(body, HEARTBEAT_FIELDS),
     )
 
 
@@ -244,6 +250,7 @@
             running=said.running_requests,
             queued=said.queued_requests,
             start=said.born,
+            unknown=find_unknown_fields(body, REPORT_FIELDS),
         )
 
     def name_start(self, upstream: str, start: int) -> str:
--- /dev/null
+++ b/src/ridgesill/platform/words.py
@@ -0,0 +1,78 @@
+"""The words by which upstreams speak of themselves, and unknown ones.
+
+`docs/reference/upstream-words.md` says of each where it is kept.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from ridgesill.ports.http import ResponseHead
+
+# Headers of answers in which upstreams speak of themselves begin so.
+_FAMILY = b"server-"
+HEADERS = frozenset((b"server-stamp", b"server-leaving"))
+HEARTBEAT_FIELDS = frozenset(
+    (
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "cold_remaining_ms",
+        "sequence",
+        "stage",
+        "models",
+        "born",
+        "remaining_ms",
+        "available",
+    )
+)
+REPORT_FIELDS = frozenset(
+    (
+        "stage",
+        "models",
+        "busy_slots",
+        "sequence",
+        "queued_requests",
+        "running_requests",
+        "kv_cache_used",
+        "kv_cache_total",
+        "handle_count",
+        "state",
+        "remaining_ms",
+        "next_token",
+        "runs",
+        "pinned",
+        "held",
+        "incoming",
+        "available",
+        "born",
+    )
+)
+# Of a word that nobody knows, for the log.
+_SHOWN_MOST = 40
+_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+def find_unknown_headers(head: ResponseHead) -> tuple[str, ...]:
+    """Returns the words of an answer that nothing here reads."""
+    unknown = [
+        name.decode("latin-1")[:_SHOWN_MOST]
+        for name, _ in head.headers
+        if name.startswith(_FAMILY) and name not in HEADERS
+    ]
+    return tuple(unknown) if unknown else ()
+
+
+def find_unknown_fields(body: bytes, known: Iterable[str]) -> tuple[str, ...]:
+    """Returns the fields of a JSON object that nothing here knows.
+
+    Args:
+        body: an object that has been decoded before.
+        known: the fields that are known.
+    """
+    return tuple(
+        sorted(f[:_SHOWN_MOST] for f in _FIELDS.decode(body).keys() - known)
+    )
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -113,6 +113,9 @@
     def read_word(self, head: ResponseHead) -> UpstreamWord:
         """Returns what an upstream says of itself beside its answer."""
 
+    def find_unknown(self, head: ResponseHead) -> tuple[str, ...]:
+        """Returns the words of an upstream that nothing here reads."""
+
     def answer_headers(self, head: ResponseHead) -> Headers:
         """Returns the headers of an answer that the client gets."""
 
--- a/src/ridgesill/ports/telemetry.py
+++ b/src/ridgesill/ports/telemetry.py
@@ -54,6 +54,9 @@
     def note_load(self, seconds: float) -> None:
         """Notes how long a load took."""
 
+    def note_unknown_word(self, word: str) -> None:
+        """Counts a word of an upstream that nothing here reads."""
+
 
 class KeptTelemetry:
     """Keeps the latest of what is counted until the instruments are there."""
@@ -75,6 +78,10 @@
         """Notes how long a load took."""
         self._kept.append(lambda to: to.note_load(seconds))
 
+    def note_unknown_word(self, word: str) -> None:
+        """Counts a word of an upstream that nothing here reads."""
+        self._kept.append(lambda to: to.note_unknown_word(word))
+
     def hand_over(self, to: Telemetry) -> None:
         """Has the instruments count what was kept."""
         for note in self._kept:
--- a/src/ridgesill/standin/emulator/messages.py
+++ b/src/ridgesill/standin/emulator/messages.py
@@ -58,6 +58,10 @@
         """Whether an upstream lacks what a request asks for."""
         return head.status == _MISDIRECTED
 
+    def find_unknown(self, head: ResponseHead) -> tuple[str, ...]:
+        """Finds none: emulated engines say nothing else."""
+        return ()
+
     def answer_headers(self, head: ResponseHead) -> Headers:
         """Returns the headers of an answer that the caller gets."""
         return head.headers
