--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -45,12 +45,14 @@
         request: that it answered.
         rest: seconds for which it wants nothing from that front.
         leaves: whether it said that it leaves.
+        limit: requests a second that it takes from all fronts; 0 for none.
     """
 
     request: str
     at: float
     rest: float = 0.0
     leaves: bool = False
+    limit: float = 0.0
 
 
 @attrs.define
@@ -59,10 +61,12 @@
 
     Attributes:
         arrivals: when each request came, by its id.
+        limits: each limit that it began to name, and when; 0 for none.
     """
 
     arrivals: list[tuple[str, float]] = attrs.Factory(list)
     words: list[Word] = attrs.Factory(list)
+    limits: list[tuple[float, float]] = attrs.Factory(list)
 
 
 @attrs.frozen
@@ -144,6 +148,8 @@
         self.state = "ready"
         # Whether it says in its answers that it leaves.
         self.leaves = False
+        # Requests a second that it names in its answers; 0 for none.
+        self.limit = 0.0
         self._sequence = 0
         self._served = ScriptedUpstream(self.name, self._serve)
 
@@ -194,10 +200,10 @@
 
     async def _beat(self) -> None:
         while True:
-            await self._say()
+            await self._send_heartbeat()
             await asyncio.sleep(_HEARTBEAT_SECONDS)
 
-    async def _say(self) -> None:
+    async def _send_heartbeat(self) -> None:
         self._sequence += 1
         said = {
             "service": self.service,
@@ -220,6 +226,16 @@
 
     # -- requests ------------------------------------------------------
 
+    @property
+    def heard(self) -> Heard:
+        """What this start of it got and said."""
+        return self._ledger.heard.setdefault(self.name, Heard())
+
+    def name_limit(self, limit: float) -> None:
+        """Names a limit in all answers from now on; 0 takes it back."""
+        self.limit = limit
+        self.heard.limits.append((asyncio.get_running_loop().time(), limit))
+
     async def _serve(self, made: Call) -> None:
         if made.header("expect-instance") not in ("", self.name):
             await made.answer(421, b"", _NOT_RUN)
@@ -228,7 +244,7 @@
         elif await self._turns_away(made):
             pass
         elif self._rng.random() < self.refusing:
-            await made.answer(503, b"", _NOT_RUN)
+            await made.answer(503, b"", _NOT_RUN, *self._say(made))
         else:
             await self._run(made)
 
@@ -239,28 +255,38 @@
             await asyncio.sleep(3.0)
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
         stamp = f"Server-Stamp: {self.name}"
-        await made.answer(
-            200, request.encode(), stamp, *self._say_leaving(made)
-        )
+        await made.answer(200, request.encode(), stamp, *self._say(made))
 
     async def _turns_away(self, made: Call) -> bool:
         """Notes a request; asks for rest if it is one too many."""
         now = asyncio.get_running_loop().time()
         request = made.header("request-id")
-        heard = self._ledger.heard.setdefault(self.name, Heard())
-        heard.arrivals.append((request, now))
+        self.heard.arrivals.append((request, now))
         if self._later_rng.random() >= self.tired:
             return False
-        heard.words.append(Word(request, now, rest=self.rest))
-        await made.answer(503, b"", _NOT_RUN, f"Retry-After: {self.rest:.2f}")
+        self.heard.words.append(Word(request, now, rest=self.rest))
+        rest = f"Retry-After: {self.rest:.2f}"
+        await made.answer(503, b"", _NOT_RUN, rest, *self._say_limit(made))
         return True
 
+    def _say(self, made: Call) -> tuple[str, ...]:
+        """Returns what it says of itself in an answer."""
+        return (*self._say_leaving(made), *self._say_limit(made))
+
+    def _say_limit(self, made: Call) -> tuple[str, ...]:
+        if not self.limit:
+            return ()
+        now = asyncio.get_running_loop().time()
+        word = Word(made.header("request-id"), now, limit=self.limit)
+        self.heard.words.append(word)
+        return (f"Server-Limit: {self.limit:g}",)
+
     def _say_leaving(self, made: Call) -> tuple[str, ...]:
         if not self.leaves:
             return ()
         now = asyncio.get_running_loop().time()
         word = Word(made.header("request-id"), now, leaves=True)
-        self._ledger.heard.setdefault(self.name, Heard()).words.append(word)
+        self.heard.words.append(word)
         return ("Server-Leaving: 1",)
 
 
@@ -307,7 +333,7 @@
         self._ledger.note_run(made)
         self.engine.used.add(adapter)
         try:
-            await made.begin_stream(*self._say_leaving(made))
+            await made.begin_stream(*self._say(made))
             for number in range(1, _EVENTS + 1):
                 await asyncio.sleep(0.02)
                 await made.event(number)
