--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -8,12 +8,12 @@
 import random
 from collections.abc import Mapping
 
-from ridgesill.core.serving.customers import Customer, Quota
-from ridgesill.core.serving.quotas import (
-    CustomerUse,
-    FrontQuotas,
+from ridgesill.core.serving.customers import Quota
+from ridgesill.core.serving.rates import (
+    FrontRates,
     OwnPart,
-    QuotaState,
+    RateState,
+    RateUse,
     add_uses,
 )
 from ridgesill.standin.emulator.quotas import (
@@ -29,31 +29,30 @@
 _SEEDS = (1, 2, 3)
 
 
-class _Reporting:
+class Reporting:
     """What all ways do alike."""
 
     def __init__(self) -> None:
-        self.uses: dict[str, CustomerUse] = {}
-        self.states: Mapping[str, QuotaState] = {}
+        self.uses: dict[str, RateUse] = {}
+        self.used_since = float("inf")
+        self.states: Mapping[str, RateState] = {}
         self.fronts = 1
 
-    def take_uses(self) -> dict[str, CustomerUse]:
+    def take_uses(self) -> dict[str, RateUse]:
         """Returns what there is to report."""
         uses, self.uses = self.uses, {}
+        self.used_since = float("inf")
         return uses
 
-    def put_back(self, uses: Mapping[str, CustomerUse]) -> None:
-        """Takes back a report."""
-        self.uses = add_uses(uses, self.uses)
-
-    def note(self, name: str, cost: int, passed: bool) -> bool:
+    def note(self, name: str, cost: int, passed: bool, now: float) -> bool:
         """Counts a request."""
-        use = CustomerUse(cost if passed else 0, cost)
+        self.used_since = min(self.used_since, now)
+        use = RateUse(cost if passed else 0, cost)
         self.uses = add_uses(self.uses, {name: use})
         return passed
 
 
-class EvenParts(_Reporting):
+class EvenParts(Reporting):
     """Each front keeps its equal part of the limit, whatever others do."""
 
     def __init__(self, _rng: random.Random) -> None:
@@ -61,21 +60,19 @@
         self._part = OwnPart(float("inf"), 0.0)
 
     def take_news(
-        self, states: Mapping[str, QuotaState], fronts: int, told_at: float
+        self, states: Mapping[str, RateState], fronts: int, told_at: float
     ) -> None:
         """Takes how many fronts there are."""
         self.fronts = fronts
 
-    def admit(self, customer: Customer, tokens: int, now: float) -> bool:
+    def admit(self, name: str, quota: Quota, cost: int, now: float) -> bool:
         """Returns whether its own part lasts for a request."""
-        quota = customer.quota
-        assert quota is not None
         rate, most = quota.rate / self.fronts, quota.burst / self.fronts
-        passed = self._part.take(tokens, rate, most, now)
-        return self.note(customer.name, tokens, passed)
+        passed = self._part.take(cost, rate, most, now)
+        return self.note(name, cost, passed, now)
 
 
-class CommonLevel(_Reporting):
+class CommonLevel(Reporting):
     """The owner tells what is left; each front adds what it has spent since."""
 
     def __init__(self, _rng: random.Random) -> None:
@@ -83,24 +80,24 @@
         self._since = 0
 
     def take_news(
-        self, states: Mapping[str, QuotaState], fronts: int, told_at: float
+        self, states: Mapping[str, RateState], fronts: int, told_at: float
     ) -> None:
         """Takes what is left."""
         self.states = states
         self._since = 0
 
-    def admit(self, customer: Customer, tokens: int, now: float) -> bool:
+    def admit(self, name: str, quota: Quota, cost: int, now: float) -> bool:
         """Returns whether something is left."""
-        state = self.states.get(customer.name)
+        state = self.states.get(name)
         passed = state is None or state.level > self._since
-        self._since += tokens if passed else 0
-        return self.note(customer.name, tokens, passed)
+        self._since += cost if passed else 0
+        return self.note(name, cost, passed, now)
 
 
 _WAYS = {
     "equal parts": EvenParts,
     "common level": CommonLevel,
-    "share of offers": FrontQuotas,
+    "share of offers": FrontRates,
 }
 
 
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -154,6 +154,17 @@
 
         return _pretty(_read_answer("GET", control, QUOTAS_PATH))
 
+    def limits(self, control: str) -> str:
+        """Lists upstreams that have named limits, and what they get.
+
+        Args:
+            control: IP:PORT of the control address of the fleet's owner; any
+                other control node names it.
+        """
+        from ridgesill.platform.control_calls import LIMITS_PATH
+
+        return _pretty(_read_answer("GET", control, LIMITS_PATH))
+
     def check(self, file: str) -> str:
         """Checks a configuration file and lists everything wrong with it.
 
--- a/src/ridgesill/app/control_api.py
+++ b/src/ridgesill/app/control_api.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+import attrs
 import msgspec
 from eliot import log_message
 
@@ -16,6 +17,7 @@
     PutRoutes,
 )
 from ridgesill.core.fleet.messages import HeardLeave
+from ridgesill.core.fleet.rate_ledger import QuotaUse
 from ridgesill.ports.control_calls import (
     BadCall,
     CallReply,
@@ -23,6 +25,7 @@
     HeartbeatCall,
     LeaveCall,
     LiftQuarantineCall,
+    ListLimitsCall,
     ListQuarantineCall,
     ListQuotasCall,
     PutRoutesCall,
@@ -161,7 +164,16 @@
             uses = self._owner.list_quotas()
         except NotOwnerError as error:
             return _unavailable("quotas", str(error))
-        return CallReply(200, document=msgspec.json.encode(uses))
+        said = [{"customer": u.name, **_without_name(u)} for u in uses]
+        return CallReply(200, document=msgspec.json.encode(said))
+
+    @_carry_out.register
+    async def _(self, call: ListLimitsCall) -> CallReply:
+        try:
+            limits = self._owner.list_limits()
+        except NotOwnerError as error:
+            return _unavailable("limits", str(error))
+        return CallReply(200, document=msgspec.json.encode(limits))
 
     @_carry_out.register
     async def _(self, call: LiftQuarantineCall) -> CallReply:
@@ -176,6 +188,10 @@
         return CallReply(200)
 
 
+def _without_name(use: QuotaUse) -> dict[str, Any]:
+    return {k: v for k, v in attrs.asdict(use).items() if k != "name"}
+
+
 def _unavailable(step: str, detail: str) -> CallReply:
     log_message("control:unavailable", step=step, detail=detail)
     return CallReply(_UNAVAILABLE, detail)
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -35,7 +35,7 @@
     WatchFleet,
 )
 from ridgesill.core.fleet.orders import DeliverOrder, HolderAlive
-from ridgesill.core.fleet.quota_ledger import Tolerance
+from ridgesill.core.fleet.rate_ledger import Tolerance
 from ridgesill.core.fleet.usage import UsageReport
 from ridgesill.core.following import AskLatest, Follow, Propose
 from ridgesill.core.log.messages import Timing
@@ -91,7 +91,6 @@
             settings.peers,
             self._report_usage,
             others=settings.seeds,
-            put_back=self._put_back_usage,
         )
         self.owner = FleetOwner(
             self.control,
@@ -131,9 +130,6 @@
         """Returns what the fronts use that ask here for news."""
         return self.owner.relay.report()
 
-    def _put_back_usage(self, report: UsageReport) -> None:
-        self.owner.relay.put_back(report)
-
     def _note_state(self) -> None:
         table = read_newer_table(self.control.state, self.owner.table)
         if table is not None:
--- a/src/ridgesill/app/engine_loads.py
+++ b/src/ridgesill/app/engine_loads.py
@@ -47,6 +47,7 @@
         orders_from: returns from when orders are allowed.
         fronts: returns how many fronts there are.
         rests: whether an engine wants no requests from most fronts.
+        limited: whether an engine takes only so many requests.
     """
 
     engines: Callable[[str], list[Engine]]
@@ -58,6 +59,7 @@
     orders_from: Callable[[], float]
     fronts: Callable[[], int] = lambda: 1
     rests: Callable[[str], bool] = lambda _engine: False
+    limited: Callable[[str], bool] = lambda _engine: False
 
 
 class EngineLoads:
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -16,6 +16,7 @@
 )
 from ridgesill.core.fleet.registry import FleetView
 from ridgesill.core.fleet.usage import UsageReport
+from ridgesill.core.fleet.use_reports import ReportsToTell
 from ridgesill.ports.peers import PeerError, Peers
 
 # How long the owner holds a question without news, in seconds.
@@ -63,7 +64,6 @@
         others: nodes to ask at the start, while no owner is known.
         relay: returns the address of a node that passes the owner's news on,
             or nothing where the owner itself is to be asked.
-        put_back: takes a report that nobody may have heard.
     """
 
     def __init__(
@@ -74,7 +74,6 @@
         usage: Callable[[], UsageReport] | None = None,
         others: Sequence[str] = (),
         relay: Callable[[], str] = lambda: "",
-        put_back: Callable[[UsageReport], None] = lambda report: None,
     ) -> None:
         self.view = FleetView()
         self._peers = peers
@@ -83,7 +82,8 @@
         self._usage = usage
         self._others = tuple(others)
         self._relay = relay
-        self._put_back = put_back
+        # What was sent under rates and no node has taken yet.
+        self.reports = ReportsToTell()
         self._relay_from = float("-inf")
         self._relay_pause = _RELAY_PAUSE
         self._loop = asyncio.get_running_loop()
@@ -136,6 +136,8 @@
 
     async def _ask(self, address: str, margin: float = _MARGIN) -> bool:
         usage = self._usage() if self._usage else UsageReport(fronts=0)
+        self.reports.add(usage.sent)
+        reports = self.reports.address(address, self._loop.time())
         question = WatchFleet(
             self.view.epoch,
             self.view.number,
@@ -146,18 +148,19 @@
             usage.fronts,
             usage.age,
             usage.resting,
-            usage.uses,
+            reports,
+            usage.limits,
+            usage.is_relayed,
         )
         try:
             news: FleetNews = await self._peers.call(
                 address, question, _WAIT + margin
             )
         except PeerError as error:
-            self._put_back(usage)
             self._note_touch(False, address, str(error))
             return False
+        self.reports.settle(address, reports, news.taken)
         if not news.epoch:
-            self._put_back(usage)
             self._note_touch(False, address, "it does not own the fleet")
             return False
         self._note_touch(True, address, "")
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -347,7 +347,9 @@
             lambda engine: self._backlogs.backlog(engine, now),
         )
         engines = self._engines_in_use(service)
-        return self._placement.survey(engines, demand, now)
+        # What a limited engine loads it could serve to few.
+        unlimited = [e for e in engines if not self._view.limited(e.name)]
+        return self._placement.survey(unlimited or engines, demand, now)
 
     def _is_settled(self, handed_at: float) -> bool:
         """Whether what was handed out at a moment shows in fronts' reports."""
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import attrs
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
@@ -20,7 +21,13 @@
 from ridgesill.app.fleet_engines import FleetEngines
 from ridgesill.app.fleet_loads import FleetLoads
 from ridgesill.app.log_driver import LogDriver
-from ridgesill.app.news_relay import NewsRelay, await_news, read_report
+from ridgesill.app.named_limits import LimitUse, NamedLimits
+from ridgesill.app.news_relay import (
+    NewsRelay,
+    await_news,
+    read_report,
+    read_sent,
+)
 from ridgesill.app.order_holder import OrderHolder
 from ridgesill.app.order_lease_keeper import OrderLeaseKeeper
 from ridgesill.core import codec
@@ -42,13 +49,14 @@
 from ridgesill.core.fleet.order_leases import OrderLeases
 from ridgesill.core.fleet.orders import EngineReport, HolderAlive
 from ridgesill.core.fleet.placement import Placement
-from ridgesill.core.fleet.quota_ledger import (
-    QuotaLedger,
+from ridgesill.core.fleet.rate_ledger import (
     QuotaUse,
+    RateLedger,
     Tolerance,
 )
 from ridgesill.core.fleet.registry import Registry
 from ridgesill.core.fleet.usage import Usage
+from ridgesill.core.fleet.use_reports import ReportsTaken, Sent, UseReport
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.dialect import EngineCalls
 from ridgesill.ports.peers import PeerError
@@ -138,7 +146,9 @@
         self._fronts_before = 0
         self._placement = Placement()
         self._usage = Usage()
-        self._quotas = QuotaLedger(tolerance)
+        self._quotas = RateLedger(tolerance)
+        self._limits = NamedLimits()
+        self._taken = ReportsTaken()
         self._backlogs = Backlogs()
         self._health = EngineHealth()
         self._orders = EngineOrders(
@@ -172,6 +182,7 @@
                 self._usable_from,
                 self._count_fronts,
                 self._usage.rests_for_most,
+                self._is_limited,
             ),
             self._backlogs,
             self._health,
@@ -268,7 +279,9 @@
         self._engines.begin(registry, blind=blind)
         view = self._follower.view
         self._quotas.begin(view.quotas, view.known_at, now)
-        self._quotas.note(self.relay.take_uses(), now)
+        self._limits.begin(view, now)
+        for sent in self._follower.reports.take_untold():
+            self._count(sent, now)
         self._news.note()
 
     def _give_up(self) -> None:
@@ -288,7 +301,9 @@
         now = self._loop.time()
         self._engines.forget_silent()
         self._usage.forget_silent(now)
+        self._taken.forget_silent(now)
         self._quotas.note_fronts(self._usage.fronts, now)
+        self._limits.tend(self._usage.fronts, registry.upstreams, now)
         self._backlogs.forget_lost(now)
         self._backlogs.keep_only(set(registry.upstreams))
         self._health.keep_only(set(registry.upstreams))
@@ -364,6 +379,9 @@
     def _count_fronts(self) -> int:
         return self._usage.fronts
 
+    def _is_limited(self, upstream: str) -> bool:
+        return self._limits.is_limited(upstream, self._loop.time())
+
     def _have_fronts_told(self, at: float) -> bool:
         """Whether every front has told what it uses after a moment.
 
@@ -381,7 +399,7 @@
         """Answers a front, a relay, or a node that may own the fleet next."""
         if not self.is_owner():
             return await self.relay.answer(sender, question)
-        self._note_front(sender, question)
+        taken = self._note_front(sender, question)
         await await_news(
             lambda: self._has_news(question),
             self._news,
@@ -389,42 +407,78 @@
             self._usage.reporters,
         )
         if not self.is_owner() or self._registry is None:
-            return FleetNews(0)
+            return FleetNews(0, taken=taken)
         now = self._loop.time()
-        return self._registry.news(
-            question,
-            max(self._usage.fronts, 1),
-            self._usage.busy(),
-            now,
-            self._quotas.states(now),
+        news = self._registry.news(
+            question, max(self._usage.fronts, 1), self._usage.busy(), now
+        )
+        return attrs.evolve(
+            news,
+            quotas=self._quotas.states(now),
+            limits=self._limits.tell(now),
+            sends=self._limits.states(now),
+            taken=taken,
         )
 
     def _has_news(self, question: WatchFleet) -> bool:
         registry = self._registry
-        if registry is None or self._quotas.has_limited(self._loop.time()):
+        if registry is None or self._limits.has_any():
+            return True
+        if self._quotas.has_limited(self._loop.time()):
             return True
         return registry.has_news(question.epoch, question.number)
 
-    def _note_front(self, sender: str, question: WatchFleet) -> None:
+    def _note_front(self, sender: str, question: WatchFleet) -> tuple[int, ...]:
+        """Takes what an asker says; returns the reports that were taken."""
         now = self._loop.time()
         self._usage.note(sender, read_report(question), now)
         self._loads.note_report()
-        if question.uses:
-            self._quotas.note(question.uses, now)
-            if self._quotas.has_limited(now):
-                self._news.note()
+        if self._limits.hear(question.limits, now):
+            self._news.note()
         if question.used:
             self._placement.note_used(question.used, now)
+        return self._taken.take(
+            sender,
+            question.reports,
+            now,
+            accepts=True,
+            count=self._count_report,
+        )
 
-    def list_quotas(self) -> list[QuotaUse]:
-        """Returns what limited customers use.
+    def _count_report(self, report: UseReport) -> None:
+        now = self._loop.time()
+        self._count(read_sent(report, now), now)
+        if self._quotas.has_limited(now):
+            self._news.note()
+
+    def _count(self, sent: Sent, now: float) -> None:
+        span = max(now - sent.since, 0.0)
+        for customer in self._quotas.note(sent.uses, now, span):
+            log_message("fleet:absurd_report", customer=customer)
+        for upstream in self._limits.note(sent.sends, now, span):
+            log_message("fleet:absurd_report", upstream=upstream)
+
+    def list_limits(self) -> list[LimitUse]:
+        """Returns the limits that upstreams have named.
 
         Raises:
             NotOwnerError: another node owns the fleet, and knows.
         """
+        self._check_owner()
+        return self._limits.overview(self._loop.time())
+
+    def _check_owner(self) -> None:
         if not self.is_owner():
             owner = self._control.leader_address() or "nobody known"
             raise NotOwnerError(f"the fleet's owner is {owner}; ask there")
+
+    def list_quotas(self) -> list[QuotaUse]:
+        """Returns what limited customers use.
+
+        Raises:
+            NotOwnerError: another node owns the fleet, and knows.
+        """
+        self._check_owner()
         return self._quotas.overview(self._loop.time())
 
     def _version(self, artifact: str) -> int:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -23,6 +23,7 @@
 from ridgesill.core.serving.callers import STALE, UNKNOWN_KEY, check_caller
 from ridgesill.core.serving.customers import Customer
 from ridgesill.core.serving.events import EventSplitter
+from ridgesill.core.serving.rates import RateUse
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
     NO_WORD,
@@ -186,6 +187,7 @@
             self._end("client_left")
             raise
         finally:
+            self._search.draws.release()
             if self._has_not_run or not self.was_offered:
                 self._give_quota_back()
 
@@ -229,13 +231,30 @@
     def _is_beyond_quota(self) -> bool:
         if self._customer is None:
             return False
-        return not self._front.quotas.admit(
-            self._customer, self._tokens(), self._loop.time()
+        customer = self._customer
+        if customer.quota is None:
+            return False
+        now = self._loop.time()
+        cost = customer.quota.cost(self._tokens())
+        quotas = self._front.quotas
+        if quotas.admit(customer.name, customer.quota, cost, now):
+            return False
+        log_message(
+            "request:beyond_quota",
+            request=self._facts.request,
+            customer=customer.name,
+            cost=cost,
+            **quotas.describe(customer.name, now),
         )
+        return True
 
     def _give_quota_back(self) -> None:
-        if self._customer is not None:
-            self._front.quotas.give_back(self._customer, self._tokens())
+        customer = self._customer
+        if customer is not None and customer.quota is not None:
+            cost = customer.quota.cost(self._tokens())
+            use = RateUse(cost, cost)
+            now = self._loop.time()
+            self._front.quotas.give_back(customer.name, use, now)
 
     def _tokens(self) -> int:
         """Returns the tokens that count towards a limit."""
@@ -317,6 +336,7 @@
         artifact = self._facts.artifact
         chooser.begin(upstream.name, artifact)
         self._sent_at = self._loop.time()
+        self._search.draws.note_sent(upstream.name, self._sent_at)
         chooser.outcomes.note_sent(upstream.name, self._sent_at)
         self._asked = upstream.name
         exchange: Exchange | None = None
@@ -331,9 +351,11 @@
             if failure is not None and rests:
                 failure = attrs.evolve(failure, rests=True)
         except _WithheldError as error:
+            self._note_not_sent(upstream)
             failure = Failure(str(error), True, arrived=False, withheld=True)
         except ChannelError as error:
             if not error.sent:
+                self._note_not_sent(upstream)
                 self._tried.append(upstream.name)
             failure = Failure(
                 str(error),
@@ -349,11 +371,15 @@
                 exchange.cancel()
         return failure
 
+    def _note_not_sent(self, upstream: Upstream) -> None:
+        now = self._loop.time()
+        self._search.draws.note_not_sent(upstream.name, now)
+
     def _take_word(self, upstream: Upstream, head: ResponseHead) -> bool:
         """Notes what an upstream says of itself beside its answer.
 
         Returns:
-            Whether it asks for rest.
+            Whether it asks for rest, or for fewer requests.
         """
         dialect = self._front.dialect
         unknown = dialect.find_unknown(head)
@@ -362,13 +388,16 @@
                 upstream.name, upstream.address, "answer", unknown
             )
         word = dialect.read_word(head)
-        if word == NO_WORD:
+        if word == NO_WORD and not self._front.limits.known:
             return False
         heard_in = HeardIn(
-            self._facts.request, head.status, self._search.chosen_by
+            self._facts.request,
+            head.status,
+            self._search.chosen_by,
+            self._sent_at,
         )
         self._front.words.take(upstream, word, heard_in)
-        return bool(word.rest)
+        return bool(word.rest) or word.limit is not None
 
     def _tell_reading_ended(self, failure: Failure | None) -> None:
         """Tells the owner of a prompt that has had no first event."""
@@ -403,7 +432,7 @@
             fresh_within=fresh,
             most=self._channels_most(),
         )
-        if not front.chooser.takes_requests(upstream.name, self._loop.time()):
+        if not self._search.takes_requests(upstream.name):
             # Another answer has said so while the channel came up.
             front.channels.put_back(channel)
             raise _WithheldError(f"{upstream.name} wants no requests now")
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -8,11 +8,13 @@
 from ridgesill.app.quarantine import Quarantine
 from ridgesill.app.unknown_words import UnknownWords
 from ridgesill.app.upstream_words import UpstreamWords
+from ridgesill.core.fleet.use_reports import Sent
 from ridgesill.core.freshness import Freshness
 from ridgesill.core.serving.admission import Admission
 from ridgesill.core.serving.callers import Knowledge
 from ridgesill.core.serving.choice import Chooser
-from ridgesill.core.serving.quotas import FrontQuotas
+from ridgesill.core.serving.front_limits import FrontLimits
+from ridgesill.core.serving.rates import FrontRates
 from ridgesill.core.serving.reading import ReadingRate
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
 from ridgesill.core.serving.routes import RouteTable
@@ -31,6 +33,7 @@
         bounds: of retries.
         freshness: of the configuration here.
         revocation: seconds from which a key may have been taken away unheard.
+        name: of this front, for operators.
     """
 
     def __init__(
@@ -42,6 +45,7 @@
         bounds: RetryBounds,
         freshness: Freshness | None = None,
         revocation: float = float("inf"),
+        name: str = "",
     ) -> None:
         self.table = RouteTable()
         self.versions: dict[str, int] = {}
@@ -50,9 +54,10 @@
         self.channels = channels
         self.dialect = dialect
         self.quarantine = Quarantine(channels.is_refused)
-        self.words = UpstreamWords(chooser.unavailable, fleet)
         self.rng = random.Random()
-        self.quotas = FrontQuotas(self.rng)
+        self.quotas = FrontRates(self.rng)
+        self.limits = FrontLimits(self.rng, name)
+        self.words = UpstreamWords(chooser.unavailable, self.limits, fleet)
         self.in_progress = 0
         self.used: dict[str, int] = {}
         self.telemetry: Telemetry = KeptTelemetry()
@@ -89,6 +94,12 @@
         """Returns the measure of how fast a service's engines read."""
         return self._readings.setdefault(service, ReadingRate())
 
+    def take_sent(self) -> Sent:
+        """Returns what was sent under rates since the last call."""
+        since = min(self.quotas.used_since, self.limits.rates.used_since)
+        uses = self.quotas.take_uses()
+        return Sent(uses, self.limits.rates.take_uses(), since)
+
     def note_used(self, artifact: str) -> None:
         """Counts a request for an artifact, to be told the owner."""
         self.used[artifact] = self.used.get(artifact, 0) + 1
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -81,7 +81,6 @@
             self._usage,
             settings.seeds,
             self._relay_address,
-            lambda report: self.front.quotas.put_back(report.uses),
         )
         bounds = settings.bounds
         self.front = Front(
@@ -94,6 +93,7 @@
             ),
             self.control.freshness,
             bounds.revocation * _REVOCATION_SHARE,
+            settings.vm,
         )
         self.fleet.watch(self.front.learned.note)
         self.fleet.watch(self._note_news)
@@ -106,15 +106,18 @@
         self.front.chooser.note_news(self._loop.time())
         view = self.fleet.view
         self.front.quotas.take_news(view.quotas, view.fronts, view.known_at)
+        self.front.limits.take_news(view)
 
     def _usage(self) -> UsageReport:
         chooser = self.front.chooser
-        resting = chooser.unavailable.resting(self._loop.time())
+        now = self._loop.time()
+        resting = chooser.unavailable.resting(now)
         return UsageReport(
             self.front.take_used(),
             chooser.tell_busy(),
             resting=dict.fromkeys(resting, 1),
-            uses=self.front.quotas.take_uses(),
+            sent=self.front.take_sent(),
+            limits=self.front.limits.untold(self.fleet.view, now),
         )
 
     def _relay_address(self) -> str:
@@ -217,7 +220,9 @@
             self.front.channels.sweep()
             known = set(self.fleet.view.upstreams)
             self.front.chooser.outcomes.keep_only(known)
-            self.front.chooser.unavailable.keep_only(known, self._loop.time())
+            now = self._loop.time()
+            self.front.chooser.unavailable.keep_only(known, now)
+            self.front.limits.keep_only(known, now)
             self.front.words.remind(self.fleet.view.upstreams.values())
 
     def _swap_telemetry(self, telemetry: Telemetry) -> Telemetry:
@@ -237,6 +242,7 @@
             "ridgesill_upstreams": lambda: len(view.upstreams),
             "ridgesill_fronts": lambda: view.fronts,
             "ridgesill_quarantined_requests": self.front.quarantine.count,
+            "ridgesill_limited_upstreams": self.front.limits.count,
         }
 
     def _drain(self) -> None:
--- a/src/ridgesill/app/news_relay.py
+++ b/src/ridgesill/app/news_relay.py
@@ -3,16 +3,15 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
+
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.core.fleet.messages import FleetNews, WatchFleet
 from ridgesill.core.fleet.relayed_news import RelayedNews
 from ridgesill.core.fleet.usage import Usage, UsageReport
-from ridgesill.core.serving.quotas import (
-    CustomerUse,
-    add_uses,
-    only_spent,
-)
+from ridgesill.core.fleet.use_reports import ReportsTaken, Sent, UseReport
+from ridgesill.core.serving.limits import UpstreamLimits
 
 # Least time between two answers with news to the same asker, in seconds, and
 # for each process that asks: what changes in between is told in one answer.
@@ -52,10 +51,14 @@
         question.fronts if question.is_front else 0,
         question.reported_ago,
         question.resting,
-        question.uses,
     )
 
 
+def read_sent(report: UseReport, now: float) -> Sent:
+    """Returns what a report says was sent under rates."""
+    return Sent(report.uses, report.sends, now - report.span)
+
+
 class NewsRelay:
     """Asks the owner once for all fronts that ask here.
 
@@ -64,9 +67,12 @@
     """
 
     def __init__(self, fleet: FleetClient) -> None:
+        self._fleet = fleet
         self._usage = Usage()
         self._used: dict[str, int] = {}
-        self._uses: dict[str, CustomerUse] = {}
+        self._taken = ReportsTaken()
+        # That fronts here have heard upstreams name.
+        self._limits = UpstreamLimits()
         self._news = RelayedNews(fleet.view)
         self._view = fleet.view
         self._changed = ChangeSignal()
@@ -75,31 +81,31 @@
 
     def _take(self, news: FleetNews) -> None:
         self._news.take(news)
+        self._limits.keep_only(self._view.upstreams, self._loop.time())
         self._changed.note()
 
     def report(self) -> UsageReport:
         """Returns what the fronts here use, to be told the owner."""
         now = self._loop.time()
         self._usage.forget_silent(now)
+        self._taken.forget_silent(now)
         used, self._used = self._used, {}
-        return self._usage.sum_up(used, self.take_uses(), now)
-
-    def put_back(self, report: UsageReport) -> None:
-        """Keeps what customers sent for the next report: nobody heard it."""
-        self._uses = add_uses(only_spent(report.uses), self._uses)
-
-    def take_uses(self) -> dict[str, CustomerUse]:
-        """Returns what customers have sent since the last report."""
-        uses, self._uses = self._uses, {}
-        return uses
+        return self._usage.sum_up(used, self._limits.tell(now), now)
 
     async def answer(self, sender: str, question: WatchFleet) -> FleetNews:
         """Answers a front; epoch 0 says that it should ask the owner."""
-        self._note_front(sender, question)
-        if not question.epoch and not self._news.is_current(self._loop.time()):
+        now = self._loop.time()
+        is_current = self._news.is_current(now)
+        is_known = is_current and self._news.knows(question)
+        taken = self._note_front(
+            sender,
+            question,
+            accepts=is_known and not question.is_relayed,
+        )
+        if not question.epoch and not is_current:
             return self._view.remembered(question)
         if not self._news.knows(question):
-            return FleetNews(0)
+            return FleetNews(0, taken=taken)
         await await_news(
             lambda: self._news.has_news(question),
             self._changed,
@@ -108,11 +114,23 @@
         )
         now = self._loop.time()
         if not self._news.is_current(now) or not self._news.knows(question):
-            return FleetNews(0)
-        return self._news.tell(question, now)
-
-    def _note_front(self, sender: str, question: WatchFleet) -> None:
-        self._usage.note(sender, read_report(question), self._loop.time())
-        for artifact, count in question.used.items():
-            self._used[artifact] = self._used.get(artifact, 0) + count
-        self._uses = add_uses(self._uses, question.uses)
+            return FleetNews(0, taken=taken)
+        return attrs.evolve(self._news.tell(question, now), taken=taken)
+
+    def _note_front(
+        self, sender: str, question: WatchFleet, *, accepts: bool
+    ) -> tuple[int, ...]:
+        """Takes what an asker says; returns the reports that were taken."""
+        now = self._loop.time()
+        if accepts:
+            self._usage.note(sender, read_report(question), now)
+            self._limits.merge(question.limits, now)
+            for artifact, count in question.used.items():
+                self._used[artifact] = self._used.get(artifact, 0) + count
+        return self._taken.take(
+            sender,
+            question.reports,
+            now,
+            accepts=accepts,
+            count=lambda r: self._fleet.reports.add(read_sent(r, now)),
+        )
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -17,6 +17,7 @@
     WantArtifact,
 )
 from ridgesill.core.serving.choice import Wanted
+from ridgesill.core.serving.front_limits import LimitDraws
 from ridgesill.core.serving.rank import rank_request
 from ridgesill.ports.dialect import NORMAL_PRIORITY, RequestFacts
 
@@ -89,6 +90,7 @@
         self.foretold = 0.0
         # Whose choice the upstream was that was found last, for the log.
         self.chosen_by = ""
+        self.draws = LimitDraws(front.limits)
         self._front = front
         self._facts = facts
         self._terms = SearchTerms("", 0.0, 0.0, 0.0, 0.0)
@@ -127,15 +129,53 @@
         self._tried = tried
         for _ in range(_MOST_WANTS):
             found = await self._find_once(is_new=is_new)
-            if isinstance(found, Refusal) or self._takes_requests(found.name):
+            if isinstance(found, Refusal) or self.takes_requests(found.name):
                 return found
             # What it said while the owner was asked counts more than the
             # owner's word, or this front's own of before.
-        return self._refuse_resting() or Refusal("no_upstream")
+        return self._refuse_unavailable() or Refusal("no_upstream")
 
-    def _takes_requests(self, upstream: str) -> bool:
+    def takes_requests(self, upstream: str) -> bool:
+        """Whether an upstream wants this request, by its own word."""
         now = self._loop.time()
-        return self._front.chooser.takes_requests(upstream, now)
+        if not self._front.chooser.takes_requests(upstream, now):
+            return False
+        return self.draws.is_open(upstream, now)
+
+    def _refuse_unavailable(self) -> Refusal | None:
+        """Returns a refusal where upstreams say that they take no more."""
+        if resting := self._refuse_resting():
+            return resting
+        closed = self.draws.closed()
+        if not closed:
+            return None
+        now = self._loop.time()
+        limits = self._front.limits
+        log_message(
+            "request:limited",
+            request=self._facts.request,
+            limits={name: limits.allowed(name, now) for name in closed},
+            **limits.rates.describe(closed[0], now),
+        )
+        return Refusal("limited", limits.rates.comes_back_after())
+
+    def _refuse_limited(self) -> Refusal | None:
+        """Returns a refusal where the limits of all upstreams are used up."""
+        now = self._loop.time()
+        staying = [
+            upstream
+            for upstream in self._front.chooser.view.of_service(
+                self._terms.service
+            )
+            if self._front.chooser.takes_requests(upstream.name, now)
+        ]
+        if not self.draws.are_all_closed(staying, now):
+            return None
+        return self._refuse_unavailable()
+
+    def _choose(self, wanted: Wanted) -> Upstream | None:
+        now = self._loop.time()
+        return self._front.chooser.choose(wanted, self._tried, now, self.draws)
 
     def _refuse_resting(self) -> Refusal | None:
         """Returns a refusal until the first upstream is back that rests.
@@ -158,12 +198,14 @@
             await self.learn(self._are_upstreams_known)
         if wanted.artifact and is_new and self._is_refused():
             return Refusal("overload", _OVERLOAD_AFTER)
-        now = self._loop.time()
-        chosen = self._front.chooser.choose(wanted, tried, now)
+        if limited := self._refuse_limited():
+            return limited
+        chosen = self._choose(wanted)
         if chosen is None and (resting := self._refuse_resting()):
             return resting
         if not wanted.artifact:
-            return chosen or Refusal("no_upstream")
+            refusal = self._refuse_unavailable() or Refusal("no_upstream")
+            return chosen or refusal
         if chosen is None:
             return await self._want(wanted)
         answer = await self._ask_assignment(wanted)
@@ -214,12 +256,16 @@
     ) -> WantArtifact:
         now = self._loop.time()
         chooser = self._front.chooser
-        ejected = chooser.out_of_use(self._terms.service, now)
+        avoid = {
+            *self._tried,
+            *chooser.out_of_use(self._terms.service, now),
+            *self.draws.closed(),
+        }
         return WantArtifact(
             wanted.service,
             wanted.artifact,
             wanted.version,
-            tuple({*self._tried, *ejected}),
+            tuple(avoid),
             patience,
             chooser.data_centre,
             self._goal_at() - now,
@@ -248,7 +294,7 @@
         upstream = view.upstreams.get(answer.upstream)
         if upstream is None or upstream.state != READY:
             return None
-        if not self._takes_requests(upstream.name):
+        if not self.takes_requests(upstream.name):
             return None
         upstream.resident[wanted.artifact] = answer.version
         self._read_seconds = answer.read_seconds
@@ -268,8 +314,7 @@
             upstream = self._take_answer(wanted, answer)
             if upstream is not None:
                 return upstream
-            now = self._loop.time()
-            chosen = self._front.chooser.choose(wanted, self._tried, now)
+            chosen = self._choose(wanted)
             if chosen is not None:
                 return chosen
             if not answer.upstream:
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -3,7 +3,9 @@
 import attrs
 
 from ridgesill.core.codec import register
-from ridgesill.core.serving.quotas import CustomerUse, QuotaState
+from ridgesill.core.fleet.use_reports import UseReport
+from ridgesill.core.serving.limits import NamedLimit
+from ridgesill.core.serving.rates import RateState
 
 READY = "ready"
 DRAINING = "draining"
@@ -133,7 +135,11 @@
         fronts: how many fronts it speaks for.
         reported_ago: seconds since each of them has reported.
         resting: at how many of them an upstream wants no requests.
-        uses: by customer, what limited ones have sent since the last question.
+        reports: what was sent under rates, each until it is taken.
+        limits: that these fronts have heard upstreams name.
+        is_relayed: whether a relay asks for its fronts. Only the owner takes
+            its report: passed on by nodes that ask each other, it would count
+            again with each of them.
     """
 
     epoch: int
@@ -145,7 +151,9 @@
     fronts: int = 1
     reported_ago: float = 0.0
     resting: dict[str, int] = attrs.Factory(dict)
-    uses: dict[str, CustomerUse] = attrs.Factory(dict)
+    reports: tuple[UseReport, ...] = ()
+    limits: dict[str, NamedLimit] = attrs.Factory(dict)
+    is_relayed: bool = False
 
 
 @register
@@ -162,6 +170,9 @@
             that has just started knows none, though all may be there.
         age: seconds since the owner said so, to the node that passes it on.
         quotas: of the customers near their limits.
+        limits: that upstreams have named.
+        sends: what may be sent of what these limits allow, by upstream.
+        taken: numbers of the reports that the node has taken.
     """
 
     epoch: int
@@ -172,7 +183,10 @@
     busy: dict[str, int] = attrs.Factory(dict)
     settled: bool = True
     age: float = 0.0
-    quotas: dict[str, QuotaState] = attrs.Factory(dict)
+    quotas: dict[str, RateState] = attrs.Factory(dict)
+    limits: dict[str, NamedLimit] = attrs.Factory(dict)
+    sends: dict[str, RateState] = attrs.Factory(dict)
+    taken: tuple[int, ...] = ()
 
 
 @register
--- a/src/ridgesill/core/fleet/quota_ledger.py
+++ b/src/ridgesill/core/fleet/rate_ledger.py
@@ -1,4 +1,6 @@
-"""The owner's account of what customers send, over all fronts.
+"""The owner's account of what is sent under rates, over all fronts.
+
+A rate is a customer's limit, or what an upstream takes from all fronts.
 
 Load pattern: a customer sends eight times its usual for ten seconds. A count of
 the last window lets it fill the window at once, and then next to nothing until
@@ -16,7 +18,7 @@
 import attrs
 
 from ridgesill.core.serving.customers import Quota
-from ridgesill.core.serving.quotas import QuotaState, Uses
+from ridgesill.core.serving.rates import BY_OWN_PART, RateState, Uses
 
 # Over which offers are averaged, in seconds.
 _OFFERS_SECONDS = 0.6
@@ -30,8 +32,11 @@
 # For how long an owner is new: what fronts let through before it began is still
 # being reported, in seconds.
 _NEW_SECONDS = 2.0
-# The longest time without an owner that a new one makes up for, in seconds.
-_WITHOUT_OWNER_MOST = 10.0
+# How long it takes until what is offered is known, in seconds.
+_LEARN_SECONDS = 1.2
+# How often what is allowed in a window one report may hold; more is an error of
+# the reporter's, and would refuse everything for as long.
+_ABSURD_FACTOR = 10.0
 # Fronts that fell silent may go on by their own part of each limit for as long
 # as keys are relied on there, in seconds.
 _SILENT_SECONDS = 5.0
@@ -81,17 +86,18 @@
 
 @attrs.frozen
 class QuotaUse:
-    """What an operator is told of a customer's limit.
+    """What an operator is told of a rate.
 
     Attributes:
+        name: whose it is.
         allowed: tokens, or requests, in a window.
-        offers: that it sends a second.
-        share: of its requests that is let through.
-        level: what it may still send at once; negative once beyond.
+        offers: that come a second.
+        share: of them that is let through.
+        level: what may still be sent at once; negative once beyond.
         refused: since this owner began.
     """
 
-    customer: str
+    name: str
     allowed: float
     offers: float = 0.0
     share: float = 1.0
@@ -101,7 +107,15 @@
 
 @attrs.define
 class _Account:
-    """A customer's bucket, and what it offers."""
+    """A bucket, and what is offered to it.
+
+    Attributes:
+        offers_known_at: until then too little is known of the offers.
+        refilled: what the time without an owner has won back.
+        unowned: the longest time without an owner that reports have told of,
+            in seconds.
+        excused: of what was sent in that time.
+    """
 
     quota: Quota
     level: float
@@ -109,6 +123,10 @@
     offers: float = 0.0
     offers_at: float = float("-inf")
     refused: int = 0
+    offers_known_at: float = float("-inf")
+    refilled: float = 0.0
+    unowned: float = 0.0
+    excused: float = 0.0
 
     def advance(self, rate: float, depth: float, now: float) -> None:
         """Fills the bucket at a rate up to now, but not beyond a depth."""
@@ -116,11 +134,25 @@
         self.level = min(self.level + rate * passed, depth)
         self.at = now
 
-    def note_offers(self, offered: int, now: float) -> None:
-        """Adds offers to their moving rate."""
-        self.offers = self.offers_rate(now) + offered / _OFFERS_SECONDS
+    def note_offers(self, offered: int, span: float, now: float) -> None:
+        """Adds offers of some seconds to their moving rate."""
+        seconds = max(span, _OFFERS_SECONDS)
+        self.offers = self.offers_rate(now) + offered / seconds
         self.offers_at = now
 
+    def excuse(self, spent: float, unowned: float) -> float:
+        """Returns how much of what was sent without an owner was allowed.
+
+        Args:
+            spent: without an owner.
+            unowned: for how long there was none, as far as a report tells.
+        """
+        self.unowned = max(self.unowned, unowned)
+        allowed = self.quota.rate * self.unowned - self.refilled
+        excused = min(max(allowed - self.excused, 0.0), max(spent, 0.0))
+        self.excused += excused
+        return excused
+
     def offers_rate(self, now: float) -> float:
         """Returns what is offered a second."""
         return self.offers * math.exp((self.offers_at - now) / _OFFERS_SECONDS)
@@ -132,34 +164,41 @@
             rate: at which the bucket fills.
             now: the clock, in seconds.
         """
+        if now < self.offers_known_at:
+            return BY_OWN_PART
         level = min(self.level, self.quota.burst)
         rate = max(rate + level / _LEVEL_SECONDS, 0.0)
         offers = self.offers_rate(now)
         return 1.0 if offers <= rate else rate / offers
 
 
-class QuotaLedger:
-    """All customers' accounts.
+class RateLedger:
+    """The accounts of all rates.
 
     Args:
-        tolerance: of the limits.
+        tolerance: of the rates.
+        learns_offers: whether a rate begins while requests are under way, so
+            that it is kept by parts until the offers are known.
     """
 
-    def __init__(self, tolerance: Tolerance | None = None) -> None:
+    def __init__(
+        self, tolerance: Tolerance | None = None, *, learns_offers: bool = False
+    ) -> None:
         self._tolerance = tolerance or Tolerance()
+        self._learns_offers = learns_offers
         self._quotas: Mapping[str, Quota] = {}
         self._accounts: dict[str, _Account] = {}
         self._fronts_most = 0
         self._fronts_most_at = float("-inf")
         self._fronts = 0
-        self._states: dict[str, QuotaState] = {}
+        self._states: dict[str, RateState] = {}
         self._states_at = float("-inf")
         self._begun_at = float("-inf")
-        # How long nobody owned the fleet before this owner, in seconds.
-        self._without_owner = 0.0
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
-        """Takes the limits in force."""
+        """Takes the rates in force."""
+        if quotas == self._quotas:
+            return
         self._quotas = quotas
         self._states_at = float("-inf")
         for name in list(self._accounts):
@@ -172,7 +211,7 @@
             account.level = min(account.level, quota.burst)
 
     def begin(
-        self, states: Mapping[str, QuotaState], told_at: float, now: float
+        self, states: Mapping[str, RateState], told_at: float, now: float
     ) -> None:
         """Goes on from what an earlier owner said last.
 
@@ -183,15 +222,31 @@
         """
         self._accounts.clear()
         self._begun_at = now
-        gap = now - told_at
-        self._without_owner = gap if gap <= _WITHOUT_OWNER_MOST else 0.0
         self._states_at = float("-inf")
+        gap = min(now - told_at, self._tolerance.window)
         for name, state in states.items():
             quota = self._quotas.get(name)
             if quota is not None:
-                offers = quota.rate / max(state.share, _SHARE_LEAST)
-                level = state.level + self._without_owner * quota.rate
-                self._accounts[name] = _Account(quota, level, now, offers, now)
+                account = self._open(quota, now)
+                level = max(state.level, self._floor(quota))
+                account.refilled = min(gap * quota.rate, quota.burst - level)
+                account.level = level + account.refilled
+                if state.share != BY_OWN_PART:
+                    share = max(state.share, _SHARE_LEAST)
+                    account.offers = quota.rate / share
+                    account.offers_at = now
+                    account.offers_known_at = now
+                self._accounts[name] = account
+
+    def _open(self, quota: Quota, now: float) -> _Account:
+        if not self._learns_offers:
+            return _Account(quota, quota.burst, now)
+        known_at = now + _LEARN_SECONDS
+        return _Account(quota, 0.0, now, offers_known_at=known_at)
+
+    def _floor(self, quota: Quota) -> float:
+        """Returns the lowest level, from which a window is enough to return."""
+        return -quota.rate * self._tolerance.window
 
     def note_fronts(self, fronts: int, now: float) -> None:
         """Notes how many fronts report now."""
@@ -214,40 +269,66 @@
             account.quota, is_steady=not is_new and not silent
         )
         rate -= silent * account.quota.rate
-        account.advance(rate, self._depth(account.quota, now), now)
+        account.advance(rate, account.quota.burst, now)
         return rate
 
-    def _depth(self, quota: Quota, now: float) -> float:
-        """Returns how much a bucket holds.
+    def note(self, uses: Uses, now: float, span: float = 0.0) -> list[str]:
+        """Takes what fronts report.
 
-        While an owner is new, also what has filled it without an owner: fronts
-        have yet to report what they let through in that time.
-        """
-        if now - self._begun_at >= _NEW_SECONDS:
-            return quota.burst
-        return quota.burst + self._without_owner * quota.rate
+        Args:
+            uses: by name.
+            now: the clock, in seconds.
+            span: seconds since the first of it was sent. What is older than
+                the window counts no more.
 
-    def note(self, uses: Uses, now: float) -> None:
-        """Takes what fronts report."""
+        Returns:
+            The names of absurd sums, which are bounded.
+        """
+        window = self._tolerance.window
+        kept = min(window / span, 1.0) if span > 0 else 1.0
+        absurd = []
         for name, use in uses.items():
             quota = self._quotas.get(name)
             if quota is None:
                 continue
-            account = self._accounts.get(name)
-            if account is None:
-                account = _Account(quota, self._depth(quota, now), now)
-                self._accounts[name] = account
+            account = self._find(name, quota, now)
             self._fill(account, now)
-            account.level -= use.spent
-            account.note_offers(use.offered, now)
+            most = _ABSURD_FACTOR * self._tolerance.allowed(quota)
+            if use.spent > most:
+                absurd.append(name)
+            spent = min(use.spent, most) * kept
+            spent -= self._excuse(account, spent, min(span, window), now)
+            level = min(account.level - spent, quota.burst)
+            account.level = max(level, self._floor(quota))
+            account.note_offers(use.offered, span, now)
             account.refused += max(use.offered - use.spent, 0)
+        return absurd
+
+    def _find(self, name: str, quota: Quota, now: float) -> _Account:
+        account = self._accounts.get(name)
+        if account is None:
+            account = self._accounts[name] = self._open(quota, now)
+        return account
+
+    def _excuse(
+        self, account: _Account, spent: float, span: float, now: float
+    ) -> float:
+        """Returns what the time without an owner allowed of a report.
+
+        The bucket didn't fill then beyond what it holds, while requests went
+        on; only the rest of what they spent may count now.
+        """
+        unowned = span - (now - self._begun_at)
+        if unowned <= 0:
+            return 0.0
+        return account.excuse(spent * unowned / span, unowned)
 
     def has_limited(self, now: float) -> bool:
         """Whether some customer offers more than it may send."""
-        return any(state.share < 1 for state in self.states(now).values())
+        return any(s.is_limiting for s in self.states(now).values())
 
     def overview(self, now: float) -> list[QuotaUse]:
-        """Returns all limited customers, those that are refused most first."""
+        """Returns all rates, those under which most was refused first."""
         uses = []
         for name, quota in self._quotas.items():
             allowed = self._tolerance.allowed(quota)
@@ -259,25 +340,29 @@
                     use,
                     offers=round(account.offers_rate(now)),
                     share=round(share, _SHARE_DIGITS),
-                    level=round(account.level),
+                    level=round(account.level, 1),
                     refused=account.refused,
                 )
             uses.append(use)
-        return sorted(uses, key=lambda use: (-use.refused, use.customer))
+        return sorted(uses, key=lambda use: (-use.refused, use.name))
 
-    def states(self, now: float) -> dict[str, QuotaState]:
-        """Returns the customers that are near their limits, or beyond."""
+    def states(self, now: float) -> dict[str, RateState]:
+        """Returns the rates that are nearly used up, or more than that."""
         if now - self._states_at >= _STATES_SECONDS:
             self._states = self._work_out_states(now)
             self._states_at = now
         return self._states
 
-    def _work_out_states(self, now: float) -> dict[str, QuotaState]:
+    def _work_out_states(self, now: float) -> dict[str, RateState]:
         states = {}
+        if self._learns_offers:
+            for name, quota in self._quotas.items():
+                self._find(name, quota, now)
         for name, account in self._accounts.items():
             share = account.share(self._fill(account, now), now)
-            if share < 1 or account.level < _TOLD_BELOW * account.quota.burst:
-                states[name] = QuotaState(
-                    round(share, _SHARE_DIGITS), round(account.level)
+            is_near = account.level < _TOLD_BELOW * account.quota.burst
+            if share < 1 or is_near or self._learns_offers:
+                states[name] = RateState(
+                    round(share, _SHARE_DIGITS), round(account.level, 1)
                 )
         return states
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -15,7 +15,8 @@
     WatchFleet,
 )
 from ridgesill.core.fleet.sent_orders import UNANSWERED_SECONDS
-from ridgesill.core.serving.quotas import QuotaState
+from ridgesill.core.serving.limits import NamedLimit
+from ridgesill.core.serving.rates import RateState
 
 # Changes kept for those who ask; who is further behind gets everything.
 _CHANGES_KEPT = 4096
@@ -350,7 +351,6 @@
         fronts: int,
         busy: dict[str, int],
         now: float,
-        quotas: dict[str, QuotaState] | None = None,
     ) -> FleetNews:
         """Returns what has changed since a question's number, or everything."""
         epoch, number = question.epoch, question.number
@@ -370,7 +370,6 @@
             fronts,
             busy,
             now >= self._settled_at,
-            quotas=quotas or {},
         )
 
     def _oldest(self) -> int:
@@ -387,6 +386,8 @@
         known_at: when the owner's last news arrived, here or at the node that
             passed them on, on the runtime's clock.
         quotas: of the customers near their limits.
+        limits: that upstreams had named at `known_at`.
+        sends: what may be sent of what these limits allow, by upstream.
     """
 
     epoch: int = 0
@@ -395,7 +396,9 @@
     known_at: float = float("-inf")
     upstreams: dict[str, Upstream] = attrs.Factory(dict)
     busy: dict[str, int] = attrs.Factory(dict)
-    quotas: dict[str, QuotaState] = attrs.Factory(dict)
+    quotas: dict[str, RateState] = attrs.Factory(dict)
+    limits: dict[str, NamedLimit] = attrs.Factory(dict)
+    sends: dict[str, RateState] = attrs.Factory(dict)
     _unconfirmed: set[str] = attrs.Factory(set)
 
     def take(self, news: FleetNews, now: float) -> None:
@@ -415,6 +418,8 @@
         self.fronts = max(news.fronts, 1)
         self.busy = news.busy
         self.quotas = news.quotas
+        self.limits = news.limits
+        self.sends = news.sends
         self.known_at = now - news.age
 
     def _forget_unconfirmed(self) -> None:
--- a/src/ridgesill/core/fleet/relayed_news.py
+++ b/src/ridgesill/core/fleet/relayed_news.py
@@ -68,7 +68,9 @@
         """Whether there is something that an asker doesn't know."""
         if question.epoch != self._epoch:
             return question.epoch < self._epoch
-        if any(state.share < 1 for state in self._view.quotas.values()):
+        if self._view.limits:
+            return True
+        if any(state.is_limiting for state in self._view.quotas.values()):
             return True
         return question.number < self._number
 
@@ -87,6 +89,8 @@
             self._settled,
             age,
             self._view.quotas,
+            self._view.limits,
+            self._view.sends,
         )
 
     def _is_too_far_behind(self, question: WatchFleet) -> bool:
--- a/src/ridgesill/core/fleet/usage.py
+++ b/src/ridgesill/core/fleet/usage.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from ridgesill.core.serving.quotas import CustomerUse
+from ridgesill.core.fleet.use_reports import Sent
+from ridgesill.core.serving.limits import NamedLimit
 
 # After this long without word a front counts as gone, in seconds; it asks at
 # least twice a second.
@@ -21,7 +22,9 @@
         fronts: how many it speaks for.
         age: seconds since each of them has reported.
         resting: at how many of them an upstream wants no requests.
-        uses: by customer, what limited ones have sent since the last report.
+        sent: under rates, since the last report.
+        limits: that upstreams have named, as far as the owner hasn't told them.
+        is_relayed: whether a relay tells it for its fronts.
     """
 
     used: dict[str, int] = attrs.Factory(dict)
@@ -29,7 +32,9 @@
     fronts: int = 1
     age: float = 0.0
     resting: dict[str, int] = attrs.Factory(dict)
-    uses: dict[str, CustomerUse] = attrs.Factory(dict)
+    sent: Sent = attrs.Factory(Sent)
+    limits: dict[str, NamedLimit] = attrs.Factory(dict)
+    is_relayed: bool = False
 
 
 @attrs.define
@@ -125,14 +130,14 @@
     def sum_up(
         self,
         used: dict[str, int],
-        uses: dict[str, CustomerUse],
+        limits: dict[str, NamedLimit],
         now: float,
     ) -> UsageReport:
         """Returns one report for all fronts.
 
         Args:
             used: requests by artifact since the last report.
-            uses: by customer, what limited ones have sent since.
+            limits: that upstreams have named.
             now: the clock, in seconds.
         """
         ages = (now - r.reported_at for r in self._reporters.values())
@@ -143,5 +148,6 @@
             self.fronts,
             max(ages, default=0.0),
             self.resting(),
-            uses,
+            limits=limits,
+            is_relayed=True,
         )
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -8,6 +8,7 @@
 
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.serving.front_limits import LimitDraws
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.unavailable import Unavailable
 
@@ -155,9 +156,20 @@
         return self.view.of_service(wanted.service)
 
     def choose(
-        self, wanted: Wanted, avoid: Collection[str], now: float
+        self,
+        wanted: Wanted,
+        avoid: Collection[str],
+        now: float,
+        draws: LimitDraws | None = None,
     ) -> Upstream | None:
-        """Returns the best upstream, or None if there is none."""
+        """Returns the best upstream, or None if there is none.
+
+        Args:
+            wanted: what the request needs.
+            avoid: upstreams that it must not go to; those that it has tried.
+            now: the clock, in seconds.
+            draws: which limited upstreams it may go to.
+        """
         candidates = [
             upstream
             for upstream in self.candidates(wanted)
@@ -165,6 +177,8 @@
             and self.unavailable.takes_requests(upstream.name, now)
         ]
         allowed = self._without_ejected(wanted, candidates, now)
+        if draws is not None:
+            allowed = draws.narrow(allowed, now, prefers_limited=not avoid)
         if not wanted.artifact:
             allowed = self._near_with_room(allowed)
         return min(
--- /dev/null
+++ b/src/ridgesill/core/serving/front_limits.py
@@ -0,0 +1,155 @@
+"""What a front may send upstreams that have named a limit."""
+
+import random
+from collections.abc import Collection, Iterable
+
+from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.serving.limits import (
+    NamedLimit,
+    UpstreamLimits,
+    make_quota,
+)
+from ridgesill.core.serving.rates import FrontRates, RateUse
+
+_ONE = 1
+
+
+class FrontLimits:
+    """The limits that a front knows, and its part in keeping them.
+
+    Args:
+        rng: draws which requests may go to a limited upstream.
+        front: the front's name, for operators.
+    """
+
+    def __init__(self, rng: random.Random, front: str = "") -> None:
+        self.known = UpstreamLimits()
+        self.rates = FrontRates(rng, by_parts=True)
+        self._front = front
+
+    def note_word(
+        self, upstream: str, rate: float, sent_at: float, now: float
+    ) -> bool:
+        """Takes a limit that an upstream names; returns whether it is news."""
+        before = self.allowed(upstream, now)
+        self.known.note_word(upstream, rate, sent_at, now, self._front)
+        return self.allowed(upstream, now) != before
+
+    def take_news(self, view: FleetView) -> None:
+        """Takes what the owner says."""
+        self.known.merge(view.limits, view.known_at)
+        self.rates.take_news(view.sends, view.fronts, view.known_at)
+
+    def untold(self, view: FleetView, now: float) -> dict[str, NamedLimit]:
+        """Returns the limits of which the owner knows less."""
+        return {
+            upstream: limit
+            for upstream, limit in self.known.tell(now).items()
+            if upstream not in view.limits
+            or self.known.has_later(
+                upstream, view.limits[upstream], view.known_at
+            )
+        }
+
+    def allowed(self, upstream: str, now: float) -> float | None:
+        """Returns what an upstream may get a second; None for any number."""
+        return self.known.rate(upstream, now) if self.known else None
+
+    def count(self) -> int:
+        """Returns how many upstreams are limited."""
+        return len(self.known)
+
+    def keep_only(self, upstreams: Collection[str], now: float) -> None:
+        """Forgets upstreams that are gone, and limits that are over."""
+        self.known.keep_only(upstreams, now)
+
+
+class LimitDraws:
+    """Which limited upstreams one request may go to.
+
+    Each is drawn for once, when the request could first go there. So a request
+    that it may not have goes elsewhere, and doesn't try its luck again.
+
+    Args:
+        limits: of the front.
+    """
+
+    def __init__(self, limits: FrontLimits) -> None:
+        self._limits = limits
+        self._drawn: dict[str, bool] = {}
+        self._sent: set[str] = set()
+
+    def is_open(self, upstream: str, now: float) -> bool:
+        """Whether the request may go to an upstream."""
+        if not self._limits.known:
+            return True
+        drawn = self._drawn.get(upstream)
+        if drawn is not None:
+            return drawn
+        allowed = self._limits.allowed(upstream, now)
+        if allowed is None:
+            return True
+        quota = make_quota(allowed)
+        drawn = self._limits.rates.draw(upstream, quota, _ONE, now)
+        self._drawn[upstream] = drawn
+        return drawn
+
+    def closed(self) -> list[str]:
+        """Returns the upstreams that the request may not go to."""
+        return [name for name, is_open in self._drawn.items() if not is_open]
+
+    def is_drawn(self, upstream: str) -> bool:
+        """Whether the request is one of those that a limit allows."""
+        return self._drawn.get(upstream, False)
+
+    def narrow(
+        self, upstreams: list[Upstream], now: float, *, prefers_limited: bool
+    ) -> list[Upstream]:
+        """Returns the upstreams that the request may go to.
+
+        Args:
+            upstreams: that could serve it.
+            now: the clock, in seconds.
+            prefers_limited: whether those that a limit allows it are chosen
+                before others: what isn't sent there is lost to them.
+        """
+        if not self._limits.known:
+            return upstreams
+        allowed = [u for u in upstreams if self.is_open(u.name, now)]
+        limited = [u for u in allowed if self.is_drawn(u.name)]
+        others = [u for u in allowed if not self.is_drawn(u.name)]
+        if prefers_limited:
+            return limited or others
+        return others or limited
+
+    def are_all_closed(self, upstreams: Iterable[Upstream], now: float) -> bool:
+        """Whether all of some upstreams are limited, and none is open.
+
+        None is drawn for while one of them has no limit.
+        """
+        if not self._limits.known:
+            return False
+        names = [upstream.name for upstream in upstreams]
+        if any(self._limits.allowed(n, now) is None for n in names):
+            return False
+        drawn = [self.is_open(name, now) for name in names]
+        return bool(names) and not any(drawn)
+
+    def note_sent(self, upstream: str, now: float) -> None:
+        """Counts the request as sent to an upstream."""
+        if self._limits.allowed(upstream, now) is not None:
+            self._sent.add(upstream)
+            self._limits.rates.spend(upstream, _ONE, now)
+
+    def note_not_sent(self, upstream: str, now: float) -> None:
+        """Takes that back: nothing of it has reached the upstream."""
+        if upstream in self._sent:
+            self._sent.discard(upstream)
+            self._limits.rates.give_back(upstream, RateUse(_ONE, 0), now)
+
+    def release(self) -> None:
+        """Gives back what was drawn and not used."""
+        for upstream, is_open in self._drawn.items():
+            if is_open and upstream not in self._sent:
+                self._limits.rates.give_part_back(upstream, _ONE)
--- a/src/ridgesill/platform/control_calls.py
+++ b/src/ridgesill/platform/control_calls.py
@@ -19,6 +19,7 @@
     HeartbeatCall,
     LeaveCall,
     LiftQuarantineCall,
+    ListLimitsCall,
     ListQuarantineCall,
     ListQuotasCall,
     PutRoutesCall,
@@ -35,6 +36,7 @@
 QUARANTINE_PATH = "/ridgesill/Quarantine.List"
 LIFT_PATH = "/ridgesill/Quarantine.Lift/"
 QUOTAS_PATH = "/ridgesill/Quotas.List"
+LIMITS_PATH = "/ridgesill/Limits.List"
 READY_PATH = "/ridgesill/ready"
 
 
@@ -50,6 +52,8 @@
             return ListQuarantineCall()
         if path == QUOTAS_PATH:
             return ListQuotasCall()
+        if path == LIMITS_PATH:
+            return ListLimitsCall()
         if request.method != b"POST":
             return BadCall(405, "expected POST")
         try:
--- a/src/ridgesill/ports/control_calls.py
+++ b/src/ridgesill/ports/control_calls.py
@@ -54,6 +54,11 @@
     """Asks which requests get no upstream."""
 
 
+@attrs.frozen
+class ListLimitsCall:
+    """Asks which upstreams have named limits."""
+
+
 @attrs.frozen
 class ListQuotasCall:
     """Asks what customers use of their limits."""
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -83,12 +83,17 @@
         unread: what it asked for instead of a rest that can be granted.
         instance: who has the address, where a request meant for another says
             so; empty otherwise.
+        limit: requests a second that it takes from all fronts; None where it
+            names no limit.
+        unread_limit: what it named instead of a limit that can be kept.
     """
 
     rest: float = 0.0
     leaves: bool = False
     unread: str = ""
     instance: str = ""
+    limit: float | None = None
+    unread_limit: str = ""
 
 
 # What nearly every answer says.
--- a/src/ridgesill/standin/emulator/quotas.py
+++ b/src/ridgesill/standin/emulator/quotas.py
@@ -1,6 +1,6 @@
-"""Fronts and an owner that keep customers within their limits, emulated.
+"""Fronts and an owner that keep a rate over all fronts, emulated.
 
-Messages take some time in each direction; what a customer sends follows a plan.
+Messages take some time in each direction; what is offered follows a plan.
 Nothing else of a fleet is here, so that hundreds of fronts play in seconds.
 """
 
@@ -13,28 +13,37 @@
 
 import attrs
 
-from ridgesill.core.fleet.quota_ledger import QuotaLedger, Tolerance
-from ridgesill.core.serving.customers import Customer, Quota
-from ridgesill.core.serving.quotas import CustomerUse, QuotaState
+from ridgesill.core.fleet.rate_ledger import RateLedger, Tolerance
+from ridgesill.core.fleet.use_reports import ReportsToTell, Sent, UseReport
+from ridgesill.core.serving.customers import Quota
+from ridgesill.core.serving.rates import RateState, RateUse
 
 # Tokens of a request and how often it comes: short ones, and a few long ones.
 _SIZES = ((650, 0.85), (200, 0.10), (9_200, 0.05))
 
 
+_OWNER = "owner"
+# From when on after an owner began it is judged, and how long it stands before
+# the next one is lost, in seconds.
+_SETTLED_SECONDS = 1.0
+_BETWEEN_LOSSES_SECONDS = 4.0
+# How often the fronts that are heard are counted, in seconds.
+_HEARD_SECONDS = 0.05
+
+
 class FrontPart(Protocol):
     """What decides at a front."""
 
-    def admit(self, customer: Customer, tokens: int, now: float) -> bool:
+    used_since: float
+
+    def admit(self, name: str, quota: Quota, cost: int, now: float) -> bool:
         """Returns whether a request may pass."""
 
-    def take_uses(self) -> dict[str, CustomerUse]:
+    def take_uses(self) -> dict[str, RateUse]:
         """Returns what there is to report."""
 
-    def put_back(self, uses: Mapping[str, CustomerUse]) -> None:
-        """Takes back a report that nobody has heard."""
-
     def take_news(
-        self, states: Mapping[str, QuotaState], fronts: int, told_at: float
+        self, states: Mapping[str, RateState], fronts: int, told_at: float
     ) -> None:
         """Takes what the owner says."""
 
@@ -64,7 +73,12 @@
         way_seconds: from a front to the owner, and back.
         spacing: seconds between a front's reports.
         lowered_at: when the limit falls to `lowered_to` of what it was.
+        owner_seconds: without an owner after each loss.
+        owner_losses: how often one is lost, some seconds after it began.
+        owner_forgets: whether each one begins without the last one's word.
         tolerance: of the limit.
+        sizes: of requests, and the share of each.
+        learns_offers: whether the limit begins under way, as an upstream's.
     """
 
     fronts: int
@@ -79,9 +93,13 @@
     silences: tuple[Silence, ...] = ()
     owner_lost_at: float = float("inf")
     owner_seconds: float = 2.0
+    owner_losses: int = 1
+    owner_forgets: bool = False
     lowered_at: float = float("inf")
     lowered_to: float = 0.3
     tolerance: Tolerance = Tolerance(slack=110_000)
+    sizes: tuple[tuple[int, float], ...] = _SIZES
+    learns_offers: bool = False
 
 
 @attrs.frozen
@@ -94,6 +112,9 @@
         refused_calm: share of tokens refused before the customer was hot.
         passed_hot: tokens let through while it was, as a share of its limit.
         reports: messages to the owner.
+        passed_second_half: a second, of the second half of the plan.
+        refused_owned: share of tokens refused while an owner had stood for a
+            second.
     """
 
     most_in_window: float
@@ -101,6 +122,8 @@
     refused_calm: float
     passed_hot: float
     reports: int
+    passed_second_half: float = 0.0
+    refused_owned: float = 0.0
 
     @property
     def excess(self) -> float:
@@ -116,6 +139,7 @@
     ) -> None:
         self.make = make
         self.part = make()
+        self.reports = ReportsToTell()
         self.has_news = True
         self.silences = silent
 
@@ -148,16 +172,21 @@
         self._plan = plan
         self._rng = random.Random(seed)
         self._quota = plan.quota
-        self._ledger = QuotaLedger(plan.tolerance)
-        self._ledger.set_quotas({"c": plan.quota})
-        self._told: dict[str, QuotaState] = {}
+        self._ledger = self._make_ledger()
+        self._told: dict[str, RateState] = {}
         self._told_at = float("-inf")
         self._is_owned = True
+        self._owned_at = float("-inf")
+        self._losses_left = plan.owner_losses
+        self._owned_passed = 0
+        self._owned_refused = 0
         self._order = itertools.count()
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._passed: list[tuple[float, int]] = []
         self._refused: list[tuple[float, int]] = []
         self._reports = 0
+        self._heard = plan.fronts
+        self._heard_until = 0.0
         self._fronts = [
             _Front(
                 lambda: make_part(self._rng),
@@ -166,6 +195,13 @@
             for n in range(plan.fronts)
         ]
 
+    def _make_ledger(self) -> RateLedger:
+        made = RateLedger(
+            self._plan.tolerance, learns_offers=self._plan.learns_offers
+        )
+        made.set_quotas({"c": self._quota})
+        return made
+
     def play(self) -> Play:
         """Returns what came of the plan."""
         for front in self._fronts:
@@ -189,7 +225,7 @@
 
     def _next_arrival(self, now: float) -> float:
         plan = self._plan
-        mean = sum(size * share for size, share in _SIZES)
+        mean = sum(size * share for size, share in plan.sizes)
         rate = plan.usual * plan.quota.rate / mean
         if plan.hot_at <= now < plan.hot_until:
             rate *= plan.hot
@@ -197,15 +233,17 @@
 
     def _arrive(self, now: float) -> None:
         self._at(self._next_arrival(now), self._arrive)
-        sizes, shares = zip(*_SIZES, strict=True)
+        sizes, shares = zip(*self._plan.sizes, strict=True)
         tokens = int(self._rng.choices(sizes, shares)[0])
         front = self._rng.choice(self._fronts)
         if front.is_down(now) or not front.has_news:
             # One that has just started waits for news first.
             return
-        customer = Customer("c", None, self._quota)
-        passed = front.part.admit(customer, tokens, now)
+        passed = front.part.admit("c", self._quota, tokens, now)
         (self._passed if passed else self._refused).append((now, tokens))
+        if self._is_owned and now >= self._owned_at + _SETTLED_SECONDS:
+            self._owned_passed += tokens * passed
+            self._owned_refused += tokens * (not passed)
 
     # -- the fleet -----------------------------------------------------
 
@@ -214,21 +252,27 @@
             self._at(now + self._plan.spacing, report)
             if front.is_silent(now):
                 return
-            uses = front.part.take_uses()
+            since = front.part.used_since
+            front.reports.add(Sent(front.part.take_uses(), {}, since))
+            reports = front.reports.address(_OWNER, now)
             self._reports += 1
-            self._at(now + self._plan.way_seconds, self._hearer(front, uses))
+            self._at(now + self._plan.way_seconds, self._hearer(front, reports))
 
         return report
 
     def _hearer(
-        self, front: _Front, uses: dict[str, CustomerUse]
+        self, front: _Front, reports: tuple[UseReport, ...]
     ) -> Callable[[float], None]:
         def hear(now: float) -> None:
             if not self._is_owned:
-                front.part.put_back(uses)
+                front.reports.settle(_OWNER, reports, ())
                 return
+            numbers = [report.number for report in reports]
+            front.reports.settle(_OWNER, reports, numbers)
             self._ledger.note_fronts(self._count_heard(now), now)
-            self._ledger.note(uses, now)
+            for report in reports:
+                span = report.span + self._plan.way_seconds
+                self._ledger.note(report.uses, now, span)
             self._told = self._ledger.states(now)
             self._told_at = now
             self._at(now + self._plan.way_seconds, self._teller(front, now))
@@ -238,7 +282,11 @@
     def _count_heard(self, now: float) -> int:
         if not self._plan.silences:
             return len(self._fronts)
-        return sum(not front.is_silent(now) for front in self._fronts)
+        if now >= self._heard_until:
+            # Silences begin and end far more seldom than fronts report.
+            self._heard = sum(not f.is_silent(now) for f in self._fronts)
+            self._heard_until = now + _HEARD_SECONDS
+        return self._heard
 
     def _teller(self, front: _Front, told_at: float) -> Callable[[float], None]:
         states = dict(self._told)
@@ -254,6 +302,7 @@
         for front in self._fronts:
             if front.is_down(now):
                 front.part = front.make()
+                front.reports = ReportsToTell()
                 front.has_news = False
 
     def _lose_owner(self, now: float) -> None:
@@ -262,9 +311,15 @@
 
     def _gain_owner(self, now: float) -> None:
         self._is_owned = True
-        self._ledger = QuotaLedger(self._plan.tolerance)
-        self._ledger.set_quotas({"c": self._quota})
-        self._ledger.begin(self._told, self._told_at, now)
+        self._owned_at = now
+        self._ledger = self._make_ledger()
+        if self._plan.owner_forgets:
+            self._ledger.begin({}, float("-inf"), now)
+        else:
+            self._ledger.begin(self._told, self._told_at, now)
+        self._losses_left -= 1
+        if self._losses_left:
+            self._at(now + _BETWEEN_LOSSES_SECONDS, self._lose_owner)
 
     def _lower(self, now: float) -> None:
         rate = self._quota.rate * self._plan.lowered_to
@@ -286,6 +341,10 @@
             calm_refused / max(calm_refused + calm_passed, 1),
             passed_hot / (plan.quota.rate * (hot[1] - hot[0])),
             self._reports,
+            _tokens(self._passed, plan.seconds / 2, plan.seconds)
+            / (plan.seconds / 2),
+            self._owned_refused
+            / max(self._owned_refused + self._owned_passed, 1),
         )
 
     def _most(self) -> int:
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -22,7 +22,7 @@
     Quota,
     digest_key,
 )
-from ridgesill.core.serving.quotas import CustomerUse, QuotaState
+from ridgesill.core.serving.rates import RateState, RateUse
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.telemetry import KeptTelemetry, RequestEnd
 from testing.app.front_world import (
@@ -730,7 +730,7 @@
         assert world.front.quotas.take_uses() == {}
         await world.add("u1", answer_ok)
         now = asyncio.get_running_loop().time()
-        world.front.quotas.take_news({"alice": QuotaState(0.0, 9.0)}, 1, now)
+        world.front.quotas.take_news({"alice": RateState(0.0, 9.0)}, 1, now)
         world.front.learned.note()
         assert (await asked).status == 429
 
@@ -740,12 +740,21 @@
         name_customers(world, k1=LIMITED)
         upstream = await world.add("u1", answer_ok)
         now = asyncio.get_running_loop().time()
-        states = {"alice": QuotaState(0.0, -9.0)}
+        states = {"alice": RateState(0.0, -9.0)}
         world.front.quotas.take_news(states, 1, now)
         answer = await (await world.open()).ask("/safe/x", credential="k1")
         assert (answer.status, upstream.calls) == (429, [])
         assert float(answer.headers["retry-after"]) >= 1.0
 
+    async def test_a_customer_without_a_limit_is_not_counted(
+        self, world: FrontWorld
+    ) -> None:
+        name_customers(world, k1=Customer("free"))
+        await world.add("u1", answer_ok)
+        client = await world.open()
+        assert (await client.ask("/safe/x", credential="k1")).status == 200
+        assert not world.front.quotas.take_uses()
+
     async def test_a_retry_of_ours_is_counted_once(
         self, world: FrontWorld
     ) -> None:
@@ -755,9 +764,7 @@
         for _ in range(3):
             client = await world.open()
             assert (await client.ask("/safe/x", credential="k1")).status == 200
-        assert world.front.quotas.take_uses() == {
-            "alice": CustomerUse(600, 600)
-        }
+        assert world.front.quotas.take_uses() == {"alice": RateUse(600, 600)}
 
     async def test_what_has_not_run_is_not_counted(
         self, world: FrontWorld
@@ -766,7 +773,7 @@
         await world.add("u1", refuse)
         client = await world.open()
         assert (await client.ask("/safe/x", credential="k1")).status == 503
-        assert world.front.quotas.take_uses() == {"alice": CustomerUse()}
+        assert world.front.quotas.take_uses() == {"alice": RateUse()}
 
 
 class Ends(KeptTelemetry):
@@ -789,7 +796,7 @@
         world.front.telemetry = ends = Ends()
         client = await world.open()
         await client.ask("/safe/x", credential="k1")
-        states = {"alice": QuotaState(0.0, -9.0)}
+        states = {"alice": RateState(0.0, -9.0)}
         now = asyncio.get_running_loop().time()
         world.front.quotas.take_news(states, 1, now)
         await client.ask("/safe/x", credential="k1")
--- a/testing/core/fleet/test_quota_ledger.py
+++ b/testing/core/fleet/test_rate_ledger.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from ridgesill.core.fleet.quota_ledger import QuotaLedger, Tolerance
+from ridgesill.core.fleet.rate_ledger import RateLedger, Tolerance
 from ridgesill.core.serving.customers import Quota
-from ridgesill.core.serving.quotas import (
-    CustomerUse,
-    FrontQuotas,
-    QuotaState,
+from ridgesill.core.serving.rates import (
+    FrontRates,
+    RateState,
+    RateUse,
 )
 from ridgesill.standin.emulator.quotas import (
     Plan,
@@ -22,8 +22,8 @@
 SLACK = 110_000
 
 
-def make() -> QuotaLedger:
-    made = QuotaLedger()
+def make() -> RateLedger:
+    made = RateLedger()
     made.set_quotas({"c": QUOTA})
     return made
 
@@ -32,7 +32,7 @@
     def test_one_below_its_limit_is_not_named(self) -> None:
         ledger = make()
         for tenth in range(50):
-            ledger.note({"c": CustomerUse(60, 60)}, tenth / 10)
+            ledger.note({"c": RateUse(60, 60)}, tenth / 10)
         assert ledger.states(5.0) == {}
 
     @pytest.mark.parametrize("usual", [0, 55])
@@ -45,7 +45,7 @@
         for tenth in range(300):
             offered = usual if tenth < 80 else 400
             spent = round(offered * share)
-            ledger.note({"c": CustomerUse(spent, offered)}, tenth / 10)
+            ledger.note({"c": RateUse(spent, offered)}, tenth / 10)
             state = ledger.states(tenth / 10).get("c")
             share = state.share if state else 1.0
             passed.append(spent)
@@ -56,42 +56,42 @@
 
     def test_customers_without_a_limit_are_not_counted(self) -> None:
         ledger = make()
-        ledger.note({"other": CustomerUse(9, 9)}, 0.0)
+        ledger.note({"other": RateUse(9, 9)}, 0.0)
         assert ledger.states(0.0) == {}
 
     def test_a_lowered_limit_binds_at_once(self) -> None:
         ledger = make()
         for tenth in range(30):
-            ledger.note({"c": CustomerUse(60, 60)}, tenth / 10)
+            ledger.note({"c": RateUse(60, 60)}, tenth / 10)
         ledger.set_quotas({"c": Quota(100.0, 100.0, counts_tokens=True)})
-        ledger.note({"c": CustomerUse(60, 60)}, 3.0)
+        ledger.note({"c": RateUse(60, 60)}, 3.0)
         assert ledger.states(3.0)["c"].share < 0.5
 
     @pytest.mark.parametrize(
-        "states", [{}, {"c": QuotaState(1.0, 400.0)}], ids=["calm", "near"]
+        "states", [{}, {"c": RateState(1.0, 400.0)}], ids=["calm", "near"]
     )
     def test_a_new_owner_makes_up_for_the_time_without_one(
-        self, states: dict[str, QuotaState]
+        self, states: dict[str, RateState]
     ) -> None:
         # Load pattern: a leader is lost for six seconds. Fronts let through
         # what the limit allows, and report all of it at once.
         ledger = make()
         ledger.begin(states, 4.0, 10.0)
-        ledger.note({"c": CustomerUse(6000, 100)}, 10.1)
-        ledger.note({"c": CustomerUse(100, 100)}, 10.2)
+        ledger.note({"c": RateUse(6000, 100)}, 10.1, 6.1)
+        ledger.note({"c": RateUse(100, 100)}, 10.2)
         state = ledger.states(10.3).get("c")
         assert state is None or state.share == 1
 
     def test_what_was_not_used_without_an_owner_is_not_kept(self) -> None:
         ledger = make()
         ledger.begin({}, 4.0, 10.0)
-        ledger.note({"c": CustomerUse(100, 100)}, 10.1)
-        ledger.note({"c": CustomerUse(3000, 3000)}, 13.0)
+        ledger.note({"c": RateUse(100, 100)}, 10.1, 6.1)
+        ledger.note({"c": RateUse(3000, 3000)}, 13.0)
         assert ledger.states(13.0)["c"].level < 0
 
     def test_a_new_owner_goes_on_from_the_last_word(self) -> None:
         ledger = make()
-        ledger.begin({"c": QuotaState(0.2, -700.0)}, 10.0, 10.0)
+        ledger.begin({"c": RateState(0.2, -700.0)}, 10.0, 10.0)
         assert ledger.states(10.0)["c"].level == -700
 
 
@@ -103,10 +103,10 @@
         assert LARGEST.rate < rate < LARGEST.rate + 0.7 * borne / 8
 
     def test_it_does_not_while_fronts_are_silent(self) -> None:
-        ledger = QuotaLedger(Tolerance(slack=110_000.0))
+        ledger = RateLedger(Tolerance(slack=110_000.0))
         ledger.set_quotas({"c": SMALLEST})
         ledger.note_fronts(10, 0.0)
-        ledger.note({"c": CustomerUse(60_000, 60_000)}, 0.0)
+        ledger.note({"c": RateUse(60_000, 60_000)}, 0.0)
         heard_all = ledger.states(0.1)["c"].share
         ledger.note_fronts(6, 0.2)
         assert ledger.states(0.2)["c"].share < heard_all
@@ -118,9 +118,9 @@
 
 class TestManyCustomers:
     def test_what_is_told_is_not_worked_out_for_each_question(self) -> None:
-        ledger = QuotaLedger()
+        ledger = RateLedger()
         ledger.set_quotas({f"c{n}": QUOTA for n in range(2_000)})
-        uses = {f"c{n}": CustomerUse(9_000, 9_000) for n in range(2_000)}
+        uses = {f"c{n}": RateUse(9_000, 9_000) for n in range(2_000)}
         ledger.note(uses, 0.0)
         first = ledger.states(1.0)
         assert all(ledger.states(1.0 + n / 1e4) is first for n in range(300))
@@ -138,7 +138,7 @@
         # Load pattern: 7.5 times its usual for 7 s, at fronts that see 0.4
         # requests a second of it each, of 200 to 9,200 tokens.
         plan = Plan(fronts, quota, seconds=20.0)
-        play = QuotaEmulation(plan, FrontQuotas).play()
+        play = QuotaEmulation(plan, FrontRates).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
         assert play.refused_calm == 0
         assert play.passed_hot > 0.8
@@ -147,24 +147,45 @@
         plan = Plan(
             74, LARGEST, seconds=20.0, silences=(Silence(9.0, 4.5, 0.4),)
         )
-        play = QuotaEmulation(plan, FrontQuotas).play()
+        play = QuotaEmulation(plan, FrontRates).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
 
     def test_seven_tenths_of_the_fronts_are_killed_twice(self) -> None:
         silences = tuple(Silence(at, 1.0, 0.7, True) for at in (11.0, 15.0))
         plan = Plan(74, LARGEST, seconds=20.0, silences=silences)
-        play = QuotaEmulation(plan, FrontQuotas).play()
+        play = QuotaEmulation(plan, FrontRates).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
 
     def test_the_owner_is_lost_as_a_customer_turns_hot(self) -> None:
         plan = Plan(
             74, LARGEST, seconds=20.0, owner_lost_at=9.5, owner_seconds=3.5
         )
-        play = QuotaEmulation(plan, FrontQuotas).play()
+        play = QuotaEmulation(plan, FrontRates).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
 
+    @pytest.mark.parametrize("forgets", [False, True])
+    @pytest.mark.parametrize("gap", [0.2, 1.0, 4.0, 8.0, 12.0, 30.0])
+    def test_owners_are_lost_under_a_customer_within_its_limit(
+        self, gap: float, forgets: bool
+    ) -> None:
+        plan = Plan(
+            20,
+            LARGEST,
+            seconds=20.0 + 3 * (gap + 4.0),
+            usual=0.7,
+            hot=1.0,
+            owner_lost_at=10.0,
+            owner_seconds=gap,
+            owner_losses=3,
+            owner_forgets=forgets,
+        )
+        for seed in (1, 2):
+            play = QuotaEmulation(plan, FrontRates, seed).play()
+            assert play.refused_owned < 0.001
+            assert play.excess < 0.1 * play.allowed_in_window + SLACK
+
     @pytest.mark.parametrize("seed", [1, 2, 3])
     def test_a_limit_is_lowered_under_load(self, seed: int) -> None:
         plan = Plan(74, LARGEST, hot_until=28.0, lowered_at=13.0)
-        play = QuotaEmulation(plan, FrontQuotas, seed).play()
+        play = QuotaEmulation(plan, FrontRates, seed).play()
         assert play.excess < 0.1 * play.allowed_in_window + SLACK
--- a/testing/core/serving/test_quotas.py
+++ b/testing/core/serving/test_rates.py
@@ -2,22 +2,22 @@
 
 import random
 
-from ridgesill.core.serving.customers import Customer, Quota
-from ridgesill.core.serving.quotas import CustomerUse, FrontQuotas, QuotaState
+from ridgesill.core.serving.customers import Quota
+from ridgesill.core.serving.rates import FrontRates, RateState, RateUse
 
-LIMITED = Customer("c", None, Quota(1000.0, 1000.0, True, 200))
+QUOTA = Quota(1000.0, 1000.0, True, 200)
 FRONTS = 10
 
 
-def make(**states: QuotaState) -> FrontQuotas:
+def make(**states: RateState) -> FrontRates:
     """Returns the part of a front that has just had news."""
-    made = FrontQuotas(random.Random(1))
+    made = FrontRates(random.Random(1))
     made.take_news(states, FRONTS, 0.0)
     return made
 
 
-def count_passed(part: FrontQuotas, times: int, now: float) -> int:
-    return sum(part.admit(LIMITED, 100, now) for _ in range(times))
+def count_passed(part: FrontRates, times: int, now: float) -> int:
+    return sum(part.admit("c", QUOTA, 100, now) for _ in range(times))
 
 
 class TestNews:
@@ -25,42 +25,35 @@
         assert count_passed(make(), 50, 0.1) == 50
 
     def test_the_named_share_of_requests_passes(self) -> None:
-        part = make(c=QuotaState(0.25, 0.0))
+        part = make(c=RateState(0.25, 0.0))
         assert 200 < count_passed(part, 1000, 0.1) < 300
 
     def test_one_beyond_its_limit_gets_nothing(self) -> None:
-        assert count_passed(make(c=QuotaState(0.0, -500.0)), 50, 0.1) == 0
-
-    def test_one_without_a_limit_is_not_counted(self) -> None:
-        part = make()
-        assert part.admit(Customer("free"), 100, 0.1)
-        assert not part.take_uses()
+        assert count_passed(make(c=RateState(0.0, -500.0)), 50, 0.1) == 0
 
 
 class TestReports:
     def test_what_passed_and_what_came_are_told_apart(self) -> None:
-        part = make(c=QuotaState(0.0, -1.0))
-        part.admit(LIMITED, 300, 0.1)
-        assert part.take_uses() == {"c": CustomerUse(0, 300)}
+        part = make(c=RateState(0.0, -1.0))
+        part.admit("c", QUOTA, 300, 0.1)
+        assert part.take_uses() == {"c": RateUse(0, 300)}
 
     def test_a_request_without_tokens_counts_as_the_limit_says(self) -> None:
-        part = make()
-        part.admit(LIMITED, 0, 0.1)
-        assert part.take_uses() == {"c": CustomerUse(200, 200)}
+        assert QUOTA.cost(0) == 200
 
     def test_one_that_reached_no_upstream_is_taken_back(self) -> None:
         part = make()
-        part.admit(LIMITED, 300, 0.1)
-        part.give_back(LIMITED, 300)
-        assert part.take_uses() == {"c": CustomerUse(0, 0)}
+        part.admit("c", QUOTA, 300, 0.1)
+        part.give_back("c", RateUse(300, 300), 0.2)
+        assert part.take_uses() == {"c": RateUse(0, 0)}
 
-    def test_what_a_lost_report_let_through_is_told_again(self) -> None:
+    def test_a_report_tells_since_when_it_counts(self) -> None:
         part = make()
-        part.admit(LIMITED, 300, 0.1)
-        lost = part.take_uses()
-        part.admit(LIMITED, 50, 0.2)
-        part.put_back(lost)
-        assert part.take_uses() == {"c": CustomerUse(350, 50)}
+        part.admit("c", QUOTA, 300, 0.1)
+        part.admit("c", QUOTA, 300, 0.4)
+        assert part.used_since == 0.1
+        part.take_uses()
+        assert part.used_since == float("inf")
 
 
 class TestWithoutNews:
@@ -73,7 +66,7 @@
         assert 9 <= passed <= 12
 
     def test_one_that_was_beyond_its_limit_starts_with_nothing(self) -> None:
-        part = make(c=QuotaState(0.3, 0.0))
+        part = make(c=RateState(0.3, 0.0))
         assert count_passed(part, 10, 2.0) == 0
 
     def test_news_end_it(self) -> None:
