--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -41,6 +41,8 @@
 # Whose request it is, in this side's words only.
 _CUSTOMER = b"tenant"
 _RETRY_AFTER = b"retry-after"
+# Requests a second that an upstream takes from all callers together.
+_LIMIT = b"server-limit"
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 # Seconds, whole or with a fraction, of as many digits as programs write for
@@ -50,6 +52,8 @@
 # by a slip would be out of use for that long, and one that means it says so
 # again to the next request.
 _REST_MOST = 60.0
+# The lowest limit that is kept, in requests a second.
+_LIMIT_LEAST = 0.5
 # Of what an upstream asked for and can't be granted, for the log.
 _SHOWN_MOST = 40
 # Of a number that a client gives: milliseconds and tokens have far fewer.
@@ -142,22 +146,19 @@
 
     def read_word(self, head: ResponseHead) -> UpstreamWord:
         """Returns what an upstream says of itself beside its answer."""
+        limit, unread_limit = _read_limit(head)
+        instance = ""
+        rest, unread = 0.0, ""
         if head.status == _MISDIRECTED:
             instance = find_header(head.headers, _INSTANCE_ID).strip()
-            return UpstreamWord(leaves=is_leaving(head), instance=instance)
+        elif head.status == _UNAVAILABLE:
+            rest, unread = _read_rest(head)
         leaves = is_leaving(head)
-        asked = ""
-        if head.status == _UNAVAILABLE:
-            asked = find_header(head.headers, _RETRY_AFTER).strip()
-        if not asked:
-            return UpstreamWord(leaves=True) if leaves else NO_WORD
-        seconds = float(asked) if _SECONDS.fullmatch(asked) else -1.0
-        granted = 0.0 <= seconds <= _REST_MOST
-        return UpstreamWord(
-            min(max(seconds, 0.0), _REST_MOST),
-            leaves,
-            "" if granted else asked[:_SHOWN_MOST],
-        )
+        if limit is None and not (
+            leaves or rest or unread or instance or unread_limit
+        ):
+            return NO_WORD
+        return UpstreamWord(rest, leaves, unread, instance, limit, unread_limit)
 
     def find_unknown(self, head: ResponseHead) -> tuple[str, ...]:
         """Returns the words of an upstream that nothing here reads."""
@@ -172,6 +173,39 @@
         return ((_RETRY_AFTER, b"%.2f" % after),)
 
 
+def _read_rest(head: ResponseHead) -> tuple[float, str]:
+    """Returns the rest that is granted, and what was asked for beyond it."""
+    asked = find_header(head.headers, _RETRY_AFTER).strip()
+    if not asked:
+        return 0.0, ""
+    seconds = float(asked) if _SECONDS.fullmatch(asked) else -1.0
+    granted = 0.0 <= seconds <= _REST_MOST
+    unread = "" if granted else asked[:_SHOWN_MOST]
+    return min(max(seconds, 0.0), _REST_MOST), unread
+
+
+def _read_limit(head: ResponseHead) -> tuple[float | None, str]:
+    """Returns the limit that is kept, and what was named beside or beyond it.
+
+    Of several the lowest is kept, and none is so low that nothing would be
+    sent: no answer could then take it back.
+    """
+    named = [value.strip() for name, value in head.headers if name == _LIMIT]
+    limits = []
+    unread = ""
+    for value in named:
+        text = value.decode("latin-1")
+        if _SECONDS.fullmatch(text):
+            limits.append(float(text))
+        else:
+            unread = text[:_SHOWN_MOST] or "nothing"
+    if not limits:
+        return None, unread
+    limit = min(limits)
+    kept = max(limit, _LIMIT_LEAST)
+    return kept, unread or ("" if kept == limit else f"{limit:g}")
+
+
 def _whole(text: str) -> int:
     """Returns a whole number that a client gives; 0 for what is none.
 
--- a/src/ridgesill/platform/words.py
+++ b/src/ridgesill/platform/words.py
@@ -11,7 +11,7 @@
 
 # Headers of answers in which upstreams speak of themselves begin so.
 _FAMILY = b"server-"
-HEADERS = frozenset((b"server-stamp", b"server-leaving"))
+HEADERS = frozenset((b"server-stamp", b"server-leaving", b"server-limit"))
 HEARTBEAT_FIELDS = frozenset(
     (
         "service",
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -30,6 +30,8 @@
     "revoked",
     "refused_key",
     "limit",
+    "refused_within",
+    "named_limit",
 )
 
 
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -12,7 +12,8 @@
 )
 from testing.soak.clients import PROMISES, UNSAFE, Told
 from testing.soak.faults import Happened
-from testing.soak.keys import LIMIT, LIMITED
+from testing.soak.keys import LIMIT, LIMITED, WITHIN
+from testing.soak.limits import find_excess
 from testing.soak.upstreams import Arrival, Heard, Ledger
 from testing.soak.world import SoakWorld
 
@@ -54,6 +55,7 @@
 # there is none, however cut off it is: longer than a front may be sure for.
 _KEY_KNOWN_SECONDS = 1.5
 _UNKNOWN_KEY = 401
+_BEYOND_QUOTA = 429
 
 
 @attrs.define
@@ -94,6 +96,7 @@
     _judge_quarantine(verdict, world)
     for name, heard in world.ledger.heard.items():
         _judge_words(verdict, world, name, heard)
+        _judge_named_limits(verdict, world, name, heard)
     for upstream in world.upstreams:
         engine = getattr(upstream, "engine", None)
         if engine is not None and engine.fell:
@@ -123,6 +126,8 @@
             verdict.note("revoked", f"{told.request} at {told.front}: {key}")
     known_at = key.added_at + _KEY_KNOWN_SECONDS
     is_in_force = known_at < told.began and told.ended < key.dropped_from
+    if told.status == _BEYOND_QUOTA and key.customer == WITHIN:
+        verdict.note("refused_within", f"{told.request} at {told.front}")
     if told.status == _UNKNOWN_KEY and is_in_force:
         verdict.note("refused_key", f"{told.request} at {told.front}: {key}")
 
@@ -212,6 +217,28 @@
             verdict.note("leaving", f"{upstream}: {after[0].request}")
 
 
+def _judge_named_limits(
+    verdict: Verdict, world: SoakWorld, upstream: str, heard: Heard
+) -> None:
+    """Checks that an upstream got no more than it had named.
+
+    Fronts that were disturbed since they were told don't count.
+    """
+    told = {t.request: t for t in world.told}
+
+    def front_of(request: str) -> str:
+        sent = told.get(request)
+        if sent is None:
+            return ""
+        since = heard.limits[0][0] if heard.limits else 0.0
+        is_disturbed = _was_disturbed(world, sent.front, since, sent.ended)
+        return "" if is_disturbed else sent.front
+
+    excess = find_excess(heard, front_of)
+    if excess is not None:
+        verdict.note("named_limit", f"{upstream}: {excess}")
+
+
 def _was_disturbed(
     world: SoakWorld, vm: str, since: float, until: float
 ) -> bool:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -79,6 +79,7 @@
         planned_only = self._rng.random() < 0.25
         supervising = asyncio.create_task(self._supervise())
         saying = asyncio.create_task(self._have_upstreams_say())
+        limiting = asyncio.create_task(self._have_upstreams_name_limits())
         while self._loop.time() < until:
             kinds = [k for k in self._kinds if k[1] or not planned_only]
             work, planned = self._rng.choice(kinds)
@@ -90,6 +91,7 @@
         await asyncio.sleep(2 * _SUPERVISE_SECONDS)
         supervising.cancel()
         saying.cancel()
+        limiting.cancel()
         await self._end_words()
 
     async def _supervise(self) -> None:
@@ -278,6 +280,29 @@
             await asyncio.sleep(rng.uniform(0.2, 1.0))
             upstream.tired = 0.0
 
+    async def _have_upstreams_name_limits(self) -> None:
+        """Has upstreams name limits, raise and lower them, and take them back.
+
+        By a chance of its own, so that the other faults are the same for a seed
+        as without it. A start that follows names none.
+        """
+        rng = random.Random(f"limits {self._world.seed}")
+        while True:
+            await asyncio.sleep(rng.uniform(0.3, 2.0))
+            count = rng.choice((1, 1, 2, len(self._world.upstreams)))
+            chosen = rng.sample(self._world.upstreams, count)
+            for upstream in chosen:
+                upstream.name_limit(rng.uniform(1.5, 12.0))
+            for _ in range(rng.randrange(3)):
+                await asyncio.sleep(rng.uniform(0.5, 4.0))
+                for upstream in chosen:
+                    if upstream.limit:
+                        upstream.name_limit(rng.uniform(1.5, 12.0))
+            await asyncio.sleep(rng.uniform(2.0, 6.0))
+            for upstream in chosen:
+                if upstream.limit:
+                    upstream.name_limit(0.0)
+
     async def _leave_by_answers(self, upstream: SoakUpstream) -> None:
         """Has an upstream leave that says so in its answers alone."""
         name = upstream.name
@@ -290,6 +315,8 @@
     async def _end_words(self) -> None:
         for upstream in self._world.upstreams:
             upstream.tired = 0.0
+            if upstream.limit:
+                upstream.name_limit(0.0)
             if upstream.leaves:
                 upstream.crash()
                 await upstream.restart()
--- a/testing/soak/keys.py
+++ b/testing/soak/keys.py
@@ -10,6 +10,9 @@
 LIMITED = "carol"
 # Requests a second, and at once.
 LIMIT = 5
+# The customer whose callers stay within its limit.
+WITHIN = "bob"
+_WITHIN_LIMIT = 100
 # How likely a change of the configuration changes a customer's key.
 _CHANGE_CHANCE = 0.5
 
@@ -66,7 +69,7 @@
             {
                 "name": customer,
                 "api_keys": [key.text for key in keys],
-                **(_limit() if customer == LIMITED else {}),
+                **_limit(customer),
             }
             for customer, keys in self._current.items()
         ]
@@ -96,5 +99,9 @@
         return keys[0].text
 
 
-def _limit() -> dict[str, Any]:
-    return {"rate_per_s": LIMIT, "burst": LIMIT, "unit": "requests"}
+def _limit(customer: str) -> dict[str, Any]:
+    limits = {LIMITED: LIMIT, WITHIN: _WITHIN_LIMIT}
+    if customer not in limits:
+        return {}
+    limit = limits[customer]
+    return {"rate_per_s": limit, "burst": limit, "unit": "requests"}
