--- a/src/ridgesill/core/serving/front_limits.py
+++ b/src/ridgesill/core/serving/front_limits.py
@@ -12,6 +12,7 @@
 )
 from ridgesill.core.serving.rates import FrontRates, RateUse
 
+# What each request counts for.
 _ONE = 1
 
 
