--- a/src/ridgesill/platform/upstreams.py
+++ b/src/ridgesill/platform/upstreams.py
@@ -18,11 +18,8 @@
     FleetOrder,
     OrderVerdict,
 )
-from ridgesill.platform.words import (
-    HEARTBEAT_FIELDS,
-    REPORT_FIELDS,
-    find_unknown_fields,
-)
+from ridgesill.core.unknown_fields import find_unknown_fields
+from ridgesill.platform.words import HEARTBEAT_FIELDS, REPORT_FIELDS
 from ridgesill.ports.http import HttpRequest, ResponseHead, find_header
 
 # An upstream that leaves says so in all its answers.
--- a/src/ridgesill/platform/words.py
+++ b/src/ridgesill/platform/words.py
@@ -3,10 +3,6 @@
 `docs/reference/upstream-words.md` says of each where it is kept.
 """
 
-from collections.abc import Iterable
-
-import msgspec
-
 from ridgesill.ports.http import ResponseHead
 
 # Headers of answers in which upstreams speak of themselves begin so.
@@ -51,9 +47,8 @@
         "born",
     )
 )
-# Of a word that nobody knows, for the log.
+# Of a word that nobody knows, for the log, in characters.
 _SHOWN_MOST = 40
-_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 def find_unknown_headers(head: ResponseHead) -> tuple[str, ...]:
@@ -63,16 +58,4 @@
         for name, _ in head.headers
         if name.startswith(_FAMILY) and name not in HEADERS
     ]
-    return tuple(unknown) if unknown else ()
-
-
-def find_unknown_fields(body: bytes, known: Iterable[str]) -> tuple[str, ...]:
-    """Returns the fields of a JSON object that nothing here knows.
-
-    Args:
-        body: an object that has been decoded before.
-        known: the fields that are known.
-    """
-    return tuple(
-        sorted(f[:_SHOWN_MOST] for f in _FIELDS.decode(body).keys() - known)
-    )
+    return tuple(unknown)
