--- a/testing/scenarios/test_named_limits.py
+++ b/testing/scenarios/test_named_limits.py
@@ -20,7 +20,7 @@
 
 _FRONTS = 6
 # How long the limits are named, in seconds; several windows.
-_SECONDS = 10.0
+_SECONDS = 15.0
 # Until all fronts know of a limit, in seconds.
 _KNOWN_SECONDS = 1.0
 # Share of its limit that an upstream gets at the least.
