Log a limited request only where it is refused; look at limits only where some are known

A plain request that another upstream served left a request:limited line (test added, failed before). The search went over all upstreams of a service for each request though none had named a limit. A front that goes to another node is taken off the old one's sums whether or not that one can hand reports on.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -85,7 +85,7 @@
         arrived: whether the request reached the upstream.
         cut: whether its channel ended before the answer did.
         withheld: whether it was kept back, since the upstream wants none.
-        rests: whether the upstream asked for rest.
+        rests: whether the upstream asked for rest, or for fewer requests.
     """
 
     reason: str
--- a/src/ridgesill/app/news_relay.py
+++ b/src/ridgesill/app/news_relay.py
@@ -122,8 +122,9 @@
     ) -> tuple[int, ...]:
         """Takes what an asker says; returns the reports that were taken."""
         now = self._loop.time()
-        if accepts:
+        if accepts or not question.is_front:
             self._usage.note(sender, read_report(question), now)
+        if accepts:
             self._limits.merge(question.limits, now)
             for artifact, count in question.used.items():
                 self._used[artifact] = self._used.get(artifact, 0) + count
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -161,6 +161,8 @@
 
     def _refuse_limited(self) -> Refusal | None:
         """Returns a refusal where the limits of all upstreams are used up."""
+        if not self._front.limits.known:
+            return None
         now = self._loop.time()
         staying = [
             upstream
@@ -204,8 +206,9 @@
         if chosen is None and (resting := self._refuse_resting()):
             return resting
         if not wanted.artifact:
-            refusal = self._refuse_unavailable() or Refusal("no_upstream")
-            return chosen or refusal
+            return (
+                chosen or self._refuse_unavailable() or Refusal("no_upstream")
+            )
         if chosen is None:
             return await self._want(wanted)
         answer = await self._ask_assignment(wanted)
--- a/testing/app/test_upstream_limits.py
+++ b/testing/app/test_upstream_limits.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator
 
+import eliot.testing
 import pytest
 
 from ridgesill.core.fleet.messages import ArtifactReady
@@ -115,6 +116,23 @@
         assert world.front.chooser.outcomes.failure_rate("u1", now) == 0
 
 
+class TestPlainChoice:
+    async def test_no_line_tells_of_a_refusal_that_was_none(
+        self, world: FrontWorld
+    ) -> None:
+        await world.add("u1", Naming("0.5"))
+        await world.add("u2", Naming(""))
+        logger = eliot.MemoryLogger()
+        before = eliot.testing.swap_logger(logger)
+        try:
+            statuses = await ask_often(world, 1.0, "/safe/x")
+        finally:
+            eliot.testing.swap_logger(before)
+        assert set(statuses) == {200}
+        types = {message.get("message_type") for message in logger.messages}
+        assert "request:limited" not in types
+
+
 class TestAllLimited:
     async def test_a_request_is_refused_at_once_with_when_to_come_back(
         self, world: FrontWorld
