--- a/bench/limits.py
+++ b/bench/limits.py
@@ -11,11 +11,13 @@
 from collections.abc import Callable, Mapping
 
 from bench.quotas import Reporting
-from ridgesill.core.fleet.rate_ledger import Tolerance
 from ridgesill.core.serving.customers import Quota
-from ridgesill.core.serving.limits import make_quota
 from ridgesill.core.serving.rates import FrontRates, OwnPart, RateState
-from ridgesill.standin.emulator.quotas import FrontPart, Plan, QuotaEmulation
+from ridgesill.standin.emulator.quotas import (
+    FrontPart,
+    QuotaEmulation,
+    make_limit_plan,
+)
 
 _SIZES = (6, 74, 195, 330)
 _LOADS = ((1.8, 10.0), (3.0, 40.0), (10.0, 40.0))
@@ -80,15 +82,7 @@
 
 
 def _print(limit: float, offered: float, fronts: int, way: str) -> None:
-    plan = Plan(
-        fronts,
-        make_quota(limit),
-        usual=offered / limit,
-        hot=1.0,
-        tolerance=Tolerance(_WINDOW_SECONDS, 0.0, 0.0),
-        sizes=((1, 1.0),),
-        learns_offers=True,
-    )
+    plan = make_limit_plan(fronts, limit, offered)
     began = time.process_time()
     plays = [
         QuotaEmulation(plan, _make_ways()[way], seed).play() for seed in _SEEDS
--- a/src/ridgesill/standin/emulator/quotas.py
+++ b/src/ridgesill/standin/emulator/quotas.py
@@ -16,6 +16,7 @@
 from ridgesill.core.fleet.rate_ledger import RateLedger, Tolerance
 from ridgesill.core.fleet.use_reports import ReportsToTell, Sent, UseReport
 from ridgesill.core.serving.customers import Quota
+from ridgesill.core.serving.limits import make_quota
 from ridgesill.core.serving.rates import RateState, RateUse
 
 # Tokens of a request and how often it comes: short ones, and a few long ones.
@@ -102,6 +103,29 @@
     learns_offers: bool = False
 
 
+# Over which what an upstream gets is judged, in seconds.
+_LIMIT_WINDOW_SECONDS = 4.0
+
+
+def make_limit_plan(fronts: int, limit: float, offered: float) -> Plan:
+    """Returns a plan of requests to an upstream that has named a limit.
+
+    Args:
+        fronts: how many there are.
+        limit: requests a second that it takes.
+        offered: requests a second that could go there.
+    """
+    return Plan(
+        fronts,
+        make_quota(limit),
+        usual=offered / limit,
+        hot=1.0,
+        tolerance=Tolerance(_LIMIT_WINDOW_SECONDS, 0.0, 0.0),
+        sizes=((1, 1.0),),
+        learns_offers=True,
+    )
+
+
 @attrs.frozen
 class Play:
     """What came of it.
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import socket
-from collections.abc import AsyncIterator
 
 import attrs
 import pytest
@@ -36,15 +35,6 @@
 STREAM = {"model": ADAPTER, "token_counts": "10,70"}
 
 
-@pytest.fixture
-async def world() -> AsyncIterator[FrontWorld]:
-    """Returns a front without upstreams."""
-    made = FrontWorld()
-    await made.start()
-    yield made
-    await made.stop()
-
-
 class NoChance(random.Random):
     """Always draws the lowest number."""
 
--- a/testing/app/test_unknown_words.py
+++ b/testing/app/test_unknown_words.py
@@ -1,24 +1,12 @@
 """Tests of the log of words that nothing reads."""
 
-from collections.abc import AsyncIterator
-
 import eliot.testing
-import pytest
 
 from ridgesill.app.unknown_words import UnknownWords
 from ridgesill.ports.telemetry import KeptTelemetry
 from testing.app.front_world import Call, FrontWorld
 
 
-@pytest.fixture
-async def world() -> AsyncIterator[FrontWorld]:
-    """Returns a front without upstreams."""
-    made = FrontWorld()
-    await made.start()
-    yield made
-    await made.stop()
-
-
 class CountedWords(KeptTelemetry):
     """Keeps the words that it is told."""
 
--- a/testing/app/test_upstream_limits.py
+++ b/testing/app/test_upstream_limits.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
 
 import eliot.testing
 import pytest
@@ -17,15 +16,6 @@
 _NOT_RUN = "Not-Run: 1"
 
 
-@pytest.fixture
-async def world() -> AsyncIterator[FrontWorld]:
-    """Returns a front without upstreams."""
-    made = FrontWorld()
-    await made.start()
-    yield made
-    await made.stop()
-
-
 class Naming:
     """Answers, and names a limit while it has one."""
 
--- a/testing/app/test_upstream_words.py
+++ b/testing/app/test_upstream_words.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import attrs
 import pytest
@@ -33,15 +32,6 @@
 _NOT_RUN = "Not-Run: 1"
 
 
-@pytest.fixture
-async def world() -> AsyncIterator[FrontWorld]:
-    """Returns a front without upstreams."""
-    made = FrontWorld()
-    await made.start()
-    yield made
-    await made.stop()
-
-
 async def answer_ok(call: Call) -> None:
     await call.answer(200, b"fine", "Server-Stamp: s1")
 
--- a/testing/core/fleet/test_limit_loads.py
+++ b/testing/core/fleet/test_limit_loads.py
@@ -9,28 +9,18 @@
 import attrs
 import pytest
 
-from ridgesill.core.fleet.rate_ledger import Tolerance
-from ridgesill.core.serving.limits import make_quota
 from ridgesill.core.serving.rates import FrontRates
-from ridgesill.standin.emulator.quotas import Plan, QuotaEmulation, Silence
-from testing.soak.limits import WINDOW_SECONDS, allowed
+from ridgesill.standin.emulator.quotas import (
+    Plan,
+    QuotaEmulation,
+    Silence,
+    make_limit_plan,
+)
+from testing.soak.limits import allowed
 
 FRONTS = [6, 74, 195, 330]
 
 
-def plan_for(fronts: int, limit: float, offered: float) -> Plan:
-    """Returns 30 s of some requests a second to a limited upstream."""
-    return Plan(
-        fronts,
-        make_quota(limit),
-        usual=offered / limit,
-        hot=1.0,
-        tolerance=Tolerance(WINDOW_SECONDS, 0.0, 0.0),
-        sizes=((1, 1.0),),
-        learns_offers=True,
-    )
-
-
 def emulate(plan: Plan, seed: int) -> QuotaEmulation:
     return QuotaEmulation(
         plan, lambda rng: FrontRates(rng, by_parts=True), seed
@@ -43,7 +33,7 @@
     def test_it_is_kept_and_used(
         self, fronts: int, limit: float, offered: float
     ) -> None:
-        plan = plan_for(fronts, limit, offered)
+        plan = make_limit_plan(fronts, limit, offered)
         plays = [emulate(plan, seed).play() for seed in (1, 2, 3)]
         assert max(play.most_in_window for play in plays) <= allowed(limit)
         passed = [play.passed_second_half for play in plays]
@@ -52,7 +42,9 @@
     @pytest.mark.parametrize("fronts", FRONTS)
     def test_it_is_kept_while_the_owner_is_lost(self, fronts: int) -> None:
         plan = attrs.evolve(
-            plan_for(fronts, 3.0, 20.0), owner_lost_at=10.0, owner_seconds=8.0
+            make_limit_plan(fronts, 3.0, 20.0),
+            owner_lost_at=10.0,
+            owner_seconds=8.0,
         )
         for seed in (1, 2, 3):
             assert emulate(plan, seed).play().most_in_window <= allowed(3.0)
@@ -62,7 +54,8 @@
         self, fronts: int
     ) -> None:
         plan = attrs.evolve(
-            plan_for(fronts, 3.0, 20.0), silences=(Silence(10.0, 8.0, 0.5),)
+            make_limit_plan(fronts, 3.0, 20.0),
+            silences=(Silence(10.0, 8.0, 0.5),),
         )
         for seed in (1, 2, 3):
             assert emulate(plan, seed).play().most_in_window <= allowed(3.0)
@@ -70,7 +63,7 @@
     @pytest.mark.parametrize("fronts", FRONTS)
     def test_it_is_kept_when_it_is_lowered(self, fronts: int) -> None:
         plan = attrs.evolve(
-            plan_for(fronts, 10.0, 40.0), lowered_at=13.0, lowered_to=0.3
+            make_limit_plan(fronts, 10.0, 40.0), lowered_at=13.0, lowered_to=0.3
         )
         for seed in (1, 2, 3):
             assert emulate(plan, seed).play().most_in_window <= allowed(3.0)
--- a/testing/platform/test_requests.py
+++ b/testing/platform/test_requests.py
@@ -168,6 +168,23 @@
         assert not PlatformDialect().read_word(head).rest
 
 
+class TestWordsTogether:
+    def test_a_rest_and_a_limit(self) -> None:
+        headers = ((b"retry-after", b"2"), (b"server-limit", b"1.8"))
+        word = PlatformDialect().read_word(ResponseHead(503, headers))
+        assert (word.rest, word.limit) == (2.0, 1.8)
+
+    def test_a_limit_and_leaving(self) -> None:
+        headers = ((b"server-leaving", b"1"), (b"server-limit", b"1.8"))
+        word = PlatformDialect().read_word(ResponseHead(200, headers))
+        assert (word.leaves, word.limit) == (True, 1.8)
+
+    def test_a_limit_of_one_that_has_another_s_address(self) -> None:
+        headers = ((b"instance-id", b"i-2"), (b"server-limit", b"1.8"))
+        word = PlatformDialect().read_word(ResponseHead(421, headers))
+        assert (word.instance, word.limit) == ("i-2", 1.8)
+
+
 class TestNumbers:
     @pytest.mark.parametrize(
         "number", ["9" * 400, "\xb2", "-1", "1e9", "\xb9,7"]
