--- a/src/ridgesill/core/serving/rates.py
+++ b/src/ridgesill/core/serving/rates.py
@@ -165,6 +165,8 @@
         self._states = states
         self._fronts = max(fronts, 1)
         self._told_at = told_at
+        for name in self._mixes.keys() - states.keys():
+            del self._mixes[name]
         for name in list(self._parts):
             if not self._goes_by_part(name, told_at):
                 del self._parts[name]
@@ -201,12 +203,12 @@
             weight: by how much rather it passes than others.
         """
         self._add(name, RateUse(0, cost), now)
-        mix = self._mixes.setdefault(name, _Mix(weight))
-        mix.note(weight)
         state = self._states.get(name)
         if not self._goes_by_part(name, now):
             if state is None:
                 return True
+            mix = self._mixes.setdefault(name, _Mix(weight))
+            mix.note(weight)
             return self._rng.random() < mix.share(state.share, weight)
         unevenness = 1.0 if self._by_parts else _UNEVENNESS
         most = unevenness * quota.burst / self._fronts
