--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -23,6 +23,8 @@
 _CATCH_UP_MOST_SECONDS = 30.0
 # How long an upstream stays that says in its answers that it leaves, seconds.
 _LEAVING_SECONDS = 3.0
+# From a process's start until it can have run its first line, in seconds.
+_BOOT_SECONDS = 0.1
 # Bytes that a disk which is full still takes for one file.
 _FULL_BYTES = 64
 
@@ -205,7 +207,12 @@
         self._busy.discard(vm.name)
 
     async def _reload(self) -> None:
-        self._rng.choice(self._world.vms).signal(signal.SIGHUP)
+        vm = self._rng.choice(self._world.vms)
+        times = self._world.disturbed.get(vm.name, [])
+        if times and self._loop.time() - times[-1] < _BOOT_SECONDS:
+            # Before a process runs its first line nothing can take the signal.
+            await asyncio.sleep(_BOOT_SECONDS)
+        vm.signal(signal.SIGHUP)
 
     async def _fill_disk(self) -> None:
         """Refuses every write above a size, as a full disk does."""
