--- a/src/ridgesill/adapters/announce_http.py
+++ b/src/ridgesill/adapters/announce_http.py
@@ -1,6 +1,5 @@
 """The listener at which runners announce themselves."""
 
-import collections
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -15,6 +14,7 @@
     read_body,
     send_answer,
 )
+from ridgesill.core.recent_keys import RecentKeys
 from ridgesill.core.runners import Announcement
 from ridgesill.core.unknown_fields import find_unknown_fields
 
@@ -33,9 +33,7 @@
     def __init__(self, take: Callable[[Announcement], None]) -> None:
         self._take = take
         # By runner, incarnation and field.
-        self._logged: collections.OrderedDict[tuple[str, str, str], None] = (
-            collections.OrderedDict()
-        )
+        self._logged = RecentKeys(_LOGGED_MOST)
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -57,12 +55,8 @@
     def _log_unknown(self, said: Announcement, body: bytes) -> None:
         """Logs fields that nothing here reads, once for each incarnation."""
         for field in find_unknown_fields(body, _FIELDS):
-            key = (said.name, said.incarnation, field)
-            if key in self._logged:
+            if not self._logged.add((said.name, said.incarnation, field)):
                 continue
-            self._logged[key] = None
-            if len(self._logged) > _LOGGED_MOST:
-                self._logged.popitem(last=False)
             log_message(
                 "runner:unknown_word",
                 step="announce",
--- a/src/ridgesill/app/unknown_words.py
+++ b/src/ridgesill/app/unknown_words.py
@@ -1,10 +1,10 @@
 """Logs and counts what upstreams say and nothing here reads."""
 
-import collections
 from collections.abc import Callable, Collection
 
 from eliot import log_message
 
+from ridgesill.core.recent_keys import RecentKeys
 from ridgesill.ports.telemetry import Telemetry
 
 # Words remembered as logged; a new start of an upstream says them anew.
@@ -20,9 +20,7 @@
 
     def __init__(self, telemetry: Callable[[], Telemetry]) -> None:
         self._telemetry = telemetry
-        self._logged: collections.OrderedDict[tuple[str, str], None] = (
-            collections.OrderedDict()
-        )
+        self._logged = RecentKeys(_KEPT_MOST)
 
     def note(
         self, upstream: str, peer: str, step: str, words: Collection[str]
@@ -37,12 +35,8 @@
         """
         for word in words:
             self._telemetry().note_unknown_word(word)
-            key = (upstream, word)
-            if key in self._logged:
+            if not self._logged.add((upstream, word)):
                 continue
-            self._logged[key] = None
-            if len(self._logged) > _KEPT_MOST:
-                self._logged.popitem(last=False)
             log_message(
                 "upstream:unknown_word",
                 upstream=upstream,
