Write one message at a time on a stream between nodes

A front ended by itself (code 1) with "damaged body: incomplete or truncated stream": callers of PeerLinks.call expect PeerError, and got DecodeError.

Cause: replies on one stream are written by one task each. A reply that waits for the peer's flow control is written in parts, and another reply began between them. Reproduced on the loopback with four replies of 20 MB on one stream: one cut-off or invalid body, and no answer to the others. Pings mixed with messages in the same way.

Each stream now has a lock for writing. A damaged reply is a PeerError; bytes that are no messages close the stream, which is opened anew; a body may not grow beyond 64 MB when it is decompressed. Each case is logged as peer:damaged and counted.

--- a/src/ridgesill/adapters/peer_rpc.py
+++ b/src/ridgesill/adapters/peer_rpc.py
@@ -40,6 +40,10 @@
 # First byte of a zlib stream. An uncompressed body starts differently: it is a
 # MessagePack array of two elements.
 _ZLIB_FIRST_BYTE = b"\x78"
+# Size up to which a compressed body is decompressed. The largest messages are
+# snapshots of the log, of some megabytes; without a bound, a damaged or hostile
+# body of a few kilobytes could fill a node's memory.
+_MAX_BODY_BYTES = 64 * 2**20
 _CONNECTION_ERRORS = (
     OSError,
     GRPCError,
@@ -63,13 +67,30 @@
         codec.DecodeError: the body is damaged or holds no known message.
     """
     if body.startswith(_ZLIB_FIRST_BYTE):
-        try:
-            body = zlib.decompress(body)
-        except zlib.error as error:
-            raise codec.DecodeError(f"damaged body: {error}") from error
+        body = _decompress(body)
     return codec.decode(body)
 
 
+def _decompress(body: bytes) -> bytes:
+    """Decompresses a body.
+
+    Raises:
+        codec.DecodeError: the body is damaged, cut off or too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(body, _MAX_BODY_BYTES)
+    except zlib.error as error:
+        raise codec.DecodeError(f"damaged body: {error}") from error
+    if decompressor.eof:
+        return data
+    if len(data) >= _MAX_BODY_BYTES:
+        raise codec.DecodeError(
+            f"the body has more than {_MAX_BODY_BYTES} bytes decompressed"
+        )
+    raise codec.DecodeError("damaged body: it is cut off")
+
+
 @attrs.define
 class KindTraffic:
     """Number and size of the messages of one kind that were sent.
@@ -94,6 +115,7 @@
             its own class.
         is_far: tells whether a peer, given by address or identity, is in
             another data centre.
+        damaged: number of received messages and streams that couldn't be read.
     """
 
     messages_sent: int = 0
@@ -102,6 +124,20 @@
     bytes_received: int = 0
     kinds: dict[str, KindTraffic] = attrs.Factory(dict)
     is_far: Callable[[str], bool] = lambda _peer: False
+    damaged: int = 0
+
+    def record_damaged(self, step: str, peer: str, error: Exception) -> None:
+        """Counts and logs a message that can't be read.
+
+        Args:
+            step: what was being read, such as the reply to a kind of message.
+            peer: address or identity of the sender.
+            error: why the message can't be read.
+        """
+        self.damaged += 1
+        log_message(
+            "peer:damaged", step=step, peer=peer, reason=repr(error)[:200]
+        )
 
     def record_sent(self, envelope: Envelope) -> None:
         """Counts a sent envelope."""
@@ -165,10 +201,13 @@
     ) -> None:
         """Serves the stream of a peer until it ends."""
         tasks: set[asyncio.Task[None]] = set()
+        sending = asyncio.Lock()
         try:
             async for envelope in stream:
                 self._traffic.record_received(envelope)
-                task = asyncio.create_task(self._handle(stream, envelope))
+                task = asyncio.create_task(
+                    self._handle(stream, sending, envelope)
+                )
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
         finally:
@@ -176,8 +215,20 @@
                 task.cancel()
 
     async def _handle(
-        self, stream: Stream[Envelope, Envelope], envelope: Envelope
+        self,
+        stream: Stream[Envelope, Envelope],
+        sending: asyncio.Lock,
+        envelope: Envelope,
     ) -> None:
+        """Handles a message and sends the reply.
+
+        Args:
+            stream: the stream that the message came on.
+            sending: held while a reply is written to the stream. A message that
+                has to wait for the peer's flow control is written in parts, and
+                parts of different messages must not mix.
+            envelope: the message.
+        """
         reply = Envelope(call=envelope.call, reply=True, sender=self._identity)
         try:
             message = decode_body(envelope.body)
@@ -185,7 +236,11 @@
             if answer is not None:
                 reply.body = encode_body(answer)
                 self._traffic.record_kind(answer, reply, envelope.sender)
-        except (codec.DecodeError, PeerError) as error:
+        except codec.DecodeError as error:
+            if envelope.body:
+                self._traffic.record_damaged("request", envelope.sender, error)
+            reply.error = str(error)
+        except PeerError as error:
             reply.error = str(error)
         if not envelope.call:
             return
@@ -193,8 +248,9 @@
             # A ping, which only tests the stream.
             reply.error = ""
         try:
-            self._traffic.record_sent(reply)
-            await stream.send_message(reply)
+            async with sending:
+                self._traffic.record_sent(reply)
+                await stream.send_message(reply)
         except _CONNECTION_ERRORS as error:
             log_message(
                 "peer:reply_lost", peer=envelope.sender, reason=str(error)
@@ -209,6 +265,8 @@
         outbox: envelopes to send.
         calls: futures of the replies, by call id.
         sent: number of envelopes sent.
+        sending: held while an envelope is written to the stream, since parts of
+            different envelopes must not mix.
     """
 
     address: str
@@ -216,6 +274,7 @@
     calls: dict[int, asyncio.Future[Envelope]] = attrs.Factory(dict)
     task: asyncio.Task[None] | None = None
     sent: int = 0
+    sending: asyncio.Lock = attrs.Factory(asyncio.Lock)
 
 
 class PeerLinks:
@@ -273,8 +332,8 @@
             timeout: seconds to wait for the reply.
 
         Raises:
-            PeerError: the peer failed or did not reply in time.
-            codec.DecodeError: the reply is damaged.
+            PeerError: the peer failed, did not reply in time, or its reply is
+                damaged.
         """
         step = type(message).__name__
         if self._handler and address == self._own_address:
@@ -298,7 +357,11 @@
             link.calls.pop(call_id, None)
         if reply.error or not reply.body:
             raise PeerError(step, address, reply.error or "empty answer")
-        return decode_body(reply.body)
+        try:
+            return decode_body(reply.body)
+        except codec.DecodeError as error:
+            self.traffic.record_damaged(f"reply to {step}", address, error)
+            raise PeerError(step, address, str(error)) from error
 
     async def _call_self(self, step: str, message: Any, timeout: float) -> Any:
         assert self._handler is not None
@@ -345,6 +408,10 @@
                 self._fail_calls(
                     link, str(error) or "no answer of any kind in time"
                 )
+            except Exception as error:  # noqa: BLE001 - the link must go on
+                # The bytes of the stream are no gRPC messages.
+                self.traffic.record_damaged("stream", link.address, error)
+                self._fail_calls(link, f"damaged stream: {error!r}")
             else:
                 self._fail_calls(link, "stream ended")
             await asyncio.sleep(_RECONNECT_DELAY_SECONDS)
@@ -367,9 +434,10 @@
             channel.close()
 
     async def _send(self, link: _Link, stream: Any, envelope: Envelope) -> None:
-        self.traffic.record_sent(envelope)
-        link.sent += 1
-        await stream.send_message(envelope)
+        async with link.sending:
+            self.traffic.record_sent(envelope)
+            link.sent += 1
+            await stream.send_message(envelope)
 
     async def _write(self, link: _Link, stream: Any) -> None:
         while True:
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -264,6 +264,7 @@
             "ridgesill_log_index": lambda: driver.state.index,
             "ridgesill_log_leads": lambda: float(driver.is_leader),
             "ridgesill_fleet_owned": lambda: float(self.owner.is_owner()),
+            "ridgesill_damaged_messages": (lambda: self._peers.traffic.damaged),
         }
 
     def _schedule_first_election(self, driver: LogDriver) -> None:
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -261,6 +261,7 @@
             "ridgesill_upstreams": lambda: len(view.upstreams),
             "ridgesill_fronts": lambda: view.fronts,
             "ridgesill_quarantined_requests": self.front.quarantine.count,
+            "ridgesill_damaged_messages": (lambda: self._peers.traffic.damaged),
             "ridgesill_limited_upstreams": self.front.limits.count,
         }
 
--- a/src/ridgesill/core/codec.py
+++ b/src/ridgesill/core/codec.py
@@ -55,7 +55,7 @@
     try:
         name, body = _ENVELOPE.decode(data)
         return _decoder(name).decode(body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise DecodeError(f"undecodable message: {error}") from error
 
 
