Report calls and offers of services, and tell fronts their load

Fronts will report what the answers of upstreams show and how many requests they were offered; the owner will tell the load of each service, and the pace and ejection of upstreams as numbered changes, which its successor keeps. Nothing sends or reads these fields yet. Reports count once, as those of rates.

--- a/src/ridgesill/app/news_relay.py
+++ b/src/ridgesill/app/news_relay.py
@@ -60,8 +60,14 @@
 
 
 def extract_sent(report: UseReport, now: float) -> Sent:
-    """Returns the amounts in a use report, with their time on this clock."""
-    return Sent(report.uses, report.sends, now - report.span)
+    """Returns the content of a use report, with its time on this clock."""
+    return Sent(
+        report.uses,
+        report.sends,
+        now - report.span,
+        report.offers,
+        report.calls,
+    )
 
 
 class NewsRelay:
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -101,6 +101,10 @@
         start: increases with each restart; 0 if the upstream sends none.
         has_strays: whether orders to an earlier start may still run on this
             one. The next owner doesn't know orders that its predecessor sent.
+        pace: time that it takes for the same work, as a multiple of the mean
+            over the upstreams of its service.
+        is_ejected: whether it fails so many requests, over all fronts, that it
+            should get none but probes.
     """
 
     name: str
@@ -113,6 +117,30 @@
     instance: str = ""
     start: int = 0
     has_strays: bool = False
+    pace: float = 1.0
+    is_ejected: bool = False
+
+
+@register
+@attrs.frozen
+class ServiceNews:
+    """Load of a service, as the owner tells fronts.
+
+    Attributes:
+        capacity: requests a second that its upstreams can serve in time, over
+            all fronts; 0 if unknown.
+        shares: rate states by key of the request class; classes that aren't
+            listed are admitted without restriction.
+        returns_in: seconds until there is room for callers that are refused
+            now.
+        returns_over: seconds over which these callers should spread their
+            return.
+    """
+
+    capacity: float = 0.0
+    shares: dict[str, RateState] = attrs.Factory(dict)
+    returns_in: float = 0.0
+    returns_over: float = 0.0
 
 
 @register
@@ -127,6 +155,8 @@
         gone: whether the upstream is removed.
         added: new versions by artifact that it holds.
         removed: artifacts that it no longer holds.
+        pace: the new `Upstream.pace`; None if it hasn't changed.
+        is_ejected: the new `Upstream.is_ejected`; None if it hasn't changed.
     """
 
     name: str
@@ -134,6 +164,8 @@
     gone: bool = False
     added: dict[str, int] = attrs.Factory(dict)
     removed: tuple[str, ...] = ()
+    pace: float | None = None
+    is_ejected: bool | None = None
 
 
 @register
@@ -197,6 +229,7 @@
         knows_uses: whether the owner knows how much customers use. One that
             has just started without its predecessor's state would let
             everything pass.
+        services: load of the services that the owner limits.
     """
 
     epoch: int
@@ -212,6 +245,7 @@
     sends: dict[str, RateState] = attrs.Factory(dict)
     taken: tuple[int, ...] = ()
     knows_uses: bool = True
+    services: dict[str, ServiceNews] = attrs.Factory(dict)
 
 
 @register
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -14,6 +14,7 @@
     READY,
     FleetNews,
     Heartbeat,
+    ServiceNews,
     Upstream,
     UpstreamChange,
     WatchFleet,
@@ -210,6 +211,8 @@
             instance,
             heartbeat.start,
             name in self._restarted_at,
+            known.pace if known else 1.0,
+            known.is_ejected if known else False,
         )
         if record != known:
             self._store(record)
@@ -378,6 +381,27 @@
         self.upstreams[name] = attrs.evolve(known, resident=dict(resident))
         self._append_change(UpstreamChange(name, added=added, removed=removed))
 
+    def set_load_state(self, name: str, pace: float, is_ejected: bool) -> None:
+        """Sets an upstream's pace and whether it is ejected.
+
+        Args:
+            name: name of the upstream; nothing happens if it is unknown.
+            pace: see `Upstream.pace`. Callers round it, since each change is
+                sent to all fronts.
+            is_ejected: see `Upstream.is_ejected`.
+        """
+        known = self.upstreams.get(name)
+        if known is None:
+            return
+        if (known.pace, known.is_ejected) == (pace, is_ejected):
+            return
+        self.upstreams[name] = attrs.evolve(
+            known, pace=pace, is_ejected=is_ejected
+        )
+        self._append_change(
+            UpstreamChange(name, pace=pace, is_ejected=is_ejected)
+        )
+
     # -- changes -------------------------------------------------------
 
     def _append_change(self, change: UpstreamChange) -> None:
@@ -450,6 +474,7 @@
         limits: rate limits that upstreams had named at `updated_at`.
         sends: rate states of the named limits, by upstream.
         knows_uses: whether the owner knows how much customers use.
+        services: load of the services that the owner limits.
     """
 
     epoch: int = 0
@@ -462,6 +487,7 @@
     limits: dict[str, NamedLimit] = attrs.Factory(dict)
     sends: dict[str, RateState] = attrs.Factory(dict)
     knows_uses: bool = True
+    services: dict[str, ServiceNews] = attrs.Factory(dict)
     _unconfirmed: set[str] = attrs.Factory(set)
 
     def apply_news(self, news: FleetNews, now: float) -> None:
@@ -485,6 +511,7 @@
         self.limits = news.limits
         self.sends = news.sends
         self.knows_uses = news.knows_uses
+        self.services = news.services
         self.updated_at = now - news.age
 
     def _remove_unconfirmed(self) -> None:
@@ -532,6 +559,10 @@
         known.resident.update(change.added)
         for artifact in change.removed:
             known.resident.pop(artifact, None)
+        if change.pace is not None and change.is_ejected is not None:
+            self.upstreams[change.name] = attrs.evolve(
+                known, pace=change.pace, is_ejected=change.is_ejected
+            )
 
     def ready_upstreams(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service that accept new requests."""
--- a/src/ridgesill/core/fleet/relayed_news.py
+++ b/src/ridgesill/core/fleet/relayed_news.py
@@ -73,6 +73,8 @@
             return True
         if any(state.is_limiting for state in self._view.quotas.values()):
             return True
+        if any(service.shares for service in self._view.services.values()):
+            return True
         return question.number < self._number
 
     def make_news(self, question: WatchFleet, now: float) -> FleetNews:
@@ -99,6 +101,7 @@
             self._view.limits,
             self._view.sends,
             knows_uses=self._view.knows_uses,
+            services=self._view.services,
         )
 
     def _is_too_far_behind(self, question: WatchFleet) -> bool:
--- a/src/ridgesill/core/fleet/use_reports.py
+++ b/src/ridgesill/core/fleet/use_reports.py
@@ -13,6 +13,7 @@
 import attrs
 
 from ridgesill.core.codec import register
+from ridgesill.core.serving.load_reports import UpstreamCalls, add_calls
 from ridgesill.core.serving.rates import RateUse, add_uses
 
 # Age at which a report that no node has accepted is dropped, in seconds: it is
@@ -39,12 +40,16 @@
         uses: use of quotas, by customer.
         sends: use of named limits, by upstream.
         span: seconds since the first of these requests was sent.
+        offers: requests offered and admitted, by key of their class.
+        calls: what the answers of upstreams have shown, by upstream.
     """
 
     number: int
     uses: dict[str, RateUse] = attrs.Factory(dict)
     sends: dict[str, RateUse] = attrs.Factory(dict)
     span: float = 0.0
+    offers: dict[str, RateUse] = attrs.Factory(dict)
+    calls: dict[str, UpstreamCalls] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -55,15 +60,19 @@
         uses: use of quotas, by customer.
         sends: use of named limits, by upstream.
         since: clock time at which the first request was sent, in seconds.
+        offers: requests offered and admitted, by key of their class.
+        calls: what the answers of upstreams have shown, by upstream.
     """
 
     uses: dict[str, RateUse] = attrs.Factory(dict)
     sends: dict[str, RateUse] = attrs.Factory(dict)
     since: float = float("inf")
+    offers: dict[str, RateUse] = attrs.Factory(dict)
+    calls: dict[str, UpstreamCalls] = attrs.Factory(dict)
 
     def __bool__(self) -> bool:
-        """Whether anything was sent."""
-        return bool(self.uses or self.sends)
+        """Whether there is anything to report."""
+        return bool(self.uses or self.sends or self.offers or self.calls)
 
     def plus(self, other: "Sent") -> "Sent":
         """Returns the sum of both amounts, since the earlier time."""
@@ -71,6 +80,8 @@
             add_uses(self.uses, other.uses),
             add_uses(self.sends, other.sends),
             min(self.since, other.since),
+            add_uses(self.offers, other.offers),
+            add_calls(self.calls, other.calls),
         )
 
 
@@ -107,7 +118,14 @@
             self._number += 1
             self._assigned.setdefault(node, {})[self._number] = sent
         return tuple(
-            UseReport(number, sent.uses, sent.sends, max(now - sent.since, 0.0))
+            UseReport(
+                number,
+                sent.uses,
+                sent.sends,
+                max(now - sent.since, 0.0),
+                sent.offers,
+                sent.calls,
+            )
             for number, sent in self._assigned.get(node, {}).items()
         )
 
--- a/testing/core/fleet/test_registry.py
+++ b/testing/core/fleet/test_registry.py
@@ -318,3 +318,27 @@
         )
         registry.expire(14.5)
         assert not registry.upstreams["u1#2"].has_strays
+
+
+class TestLoadStates:
+    def test_views_and_the_next_owner_keep_paces_and_ejections(self) -> None:
+        """Guards against upstreams that start as average with each owner."""
+        registry = Registry(1, _PATIENCE)
+        registry.handle_heartbeat(heartbeat("u1", 1), 0.0)
+        view = FleetView()
+        update_view(registry, view)
+        registry.set_load_state("u1", 1.8, True)
+        update_view(registry, view)
+        registry.handle_heartbeat(heartbeat("u1", 2, slots=5), 1.0)
+        update_view(registry, view)
+        successor = Registry(2, _PATIENCE)
+        successor.adopt(view.upstreams.values(), 2.0)
+        kept = successor.upstreams["u1"]
+        assert (kept.pace, kept.is_ejected, kept.slots) == (1.8, True, 5)
+
+    def test_an_unchanged_state_is_no_news(self) -> None:
+        registry = Registry(1, _PATIENCE)
+        registry.handle_heartbeat(heartbeat("u1", 1), 0.0)
+        registry.set_load_state("u1", 1.0, False)
+        registry.set_load_state("u2", 2.0, True)
+        assert not registry.has_news(1, 1)
