Refuse requests of overloaded plain services before trying upstreams

Change: `Forwarding` asks `ServiceAdmission` after the quota check, refuses with 503 `overload`, and refunds the quota. It counts outcomes of plain upstreams. Refusals without a delay of their own use the owner's window where the overload control is on, else 0.5 s as before. Retries by the front aren't checked again.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -24,6 +24,7 @@
 from ridgesill.core.serving.callers import STALE, UNKNOWN_KEY, check_caller
 from ridgesill.core.serving.customers import Customer
 from ridgesill.core.serving.events import EventSplitter
+from ridgesill.core.serving.load_reports import RequestClass, UpstreamCalls
 from ridgesill.core.serving.rates import RateUse, weigh_priority
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
@@ -42,6 +43,8 @@
 # The front answers this long before a route's time-out, so that its answer is
 # still in time.
 _TIMEOUT_MARGIN_SECONDS = 0.02
+# Retry delay for refused clients, unless a better one is known.
+_RETRY_SECONDS = 0.5
 # Retry delay for clients that a stopping front refuses. A retry on a new
 # channel reaches another front.
 _STOPPING_RETRY_SECONDS = 0.02
@@ -60,6 +63,11 @@
 _OK = 200
 _REDIRECT = 300
 _SERVER_ERROR = 500
+_UNAVAILABLE = 503
+# A request that is broken off counts as failed by its upstream if nothing of an
+# answer came for this long. A full queue of a plain upstream takes up to 0.4 s,
+# and clients may leave, or run out of time, at any moment.
+_SILENT_SECONDS = 1.0
 # How long a request with an unknown key waits for a newer configuration that
 # may contain the key. Nearly all fronts have a change within this time.
 _KEY_WAIT_SECONDS = 0.3
@@ -112,6 +120,21 @@
         """
         return not (self.misdirected or self.withheld or self.asked_for_rest)
 
+    @property
+    def calls(self) -> UpstreamCalls:
+        """The failure as it is reported to the owner."""
+        if self.withheld or self.misdirected:
+            return UpstreamCalls()
+        if self.not_run and self.reached_upstream:
+            return UpstreamCalls(rejected=1)
+        if self.answer is not None:
+            status = self.answer[0].status
+            if status < _SERVER_ERROR:
+                return UpstreamCalls()
+            if status == _UNAVAILABLE and self.asked_for_rest:
+                return UpstreamCalls(rejected=1)
+        return UpstreamCalls(failed=1)
+
 
 async def serve_request(
     front: Front, request: HttpRequest, responder: Responder
@@ -146,6 +169,8 @@
         self._route: Route | None = None
         self._customer: Customer | None = None
         self._service = ""
+        # Class of a request to a plain service; None for engines.
+        self._request_class: RequestClass | None = None
         self._deadline = 0.0
         self._goal_at = 0.0
         self._tried: list[str] = []
@@ -184,9 +209,8 @@
         if self._suspect.is_quarantined():
             self._refuse(_QUARANTINE_REFUSAL)
             return
-        if self._exceeds_quota():
-            retry_after = self._front.quotas.retry_after_seconds()
-            self._refuse(Refusal("beyond_quota", retry_after, 429))
+        if refusal := self._refuse_by_admission():
+            self._refuse(refusal)
             return
         self._deadline = min(self._deadline, self._front.stops_at)
         try:
@@ -248,6 +272,16 @@
         if customer is not None:
             self._suspect.set_customer(customer.name)
 
+    def _refuse_by_admission(self) -> Refusal | None:
+        """Returns a refusal beyond a quota, or if the service is overloaded."""
+        if self._exceeds_quota():
+            retry_after = self._front.quotas.retry_after_seconds()
+            return Refusal("beyond_quota", retry_after, 429)
+        refusal = self._refuse_for_overload()
+        if refusal is not None:
+            self._refund_quota()
+        return refusal
+
     def _exceeds_quota(self) -> bool:
         """Charges the request to the customer's quota.
 
@@ -288,6 +322,67 @@
         """Returns the tokens that count towards the customer's quota."""
         return self._facts.prompt_tokens + self._facts.answer_tokens
 
+    def _find_class(self, route: Route) -> RequestClass | None:
+        """Returns the class of a request to a plain service; else None."""
+        service = self._front.table.services.get(self._service)
+        if service is None or service.engine is not None:
+            return None
+        return RequestClass(
+            self._service,
+            self._priority(),
+            self._customer.name if self._customer else "",
+            self._front.returning_callers.record(
+                route.name, self._facts.patience, self._loop.time()
+            ),
+        )
+
+    def _refuse_for_overload(self) -> Refusal | None:
+        """Returns a refusal if the service can't serve the request in time."""
+        request_class = self._request_class
+        if request_class is None:
+            return None
+        admission = self._front.service_admission
+        now = self._loop.time()
+        seconds_left = self._client_seconds_left(now)
+        # A request without the time for an answer isn't counted as offered:
+        # other requests would be refused for its sake.
+        has_time = admission.has_time(self._service, seconds_left, now)
+        if has_time and admission.admit(request_class, now):
+            return None
+        retry_after = admission.retry_after(request_class, seconds_left, now)
+        log_message(
+            "request:overload",
+            request=self._facts.request,
+            service=request_class.service,
+            priority=request_class.priority,
+            customer=request_class.customer,
+            is_return=request_class.is_return,
+            has_time=has_time,
+            retry_after=retry_after,
+            **admission.describe_decision(request_class, now),
+        )
+        return Refusal("overload", retry_after)
+
+    def _client_seconds_left(self, now: float) -> float:
+        """Returns how long the client will wait; infinite if unknown."""
+        if not self._facts.patience:
+            return float("inf")
+        return self._request.arrived_at + self._facts.patience - now
+
+    def _default_retry_seconds(self) -> float:
+        """Returns the retry delay of a refusal that names none of its own.
+
+        Where the service is overloaded, callers return when there is room:
+        after a constant delay they would meet the queue that rejected them.
+        """
+        request_class = self._request_class
+        admission = self._front.service_admission
+        if request_class is None or not admission.is_controlled(self._service):
+            return _RETRY_SECONDS
+        now = self._loop.time()
+        seconds_left = self._client_seconds_left(now)
+        return admission.retry_after(request_class, seconds_left, now)
+
     def _find_route(self) -> Route | None:
         table = self._front.table
         if not table.version:
@@ -306,6 +401,7 @@
         self._deadline = self._request.arrived_at + seconds - margin
         self._goal_at = self._request.arrived_at + route.goal
         self._service = route.choose_target(self._front.rng.random())
+        self._request_class = self._find_class(route)
         self._search.set_terms(
             SearchTerms(
                 self._service,
@@ -314,6 +410,7 @@
                 seconds,
                 min(self._deadline, self._front.stops_at),
                 self._priority(),
+                route.is_idempotent,
             )
         )
         self._front.retries(self._service).record_request(self._loop.time())
@@ -374,6 +471,7 @@
         chooser.outcomes.record_sent(upstream.name, self._sent_at)
         self._last_upstream = upstream.name
         exchange: Exchange | None = None
+        head: ResponseHead | None = None
         failure: Failure | None = None
         try:
             exchange = await self._open(route, upstream)
@@ -399,14 +497,47 @@
                 reached_upstream=error.sent,
                 cut=error.sent,
             )
+        except asyncio.CancelledError:
+            if head is None:
+                self._record_silence(upstream)
+            raise
         finally:
             self._report_reading_ended(failure)
             chooser.record_end(upstream.name, artifact)
             chooser.outcomes.record_end(upstream.name)
             if exchange is not None:
                 exchange.cancel()
+        self._record_calls(upstream, failure)
         return failure
 
+    def _record_calls(
+        self, upstream: Upstream, failure: Failure | None
+    ) -> None:
+        """Counts the outcome of an attempt, to report it to the owner."""
+        if self._request_class is None:
+            return
+        admission = self._front.service_admission
+        if failure is None:
+            now = self._loop.time()
+            seconds = now - self._sent_at
+            admission.record_answer(self._service, upstream.name, seconds, now)
+            return
+        calls = failure.calls
+        unavailable = self._front.chooser.unavailable
+        if calls.rejected and unavailable.is_leaving(upstream.name):
+            # It rejects requests because it is shutting down, not full.
+            return
+        if calls != UpstreamCalls():
+            admission.record_calls(upstream.name, calls)
+
+    def _record_silence(self, upstream: Upstream) -> None:
+        """Counts an attempt that was broken off before an answer came."""
+        is_silent = self._loop.time() - self._sent_at >= _SILENT_SECONDS
+        if is_silent and self._request_class is not None:
+            self._front.service_admission.record_calls(
+                upstream.name, UpstreamCalls(failed=1)
+            )
+
     def _revert_sent(self, upstream: Upstream) -> None:
         now = self._loop.time()
         self._search.limit_draws.revert_sent(upstream.name, now)
@@ -678,7 +809,10 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         self._was_answered_not_run = True
-        self._answer(refusal.status, refusal.retry_after)
+        retry_after = refusal.retry_after
+        if retry_after is None:
+            retry_after = self._default_retry_seconds()
+        self._answer(refusal.status, retry_after)
         self._record_end("refused", reason=refusal.reason)
 
     def _answer(self, status: int, retry_after: float) -> None:
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
@@ -17,7 +19,9 @@
 from ridgesill.core.serving.prefill_rate import PrefillRate
 from ridgesill.core.serving.rates import FrontRates
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
+from ridgesill.core.serving.returning_callers import ReturningCallers
 from ridgesill.core.serving.routes import RouteTable
+from ridgesill.core.serving.service_admission import ServiceAdmission
 from ridgesill.ports.dialect import Dialect
 from ridgesill.ports.telemetry import BufferedTelemetry, Telemetry
 
@@ -59,6 +63,8 @@
         self.rng = random.Random()
         self.quotas = FrontRates(self.rng)
         self.limits = FrontLimits(self.rng, name)
+        self.service_admission = ServiceAdmission(self.rng)
+        self.returning_callers = ReturningCallers()
         self.upstream_words = UpstreamWords(
             chooser.unavailable, self.limits, fleet
         )
@@ -79,6 +85,8 @@
         self._retries: dict[str, ServiceRetries] = {}
         self._admission_controls: dict[str, AdmissionControl] = {}
         self._prefill_rates: dict[str, PrefillRate] = {}
+        # When the amounts sent were last collected, on the loop's clock.
+        self._collected_at = float("inf")
 
     def configuration_freshness(self, now: float) -> ConfigurationFreshness:
         """Returns how far this front may rely on its configuration.
@@ -105,11 +113,21 @@
         """Returns the measured prefill rate of a service's engines."""
         return self._prefill_rates.setdefault(service, PrefillRate())
 
-    def collect_sent(self) -> Sent:
-        """Returns the use of quotas and rate limits since the last call."""
+    def collect_sent(self, now: float) -> Sent:
+        """Returns what was sent, and its answers, since the last call.
+
+        Args:
+            now: the loop's clock, in seconds.
+        """
         since = min(self.quotas.used_since, self.limits.rates.used_since)
         uses = self.quotas.collect_uses()
-        return Sent(uses, self.limits.rates.collect_uses(), since)
+        sent = Sent(uses, self.limits.rates.collect_uses(), since)
+        sent = sent.plus(self.service_admission.collect())
+        collected_at, self._collected_at = self._collected_at, now
+        if sent.since == float("inf"):
+            # Answers alone: their requests were sent before the last call.
+            sent = attrs.evolve(sent, since=min(collected_at, now))
+        return sent
 
     def record_request(self, artifact: str) -> None:
         """Counts a request for an artifact until the next usage report."""
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -119,6 +119,7 @@
         else:
             self.front.quotas.update_front_count(view.fronts)
         self.front.limits.apply_news(view)
+        self.front.service_admission.apply_news(view)
 
     def _make_usage_report(self) -> UsageReport:
         chooser = self.front.chooser
@@ -128,7 +129,7 @@
             self.front.collect_request_counts(),
             chooser.report_busy(),
             resting=dict.fromkeys(resting, 1),
-            sent=self.front.collect_sent(),
+            sent=self.front.collect_sent(now),
             limits=self.front.limits.list_unreported(self.fleet.view, now),
         )
 
@@ -263,6 +264,10 @@
             "ridgesill_quarantined_requests": self.front.quarantine.count,
             "ridgesill_damaged_messages": (lambda: self._peers.traffic.damaged),
             "ridgesill_limited_upstreams": self.front.limits.count,
+            "ridgesill_service_capacity": self.front.service_admission.capacity,
+            "ridgesill_lowest_admitted_share": (
+                self.front.service_admission.lowest_share
+            ),
         }
 
     def _drain(self) -> None:
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -22,8 +22,6 @@
 from ridgesill.core.serving.rates import weigh_priority
 from ridgesill.ports.dialect import NORMAL_PRIORITY, RequestFacts
 
-# Retry delay for refused clients, unless a better one is known.
-_RETRY_SECONDS = 0.5
 # A request that waits for an artifact keeps this much of its time for the
 # answer.
 _ANSWER_RESERVE_SECONDS = 0.3
@@ -52,12 +50,13 @@
 
     Attributes:
         reason: for logs and metrics.
-        retry_after: seconds after which the client may retry; 0 to name none.
+        retry_after: seconds after which the client may retry; 0 to name none,
+            None if there is no particular delay.
         status: HTTP status of the answer.
     """
 
     reason: str
-    retry_after: float = _RETRY_SECONDS
+    retry_after: float | None = None
     status: int = 503
 
 
@@ -72,6 +71,7 @@
         patience: seconds that the request may take in total.
         deadline: when the request times out, on the loop's clock.
         priority: 0 goes first.
+        is_repeatable: whether the request may run twice.
     """
 
     service: str
@@ -80,6 +80,7 @@
     patience: float
     deadline: float
     priority: int = 0
+    is_repeatable: bool = False
 
 
 class UpstreamSearch:
@@ -192,7 +193,11 @@
     def _choose(self, required: Requirements) -> Upstream | None:
         now = self._loop.time()
         return self._front.chooser.choose(
-            required, self._tried, now, self.limit_draws
+            required,
+            self._tried,
+            now,
+            self.limit_draws,
+            is_repeatable=self._terms.is_repeatable,
         )
 
     def _refuse_if_resting(self) -> Refusal | None:
