Don't restrict a class whose load the owner doesn't know

Cause: a state with `DECIDE_LOCALLY` among the shares would have the class decided by the local bucket of its service, which each update of the owner drops and opens below zero again, so that little would pass.

Change: `ServiceAdmission` leaves out such states; nothing is restricted until the load is known.

--- a/src/ridgesill/core/serving/service_admission.py
+++ b/src/ridgesill/core/serving/service_admission.py
@@ -19,7 +19,7 @@
 from ridgesill.core.fleet.use_reports import Sent
 from ridgesill.core.serving.customers import Quota
 from ridgesill.core.serving.load_reports import RequestClass, UpstreamCalls
-from ridgesill.core.serving.rates import FrontRates
+from ridgesill.core.serving.rates import DECIDE_LOCALLY, FrontRates, RateState
 
 # Cost of a request against the capacity of its service.
 _REQUEST_COST = 1
@@ -103,6 +103,7 @@
         self._rng = rng
         self._rates = FrontRates(rng, starts_by_share=True)
         self._services: Mapping[str, ServiceNews] = {}
+        self._states: dict[str, RateState] = {}
         self._news_at = float("-inf")
         self._capacities: dict[str, _Capacity] = {}
         self._mean_answers: dict[str, _MeanAnswer] = {}
@@ -114,12 +115,14 @@
         """Applies the load of services that the owner has told."""
         self._services = view.services
         self._news_at = view.updated_at
-        states = {
+        # An owner that doesn't know the load of a class yet restricts nothing.
+        self._states = {
             key: state
             for news in view.services.values()
             for key, state in news.shares.items()
+            if state.share != DECIDE_LOCALLY
         }
-        self._rates.apply_news(states, view.fronts, view.updated_at)
+        self._rates.apply_news(self._states, view.fronts, view.updated_at)
         for service, news in view.services.items():
             if news.capacity > 0:
                 self._capacities[service] = _Capacity(
@@ -247,11 +250,4 @@
 
     def lowest_share(self) -> float:
         """Returns the lowest share that the owner lets pass of any class."""
-        return min(
-            (
-                state.share
-                for news in self._services.values()
-                for state in news.shares.values()
-            ),
-            default=1.0,
-        )
+        return min((s.share for s in self._states.values()), default=1.0)
--- a/testing/core/serving/test_service_admission.py
+++ b/testing/core/serving/test_service_admission.py
@@ -11,7 +11,7 @@
 from ridgesill.core.fleet.registry import FleetView
 from ridgesill.core.fleet.use_reports import UseReport
 from ridgesill.core.serving.load_reports import RequestClass, UpstreamCalls
-from ridgesill.core.serving.rates import RateState, RateUse
+from ridgesill.core.serving.rates import DECIDE_LOCALLY, RateState, RateUse
 from ridgesill.core.serving.service_admission import ServiceAdmission
 
 URGENT = RequestClass("s", 0, "alice")
@@ -65,6 +65,11 @@
         assert count_admitted(admission, URGENT, 0.1) == 1000
         assert count_admitted(admission, OTHER, 0.1) == 0
 
+    def test_a_class_whose_load_is_not_known_is_not_restricted(self) -> None:
+        admission = make_admission(make_news(DECIDE_LOCALLY))
+        assert count_admitted(admission, OTHER, 0.1) == 1000
+        assert admission.lowest_share() == 1.0
+
     def test_the_end_of_an_overload_ends_the_restriction(self) -> None:
         admission = make_admission(make_news(0.0))
         apply_news(admission, 0.5, ServiceNews(350.0))
