Test retries, mixed requests and partial answers against probes and failures

Cause: three changes of the code on a scratch copy passed the tests: probes by retries, probes by requests that aren't repeatable while repeatable ones come too, and a failure counted although the head of an answer had come.

Change: the tests of the first two have repeatable first attempts beside them, and a new one lets a deadline pass after the head.

--- a/testing/app/test_service_overload.py
+++ b/testing/app/test_service_overload.py
@@ -187,6 +187,18 @@
         await client.ask("/unsafe/x", b"b", request_deadline=deadline)
         assert sum(c.failed for c in collect_calls(world).values()) == failed
 
+    async def test_a_deadline_after_the_head_of_an_answer_is_no_failure(
+        self, world: FrontWorld
+    ) -> None:
+        async def answer_in_part(call: Call) -> None:
+            await call.send(b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nx")
+            await stay_silent(call)
+
+        await world.add("u1", answer_in_part)
+        client = await world.open()
+        await client.ask("/unsafe/x", b"b", request_deadline="1300")
+        assert collect_calls(world) == {}
+
     async def test_calls_to_engines_are_not_counted(
         self, world: FrontWorld
     ) -> None:
--- a/testing/core/serving/test_choice.py
+++ b/testing/core/serving/test_choice.py
@@ -110,16 +110,21 @@
 class TestEjections:
     def test_a_request_that_is_not_repeatable_is_never_a_probe(self) -> None:
         chooser = make_chooser(*make_upstreams(4, ejected=2))
+        probes = 0
         for n in range(2000):
+            probe = chooser.choose(PLAIN, (), n / 10, is_repeatable=True)
+            probes += probe is not None and probe.is_ejected
             chosen = chooser.choose(PLAIN, (), n / 10)
             assert chosen is not None
             assert not chosen.is_ejected
+        assert probes
 
     def test_a_retry_is_never_a_probe(self) -> None:
         # Full upstreams have rejected the request. It would be lost if it was
         # sent to the ejected one instead of being refused.
-        chooser = make_chooser(*make_upstreams(3, ejected=1))
+        chooser = make_chooser(*make_upstreams(3, ejected=1), fronts=2)
         for n in range(200):
+            chooser.choose(PLAIN, (), n / 10, is_repeatable=True)
             args = (PLAIN, ("u1", "u2"), n / 10)
             assert chooser.choose(*args, is_repeatable=True) is None
 
