Promise returning callers only the room that exists

In an emulated burst of 2.5 times with one upstream of four lost, the calendar told callers to return within 0 to 4.9 s while 20 calls a second were free for 400 refused: a little room before the first bookings started the window. The window is now the shortest one with room for four fifths of those refused until they are booked; without room as long as clients wait (1.4 s), it starts after that, and fronts send the latest time in it.

update() takes an optional rate of the refusals that follow from the latest decision: reports show an overload's first refusals only 0.5 s later, and until then everyone was told that there was room at once.

--- a/src/ridgesill/core/fleet/return_calendar.py
+++ b/src/ridgesill/core/fleet/return_calendar.py
@@ -12,8 +12,10 @@
 
 # Bookings are kept by time slices of this length, in seconds.
 _SLICE_SECONDS = 0.1
-# Latest time for which room is looked for, in seconds.
-_HORIZON_SECONDS = 5.0
+# Share of the callers for whom a window has room at least. Room is counted from
+# its end on: a little of it before a time with many bookings would stretch the
+# window over that time.
+_ROOM_SHARE = 0.8
 # How long refused callers wait at most unless the owner states it, in seconds:
 # a third of the 4.2 s for which clients of plain services wait.
 _LONGEST_WAIT_SECONDS = 1.4
@@ -24,6 +26,8 @@
 # of news at a front, until its next report, and until the owner's next update.
 # All callers refused in the meantime are told of the same room.
 _BOOKING_LAG_SECONDS = 0.5
+# Least number of callers for whom a window has room.
+_MIN_ROOM = 1.0
 # Time constant of the moving mean of the rate of refusals, in seconds.
 _REFUSALS_MEAN_SECONDS = 0.5
 # Time after which a caller that hasn't returned isn't expected anymore, in
@@ -57,11 +61,13 @@
 
     def __init__(self, longest_wait: float = _LONGEST_WAIT_SECONDS) -> None:
         self._longest_wait = longest_wait
+        self._slices = math.ceil(longest_wait / _SLICE_SECONDS)
         # Number of callers expected, by number of the time slice.
         self._bookings: dict[int, float] = {}
         self._free_rate = 0.0
         self._refusals_rate = 0.0
         self._refusals_at = float("-inf")
+        self._coming_refusals_rate = 0.0
         self._window = ReturnWindow(0.0, _MIN_WINDOW_SECONDS)
 
     @property
@@ -101,40 +107,58 @@
             self._bookings[number] -= returned
         self._drop_old(now)
 
-    def update(self, free_rate: float, now: float) -> None:
+    def update(
+        self, free_rate: float, now: float, refusals_rate: float = 0.0
+    ) -> None:
         """Sets the rate that is available to returning callers.
 
         Args:
             free_rate: requests a second.
             now: clock time, in seconds.
+            refusals_rate: new callers a second that fronts are about to refuse
+                by the latest decisions. As an overload begins, reports show
+                the first refusals only 0.5 s later.
         """
         self._free_rate = max(free_rate, 0.0)
+        self._coming_refusals_rate = refusals_rate
         self._drop_old(now)
 
     def find_window(self, now: float) -> ReturnWindow:
         """Returns the time with room for the callers that are refused now.
 
-        Without any room in the next seconds the window starts after them.
+        Without room for most of them as long as clients wait, the window starts
+        after that time.
         """
-        slice_room = self._free_rate * _SLICE_SECONDS
-        wanted = self._decayed_refusals_rate(now) * _BOOKING_LAG_SECONDS
+        wanted = self._expected_refusals_rate(now) * _BOOKING_LAG_SECONDS
         current = _find_slice(now)
+        spares = self._find_spares(current, wanted)
+        if sum(spares) < max(wanted, _MIN_ROOM):
+            self._window = ReturnWindow(self._longest_wait, _MIN_WINDOW_SECONDS)
+            return self._window
+        last = current + len(spares)
+        first = last - _count_needed(spares, _ROOM_SHARE * wanted)
+        self._window = _make_window(first, last, now)
+        return self._window
+
+    def _find_spares(self, current: int, wanted: float) -> list[float]:
+        """Returns the free room of each time slice until all find room."""
+        slice_room = self._free_rate * _SLICE_SECONDS
         # Callers that are due but haven't come may all come now.
         waiting = sum(n for at, n in self._bookings.items() if at < current)
-        start, found = None, 0.0
-        last = current + round(_HORIZON_SECONDS / _SLICE_SECONDS)
-        for number in range(current, last):
+        spares: list[float] = []
+        found = 0.0
+        for number in range(current, current + self._slices):
             waiting += self._bookings.get(number, 0.0) - slice_room
-            if waiting >= 0:
-                continue
-            start = number if start is None else start
-            found -= waiting
-            waiting = 0.0
-            if found >= wanted:
-                last = number + 1
+            spares.append(max(-waiting, 0.0))
+            waiting = max(waiting, 0.0)
+            found += spares[-1]
+            if found >= max(wanted, _MIN_ROOM):
                 break
-        self._window = _make_window(last if start is None else start, last, now)
-        return self._window
+        return spares
+
+    def _expected_refusals_rate(self, now: float) -> float:
+        recorded = self._decayed_refusals_rate(now)
+        return max(recorded, self._coming_refusals_rate)
 
     def _decayed_refusals_rate(self, now: float) -> float:
         age = max(now - self._refusals_at, 0.0)
@@ -147,6 +171,16 @@
                 del self._bookings[number]
 
 
+def _count_needed(spares: list[float], room: float) -> int:
+    """Returns how many of the last slices have some room together."""
+    found = 0.0
+    for count, spare in enumerate(reversed(spares), 1):
+        found += spare
+        if found >= room:
+            return count
+    return len(spares)
+
+
 def _find_slice(at: float) -> int:
     return math.floor(at / _SLICE_SECONDS)
 
