--- a/src/ridgesill/core/fleet/rate_ledger.py
+++ b/src/ridgesill/core/fleet/rate_ledger.py
@@ -371,6 +371,10 @@
             spent * unowned_seconds / span, unowned_seconds
         )
 
+    def offers_rates(self, now: float) -> dict[str, float]:
+        """Returns the offered loads per second that are known, by name."""
+        return {n: a.offers_rate(now) for n, a in self._accounts.items()}
+
     def has_limiting_rate(self, now: float) -> bool:
         """Whether any rate lets less than the whole offered load pass."""
         return any(s.is_limiting for s in self.states(now).values())
--- a/testing/core/fleet/test_rate_ledger.py
+++ b/testing/core/fleet/test_rate_ledger.py
@@ -28,6 +28,14 @@
     return made
 
 
+class TestOffersRates:
+    def test_follow_the_reported_offers(self) -> None:
+        ledger = make_ledger()
+        for tenth in range(50):
+            ledger.record_uses({"c": RateUse(10, 60)}, tenth / 10)
+        assert ledger.offers_rates(4.95)["c"] == pytest.approx(600, rel=0.1)
+
+
 class TestShares:
     def test_customer_below_its_limit_has_no_state(self) -> None:
         ledger = make_ledger()
