Have the fleet's owner control the load of plain services

News are sent at once while classes are restricted. A new owner adopts paces and ejections with its view, and restricts nothing for a second. Gauges tell capacity, share and expected returns.

--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -265,6 +265,11 @@
             "ridgesill_log_leads": lambda: float(driver.is_leader),
             "ridgesill_fleet_owned": lambda: float(self.owner.is_owner()),
             "ridgesill_damaged_messages": (lambda: self._peers.traffic.damaged),
+            "ridgesill_service_capacity": self.owner.service_load.capacity,
+            "ridgesill_service_share": self.owner.service_load.lowest_share,
+            "ridgesill_expected_returns": (
+                self.owner.service_load.expected_returns
+            ),
         }
 
     def _schedule_first_election(self, driver: LogDriver) -> None:
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -31,6 +31,7 @@
 )
 from ridgesill.app.order_holder import OrderHolder
 from ridgesill.app.order_lease_keeper import OrderLeaseKeeper
+from ridgesill.app.service_load import ServiceLoad
 from ridgesill.core import codec
 from ridgesill.core.commands import GrantPool
 from ridgesill.core.fleet.backlog import Backlogs
@@ -162,6 +163,7 @@
         self._usage = Usage()
         self._quotas = RateLedger(tolerance)
         self._limits = NamedLimits()
+        self.service_load = ServiceLoad()
         self._received_reports = ReceivedReports()
         self._backlogs = Backlogs()
         self._health = EngineHealth()
@@ -302,6 +304,7 @@
             0.0 if is_news_recent else _USE_DISCOVERY_SECONDS
         )
         self._limits.restore(view, now)
+        self.service_load.begin(now)
         for sent in self._follower.pending_reports.take_unassigned():
             self._record_sent(sent, now)
         self._news.notify()
@@ -312,6 +315,7 @@
         log_message("fleet:given_up", epoch=self._registry.epoch)
         self._follower.view.upstreams = dict(self._registry.upstreams)
         self._engines.end()
+        self.service_load.end()
         self._term = 0
         self._loads.end()
         self._news.notify()
@@ -326,6 +330,7 @@
         self._received_reports.prune_silent(now)
         self._quotas.record_fronts(self._usage.fronts, now)
         self._limits.update(self._usage.fronts, registry.upstreams, now)
+        self._update_service_load(registry, now)
         self._backlogs.prune_lost(now)
         self._backlogs.discard_except(set(registry.upstreams))
         self._health.discard_except(set(registry.upstreams))
@@ -336,6 +341,12 @@
         self._leases.maintain_leases(engines)
         self._start_upkeep()
 
+    def _update_service_load(self, registry: Registry, now: float) -> None:
+        busy = self._usage.requests_by_upstream()
+        fronts = self._expected_front_count(now)
+        if self.service_load.update(registry, busy, fronts, now):
+            self._news.notify()
+
     # -- heartbeats ----------------------------------------------------
 
     def is_unknown_service(self, service: str) -> bool:
@@ -406,6 +417,7 @@
         """Adopts a new configuration."""
         self._known_services.update(table.services)
         self._engines.apply_table(table)
+        self.service_load.apply_table(table)
         customers = table.customers
         self._quotas.set_quotas(customers.quotas if customers else {})
 
@@ -467,12 +479,15 @@
             sends=self._limits.states(now),
             taken=taken,
             knows_uses=now >= self._uses_complete_at,
+            services=self.service_load.make_news(now),
         )
 
     def _has_news(self, watch: WatchFleet) -> bool:
         registry = self._registry
         if registry is None or self._limits.has_any():
             return True
+        if self.service_load.is_restricting:
+            return True
         if self._quotas.has_limiting_rate(self._loop.time()):
             return True
         return registry.has_news(watch.epoch, watch.number)
@@ -506,6 +521,7 @@
             log_message("fleet:absurd_report", customer=customer)
         for upstream in self._limits.record_sends(sent.sends, now, span):
             log_message("fleet:absurd_report", upstream=upstream)
+        self.service_load.record(sent, span, now)
 
     def list_limits(self) -> list[LimitUse]:
         """Returns the limits that upstreams have named.
--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -187,6 +187,22 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def shortest_plain_goals(self) -> dict[str, float]:
+        """Returns the shortest goal of each plain service, in seconds.
+
+        Services without a route that has a goal aren't included.
+        """
+        goals: dict[str, float] = {}
+        for by_prefix in self._by_host.values():
+            for route in by_prefix.values():
+                for target in route.targets:
+                    service = self.services.get(target.service)
+                    is_plain = service is not None and service.engine is None
+                    if is_plain and route.goal > 0:
+                        known = goals.get(target.service, route.goal)
+                        goals[target.service] = min(known, route.goal)
+        return goals
+
 
 def _strip_port(host: str) -> str:
     """Returns the host name of a Host header, without port, in lower case."""
--- a/testing/app/test_fleet_owner.py
+++ b/testing/app/test_fleet_owner.py
@@ -14,12 +14,17 @@
     WantArtifact,
     WatchFleet,
 )
+from ridgesill.core.fleet.use_reports import UseReport
 from ridgesill.core.following import Beat
+from ridgesill.core.serving.load_reports import RequestClass, UpstreamCalls
+from ridgesill.core.serving.rates import RateUse
 from ridgesill.core.serving.routes import (
     EngineSpec,
     Model,
+    Route,
     RouteTable,
     Service,
+    Target,
 )
 from testing.app.lone_node import (
     ENGINE,
@@ -51,6 +56,75 @@
     return Heartbeat("e1", "s", ENGINE, "a", 4, False, 1, {"m": 1})
 
 
+def plain_table() -> RouteTable:
+    """Returns a configuration with one plain service and its route."""
+    target = (Target("s"),)
+    route = Route("r", "a.example", "/", "safe", 1.0, 0.2, 0, target)
+    return RouteTable(1, [route], [Service("s", "/", 0)])
+
+
+class TestServiceLoad:
+    async def test_fronts_hear_of_overload_until_it_ends(self) -> None:
+        # One upstream of four slots and 0.1 s a call gets 100 calls a second.
+        node = LoneNode(make_voter_storage(""))
+        node.owner.apply_table(plain_table())
+        await node.start()
+        node.owner.handle_heartbeat(heartbeat(1))
+        key = RequestClass("s").key
+        for number in range(20):
+            report = UseReport(
+                number,
+                span=0.1,
+                offers={key: RateUse(4, 10)},
+                calls={"u1": UpstreamCalls(4, 2.0)},
+            )
+            busy = {"u1": {"": 20}}
+            watch = WatchFleet(
+                0, 0, 0.0, busy=busy, fronts=30, reports=(report,)
+            )
+            news = await node.owner.handle_watch("relay", watch)
+        known = WatchFleet(news.epoch, news.number, 0.5, busy=busy, fronts=30)
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        news = await node.owner.handle_watch("relay", known)
+        # Shares are sent as soon as the pace of news allows.
+        assert loop.time() - asked_at < 0.2
+        service = news.services["s"]
+        assert service.capacity == pytest.approx(40, rel=0.1)
+        assert service.shares[key].share < 0.6
+        idle = WatchFleet(news.epoch, news.number, 0.5, fronts=30)
+        await node.owner.handle_watch("relay", idle)
+        news = await node.owner.handle_watch("relay", idle)
+        assert not news.services["s"].shares
+        node.stop()
+
+    async def test_a_new_owner_keeps_paces_and_ejections(self) -> None:
+        # Guards against losing requests to an ejected upstream again after
+        # each election.
+        node = LoneNode(make_voter_storage(""))
+        view = node.owner._follower.view
+        view.fronts = 30
+        for name in ("u1", "u2"):
+            view.upstreams[name] = Upstream(
+                name,
+                "s",
+                f"{name}:80",
+                "a",
+                4,
+                pace=1.5,
+                is_ejected=name == "u1",
+            )
+        node.owner.apply_table(plain_table())
+        await node.start()
+        watch = WatchFleet(0, 0, 0.0, fronts=30)
+        for _ in range(10):
+            news = await node.owner.handle_watch("relay", watch)
+        records = {c.name: c.record for c in news.changes}
+        assert records["u1"].is_ejected and not records["u2"].is_ejected
+        assert records["u1"].pace == 1.5
+        node.stop()
+
+
 class TestOwnership:
     @pytest.mark.parametrize("before", ["", NAME])
     async def test_does_not_wait_for_its_own_lease(self, before: str) -> None:
--- a/testing/core/serving/test_routes.py
+++ b/testing/core/serving/test_routes.py
@@ -1,6 +1,12 @@
 """Tests of routes by host and prefix."""
 
-from ridgesill.core.serving.routes import Route, RouteTable, Target
+from ridgesill.core.serving.routes import (
+    EngineSpec,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
 
 
 def make_route(name: str, prefix: str, **fields: object) -> Route:
@@ -54,3 +60,22 @@
         assert not make_route("r", "/", kind="unsafe").is_idempotent
         assert not make_route("r", "/", kind="stream").is_idempotent
         assert make_route("r", "/", kind="stream", resumable=True).is_idempotent
+
+
+class TestShortestPlainGoals:
+    def test_are_of_plain_services_with_goals(self) -> None:
+        engine = EngineSpec(4, 9.0, 4, 1.0, ())
+        services = [
+            Service("s", "/", 0),
+            Service("other", "/", 0),
+            Service("engines", "/", 0, engine),
+        ]
+        routes = [
+            make_route("r1", "/1/", goal=0.344),
+            make_route("r2", "/2/", goal=0.342),
+            make_route("r3", "/3/", goal=0.1, targets=(Target("engines"),)),
+            make_route("r4", "/4/", goal=0.0, targets=(Target("other"),)),
+            make_route("r5", "/5/", goal=0.1, targets=(Target("unknown"),)),
+        ]
+        table = RouteTable(1, routes, services)
+        assert table.shortest_plain_goals() == {"s": 0.342}
