Let the buckets of restricted classes hold what an update counts

Cause: reports are added up between updates, and what was sent in 0.1 s is then subtracted at once from buckets that hold 0.1 s: 45 requests in progress where 60 are allowed. They hold 0.2 s now.

The gauge of the share has the name that fronts use for theirs.

testing/core/fleet, testing/app/test_fleet_owner.py and testing/app/test_service_load.py: 357 passed.

--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -266,7 +266,9 @@
             "ridgesill_fleet_owned": lambda: float(self.owner.is_owner()),
             "ridgesill_damaged_messages": (lambda: self._peers.traffic.damaged),
             "ridgesill_service_capacity": self.owner.service_load.capacity,
-            "ridgesill_service_share": self.owner.service_load.lowest_share,
+            "ridgesill_lowest_admitted_share": (
+                self.owner.service_load.lowest_share
+            ),
             "ridgesill_expected_returns": (
                 self.owner.service_load.expected_returns
             ),
--- a/src/ridgesill/core/fleet/overload.py
+++ b/src/ridgesill/core/fleet/overload.py
@@ -43,8 +43,10 @@
 # Window of the ledger, in seconds: reports cover 0.3 s at most. A longer one
 # would make up twice for an excess that the requests in progress show, too.
 _WINDOW_SECONDS = 0.3
-# Depth of a class's bucket, in seconds of its rate.
-_BURST_SECONDS = 0.1
+# Depth of a class's bucket, in seconds of its rate: twice the time between two
+# updates, since what was sent in it is subtracted at once. With half of that a
+# quarter too few requests were in progress.
+_BURST_SECONDS = 0.2
 # Share of its offered load from which on a class isn't restricted.
 _UNRESTRICTED_SHARE = 0.999
 # Offered load below which a class is dropped, in requests a second.
