Learn the pace of engines from gaps and place long prompts by it

Change: fronts report the gaps of streams, the owner computes paces and the expected gap beside a long prompt, publishes paces, and places long prompts where no stream pauses too long.

--- a/src/ridgesill/app/engine_loads.py
+++ b/src/ridgesill/app/engine_loads.py
@@ -60,6 +60,8 @@
         count_fronts: returns how many fronts there are.
         is_resting: whether an engine accepts no requests from most fronts.
         is_limited: whether an engine accepts only a limited request rate.
+        pause_goal: returns the shortest pause goal of a service's routes, in
+            seconds; 0 if they have none.
     """
 
     list_engines: Callable[[str], list[Engine]]
@@ -72,6 +74,7 @@
     count_fronts: Callable[[], int] = lambda: 1
     is_resting: Callable[[str], bool] = lambda _engine: False
     is_limited: Callable[[str], bool] = lambda _engine: False
+    pause_goal: Callable[[str], float] = lambda _service: 0.0
 
 
 class EngineLoads:
--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Sequence
 
 import attrs
 from eliot import log_message, write_traceback
@@ -30,6 +31,7 @@
     ArtifactReady,
     WantArtifact,
 )
+from ridgesill.core.fleet.pauses import PauseCosts, make_pause_costs
 from ridgesill.core.fleet.placement import (
     Demand,
     LoadTarget,
@@ -184,15 +186,19 @@
             now = self._loop.time()
             current = attrs.evolve(want, goal=want.goal - (now - requested_at))
             engines = self._usable_engines(want.service)
+            pauses = self._make_pause_costs(want.service, engines)
             holder = choose_holder(
                 current,
                 engines,
                 self._backlogs,
                 now,
-                self._owner.requests_in_progress(),
+                pauses.busy,
+                pauses,
             )
             if holder is not None:
-                if wait_for_copy or not self._is_copy_sooner(current, holder):
+                if wait_for_copy or not self._is_copy_sooner(
+                    current, holder, pauses
+                ):
                     return self._assign(current, holder)
                 wait_for_copy = True
             if want.is_held:
@@ -241,8 +247,21 @@
         """Whether an engine that gets no requests now holds the artifact."""
         return bool(find_holders(want, self._owner.list_engines(want.service)))
 
-    def _is_copy_sooner(self, want: WantArtifact, holder: Engine) -> bool:
-        """Whether a copy would serve the request sooner than the holder."""
+    def _make_pause_costs(
+        self, service: str, engines: Sequence[Engine]
+    ) -> PauseCosts:
+        """Returns what pauses cost on the engines of a service now."""
+        return make_pause_costs(
+            self._owner.pause_goal(service),
+            engines,
+            self._backlogs,
+            self._owner.requests_in_progress(),
+        )
+
+    def _is_copy_sooner(
+        self, want: WantArtifact, holder: Engine, pauses: PauseCosts
+    ) -> bool:
+        """Whether a copy would serve the request better than the holder."""
         now = self._loop.time()
         if now < self._owner.orders_allowed_from() or not is_adapter(
             want.artifact
@@ -254,6 +273,7 @@
             self._backlogs,
             now,
             lambda: self._placement_snapshot(want.service),
+            pauses,
         )
 
     def _min_seconds(self, want: WantArtifact) -> float:
@@ -438,12 +458,15 @@
         if not waiting.can_meet_goal(self._loop.time()):
             avoid = avoid | placement_snapshot.crowded_engines()
         now = self._loop.time()
+        pauses = self._make_pause_costs(
+            want.service, placement_snapshot.engines
+        )
         return placement_snapshot.choose(
             want.artifact,
             want.data_centre,
             avoid,
             lateness=lambda engine: expected_late_count(
-                waiting, engine, self._backlogs, now
+                waiting, engine, self._backlogs, now, pauses
             ),
         )
 
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -21,6 +21,7 @@
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.fleet_engines import FleetEngines
 from ridgesill.app.fleet_loads import FleetLoads
+from ridgesill.app.fleet_paces import FleetPaces
 from ridgesill.app.log_driver import LogDriver
 from ridgesill.app.named_limits import LimitUse, NamedLimits
 from ridgesill.app.news_relay import (
@@ -163,7 +164,8 @@
         self._quotas = RateLedger(tolerance)
         self._limits = NamedLimits()
         self._received_reports = ReceivedReports()
-        self._backlogs = Backlogs()
+        self._paces = FleetPaces()
+        self._backlogs = Backlogs(self._paces.paces)
         self._health = EngineHealth()
         self._orders = EngineOrders(
             channels,
@@ -197,6 +199,7 @@
                 self._count_fronts,
                 self._usage.is_resting_for_most,
                 self._is_limited,
+                self._pause_goal,
             ),
             self._backlogs,
             self._health,
@@ -292,6 +295,7 @@
         self._previous_front_count = self._follower.view.fronts
         registry = Registry(epoch, self._silence_seconds)
         registry.adopt(self._follower.view.upstreams.values(), now)
+        self._paces.adopt(registry.upstreams.values())
         if not registry.upstreams:
             registry.begin_settling(now)
         self._engines.begin(registry, may_lack_upstreams=may_lack_upstreams)
@@ -326,6 +330,7 @@
         self._received_reports.prune_silent(now)
         self._quotas.record_fronts(self._usage.fronts, now)
         self._limits.update(self._usage.fronts, registry.upstreams, now)
+        self._paces.publish(registry, self.table, now)
         self._backlogs.prune_lost(now)
         self._backlogs.discard_except(set(registry.upstreams))
         self._health.discard_except(set(registry.upstreams))
@@ -417,6 +422,9 @@
     def _is_limited(self, upstream: str) -> bool:
         return self._limits.is_limited(upstream, self._loop.time())
 
+    def _pause_goal(self, service: str) -> float:
+        return self.table.shortest_pause_goal(service)
+
     def _expected_front_count(self, now: float) -> int:
         """Returns how many fronts there should be.
 
@@ -506,6 +514,8 @@
             log_message("fleet:absurd_report", customer=customer)
         for upstream in self._limits.record_sends(sent.sends, now, span):
             log_message("fleet:absurd_report", upstream=upstream)
+        if self._registry is not None:
+            self._paces.record(sent, self._registry.upstreams, now)
 
     def list_limits(self) -> list[LimitUse]:
         """Returns the limits that upstreams have named.
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -26,6 +26,7 @@
 from ridgesill.core.serving.events import EventSplitter
 from ridgesill.core.serving.rates import RateUse, weigh_priority
 from ridgesill.core.serving.routes import STREAM, Route
+from ridgesill.core.serving.stream_gaps import StreamGaps
 from ridgesill.ports.dialect import (
     EMPTY_UPSTREAM_WORD,
     ForwardOptions,
@@ -66,6 +67,9 @@
 # Retry delay for callers whose keys can't be checked because the configuration
 # here is stale. A retry on a new channel reaches another front.
 _STALE_RETRY_SECONDS = 0.5
+# After a longer wait for a client that reads slowly, data may have arrived from
+# the upstream before this process noticed it; in seconds.
+_SLOW_CLIENT_SECONDS = 0.005
 _CALLER_REFUSALS = {
     UNKNOWN_KEY: Refusal(UNKNOWN_KEY, 0.0, 401),
     STALE: Refusal("stale", _STALE_RETRY_SECONDS),
@@ -538,19 +542,40 @@
         splitter = self._splitter
         if splitter is not None:
             splitter.discard_partial()
+        gaps = StreamGaps()
+        try:
+            await self._relay_data(upstream, exchange, gaps)
+        finally:
+            self._record_gaps(upstream, gaps)
+        if splitter is not None and splitter.partial:
+            responder.send_data(splitter.partial)
+        responder.finish()
+
+    async def _relay_data(
+        self, upstream: Upstream, exchange: Exchange, gaps: StreamGaps
+    ) -> None:
+        """Passes on the data of a stream and measures its gaps."""
         outcomes = self._front.chooser.outcomes
+        splitter = self._splitter
         while data := await exchange.read_data():
-            outcomes.record_byte(upstream.name, self._loop.time())
+            arrived_at = self._loop.time()
+            outcomes.record_byte(upstream.name, arrived_at)
             if splitter is not None:
                 data = splitter.feed(data)
             if data:
+                gaps.record_data(data, arrived_at)
                 self._search.report_reading_ended(was_read=True)
                 self._record_first_event()
-                responder.send_data(data)
-                await responder.drain()
-        if splitter is not None and splitter.partial:
-            responder.send_data(splitter.partial)
-        responder.finish()
+                self._responder.send_data(data)
+                await self._responder.drain()
+                if self._loop.time() - arrived_at > _SLOW_CLIENT_SECONDS:
+                    gaps.restart()
+
+    def _record_gaps(self, upstream: Upstream, gaps: StreamGaps) -> None:
+        calls = gaps.make_calls()
+        if calls is not None:
+            now = self._loop.time()
+            self._front.record_calls(upstream.name, calls, now)
 
     def _record_first_event(self) -> None:
         """Records the time until the first event, once."""
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -14,6 +14,7 @@
 from ridgesill.core.serving.callers import ConfigurationFreshness
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.front_limits import FrontLimits
+from ridgesill.core.serving.load_reports import UpstreamCalls, add_calls
 from ridgesill.core.serving.prefill_rate import PrefillRate
 from ridgesill.core.serving.rates import FrontRates
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
@@ -79,6 +80,10 @@
         self._retries: dict[str, ServiceRetries] = {}
         self._admission_controls: dict[str, AdmissionControl] = {}
         self._prefill_rates: dict[str, PrefillRate] = {}
+        # What answers have shown since the last report, and the clock time of
+        # the first of them.
+        self._calls: dict[str, UpstreamCalls] = {}
+        self._calls_since = float("inf")
 
     def configuration_freshness(self, now: float) -> ConfigurationFreshness:
         """Returns how far this front may rely on its configuration.
@@ -105,11 +110,31 @@
         """Returns the measured prefill rate of a service's engines."""
         return self._prefill_rates.setdefault(service, PrefillRate())
 
+    def record_calls(
+        self, upstream: str, calls: UpstreamCalls, now: float
+    ) -> None:
+        """Adds what an upstream's answer has shown to the next report.
+
+        Args:
+            upstream: name of the upstream.
+            calls: what the answer has shown.
+            now: the loop's clock, in seconds.
+        """
+        self._calls = add_calls(self._calls, {upstream: calls})
+        self._calls_since = min(self._calls_since, now)
+
     def collect_sent(self) -> Sent:
-        """Returns the use of quotas and rate limits since the last call."""
-        since = min(self.quotas.used_since, self.limits.rates.used_since)
+        """Returns what was sent and observed since the last call."""
+        since = min(
+            self.quotas.used_since,
+            self.limits.rates.used_since,
+            self._calls_since,
+        )
         uses = self.quotas.collect_uses()
-        return Sent(uses, self.limits.rates.collect_uses(), since)
+        sends = self.limits.rates.collect_uses()
+        calls, self._calls = self._calls, {}
+        self._calls_since = float("inf")
+        return Sent(uses, sends, since, calls=add_calls({}, calls))
 
     def record_request(self, artifact: str) -> None:
         """Counts a request for an artifact until the next usage report."""
--- a/src/ridgesill/core/fleet/assignment.py
+++ b/src/ridgesill/core/fleet/assignment.py
@@ -12,6 +12,7 @@
 from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.messages import WantArtifact
+from ridgesill.core.fleet.pauses import PauseCosts
 from ridgesill.core.serving.rank import rank_request
 
 # Cost of sending a request to another data centre, as seconds of waiting: the
@@ -62,11 +63,14 @@
     backlogs: Backlogs,
     now: float,
     busy: Mapping[str, int] | None = None,
+    pauses: PauseCosts | None = None,
 ) -> Engine | None:
     """Returns the engine that should serve a request, if any holds its adapter.
 
     This is an engine in the caller's data centre that meets the goal with ease,
-    or else the engine with the earliest expected first event.
+    or else the engine with the earliest expected first event. Where the prompt
+    would make streams late by a pause on one of the holders, the engine with
+    the fewest late requests goes first, the request itself included.
 
     Args:
         want: the message that asks for the artifact.
@@ -74,17 +78,29 @@
         backlogs: the prompts that engines have yet to read.
         now: the owner's clock, in seconds.
         busy: the number of requests in progress by engine, if known.
+        pauses: the streams that the prompt would make late, if known.
     """
     in_progress = busy or {}
-
-    def cost(engine: Engine) -> tuple[bool, float]:
+    holders = find_holders(want, engines)
+    late_streams = {
+        engine.name: pauses.late_streams(engine.name, want.tokens)
+        if pauses
+        else 0
+        for engine in holders
+    }
+    makes_pauses = any(late_streams.values())
+
+    def cost(engine: Engine) -> tuple[int, bool, float]:
         seconds = predict_first_event(want, engine, backlogs, now)
+        late = late_streams[engine.name]
+        if makes_pauses and seconds > want.goal:
+            late += 1
         if in_progress.get(engine.name, 0) >= engine.spec.slots:
             seconds += _FULL_BATCH_SECONDS
         is_near = engine.data_centre == want.data_centre
         is_easy = is_near and seconds <= _EASY_GOAL_SHARE * want.goal
         if not is_near:
             seconds += _REMOTE_SECONDS
-        return not is_easy, seconds
+        return late, not is_easy, seconds
 
-    return min(find_holders(want, engines), key=cost, default=None)
+    return min(holders, key=cost, default=None)
--- a/src/ridgesill/core/fleet/backlog.py
+++ b/src/ridgesill/core/fleet/backlog.py
@@ -10,11 +10,16 @@
 
 import attrs
 
+from ridgesill.core.fleet.engine_pace import EnginePaces
 from ridgesill.core.fleet.reading_time import ReadingTimes
 
 # Time that a request takes in addition to reading its prompt, in seconds: one
 # step of the batch.
 _STEP_SECONDS = 0.02
+# Time after which the end of a prompt is known here, in seconds: one step of
+# the batch, and the way to the front and from there. A prompt isn't overdue
+# before.
+_REPORT_SECONDS = 0.05
 # A prompt whose end isn't reported is dropped after this multiple of the time
 # to read the engine's backlog, plus this many seconds: its front is gone.
 _LOST_AFTER_FACTOR = 3.0
@@ -70,19 +75,32 @@
         return sorted(soon, key=lambda prompt: prompt.sent_at)
 
     def seconds_left_of_current(self, now: float) -> float:
-        """Returns the seconds until the current prompt has been read."""
+        """Returns the seconds until the current prompt has been read.
+
+        A prompt that is overdue is expected to take as long again as it is
+        overdue: the engine is in a slow period, whose end isn't known.
+        """
         prompt = self.sent.get(self.current)
         if prompt is None:
             return 0.0
-        return max(prompt.seconds - max(now - self.began_at, 0.0), 0.0)
+        left = prompt.seconds - max(now - self.began_at, 0.0)
+        if left >= 0:
+            return left
+        return max(-left - _REPORT_SECONDS, 0.0)
 
 
 class Backlogs:
-    """Prompts that each engine has yet to read."""
+    """Prompts that each engine has yet to read.
+
+    Args:
+        paces: the paces of the engines; by default no streams are reported, and
+            paces are learned from reading times only.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, paces: EnginePaces | None = None) -> None:
+        self.paces = paces or EnginePaces()
         self._queues: dict[str, _Queue] = {}
-        self._times = ReadingTimes()
+        self._times = ReadingTimes(self.paces)
 
     def _queue_of(self, engine: str) -> _Queue:
         return self._queues.setdefault(engine, _Queue())
@@ -217,4 +235,4 @@
         for name in list(self._queues):
             if name not in engines:
                 del self._queues[name]
-        self._times.discard_except(engines)
+        self.paces.discard_except(engines)
--- a/src/ridgesill/core/fleet/copy_benefit.py
+++ b/src/ridgesill/core/fleet/copy_benefit.py
@@ -3,7 +3,8 @@
 Load pattern: a few adapters receive long prompts faster than the engine that
 holds them can read. Five prompts in a row then wait 1 to 2 seconds while other
 engines are idle, because copies by popularity are loaded only after many
-requests.
+requests. Besides, a copy on a fast engine spares the streams on a slow holder a
+pause while it reads the prompt.
 """
 
 from collections.abc import Callable
@@ -17,6 +18,7 @@
     make_waiter,
 )
 from ridgesill.core.fleet.messages import WantArtifact
+from ridgesill.core.fleet.pauses import PauseCosts
 from ridgesill.core.fleet.placement import PlacementSnapshot
 from ridgesill.core.fleet.wants import ArtifactWaiters
 
@@ -24,6 +26,9 @@
 # load costs a third of a request's value. With 0.3 the share of request value
 # that is earned was 0.002 to 0.004 higher than with 0.5.
 _COPY_GAIN = 0.3
+# Greatest probability of being late at which a copy is loaded only to avoid
+# pauses of other streams.
+_MAX_LATE_TO_SPARE = 0.5
 
 
 def is_copy_sooner(
@@ -32,9 +37,13 @@
     backlogs: Backlogs,
     now: float,
     make_placement_snapshot: Callable[[], PlacementSnapshot],
+    pauses: PauseCosts | None = None,
 ) -> bool:
     """Returns whether a new copy is likely in time while no holder is.
 
+    A copy that is in time is also loaded if it spares streams on the holder a
+    pause that would make them late.
+
     Args:
         want: the message that asks for the artifact.
         holder: the best engine that holds the adapter.
@@ -42,16 +51,20 @@
         now: the owner's clock, in seconds.
         make_placement_snapshot: returns the snapshot from which an engine is
             chosen. It scans all that engines hold, so it is called only when
-            the holders are likely to be late.
+            the holders are likely to be late, or streams would pause.
+        pauses: the streams that the prompt would make late, if known.
     """
     seconds = predict_first_event(want, holder, backlogs, now)
     late_share_at_holder = late_probability(want.goal - seconds)
-    if late_share_at_holder < _COPY_GAIN:
+    late_streams = 0
+    if pauses is not None:
+        late_streams = pauses.late_streams(holder.name, want.tokens)
+    if late_share_at_holder < _COPY_GAIN and not late_streams:
         return False
     waiting = ArtifactWaiters(want, now, [make_waiter(want, backlogs, now)])
 
     def lateness(engine: Engine) -> float:
-        return expected_late_count(waiting, engine, backlogs, now)
+        return expected_late_count(waiting, engine, backlogs, now, pauses)
 
     placement_snapshot = make_placement_snapshot()
     # A copy uses only spare adapter slots.
@@ -61,4 +74,7 @@
     )
     if target is None:
         return False
-    return late_share_at_holder - lateness(target.engine) > _COPY_GAIN
+    late_at_copy = lateness(target.engine)
+    if late_streams and late_at_copy < _MAX_LATE_TO_SPARE:
+        return True
+    return late_share_at_holder - late_at_copy > _COPY_GAIN
--- /dev/null
+++ b/src/ridgesill/core/fleet/engine_pace.py
@@ -0,0 +1,337 @@
+"""How fast each engine is, from the gaps between events of streams.
+
+Load pattern: one engine in four runs at half the speed of the others, and some
+have slow periods of half a second. Prompts over 2,000 tokens are too rare to
+tell: 0.4 a second for each engine. Every stream of a few events shows the pace,
+and fronts report some ten of them a second for each engine.
+
+The pace of an engine is its typical gap divided by the mean of its service's
+engines. It is the median over the last short time slices: a slow period shorter
+than half of them doesn't change it, and neither does one wrong report.
+"""
+
+import collections
+import math
+import statistics
+from collections.abc import Collection, Mapping
+from typing import Any
+
+import attrs
+
+from ridgesill.core.serving.load_reports import UpstreamCalls
+
+# Length of the time slices, in seconds, and number of the latest ones with
+# answers that count. A slow period of half a second falls into three slices at
+# most, and a lasting change is the median after four, in about two seconds.
+_SLICE_SECONDS = 0.4
+_SLICES = 7
+# Least number of slices from which a pace is computed. Until then, a new engine
+# keeps its first one.
+_MIN_SLICES = 4
+# Bounds of a pace, against errors of the measurement.
+_MIN_PACE = 0.3
+_MAX_PACE = 4.0
+# Steps to which paces are rounded, and the difference from which a pace is
+# changed, as a share of it: every change is sent to all fronts.
+_PACE_DIGITS = 1
+_MIN_CHANGE = 0.08
+# Greatest factor between a plausible typical gap and that of the service. A
+# slow engine in a slow period takes 4.2 times as long as the mean.
+_MAX_PLAUSIBLE_FACTOR = 8.0
+# The same bounds while the gap of the service is unknown, in seconds.
+_MIN_PLAUSIBLE_GAP = 0.0002
+_MAX_PLAUSIBLE_GAP = 5.0
+# Multiple of the typical gap from which the longest gap of a stream is taken to
+# be caused by a long prompt. Short prompts and slow periods alone cause up to
+# 2.5 times the typical gap.
+_LONG_GAP_FACTOR = 2.5
+# The latest such gaps that are kept, the least number of them, and the share of
+# them that the expected one must cover. Reports that several fronts' relay has
+# added up also hold streams without such a gap, so the mean would be too low.
+_KEPT_LONG_GAPS = 256
+_MIN_LONG_GAPS = 10
+_LONG_GAP_QUANTILE = 0.75
+# Weight of the newest prompt in a pace that is learned from reading times.
+_READING_WEIGHT = 0.1
+
+
+@attrs.define
+class _EngineRecord:
+    """What is known of one engine.
+
+    Attributes:
+        service: name of its service; empty until a stream was reported.
+        pace: its pace, rounded.
+        gaps: mean typical gap in each of the latest time slices, in seconds.
+        streams: number of streams in the current slice.
+        typical_gaps: sum of their typical gaps, in seconds.
+        slice_began_at: clock time at which the current slice began.
+    """
+
+    service: str = ""
+    pace: float = 1.0
+    gaps: collections.deque[float] = attrs.Factory(
+        lambda: collections.deque(maxlen=_SLICES)
+    )
+    streams: float = 0.0
+    typical_gaps: float = 0.0
+    slice_began_at: float = 0.0
+
+    @property
+    def is_measured(self) -> bool:
+        """Whether there are enough slices to tell the pace."""
+        return len(self.gaps) >= _MIN_SLICES
+
+    def record(self, streams: float, gap: float, now: float) -> None:
+        """Adds streams with a mean typical gap, in seconds."""
+        self.close_slice(now)
+        if not self.streams:
+            self.slice_began_at = now
+        self.streams += streams
+        self.typical_gaps += streams * gap
+
+    def close_slice(self, now: float) -> None:
+        """Ends the current slice if it has streams and is over."""
+        if self.streams and now >= self.slice_began_at + _SLICE_SECONDS:
+            self.gaps.append(self.typical_gaps / self.streams)
+            self.streams = self.typical_gaps = 0.0
+
+
+@attrs.define
+class _ServiceRecord:
+    """What is known of the engines of one service together.
+
+    Attributes:
+        gap: typical gap at pace 1, in seconds; 0 if unknown.
+        long_ratios: longest gaps beside long prompts, as multiples of the
+            typical gap of the same streams.
+        reading_gap: expected longest gap at pace 1 of streams beside a long
+            prompt, in seconds; 0 if unknown.
+    """
+
+    gap: float = 0.0
+    long_ratios: collections.deque[float] = attrs.Factory(
+        lambda: collections.deque(maxlen=_KEPT_LONG_GAPS)
+    )
+    reading_gap: float = 0.0
+
+    def update_reading_gap(self) -> None:
+        """Updates the expected longest gap beside a long prompt."""
+        if len(self.long_ratios) < _MIN_LONG_GAPS:
+            return
+        ratios = sorted(self.long_ratios)
+        ratio = ratios[int(_LONG_GAP_QUANTILE * (len(ratios) - 1))]
+        self.reading_gap = ratio * self.gap
+
+
+class EnginePaces:
+    """The paces of all engines, and the pauses that long prompts cause.
+
+    An engine's pace is the time that it takes for the same work, as a multiple
+    of the mean of its service. For engines without reported streams it is
+    learned from the reading times of their prompts instead.
+    """
+
+    def __init__(self) -> None:
+        self._engines: dict[str, _EngineRecord] = {}
+        self._services: dict[str, _ServiceRecord] = {}
+        # Paces of engines without reported streams, by their reading times.
+        self._reading_paces: dict[str, float] = {}
+
+    # -- observations --------------------------------------------------
+
+    def record_calls(
+        self,
+        service: str,
+        engine: str,
+        calls: UpstreamCalls,
+        max_streams: float,
+        now: float,
+    ) -> bool:
+        """Records what fronts report on the streams of an engine.
+
+        Args:
+            service: the engine's service.
+            engine: name of the engine.
+            calls: the report.
+            max_streams: the largest number of streams that the engine can have
+                ended in the time of the report.
+            now: clock time, in seconds.
+
+        Returns:
+            Whether the figures were plausible. Others are bounded; figures
+            that contradict each other aren't counted.
+        """
+        if _is_empty(calls):
+            return True
+        if not _is_consistent(calls):
+            return False
+        together = self._services.setdefault(service, _ServiceRecord())
+        gap = calls.typical_gaps / calls.paced
+        shortest, longest = _plausible_gaps(together.gap)
+        bounded = min(max(gap, shortest), longest)
+        record = self._find_record(engine)
+        record.service = service
+        record.record(min(calls.paced, max_streams), bounded, now)
+        ratio = calls.longest_gaps / calls.typical_gaps
+        if ratio >= _LONG_GAP_FACTOR:
+            together.long_ratios.append(ratio)
+        return bounded == gap and calls.paced <= max_streams
+
+    def record_reading(self, engine: str, ratio: float) -> None:
+        """Records how long an engine took to read a prompt.
+
+        This changes only the pace of an engine without reported streams.
+
+        Args:
+            engine: name of the engine.
+            ratio: the time that it took divided by the one expected.
+        """
+        if self._is_known_by_streams(engine):
+            return
+        factor = 1 + _READING_WEIGHT * (ratio - 1)
+        self._reading_paces[engine] = self.pace(engine) * factor
+
+    def adopt(self, engine: str, pace: float) -> None:
+        """Takes over a pace that an earlier owner has found."""
+        if math.isfinite(pace) and pace != 1.0:
+            pace = min(max(pace, _MIN_PACE), _MAX_PACE)
+            self._find_record(engine).pace = pace
+
+    def _find_record(self, engine: str) -> _EngineRecord:
+        return self._engines.setdefault(engine, _EngineRecord())
+
+    def _is_known_by_streams(self, engine: str) -> bool:
+        record = self._engines.get(engine)
+        if record is None:
+            return False
+        return record.is_measured or record.pace != 1.0
+
+    # -- paces ---------------------------------------------------------
+
+    def update(
+        self, services: Mapping[str, Collection[str]], now: float
+    ) -> None:
+        """Updates the paces of all engines.
+
+        Args:
+            services: names of the engines by service; others are discarded.
+            now: clock time, in seconds.
+        """
+        self.discard_except({e for names in services.values() for e in names})
+        for service, engines in services.items():
+            self._update_service(service, engines, now)
+        for service in self._services.keys() - services.keys():
+            del self._services[service]
+
+    def _update_service(
+        self, service: str, engines: Collection[str], now: float
+    ) -> None:
+        together = self._services.get(service)
+        if together is None:
+            return
+        gaps: dict[str, float] = {}
+        other_paces = 0.0
+        for engine in engines:
+            record = self._find_record(engine)
+            record.close_slice(now)
+            if record.is_measured:
+                gaps[engine] = statistics.median(record.gaps)
+            else:
+                other_paces += record.pace
+        if not gaps:
+            return
+        # The mean over all engines, those that aren't measured with the paces
+        # that they have. Otherwise a new owner that has measured a few engines
+        # would take these for the mean.
+        parts = max(len(engines) - other_paces, _MIN_PACE * len(gaps))
+        together.gap = sum(gaps.values()) / parts
+        for engine, gap in gaps.items():
+            record = self._find_record(engine)
+            record.pace = _round_pace(gap / together.gap, record.pace)
+        together.update_reading_gap()
+
+    def pace(self, engine: str) -> float:
+        """Returns an engine's pace; 1 while nothing is known of it."""
+        if self._is_known_by_streams(engine):
+            return self._engines[engine].pace
+        known = self._reading_paces.get(engine)
+        if known is not None:
+            return known
+        return self.mean_pace()
+
+    def published_pace(self, engine: str) -> float:
+        """Returns the pace by streams alone, for the fronts."""
+        record = self._engines.get(engine)
+        return 1.0 if record is None else record.pace
+
+    def mean_pace(self) -> float:
+        """Returns the pace of an average engine.
+
+        It is 1 by definition, unless all paces come from reading times.
+        """
+        if self._engines or not self._reading_paces:
+            return 1.0
+        return statistics.fmean(self._reading_paces.values())
+
+    def reading_gap(self, engine: str) -> float:
+        """Returns how long streams on an engine pause beside a long prompt.
+
+        Returns:
+            The expected longest time between two events, in seconds; 0 if
+            unknown.
+        """
+        record = self._engines.get(engine)
+        if record is None:
+            return 0.0
+        together = self._services.get(record.service)
+        return together.reading_gap * record.pace if together else 0.0
+
+    def discard_except(self, engines: Collection[str]) -> None:
+        """Discards all engines but the given ones."""
+        _keep_only(self._engines, engines)
+        _keep_only(self._reading_paces, engines)
+
+    def clear(self) -> None:
+        """Discards everything."""
+        self._engines.clear()
+        self._services.clear()
+        self._reading_paces.clear()
+
+
+def _is_empty(calls: UpstreamCalls) -> bool:
+    return not (calls.paced or calls.typical_gaps or calls.longest_gaps)
+
+
+def _is_consistent(calls: UpstreamCalls) -> bool:
+    """Whether the sums of a report can come from any streams at all."""
+    if calls.paced < 1 or not math.isfinite(calls.longest_gaps):
+        return False
+    return 0 < calls.typical_gaps <= calls.longest_gaps
+
+
+def _plausible_gaps(service_gap: float) -> tuple[float, float]:
+    """Returns the least and the greatest plausible typical gap, in seconds.
+
+    Args:
+        service_gap: the typical gap of the service; 0 if unknown.
+    """
+    if not service_gap:
+        return _MIN_PLAUSIBLE_GAP, _MAX_PLAUSIBLE_GAP
+    return (
+        service_gap / _MAX_PLAUSIBLE_FACTOR,
+        service_gap * _MAX_PLAUSIBLE_FACTOR,
+    )
+
+
+def _round_pace(measured: float, known: float) -> float:
+    """Returns a measured pace, rounded; the known one if it is near enough."""
+    if abs(measured - known) < _MIN_CHANGE * max(known, 1.0):
+        return known
+    bounded = min(max(measured, _MIN_PACE), _MAX_PACE)
+    return round(bounded, _PACE_DIGITS)
+
+
+def _keep_only(entries: dict[str, Any], names: Collection[str]) -> None:
+    for name in entries.keys() - set(names):
+        del entries[name]
--- a/src/ridgesill/core/fleet/lateness.py
+++ b/src/ridgesill/core/fleet/lateness.py
@@ -11,6 +11,7 @@
 from ridgesill.core.fleet.backlog import Backlogs
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.messages import WantArtifact
+from ridgesill.core.fleet.pauses import PauseCosts
 from ridgesill.core.fleet.wants import (
     LOAD_SECONDS,
     RELOAD_SECONDS,
@@ -59,12 +60,24 @@
 
 
 def expected_late_count(
-    waiting: ArtifactWaiters, engine: Engine, backlogs: Backlogs, now: float
+    waiting: ArtifactWaiters,
+    engine: Engine,
+    backlogs: Backlogs,
+    now: float,
+    pauses: PauseCosts | None = None,
 ) -> float:
-    """Returns how many of the waiting requests would be late on an engine.
+    """Returns how many requests would be late if these waited for an engine.
 
-    It is the sum of their probabilities if they are read there one after the
-    other, behind the engine's backlog.
+    It is the sum of the probabilities of the waiting requests, if they are read
+    there one after the other, behind the engine's backlog, and the number of
+    streams there that the longest of their prompts makes late by a pause.
+
+    Args:
+        waiting: the requests that wait for an artifact.
+        engine: the engine that would load it.
+        backlogs: the prompts that engines have yet to read.
+        now: the owner's clock, in seconds.
+        pauses: the streams that prompts would make late, if known.
     """
     arrives_in = load_seconds(engine, waiting.want.artifact)
     late = 0.0
@@ -76,4 +89,7 @@
         wait = backlogs.wait_seconds(engine.name, rank, now, arrives_in)
         before += reading
         late += late_probability(left - wait - before)
-    return late
+    if pauses is None:
+        return late
+    tokens = max((waiter.tokens for waiter in waiting.waiters), default=0)
+    return late + pauses.late_streams(engine.name, tokens)
--- a/src/ridgesill/core/fleet/reading_time.py
+++ b/src/ridgesill/core/fleet/reading_time.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from ridgesill.core.fleet.engine_pace import EnginePaces
+
 # Seconds for a thousand tokens until engines have been observed: the mean over
 # typical engines.
 _DEFAULT_SECONDS_PER_THOUSAND = 1 / 30
@@ -23,8 +25,6 @@
 # Variance of the observed seconds around the curve. It is caused by the steps
 # of the batch and by prompts that are read in between.
 _NOISE_VARIANCE = 0.01
-# Weight of the newest observation in an engine's own pace.
-_PACE_SMOOTHING = 0.1
 # Greatest factor between an observed and an expected time; beyond it the
 # observation is clipped. Cached parts of a prompt are not read and make an
 # engine look fast, and a wait that is unknown here makes it look slow.
@@ -96,49 +96,37 @@
 
 
 class ReadingTimes:
-    """Predicts reading times from one curve and a pace for each engine.
+    """Predicts reading times from one curve and the pace of each engine.
+
+    The pace is a factor on the time that the curve gives.
 
-    The pace is a factor on the time that the curve gives, and 1 at first.
+    Args:
+        paces: the paces of the engines; by default they are learned from these
+            reading times only.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, paces: EnginePaces | None = None) -> None:
         self._curve = _ReadTimeCurve()
-        self._paces: dict[str, float] = {}
+        self._paces = paces or EnginePaces()
 
     def seconds(self, engine: str, tokens: int) -> float:
         """Returns how long an engine takes to read a prompt, in seconds."""
-        return self._curve.seconds(tokens) * self._pace(engine)
+        return self._curve.seconds(tokens) * self._paces.pace(engine)
 
     def mean_seconds(self, tokens: int) -> float:
         """Returns how long an average engine takes to read, in seconds."""
-        return self._curve.seconds(tokens) * self._mean_pace()
-
-    def _mean_pace(self) -> float:
-        if not self._paces:
-            return 1.0
-        return sum(self._paces.values()) / len(self._paces)
-
-    def _pace(self, engine: str) -> float:
-        pace = self._paces.get(engine)
-        return self._mean_pace() if pace is None else pace
+        return self._curve.seconds(tokens) * self._paces.mean_pace()
 
     def record(self, engine: str, tokens: int, seconds: float) -> None:
         """Records how long an engine took to read a prompt, in seconds."""
         if tokens < _MIN_TOKENS or seconds <= 0:
             return
-        expected = self.seconds(engine, tokens)
+        pace = self._paces.pace(engine)
+        expected = self._curve.seconds(tokens) * pace
         shortest, longest = (
             expected / _MAX_PLAUSIBLE_FACTOR,
             expected * _MAX_PLAUSIBLE_FACTOR,
         )
         seconds = min(max(seconds, shortest), longest)
-        pace = self._pace(engine)
-        ratio = seconds / expected
-        self._paces[engine] = pace * (1 + _PACE_SMOOTHING * (ratio - 1))
+        self._paces.record_reading(engine, seconds / expected)
         self._curve.record(tokens, seconds / pace)
-
-    def discard_except(self, engines: set[str]) -> None:
-        """Discards the paces of all engines but the given ones."""
-        for name in list(self._paces):
-            if name not in engines:
-                del self._paces[name]
--- a/src/ridgesill/core/serving/events.py
+++ b/src/ridgesill/core/serving/events.py
@@ -1,6 +1,6 @@
 """Splits a stream of server-sent events and tracks event ids."""
 
-_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 _ID_FIELD = b"id:"
 
 
@@ -18,9 +18,7 @@
     def feed(self, data: bytes) -> bytes:
         """Adds data; returns the complete events and buffers the remainder."""
         buffered = self._partial + data
-        end = max(
-            _find_last_end(buffered, terminator) for terminator in _EVENT_ENDS
-        )
+        end = find_last_end(buffered)
         complete = buffered[:end]
         self._partial = buffered[end:]
         self._record_last_id(complete)
@@ -41,7 +39,12 @@
         return self._partial
 
 
-def _find_last_end(data: bytes, terminator: bytes) -> int:
+def find_last_end(data: bytes) -> int:
+    """Returns the end of the last complete event; 0 if there is none."""
+    return max(_find_end(data, terminator) for terminator in EVENT_ENDS)
+
+
+def _find_end(data: bytes, terminator: bytes) -> int:
     """Returns the end of the last event with this terminator; 0 if none."""
     index = data.rfind(terminator)
     return index + len(terminator) if index >= 0 else 0
--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -187,6 +187,21 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def shortest_pause_goal(self, service: str) -> float:
+        """Returns the shortest pause goal of a service's routes, in seconds.
+
+        Returns:
+            0 if no route to the service has a pause goal.
+        """
+        goals = (
+            route.pause_goal
+            for by_prefix in self._by_host.values()
+            for route in by_prefix.values()
+            if route.pause_goal > 0
+            and any(target.service == service for target in route.targets)
+        )
+        return min(goals, default=0.0)
+
 
 def _strip_port(host: str) -> str:
     """Returns the host name of a Host header, without port, in lower case."""
