--- a/src/ridgesill/app/fleet_paces.py
+++ b/src/ridgesill/app/fleet_paces.py
@@ -10,7 +10,7 @@
 from ridgesill.core.fleet.use_reports import Sent
 from ridgesill.core.serving.routes import RouteTable
 
-# How often paces are updated, in seconds. An update takes 2 microseconds for
+# How often paces are updated, in seconds. An update takes 3 microseconds for
 # each engine.
 _UPDATE_SECONDS = 0.4
 # Age from which a report says nothing of the present paces, in seconds.
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -805,3 +805,48 @@
             ("alice", "served", True),
             ("alice", "refused", False),
         ]
+
+
+class TestStreamGaps:
+    @pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
+    async def test_the_gaps_of_a_stream_are_reported_once(
+        self, world: FrontWorld, path: str
+    ) -> None:
+        async def pause_once(call: Call) -> None:
+            await call.begin_stream()
+            for number in range(6):
+                await asyncio.sleep(0.3 if number == 3 else 0.03)
+                await call.send_event(number)
+            await call.end_stream()
+
+        await world.add("u1", pause_once, "engine", base__a1=1)
+        client = await world.open()
+        await client.ask(path, **STREAM)
+        sent = world.front.collect_sent()
+        assert sent.calls["u1"].paced == 1
+        assert 0.02 < sent.calls["u1"].typical_gaps < 0.1
+        assert 0.28 < sent.calls["u1"].longest_gaps < 0.5
+        # Guards against reports without a time, which can't be sent.
+        now = asyncio.get_running_loop().time()
+        assert 0 <= now - sent.since < 1.0
+        assert not world.front.collect_sent()
+
+    async def test_a_client_that_reads_slowly_makes_no_gap(
+        self, world: FrontWorld
+    ) -> None:
+        # Guards against an engine that seems slow because of its clients.
+        async def send_much(call: Call) -> None:
+            await call.begin_stream()
+            data = b"data: %s\n\n" % (b"x" * 500_000)
+            for number in range(14):
+                await call.send(b"%x\r\n%s\r\n" % (len(data), data))
+                await asyncio.sleep(0.03 if number < 6 else 0.0)
+            await call.end_stream()
+
+        await world.add("u1", send_much, "engine", base__a1=1)
+        client = await world.open()
+        await client.send("/stream/x", **STREAM)
+        await asyncio.sleep(1.0)
+        assert len((await client.read()).body) > 14 * 500_000
+        calls = world.front.collect_sent().calls.get("u1")
+        assert calls is None or calls.longest_gaps < 0.5
--- a/testing/core/fleet/test_backlog.py
+++ b/testing/core/fleet/test_backlog.py
@@ -72,6 +72,24 @@
         assert backlogs.wait_seconds("e1", 3, 0.1) == 0.0
 
 
+class TestOverduePrompts:
+    """A prompt that is read longer than predicted, as in a slow period."""
+
+    def test_it_takes_as_long_again_as_it_is_overdue(self) -> None:
+        # Guards against an engine that seems idle because it is slow.
+        backlogs = Backlogs()
+        backlogs.record_sent("e1", "l1", 9000, 4, 0.0)
+        assert backlogs.wait_seconds("e1", 4, 0.3) == pytest.approx(0.0)
+        assert backlogs.wait_seconds("e1", 4, 0.8) == pytest.approx(
+            0.5, abs=0.06
+        )
+
+    def test_a_late_report_of_its_end_makes_it_no_longer(self) -> None:
+        backlogs = Backlogs()
+        backlogs.record_sent("e1", "l1", 9000, 4, 0.0)
+        assert backlogs.wait_seconds("e1", 4, 0.34) == 0.0
+
+
 class TestReservations:
     def test_reserved_prompt_sent_before_is_ahead(self) -> None:
         backlogs = Backlogs()
--- a/testing/core/serving/test_routes.py
+++ b/testing/core/serving/test_routes.py
@@ -54,3 +54,18 @@
         assert not make_route("r", "/", kind="unsafe").is_idempotent
         assert not make_route("r", "/", kind="stream").is_idempotent
         assert make_route("r", "/", kind="stream", resumable=True).is_idempotent
+
+
+class TestShortestPauseGoal:
+    def test_only_positive_goals_of_the_service_count(self) -> None:
+        table = RouteTable(
+            1,
+            [
+                make_route("r1", "/1/", pause_goal=0.6),
+                make_route("r2", "/2/", pause_goal=0.3),
+                make_route("r3", "/3/"),
+                make_route("r4", "/4/", pause_goal=0.1, targets=(Target("t"),)),
+            ],
+        )
+        assert table.shortest_pause_goal("s") == 0.3
+        assert table.shortest_pause_goal("u") == 0.0
