--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -1,5 +1,6 @@
 """Routes by host and path prefix, and the services behind them."""
 
+import functools
 from collections.abc import Iterable
 
 import attrs
@@ -187,6 +188,19 @@
             end = path.rfind("/", 0, end)
         return None
 
+    @functools.cached_property
+    def _shortest_pause_goals(self) -> dict[str, float]:
+        # Kept, since the owner asks for each request of an engine, and there
+        # may be over a thousand routes.
+        goals: dict[str, float] = {}
+        for by_prefix in self._by_host.values():
+            for route in by_prefix.values():
+                for target in route.targets:
+                    if route.pause_goal > 0:
+                        known = goals.get(target.service, route.pause_goal)
+                        goals[target.service] = min(known, route.pause_goal)
+        return goals
+
     def shortest_plain_goals(self) -> dict[str, float]:
         """Returns the shortest goal of each plain service, in seconds.
 
@@ -203,6 +217,14 @@
                         goals[target.service] = min(known, route.goal)
         return goals
 
+    def shortest_pause_goal(self, service: str) -> float:
+        """Returns the shortest pause goal of a service's routes, in seconds.
+
+        Returns:
+            0 if no route to the service has a pause goal.
+        """
+        return self._shortest_pause_goals.get(service, 0.0)
+
 
 def _strip_port(host: str) -> str:
     """Returns the host name of a Host header, without port, in lower case."""
--- a/testing/core/serving/test_routes.py
+++ b/testing/core/serving/test_routes.py
@@ -79,3 +79,18 @@
         ]
         table = RouteTable(1, routes, services)
         assert table.shortest_plain_goals() == {"s": 0.342}
+
+
+class TestShortestPauseGoal:
+    def test_only_positive_goals_of_the_service_count(self) -> None:
+        table = RouteTable(
+            1,
+            [
+                make_route("r1", "/1/", pause_goal=0.6),
+                make_route("r2", "/2/", pause_goal=0.3),
+                make_route("r3", "/3/"),
+                make_route("r4", "/4/", pause_goal=0.1, targets=(Target("t"),)),
+            ],
+        )
+        assert table.shortest_pause_goal("s") == 0.3
+        assert table.shortest_pause_goal("u") == 0.0
