Decide which requests an overloaded front refuses

The load balancer hashes clients to fronts regardless of their size. A front that gets more than it can do delays every request that it takes.

FrontLoad derives the share of new requests to refuse from samples of event loop lag, processor time, memory, descriptors and bytes at the link, refuses the least urgent ones first, and says when the front may report itself as not ready. The share follows lag and processor use in steps; for memory, descriptors and the link it is proportional to the excess, since these hardly fall when fewer requests are admitted.

--- /dev/null
+++ b/src/ridgesill/core/serving/front_load.py
@@ -0,0 +1,328 @@
+"""Decides which requests a front refuses because it is itself overloaded.
+
+Load pattern: the load balancer hashes clients to fronts regardless of their
+size, so that fronts with 0.4 cores get as many requests as those with 1.3
+cores. An overloaded front delays every request that it takes. Refusing a part
+at once sends these callers to another front while the others are served in
+time.
+
+Processor use and event loop lag depend on how many requests are admitted, so
+their control reduces the admitted share in steps. Memory, descriptors and bytes
+that wait at the link don't fall when fewer requests are admitted, or fall late;
+a control that kept reducing the share would end up refusing everything. For
+these, the refused share is proportional to the excess.
+"""
+
+import attrs
+
+# A front is full if its event loop lag exceeds this share of the shortest goal
+# for this many seconds. A shorter lag may be a single long callback.
+_MAX_LAG_SHARE = 1 / 20
+_SUSTAINED_SECONDS = 0.3
+# Shares of the limits from which a front is full.
+_MAX_PROCESSOR_SHARE = 0.9
+_MAX_STOCK_SHARE = 0.85
+# Seconds of the link's bandwidth that may wait in sockets.
+_MAX_LINK_WAIT_SECONDS = 0.25
+# Seconds over which processor use is measured. Between two samples it varies
+# with single requests.
+_PROCESSOR_SPAN_SECONDS = 0.5
+# Share of a bound below which the admitted share grows quickly. Between it and
+# the bound it grows slowly, so that the refused share doesn't oscillate.
+_RELEASE_SHARE = 0.8
+_FAST_GROWTH_PER_SECOND = 0.1
+_SLOW_GROWTH_PER_SECOND = 0.02
+# Lowest factor by which one step reduces the admitted share. Lag is compared at
+# each sample, ten times a second; processor use once in its span.
+_MIN_FACTOR = 0.7
+# Factor for a lag that stays as it is.
+_CONSTANT_LAG_FACTOR = 0.95
+# Decrease of the refused share per second once memory, descriptors or the link
+# are within their bounds again.
+_STOCK_RELEASE_PER_SECOND = 0.2
+# A small part is always admitted, since only admitted requests show whether the
+# front has recovered.
+_MAX_REFUSED_SHARE = 0.95
+# Seconds from the first sample in which nothing is refused: a starting process
+# imports modules and decodes the configuration.
+_START_SECONDS = 2.0
+# Time constant of the counts of requests by priority, in seconds.
+_COUNTS_SECONDS = 1.0
+# Counts below this are dropped.
+_MIN_COUNT = 0.01
+# A front may report itself as not ready once it has refused this share or more
+# for this many seconds. By then its report has passed at most four long polls
+# of half a second, two to the owner and two to the other fronts. So no front
+# counts one as having room that is not ready.
+_MIN_UNREADY_SHARE = 0.25
+_UNREADY_AFTER_SECONDS = 2.5
+# Greatest age of the owner's news for that, in seconds.
+_MAX_NEWS_AGE_SECONDS = 1.0
+
+
+@attrs.frozen
+class VmLimits:
+    """Limits of a VM; 0 stands for no limit.
+
+    Attributes:
+        processor_share: processor seconds per second.
+        memory_bytes: resident memory.
+        descriptors: open file descriptors.
+        link_bytes_per_second: bandwidth of its link.
+    """
+
+    processor_share: float = 0.0
+    memory_bytes: float = 0.0
+    descriptors: int = 0
+    link_bytes_per_second: float = 0.0
+
+    def __bool__(self) -> bool:
+        """Whether there is any limit."""
+        return self != VmLimits()
+
+
+@attrs.frozen
+class LoadSample:
+    """What a front has measured of itself.
+
+    Attributes:
+        at: time of the sample, in seconds.
+        lag_seconds: how late the event loop ran a timer.
+        processor_seconds: processor time used since the process started.
+        memory_bytes: resident memory.
+        descriptors: open file descriptors.
+        waiting_bytes: bytes that wait at the link.
+    """
+
+    at: float
+    lag_seconds: float = 0.0
+    processor_seconds: float = 0.0
+    memory_bytes: float = 0.0
+    descriptors: int = 0
+    waiting_bytes: float = 0.0
+
+
+@attrs.define
+class _Sustained:
+    """Tells for how long a value has exceeded its bound without a break."""
+
+    _since: float | None = None
+
+    def record(self, is_over: bool, at: float) -> bool:
+        """Records a comparison; returns whether the bound counts as exceeded.
+
+        Args:
+            is_over: whether the value exceeds its bound now.
+            at: time of the comparison, in seconds.
+        """
+        if not is_over:
+            self._since = None
+            return False
+        if self._since is None:
+            self._since = at
+        return at - self._since >= _SUSTAINED_SECONDS
+
+
+class FrontLoad:
+    """Tracks the load of one front and the share of requests to refuse.
+
+    Args:
+        limits: limits of the front's VM.
+
+    Attributes:
+        shortest_goal: shortest goal of all routes, in seconds.
+        last: the latest sample; None before the first.
+        processor_use: processor seconds per second, recently.
+        refused_share: share of new requests to refuse, from 0 to 1.
+    """
+
+    def __init__(self, limits: VmLimits) -> None:
+        self.shortest_goal = float("inf")
+        self.last: LoadSample | None = None
+        self.processor_use = 0.0
+        self.refused_share = 0.0
+        self._limits = limits
+        self._started_at = 0.0
+        self._admitted_share = 1.0
+        self._stock_share = 0.0
+        self._lag_over = _Sustained()
+        self._link_over = _Sustained()
+        # First sample of the current span of processor use.
+        self._span_start: LoadSample | None = None
+        self._refusing_since: float | None = None
+        self._is_unready = False
+        self._counts: dict[int, float] = {}
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the front refuses a part of its new requests."""
+        return self.refused_share > 0
+
+    # -- samples -------------------------------------------------------
+
+    def record(self, sample: LoadSample) -> None:
+        """Records a sample and updates the refused share."""
+        previous = self.last
+        self.last = sample
+        if previous is None:
+            self._started_at = sample.at
+            self._span_start = sample
+            return
+        span = max(sample.at - previous.at, 0.0)
+        self._decay_counts(span)
+        new_use = self._measure_processor(sample)
+        lag_factor = self._lag_factor(sample, previous)
+        processor_factor = self._processor_factor() if new_use else 1.0
+        stock_excess = self._stock_excess(sample)
+        if sample.at - self._started_at < _START_SECONDS:
+            return
+        factor = min(lag_factor, processor_factor)
+        if factor < 1.0:
+            self._admitted_share *= factor
+        else:
+            self._grow(sample, span)
+        self._stock_share = max(
+            stock_excess, self._stock_share - _STOCK_RELEASE_PER_SECOND * span
+        )
+        refused = max(1 - self._admitted_share, self._stock_share)
+        self.refused_share = min(max(refused, 0.0), _MAX_REFUSED_SHARE)
+        self._admitted_share = max(self._admitted_share, 1 - _MAX_REFUSED_SHARE)
+        self._track_refusing(sample.at)
+
+    def _measure_processor(self, sample: LoadSample) -> bool:
+        """Updates the processor use; returns whether a span has ended."""
+        first = self._span_start
+        assert first is not None
+        span = sample.at - first.at
+        if span < _PROCESSOR_SPAN_SECONDS:
+            return False
+        used = sample.processor_seconds - first.processor_seconds
+        self.processor_use = used / span
+        self._span_start = sample
+        return True
+
+    def _lag_factor(self, sample: LoadSample, previous: LoadSample) -> float:
+        """Returns by which factor lag reduces the admitted share; 1 for none.
+
+        A rise of the lag shows by how much the work exceeds what the front can
+        do. A falling lag reduces nothing: earlier requests are being worked
+        off.
+        """
+        bound = _MAX_LAG_SHARE * self.shortest_goal
+        is_over = self._lag_over.record(sample.lag_seconds > bound, sample.at)
+        rise = sample.lag_seconds - previous.lag_seconds
+        span = sample.at - previous.at
+        if not is_over or rise < 0 or span <= 0:
+            return 1.0
+        factor = min(span / (span + rise), _CONSTANT_LAG_FACTOR)
+        return max(factor, _MIN_FACTOR)
+
+    def _processor_factor(self) -> float:
+        bound = _MAX_PROCESSOR_SHARE * self._limits.processor_share
+        if not bound or self.processor_use <= bound:
+            return 1.0
+        return max(bound / self.processor_use, _MIN_FACTOR)
+
+    def _grow(self, sample: LoadSample, span: float) -> None:
+        """Increases the admitted share after a time within the bounds."""
+        lag_bound = _MAX_LAG_SHARE * self.shortest_goal
+        use_bound = _MAX_PROCESSOR_SHARE * self._limits.processor_share
+        if sample.lag_seconds > lag_bound:
+            return
+        if use_bound and self.processor_use > use_bound:
+            return
+        is_low = sample.lag_seconds <= _RELEASE_SHARE * lag_bound and (
+            not use_bound or self.processor_use <= _RELEASE_SHARE * use_bound
+        )
+        rate = _FAST_GROWTH_PER_SECOND if is_low else _SLOW_GROWTH_PER_SECOND
+        self._admitted_share = min(self._admitted_share + rate * span, 1.0)
+
+    def _stock_excess(self, sample: LoadSample) -> float:
+        """Returns the share to refuse for memory, descriptors and the link."""
+        limits = self._limits
+        return max(
+            _share_over(sample.memory_bytes, limits.memory_bytes),
+            _share_over(sample.descriptors, limits.descriptors),
+            self._link_excess(sample),
+        )
+
+    def _link_excess(self, sample: LoadSample) -> float:
+        bound = _MAX_LINK_WAIT_SECONDS * self._limits.link_bytes_per_second
+        is_over = bound > 0 and sample.waiting_bytes > bound
+        if not self._link_over.record(is_over, sample.at):
+            return 0.0
+        return 1 - bound / sample.waiting_bytes
+
+    def _track_refusing(self, at: float) -> None:
+        if not self.is_full:
+            self._is_unready = False
+        if self.refused_share < _MIN_UNREADY_SHARE:
+            self._refusing_since = None
+        elif self._refusing_since is None:
+            self._refusing_since = at
+
+    # -- requests ------------------------------------------------------
+
+    def refuses(self, priority: int, draw: float) -> bool:
+        """Counts a new request; returns whether to refuse it.
+
+        Args:
+            priority: of the request; 0 is the most urgent.
+            draw: a random number from 0 to below 1.
+        """
+        self._counts[priority] = self._counts.get(priority, 0.0) + 1
+        if not self.refused_share:
+            return False
+        return draw < self._find_share(priority)
+
+    def _find_share(self, priority: int) -> float:
+        """Returns the share of a priority's requests to refuse.
+
+        Less urgent ones are refused first, as far as they suffice.
+        """
+        to_refuse = self.refused_share * sum(self._counts.values())
+        less_urgent = sum(n for p, n in self._counts.items() if p > priority)
+        return (to_refuse - less_urgent) / self._counts[priority]
+
+    def _decay_counts(self, span: float) -> None:
+        kept_share = max(1 - span / _COUNTS_SECONDS, 0.0)
+        self._counts = {
+            priority: count * kept_share
+            for priority, count in self._counts.items()
+            if count * kept_share >= _MIN_COUNT
+        }
+
+    # -- readiness -----------------------------------------------------
+
+    def may_take_clients(
+        self, fronts: int, with_room: int, news_age: float, now: float
+    ) -> bool:
+        """Whether the load balancer should send new clients here.
+
+        False only while at least two thirds of the data centre's fronts have
+        room, so that at most a third of them are not ready. Once not ready,
+        the front stays so until it refuses nothing more.
+
+        Args:
+            fronts: number of fronts of the data centre; 0 if unknown.
+            with_room: number of these that refuse nothing.
+            news_age: age of both figures, in seconds.
+            now: the current time, in seconds.
+        """
+        others_have_room = fronts > 0 and 3 * with_room >= 2 * fronts
+        if not others_have_room or news_age > _MAX_NEWS_AGE_SECONDS:
+            self._is_unready = False
+        elif (
+            self._refusing_since is not None
+            and now - self._refusing_since >= _UNREADY_AFTER_SECONDS
+        ):
+            self._is_unready = True
+        return not self._is_unready
+
+
+def _share_over(used: float, limit: float) -> float:
+    """Returns how far a use is between its bound (0) and its limit (1)."""
+    if not limit:
+        return 0.0
+    bound = _MAX_STOCK_SHARE * limit
+    return min(max((used - bound) / (limit - bound), 0.0), 1.0)
--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -155,6 +155,10 @@
         services: all services.
         limits: limits for clients; None if the configuration names none.
         customers: all customers; None if callers need no API keys.
+
+    Attributes:
+        shortest_goal: the shortest goal of all routes, in seconds; infinite if
+            there is none.
     """
 
     def __init__(
@@ -169,10 +173,13 @@
         self.limits = limits
         self.customers = customers
         self.services = {service.name: service for service in services}
+        self.shortest_goal = float("inf")
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             by_prefix = self._by_host.setdefault(route.host.lower(), {})
             by_prefix[route.prefix] = route
+            if route.goal > 0:
+                self.shortest_goal = min(self.shortest_goal, route.goal)
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, None if none."""
