Read the limits of the VM and the contracts from the settings

The settings of fronts of different sizes state their own limits, and name by the contract `pressure` that clients and engines may read slowly. Neither was read. Missing limits and zeros mean no limit; other values that aren't numbers of 0 or more are an error that names the field.

--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -8,6 +8,7 @@
 import yaml
 
 from ridgesill.core.addresses import with_port
+from ridgesill.core.serving.front_load import VmLimits
 
 # The environment variable that holds the path of the settings file.
 _PATH_VARIABLE = "RIDGESILL_SETTINGS"
@@ -20,6 +21,10 @@
 # and path.
 _METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
+# The contract that clients and engines may read slowly.
+_SLOW_PEERS_CONTRACT = "pressure"
+_BYTES_PER_MB = 1e6
+_BYTES_PER_MBIT = 1e6 / 8
 
 
 class PlatformSettingsError(Exception):
@@ -99,6 +104,8 @@
         tolerated_losses: VMs with a disk that may fail at the same time.
         heartbeat_seconds: interval between an upstream's heartbeats.
         bounds: time limits and shares that the platform requires.
+        limits: limits of the VM.
+        has_slow_peers: whether clients and engines may read slowly.
     """
 
     vm: str
@@ -115,6 +122,8 @@
     tolerated_losses: int
     heartbeat_seconds: float
     bounds: Bounds
+    limits: VmLimits = VmLimits()
+    has_slow_peers: bool = False
 
     @property
     def voters(self) -> int:
@@ -177,6 +186,8 @@
             tolerated_losses=int(tolerance.get("machines", 0)),
             heartbeat_seconds=self._read_heartbeat_seconds(),
             bounds=self._read_bounds(),
+            limits=self._read_limits(),
+            has_slow_peers=_SLOW_PEERS_CONTRACT in self._read_contracts(),
         )
 
     def _get_text(self, field: str) -> str:
@@ -242,3 +253,34 @@
             quota_share=float(bounds.get("quota_excess", defaults.quota_share)),
             quota_slack=float(bounds.get("quota_slack", defaults.quota_slack)),
         )
+
+    def _read_limits(self) -> VmLimits:
+        limits = self._get_table("limits")
+
+        def get_number(name: str) -> float:
+            value = limits.get(name) or 0
+            is_number = isinstance(value, int | float) and value is not True
+            if not is_number or not 0 <= value < float("inf"):
+                raise PlatformSettingsError(
+                    self._path, f"limits.{name}", "a number, 0 or more"
+                )
+            return float(value)
+
+        # Both are in cores; the process can use no more than the lower one.
+        shares = (get_number("cpu_share"), get_number("cores"))
+        return VmLimits(
+            processor_share=min((s for s in shares if s), default=0.0),
+            memory_bytes=get_number("memory_mb") * _BYTES_PER_MB,
+            descriptors=int(get_number("file_descriptors")),
+            link_bytes_per_second=get_number("link_mbps") * _BYTES_PER_MBIT,
+        )
+
+    def _read_contracts(self) -> list[str]:
+        contracts = self._document.get("contracts") or []
+        if not isinstance(contracts, list) or not all(
+            isinstance(name, str) for name in contracts
+        ):
+            raise PlatformSettingsError(
+                self._path, "contracts", "a list of names"
+            )
+        return contracts
