Refuse a part of the requests at a front that is full

A front of a small VM gets as many clients as one of a large VM, and had no way to pass any on.

While descriptors are short, answers ask clients to close their connections. Only where the settings state limits. The refusals that need no upstream are now found in one method.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -226,7 +226,7 @@
     @property
     def draining(self) -> bool:
         """Whether responses should ask the client to close the connection."""
-        return self._listener.draining
+        return self._listener.draining or self._listener.is_crowded
 
     def send(self, event: h11.Event) -> None:
         """Writes a part of the response, unless the client disconnected."""
@@ -322,6 +322,8 @@
     Attributes:
         connections: all open connections.
         draining: whether connections close after their next response.
+        is_crowded: the same while descriptors are short; connections are still
+            accepted.
     """
 
     def __init__(
@@ -334,6 +336,7 @@
         self.limits = limits or ClientLimits()
         self.connections: set[ServerConnection] = set()
         self.draining = False
+        self.is_crowded = False
         self._address = address
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task[None] | None = None
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -56,6 +56,8 @@
 _QUARANTINE_RETRY_SECONDS = 3600.0
 # Statuses that tell a client that its request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# A retry soon after reaches another front, on a new channel.
+_FRONT_FULL_REFUSAL = Refusal("front_full", 0.1)
 _QUARANTINE_REFUSAL = Refusal("quarantined", _QUARANTINE_RETRY_SECONDS)
 _OK = 200
 _REDIRECT = 300
@@ -178,15 +180,9 @@
             return
         self._set_customer(caller.ok_value)
         self._apply_route(route)
-        if self._may_outlast_front():
-            self._refuse(Refusal("stopping", _STOPPING_RETRY_SECONDS))
-            return
-        if self._suspect.is_quarantined():
-            self._refuse(_QUARANTINE_REFUSAL)
-            return
-        if self._exceeds_quota():
-            retry_after = self._front.quotas.retry_after_seconds()
-            self._refuse(Refusal("beyond_quota", retry_after, 429))
+        refusal = self._find_early_refusal()
+        if refusal is not None:
+            self._refuse(refusal)
             return
         self._deadline = min(self._deadline, self._front.stops_at)
         try:
@@ -204,6 +200,22 @@
             if self._was_answered_not_run or not self.was_sent:
                 self._refund_quota()
 
+    def _find_early_refusal(self) -> Refusal | None:
+        """Returns why the request is refused before upstreams are considered.
+
+        A request that passes is charged to its customer's quota.
+        """
+        if self._may_outlast_front():
+            return Refusal("stopping", _STOPPING_RETRY_SECONDS)
+        if self._suspect.is_quarantined():
+            return _QUARANTINE_REFUSAL
+        if self._is_front_full():
+            return _FRONT_FULL_REFUSAL
+        if self._exceeds_quota():
+            retry_after = self._front.quotas.retry_after_seconds()
+            return Refusal("beyond_quota", retry_after, 429)
+        return None
+
     def _can_decide(self) -> bool:
         """Whether this front can check routes, keys and quotas."""
         table = self._front.table
@@ -248,6 +260,12 @@
         if customer is not None:
             self._suspect.set_customer(customer.name)
 
+    def _is_front_full(self) -> bool:
+        """Whether this front refuses the request because of its own load."""
+        load = self._front.load
+        draw = self._front.rng.random() if load is not None else 0.0
+        return load is not None and load.refuses(self._priority(), draw)
+
     def _exceeds_quota(self) -> bool:
         """Charges the request to the customer's quota.
 
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -14,6 +14,7 @@
 from ridgesill.core.serving.callers import ConfigurationFreshness
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.front_limits import FrontLimits
+from ridgesill.core.serving.front_load import FrontLoad
 from ridgesill.core.serving.prefill_rate import PrefillRate
 from ridgesill.core.serving.rates import FrontRates
 from ridgesill.core.serving.retries import RetryBounds, ServiceRetries
@@ -62,6 +63,8 @@
         self.upstream_words = UpstreamWords(
             chooser.unavailable, self.limits, fleet
         )
+        # None where the VM has no limits.
+        self.load: FrontLoad | None = None
         self.in_progress = 0
         self.request_counts: dict[str, int] = {}
         self.telemetry: Telemetry = BufferedTelemetry()
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -13,6 +13,7 @@
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.forwarding import serve_request
 from ridgesill.app.front import Front
+from ridgesill.app.front_load_sampler import FrontLoadSampler
 from ridgesill.app.platform_node import (
     CONNECT_TIMEOUT_SECONDS,
     decode_newer_routes,
@@ -25,6 +26,7 @@
 from ridgesill.core.fleet.relays import find_relays
 from ridgesill.core.fleet.usage import UsageReport
 from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.front_load import FrontLoad, LoadSample
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.retries import RetryBounds
 from ridgesill.platform.control_calls import READY_PATH
@@ -99,6 +101,8 @@
             bounds.revocation_seconds * _REVOCATION_SHARE,
             settings.vm,
         )
+        if settings.limits:
+            self.front.load = FrontLoad(settings.limits)
         self.fleet.add_listener(self.front.discovery_signal.notify)
         self.fleet.add_listener(self._apply_fleet_news)
         self._client_listener = HttpListener(
@@ -153,6 +157,8 @@
         if table is None:
             return
         self.front.table = table
+        if self.front.load is not None:
+            self.front.load.shortest_goal = table.shortest_goal
         self.front.discovery_signal.notify()
         if table.limits is not None:
             self._client_listener.limits = table.limits
@@ -200,7 +206,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._client_listener.start()
         await self._readiness_listener.start()
-        coroutines = (
+        coroutines = [
             self.control.follow(),
             self.fleet.run(),
             self._prune_regularly(),
@@ -211,7 +217,10 @@
                 Instruments(self._gauges(), self._swap_telemetry),
             ),
             log_traffic(self._peers.traffic),
-        )
+        ]
+        if self.front.load is not None:
+            sampler = FrontLoadSampler(self.front.load, self._client_listener)
+            coroutines.append(sampler.run())
         tasks = [self._loop.create_task(coroutine) for coroutine in coroutines]
         log_message(
             "front:started",
@@ -250,7 +259,9 @@
 
     def _gauges(self) -> dict[str, Callable[[], float]]:
         view = self.fleet.view
+        load = self.front.load
         return {
+            **(_load_gauges(load) if load is not None else {}),
             "ridgesill_requests_in_progress": lambda: self.front.in_progress,
             "ridgesill_configuration_version": (
                 lambda: self.front.table.version
@@ -315,3 +326,19 @@
         # Only the list of seeds may change while the process runs, and it isn't
         # read again.
         log_message("front:reloaded")
+
+
+def _load_gauges(load: FrontLoad) -> dict[str, Callable[[], float]]:
+    """Returns the gauges of what a front decides by about its own load."""
+
+    def last() -> LoadSample:
+        return load.last or LoadSample(0.0)
+
+    return {
+        "ridgesill_loop_lag_seconds": lambda: last().lag_seconds,
+        "ridgesill_processor_use": lambda: load.processor_use,
+        "ridgesill_memory_bytes": lambda: last().memory_bytes,
+        "ridgesill_descriptors": lambda: last().descriptors,
+        "ridgesill_link_waiting_bytes": lambda: last().waiting_bytes,
+        "ridgesill_front_refused_share": lambda: load.refused_share,
+    }
--- a/src/ridgesill/core/serving/front_load.py
+++ b/src/ridgesill/core/serving/front_load.py
@@ -158,6 +158,12 @@
         """Whether the front refuses a part of its new requests."""
         return self.refused_share > 0
 
+    @property
+    def lacks_descriptors(self) -> bool:
+        """Whether few descriptors are left, so that clients should leave."""
+        used = self.last.descriptors if self.last else 0
+        return _share_over(used, self._limits.descriptors) > 0
+
     # -- samples -------------------------------------------------------
 
     def record(self, sample: LoadSample) -> None:
--- a/testing/adapters/http1/test_server.py
+++ b/testing/adapters/http1/test_server.py
@@ -101,6 +101,16 @@
         answer = await exchange(listener, request)
         assert b"connection: close" in answer.lower()
 
+    async def test_clients_leave_while_descriptors_are_short(
+        self, listener: HttpListener
+    ) -> None:
+        # A front that refuses requests but keeps its connections stays short.
+        listener.is_crowded = True
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        for _ in range(2):
+            answer = await exchange(listener, request)
+            assert b"connection: close" in answer.lower()
+
     async def test_closed_listener_serves_open_connections_only(
         self, listener: HttpListener
     ) -> None:
--- a/testing/app/test_front_process.py
+++ b/testing/app/test_front_process.py
@@ -30,7 +30,7 @@
         view = FleetView(epoch=3, updated_at=news_at)
         front.fleet = types.SimpleNamespace(view=view)  # type: ignore[assignment]
         table = RouteTable(7)
-        front.front = types.SimpleNamespace(table=table)  # type: ignore[assignment]
+        front.front = types.SimpleNamespace(table=table, load=None)  # type: ignore[assignment]
         return front
 
     async def test_a_front_with_recent_news_is_ready(self) -> None:
