Let a full front report itself as not ready while others have room

A refusal costs a client a round trip and a retry, so a front that refuses much for seconds should get no new clients. Whether others can take them was not known to it.

Fronts report whether they have room with each question, by data centre; relays add these up, and the owner tells fronts of the data centres where one is full, once all expected fronts have reported. A front is not ready only after 2.5 s of refusing a quarter or more, and while two thirds of its data centre have room. A test with 195 fronts and relays shows that all know of a full front within these 2.5 s without other changes, so that no more than a third leave.

--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -170,6 +170,7 @@
             reports,
             usage.limits,
             usage.is_relayed,
+            usage.rooms,
         )
         try:
             news: FleetNews = await self._peers.call(
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -39,6 +39,7 @@
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
+    FrontRoom,
     HeardHeartbeat,
     HeardLeave,
     Heartbeat,
@@ -467,8 +468,18 @@
             sends=self._limits.states(now),
             taken=taken,
             knows_uses=now >= self._uses_complete_at,
+            rooms=self._find_scarce_rooms(now),
         )
 
+    def _find_scarce_rooms(self, now: float) -> dict[str, FrontRoom]:
+        """Returns which data centres have full fronts; none if in doubt.
+
+        Before all fronts have reported, those with room may be a wrong part.
+        """
+        if self._usage.fronts < self._expected_front_count(now):
+            return {}
+        return self._usage.find_scarce_rooms()
+
     def _has_news(self, watch: WatchFleet) -> bool:
         registry = self._registry
         if registry is None or self._limits.has_any():
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -24,6 +24,7 @@
 from ridgesill.app.telemetry import Instruments, serve_metrics
 from ridgesill.app.traffic import log_traffic
 from ridgesill.core.commands import Node
+from ridgesill.core.fleet.messages import FrontRoom
 from ridgesill.core.fleet.relays import find_relays
 from ridgesill.core.fleet.usage import UsageReport
 from ridgesill.core.serving.choice import Chooser
@@ -141,8 +142,16 @@
             resting=dict.fromkeys(resting, 1),
             sent=self.front.collect_sent(),
             limits=self.front.limits.list_unreported(self.fleet.view, now),
+            rooms=self._report_room(),
         )
 
+    def _report_room(self) -> dict[str, FrontRoom]:
+        load = self.front.load
+        if load is None:
+            return {}
+        with_room = 0 if load.is_full else 1
+        return {self._settings.data_centre: FrontRoom(1, with_room)}
+
     def _relay_address(self) -> str:
         """Returns the address of the relay of the owner's news.
 
@@ -187,6 +196,19 @@
             and has_recent_news
             and not self._draining
             and not self._is_stale()
+            and not self._leaves_clients_to_others()
+        )
+
+    def _leaves_clients_to_others(self) -> bool:
+        """Whether this front is full while most others have room."""
+        load = self.front.load
+        if load is None:
+            return False
+        now = self._loop.time()
+        view = self.fleet.view
+        room = view.rooms.get(self._settings.data_centre, FrontRoom())
+        return not load.may_take_clients(
+            room.fronts, room.with_room, now - view.updated_at, now
         )
 
     def _is_stale(self) -> bool:
--- a/src/ridgesill/app/news_relay.py
+++ b/src/ridgesill/app/news_relay.py
@@ -56,6 +56,7 @@
         question.fronts if question.is_front else 0,
         question.reported_ago,
         question.resting,
+        rooms=question.rooms,
     )
 
 
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -168,6 +168,27 @@
     is_ejected: bool | None = None
 
 
+@register
+@attrs.frozen
+class FrontRoom:
+    """How many fronts of a data centre have room.
+
+    Attributes:
+        fronts: number of fronts that have reported.
+        with_room: number of these that refuse no requests because of their
+            own load.
+    """
+
+    fronts: int = 0
+    with_room: int = 0
+
+    def plus(self, other: "FrontRoom") -> "FrontRoom":
+        """Returns the sum of both."""
+        return FrontRoom(
+            self.fronts + other.fronts, self.with_room + other.with_room
+        )
+
+
 @register
 @attrs.frozen
 class WatchFleet:
@@ -189,6 +210,8 @@
         is_relayed: whether a relay asks for its fronts. Only the owner accepts
             such reports: if nodes that ask each other passed them on, each
             would count them again.
+        rooms: room of these fronts by data centre; empty where their VMs have
+            no limits.
     """
 
     epoch: int
@@ -203,6 +226,7 @@
     reports: tuple[UseReport, ...] = ()
     limits: dict[str, NamedLimit] = attrs.Factory(dict)
     is_relayed: bool = False
+    rooms: dict[str, FrontRoom] = attrs.Factory(dict)
 
 
 @register
@@ -230,6 +254,7 @@
             has just started without its predecessor's state would let
             everything pass.
         services: load of the services that the owner limits.
+        rooms: room of the fronts, of the data centres where one is full.
     """
 
     epoch: int
@@ -246,6 +271,7 @@
     taken: tuple[int, ...] = ()
     knows_uses: bool = True
     services: dict[str, ServiceNews] = attrs.Factory(dict)
+    rooms: dict[str, FrontRoom] = attrs.Factory(dict)
 
 
 @register
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -13,6 +13,7 @@
     DRAINING,
     READY,
     FleetNews,
+    FrontRoom,
     Heartbeat,
     ServiceNews,
     Upstream,
@@ -475,6 +476,7 @@
         sends: rate states of the named limits, by upstream.
         knows_uses: whether the owner knows how much customers use.
         services: load of the services that the owner limits.
+        rooms: room of the fronts, of the data centres where one is full.
     """
 
     epoch: int = 0
@@ -488,6 +490,7 @@
     sends: dict[str, RateState] = attrs.Factory(dict)
     knows_uses: bool = True
     services: dict[str, ServiceNews] = attrs.Factory(dict)
+    rooms: dict[str, FrontRoom] = attrs.Factory(dict)
     _unconfirmed: set[str] = attrs.Factory(set)
 
     def apply_news(self, news: FleetNews, now: float) -> None:
@@ -512,6 +515,7 @@
         self.sends = news.sends
         self.knows_uses = news.knows_uses
         self.services = news.services
+        self.rooms = news.rooms
         self.updated_at = now - news.age
 
     def _remove_unconfirmed(self) -> None:
--- a/src/ridgesill/core/fleet/relayed_news.py
+++ b/src/ridgesill/core/fleet/relayed_news.py
@@ -102,6 +102,7 @@
             self._view.sends,
             knows_uses=self._view.knows_uses,
             services=self._view.services,
+            rooms=self._view.rooms,
         )
 
     def _is_too_far_behind(self, question: WatchFleet) -> bool:
--- a/src/ridgesill/core/fleet/usage.py
+++ b/src/ridgesill/core/fleet/usage.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ridgesill.core.fleet.messages import FrontRoom
 from ridgesill.core.fleet.use_reports import Sent
 from ridgesill.core.serving.limits import NamedLimit
 
@@ -27,6 +28,8 @@
         limits: rate limits that upstreams have named and that the owner hasn't
             sent in its news.
         is_relayed: whether a relay reports for its fronts.
+        rooms: room of the fronts by data centre; empty where their VMs have no
+            limits.
     """
 
     used: dict[str, int] = attrs.Factory(dict)
@@ -37,6 +40,7 @@
     sent: Sent = attrs.Factory(Sent)
     limits: dict[str, NamedLimit] = attrs.Factory(dict)
     is_relayed: bool = False
+    rooms: dict[str, FrontRoom] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -50,6 +54,7 @@
         busy: requests in progress by upstream and artifact.
         resting: number of its fronts that an upstream has asked to pause, by
             upstream.
+        rooms: room of its fronts by data centre.
     """
 
     heard_at: float
@@ -57,6 +62,7 @@
     fronts: int
     busy: dict[str, dict[str, int]]
     resting: dict[str, int]
+    rooms: dict[str, FrontRoom]
 
 
 class Usage:
@@ -93,7 +99,12 @@
             return
         reported_at = now - report.age
         self._reporters[reporter] = _Reporter(
-            now, reported_at, report.fronts, report.busy, report.resting
+            now,
+            reported_at,
+            report.fronts,
+            report.busy,
+            report.resting,
+            report.rooms,
         )
         self.fronts += report.fronts
         self._resting.update(report.resting)
@@ -148,6 +159,23 @@
         resting = self._resting[upstream]
         return resting > 0 and 2 * resting >= self.fronts
 
+    def sum_rooms(self) -> dict[str, FrontRoom]:
+        """Returns the room of all fronts by data centre."""
+        sums: dict[str, FrontRoom] = {}
+        for reporter in self._reporters.values():
+            for data_centre, room in reporter.rooms.items():
+                known = sums.get(data_centre)
+                sums[data_centre] = room if known is None else known.plus(room)
+        return sums
+
+    def find_scarce_rooms(self) -> dict[str, FrontRoom]:
+        """Returns the room of the data centres where a front is full."""
+        return {
+            data_centre: room
+            for data_centre, room in self.sum_rooms().items()
+            if room.with_room < room.fronts
+        }
+
     def make_report(
         self,
         used: dict[str, int],
@@ -171,4 +199,5 @@
             self.resting_fronts(),
             limits=limits,
             is_relayed=True,
+            rooms=self.sum_rooms(),
         )
--- a/testing/app/test_fleet_owner.py
+++ b/testing/app/test_fleet_owner.py
@@ -9,6 +9,7 @@
 from ridgesill.app.fleet_owner import find_last_owner
 from ridgesill.core.commands import Node
 from ridgesill.core.fleet.messages import (
+    FrontRoom,
     Heartbeat,
     Upstream,
     WantArtifact,
@@ -209,6 +210,22 @@
         answer = await node.owner.handle_want(WantArtifact("s", "m/a1", 0))
         assert (answer.upstream, answer.reason) == ("", "not_owner")
 
+    async def test_a_new_owner_tells_of_rooms_once_all_fronts_have_reported(
+        self,
+    ) -> None:
+        # Guards against a full front that takes the first few reports for
+        # those of all fronts, and reports itself as not ready.
+        node = LoneNode(make_voter_storage(""))
+        node.owner._follower.view.fronts = 2
+        await node.start()
+        rooms = {"a": FrontRoom(3, 2)}
+        watch = WatchFleet(0, 0, 0.0, rooms=rooms)
+        news = await node.owner.handle_watch("f1", watch)
+        assert not news.rooms
+        news = await node.owner.handle_watch("f2", WatchFleet(0, 0, 0.0))
+        assert news.rooms == rooms
+        node.stop()
+
 
 class TestLeaving:
     async def test_ready_heartbeats_do_not_undo_an_announced_leave(
--- a/testing/app/test_front_process.py
+++ b/testing/app/test_front_process.py
@@ -9,7 +9,9 @@
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.app import front_process
 from ridgesill.app.front_process import FrontProcess
+from ridgesill.core.fleet.messages import FrontRoom
 from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.serving.front_load import FrontLoad, LoadSample, VmLimits
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.ports.http import HttpRequest, Responder
 
@@ -44,6 +46,27 @@
         now = asyncio.get_running_loop().time()
         assert not self.make_front(now - 2.0).is_ready()
 
+    @pytest.mark.parametrize(
+        ("rooms", "is_ready"),
+        [
+            ({}, True),
+            ({"a": FrontRoom(9, 5)}, True),
+            ({"b": FrontRoom(9, 9)}, True),
+            ({"a": FrontRoom(9, 6)}, False),
+        ],
+    )
+    async def test_a_full_front_is_not_ready_while_others_have_room(
+        self, rooms: dict[str, FrontRoom], is_ready: bool
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        front = self.make_front(now - 0.3)
+        front._settings = types.SimpleNamespace(data_centre="a")  # type: ignore[assignment]
+        front.fleet.view.rooms = rooms
+        load = front.front.load = FrontLoad(VmLimits(0.0, 1e6))
+        for age in range(100, -1, -1):
+            load.record(LoadSample(now - age / 10, memory_bytes=1e6))
+        assert front.is_ready() == is_ready
+
 
 class TestStop:
     @pytest.fixture
--- a/testing/app/test_news_relay.py
+++ b/testing/app/test_news_relay.py
@@ -6,9 +6,13 @@
 """
 
 import asyncio
+import functools
 
 import pytest
 
+from ridgesill.core.fleet.messages import FrontRoom
+from ridgesill.core.fleet.usage import UsageReport
+from ridgesill.core.serving import front_load
 from testing.app.lone_node import NAME
 from testing.app.news_world import NewsWorld
 
@@ -146,3 +150,32 @@
         front = world.clients["f1"]
         assert front.view.upstreams["e1"].resident == {"m": 1, "m/a9": 1}
         world.stop()
+
+
+class TestRooms:
+    async def test_all_fronts_know_of_a_full_one_before_it_may_leave(
+        self,
+    ) -> None:
+        # Guards against fronts that count others as having room which are
+        # already not ready. Without changes, polls take longest.
+        world = NewsWorld(_FRONTS, relayed=True)
+        rooms = {"f1": 1, "f2": 1}
+
+        def report(name: str) -> UsageReport:
+            data_centre = world._data_centres[name]
+            room = FrontRoom(1, rooms.get(name, 1))
+            return UsageReport(rooms={data_centre: room})
+
+        fronts = {n: c for n, c in world.clients.items() if n.startswith("f")}
+        for name, client in fronts.items():
+            client._usage = functools.partial(report, name)
+        await world.start(_ENGINES)
+        await asyncio.sleep(3.0)
+        assert not any(client.view.rooms for client in fronts.values())
+        rooms["f1"] = rooms["f2"] = 0
+        await asyncio.sleep(front_load._UNREADY_AFTER_SECONDS)
+        full = [world._data_centres[name] for name in ("f1", "f2")]
+        expected = {dc: FrontRoom(39, 38) for dc in full}
+        assert len(expected) == 2
+        assert all(client.view.rooms == expected for client in fronts.values())
+        world.stop()
--- a/testing/core/fleet/test_usage.py
+++ b/testing/core/fleet/test_usage.py
@@ -1,5 +1,6 @@
 """Tests of the sums of the usage that fronts report."""
 
+from ridgesill.core.fleet.messages import FrontRoom
 from ridgesill.core.fleet.usage import Usage, UsageReport
 
 
@@ -92,6 +93,23 @@
         assert (summed.fronts, summed.busy, summed.age) == (0, {}, 0.0)
 
 
+class TestRooms:
+    def test_fronts_with_room_are_counted_by_data_centre(self) -> None:
+        usage, owner = Usage(), Usage()
+        for name, data_centre, with_room in (
+            ("f1", "a", 1),
+            ("f2", "a", 0),
+            ("f3", "b", 1),
+        ):
+            room = FrontRoom(1, with_room)
+            report = UsageReport(rooms={data_centre: room})
+            usage.record_report(name, report, 0.0)
+        owner.record_report("relay", usage.make_report({}, {}, 0.0), 0.0)
+        assert owner.find_scarce_rooms() == {"a": FrontRoom(2, 1)}
+        usage.prune_silent(5.0)
+        assert not usage.sum_rooms()
+
+
 class TestResting:
     def test_upstream_resting_for_half_of_the_fronts_is_found(self) -> None:
         usage = Usage()
