Disconnect one of equal slow readers, and measure slow readers

Two connections that held the same number of bytes beyond the bound were compared without end: each new count made another one the first of the largest, and the front stood still.

--- a/src/ridgesill/adapters/http1/slow_readers.py
+++ b/src/ridgesill/adapters/http1/slow_readers.py
@@ -89,11 +89,11 @@
 
     def _disconnect_excess(self) -> None:
         while name := self.held.find_excess():
-            connection = self._connections.pop(name)
-            # The client may have read, or left, since it was counted.
+            connection = self._connections[name]
+            counted = self.held.count(name)
             unsent = self._count(connection)
-            if self.held.find_excess() != name:
-                self._connections[name] = connection
+            if unsent < counted:
+                # The client has read, or left, since it was counted.
                 continue
             log_message(
                 "front:slow_reader",
@@ -104,4 +104,5 @@
                 bound=self.held.bound,
             )
             self.held.discard(name)
+            del self._connections[name]
             connection.abort()
--- a/src/ridgesill/core/serving/held_bytes.py
+++ b/src/ridgesill/core/serving/held_bytes.py
@@ -52,6 +52,10 @@
         if not self._customers[customer]:
             del self._customers[customer]
 
+    def count(self, client: str) -> int:
+        """Returns the bytes held for a client."""
+        return self._clients.get(client, ("", 0))[1]
+
     def discard_except(self, clients: Iterable[str]) -> None:
         """Removes all clients but those that are still connected."""
         for client in set(self._clients).difference(clients):
--- a/testing/adapters/http1/test_slow_readers.py
+++ b/testing/adapters/http1/test_slow_readers.py
@@ -149,6 +149,27 @@
         self.unsent = 0
 
 
+class TestExcess:
+    def test_of_equal_connections_one_goes(self) -> None:
+        # Guards against an endless search among connections that hold the
+        # same: each new count made another one the first of the largest.
+        equal = [FakeConnection(f"c{n}", 40, 40) for n in range(3)]
+        readers = SlowReaders(HeldBytes(100))
+        readers.scan(equal, 0.5)
+        assert sorted(c.unsent for c in equal) == [0, 40, 40]
+        assert readers.held.total == 80
+
+    def test_a_client_that_has_read_since_the_scan_stays(self) -> None:
+        reading, growing = FakeConnection("r", 80, 80), FakeConnection("g")
+        readers = SlowReaders(HeldBytes(100))
+        readers.scan([reading, growing], 0.5)
+        reading.unsent = 10
+        growing.written = growing.unsent = 60
+        readers.record(growing)
+        assert (reading.unsent, growing.unsent) == (10, 60)
+        assert readers.held.total == 70
+
+
 class TestLink:
     def test_only_bytes_of_connections_that_flow_wait_at_the_link(self) -> None:
         # Load pattern: a link that has dropped to 100 KB/s, and slow readers.
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -194,12 +194,18 @@
         folder: folder for settings, disks and logs.
         controls: number of control nodes.
         fronts: number of fronts.
+        front_settings: further fields of the fronts' settings.
     """
 
     def __init__(
-        self, folder: Path, controls: int = 3, fronts: int = 2
+        self,
+        folder: Path,
+        controls: int = 3,
+        fronts: int = 2,
+        front_settings: dict[str, Any] | None = None,
     ) -> None:
         self._folder = folder
+        self._front_settings = front_settings or {}
         # Second byte of all addresses; differs between concurrent test runs.
         self._second_byte = 1 + os.getpid() % 250
         self._ports = [int(free_address().rpartition(":")[2]) for _ in range(4)]
@@ -255,8 +261,14 @@
                 "quota_slack": QUOTA_SLACK,
             },
         }
+        if vm.role == "front":
+            settings.update(self._front_settings)
         vm.settings_file.write_text(yaml.safe_dump(settings))
 
+    def client_address(self, vm: Vm) -> str:
+        """Returns the address of a front for clients."""
+        return f"{vm.ip}:{self._ports[0]}"
+
     def control_address(self, vm: Vm) -> str:
         """Returns the address of a control node for upstreams and operators."""
         return f"{vm.ip}:{self._ports[2]}"
