--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -368,7 +368,7 @@
         return load.last or LoadSample(0.0)
 
     return {
-        "ridgesill_loop_lag_seconds": lambda: last().lag_seconds,
+        "ridgesill_loop_lag": lambda: last().lag_seconds,
         "ridgesill_processor_use": lambda: load.processor_use,
         "ridgesill_memory_bytes": lambda: last().memory_bytes,
         "ridgesill_descriptors": lambda: last().descriptors,
