Take a link for narrow only after two scans of its connections

The bytes that wait are scanned every 0.5 s and sampled every 0.1 s, so that one large answer in a single scan counted as sustained for 0.3 s and refused requests until the next scan. The bound now has to be exceeded for 0.6 s.

--- a/src/ridgesill/core/serving/front_load.py
+++ b/src/ridgesill/core/serving/front_load.py
@@ -22,8 +22,11 @@
 # Shares of the limits from which a front is full.
 _MAX_PROCESSOR_SHARE = 0.9
 _MAX_STOCK_SHARE = 0.85
-# Seconds of the link's bandwidth that may wait in sockets.
+# Seconds of the link's bandwidth that may wait in sockets, and for how many
+# seconds more may wait. Connections are scanned twice a second, and what one
+# scan finds may be a single large answer.
 _MAX_LINK_WAIT_SECONDS = 0.25
+_LINK_SUSTAINED_SECONDS = 0.6
 # Seconds over which processor use is measured. Between two samples it varies
 # with single requests.
 _PROCESSOR_SPAN_SECONDS = 0.5
@@ -104,8 +107,13 @@
 
 @attrs.define
 class _Sustained:
-    """Tells for how long a value has exceeded its bound without a break."""
+    """Tells whether a value has exceeded its bound without a break.
 
+    Attributes:
+        seconds: how long it must have exceeded the bound.
+    """
+
+    seconds: float
     _since: float | None = None
 
     def record(self, is_over: bool, at: float) -> bool:
@@ -120,7 +128,7 @@
             return False
         if self._since is None:
             self._since = at
-        return at - self._since >= _SUSTAINED_SECONDS
+        return at - self._since >= self.seconds
 
 
 class FrontLoad:
@@ -145,8 +153,8 @@
         self._started_at = 0.0
         self._admitted_share = 1.0
         self._stock_share = 0.0
-        self._lag_over = _Sustained()
-        self._link_over = _Sustained()
+        self._lag_over = _Sustained(_SUSTAINED_SECONDS)
+        self._link_over = _Sustained(_LINK_SUSTAINED_SECONDS)
         # First sample of the current span of processor use.
         self._span_start: LoadSample | None = None
         self._refusing_since: float | None = None
--- a/testing/core/serving/test_front_load.py
+++ b/testing/core/serving/test_front_load.py
@@ -79,6 +79,10 @@
         assert not Replay().run(2.0, waiting_bytes=0.25 * 625e3)
         assert Replay().run(2.0, waiting_bytes=0.5 * 625e3) == 0.5
 
+    def test_one_large_answer_is_not_a_narrow_link(self) -> None:
+        # One scan of the connections holds for five samples.
+        assert not Replay().run(0.5, waiting_bytes=4e6)
+
     def test_without_limits_only_lag_counts(self) -> None:
         load = FrontLoad(VmLimits())
         for number in range(100):
