--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -9,10 +9,12 @@
 
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.adapters.http1.slow_readers import SlowReaders
 from ridgesill.adapters.peer_rpc import PeerLinks
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.forwarding import serve_request
 from ridgesill.app.front import Front
+from ridgesill.app.front_load_sampler import FrontLoadSampler
 from ridgesill.app.platform_node import (
     CONNECT_TIMEOUT_SECONDS,
     decode_newer_routes,
@@ -22,11 +24,20 @@
 from ridgesill.app.telemetry import Instruments, serve_metrics
 from ridgesill.app.traffic import log_traffic
 from ridgesill.core.commands import Node
+from ridgesill.core.fleet.messages import FrontRoom
 from ridgesill.core.fleet.relays import find_relays
 from ridgesill.core.fleet.usage import UsageReport
 from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.front_load import (
+    FrontLoad,
+    LoadSample,
+    VmLimits,
+    are_uneven,
+)
+from ridgesill.core.serving.held_bytes import HeldBytes
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.retries import RetryBounds
+from ridgesill.core.serving.routes import RouteTable
 from ridgesill.platform.control_calls import READY_PATH
 from ridgesill.platform.requests import PlatformDialect
 from ridgesill.platform.settings import METRICS_PATH, PlatformSettings
@@ -52,6 +63,8 @@
 # A front that receives nothing from the log serves callers with keys for this
 # share of the time within which a revoked key must be refused.
 _REVOCATION_SHARE = 0.9
+# Share of the VM's memory that may hold answers for slow readers.
+_HELD_SHARE = 0.25
 # The process stops this long before it would be sent SIGKILL.
 _GRACE_MARGIN_SECONDS = 0.7
 _DRAIN_POLL_SECONDS = 0.05
@@ -99,12 +112,17 @@
             bounds.revocation_seconds * _REVOCATION_SHARE,
             settings.vm,
         )
+        if settings.limits:
+            self.front.load = FrontLoad()
         self.fleet.add_listener(self.front.discovery_signal.notify)
         self.fleet.add_listener(self._apply_fleet_news)
         self._client_listener = HttpListener(
             settings.client_address,
             functools.partial(serve_request, self.front),
         )
+        if settings.has_slow_peers and settings.limits.memory_bytes:
+            bound = settings.limits.memory_bytes * _HELD_SHARE
+            self._client_listener.slow_readers = SlowReaders(HeldBytes(bound))
         self._readiness_listener = HttpListener(
             settings.readiness_address, self._answer_readiness
         )
@@ -131,8 +149,16 @@
             resting=dict.fromkeys(resting, 1),
             sent=self.front.collect_sent(now),
             limits=self.front.limits.list_unreported(self.fleet.view, now),
+            rooms=self._report_room(),
         )
 
+    def _report_room(self) -> dict[str, FrontRoom]:
+        load = self.front.load
+        if load is None or not load.is_enabled:
+            return {}
+        with_room = 0 if load.is_full else 1
+        return {self._settings.data_centre: FrontRoom(1, with_room)}
+
     def _relay_address(self) -> str:
         """Returns the address of the relay of the owner's news.
 
@@ -151,15 +177,37 @@
         self.front.versions = state.artifact_versions
         self.front.quarantine.apply_state(state)
         table = decode_newer_routes(state, self.front.table)
-        if table is None:
-            return
+        if table is not None:
+            self._apply_table(table, state.index)
+        self._apply_limits(are_uneven(state.nodes.values()))
+
+    def _apply_table(self, table: RouteTable, index: int) -> None:
         self.front.table = table
         self.front.discovery_signal.notify()
         if table.limits is not None:
             self._client_listener.limits = table.limits
-        log_message(
-            "front:configuration", version=table.version, index=state.index
-        )
+        log_message("front:configuration", version=table.version, index=index)
+
+    def _apply_limits(self, is_uneven: bool) -> None:
+        """Sets by which limits this front decides that it is full.
+
+        Args:
+            is_uneven: whether the VMs of fronts differ in size.
+        """
+        load = self.front.load
+        if load is None:
+            return
+        limits = self._settings.limits
+        if is_uneven:
+            load.set_limits(limits, self.front.table.shortest_goal)
+            return
+        # With slow clients a narrow link delays all answers, on VMs of any
+        # size. Otherwise fronts of one size are equally full, and refusals
+        # would find no front with more room.
+        link = limits.link_bytes_per_second
+        applied = VmLimits(link_bytes_per_second=link)
+        is_slow = self._settings.has_slow_peers
+        load.set_limits(applied if is_slow else VmLimits(), float("inf"))
 
     # -- readiness -----------------------------------------------------
 
@@ -175,6 +223,19 @@
             and has_recent_news
             and not self._draining
             and not self._is_stale()
+            and not self._leaves_clients_to_others()
+        )
+
+    def _leaves_clients_to_others(self) -> bool:
+        """Whether this front is full while most others have room."""
+        load = self.front.load
+        if load is None:
+            return False
+        now = self._loop.time()
+        view = self.fleet.view
+        room = view.rooms.get(self._settings.data_centre, FrontRoom())
+        return not load.may_take_clients(
+            room.fronts, room.with_room, now - view.updated_at, now
         )
 
     def _is_stale(self) -> bool:
@@ -201,7 +262,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._client_listener.start()
         await self._readiness_listener.start()
-        coroutines = (
+        coroutines = [
             self.control.follow(),
             self.fleet.run(),
             self._prune_regularly(),
@@ -212,7 +273,10 @@
                 Instruments(self._gauges(), self._swap_telemetry),
             ),
             log_traffic(self._peers.traffic),
-        )
+        ]
+        if self.front.load is not None:
+            sampler = FrontLoadSampler(self.front.load, self._client_listener)
+            coroutines.append(sampler.run())
         tasks = [self._loop.create_task(coroutine) for coroutine in coroutines]
         log_message(
             "front:started",
@@ -251,7 +315,13 @@
 
     def _gauges(self) -> dict[str, Callable[[], float]]:
         view = self.fleet.view
+        load = self.front.load
+        readers = self._client_listener.slow_readers
         return {
+            "ridgesill_held_bytes": (
+                lambda: readers.held.total if readers is not None else 0
+            ),
+            **(_load_gauges(load) if load is not None else {}),
             "ridgesill_requests_in_progress": lambda: self.front.in_progress,
             "ridgesill_configuration_version": (
                 lambda: self.front.table.version
@@ -320,3 +390,19 @@
         # Only the list of seeds may change while the process runs, and it isn't
         # read again.
         log_message("front:reloaded")
+
+
+def _load_gauges(load: FrontLoad) -> dict[str, Callable[[], float]]:
+    """Returns the gauges of what a front decides by about its own load."""
+
+    def last() -> LoadSample:
+        return load.last or LoadSample(0.0)
+
+    return {
+        "ridgesill_loop_lag": lambda: last().lag_seconds,
+        "ridgesill_processor_use": lambda: load.processor_use,
+        "ridgesill_memory_bytes": lambda: last().memory_bytes,
+        "ridgesill_descriptors": lambda: last().descriptors,
+        "ridgesill_link_waiting_bytes": lambda: last().waiting_bytes,
+        "ridgesill_front_refused_share": lambda: load.refused_share,
+    }
--- a/src/ridgesill/app/platform_node.py
+++ b/src/ridgesill/app/platform_node.py
@@ -33,6 +33,7 @@
         settings.peer_address,
         settings.data_centre,
         voter,
+        settings.limits.processor_share,
     )
 
 
--- a/src/ridgesill/core/commands.py
+++ b/src/ridgesill/core/commands.py
@@ -18,6 +18,8 @@
         address: `host:port` at which its peers reach it.
         data_centre: the data centre it runs in.
         voter: its voting identity; empty for a node without a disk.
+        processor_share: processor seconds per second that its VM has; 0 if
+            unknown or unlimited.
     """
 
     name: str
@@ -25,6 +27,7 @@
     address: str
     data_centre: str
     voter: str = ""
+    processor_share: float = 0.0
 
     @property
     def identity(self) -> str:
--- a/src/ridgesill/core/fleet/overload.py
+++ b/src/ridgesill/core/fleet/overload.py
@@ -64,6 +64,8 @@
 _MAX_PLAUSIBLE_FACTOR = 10.0
 _MIN_REPORT_SECONDS = 0.6
 _MIN_PLAUSIBLE_CAPACITY = 100.0
+# Time between two updates, in seconds.
+_UPDATE_SECONDS = 0.1
 
 
 @attrs.frozen
@@ -355,7 +357,10 @@
         }
         pending, self._pending = self._pending, {}
         self._count(pending, 0.0, now)
-        offered = self._find_offers(now)
+        # The middle of the time until the next update: right after the latest
+        # reports were added, the moving means are 8% above their average.
+        middle = now + _UPDATE_SECONDS / 2
+        offered = self._find_offers(middle)
         for name, service in self._services.items():
             service.capacity.update(groups[name], busy, now)
             service.update(
@@ -365,7 +370,7 @@
                 is_learned=self._is_enabled and now >= self._learned_at,
             )
         self._set_quotas(offered)
-        self._update_news(now)
+        self._update_news(now, middle)
 
     def _find_offers(self, now: float) -> dict[str, _Offers]:
         """Returns the offered loads by service; drops classes without any."""
@@ -403,13 +408,13 @@
             return quota
         return new
 
-    def _update_news(self, now: float) -> None:
+    def _update_news(self, now: float, middle: float) -> None:
         if not self._is_enabled:
             self._news = {}
             return
         limiting = {}
         if any(service.restricted for service in self._services.values()):
-            states = self._ledger.states(now)
+            states = self._ledger.states(middle)
             limiting = {k: s for k, s in states.items() if s.is_limiting}
         self._news = {
             name: service.make_news(limiting, now)
--- a/src/ridgesill/core/fleet/return_calendar.py
+++ b/src/ridgesill/core/fleet/return_calendar.py
@@ -85,10 +85,15 @@
         """
         if count <= 0:
             return
+        has_room = self._window.starts_in < self._longest_wait
         mean = self._decayed_refusals_rate(now)
         self._refusals_rate = mean + count / _REFUSALS_MEAN_SECONDS
         self._refusals_at = now
-        starts_in = min(self._window.starts_in, self._longest_wait)
+        if not has_room:
+            # They are told to return as late as clients wait, without a
+            # booking, and compete with new callers then.
+            return
+        starts_in = self._window.starts_in
         ends_in = min(starts_in + self._window.lasts, self._longest_wait)
         first = _find_slice(now + starts_in)
         slices = max(_find_slice(now + ends_in) - first, 1)
--- a/src/ridgesill/core/serving/returning_callers.py
+++ b/src/ridgesill/core/serving/returning_callers.py
@@ -12,6 +12,10 @@
 # A caller that returns has at least this much less time than a new one, in
 # seconds: the shortest retry delay that fronts tell.
 _SHORTER_BY_SECONDS = 0.25
+# Callers for whom there is no room are told to return after a third of their
+# time, as late as clients wait. A caller from whose time more than this share
+# is missing is one of them, or has waited longer than it was told to.
+_MAX_MISSING_SHARE = 0.32
 # How long the longest time of a route is kept at least, in seconds; at most
 # twice as long. A continuous decay would be an error of the comparison: of 330
 # fronts, some have no new caller of a route for 15 s.
@@ -49,7 +53,7 @@
         self._longest: dict[str, _LongestTime] = {}
 
     def record(self, route: str, seconds_left: float, now: float) -> bool:
-        """Records a caller's time; returns whether the caller is returning.
+        """Records a caller's time; returns whether it returns when told to.
 
         Args:
             route: name of the route.
@@ -63,6 +67,7 @@
             longest = self._longest[route] = _LongestTime(0.0, 0.0, now)
         longest.advance(now)
         longest.current = max(longest.current, seconds_left)
-        missing = max(longest.current, longest.previous) - seconds_left
+        most = max(longest.current, longest.previous)
         # Callers state whole milliseconds.
-        return round(missing, 3) >= _SHORTER_BY_SECONDS
+        missing = round(most - seconds_left, 3)
+        return _SHORTER_BY_SECONDS <= missing <= _MAX_MISSING_SHARE * most
