--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 .PHONY: test lint format demo build proofs check-long bench-control \
 	bench-routing bench-path bench-capacity bench-storage bench-recovery \
-	bench-quotas bench-limits soak \
+	bench-quotas bench-limits bench-overload soak \
 	experiment clean
 
 $(STAMP): requirements/dev.txt pyproject.toml
@@ -54,7 +54,7 @@
 	$(BIN)/python -m testing.soak --seeds $(SEEDS)
 
 bench-control bench-routing bench-path bench-capacity bench-storage bench-quotas \
-bench-limits \
+bench-limits bench-overload \
 bench-recovery: $(STAMP)
 	$(BIN)/python -m bench.$(subst bench-,,$@)
 
