Leave streams of busy engines out of the paces

Cause: the typical gap of a stream also grows when an engine reads prompts for most of its time. In a replay of equal engines that read for 0.7 of their time, paces of 0.4 to 2.5 were found, and 121 instead of 49 of 10,389 requests were late. The configuration may also be applied after the node becomes the owner; adopted paces were then dropped.

Change: streams count only while the engine has read prompts for at most half of the last second, by the owner's books. A slice of 0.4 s counts with its shortest gap, and a pace changes when four of five slices differ from it. Without engines in the configuration nothing is updated.

--- a/src/ridgesill/app/fleet_paces.py
+++ b/src/ridgesill/app/fleet_paces.py
@@ -80,6 +80,9 @@
             return
         self._updated_at = now
         engines = _engines_by_service(registry, table)
+        if not engines:
+            # The configuration isn't known yet; adopted paces stay.
+            return
         self.paces.update(engines, now)
         for names in engines.values():
             for name in names:
--- a/src/ridgesill/core/fleet/backlog.py
+++ b/src/ridgesill/core/fleet/backlog.py
@@ -215,6 +215,7 @@
         if prompt is None:
             return
         if was_read:
+            self.paces.record_read(engine, prompt.seconds, now)
             began_at = max(queue.began_at, prompt.sent_at)
             seconds = now - began_at - _STEP_SECONDS
             self._times.record(engine, prompt.tokens, seconds)
--- a/src/ridgesill/core/fleet/engine_pace.py
+++ b/src/ridgesill/core/fleet/engine_pace.py
@@ -6,8 +6,10 @@
 and fronts report some ten of them a second for each engine.
 
 The pace of an engine is its typical gap divided by the mean of its service's
-engines. It is the median over the last short time slices: a slow period shorter
-than half of them doesn't change it, and neither does one wrong report.
+engines. It follows what nearly all of the last short time slices agree on: a
+slow period of one or two of them doesn't change it, and neither does one wrong
+report. Streams on an engine that mostly reads prompts aren't counted: their
+gaps tell its load rather than its speed.
 """
 
 import collections
@@ -21,18 +23,27 @@
 from ridgesill.core.serving.load_reports import UpstreamCalls
 
 # Length of the time slices, in seconds, and number of the latest ones with
-# answers that count. A slow period of half a second falls into three slices at
-# most, and a lasting change is the median after four, in about two seconds.
+# answers that count. A slice counts with its shortest gap, so a slow period of
+# half a second changes two slices at most. A lasting change is seen after four.
 _SLICE_SECONDS = 0.4
-_SLICES = 7
+_SLICES = 5
+# Number of slices that may disagree with the others, on either side.
+_MAX_OUTLIERS = 1
 # Least number of slices from which a pace is computed. Until then, a new engine
 # keeps its first one.
 _MIN_SLICES = 4
+# Greatest share of its time that an engine may spend reading prompts for its
+# streams to count, and the time over which that share is averaged, in seconds.
+# Beyond 0.6, most events of a stream are delayed by a prompt. Without this
+# bound, equal engines that read for 0.7 of their time got paces of 0.4 to 2.5,
+# and 121 instead of 49 of 10,389 requests were late.
+_MAX_READING_SHARE = 0.5
+_READING_SHARE_SECONDS = 1.0
 # Bounds of a pace, against errors of the measurement.
 _MIN_PACE = 0.3
 _MAX_PACE = 4.0
-# Steps to which paces are rounded, and the difference from which a pace is
-# changed, as a share of it: every change is sent to all fronts.
+# Steps to which paces are rounded, and the least difference of the slices from
+# a pace that changes it: every change is sent to all fronts.
 _PACE_DIGITS = 1
 _MIN_CHANGE = 0.08
 # Greatest factor between a plausible typical gap and that of the service. A
@@ -62,9 +73,9 @@
     Attributes:
         service: name of its service; empty until a stream was reported.
         pace: its pace, rounded.
-        gaps: mean typical gap in each of the latest time slices, in seconds.
-        streams: number of streams in the current slice.
-        typical_gaps: sum of their typical gaps, in seconds.
+        gaps: shortest typical gap in each of the latest time slices, in
+            seconds.
+        shortest: the same of the current slice; infinite if it is empty.
         slice_began_at: clock time at which the current slice began.
     """
 
@@ -73,8 +84,7 @@
     gaps: collections.deque[float] = attrs.Factory(
         lambda: collections.deque(maxlen=_SLICES)
     )
-    streams: float = 0.0
-    typical_gaps: float = 0.0
+    shortest: float = math.inf
     slice_began_at: float = 0.0
 
     @property
@@ -82,19 +92,55 @@
         """Whether there are enough slices to tell the pace."""
         return len(self.gaps) >= _MIN_SLICES
 
-    def record(self, streams: float, gap: float, now: float) -> None:
-        """Adds streams with a mean typical gap, in seconds."""
+    def record(self, gap: float, now: float) -> None:
+        """Adds the typical gap of streams, in seconds."""
         self.close_slice(now)
-        if not self.streams:
+        if math.isinf(self.shortest):
             self.slice_began_at = now
-        self.streams += streams
-        self.typical_gaps += streams * gap
+        self.shortest = min(self.shortest, gap)
 
     def close_slice(self, now: float) -> None:
         """Ends the current slice if it has streams and is over."""
-        if self.streams and now >= self.slice_began_at + _SLICE_SECONDS:
-            self.gaps.append(self.typical_gaps / self.streams)
-            self.streams = self.typical_gaps = 0.0
+        is_over = now >= self.slice_began_at + _SLICE_SECONDS
+        if is_over and not math.isinf(self.shortest):
+            self.gaps.append(self.shortest)
+            self.shortest = math.inf
+
+    def update_pace(self, service_gap: float) -> None:
+        """Changes the pace if nearly all slices disagree with it.
+
+        Args:
+            service_gap: typical gap at pace 1, in seconds.
+        """
+        paces = sorted(gap / service_gap for gap in self.gaps)
+        low, high = paces[_MAX_OUTLIERS], paces[-1 - _MAX_OUTLIERS]
+        if low - _MIN_CHANGE <= self.pace <= high + _MIN_CHANGE:
+            return
+        pace = min(max(statistics.median(paces), _MIN_PACE), _MAX_PACE)
+        self.pace = round(pace, _PACE_DIGITS)
+
+
+@attrs.define
+class _ReadingShare:
+    """The share of its time in which an engine has read prompts lately.
+
+    Attributes:
+        share: the share, from 0 to about 1.
+        updated_at: clock time of the last prompt that was read.
+    """
+
+    share: float = 0.0
+    updated_at: float = 0.0
+
+    def at(self, now: float) -> float:
+        """Returns the share at a time."""
+        age = max(now - self.updated_at, 0.0)
+        return self.share * math.exp(-age / _READING_SHARE_SECONDS)
+
+    def record(self, seconds: float, now: float) -> None:
+        """Adds a prompt that took some seconds to read."""
+        self.share = self.at(now) + seconds / _READING_SHARE_SECONDS
+        self.updated_at = now
 
 
 @attrs.define
@@ -135,6 +181,7 @@
     def __init__(self) -> None:
         self._engines: dict[str, _EngineRecord] = {}
         self._services: dict[str, _ServiceRecord] = {}
+        self._reading_shares: dict[str, _ReadingShare] = {}
         # Paces of engines without reported streams, by their reading times.
         self._reading_paces: dict[str, float] = {}
 
@@ -170,14 +217,30 @@
         gap = calls.typical_gaps / calls.paced
         shortest, longest = _plausible_gaps(together.gap)
         bounded = min(max(gap, shortest), longest)
-        record = self._find_record(engine)
-        record.service = service
-        record.record(min(calls.paced, max_streams), bounded, now)
-        ratio = calls.longest_gaps / calls.typical_gaps
-        if ratio >= _LONG_GAP_FACTOR:
-            together.long_ratios.append(ratio)
+        if not self._mostly_reads(engine, now):
+            record = self._find_record(engine)
+            record.service = service
+            record.record(bounded, now)
+            ratio = calls.longest_gaps / calls.typical_gaps
+            if ratio >= _LONG_GAP_FACTOR:
+                together.long_ratios.append(ratio)
         return bounded == gap and calls.paced <= max_streams
 
+    def _mostly_reads(self, engine: str, now: float) -> bool:
+        reading = self._reading_shares.get(engine)
+        return reading is not None and reading.at(now) > _MAX_READING_SHARE
+
+    def record_read(self, engine: str, seconds: float, now: float) -> None:
+        """Records that an engine has read a prompt.
+
+        Args:
+            engine: name of the engine.
+            seconds: predicted time that it took for it.
+            now: clock time, in seconds.
+        """
+        reading = self._reading_shares.setdefault(engine, _ReadingShare())
+        reading.record(seconds, now)
+
     def record_reading(self, engine: str, ratio: float) -> None:
         """Records how long an engine took to read a prompt.
 
@@ -246,9 +309,8 @@
         # would take these for the mean.
         parts = max(len(engines) - other_paces, _MIN_PACE * len(gaps))
         together.gap = sum(gaps.values()) / parts
-        for engine, gap in gaps.items():
-            record = self._find_record(engine)
-            record.pace = _round_pace(gap / together.gap, record.pace)
+        for engine in gaps:
+            self._find_record(engine).update_pace(together.gap)
         together.update_reading_gap()
 
     def pace(self, engine: str) -> float:
@@ -270,7 +332,8 @@
 
         It is 1 by definition, unless all paces come from reading times.
         """
-        if self._engines or not self._reading_paces:
+        is_measured = any(s.gap for s in self._services.values())
+        if is_measured or not self._reading_paces:
             return 1.0
         return statistics.fmean(self._reading_paces.values())
 
@@ -290,12 +353,14 @@
     def discard_except(self, engines: Collection[str]) -> None:
         """Discards all engines but the given ones."""
         _keep_only(self._engines, engines)
+        _keep_only(self._reading_shares, engines)
         _keep_only(self._reading_paces, engines)
 
     def clear(self) -> None:
         """Discards everything."""
         self._engines.clear()
         self._services.clear()
+        self._reading_shares.clear()
         self._reading_paces.clear()
 
 
@@ -324,14 +389,6 @@
     )
 
 
-def _round_pace(measured: float, known: float) -> float:
-    """Returns a measured pace, rounded; the known one if it is near enough."""
-    if abs(measured - known) < _MIN_CHANGE * max(known, 1.0):
-        return known
-    bounded = min(max(measured, _MIN_PACE), _MAX_PACE)
-    return round(bounded, _PACE_DIGITS)
-
-
 def _keep_only(entries: dict[str, Any], names: Collection[str]) -> None:
     for name in entries.keys() - set(names):
         del entries[name]
--- a/src/ridgesill/standin/emulator/uneven.py
+++ b/src/ridgesill/standin/emulator/uneven.py
@@ -83,14 +83,26 @@
 
 
 def make_plan(
-    seed: int, engines: int = 16, seconds: float = 30.0, fronts: int = 85
+    seed: int,
+    engines: int = 16,
+    seconds: float = 30.0,
+    fronts: int = 85,
+    rate: float = 9.3,
 ) -> Plan:
-    """Returns requests for engines of which one in four is slow."""
+    """Returns requests for engines of which one in four is slow.
+
+    Args:
+        seed: decides all draws.
+        engines: number of engines.
+        seconds: time in which requests arrive.
+        fronts: number of fronts.
+        rate: requests a second for each engine.
+    """
     rng = random.Random(seed)
     speeds = tuple(0.55 if n % 4 == 0 else 1.2 for n in range(engines))
     arrivals = []
     at = 0.0
-    while (at := at + rng.expovariate(9.3 * engines)) < seconds:
+    while (at := at + rng.expovariate(rate * engines)) < seconds:
         is_long = rng.random() < _LONG_SHARE
         arrivals.append(
             Arrival(
@@ -186,7 +198,7 @@
         changes: changes of rounded paces.
         processor_seconds: processor time for learning the paces.
         reports: what each front reported, at each report.
-        paces: the last pace of each engine.
+        paces: the last published pace of each engine.
         reading_gaps: the expected gap beside a long prompt, by engine.
     """
 
@@ -255,7 +267,7 @@
             call(now, *args)
         result = self.result
         for name in self._batches:
-            result.paces[name] = self._paces.pace(name)
+            result.paces[name] = self._paces.published_pace(name)
             result.reading_gaps[name] = self._paces.reading_gap(name)
         return result
 
--- a/testing/core/fleet/test_engine_pace.py
+++ b/testing/core/fleet/test_engine_pace.py
@@ -94,6 +94,19 @@
         play(paces, 0.0, 9.0, lambda name, _now: FAST * wobble[name])
         assert {paces.pace(name) for name in ENGINES} == {1.0}
 
+    def test_streams_beside_many_prompts_do_not_count(
+        self, settled: EnginePaces
+    ) -> None:
+        # Guards against paces that tell how many prompts an engine reads.
+        before = settled.pace("f1")
+        gaps = {**ENGINES, "f1": 4 * FAST}
+        for step in range(40, 80):
+            settled.record_read("f1", 0.7 / 8, step / 8)
+            play(
+                settled, step / 8, (step + 1) / 8, lambda name, _now: gaps[name]
+            )
+            assert settled.pace("f1") == before
+
     def test_new_and_restarted_engines_begin_at_1(
         self, settled: EnginePaces
     ) -> None:
--- a/testing/standin/emulator/test_uneven.py
+++ b/testing/standin/emulator/test_uneven.py
@@ -43,3 +43,19 @@
             is_slow = int(name[1:]) % 4 == 0
             assert pace == pytest.approx(1.69 if is_slow else 0.77, abs=0.2)
             assert (result.reading_gaps[name] > 0.3) == is_slow
+
+
+class TestEqualEngines:
+    def test_busy_engines_are_not_taken_for_slow_ones(self) -> None:
+        # Guards against paces that tell the load. Engines that read prompts for
+        # 0.7 of their time got paces of 0.4 to 2.5, and 2.5 times as many
+        # requests were late.
+        plan = attrs.evolve(
+            make_plan(1, rate=26.0, seconds=20.0),
+            speeds=(1.0,) * 16,
+            slow_periods={},
+        )
+        before, after = compare(plan)
+        assert set(after.paces.values()) == {1.0}
+        assert after.changes == 0
+        assert after.late <= before.late + 0.005 * before.streams
