Bound the wait behind an overdue prompt; make refusals by own load opt-in

The overdue time now counts up to 1.5 times the predicted one, which is what a slow period of 2.5 times takes. The five tests of holders fail without the bound and pass with it.

Refusals by a front's own load are now off unless RIDGESILL_FRONT_LIMITS is `on`.

--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
@@ -179,7 +179,8 @@
         table = decode_newer_routes(state, self.front.table)
         if table is not None:
             self._apply_table(table, state.index)
-        self._apply_limits(are_uneven(state.nodes.values()))
+        if self.front.load is not None:
+            self._apply_limits(self.front.load, state.nodes.values())
 
     def _apply_table(self, table: RouteTable, index: int) -> None:
         self.front.table = table
@@ -188,17 +189,10 @@
             self._client_listener.limits = table.limits
         log_message("front:configuration", version=table.version, index=index)
 
-    def _apply_limits(self, is_uneven: bool) -> None:
-        """Sets by which limits this front decides that it is full.
-
-        Args:
-            is_uneven: whether the VMs of fronts differ in size.
-        """
-        load = self.front.load
-        if load is None:
-            return
+    def _apply_limits(self, load: FrontLoad, nodes: Iterable[Node]) -> None:
+        """Sets by which limits this front decides that it is full."""
         limits = self._settings.limits
-        if is_uneven:
+        if self._settings.refuses_when_full and are_uneven(nodes):
             load.set_limits(limits, self.front.table.shortest_goal)
             return
         # With slow clients a narrow link delays all answers, on VMs of any
--- a/src/ridgesill/core/fleet/backlog.py
+++ b/src/ridgesill/core/fleet/backlog.py
@@ -20,6 +20,11 @@
 # the batch, and the way to the front and from there. A prompt isn't overdue
 # before.
 _REPORT_SECONDS = 0.05
+# Bound for how long an overdue prompt is expected to take, as a multiple of its
+# predicted time: in a slow period it takes 2.5 times as long. Without a bound,
+# the prompt of a front that was lost keeps requests and loads from its engine
+# until it is dropped.
+_MAX_OVERDUE_FACTOR = 1.5
 # A prompt whose end isn't reported is dropped after this multiple of the time
 # to read the engine's backlog, plus this many seconds: its front is gone.
 _LOST_AFTER_FACTOR = 3.0
@@ -86,7 +91,8 @@
         left = prompt.seconds - max(now - self.began_at, 0.0)
         if left >= 0:
             return left
-        return max(-left - _REPORT_SECONDS, 0.0)
+        overdue = max(-left - _REPORT_SECONDS, 0.0)
+        return min(overdue, _MAX_OVERDUE_FACTOR * prompt.seconds)
 
 
 class Backlogs:
