--- a/testing/standin/emulator/test_service_load.py
+++ b/testing/standin/emulator/test_service_load.py
@@ -115,24 +115,25 @@
     check(measure(plan, seed, 6.0, 12.0))
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_a_hot_customer_costs_others_at_most_three_hundredths(
-    seed: int,
-) -> None:
+def test_a_hot_customer_costs_others_at_most_three_hundredths() -> None:
     """Guards against shares in proportion to what customers offer.
 
     The largest of 16 customers sends ten times its load from 4 to 9 s.
     """
     others = range(1, 16)
     hot = (Burst(4.0, 5.0, 10.0, customer=0),)
-    in_time = []
-    for bursts in ((), hot):
-        plan = ServicePlan(faults=ONE_LOST, bursts=bursts)
-        figures = compute_figures(
-            play(plan, seed).calls, plan, 4.0, 9.0, others
-        )
-        in_time.append(figures.in_time)
-    assert in_time[1] >= in_time[0] - 0.03
+    misses = {}
+    for seed in SEEDS:
+        in_time = []
+        for bursts in ((), hot):
+            plan = ServicePlan(faults=ONE_LOST, bursts=bursts)
+            figures = compute_figures(
+                play(plan, seed).calls, plan, 4.0, 9.0, others
+            )
+            in_time.append(figures.in_time)
+        if in_time[1] < in_time[0] - 0.03:
+            misses[seed] = in_time
+    assert not misses
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -161,15 +162,19 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-@pytest.mark.parametrize("bursts", [(), BURST])
-def test_loss_of_the_owner_for_four_seconds(
-    bursts: tuple[Burst, ...], seed: int
-) -> None:
+def test_loss_of_the_owner_for_four_seconds(seed: int) -> None:
     """Guards against old shares that fronts keep to, and against none."""
-    plan = ServicePlan(faults=ONE_LOST, bursts=bursts, owner_lost_at=(4.5,))
+    plan = ServicePlan(faults=ONE_LOST, owner_lost_at=(4.5,))
     check(measure(plan, seed, 4.5, 9.0))
 
 
+def test_loss_of_the_owner_in_a_burst() -> None:
+    """Guards against a fallback that admits far more or less than fits."""
+    plan = ServicePlan(faults=ONE_LOST, bursts=BURST, owner_lost_at=(4.5,))
+    for seed in SEEDS:
+        check(measure(plan, seed, 4.5, 9.0))
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_loss_of_three_in_ten_news(seed: int) -> None:
     """Guards against fronts that depend on each of the owner's answers."""
