--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -106,6 +106,8 @@
                 settings.bounds.quota_slack,
             ),
         )
+        # Deployments without this contract are served as before.
+        self.owner.service_load.is_enabled = settings.has_slow_peers
         self.control.add_listener(self._apply_state)
         api = ControlApi(
             self.control,
--- a/src/ridgesill/app/service_load.py
+++ b/src/ridgesill/app/service_load.py
@@ -42,9 +42,15 @@
 
 
 class ServiceLoad:
-    """Applies overload control to the fleet while this node owns it."""
+    """Applies overload control to the fleet while this node owns it.
+
+    Attributes:
+        is_enabled: whether any service is controlled; set before the first
+            configuration is applied.
+    """
 
     def __init__(self) -> None:
+        self.is_enabled = True
         self._control = OverloadControl()
         self._table = RouteTable()
         self._logged: dict[str, _LoggedOverload] = {}
@@ -64,7 +70,8 @@
         """Adopts a new configuration."""
         self._table = table
         weights = _find_weights(table.customers)
-        self._control.set_services(table.shortest_plain_goals(), weights)
+        goals = table.shortest_plain_goals() if self.is_enabled else {}
+        self._control.set_services(goals, weights)
 
     def record(self, sent: Sent, span: float, now: float) -> None:
         """Counts a report; see `OverloadControl.record`."""
--- a/src/ridgesill/core/fleet/overload.py
+++ b/src/ridgesill/core/fleet/overload.py
@@ -188,7 +188,7 @@
             return False
         # A restriction that has begun leaves some slots free at times. Lifted
         # for that, it would let the queues fill up within one update.
-        needed = 0.5 if self.restricted else 1.0
+        needed = 0.25 if self.restricted else 1.0
         is_busy = self.capacity.in_progress >= needed * self.capacity.slots
         return offered > allowed and is_busy
 
--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -26,7 +26,8 @@
 # and path.
 _METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
-# The contract that clients and engines may read slowly.
+# The contract that clients press beyond the usual, and that they and engines
+# may read slowly.
 _SLOW_PEERS_CONTRACT = "pressure"
 _BYTES_PER_MB = 1e6
 _BYTES_PER_MBIT = 1e6 / 8
@@ -110,7 +111,8 @@
         heartbeat_seconds: interval between an upstream's heartbeats.
         bounds: time limits and shares that the platform requires.
         limits: limits of the VM.
-        has_slow_peers: whether clients and engines may read slowly.
+        has_slow_peers: whether clients press beyond the usual, and clients and
+            engines may read slowly.
         refuses_when_full: whether fronts refuse requests by their own load.
     """
 
