Measure plain calls and own load only where something acts on them

Read in the change: fronts counted and reported the offers and outcomes of plain services, and sampled their own load, on every deployment, though the owner controls services only with the contract `pressure`, and a front refuses by its load only with that contract or RIDGESILL_FRONT_LIMITS. Both now start only there; decisions are the same.

add_uses and add_calls were the same loop; both call add_by_name.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -175,7 +175,7 @@
         self._route: Route | None = None
         self._customer: Customer | None = None
         self._service = ""
-        # Class of a request to a plain service; None for engines.
+        # Class of a request to a plain service under control; else None.
         self._request_class: RequestClass | None = None
         self._deadline = 0.0
         self._goal_at = 0.0
@@ -290,8 +290,9 @@
     def _is_front_full(self) -> bool:
         """Whether this front refuses the request because of its own load."""
         load = self._front.load
-        draw = self._front.rng.random() if load is not None else 0.0
-        return load is not None and load.refuses(self._priority(), draw)
+        return load is not None and load.refuses(
+            self._priority(), self._front.rng.random()
+        )
 
     def _refuse_by_admission(self) -> Refusal | None:
         """Returns a refusal beyond a quota, or if the service is overloaded."""
@@ -344,10 +345,15 @@
         return self._facts.prompt_tokens + self._facts.answer_tokens
 
     def _find_class(self, route: Route) -> RequestClass | None:
-        """Returns the class of a request to a plain service; else None."""
+        """Returns the class of a request to a plain service under control.
+
+        None for engines, and where the owner controls no service.
+        """
         service = self._front.table.services.get(self._service)
         if service is None or service.engine is not None:
             return None
+        if not self._front.reports_load:
+            return None
         return RequestClass(
             self._service,
             self._priority(),
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -69,7 +69,10 @@
         self.upstream_words = UpstreamWords(
             chooser.unavailable, self.limits, fleet
         )
-        # None where the VM has no limits.
+        # Whether the owner controls the load of plain services, so that their
+        # offers and outcomes are counted and reported.
+        self.reports_load = True
+        # None where no limit of the VM applies.
         self.load: FrontLoad | None = None
         self.in_progress = 0
         self.request_counts: dict[str, int] = {}
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -112,7 +112,9 @@
             bounds.revocation_seconds * _REVOCATION_SHARE,
             settings.vm,
         )
-        if settings.limits:
+        self.front.reports_load = settings.has_slow_peers
+        may_refuse = settings.refuses_when_full or settings.has_slow_peers
+        if settings.limits and may_refuse:
             self.front.load = FrontLoad()
         self.fleet.add_listener(self.front.discovery_signal.notify)
         self.fleet.add_listener(self._apply_fleet_news)
--- a/src/ridgesill/core/serving/load_reports.py
+++ b/src/ridgesill/core/serving/load_reports.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ridgesill.core.codec import register
+from ridgesill.core.serving.sums import add_by_name
 
 # Separates the parts of the key of a request class; it can't occur in names.
 _KEY_SEPARATOR = "\n"
@@ -62,11 +63,7 @@
 
 def add_calls(one: Calls, other: Calls) -> dict[str, UpstreamCalls]:
     """Returns the sum of two reports, by upstream."""
-    sums = dict(one)
-    for name, calls in other.items():
-        previous = sums.get(name)
-        sums[name] = calls if previous is None else previous.plus(calls)
-    return sums
+    return add_by_name(one, other)
 
 
 @attrs.frozen
--- a/src/ridgesill/core/serving/rates.py
+++ b/src/ridgesill/core/serving/rates.py
@@ -16,6 +16,7 @@
 
 from ridgesill.core.codec import register
 from ridgesill.core.serving.customers import Quota
+from ridgesill.core.serving.sums import add_by_name
 
 # A front without an update from the owner for this time falls back to its local
 # bucket of each rate. Owners send an update at least every 0.5 s.
@@ -88,11 +89,7 @@
 
 def add_uses(one: Uses, other: Uses) -> dict[str, RateUse]:
     """Returns the sum of two reports, by name of the rate."""
-    sums = dict(one)
-    for name, use in other.items():
-        previous = sums.get(name)
-        sums[name] = use if previous is None else previous.plus(use)
-    return sums
+    return add_by_name(one, other)
 
 
 @attrs.define
