Use no processor clock above the limit, and tell stops from long turns

Timers alone can't replace it: where a process gets 0.39 of a core by being stopped for 61 ms in each 0.1 s, they are late on an idle front as well.

Change: use of more than a tenth above the limit over a second ends the use of the clock until a restart, with one log line (front:processor_clock); in a single span of 0.5 s it refuses nothing. A late timer begins the 0.3 s after which a front is full, and its last two turns of the event loop must be long too. Samples are taken on a schedule instead of 0.1 s after the last one, and a constant lag reduces the admitted share by time instead of by sample, since a loop with long turns is sampled less often. Fronts without limits aren't sampled.

--- a/src/ridgesill/app/front_load_sampler.py
+++ b/src/ridgesill/app/front_load_sampler.py
@@ -10,8 +10,10 @@
 from ridgesill.core.serving.front_load import FrontLoad, LoadSample
 
 # Time between two samples, in seconds. A front is full once four in a row show
-# too long a lag.
+# too long a turn of the loop. After a late sample the next one may come sooner,
+# so that a short front is noticed within half a second.
 _INTERVAL_SECONDS = 0.1
+_MIN_INTERVAL_SECONDS = 0.05
 # Times between two measurements of resident memory and of descriptors, in
 # seconds. Listing 4,000 descriptors takes over a millisecond, so that changes
 # between two measurements are taken from the number of client connections.
@@ -20,12 +22,17 @@
 # Time between two scans of the clients' connections, in seconds. A scan of
 # 1,000 connections with answers takes 10 ms, of idle ones less than 1 ms.
 _CONNECTIONS_INTERVAL_SECONDS = 0.5
+# Time until a front without limits checks for them again, in seconds.
+_IDLE_INTERVAL_SECONDS = 1.0
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
 class FrontLoadSampler:
     """Samples the load of this process ten times a second.
 
+    A turn of the event loop that takes longer than the interval is noticed when
+    it ends.
+
     Args:
         load: receives the samples.
         listener: accepts the clients' connections.
@@ -44,20 +51,50 @@
 
     async def run(self) -> None:
         """Samples until cancelled."""
+        due = self._loop.time() + _INTERVAL_SECONDS
         while True:
-            due = self._loop.time() + _INTERVAL_SECONDS
-            await asyncio.sleep(_INTERVAL_SECONDS)
+            turn_seconds = await self._measure_turn()
+            seconds_left = due - self._loop.time()
+            if seconds_left > 0:
+                await asyncio.sleep(seconds_left)
             now = self._loop.time()
-            self._record(now, max(now - due, 0.0))
+            if self._is_needed():
+                self._record(now, max(now - due, 0.0), turn_seconds)
+                due = max(due + _INTERVAL_SECONDS, now + _MIN_INTERVAL_SECONDS)
+            else:
+                due = now + _IDLE_INTERVAL_SECONDS
+
+    def _is_needed(self) -> bool:
+        """Whether anything acts on the samples."""
+        return (
+            self._load.is_enabled
+            or self._load.is_full
+            or self._listener.is_crowded
+            or self._listener.slow_readers is not None
+        )
 
-    def _record(self, now: float, lag_seconds: float) -> None:
-        """Takes a sample and logs when the front becomes full or has room.
+    async def _measure_turn(self) -> float:
+        """Returns the time that one turn of the event loop takes, in seconds.
+
+        Unlike a timer's lag, it has no part of the time for which the process
+        was stopped while it waited for events.
+        """
+        began = self._loop.time()
+        await asyncio.sleep(0)
+        return self._loop.time() - began
+
+    def _record(
+        self, now: float, lag_seconds: float, turn_seconds: float
+    ) -> None:
+        """Takes a sample and logs what has changed with it.
 
         Args:
             now: the loop's clock, in seconds.
             lag_seconds: how late the loop ran the timer for this sample.
+            turn_seconds: time that a turn of the loop took before it.
         """
         was_full = self._load.is_full
+        was_clock_usable = self._load.is_clock_usable
         sample = LoadSample(
             now,
             lag_seconds,
@@ -65,17 +102,28 @@
             self._measure_memory(now),
             self._count_descriptors(now),
             self._measure_link_backlog(now),
+            turn_seconds,
         )
         self._load.record(sample)
         self._listener.is_crowded = self._load.lacks_descriptors
+        if was_clock_usable and not self._load.is_clock_usable:
+            self._log_clock()
         if self._load.is_full != was_full:
             self._log(sample)
 
+    def _log_clock(self) -> None:
+        log_message(
+            "front:processor_clock",
+            use=round(self._load.processor_use, 3),
+            limit=self._load.processor_limit,
+        )
+
     def _log(self, sample: LoadSample) -> None:
         log_message(
             "front:full" if self._load.is_full else "front:has_room",
             refused_share=round(self._load.refused_share, 3),
             lag=round(sample.lag_seconds, 4),
+            turn=round(sample.delay_seconds, 4),
             processor=round(self._load.processor_use, 3),
             memory=sample.memory_bytes,
             descriptors=sample.descriptors,
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -396,7 +396,9 @@
 
     return {
         "ridgesill_loop_lag": lambda: last().lag_seconds,
+        "ridgesill_loop_turn": lambda: last().turn_seconds or 0.0,
         "ridgesill_processor_use": lambda: load.processor_use,
+        "ridgesill_processor_clock_usable": lambda: load.is_clock_usable,
         "ridgesill_memory_bytes": lambda: last().memory_bytes,
         "ridgesill_descriptors": lambda: last().descriptors,
         "ridgesill_link_waiting_bytes": lambda: last().waiting_bytes,
--- a/src/ridgesill/core/serving/front_load.py
+++ b/src/ridgesill/core/serving/front_load.py
@@ -6,6 +6,12 @@
 at once sends these callers to another front while the others are served in
 time.
 
+A VM with 0.4 cores is stopped for up to 60 ms in each 0.1 s, in some ways of
+enforcing the limit also while its process has hardly anything to do. A timer is
+late then, and refusing requests wouldn't help. So the front isn't full because
+a timer is late, but because one turn of the event loop takes long; an idle
+process takes next to no time for it.
+
 Processor use and event loop lag depend on how many requests are admitted, so
 their control reduces the admitted share in steps. Memory, descriptors and bytes
 that wait at the link don't fall when fewer requests are admitted, or fall late;
@@ -22,9 +28,10 @@
 # Ratio of the processor shares of two fronts from which their VMs differ in
 # size.
 _UNEVEN_FACTOR = 1.25
-# A front is full if its event loop lag exceeds this share of the shortest goal
-# for this many seconds. A request waits for the loop about five times, so half
-# of the goal is lost then. A shorter lag may be a single long callback.
+# A front is full if its event loop is late by more than this share of the
+# shortest goal for this many seconds, and its last two turns took longer than
+# that. A request waits for the loop about five times, so half of the goal is
+# lost then. A shorter lag may be a single long callback.
 _MAX_LAG_SHARE = 1 / 10
 _SUSTAINED_SECONDS = 0.3
 # Shares of the limits from which a front is full.
@@ -38,6 +45,9 @@
 # Seconds over which processor use is measured. Between two samples it varies
 # with single requests.
 _PROCESSOR_SPAN_SECONDS = 0.5
+# Factor by which the use over two spans can exceed an enforced limit. Kernels
+# enforce it in periods of 0.1 s, and a second has parts of up to 11 periods.
+_MAX_USE_FACTOR = 1.1
 # Share of a bound below which the admitted share grows quickly. Between it and
 # the bound it grows slowly, so that the refused share doesn't oscillate.
 _RELEASE_SHARE = 0.8
@@ -46,8 +56,8 @@
 # Lowest factor by which one step reduces the admitted share. Lag is compared at
 # each sample, ten times a second; processor use once in its span.
 _MIN_FACTOR = 0.7
-# Factor for a lag that stays as it is.
-_CONSTANT_LAG_FACTOR = 0.95
+# Decrease of the admitted share per second while the lag stays as it is.
+_CONSTANT_LAG_DECREASE_PER_SECOND = 0.5
 # Decrease of the refused share per second once memory, descriptors or the link
 # are within their bounds again.
 _STOCK_RELEASE_PER_SECOND = 0.2
@@ -103,6 +113,8 @@
         memory_bytes: resident memory.
         descriptors: open file descriptors.
         waiting_bytes: bytes that wait at the link.
+        turn_seconds: time that a turn of the event loop took after the previous
+            sample; None if not measured.
     """
 
     at: float
@@ -111,6 +123,14 @@
     memory_bytes: float = 0.0
     descriptors: int = 0
     waiting_bytes: float = 0.0
+    turn_seconds: float | None = None
+
+    @property
+    def delay_seconds(self) -> float:
+        """How long the work of the event loop delays a request."""
+        if self.turn_seconds is None:
+            return self.lag_seconds
+        return self.turn_seconds
 
 
 @attrs.define
@@ -124,18 +144,24 @@
     seconds: float
     _since: float | None = None
 
-    def record(self, is_over: bool, at: float) -> bool:
+    def record(
+        self, is_over: bool, at: float, over_since: float | None = None
+    ) -> bool:
         """Records a comparison; returns whether the bound counts as exceeded.
 
         Args:
             is_over: whether the value exceeds its bound now.
             at: time of the comparison, in seconds.
+            over_since: from when the value has exceeded it if the previous one
+                didn't; None for the time of the comparison.
         """
         if not is_over:
             self._since = None
             return False
         if self._since is None:
-            self._since = at
+            # One value alone doesn't last, however late it was taken.
+            self._since = at if over_since is None else over_since
+            return False
         return at - self._since >= self.seconds
 
 
@@ -163,6 +189,8 @@
         shortest_goal: shortest goal of all routes, in seconds.
         last: the latest sample; None before the first.
         processor_use: processor seconds per second, recently.
+        is_clock_usable: whether all that the processor clock has reported can
+            be true; once it isn't, the clock isn't used any more.
         refused_share: share of new requests to refuse, from 0 to 1.
     """
 
@@ -170,6 +198,7 @@
         self.shortest_goal = float("inf")
         self.last: LoadSample | None = None
         self.processor_use = 0.0
+        self.is_clock_usable = True
         self.refused_share = 0.0
         self._limits = limits or VmLimits()
         self._started_at = 0.0
@@ -177,8 +206,10 @@
         self._stock_share = 0.0
         self._lag_over = _Sustained(_SUSTAINED_SECONDS)
         self._link_over = _Sustained(_LINK_SUSTAINED_SECONDS)
-        # First sample of the current span of processor use.
+        # First samples of the current and of the previous span of processor
+        # use.
         self._span_start: LoadSample | None = None
+        self._previous_start: LoadSample | None = None
         self._refusing_since: float | None = None
         self._is_unready = False
         self._counts: dict[int, float] = {}
@@ -194,6 +225,11 @@
         self._limits = limits
         self.shortest_goal = shortest_goal
 
+    @property
+    def processor_limit(self) -> float:
+        """Processor seconds per second that the VM has; 0 for no limit."""
+        return self._limits.processor_share
+
     @property
     def is_enabled(self) -> bool:
         """Whether any limit applies."""
@@ -248,11 +284,29 @@
         span = sample.at - first.at
         if span < _PROCESSOR_SPAN_SECONDS:
             return False
-        used = sample.processor_seconds - first.processor_seconds
-        self.processor_use = used / span
-        self._span_start = sample
+        self.processor_use = _find_use(first, sample)
+        self._check_clock(sample)
+        self._previous_start, self._span_start = first, sample
         return True
 
+    def _check_clock(self, sample: LoadSample) -> None:
+        """Stops using a clock that reports more than the limit allows."""
+        first = self._previous_start
+        limit = self._limits.processor_share
+        if first is None or not limit or not self.is_clock_usable:
+            return
+        if _find_use(first, sample) > _MAX_USE_FACTOR * limit:
+            self.is_clock_usable = False
+            # The share may be reduced due to earlier errors of the clock. A
+            # lag reduces it again within 0.3 s.
+            self._admitted_share = 1.0
+
+    def _find_processor_bound(self) -> float:
+        """Returns the use above which the front is full; 0 for none."""
+        if not self.is_clock_usable:
+            return 0.0
+        return _MAX_PROCESSOR_SHARE * self._limits.processor_share
+
     def _lag_factor(self, sample: LoadSample, previous: LoadSample) -> float:
         """Returns by which factor lag reduces the admitted share; 1 for none.
 
@@ -261,29 +315,44 @@
         off.
         """
         bound = _MAX_LAG_SHARE * self.shortest_goal
-        is_over = self._lag_over.record(sample.lag_seconds > bound, sample.at)
-        rise = sample.lag_seconds - previous.lag_seconds
+        delay, previous_delay = sample.delay_seconds, previous.delay_seconds
+        lateness = max(sample.lag_seconds, delay)
+        is_sustained = self._lag_over.record(
+            lateness > bound,
+            sample.at,
+            max(previous.at, sample.at - lateness) + bound,
+        )
+        # A single long turn may be one in which the process was stopped.
+        is_over = is_sustained and min(delay, previous_delay) > bound
+        rise = delay - previous_delay
         span = sample.at - previous.at
         if not is_over or rise < 0 or span <= 0:
             return 1.0
-        factor = min(span / (span + rise), _CONSTANT_LAG_FACTOR)
+        constant_factor = 1 - _CONSTANT_LAG_DECREASE_PER_SECOND * span
+        factor = min(span / (span + rise), constant_factor)
         return max(factor, _MIN_FACTOR)
 
     def _processor_factor(self) -> float:
-        bound = _MAX_PROCESSOR_SHARE * self._limits.processor_share
+        bound = self._find_processor_bound()
         if not bound or self.processor_use <= bound:
             return 1.0
+        # Above the limit the clock is wrong, or the span has parts of one more
+        # period of the limit than usual. The next span shows which.
+        limit = self._limits.processor_share
+        if self.processor_use > _MAX_USE_FACTOR * limit:
+            return 1.0
         return max(bound / self.processor_use, _MIN_FACTOR)
 
     def _grow(self, sample: LoadSample, span: float) -> None:
         """Increases the admitted share after a time within the bounds."""
         lag_bound = _MAX_LAG_SHARE * self.shortest_goal
-        use_bound = _MAX_PROCESSOR_SHARE * self._limits.processor_share
-        if sample.lag_seconds > lag_bound:
+        use_bound = self._find_processor_bound()
+        delay = sample.delay_seconds
+        if delay > lag_bound:
             return
         if use_bound and self.processor_use > use_bound:
             return
-        is_low = sample.lag_seconds <= _RELEASE_SHARE * lag_bound and (
+        is_low = delay <= _RELEASE_SHARE * lag_bound and (
             not use_bound or self.processor_use <= _RELEASE_SHARE * use_bound
         )
         rate = _FAST_GROWTH_PER_SECOND if is_low else _SLOW_GROWTH_PER_SECOND
@@ -372,6 +441,12 @@
         return not self._is_unready
 
 
+def _find_use(first: LoadSample, last: LoadSample) -> float:
+    """Returns the processor seconds per second between two samples."""
+    used = last.processor_seconds - first.processor_seconds
+    return used / (last.at - first.at)
+
+
 def _share_over(used: float, limit: float) -> float:
     """Returns how far a use is between its bound (0) and its limit (1)."""
     if not limit:
--- a/testing/app/test_front_load_sampler.py
+++ b/testing/app/test_front_load_sampler.py
@@ -3,8 +3,10 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
+from eliot import add_destinations, remove_destination
 
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.app.front_load_sampler import FrontLoadSampler
@@ -46,6 +48,46 @@
         assert load.last is not None
         assert load.last.lag_seconds >= 0.25
 
+    async def test_callbacks_that_keep_the_loop_busy_show_as_long_turns(
+        self, load: FrontLoad
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + 0.5
+
+        def work() -> None:
+            time.sleep(0.03)
+            if loop.time() < until:
+                loop.call_soon(work)
+
+        loop.call_soon(work)
+        await asyncio.sleep(0.45)
+        assert load.last is not None
+        assert load.last.turn_seconds is not None
+        assert load.last.turn_seconds >= 0.03
+
+    async def test_a_front_without_limits_takes_no_samples(
+        self, load: FrontLoad
+    ) -> None:
+        # Where VMs are of one size, nothing acts on samples.
+        load.set_limits(VmLimits(), float("inf"))
+        await asyncio.sleep(0.25)
+        assert load.last is None
+
+    async def test_a_clock_that_cannot_be_true_is_logged_once(
+        self, load: FrontLoad
+    ) -> None:
+        messages: list[dict[str, Any]] = []
+        load.set_limits(VmLimits(1e-6), 0.2)
+        add_destinations(messages.append)
+        await asyncio.sleep(2.0)
+        remove_destination(messages.append)
+        (logged,) = (
+            message
+            for message in messages
+            if message.get("message_type") == "front:processor_clock"
+        )
+        assert logged["use"] > logged["limit"] == 1e-6
+
 
 class TestRefusal:
     async def test_a_full_front_refuses_before_anything_is_sent(self) -> None:
--- a/testing/core/serving/test_front_load.py
+++ b/testing/core/serving/test_front_load.py
@@ -3,7 +3,7 @@
 import collections
 import itertools
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 import pytest
@@ -91,6 +91,66 @@
         assert not load.refused_share
 
 
+class TestClock:
+    def test_a_clock_that_reports_a_whole_core_refuses_nothing(self) -> None:
+        # Load pattern: the VM has half a core, and the clock counts a whole one
+        # all the time. Fronts that believed it refused nine in ten requests.
+        replay = Replay(0.0)
+        assert not any(replay.run(STEP, use=1.0) for _ in range(300))
+        assert not replay.load.is_clock_usable
+
+    def test_a_clock_that_becomes_wrong_is_not_used_again(self) -> None:
+        replay = Replay()
+        assert replay.run(3.0, use=0.5) > 0.2
+        assert not replay.run(1.6, use=1.0)
+        assert not replay.run(10.0, use=0.5)
+        assert not replay.load.is_clock_usable
+
+    def test_a_clock_that_is_right_stays_in_use(self) -> None:
+        # A span of 0.5 s may have parts of six periods of 0.1 s, one of 1 s has
+        # parts of at most eleven.
+        replay = Replay()
+        for _ in range(10):
+            replay.run(0.5, use=0.6)
+            replay.run(0.5, use=0.46)
+        assert replay.load.is_clock_usable
+        assert replay.load.is_full
+
+    def test_without_the_clock_lag_is_noticed_within_half_a_second(
+        self,
+    ) -> None:
+        replay = Replay(0.0)
+        assert not replay.run(5.0, use=1.0)
+        assert replay.run(0.5, use=1.0, lag_seconds=0.05, turn_seconds=0.05)
+
+
+class TestThrottling:
+    def test_an_idle_front_that_is_stopped_refuses_nothing(self) -> None:
+        # A VM with 0.39 cores may be stopped for 61 ms in each 0.1 s. Timers
+        # are late by as much, and fewer requests wouldn't change that.
+        replay = Replay()
+        values = {"lag_seconds": 0.061, "turn_seconds": 0.0001}
+        assert not any(replay.run(STEP, **values) for _ in range(300))
+
+    def test_a_stop_within_single_turns_refuses_nothing(self) -> None:
+        replay = Replay()
+        for _ in range(50):
+            replay.run(STEP, lag_seconds=0.06, turn_seconds=0.002)
+            assert not replay.run(STEP, lag_seconds=0.06, turn_seconds=0.06)
+
+    def test_a_short_front_whose_turns_take_long_refuses_a_part(self) -> None:
+        replay = Replay()
+        assert replay.run(0.5, lag_seconds=0.04, turn_seconds=0.06)
+
+    def test_longer_turns_reduce_the_share_as_fast_as_short_ones(self) -> None:
+        # A loop with turns of 0.2 s is sampled five times a second.
+        replay = Replay()
+        for _ in range(10):
+            replay.now += 0.1
+            replay.run(STEP, lag_seconds=0.2, turn_seconds=0.2)
+        assert replay.load.refused_share > 0.5
+
+
 class TestHysteresis:
     def test_use_near_the_bound_changes_the_share_slowly(self) -> None:
         # Load pattern: use varies by a tenth around the bound. A share that
@@ -189,6 +249,8 @@
     Attributes:
         cores: processor seconds per second.
         is_controlled: whether it refuses requests when it is full.
+        reported_use: processor use that a wrong clock reports all the time;
+            None for a clock that is right.
         load: its load.
         backlog: processor seconds of admitted requests that aren't done.
         used: processor seconds used.
@@ -200,6 +262,7 @@
     cores: float
     is_controlled: bool
     load: FrontLoad
+    reported_use: float | None = None
     backlog: float = 0.0
     used: float = 0.0
     in_time: int = 0
@@ -214,7 +277,9 @@
         lag = self.backlog / self.cores
         last = self.load.last
         if last is None or now - last.at >= STEP:
-            self.load.record(LoadSample(now, lag, self.used))
+            use = self.reported_use
+            used = self.used if use is None else use * now
+            self.load.record(LoadSample(now, lag, used))
 
     def take(self, waited: float, draw: float) -> bool:
         """Serves or refuses a request; returns whether it is served."""
@@ -237,7 +302,12 @@
 PLAY_STEP = 0.02
 
 
-def play(per_front: float, *, is_controlled: bool) -> list[Front]:
+def play(
+    per_front: float,
+    *,
+    is_controlled: bool,
+    reported_use: float | None = None,
+) -> list[Front]:
     """Plays 20 s of clients that are hashed to 14 small and 4 large fronts.
 
     A refused client returns once, after 0.1 s, at a front drawn anew. In the
@@ -249,7 +319,7 @@
     for cores in [SMALL] * 14 + [LARGE] * 4:
         load = FrontLoad(VmLimits(cores))
         load.shortest_goal = GOAL
-        fronts.append(Front(cores, is_controlled, load))
+        fronts.append(Front(cores, is_controlled, load, reported_use))
     returning = collections.Counter[int]()
     owed = 0.0
     for step in range(1000):
@@ -272,6 +342,10 @@
     return (front for front in fronts if front.cores == cores)
 
 
+def count_in_time(fronts: Iterable[Front]) -> int:
+    return sum(front.in_time for front in fronts)
+
+
 class TestSizes:
     def test_small_fronts_under_twice_their_load_serve_what_they_can(
         self,
@@ -292,7 +366,28 @@
         for front in of_size(controlled, LARGE):
             assert front.in_time >= 0.98 * (front.in_time + front.late)
 
-    def test_fronts_within_their_capacity_refuse_nothing(self) -> None:
-        fronts = play(0.8 * SMALL / REQUEST_SECONDS, is_controlled=True)
+    @pytest.mark.parametrize("factor", [1.05, 1.3, 2.0, 3.0])
+    def test_lag_suffices_where_the_clock_reports_a_whole_core(
+        self, factor: float
+    ) -> None:
+        # Guards against fronts that need the clock in order to serve what they
+        # can, and against a part that serves less in time than none.
+        per_front = factor * SMALL / REQUEST_SECONDS
+        right = play(per_front, is_controlled=True)
+        wrong = play(per_front, is_controlled=True, reported_use=1.0)
+        free = play(per_front, is_controlled=False)
+        assert count_in_time(wrong) >= count_in_time(free)
+        assert count_in_time(wrong) >= 0.95 * count_in_time(right)
+        assert count_in_time(right) >= count_in_time(free)
+
+    @pytest.mark.parametrize("reported_use", [None, 1.0])
+    def test_fronts_within_their_capacity_refuse_nothing(
+        self, reported_use: float | None
+    ) -> None:
+        fronts = play(
+            0.8 * SMALL / REQUEST_SECONDS,
+            is_controlled=True,
+            reported_use=reported_use,
+        )
         assert not any(front.refused for front in fronts)
         assert not any(front.late for front in fronts)
