Refuse by the front's own load by default where sizes differ

Cause: fronts of different sizes get as many requests each, since the load balancer hashes clients regardless of size.

Change: RIDGESILL_FRONT_LIMITS disables the part if it is `off`; any other value, or none, leaves it on where the settings state limits.

--- a/src/ridgesill/core/serving/front_load.py
+++ b/src/ridgesill/core/serving/front_load.py
@@ -176,7 +176,7 @@
     """
     shares = [n.processor_share for n in nodes if not n.voter]
     known = [share for share in shares if share]
-    return bool(known) and max(known) > _UNEVEN_FACTOR * min(known)
+    return bool(known) and max(known) >= _UNEVEN_FACTOR * min(known)
 
 
 class FrontLoad:
--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -17,10 +17,8 @@
 # The address to listen on for peers if it differs from the advertised one, as
 # behind the proxies of the fault soak; deploy/system.toml may set it in `env`.
 _PEERS_LISTEN_VARIABLE = "RIDGESILL_PEERS_LISTEN"
-# Set to `on` in the environment, it lets fronts refuse requests by their own
-# load where the VMs of fronts differ in size. Off by default: on VMs whose
-# processor clock counts more than this process uses, fronts would always be
-# full.
+# Set to `off` in the environment, it keeps fronts from refusing requests by
+# their own load where the VMs of fronts differ in size.
 _FRONT_LIMITS_VARIABLE = "RIDGESILL_FRONT_LIMITS"
 # Each role serves its metrics here; deploy/system.toml must name the same port
 # and path.
@@ -113,7 +111,8 @@
         limits: limits of the VM.
         has_slow_peers: whether clients press beyond the usual, and clients and
             engines may read slowly.
-        refuses_when_full: whether fronts refuse requests by their own load.
+        refuses_when_full: whether fronts may refuse requests by their own
+            load.
     """
 
     vm: str
@@ -132,7 +131,7 @@
     bounds: Bounds
     limits: VmLimits = VmLimits()
     has_slow_peers: bool = False
-    refuses_when_full: bool = False
+    refuses_when_full: bool = True
 
     @property
     def voters(self) -> int:
@@ -197,7 +196,7 @@
             bounds=self._read_bounds(),
             limits=self._read_limits(),
             has_slow_peers=_SLOW_PEERS_CONTRACT in self._read_contracts(),
-            refuses_when_full=os.environ.get(_FRONT_LIMITS_VARIABLE) == "on",
+            refuses_when_full=os.environ.get(_FRONT_LIMITS_VARIABLE) != "off",
         )
 
     def _get_text(self, field: str) -> str:
--- a/testing/app/test_front_process.py
+++ b/testing/app/test_front_process.py
@@ -9,6 +9,7 @@
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.app import front_process
 from ridgesill.app.front_process import FrontProcess
+from ridgesill.core.commands import Node
 from ridgesill.core.fleet.messages import FrontRoom
 from ridgesill.core.fleet.registry import FleetView
 from ridgesill.core.serving.front_load import FrontLoad, LoadSample, VmLimits
@@ -68,6 +69,36 @@
         assert front.is_ready() == is_ready
 
 
+class TestLimits:
+    @pytest.mark.parametrize(
+        ("shares", "may_refuse", "is_enabled"),
+        [
+            ((0.4, 0.5, 0.0), True, True),
+            ((0.4, 0.49, 0.0), True, False),
+            ((0.4, 0.5, 0.0), False, False),
+        ],
+    )
+    def test_limits_apply_where_sizes_differ_by_a_quarter(
+        self, shares: tuple[float, ...], *, may_refuse: bool, is_enabled: bool
+    ) -> None:
+        # On fronts of one size refusals would find no front with more room.
+        front = object.__new__(FrontProcess)
+        front._settings = types.SimpleNamespace(  # type: ignore[assignment]
+            refuses_when_full=may_refuse,
+            has_slow_peers=False,
+            limits=VmLimits(0.4),
+        )
+        front.front = types.SimpleNamespace(table=RouteTable(7))  # type: ignore[assignment]
+        load = FrontLoad()
+        voter = Node("v", "1", "v", "a", "v.0", 9.0)
+        fronts = [
+            Node(str(number), "1", "", "a", "", share)
+            for number, share in enumerate(shares)
+        ]
+        front._apply_limits(load, [*fronts, voter])
+        assert load.is_enabled == is_enabled
+
+
 class TestStop:
     @pytest.fixture
     async def listener(self) -> AsyncIterator[HttpListener]:
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -59,6 +59,23 @@
             read(tmp_path, limits={"memory_mb": value})
 
 
+class TestFrontLimits:
+    @pytest.mark.parametrize(
+        ("value", "expected"), [(None, True), ("on", True), ("off", False)]
+    )
+    def test_only_off_disables_refusals_by_load(
+        self,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+        value: str | None,
+        expected: bool,
+    ) -> None:
+        monkeypatch.delenv("RIDGESILL_FRONT_LIMITS", raising=False)
+        if value is not None:
+            monkeypatch.setenv("RIDGESILL_FRONT_LIMITS", value)
+        assert read(tmp_path).refuses_when_full == expected
+
+
 class TestContracts:
     @pytest.mark.parametrize(
         ("contracts", "expected"),
