--- a/src/ridgesill/core/serving/front_load.py
+++ b/src/ridgesill/core/serving/front_load.py
@@ -25,9 +25,9 @@
 
 from ridgesill.core.commands import Node
 
-# Ratio of the processor shares of two fronts from which their VMs differ in
+# Ratio of the processor shares of two nodes from which their VMs differ in
 # size.
-_UNEVEN_FACTOR = 1.25
+UNEVEN_FACTOR = 1.25
 # A front is full if its event loop is late by more than this share of the
 # shortest goal for this many seconds, and its last two turns took longer than
 # that. A request waits for the loop about five times, so half of the goal is
@@ -176,7 +176,7 @@
     """
     shares = [n.processor_share for n in nodes if not n.voter]
     known = [share for share in shares if share]
-    return bool(known) and max(known) >= _UNEVEN_FACTOR * min(known)
+    return bool(known) and max(known) >= UNEVEN_FACTOR * min(known)
 
 
 class FrontLoad:
