Give up a processor clock that refusing doesn't change

Cause: a wrong clock that reports between 0.9 and 1.1 of the limit can be true, so that the front would refuse 0.95 of its requests for good.

Change: once the refused share is at its highest, use is still above its bound and turns of the event loop are short, the front goes by its event loop alone, as with a clock above the limit. The share then grows again in 10 s.

Tried and rejected: the same from an admitted share of 0.1 on.

--- a/src/ridgesill/core/serving/front_load.py
+++ b/src/ridgesill/core/serving/front_load.py
@@ -189,8 +189,8 @@
         shortest_goal: shortest goal of all routes, in seconds.
         last: the latest sample; None before the first.
         processor_use: processor seconds per second, recently.
-        is_clock_usable: whether all that the processor clock has reported can
-            be true; once it isn't, the clock isn't used any more.
+        is_clock_usable: whether the processor clock may be right and its use
+            due to requests; once it isn't, the clock isn't used any more.
         refused_share: share of new requests to refuse, from 0 to 1.
     """
 
@@ -290,7 +290,7 @@
         return True
 
     def _check_clock(self, sample: LoadSample) -> None:
-        """Stops using a clock that reports more than the limit allows."""
+        """Stops using a clock that is wrong or doesn't depend on requests."""
         first = self._previous_start
         limit = self._limits.processor_share
         if first is None or not limit or not self.is_clock_usable:
@@ -300,6 +300,21 @@
             # The share may be reduced due to earlier errors of the clock. A
             # lag reduces it again within 0.3 s.
             self._admitted_share = 1.0
+        elif self._is_use_unrelated(sample):
+            self.is_clock_usable = False
+
+    def _is_use_unrelated(self, sample: LoadSample) -> bool:
+        """Whether use stays high though as many are refused as may be.
+
+        If it is right after all, refusals alone overload the front, and its
+        event loop shows that as well.
+        """
+        return (
+            self._admitted_share <= 1 - _MAX_REFUSED_SHARE
+            and self.processor_use > self._find_processor_bound()
+            and sample.delay_seconds
+            <= _RELEASE_SHARE * _MAX_LAG_SHARE * self.shortest_goal
+        )
 
     def _find_processor_bound(self) -> float:
         """Returns the use above which the front is full; 0 for none."""
--- a/testing/core/serving/test_front_load.py
+++ b/testing/core/serving/test_front_load.py
@@ -116,6 +116,15 @@
         assert replay.load.is_clock_usable
         assert replay.load.is_full
 
+    def test_use_that_requests_do_not_cause_refuses_only_once(self) -> None:
+        # A clock that reports just the limit all the time can't be told from a
+        # right one, until hardly any request is left that could cause the use.
+        replay = Replay()
+        replay.run(20.0, use=0.5)
+        assert not replay.load.is_clock_usable
+        assert not replay.run(10.0, use=0.5)
+        assert not any(replay.run(STEP, use=0.5) for _ in range(600))
+
     def test_without_the_clock_lag_is_noticed_within_half_a_second(
         self,
     ) -> None:
