Move failures of attempts and the record of a request's end out of forwarding

Cause: app/forwarding.py had grown to 950 lines, of which the class that passes a request on was only a part.

Change: Failure and the test of statuses that claim "not run" are in app/attempt_failure.py; what is logged and counted of a request's end is RequestSummary in app/request_summary.py. Log fields, metrics and behaviour are the same; forwarding.py has 870 lines.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -12,7 +12,9 @@
 from result import Err, Result
 
 from ridgesill.adapters.http1.client import Exchange
+from ridgesill.app.attempt_failure import Failure, claims_not_run
 from ridgesill.app.front import Front
+from ridgesill.app.request_summary import RequestSummary, record_request_end
 from ridgesill.app.suspect_request import SuspectRequest
 from ridgesill.app.upstream_search import (
     Refusal,
@@ -39,7 +41,6 @@
     Responder,
     ResponseHead,
 )
-from ridgesill.ports.telemetry import RequestEnd
 
 # The front answers this long before a route's time-out, so that its answer is
 # still in time.
@@ -58,15 +59,12 @@
 # Retry delay for requests in quarantine. Only an operator lifts a quarantine,
 # so a client that honours this delay has in practice stopped retrying.
 _QUARANTINE_RETRY_SECONDS = 3600.0
-# Statuses that tell a client that its request has not run.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # A retry soon after reaches another front, on a new channel.
 _FRONT_FULL_REFUSAL = Refusal("front_full", 0.1)
 _QUARANTINE_REFUSAL = Refusal("quarantined", _QUARANTINE_RETRY_SECONDS)
 _OK = 200
 _REDIRECT = 300
 _SERVER_ERROR = 500
-_UNAVAILABLE = 503
 # A request that is broken off counts as failed by its upstream if nothing of an
 # answer came for this long. A full queue of a plain upstream takes up to 0.4 s,
 # and clients may leave, or run out of time, at any moment.
@@ -90,58 +88,6 @@
     """The request was not sent: its upstream accepts no requests now."""
 
 
-@attrs.frozen
-class Failure:
-    """An attempt that produced no answer to deliver.
-
-    Attributes:
-        reason: for logs and metrics.
-        not_run: whether the request certainly did not run at the upstream.
-        answer: the upstream's complete answer, if there was one.
-        misdirected: whether the upstream lacks the artifact or version that
-            the request needs.
-        reached_upstream: whether the request reached the upstream.
-        cut: whether the channel closed before the answer was complete.
-        withheld: whether the request was not sent because the upstream accepts
-            none now.
-        asked_for_rest: whether the upstream asked for a pause in requests, or
-            for fewer requests.
-    """
-
-    reason: str
-    not_run: bool
-    answer: tuple[ResponseHead, bytes] | None = None
-    misdirected: bool = False
-    reached_upstream: bool = True
-    cut: bool = False
-    withheld: bool = False
-    asked_for_rest: bool = False
-
-    @property
-    def counts_against_health(self) -> bool:
-        """Whether the failure shows that the upstream is unhealthy.
-
-        An upstream that lacks an artifact, or that asks for fewer requests, is
-        not ejected for that.
-        """
-        return not (self.misdirected or self.withheld or self.asked_for_rest)
-
-    @property
-    def calls(self) -> UpstreamCalls:
-        """The failure as it is reported to the owner."""
-        if self.withheld or self.misdirected:
-            return UpstreamCalls()
-        if self.not_run and self.reached_upstream:
-            return UpstreamCalls(rejected=1)
-        if self.answer is not None:
-            status = self.answer[0].status
-            if status < _SERVER_ERROR:
-                return UpstreamCalls()
-            if status == _UNAVAILABLE and self.asked_for_rest:
-                return UpstreamCalls(rejected=1)
-        return UpstreamCalls(failed=1)
-
-
 async def serve_request(
     front: Front, request: HttpRequest, responder: Responder
 ) -> None:
@@ -666,7 +612,7 @@
                 True,
                 misdirected=dialect.is_misdirected(head),
             )
-        if head.status >= _SERVER_ERROR or _claims_not_run(head):
+        if head.status >= _SERVER_ERROR or claims_not_run(head):
             body = await exchange.read_rest()
             return Failure(f"status {head.status}", False, (head, body))
         if self._responder.started and head.status != _OK:
@@ -828,7 +774,7 @@
         if self._responder.started:
             self._responder.abort()
             self._record_end("cut", reason=failure.reason)
-        elif failure.answer is not None and not _claims_not_run(
+        elif failure.answer is not None and not claims_not_run(
             failure.answer[0]
         ):
             self._deliver(*failure.answer)
@@ -880,48 +826,35 @@
     ) -> None:
         arrived_at = self._request.arrived_at
         seconds = self._loop.time() - arrived_at
-        first = (
-            self._first_event_at - arrived_at
-            if self._first_event_at
-            else seconds
-        )
+        first = seconds
+        if self._first_event_at:
+            first = self._first_event_at - arrived_at
         route = self._route
-        self._front.telemetry.record_request_end(
-            RequestEnd(
-                route.kind if route else "",
-                self._priority(),
-                outcome,
-                _reason_label(reason),
-                seconds,
-                first,
-                self._search.waited_seconds,
-                len(self._tried),
-                self._customer_label(),
-                outcome == "served"
-                and route is not None
-                and first <= route.goal,
-            )
-        )
-        log_message(
-            "request:end",
-            request=self._facts.request,
-            route=self._route.name if self._route else "",
-            version=self._front.table.version,
-            customer=self._customer.name if self._customer else "",
-            artifact=self._facts.artifact,
-            upstream=upstream,
-            chosen_by=self._search.chosen_by,
-            outcome=outcome,
-            reason=reason,
-            status=status,
-            attempts=len(self._tried),
-            waited=round(self._search.waited_seconds, 4),
-            tokens=self._facts.prompt_tokens,
-            sent=round(max(self._sent_at - arrived_at, 0.0), 4),
-            foretold=round(self._search.predicted_first_seconds, 4),
-            goal=round(route.goal, 4) if route else 0.0,
-            first=round(first, 4),
-            seconds=round(seconds, 4),
+        record_request_end(
+            self._front.telemetry,
+            RequestSummary(
+                request=self._facts.request,
+                route=route.name if route else "",
+                kind=route.kind if route else "",
+                priority=self._priority(),
+                goal=route.goal if route else 0.0,
+                version=self._front.table.version,
+                customer=self._customer.name if self._customer else "",
+                customer_label=self._customer_label(),
+                artifact=self._facts.artifact,
+                upstream=upstream,
+                chosen_by=self._search.chosen_by,
+                outcome=outcome,
+                reason=reason,
+                status=status,
+                attempts=len(self._tried),
+                waited=self._search.waited_seconds,
+                tokens=self._facts.prompt_tokens,
+                sent=max(self._sent_at - arrived_at, 0.0),
+                foretold=self._search.predicted_first_seconds,
+                first=first,
+                seconds=seconds,
+            ),
         )
 
     def _priority(self) -> int:
@@ -935,16 +868,3 @@
         if self._customer is None or customers is None:
             return ""
         return customers.label(self._customer)
-
-
-def _claims_not_run(head: ResponseHead) -> bool:
-    """Whether a status tells the client that its request has not run.
-
-    Such an answer must not be passed on once the request may have run.
-    """
-    return head.status in _NOT_RUN_STATUSES
-
-
-def _reason_label(reason: str) -> str:
-    """Returns the constant part of a reason, as a label for metrics."""
-    return reason.partition(" ")[0].partition(":")[0]
--- /dev/null
+++ b/src/ridgesill/app/request_summary.py
@@ -0,0 +1,112 @@
+"""What became of a request, for the log and the metrics."""
+
+import attrs
+from eliot import log_message
+
+from ridgesill.ports.telemetry import RequestEnd, Telemetry
+
+
+@attrs.frozen(kw_only=True)
+class RequestSummary:
+    """What became of a request.
+
+    All durations are in seconds; `sent` and `first` count from the arrival of
+    the request.
+
+    Attributes:
+        request: its id.
+        route: name of the route that it matched; empty if none.
+        kind: kind of that route; empty if none.
+        priority: its priority; 0 goes first.
+        goal: time within which the first part of the answer must be sent; 0 if
+            there is no route.
+        version: version of the configuration.
+        customer: the customer that sent it; empty if unknown.
+        customer_label: label of the customer in metrics.
+        artifact: the model or adapter that it asked for.
+        upstream: the upstream that served it.
+        chosen_by: who chose the upstream, "front" or "owner".
+        outcome: what became of it, such as `served` or `refused`.
+        reason: why it was not served; empty if it was.
+        status: status of the upstream's answer; 0 without one.
+        attempts: number of upstreams that it was sent to.
+        waited: time that it waited for an adapter to be loaded.
+        tokens: number of tokens in the prompt.
+        sent: time until it was last sent to an upstream; 0 if it never was.
+        foretold: predicted time from sending until the first event.
+        first: time until the first part of the answer, or until the end.
+        seconds: time until the end.
+    """
+
+    request: str
+    route: str
+    kind: str
+    priority: int
+    goal: float
+    version: int
+    customer: str
+    customer_label: str
+    artifact: str
+    upstream: str
+    chosen_by: str
+    outcome: str
+    reason: str
+    status: int
+    attempts: int
+    waited: float
+    tokens: int
+    sent: float
+    foretold: float
+    first: float
+    seconds: float
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether it was served, and its answer began within the goal."""
+        if self.outcome != "served" or not self.route:
+            return False
+        return self.first <= self.goal
+
+
+def record_request_end(telemetry: Telemetry, summary: RequestSummary) -> None:
+    """Records the end of a request in the metrics and the log."""
+    telemetry.record_request_end(
+        RequestEnd(
+            summary.kind,
+            summary.priority,
+            summary.outcome,
+            _make_reason_label(summary.reason),
+            summary.seconds,
+            summary.first,
+            summary.waited,
+            summary.attempts,
+            summary.customer_label,
+            summary.is_in_time,
+        )
+    )
+    log_message(
+        "request:end",
+        request=summary.request,
+        route=summary.route,
+        version=summary.version,
+        customer=summary.customer,
+        artifact=summary.artifact,
+        upstream=summary.upstream,
+        chosen_by=summary.chosen_by,
+        outcome=summary.outcome,
+        reason=summary.reason,
+        status=summary.status,
+        attempts=summary.attempts,
+        waited=round(summary.waited, 4),
+        tokens=summary.tokens,
+        sent=round(summary.sent, 4),
+        foretold=round(summary.foretold, 4),
+        goal=round(summary.goal, 4),
+        first=round(summary.first, 4),
+        seconds=round(summary.seconds, 4),
+    )
+
+
+def _make_reason_label(reason: str) -> str:
+    """Returns the constant part of a reason, as a label for metrics."""
+    return reason.partition(" ")[0].partition(":")[0]
