Add slow readers, damage and a hot customer to the soak

Cause: the soak had no clients that read slowly, no damaged messages between processes and no customer that overloads a plain service.

Change: pressure.py applies all three in a random order of its own. Checks: at most a tenth of another customer's requests is refused because of load, no front exceeds its memory, and damage is logged. Exits are in the totals.

--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -10,6 +10,7 @@
 
 from testing.soak.checks import Verdict, judge
 from testing.soak.faults import Faults
+from testing.soak.pressure import Pressure, PressureRecord
 from testing.soak.world import SoakWorld
 
 # Bound in seconds on each step of the recovery after the last fault.
@@ -32,6 +33,10 @@
     "limit",
     "refused_within",
     "named_limit",
+    "crowded",
+    "memory",
+    "unlogged",
+    "exit",
 )
 
 
@@ -58,16 +63,20 @@
         await world.start()
         world.start_repeating_callers()
         faults = Faults(world)
+        record = PressureRecord()
+        pressure = Pressure(world, record)
+        pressure.start()
         await faults.run(seconds)
+        await pressure.stop()
         problem = await _recover(world)
         await world.end_traffic()
-        verdict = judge(seed, world, faults.injected)
+        verdict = judge(seed, world, faults.injected, record)
         for name in faults.exits:
             verdict.record_violation("exit", name)
         if problem:
             verdict.record_violation("lost", problem)
         if verdict.violations:
-            _keep_logs(world, seed, faults)
+            _keep_logs(world, seed, faults, record)
         return verdict
     finally:
         world.stop()
@@ -91,14 +100,16 @@
     return ""
 
 
-def _keep_logs(world: SoakWorld, seed: int, faults: Faults) -> None:
+def _keep_logs(
+    world: SoakWorld, seed: int, faults: Faults, record: PressureRecord
+) -> None:
     """Saves the logs and faults of a failed seed in /tmp/soak-SEED."""
     target = Path(tempfile.gettempdir()) / f"soak-{seed}"
     target.mkdir(exist_ok=True)
     for vm in world.vms:
         log = vm.settings_file.with_suffix(".log")
         (target / log.name).write_bytes(log.read_bytes())
-    lines = [str(fault) for fault in faults.injected]
+    lines = [str(fault) for fault in (*faults.injected, record)]
     (target / "faults.txt").write_text("\n".join(lines) + "\n")
 
 
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -14,6 +14,7 @@
 from testing.soak.faults import InjectedFault
 from testing.soak.keys import COMPLIANT, LIMIT_PER_SECOND, LIMITED
 from testing.soak.limits import find_excess
+from testing.soak.pressure import PressureRecord, check_pressure
 from testing.soak.upstreams import Arrival, InstanceRecord, Ledger
 from testing.soak.world import SoakWorld
 
@@ -85,7 +86,10 @@
 
 
 def judge(
-    seed: int, world: SoakWorld, injected: list[InjectedFault]
+    seed: int,
+    world: SoakWorld,
+    injected: list[InjectedFault],
+    pressure: PressureRecord,
 ) -> Verdict:
     """Checks all guarantees that can be checked after the run.
 
@@ -93,6 +97,7 @@
         seed: The seed that was run.
         world: The deployment, with what its callers and upstreams recorded.
         injected: The faults that were injected.
+        pressure: What the pressure on the deployment did.
 
     Returns:
         The violations that were found.
@@ -111,6 +116,8 @@
     for outcome in world.outcomes:
         _check_key(verdict, world, outcome)
     _check_customer_limit(verdict, world)
+    pressure.crowded |= world.ledger.crowded
+    check_pressure(pressure, world.outcomes, verdict.record_violation)
     _check_orders(verdict, world)
     _check_quarantine(verdict, world)
     for name, record in world.ledger.instances.items():
--- a/testing/soak/clients.py
+++ b/testing/soak/clients.py
@@ -15,6 +15,8 @@
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 SAFE, UNSAFE, STREAM = "safe", "unsafe", "stream"
+# Requests to the service that a hot customer overloads.
+SHARED = "shared"
 
 
 @attrs.define
@@ -23,7 +25,7 @@
 
     Attributes:
         request: The request's id.
-        kind: Kind of request: safe, unsafe or stream.
+        kind: Kind of request: safe, unsafe, stream or shared.
         front: Name of the front that it was sent to.
         began: Loop time in seconds at which it was sent.
         ended: Loop time in seconds at which its outcome was known; 0 before.
--- a/testing/soak/keys.py
+++ b/testing/soak/keys.py
@@ -13,6 +13,11 @@
 # The customer whose callers stay within its limit, and must not be refused.
 COMPLIANT = "bob"
 _COMPLIANT_LIMIT = 100
+# The customer that sends bursts far beyond its limit, with a key that is never
+# rotated. What its limit lets through is a fifth of what the service can do.
+HOT = "dave"
+HOT_KEY = "key-hot"
+_HOT_LIMIT = 8
 # Probability that a new configuration adds or removes a key.
 _ROTATION_PROBABILITY = 0.5
 
@@ -80,7 +85,7 @@
                 **_limit_fields(customer),
             }
             for customer, keys in self._current.items()
-        ]
+        ] + [{"name": HOT, "api_keys": [HOT_KEY], **_limit_fields(HOT)}]
 
     def _rotate(self, keys: list[Key], now: float) -> None:
         """Adds a key to a customer's only key, or removes the older of two.
@@ -120,7 +125,11 @@
 
 def _limit_fields(customer: str) -> dict[str, Any]:
     """Returns a customer's limit as fields of the configuration."""
-    limits = {LIMITED: LIMIT_PER_SECOND, COMPLIANT: _COMPLIANT_LIMIT}
+    limits = {
+        LIMITED: LIMIT_PER_SECOND,
+        COMPLIANT: _COMPLIANT_LIMIT,
+        HOT: _HOT_LIMIT,
+    }
     if customer not in limits:
         return {}
     limit = limits[customer]
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -4,11 +4,15 @@
 import enum
 import struct
 from collections.abc import Callable
-from socket import SO_LINGER, SOL_SOCKET
+from socket import SO_LINGER, SO_RCVBUF, SO_REUSEADDR, SOL_SOCKET, socket
 
 from ridgesill.core.addresses import split_address
 
 _CHUNK_BYTES = 65536
+# The same, and the bytes that a connection may hold, behind a narrow link: all
+# other bytes wait at the sender.
+_NARROW_CHUNK_BYTES = 4096
+_BUFFER_BYTES = 4096
 # SO_LINGER enabled with a timeout of 0 s, so that a close sends RST.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -29,21 +33,51 @@
     NO_ANSWERS = "no_answers"
 
 
+class NarrowLink:
+    """A bandwidth that the connections of several proxies share in turn.
+
+    Attributes:
+        bytes_per_second: Its bandwidth; infinite while it isn't narrow.
+    """
+
+    def __init__(self) -> None:
+        self.bytes_per_second = float("inf")
+        self._free_at = 0.0
+
+    async def carry(self, size: int) -> None:
+        """Waits until this many bytes have passed."""
+        now = asyncio.get_running_loop().time()
+        seconds = size / self.bytes_per_second
+        self._free_at = max(now, self._free_at) + seconds
+        await asyncio.sleep(self._free_at - now)
+
+
 class FaultyProxy:
     """Forwards connections, and can delay, discard or reset their bytes.
 
     Args:
         listen: Address to listen on.
         target: Address to forward connections to.
+        answer_link: The link that answers pass through, if any.
+        request_link: The link that requests pass through, if any.
 
     Attributes:
         mode: What it does with the bytes that it receives.
         delay: Delay of each chunk in mode DELAYED, in seconds.
+        damage: Returns what is forwarded instead of a chunk.
     """
 
-    def __init__(self, listen: str, target: str) -> None:
+    def __init__(
+        self,
+        listen: str,
+        target: str,
+        answer_link: NarrowLink | None = None,
+        request_link: NarrowLink | None = None,
+    ) -> None:
+        self._links = {True: answer_link, False: request_link}
         self.mode = Mode.OPEN
         self.delay = 0.0
+        self.damage: Callable[[bytes], bytes] = bytes
         self._listen = listen
         self._target = target
         self._server: asyncio.Server | None = None
@@ -54,7 +88,10 @@
     async def start(self) -> None:
         """Starts to accept connections."""
         host, port = split_address(self._listen)
-        self._server = await asyncio.start_server(self._serve, host, port)
+        listening = _make_socket(self._links[False])
+        listening.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        listening.bind((host, port))
+        self._server = await asyncio.start_server(self._serve, sock=listening)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -94,11 +131,15 @@
         """Connects to the target and forwards both directions."""
         self._writers.add(writer)
         try:
-            host, port = split_address(self._target)
+            target_socket = _make_socket(self._links[True])
+            target_socket.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(target_socket, split_address(self._target))
             target_reader, target_writer = await asyncio.open_connection(
-                host, port
+                sock=target_socket, limit=_BUFFER_BYTES
             )
         except OSError:
+            target_socket.close()
             writer.transport.abort()
             self._writers.discard(writer)
             return
@@ -122,13 +163,17 @@
         is_answer: bool,
     ) -> None:
         """Forwards one direction of a connection until it ends."""
+        link = self._links[is_answer]
+        chunk_bytes = _NARROW_CHUNK_BYTES if link else _CHUNK_BYTES
         try:
-            while data := await reader.read(_CHUNK_BYTES):
+            while data := await reader.read(chunk_bytes):
+                if link is not None:
+                    await link.carry(len(data))
                 if self._discards(is_answer=is_answer):
                     continue
                 if self.mode is Mode.DELAYED:
                     await asyncio.sleep(self.delay)
-                damage = self._damages.pop(is_answer, bytes)
+                damage = self._damages.pop(is_answer, self.damage)
                 writer.write(damage(data))
                 await writer.drain()
         except ConnectionError:
@@ -139,3 +184,11 @@
         if self.mode is Mode.SILENT:
             return True
         return self.mode is Mode.NO_ANSWERS and is_answer
+
+
+def _make_socket(link: NarrowLink | None) -> socket:
+    """Returns a socket that buffers little behind a link."""
+    made = socket()
+    if link is not None:
+        made.setsockopt(SOL_SOCKET, SO_RCVBUF, _BUFFER_BYTES)
+    return made
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -11,6 +11,7 @@
 from testing.soak.clients import RequestOutcome
 from testing.soak.faults import InjectedFault
 from testing.soak.keys import LIMITED, Key, KeyRing
+from testing.soak.pressure import PressureRecord
 from testing.soak.proxy import FaultyProxy, Mode
 from testing.soak.upstreams import (
     Announcement,
@@ -54,10 +55,16 @@
         self.controls: list[object] = []
         self.paused_until: dict[str, float] = {}
         self.disturbed: dict[str, list[float]] = {}
+        self.pressure = PressureRecord()
 
     def judge(self, *injected: InjectedFault) -> Verdict:
         """Returns the verdict on what was recorded, with these faults."""
-        return judge(1, self, list(injected))  # type: ignore[arg-type]
+        return judge(
+            1,
+            self,  # type: ignore[arg-type]
+            list(injected),
+            self.pressure,
+        )
 
 
 class TestChecks:
@@ -183,10 +190,43 @@
             "soak: seeds=2 requests=15 lost=0 doubled=2 false_not_run=0"
             " reverted=0 cut=0 harmful=0 shut_out=0 rest=0 leaving=0"
             " customer=0 revoked=0 refused_key=0 limit=0"
-            " refused_within=0 named_limit=0 open=1"
+            " refused_within=0 named_limit=0 crowded=0 memory=0"
+            " unlogged=0 exit=0 open=1"
         )
 
 
+class TestPressureChecks:
+    @pytest.mark.parametrize(("refused", "found"), [(10, 0), (11, 1)])
+    def test_refusals_because_of_the_hot_customer_are_found(
+        self, refused: int, found: int
+    ) -> None:
+        outcomes = [
+            RequestOutcome(f"other-{n}", "shared", "f", 2.0, 2.1, 503)
+            for n in range(100)
+        ]
+        hot = RequestOutcome("hot-1", "shared", "f", 2.0, 2.1, 503)
+        world = RecordedWorld(*outcomes, hot)
+        world.ledger.crowded = {
+            "hot-1",
+            *(f"other-{n}" for n in range(refused)),
+        }
+        assert world.judge().count("crowded") == found
+
+    def test_a_front_beyond_its_memory_is_found(self) -> None:
+        world = RecordedWorld()
+        world.pressure.peak_bytes = {"f": 200_000_000}
+        assert not world.judge().violations
+        world.pressure.peak_bytes = {"f": 200_000_001}
+        assert world.judge().count("memory") == 1
+
+    def test_damage_that_nobody_logs_is_found(self) -> None:
+        world = RecordedWorld()
+        world.pressure.flips = 9
+        assert world.judge().count("unlogged") == 1
+        world.pressure.damage_lines = 1
+        assert not world.judge().violations
+
+
 class TestProxy:
     async def test_it_forwards_discards_and_resets(self) -> None:
         async def echo(
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -17,6 +17,15 @@
 _HEARTBEAT_SECONDS = 0.5
 _STREAM_EVENTS = 3
 _NOT_RUN = "Not-Run: 1"
+# Requests for this path get long answers: this many events of this many bytes.
+SLOW_PATH = "/stream/slow"
+_LONG_EVENTS = 20
+_LONG_EVENT_BYTES = 100_000
+# A shared upstream: seconds that a request takes, and how many requests it runs
+# at a time and queues before it refuses more.
+_SHARED_SECONDS = 0.15
+_SHARED_RUNNING = 4
+_SHARED_QUEUED = 8
 # A request whose body has this prefix crashes every upstream that starts it.
 HARMFUL = b"harmful"
 # Shortest and longest time that such an upstream stays down, in seconds.
@@ -102,6 +111,7 @@
         instances: What each incarnation of an upstream received and announced,
             by its name.
         identities: The identity received with each run, by the request's id.
+        crowded: Ids of the requests that were refused because of a full queue.
     """
 
     runs: dict[str, int] = attrs.Factory(dict)
@@ -109,6 +119,7 @@
     harmful: dict[bytes, list[Arrival]] = attrs.Factory(dict)
     instances: dict[str, InstanceRecord] = attrs.Factory(dict)
     identities: dict[str, RunIdentity] = attrs.Factory(dict)
+    crowded: set[str] = attrs.Factory(set)
 
     def record_run(self, call: Call) -> None:
         """Records a run of a request and the identity that came with it."""
@@ -330,6 +341,31 @@
         return ("Server-Leaving: 1",)
 
 
+class SharedUpstream(SoakUpstream):
+    """A plain service that can run and queue only few requests at a time."""
+
+    def _begin_incarnation(self) -> None:
+        super()._begin_incarnation()
+        self._accepted = 0
+        self._slots = asyncio.Semaphore(_SHARED_RUNNING)
+
+    async def _serve(self, call: Call) -> None:
+        if call.header("expect-instance") not in ("", self.name):
+            await call.answer(421, b"", _NOT_RUN)
+            return
+        if self._accepted >= _SHARED_RUNNING + _SHARED_QUEUED:
+            self._ledger.crowded.add(call.header("request-id"))
+            await call.answer(503, b"", _NOT_RUN)
+            return
+        self._accepted += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(_SHARED_SECONDS)
+                await self._run(call)
+        finally:
+            self._accepted -= 1
+
+
 class SoakEngine(SoakUpstream):
     """A model engine that executes orders and streams answers."""
 
@@ -377,6 +413,10 @@
             for number in range(1, _STREAM_EVENTS + 1):
                 await asyncio.sleep(0.02)
                 await call.send_event(number)
+            if call.head.split(" ")[1] == SLOW_PATH:
+                data = b"x" * _LONG_EVENT_BYTES
+                for _ in range(_LONG_EVENTS):
+                    await call.send(b"%x\r\n%s\r\n" % (len(data), data))
             await call.end_stream()
         finally:
             self.engine.adapters_in_use.discard(adapter)
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -11,6 +11,7 @@
 from testing.platform_world import PlatformDeployment, Vm, send_http_request
 from testing.soak.clients import (
     SAFE,
+    SHARED,
     STREAM,
     UNSAFE,
     Caller,
@@ -24,11 +25,14 @@
     HARMFUL,
     MODELS,
     Ledger,
+    SharedUpstream,
     SoakEngine,
     SoakUpstream,
 )
 
 _CALLERS_PER_FRONT = 2
+# Memory of a front's VM, in megabytes.
+MEMORY_MB = 200
 # A control node listens for its peers at their port plus this offset; the
 # proxy listens at the port itself.
 _PROXIED_PORT_OFFSET = 5
@@ -41,18 +45,23 @@
         version: Version of the configuration.
         customers: Customers with their keys and limits.
     """
-    kinds = {"safe": "plain", "unsafe": "plain", "stream": "engine"}
+    kinds = {
+        "safe": "plain",
+        "unsafe": "plain",
+        "stream": "engine",
+        SHARED: SHARED,
+    }
     routes = [
         {
             "name": kind,
             "host": "a.example",
             "prefix": f"/{kind}/",
-            "kind": kind,
+            "kind": "safe" if kind == SHARED else kind,
             "timeout_ms": 2500,
             "goal_ms": 500,
             "priority": 0,
             "service": service,
-            "attempts": 2 if kind == "safe" else 1,
+            "attempts": 2 if kind in ("safe", SHARED) else 1,
         }
         for kind, service in kinds.items()
     ]
@@ -64,7 +73,11 @@
         "models": MODELS,
     }
     plain = {"name": "plain", "health_path": "/health", "connection_limit": 99}
-    services = [plain, {**plain, "name": "engine", "engine": engine}]
+    services = [
+        plain,
+        {**plain, "name": SHARED},
+        {**plain, "name": "engine", "engine": engine},
+    ]
     return msgspec.json.encode(
         {
             "version": version,
@@ -95,7 +108,11 @@
     def __init__(
         self, folder: Path, seed: int, controls: int = 3, fronts: int = 3
     ) -> None:
-        super().__init__(folder, controls, fronts)
+        settings = {
+            "limits": {"memory_mb": MEMORY_MB},
+            "contracts": ["pressure"],
+        }
+        super().__init__(folder, controls, fronts, settings)
         self.seed = seed
         self.rng = random.Random(seed)
         self.ledger = Ledger()
@@ -124,6 +141,17 @@
                 (SoakEngine, "engine"),
             )
         ]
+        # Upstreams of a service that only load disturbs. Of the services above,
+        # upstreams refuse most requests because of the limits that they name.
+        self.shared_upstreams = [
+            SharedUpstream(
+                SHARED,
+                self.ledger,
+                addresses,
+                random.Random(f"{number} {seed}"),
+            )
+            for number in range(2)
+        ]
         self.proxies = {vm.name: self._make_proxy(vm) for vm in self.controls}
         self._tasks: list[asyncio.Task[Any]] = []
 
@@ -141,7 +169,7 @@
             await proxy.start()
         for vm in self.vms:
             vm.start()
-        for upstream in self.upstreams:
+        for upstream in (*self.upstreams, *self.shared_upstreams):
             await upstream.start()
         await self.put_next()
         await self.until_served()
@@ -187,11 +215,12 @@
             body,
             rng,
             self.outcomes,
-            self._choose_steady_key,
+            self.choose_steady_key,
         )
         self._tasks.append(asyncio.create_task(caller.run()))
 
-    def _choose_steady_key(self) -> str:
+    def choose_steady_key(self) -> str:
+        """Returns the key of a customer without a limit."""
         return self.keys.choose(self._key_rng, "alice")
 
     async def end_traffic(self) -> None:
@@ -207,7 +236,7 @@
         for vm in self.vms:
             vm.signal(signal.SIGCONT)
             vm.kill()
-        for upstream in self.upstreams:
+        for upstream in (*self.upstreams, *self.shared_upstreams):
             upstream.crash()
         for proxy in self.proxies.values():
             proxy.stop()
