Share adapter slots between customers and priorities

One customer's burst of rare adapters took the slots and the store's rate: the queue of wants knew neither customer nor priority, and evicted what others requested again a second later.

WantArtifact names both. Where the configuration has customers, the queue orders by them, a customer above its fair share of loads evicts its own adapters first and none that others used in the last 10 s, and starts a load only while the store isn't slowed by it. What certainly comes too late is refused at once, with the time at which slots should be free.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Sequence
+from typing import Any
 
 import attrs
 from eliot import log_message, write_traceback
@@ -26,6 +27,13 @@
     load_seconds,
     make_waiter,
 )
+from ridgesill.core.fleet.load_shares import (
+    LoadRound,
+    LoadShares,
+    SlotClaim,
+    find_weights,
+)
+from ridgesill.core.fleet.load_starts import LoadStarts, is_hopeless
 from ridgesill.core.fleet.messages import (
     COPY_IS_SOONER,
     ArtifactReady,
@@ -44,6 +52,7 @@
     Waiter,
     WantQueue,
 )
+from ridgesill.core.serving.customers import Customers
 from ridgesill.core.serving.rank import rank_request
 
 # How often places are looked for again for artifacts that wait for one, in
@@ -101,6 +110,11 @@
     return ArtifactReady("", after=wait, reason="earlier_owner")
 
 
+def _loads_per_second(engines: Sequence[Engine]) -> float:
+    """Returns the rate of the store behind engines; 0 if it is unknown."""
+    return max((e.spec.loads_per_second for e in engines), default=0.0)
+
+
 @attrs.define(eq=False)
 class _SharedLoad:
     """A load of one artifact that several requests may wait for.
@@ -143,6 +157,9 @@
         self._backlogs = backlogs or Backlogs()
         self._health = health or EngineHealth()
         self._loop = asyncio.get_running_loop()
+        # None where the configuration has no customers.
+        self._shares: LoadShares | None = None
+        self._load_starts = LoadStarts()
         self._queue = WantQueue()
         self._shared_loads: dict[tuple[str, str], _SharedLoad] = {}
         self._logged_at = float("-inf")
@@ -164,7 +181,21 @@
                 refused = ArtifactReady("", after=0.1, reason="owner_changed")
                 shared_load.answer.set_result(refused)
         self._shared_loads.clear()
-        self._queue = WantQueue()
+        # The loads of customers while others own the fleet aren't known here.
+        if self._shares is not None:
+            self._shares = LoadShares(self._shares.weights)
+        self._load_starts = LoadStarts()
+        self._queue = WantQueue(self._shares)
+
+    def apply_customers(self, customers: Customers | None) -> None:
+        """Adopts the customers of a configuration; None if it has none."""
+        if customers is None:
+            self._shares = None
+        elif self._shares is None:
+            self._shares = LoadShares(find_weights(customers.quotas))
+        else:
+            self._shares.weights = find_weights(customers.quotas)
+        self._queue.shares = self._shares
 
     def start_upkeep(self, service: str, models: tuple[str, ...]) -> None:
         """Loads missing base models, copies and new versions on engines."""
@@ -180,6 +211,7 @@
         """
         requested_at = self._loop.time()
         deadline = requested_at + want.patience
+        self._record_use(want, requested_at)
         answer = ArtifactReady("", reason="no_time", after=0.5)
         wait_for_copy = False
         while True:
@@ -220,12 +252,19 @@
                 requested_at + want.goal - self._min_seconds(want) - now
             )
             patience = max(seconds_to_spare, 0.0) + _LATE_PATIENCE
-            answer = await self._await_load(want, min(remaining, patience))
+            waiting_want = attrs.evolve(want, patience=remaining)
+            answer = await self._await_load(
+                waiting_want, min(remaining, patience)
+            )
             if answer.reason in ("owner_changed", "no_place"):
                 return answer
             if not answer.upstream:
                 await asyncio.sleep(_DISPATCH_INTERVAL_SECONDS)
 
+    def _record_use(self, want: WantArtifact, now: float) -> None:
+        if self._shares is not None and is_adapter(want.artifact):
+            self._shares.record_use(want.artifact, want.customer, now)
+
     def _usable_engines(self, service: str) -> list[Engine]:
         """Returns the engines of a service that accept requests and work.
 
@@ -303,6 +342,8 @@
         self, want: WantArtifact, seconds: float
     ) -> ArtifactReady:
         now = self._loop.time()
+        if self._is_hopeless(want):
+            return self._refuse_for_place(want)
         shared_load = self._get_or_create_load(want, now)
         waiter = make_waiter(want, self._backlogs, now)
         waiting = shared_load.waiting
@@ -317,9 +358,7 @@
         except TimeoutError:
             if waiting.failed_loads:
                 return ArtifactReady("", after=0.5, reason="load_too_slow")
-            return ArtifactReady(
-                "", after=_NO_PLACE_RETRY_AFTER_SECONDS, reason="no_place"
-            )
+            return self._refuse_for_place(want)
         finally:
             waiting.waiters.remove(waiter)
             self._backlogs.release(want.request)
@@ -328,6 +367,42 @@
                     shared_load, ArtifactReady("", reason="not_wanted")
                 )
 
+    def _is_hopeless(self, want: WantArtifact) -> bool:
+        """Whether the load of an artifact certainly ends too late."""
+        shared_load = self._shared_loads.get((want.service, want.artifact))
+        is_loading = shared_load is not None and shared_load.engine is not None
+        if self._shares is None or is_loading or not is_adapter(want.artifact):
+            return False
+        engines = self._owner.list_engines(want.service)
+        return is_hopeless(
+            self._count_ahead(want),
+            _loads_per_second(engines),
+            want.patience,
+            is_cached=any(e.is_cached_locally(want.artifact) for e in engines),
+        )
+
+    def _count_ahead(self, want: WantArtifact) -> int:
+        """Returns how many artifacts are loaded before that of a request."""
+        now = self._loop.time()
+        shared_load = self._shared_loads.get((want.service, want.artifact))
+        if shared_load is not None and shared_load.waiting.waiters:
+            waiting = shared_load.waiting
+        else:
+            waiter = make_waiter(want, self._backlogs, now)
+            waiting = ArtifactWaiters(want, now, [waiter])
+        load_round = self._make_round(want.service)
+        if load_round is None:
+            return 0
+        return self._queue.count_ahead(waiting, load_round, now)
+
+    def _refuse_for_place(self, want: WantArtifact) -> ArtifactReady:
+        """Returns a refusal to retry once a slot should be free."""
+        after = _NO_PLACE_RETRY_AFTER_SECONDS
+        if self._shares is not None:
+            ahead = self._count_ahead(want)
+            after = self._load_starts.retry_after(ahead, self._loop.time())
+        return ArtifactReady("", after=after, reason="no_place")
+
     def _get_or_create_load(
         self, want: WantArtifact, now: float
     ) -> _SharedLoad:
@@ -389,23 +464,61 @@
         if now < self._owner.orders_allowed_from():
             return
         placement_snapshots: dict[str, PlacementSnapshot] = {}
+        rounds: dict[str, LoadRound | None] = {}
         misses = 0
         for waiting in self._queue.ranked(now):
             service = waiting.want.service
             if service not in placement_snapshots:
                 placement_snapshots[service] = self._placement_snapshot(service)
-            choice = self._choose_engine(waiting, placement_snapshots[service])
-            if choice is None:
+                rounds[service] = self._make_round(service)
+            load_round = rounds[service]
+            claim = None
+            if load_round is not None:
+                claim = load_round.find_claim(waiting.customers())
+                if claim is not None and not load_round.may_start(claim):
+                    continue
+            choice = self._choose_engine(
+                waiting, placement_snapshots[service], claim
+            )
+            if choice is not None:
+                self._start_load(waiting, choice, load_round)
+                placement_snapshots[service].invalidate_engine(choice.engine)
+            elif load_round is not None and claim is not None:
+                load_round.record_without_slot(claim)
+            else:
                 misses += 1
                 if misses >= _MAX_MISSES:
                     break
-                continue
-            self._start_load(waiting, choice)
-            placement_snapshots[service].invalidate_engine(choice.engine)
         if len(self._queue):
             self._log_misses(placement_snapshots, now)
             self._dispatch_later()
 
+    def _make_round(self, service: str) -> LoadRound | None:
+        """Returns who may start loads now; None without customers."""
+        if self._shares is None:
+            return None
+        engines = self._owner.list_engines(service)
+        return LoadRound(
+            self._shares,
+            self._queue.waiting_customers(),
+            _loads_per_second(engines),
+            sum(len(engine.loading) for engine in engines),
+            self._loop.time(),
+        )
+
+    def _describe_first(self, service: str, now: float) -> dict[str, Any]:
+        """Returns whose artifact waits first, where there are customers."""
+        if self._shares is None:
+            return {}
+        ranked = self._queue.ranked(now)
+        first = next((w for w in ranked if w.want.service == service), None)
+        if first is None:
+            return {}
+        return {
+            "customer": min(first.customers()),
+            "priority": first.priority(),
+        }
+
     def _log_misses(
         self, placement_snapshots: dict[str, PlacementSnapshot], now: float
     ) -> None:
@@ -418,6 +531,7 @@
                 "fleet:no_place",
                 service=service,
                 waiting=len(self._queue),
+                **self._describe_first(service, now),
                 **placement_snapshot.describe(),
             )
 
@@ -444,7 +558,10 @@
         return self._loop.time() - assigned_at > _MAX_REPORT_DELAY_SECONDS
 
     def _choose_engine(
-        self, waiting: ArtifactWaiters, placement_snapshot: PlacementSnapshot
+        self,
+        waiting: ArtifactWaiters,
+        placement_snapshot: PlacementSnapshot,
+        claim: SlotClaim | None,
     ) -> LoadTarget | None:
         want = waiting.want
         if not is_adapter(want.artifact):
@@ -468,14 +585,24 @@
             lateness=lambda engine: expected_late_count(
                 waiting, engine, self._backlogs, now, pauses
             ),
+            claim=claim,
         )
 
-    def _start_load(self, waiting: ArtifactWaiters, choice: LoadTarget) -> None:
+    def _start_load(
+        self,
+        waiting: ArtifactWaiters,
+        choice: LoadTarget,
+        load_round: LoadRound | None,
+    ) -> None:
         want = waiting.want
+        if load_round is not None:
+            load_round.record_started(waiting.customers())
         self._queue.discard(waiting)
         waiting.failed_loads += 1
         shared_load = self._shared_loads[(want.service, want.artifact)]
         now = self._loop.time()
+        if now > waiting.asked_at:
+            self._load_starts.record(now)
         shared_load.engine = choice.engine
         shared_load.expected_at = now + load_seconds(
             choice.engine, want.artifact
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -426,6 +426,7 @@
         self.service_load.apply_table(table)
         customers = table.customers
         self._quotas.set_quotas(customers.quotas if customers else {})
+        self._loads.apply_customers(customers)
 
     # -- fronts --------------------------------------------------------
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -438,6 +438,7 @@
                 min(self._deadline, self._front.stops_at),
                 self._priority(),
                 route.is_idempotent,
+                self._customer.name if self._customer else "",
             )
         )
         self._front.retries(self._service).record_request(self._loop.time())
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -40,6 +40,8 @@
 # It also waits only up to this share of its time: a refused client retries
 # once, and should know before half of its time has passed that both failed.
 _LOAD_WAIT_SHARE = 0.22
+# A refused client waits for at most this share of its time before its retry.
+_RETRY_SHARE = 1 / 3
 # Loads that the owner is asked for on behalf of one request.
 _MAX_WANTS = 3
 
@@ -72,6 +74,7 @@
         deadline: when the request times out, on the loop's clock.
         priority: 0 goes first.
         is_repeatable: whether the request may run twice.
+        customer: the customer that sent it; empty if callers need no keys.
     """
 
     service: str
@@ -81,6 +84,7 @@
     deadline: float
     priority: int = 0
     is_repeatable: bool = False
+    customer: str = ""
 
 
 class UpstreamSearch:
@@ -307,6 +311,8 @@
             self._facts.prompt_tokens,
             self._facts.answer_tokens,
             is_held,
+            self._terms.priority,
+            self._terms.customer,
         )
 
     def _goal_deadline(self) -> float:
@@ -354,9 +360,20 @@
             if chosen is not None:
                 return chosen
             if not answer.upstream:
-                return Refusal(answer.reason or "not_loaded", answer.after)
+                after = self._limit_retry_seconds(answer.after)
+                return Refusal(answer.reason or "not_loaded", after)
         return Refusal("not_loaded")
 
+    def _limit_retry_seconds(self, seconds: float) -> float:
+        """Returns a retry delay that the client honours.
+
+        Without customers it stays as the owner named it.
+        """
+        if self._front.table.customers is None:
+            return seconds
+        left = self._terms.deadline - self._loop.time()
+        return min(seconds, max(left, 0.0) * _RETRY_SHARE)
+
     def _load_wait_seconds(self) -> float:
         """Returns the seconds for which the request may wait for a load."""
         terms = self._terms
--- a/src/ridgesill/core/fleet/lateness.py
+++ b/src/ridgesill/core/fleet/lateness.py
@@ -35,6 +35,9 @@
         backlogs.mean_read_seconds(want.tokens),
         want.request,
         want.tokens,
+        now + want.patience,
+        want.priority,
+        want.customer,
     )
 
 
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -274,6 +274,11 @@
     rooms: dict[str, FrontRoom] = attrs.Factory(dict)
 
 
+# Priority of a want that names none: the lowest that deployments use, so that
+# it delays no request whose priority is known.
+LEAST_URGENT_PRIORITY = 2
+
+
 @register
 @attrs.frozen
 class WantArtifact:
@@ -294,6 +299,10 @@
         answer_tokens: maximum number of tokens in the answer.
         is_held: whether the asker knows an upstream that holds the artifact.
             It sends the request there itself unless the owner answers at once.
+        priority: the customer's priority, or else the route's; 0 is the most
+            urgent. Fronts of the previous release name none.
+        customer: name of the customer; empty where callers have no keys, and
+            from fronts of the previous release.
     """
 
     service: str
@@ -307,6 +316,8 @@
     tokens: int = 0
     answer_tokens: int = 0
     is_held: bool = False
+    priority: int = LEAST_URGENT_PRIORITY
+    customer: str = ""
 
 
 @register
--- a/src/ridgesill/core/fleet/placement.py
+++ b/src/ridgesill/core/fleet/placement.py
@@ -7,6 +7,7 @@
 
 from ridgesill.core.fleet.engine_capacity import is_adapter, model_of
 from ridgesill.core.fleet.engines import MAX_CONCURRENT_LOADS, Engine
+from ridgesill.core.fleet.load_shares import SlotClaim
 from ridgesill.core.pool.popularity import Popularity
 
 # Half-life of the request counts from which an adapter's value is computed, in
@@ -157,7 +158,8 @@
         self._copies = collections.Counter(
             artifact for engine in engines for artifact in engine.held
         )
-        self._victims: dict[str, str | None] = {}
+        # By engine, and by the customer of a claim; None without one.
+        self._victims: dict[str, dict[str | None, str | None]] = {}
 
     def copy_value(self, artifact: str) -> float:
         """Returns the value of one copy of an adapter, in requests."""
@@ -180,6 +182,7 @@
         avoid: Collection[str] = (),
         max_loading: int = MAX_CONCURRENT_LOADS - 1,
         lateness: Callable[[Engine], float] = lambda _engine: 0.0,
+        claim: SlotClaim | None = None,
     ) -> LoadTarget | None:
         """Returns where to load an adapter, or None if no engine can take it.
 
@@ -192,24 +195,30 @@
                 that may be chosen.
             lateness: returns how many of the waiting requests would be late on
                 an engine.
+            claim: what may be unloaded for a customer above its fair share;
+                None if any idle adapter may.
         """
-        best: tuple[float, LoadTarget] | None = None
+        best: tuple[tuple[bool, float], LoadTarget] | None = None
         for engine in self.engines:
             if engine.name in avoid or len(engine.loading) > max_loading:
                 continue
-            scored = self._score(artifact, engine)
+            scored = self._score(artifact, engine, claim)
             if scored is None:
                 continue
             cost, target = scored
             cost += _LATENESS_COST * lateness(engine)
             if data_centre and engine.data_centre != data_centre:
                 cost += _REMOTE_COST
-            if best is None or cost < best[0]:
-                best = (cost, target)
+            takes_from_others = bool(
+                claim and target.victim and not claim.is_own(target.victim)
+            )
+            key = (takes_from_others, cost)
+            if best is None or key < best[0]:
+                best = (key, target)
         return best[1] if best else None
 
     def _score(
-        self, artifact: str, engine: Engine
+        self, artifact: str, engine: Engine, claim: SlotClaim | None
     ) -> tuple[float, LoadTarget] | None:
         """Returns the cost and target of a load; None if it is impossible."""
         if not self._is_loadable(artifact, engine):
@@ -221,7 +230,7 @@
             cost -= _CACHED_BONUS
         if engine.fits_adapter(artifact):
             return cost, LoadTarget(engine)
-        victim = self.victim(engine)
+        victim = self.victim(engine, claim)
         if victim is None or not engine.fits_adapter(artifact, victim):
             return None
         return cost + self.copy_value(victim), LoadTarget(engine, victim)
@@ -251,13 +260,22 @@
         slots = engine.spec.adapter_slots
         return slots - used_slots > _SPARE_SHARE * slots
 
-    def victim(self, engine: Engine) -> str | None:
-        """Returns the adapter of least value that may be unloaded, if any."""
-        if engine.name not in self._victims:
-            self._victims[engine.name] = self._find_victim(engine)
-        return self._victims[engine.name]
+    def victim(
+        self, engine: Engine, claim: SlotClaim | None = None
+    ) -> str | None:
+        """Returns the adapter of least value that may be unloaded, if any.
 
-    def _find_victim(self, engine: Engine) -> str | None:
+        With a claim, one of the customer's own goes first.
+        """
+        victims = self._victims.setdefault(engine.name, {})
+        key = claim.customer if claim else None
+        if key not in victims:
+            victims[key] = self._find_victim(engine, claim)
+        return victims[key]
+
+    def _find_victim(
+        self, engine: Engine, claim: SlotClaim | None
+    ) -> str | None:
         """Returns the adapter of least value that no request uses, if any."""
         used_artifacts = self._demand.in_use(engine.name)
         idle = [
@@ -270,6 +288,9 @@
                 max(held.assigned_at, held.loaded_at)
             )
         ]
+        if claim is not None:
+            own = [artifact for artifact in idle if claim.is_own(artifact)]
+            idle = own or [a for a in idle if not claim.is_needed(a)]
         return min(idle, key=lambda a: (self.copy_value(a), a), default=None)
 
     def describe(self) -> dict[str, int]:
--- a/src/ridgesill/standin/emulator/demand.py
+++ b/src/ridgesill/standin/emulator/demand.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ridgesill.core.serving.customers import digest_key
 from ridgesill.ports.dialect import RequestFacts
 from ridgesill.standin.emulator.engines import AnswerPlan
 
@@ -116,6 +117,24 @@
     factor: float
 
 
+@attrs.frozen
+class CustomerBurst:
+    """A period in which one customer also requests rare adapters, each once.
+
+    Attributes:
+        at: start, in seconds from the first request.
+        seconds: duration.
+        factor: the customer's load in the period, as a multiple of an average
+            customer's load.
+        customer: name of the customer.
+    """
+
+    at: float
+    seconds: float
+    factor: float
+    customer: str = "c0"
+
+
 @attrs.frozen
 class Arrival:
     """A request as a caller sends it.
@@ -126,6 +145,8 @@
         plan: what an engine generates for it.
         worth: value of an answer in time, which grows with the size.
         late_worth: value of a complete but late answer.
+        customer: name of the customer; empty if there are none.
+        is_burst: whether it belongs to a customer's burst.
     """
 
     at: float
@@ -134,6 +155,8 @@
     plan: AnswerPlan
     worth: float
     late_worth: float
+    customer: str = ""
+    is_burst: bool = False
 
 
 class Demand:
@@ -145,6 +168,7 @@
         bursts: periods with higher request rates.
         model: name of the base model.
         rng: source of all draws.
+        customers: number of customers; each adapter belongs to one of them.
     """
 
     def __init__(
@@ -154,7 +178,9 @@
         bursts: tuple[Burst, ...],
         model: str,
         rng: random.Random,
+        customers: int = 0,
     ) -> None:
+        self._customers = customers
         self._kinds = kinds
         self._popularity = popularity
         self._bursts = bursts
@@ -180,6 +206,40 @@
         ]
         return sorted(arrivals, key=lambda arrival: arrival.at)
 
+    def draw_customer_burst(
+        self, burst: CustomerBurst, rng: random.Random
+    ) -> list[Arrival]:
+        """Draws the requests that a customer's burst adds, in order of time.
+
+        Args:
+            burst: the burst.
+            rng: source of its draws, so that all others stay the same.
+        """
+        self._rng = rng
+        weights = [kind.rate for kind in self._kinds]
+        rate = (burst.factor - 1) * sum(weights) / self._customers
+        arrivals: list[Arrival] = []
+        at = burst.at + rng.expovariate(rate)
+        while at < burst.at + burst.seconds:
+            kind = rng.choices(self._kinds, weights)[0]
+            arrival = self._make_arrival(kind, at, f"x{len(arrivals)}")
+            arrivals.append(attrs.evolve(arrival, is_burst=True))
+            at += rng.expovariate(rate)
+        return [_change_customer(a, burst.customer) for a in arrivals]
+
+    def popular_adapters(self, engines: int, places: int) -> list[list[str]]:
+        """Returns adapters for the slots of engines, as after hours of load.
+
+        The most popular ones have copies in proportion to their requests.
+        """
+        copies: list[str] = []
+        for rank, adapter in enumerate(self._adapter_by_rank):
+            share = (rank + 1) ** -self._popularity.exponent
+            count = round(share / self._cumulative[-1] * engines)
+            copies.extend([f"a{adapter}"] * max(count, 1))
+        copies = copies[: engines * places]
+        return [copies[number::engines] for number in range(engines)]
+
     def _draw_kind(
         self, kind: RequestKind, seconds: float
     ) -> Iterator[Arrival]:
@@ -208,8 +268,11 @@
         shifted = rank + int(at / self._popularity.shift_every)
         return f"a{self._adapter_by_rank[shifted % len(self._adapter_by_rank)]}"
 
-    def _make_arrival(self, kind: RequestKind, at: float) -> Arrival:
-        name = f"r{next(self._request_numbers)}"
+    def _make_arrival(
+        self, kind: RequestKind, at: float, rare_adapter: str = ""
+    ) -> Arrival:
+        number = next(self._request_numbers)
+        name = f"r{number}"
         parts = []
         path = kind.name
         for shared in kind.shared:
@@ -225,7 +288,7 @@
             request=name,
             host="",
             model=self._model,
-            adapter=self._draw_adapter(at),
+            adapter=rare_adapter or self._draw_adapter(at),
             prompt_tokens=prompt,
             answer_tokens=events,
             parts=tuple(parts),
@@ -233,7 +296,7 @@
         )
         plan = AnswerPlan(facts, events)
         size_factor = _size_factor(kind, prompt, events)
-        return Arrival(
+        arrival = Arrival(
             at,
             name,
             kind,
@@ -241,6 +304,19 @@
             kind.worth * size_factor,
             kind.late_worth * size_factor,
         )
+        if not self._customers:
+            return arrival
+        owned = int(facts.adapter[1:]) if facts.adapter else number
+        return _change_customer(arrival, f"c{owned % self._customers}")
+
+
+def _change_customer(arrival: Arrival, customer: str) -> Arrival:
+    """Returns a request as another customer sends it, with its key."""
+    facts = attrs.evolve(
+        arrival.plan.facts, key_digest=digest_key(customer.encode())
+    )
+    plan = attrs.evolve(arrival.plan, facts=facts)
+    return attrs.evolve(arrival, plan=plan, customer=customer)
 
 
 def _size_factor(kind: RequestKind, prompt: int, events: int) -> float:
--- a/src/ridgesill/standin/emulator/scenario.py
+++ b/src/ridgesill/standin/emulator/scenario.py
@@ -3,7 +3,12 @@
 import attrs
 
 from ridgesill.standin.emulator.batch import EngineShape
-from ridgesill.standin.emulator.demand import Burst, Popularity, RequestKind
+from ridgesill.standin.emulator.demand import (
+    Burst,
+    CustomerBurst,
+    Popularity,
+    RequestKind,
+)
 
 
 @attrs.frozen
@@ -45,6 +50,10 @@
         bursts: periods with higher request rates.
         crashes: crashes of engines.
         owner_losses: when the fleet owner of that time stops.
+        customers: number of customers; 0 if callers need no keys.
+        customer_burst: a burst of rare adapters from one customer, if any.
+        loads_per_second: rate of the store that the configuration states.
+        is_warm: whether engines hold the most popular adapters at the start.
     """
 
     name: str
@@ -65,3 +74,7 @@
     bursts: tuple[Burst, ...] = ()
     crashes: tuple[Crash, ...] = ()
     owner_losses: tuple[float, ...] = ()
+    customers: int = 0
+    customer_burst: CustomerBurst | None = None
+    loads_per_second: float = 1.0
+    is_warm: bool = False
--- a/src/ridgesill/standin/emulator/world.py
+++ b/src/ridgesill/standin/emulator/world.py
@@ -17,7 +17,13 @@
     WatchFleet,
 )
 from ridgesill.core.fleet.orders import DeliverOrder, HolderAlive
+from ridgesill.core.freshness import Freshness
 from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.customers import (
+    Customer,
+    Customers,
+    digest_key,
+)
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.retries import RetryBounds
 from ridgesill.core.serving.routes import (
@@ -91,7 +97,9 @@
 
     def __init__(self, scenario: Scenario, seed: int) -> None:
         self._scenario = scenario
+        self._seed = seed
         self._rng = random.Random(seed)
+        self._warm_adapters: list[list[str]] = []
         self._loop = asyncio.get_running_loop()
         self._state = State()
         self._nodes: dict[str, Callable[..., Any]] = {}
@@ -115,9 +123,22 @@
             for kind in scenario.kinds
         )
         demand = Demand(
-            kinds, scenario.popularity, scenario.bursts, BASE_MODEL, self._rng
+            kinds,
+            scenario.popularity,
+            scenario.bursts,
+            BASE_MODEL,
+            self._rng,
+            scenario.customers,
         )
-        return demand.draw(scenario.seconds)
+        if scenario.is_warm:
+            self._warm_adapters = demand.popular_adapters(
+                scenario.engines, scenario.places
+            )
+        arrivals = demand.draw(scenario.seconds)
+        if scenario.customer_burst is not None:
+            rng = random.Random(f"{self._seed} burst")
+            arrivals += demand.draw_customer_burst(scenario.customer_burst, rng)
+        return sorted(arrivals, key=lambda arrival: arrival.at)
 
     def _make_table(self) -> RouteTable:
         scenario = self._scenario
@@ -125,7 +146,7 @@
             scenario.shapes[0].slots,
             _MODEL_MB + _ADAPTER_MB * (scenario.places + 1),
             scenario.places,
-            1.0,
+            scenario.loads_per_second,
             (Model(BASE_MODEL, _MODEL_MB, 1.3, 10**6, _ADAPTER_MB),),
         )
         routes = [
@@ -145,7 +166,15 @@
             )
             for kind in scenario.kinds
         ]
-        return RouteTable(1, routes, [Service(ENGINE_SERVICE, "/", 0, spec)])
+        services = [Service(ENGINE_SERVICE, "/", 0, spec)]
+        return RouteTable(1, routes, services, None, self._make_customers())
+
+    def _make_customers(self) -> Customers | None:
+        names = [f"c{number}" for number in range(self._scenario.customers)]
+        if not names:
+            return None
+        customers = {digest_key(n.encode()): Customer(n) for n in names}
+        return Customers(tuple(customers.values()), customers)
 
     # -- nodes ---------------------------------------------------------
 
@@ -166,6 +195,9 @@
             self._plans,
             self._state.artifact_versions,
         )
+        if self._warm_adapters:
+            for adapter in self._warm_adapters[number]:
+                engine.adapter_slots.held[f"{BASE_MODEL}/{adapter}"] = 1
         self._engines[address] = engine
         self._all_engines.append(engine)
         return engine
@@ -233,6 +265,8 @@
             ),
             EmulatedDialect({n: p.facts for n, p in self._plans.items()}),
             RetryBounds(),
+            # The configuration never changes, so it counts as confirmed.
+            freshness=Freshness(float("inf"), as_of=0.0),
         )
         front.rng = random.Random(self._rng.random())
         front.table = self._table
@@ -274,11 +308,24 @@
         for arrival in self._arrivals:
             await asyncio.sleep(began + arrival.at - self._loop.time())
             caller = Caller(
-                arrival, fronts, self._rng, self._scenario.caller_delay
+                arrival,
+                fronts,
+                self._caller_rng(arrival),
+                self._scenario.caller_delay,
             )
             tasks.append(self._loop.create_task(caller.run()))
         return list(await asyncio.gather(*tasks))
 
+    def _caller_rng(self, arrival: Arrival) -> random.Random:
+        """Returns what a caller draws from.
+
+        With customers each has its own, so that a burst of one customer changes
+        no draw of the others.
+        """
+        if not self._scenario.customers:
+            return self._rng
+        return random.Random(f"{self._seed} {arrival.name}")
+
     async def _send_heartbeats(self, engine: EmulatedEngine) -> None:
         while engine.is_up:
             owner = (
--- a/src/ridgesill/standin/experiment/plan.py
+++ b/src/ridgesill/standin/experiment/plan.py
@@ -10,6 +10,7 @@
 from ridgesill.standin.emulator.batch import EngineShape
 from ridgesill.standin.emulator.demand import (
     Burst,
+    CustomerBurst,
     Popularity,
     RequestKind,
     SharedPart,
@@ -29,6 +30,7 @@
     (Scenario, "kinds"): RequestKind,
     (Scenario, "popularity"): Popularity,
     (Scenario, "bursts"): Burst,
+    (Scenario, "customer_burst"): CustomerBurst,
     (Scenario, "crashes"): Crash,
     (RequestKind, "prompt"): Size,
     (RequestKind, "events"): Size,
--- a/testing/app/test_fleet_loads.py
+++ b/testing/app/test_fleet_loads.py
@@ -11,6 +11,7 @@
     ArtifactReady,
     WantArtifact,
 )
+from ridgesill.core.serving.customers import Customers
 from testing.app.engine_world import EngineWorld
 
 pytestmark = pytest.mark.looptime
@@ -127,6 +128,91 @@
         assert 0.0 < answer.after <= 5.0
 
 
+class TestCustomers:
+    """Load pattern: one customer requests many adapters, each once."""
+
+    def make_world(self) -> EngineWorld:
+        """Returns two engines with two places each, used by customer "a"."""
+        world = EngineWorld(2, 2)
+        world.loads.apply_customers(Customers((), {}))
+        return world
+
+    async def test_what_comes_too_late_is_refused_at_once(self) -> None:
+        world = self.make_world()
+        for adapter in ("a1", "a2", "a3"):
+            await world.loads.provide_artifact(make_want(adapter))
+        for engine in world.simulated:
+            engine.adapters_in_use.update(engine.held)
+        wants = [
+            attrs.evolve(
+                make_want(f"x{n}"), customer="hot", request=f"r{n}", goal=1.9
+            )
+            for n in range(20)
+        ]
+        started_at = world.loop.time()
+        tasks = [
+            asyncio.create_task(world.loads.provide_artifact(w)) for w in wants
+        ]
+        done, waiting = await asyncio.wait(tasks, timeout=0.1)
+        # One place is free. The store loads 4 adapters a second, so with eight
+        # ahead in the queue the load takes more than the patience of 2 s.
+        assert len(waiting) == 1 + 8
+        assert all(task.result().reason == "no_place" for task in done)
+        answers = await asyncio.gather(*tasks)
+        assert world.loop.time() - started_at < 2.0
+        # Each is told to return when those ahead of it have got a slot.
+        assert len({answer.after for answer in answers}) > 1
+
+    async def test_a_burst_leaves_the_adapters_of_others(self) -> None:
+        world = self.make_world()
+        world.loads._owner = attrs.evolve(
+            world.loads._owner, have_fronts_reported_since=lambda _at: True
+        )
+        for number in range(4):
+            want = attrs.evolve(make_want(f"a{number}"), customer=f"c{number}")
+            world.placement.record_requests(
+                {want.artifact: 1}, world.loop.time()
+            )
+            await world.loads.provide_artifact(want)
+        shares = world.loads._shares
+        assert shares is not None
+        for _ in range(9):
+            shares.record_load(["hot"], world.loop.time())
+        # In these 2.7 s the customer stays above its fair share.
+        for number in range(3):
+            burst = attrs.evolve(make_want(f"x{number}"), customer="hot")
+            await world.loads.provide_artifact(burst)
+        held = {a for engine in world.simulated for a in engine.held}
+        assert held >= {f"a{number}" for number in range(4)}
+
+    async def test_a_new_owner_starts_with_equal_shares(self) -> None:
+        world = self.make_world()
+        for number in range(3):
+            burst = attrs.evolve(make_want(f"x{number}"), customer="hot")
+            await world.loads.provide_artifact(burst)
+        shares = world.loads._shares
+        assert shares is not None
+        assert shares.load_rate("hot", world.loop.time()) > 0
+        world.loads.end()
+        shares = world.loads._shares
+        assert shares is not None
+        assert shares.load_rate("hot", world.loop.time()) == 0
+
+    async def test_without_customers_nothing_is_refused_earlier(self) -> None:
+        world = EngineWorld(1, 1)
+        await world.loads.provide_artifact(make_want("a1"))
+        world.simulated[0].adapters_in_use.add("a1")
+        started_at = world.loop.time()
+        answers = await asyncio.gather(
+            *(
+                world.loads.provide_artifact(make_want(f"x{n}"))
+                for n in range(9)
+            )
+        )
+        assert {(a.reason, a.after) for a in answers} == {("no_place", 1.5)}
+        assert world.loop.time() - started_at > 0.8
+
+
 class TestUnresponsiveEngines:
     """Load pattern: an engine stops responding to many fronts.
 
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -460,6 +460,20 @@
         assert answer.status == 503
         assert answer.headers["retry-after"] == "0.70"
 
+    async def test_a_want_names_customer_and_priority(
+        self, world: FrontWorld
+    ) -> None:
+        # The client is told to return within a third of its 3 s.
+        require_keys(world, "/stream/x", k1=Customer("alice", 2))
+        await world.add("u1", stream_three, "engine", base=1)
+        world.fleet.answer = ArtifactReady("", reason="no_place", after=9.0)
+        client = await world.open()
+        answer = await client.ask("/stream/x", b"b", credential="k1", **STREAM)
+        assert answer.status == 503
+        assert 0.5 < float(answer.headers["retry-after"]) <= 1.0
+        (want,) = world.fleet.wants
+        assert (want.customer, want.priority) == ("alice", 2)
+
     async def test_a_named_version_is_required(self, world: FrontWorld) -> None:
         old = await world.add("u1", stream_three, "engine", base__a1=1)
         new = await world.add("u2", stream_three, "engine", base__a1=2)
@@ -635,13 +649,15 @@
 LIMITED = Customer("alice", None, Quota(1000.0, 1000.0, True, 200))
 
 
-def require_keys(world: FrontWorld, **keys: Customer) -> None:
+def require_keys(
+    world: FrontWorld, path: str = "/safe/x", **keys: Customer
+) -> None:
     """Has the front require keys, by a configuration confirmed just now."""
     table = world.front.table
     known = {digest_key(key.encode()): c for key, c in keys.items()}
     world.front.table = RouteTable(
         table.version + 1,
-        [make_table().find("a.example", "/safe/x")],  # type: ignore[list-item]
+        [make_table().find("a.example", path)],  # type: ignore[list-item]
         table.services.values(),
         customers=Customers(tuple(keys.values()), known),
     )
