--- a/testing/core/fleet/test_load_shares.py
+++ b/testing/core/fleet/test_load_shares.py
@@ -69,6 +69,16 @@
         load_round = LoadRound(shares, {"hot", *OTHERS}, 24.0, 0, later)
         assert load_round.find_claim({"hot"}) is None
 
+    def test_fronts_of_the_previous_release_are_one_customer(self) -> None:
+        # They name no customer. Guards against a share without a bound for all
+        # their requests together.
+        shares = make_shares()
+        for _ in range(24):
+            shares.record_load([""], 0.0)
+        load_round = LoadRound(shares, {"", *OTHERS}, 24.0, 0, 0.0)
+        assert load_round.find_claim({""}) is not None
+        assert load_round.find_claim({"c1"}) is None
+
     def test_a_shared_load_counts_in_parts(self) -> None:
         shares = LoadShares({})
         shares.record_load(["a", "b"], 0.0)
