Divide adapter loads by a rate stated for adapters only

Cause: the sharing of adapter slots took loads_per_s for the rate of adapter loads. All customers would have counted as above their share, and loads as waiting for the store.

Change: EngineSpec.adapter_loads_per_second, 0 where the configuration doesn't state it; the emulator states it. Without it 1.5 times the loads of all customers is divided, and the store isn't taken for slow.

--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -110,9 +110,9 @@
     return ArtifactReady("", after=wait, reason="earlier_owner")
 
 
-def _loads_per_second(engines: Sequence[Engine]) -> float:
-    """Returns the rate of the store behind engines; 0 if it is unknown."""
-    return max((e.spec.loads_per_second for e in engines), default=0.0)
+def _find_load_rate(engines: Sequence[Engine]) -> float:
+    """Returns the adapter loads a second of the store; 0 if unknown."""
+    return max((e.spec.adapter_loads_per_second for e in engines), default=0.0)
 
 
 @attrs.define(eq=False)
@@ -376,7 +376,7 @@
         engines = self._owner.list_engines(want.service)
         return is_hopeless(
             self._count_ahead(want),
-            _loads_per_second(engines),
+            _find_load_rate(engines),
             want.patience,
             is_cached=any(e.is_cached_locally(want.artifact) for e in engines),
         )
@@ -501,7 +501,7 @@
         return LoadRound(
             self._shares,
             self._queue.waiting_customers(),
-            _loads_per_second(engines),
+            _find_load_rate(engines),
             sum(len(engine.loading) for engine in engines),
             self._loop.time(),
         )
--- a/src/ridgesill/core/fleet/load_shares.py
+++ b/src/ridgesill/core/fleet/load_shares.py
@@ -22,6 +22,10 @@
 # Rate above which a customer takes part in the division of the loads, in loads
 # a second. It is reached by one load in the last 15 s.
 _LEAST_LOAD_RATE = 0.02
+# Multiple of all loads that is divided where the rate of the store is unknown.
+# With 1, half of the customers would be above their parts by chance; a count of
+# 20 loads exceeds its mean by half once in 60 times.
+_UNKNOWN_RATE_FACTOR = 1.5
 # How long after its last use an adapter isn't evicted by a customer above its
 # fair share, in seconds. Loads at the full rate of the store replace all slots
 # within 10 to 15 s, so adapters unused for longer would be evicted anyway.
@@ -121,8 +125,9 @@
     ) -> dict[str, float]:
         """Returns the fair part of the store's rate by active customer.
 
-        Where the rate of the store is unknown, the loads of all customers are
-        divided in its place. A single customer may have all loads.
+        Where the rate of the store is unknown, half as much again as the loads
+        of all customers is divided in its place. A single customer may have
+        all loads.
 
         Args:
             waiting: the customers whose adapters wait for a load.
@@ -135,7 +140,7 @@
         if len(active) <= 1:
             return {}
         total_weight = sum(map(self._weight, active))
-        rate = loads_per_second or sum(rates.values())
+        rate = loads_per_second or _UNKNOWN_RATE_FACTOR * sum(rates.values())
         return {n: rate * self._weight(n) / total_weight for n in active}
 
     # -- adapters ------------------------------------------------------
--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -100,6 +100,8 @@
         adapter_slots: adapters that an engine may hold.
         loads_per_second: model loads from the weight store, over all engines.
         models: the base models of the service.
+        adapter_loads_per_second: the same for adapters; 0 if their rate isn't
+            stated.
     """
 
     slots: int
@@ -107,6 +109,7 @@
     adapter_slots: int
     loads_per_second: float
     models: tuple[Model, ...]
+    adapter_loads_per_second: float = 0.0
 
     def model(self, name: str) -> Model | None:
         """Returns a model by name; None if it is unknown."""
--- a/src/ridgesill/standin/emulator/world.py
+++ b/src/ridgesill/standin/emulator/world.py
@@ -148,6 +148,7 @@
             scenario.places,
             scenario.loads_per_second,
             (Model(BASE_MODEL, _MODEL_MB, 1.3, 10**6, _ADAPTER_MB),),
+            scenario.loads_per_second,
         )
         routes = [
             Route(
--- a/testing/app/engine_world.py
+++ b/testing/app/engine_world.py
@@ -227,7 +227,7 @@
 
 def _make_spec(places: int) -> EngineSpec:
     model = Model(MODEL, 1000.0, 1.0, 99, 1.0)
-    return EngineSpec(8, 1e6, places, 4.0, (model,))
+    return EngineSpec(8, 1e6, places, 4.0, (model,), 4.0)
 
 
 def make_table(service: str, places: int) -> RouteTable:
