Send slow readers of the soak 10 MB instead of 2 MB

Cause: fronts held so little for slow readers that their peak memory didn't differ (42 MiB), so that the check of memory tested nothing.

--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -19,7 +19,7 @@
 _NOT_RUN = "Not-Run: 1"
 # Requests for this path get long answers: this many events of this many bytes.
 SLOW_PATH = "/stream/slow"
-_LONG_EVENTS = 20
+_LONG_EVENTS = 100
 _LONG_EVENT_BYTES = 100_000
 # A shared upstream: seconds that a request takes, and how many requests it runs
 # at a time and queues before it refuses more.
