--- a/src/ridgesill/app/front_load_sampler.py
+++ b/src/ridgesill/app/front_load_sampler.py
@@ -24,9 +24,13 @@
 # between two measurements are taken from the number of client connections.
 _MEMORY_INTERVAL_SECONDS = 0.5
 _DESCRIPTORS_INTERVAL_SECONDS = 5.0
-# Time between two scans of the clients' connections, in seconds. A scan of
-# 1,000 connections with answers takes 10 ms, of idle ones less than 1 ms.
-_CONNECTIONS_INTERVAL_SECONDS = 0.5
+# Shortest and longest time between two scans of the clients' connections, in
+# seconds, and the least multiple of a scan's own time. A scan of 1,000
+# connections with answers takes 10 ms, of idle ones less than 1 ms; scans may
+# take 2% of a core.
+_SCAN_INTERVAL_SECONDS = 0.05
+_MAX_SCAN_INTERVAL_SECONDS = 0.5
+_SCAN_INTERVAL_FACTOR = 50
 # Time until a front without limits checks for them again, in seconds.
 _IDLE_INTERVAL_SECONDS = 1.0
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -76,7 +80,9 @@
     ) -> float:
         """Returns the time until the next sample, in seconds."""
         is_late = max(lag_seconds, turn_seconds) > _CALM_LAG_SECONDS
-        if is_late or self._load.is_full:
+        # A narrow link has to show in two scans within half a second.
+        scans = self._listener.slow_readers is not None
+        if is_late or scans or self._load.is_full:
             return _INTERVAL_SECONDS
         return _CALM_INTERVAL_SECONDS
 
@@ -170,6 +176,11 @@
         if readers is None:
             return 0.0
         if now >= self._connections_due:
-            self._connections_due = now + _CONNECTIONS_INTERVAL_SECONDS
+            began = time.process_time()
             readers.scan(self._listener.connections, now)
+            interval = _SCAN_INTERVAL_FACTOR * (time.process_time() - began)
+            self._connections_due = now + min(
+                max(interval, _SCAN_INTERVAL_SECONDS),
+                _MAX_SCAN_INTERVAL_SECONDS,
+            )
         return readers.link_backlog
