Limit requests in progress at each front and count rises of load at once

Cause: shares of the owner reach fronts 0.4 s after a rise, in which queues fill; the moving mean of the offered load lags by 0.6 s; the levels of the ledger and the requests in progress made up for the same excess twice; and without an owner all fronts preferred the same upstream by the counts of its last news.

Change: fronts keep to their part of a limit that the owner sends with the capacity. A tick's count beyond chance replaces the mean. Shares don't contain ledger levels, and old counts aren't used for the choice of an upstream.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -66,6 +66,9 @@
     def record_calls(self, upstream: str, calls: UpstreamCalls) -> None:
         """Ignores rejections and failures."""
 
+    def record_end(self, request_class: RequestClass) -> None:
+        """Ignores the end of a request."""
+
     def collect(self) -> Sent:
         """Returns nothing to report."""
         return Sent()
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -177,6 +177,8 @@
         self._service = ""
         # Class of a request to a plain service under control; else None.
         self._request_class: RequestClass | None = None
+        # Whether it counts as in progress at its service.
+        self._is_admitted = False
         self._deadline = 0.0
         self._goal_at = 0.0
         self._tried: list[str] = []
@@ -226,6 +228,7 @@
             raise
         finally:
             self._search.limit_draws.release()
+            self._end_admission()
             if self._was_answered_not_run or not self.was_sent:
                 self._refund_quota()
 
@@ -375,6 +378,7 @@
         # other requests would be refused for its sake.
         has_time = admission.has_time(self._service, seconds_left, now)
         if has_time and admission.admit(request_class, now):
+            self._is_admitted = True
             return None
         retry_after = admission.retry_after(request_class, seconds_left, now)
         log_message(
@@ -390,6 +394,12 @@
         )
         return Refusal("overload", retry_after)
 
+    def _end_admission(self) -> None:
+        """Records that the request is no longer in progress at its service."""
+        if self._is_admitted and self._request_class is not None:
+            self._is_admitted = False
+            self._front.service_admission.record_end(self._request_class)
+
     def _client_seconds_left(self, now: float) -> float:
         """Returns how long the client will wait; infinite if unknown."""
         if not self._facts.patience:
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -135,12 +135,15 @@
             now.
         returns_over: seconds over which these callers should spread their
             return.
+        limit: requests in progress over all fronts that upstreams can answer
+            in time; 0 if unknown.
     """
 
     capacity: float = 0.0
     shares: dict[str, RateState] = attrs.Factory(dict)
     returns_in: float = 0.0
     returns_over: float = 0.0
+    limit: float = 0.0
 
 
 @register
--- a/src/ridgesill/core/fleet/overload.py
+++ b/src/ridgesill/core/fleet/overload.py
@@ -11,6 +11,7 @@
 capacity does.
 """
 
+import math
 from collections.abc import Collection, Iterable, Mapping
 
 import attrs
@@ -33,8 +34,11 @@
 # Time in which the requests in progress are to reach their limit, in seconds.
 # It exceeds the age of news, or else they would swing around the limit.
 _CORRECTION_SECONDS = 0.5
-# Least allowed rate as a share of the capacity.
-_MIN_RATE_SHARE = 0.5
+# Least allowed rate as a share of the capacity. Queues beyond the limit are
+# reduced by the fronts' limits on requests in progress: a lower rate would also
+# refuse customers that are within their fair share, and for a second if the
+# owner is lost in that time.
+_MIN_RATE_SHARE = 0.75
 # How long a new owner restricts nothing, in seconds; the moving means of
 # offered loads have a time constant of 0.6 s.
 _LEARN_SECONDS = 1.0
@@ -64,6 +68,11 @@
 _MAX_PLAUSIBLE_FACTOR = 10.0
 _MIN_REPORT_SECONDS = 0.6
 _MIN_PLAUSIBLE_CAPACITY = 100.0
+# A rise of the offered load beyond this many standard deviations of a Poisson
+# distribution isn't chance.
+_CERTAIN_DEVIATIONS = 3.0
+# Decimal places of shares, as sent to fronts.
+_SHARE_DIGITS = 3
 # Time between two updates, in seconds.
 _UPDATE_SECONDS = 0.1
 
@@ -174,12 +183,16 @@
             self.calendar.expected,
         )
 
+    @property
+    def limit(self) -> float:
+        """Requests in progress that are served in time; 0 if unknown."""
+        capacity = self.capacity.capacity
+        queue = capacity * _QUEUE_SHARE_OF_GOAL * self.goal
+        return max(queue, self.capacity.slots) if capacity else 0.0
+
     def _allowed_rate(self) -> float:
         capacity = self.capacity.capacity
-        limit = max(
-            capacity * _QUEUE_SHARE_OF_GOAL * self.goal, self.capacity.slots
-        )
-        excess = self.capacity.in_progress - limit
+        excess = self.capacity.in_progress - self.limit
         rate = capacity - excess / _CORRECTION_SECONDS
         return max(rate, _MIN_RATE_SHARE * capacity)
 
@@ -212,6 +225,21 @@
             max(free_rate, _MIN_RETURNS_SHARE * allowed), now, refusals
         )
 
+    def find_states(self, rates: Mapping[str, float]) -> dict[str, RateState]:
+        """Returns the states of the restricted classes, by key.
+
+        The levels of the ledger's buckets don't count: the requests in progress
+        show the same excess, and it would be made up for twice.
+
+        Args:
+            rates: offered requests a second by key.
+        """
+        return {
+            key: RateState(round(allowed / rates[key], _SHARE_DIGITS), 0.0)
+            for key, allowed in self.restricted.items()
+            if rates.get(key, 0.0) > allowed
+        }
+
     def make_news(
         self, states: Mapping[str, RateState], now: float
     ) -> ServiceNews:
@@ -222,15 +250,17 @@
             now: clock time, in seconds.
         """
         capacity = round(self.capacity.capacity, 1)
+        limit = round(self.limit, 1)
         shares = {key: states[key] for key in self.restricted if key in states}
         if not shares:
-            return ServiceNews(capacity)
+            return ServiceNews(capacity, limit=limit)
         window = self.calendar.find_window(now)
         return ServiceNews(
             capacity,
             shares,
             round(window.starts_in, 2),
             round(window.lasts, 2),
+            limit,
         )
 
 
@@ -253,6 +283,7 @@
         self._pending: dict[str, RateUse] = {}
         self._news: dict[str, ServiceNews] = {}
         self._is_enabled = False
+        self._updated_at = float("-inf")
 
     def set_services(
         self, goals: Mapping[str, float], weights: Mapping[str, float]
@@ -292,7 +323,13 @@
                 continue
             if not service.capacity.record(upstream, calls, span):
                 implausible.append(upstream)
-        uses = {}
+        return implausible + self._record_offers(sent, span, now)
+
+    def _record_offers(self, sent: Sent, span: float, now: float) -> list[str]:
+        """Counts offers; returns the keys whose figures are implausible."""
+        implausible = []
+        uses: dict[str, RateUse] = {}
+        bounded_uses: dict[str, RateUse] = {}
         for key, use in sent.offers.items():
             known = self._find_class(key)
             if known is None:
@@ -301,10 +338,16 @@
             service = self._services.get(known.service)
             if service is None:
                 continue
-            uses[key] = bounded = _bound(use, service.max_plausible(span))
+            bounded = _bound(use, service.max_plausible(span))
             service.record_offers(known, bounded)
-            if bounded is not use:
+            if bounded is use:
+                uses[key] = use
+            else:
                 implausible.append(key)
+                bounded_uses[key] = bounded
+        if bounded_uses:
+            # Added to the moving mean, but no evidence of a rise.
+            self._count(bounded_uses, span, now)
         if span <= _WINDOW_SECONDS:
             self._pending = add_uses(self._pending, uses)
         elif uses:
@@ -360,7 +403,9 @@
             u.name: name for name, group in groups.items() for u in group
         }
         pending, self._pending = self._pending, {}
+        usual = self._ledger.offers_rates(now)
         self._count(pending, 0.0, now)
+        self._raise_offers(pending, usual, now)
         # The middle of the time until the next update: right after the latest
         # reports were added, the moving means are 8% above their average.
         middle = now + _UPDATE_SECONDS / 2
@@ -376,6 +421,42 @@
         self._set_quotas(offered)
         self._update_news(now, middle)
 
+    def _raise_offers(
+        self,
+        uses: Mapping[str, RateUse],
+        usual: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Raises the offered loads that have risen by more than chance.
+
+        Args:
+            uses: uses since the last update.
+            usual: moving means of the offered loads before them.
+            now: clock time, in seconds.
+        """
+        seconds = now - self._updated_at
+        self._updated_at = now
+        if not 0.5 * _UPDATE_SECONDS < seconds < 2 * _UPDATE_SECONDS:
+            return
+        counts: dict[str, int] = {}
+        for key, use in uses.items():
+            known = self._classes.get(key)
+            if known is not None:
+                name = known.service
+                counts[name] = counts.get(name, 0) + use.offered
+            risen = _find_risen_rate(use.offered, usual.get(key, 0.0), seconds)
+            self._ledger.raise_offers(key, risen, now)
+        rates = self._ledger.offers_rates(now)
+        for name, count in counts.items():
+            keys = [k for k, c in self._classes.items() if c.service == name]
+            before = sum(usual.get(key, 0.0) for key in keys)
+            total = sum(rates.get(key, 0.0) for key in keys)
+            risen = _find_risen_rate(count, before, seconds)
+            if total and risen > total:
+                for key in keys:
+                    raised = rates.get(key, 0.0) * risen / total
+                    self._ledger.raise_offers(key, raised, now)
+
     def _find_offers(self, now: float) -> dict[str, _Offers]:
         """Returns the offered loads by service; drops classes without any."""
         offered: dict[str, _Offers] = {name: [] for name in self._services}
@@ -416,10 +497,11 @@
         if not self._is_enabled:
             self._news = {}
             return
-        limiting = {}
+        limiting: dict[str, RateState] = {}
         if any(service.restricted for service in self._services.values()):
-            states = self._ledger.states(middle)
-            limiting = {k: s for k, s in states.items() if s.is_limiting}
+            rates = self._ledger.offers_rates(middle)
+            for service in self._services.values():
+                limiting |= service.find_states(rates)
         self._news = {
             name: service.make_news(limiting, now)
             for name, service in self._services.items()
@@ -483,6 +565,19 @@
     return restricted
 
 
+def _find_risen_rate(count: int, usual: float, seconds: float) -> float:
+    """Returns the rate of offers if it has risen by more than chance, else 0.
+
+    Args:
+        count: number of requests.
+        usual: usual number of requests a second.
+        seconds: time over which they were offered.
+    """
+    expected = usual * seconds
+    margin = _CERTAIN_DEVIATIONS * math.sqrt(max(expected, 1.0))
+    return count / seconds if count > expected + margin else 0.0
+
+
 def _bound(use: RateUse, most: int) -> RateUse:
     """Returns a use within the bounds of what is plausible."""
     if 0 <= use.spent <= most and 0 <= use.offered <= most:
--- a/src/ridgesill/core/fleet/rate_ledger.py
+++ b/src/ridgesill/core/fleet/rate_ledger.py
@@ -371,6 +371,18 @@
             spent * unowned_seconds / span, unowned_seconds
         )
 
+    def raise_offers(self, name: str, rate: float, now: float) -> None:
+        """Raises the moving mean of an offered load to a rate per second.
+
+        For rises that are certain: the mean shows only a part of them as long
+        as its time constant.
+        """
+        account = self._accounts.get(name)
+        if account is not None and rate > account.offers_rate(now):
+            account.offers = rate
+            account.offers_at = now
+            self._states_at = float("-inf")
+
     def offers_rates(self, now: float) -> dict[str, float]:
         """Returns the offered loads per second that are known, by name."""
         return {n: a.offers_rate(now) for n, a in self._accounts.items()}
--- a/src/ridgesill/core/fleet/service_capacity.py
+++ b/src/ridgesill/core/fleet/service_capacity.py
@@ -33,6 +33,10 @@
 # Mean time from the end of an answer to the report of it, in seconds; fronts
 # report ten times a second.
 _REPORT_AGE_SECONDS = 0.1
+# Age of the counts of requests in progress at an update, in seconds. They come
+# with the reports, every 0.1 s. Taken as current, they are too low while a
+# queue grows, and so is the capacity; with 0.05 s the capacity is too high.
+_COUNT_AGE_SECONDS = 0.03
 # Number of past counts of requests in progress that are kept, ten a second.
 _KEPT_COUNTS = 64
 # Number of service times for which an upstream may have requests in progress
@@ -153,7 +157,7 @@
 
     def record_count(self, in_progress: int, now: float) -> None:
         """Records the number of requests in progress now."""
-        self.counts.append((now, in_progress))
+        self.counts.append((now - _COUNT_AGE_SECONDS, in_progress))
         if not in_progress or self.idle_at == float("-inf"):
             self.idle_at = now
 
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -35,6 +35,10 @@
 # with 74 fronts and 254 calls a second for upstreams that serve 262, 0.85 of
 # what fits was in time with 0.3, and all of it with 0.1.
 _CONTROLLED_MEAN_WEIGHT = 0.1
+# Age of the counts of other fronts from which they aren't used for services
+# whose load the owner controls, in seconds. All fronts would prefer the same
+# upstream for as long as there is no owner, and leave slots of others free.
+_MAX_COUNTS_AGE = 1.0
 # Mean shares of slots in use at the local plain upstreams: below the first they
 # get all requests, from the second on upstreams of all data centres are treated
 # alike. In between, a growing part of the requests considers all of them: if
@@ -321,6 +325,8 @@
             is_controlled = upstream.service in self.view.services
             weight = _CONTROLLED_MEAN_WEIGHT if is_controlled else _MEAN_WEIGHT
             others = weight * self._mean_busy_of_others(upstream.name)
+            if is_controlled and now - self.view.updated_at >= _MAX_COUNTS_AGE:
+                others = 0.0
         fronts = min(self.view.fronts, _MAX_JITTER_FRONTS)
         unknown = self._rng.random() * _JITTER_PER_FRONT * fronts
         busy = others + self._count_busy_of_own(upstream.name) + unknown
--- a/src/ridgesill/core/serving/service_admission.py
+++ b/src/ridgesill/core/serving/service_admission.py
@@ -17,6 +17,7 @@
 from ridgesill.core.fleet.messages import ServiceNews
 from ridgesill.core.fleet.registry import FleetView
 from ridgesill.core.fleet.use_reports import Sent
+from ridgesill.core.serving.concurrency_limit import ConcurrencyLimit
 from ridgesill.core.serving.customers import Quota
 from ridgesill.core.serving.load_reports import RequestClass, UpstreamCalls
 from ridgesill.core.serving.rates import DECIDE_LOCALLY, FrontRates, RateState
@@ -29,6 +30,10 @@
 # Burst that fronts admit by themselves without news, in seconds of the
 # capacity.
 _LOCAL_BURST_SECONDS = 0.3
+# Rate that fronts admit by themselves without news, as a multiple of the
+# capacity, where the limit on requests in progress bounds the queues: a
+# capacity that was told in a burst is up to a quarter too low.
+_LOCAL_RATE_FACTOR = 1.2
 # How long the last capacity is kept after the owner has stopped telling it, in
 # seconds: a new owner knows none at first, and may be lost again.
 _CAPACITY_KEPT_SECONDS = 10.0
@@ -60,10 +65,12 @@
     Attributes:
         rate: requests per second over all fronts.
         told_at: when the owner last told it, in seconds.
+        limit: requests in progress over all fronts; 0 if unknown.
     """
 
     rate: float
     told_at: float
+    limit: float
 
 
 @attrs.define
@@ -102,6 +109,8 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._rates = FrontRates(rng, starts_by_share=True)
+        self._limit = ConcurrencyLimit(rng)
+        self._is_refused_by_limit = False
         self._services: Mapping[str, ServiceNews] = {}
         self._states: dict[str, RateState] = {}
         self._news_at = float("-inf")
@@ -126,11 +135,13 @@
         for service, news in view.services.items():
             if news.capacity > 0:
                 self._capacities[service] = _Capacity(
-                    news.capacity, view.updated_at
+                    news.capacity, view.updated_at, news.limit
                 )
         for service, capacity in list(self._capacities.items()):
             if view.updated_at - capacity.told_at > _CAPACITY_KEPT_SECONDS:
                 del self._capacities[service]
+        limits = {n: c.limit for n, c in self._capacities.items() if c.limit}
+        self._limit.apply_news(view, limits)
 
     def is_controlled(self, service: str) -> bool:
         """Whether the owner controls the load of a service."""
@@ -141,12 +152,13 @@
     def admit(self, request_class: RequestClass, now: float) -> bool:
         """Decides whether to admit a new request; counts it as offered.
 
-        Without news for 1 s the front admits its own part of the last capacity,
-        whatever the class. A front that knows no capacity admits everything:
-        the upstreams' queues bound the rest.
+        Beyond a front's part of the limit on requests in progress it is refused
+        as `ConcurrencyLimit` decides. Without news for 1 s the front admits its
+        own part of the last capacity, whatever the class. A front that knows no
+        capacity admits everything: the upstreams' queues bound the rest.
         """
         # Classes have shares of their own, so a class has no further weight.
-        return self._rates.admit(
+        is_drawn = self._rates.draw(
             request_class.key,
             self._find_quota(request_class.service),
             _REQUEST_COST,
@@ -154,12 +166,30 @@
             weight=1.0,
             bucket=request_class.service,
         )
+        age = now - self._news_at
+        if request_class.service not in self._services:
+            # A new owner, which doesn't know the service's capacity yet.
+            age = float("inf")
+        has_room = self._limit.admits(request_class, now, age)
+        self._is_refused_by_limit = is_drawn and not has_room
+        if self._is_refused_by_limit:
+            self._rates.refund_draw(request_class.service, _REQUEST_COST)
+        if not is_drawn or not has_room:
+            return False
+        self._rates.spend(request_class.key, _REQUEST_COST, now)
+        self._limit.record_start(request_class)
+        return True
+
+    def record_end(self, request_class: RequestClass) -> None:
+        """Records that an admitted request is no longer in progress."""
+        self._limit.record_end(request_class)
 
     def _find_quota(self, service: str) -> Quota | None:
         capacity = self._capacities.get(service)
         if capacity is None:
             return None
-        return Quota(capacity.rate, capacity.rate * _LOCAL_BURST_SECONDS)
+        rate = capacity.rate * (_LOCAL_RATE_FACTOR if capacity.limit else 1.0)
+        return Quota(rate, capacity.rate * _LOCAL_BURST_SECONDS)
 
     def has_time(self, service: str, seconds_left: float, now: float) -> bool:
         """Whether a service answers within a caller's remaining time.
@@ -169,6 +199,7 @@
             seconds_left: the caller's remaining time; infinite if unknown.
             now: the current time, in seconds.
         """
+        self._is_refused_by_limit = False
         mean = self._mean_answers.get(service)
         if mean is None or not self.is_controlled(service):
             return True
@@ -242,7 +273,10 @@
         self, request_class: RequestClass, now: float
     ) -> dict[str, object]:
         """Returns the basis of the decisions on a class, for the log."""
-        return self._rates.describe_decision(request_class.key, now)
+        basis = self._rates.describe_decision(request_class.key, now)
+        if self._is_refused_by_limit:
+            basis["decided_by"] = "in_progress"
+        return basis
 
     def capacity(self) -> float:
         """Returns the capacity of all services that the owner controls."""
--- a/src/ridgesill/standin/emulator/service_load.py
+++ b/src/ridgesill/standin/emulator/service_load.py
@@ -84,6 +84,9 @@
     def record_calls(self, upstream: str, calls: UpstreamCalls) -> None:
         """Records rejections and failures."""
 
+    def record_end(self, request_class: RequestClass) -> None:
+        """Records that an admitted request is no longer in progress."""
+
     def collect(self) -> Sent:
         """Returns what to report to the owner."""
 
@@ -327,6 +330,7 @@
                 is_repeatable=call.route.is_repeatable,
             )
         if upstream is None:
+            front.control.record_end(request_class)
             self._refuse(call, front, request_class, now)
             return
         name = upstream.name
@@ -367,6 +371,7 @@
         if outcome == ANSWERED:
             front.chooser.outcomes.record_success(name, now)
             front.control.record_answer(SERVICE, name, now - sent_at, now)
+            front.control.record_end(request_class)
             call.answered_at = now
         elif outcome == REJECTED:
             front.control.record_calls(name, UpstreamCalls(rejected=1))
@@ -377,6 +382,8 @@
             front.control.record_calls(name, UpstreamCalls(failed=1))
             if call.route.is_repeatable:
                 self._forward(call, front, request_class, now)
+            else:
+                front.control.record_end(request_class)
 
     def _restart_fronts(self, now: float) -> None:
         self._fronts = [self._make_front() for _ in self._fronts]
