Fail an emulated upstream's requests in the order of their start

The upstream kept its running requests in a set of closures, whose order depends on memory addresses, and so did the order in which callers came back.

Change: the order of their start.

--- a/src/ridgesill/standin/emulator/plain_upstreams.py
+++ b/src/ridgesill/standin/emulator/plain_upstreams.py
@@ -80,7 +80,8 @@
         self._service_seconds = service_seconds
         self._rng = rng
         self._schedule = schedule
-        self._running: set[Respond] = set()
+        # In order of their start: that of a set changes from run to run.
+        self._running: dict[Respond, None] = {}
         self._waiting: collections.deque[Respond] = collections.deque()
 
     def has_fault(self, kind: str, now: float) -> bool:
@@ -107,7 +108,7 @@
             respond(FAILED, now)
 
     def _start(self, respond: Respond, now: float) -> None:
-        self._running.add(respond)
+        self._running[respond] = None
         self._schedule(
             now + self._draw_seconds(now), lambda at: self._end(respond, at)
         )
@@ -116,7 +117,7 @@
         if respond not in self._running:
             # It has failed in the meantime.
             return
-        self._running.remove(respond)
+        del self._running[respond]
         if self._waiting:
             self._start(self._waiting.popleft(), now)
         respond(ANSWERED, now)
