--- a/testing/app/test_service_overload.py
+++ b/testing/app/test_service_overload.py
@@ -8,6 +8,7 @@
 from ridgesill.core.fleet.messages import ServiceNews
 from ridgesill.core.serving.customers import Customer, Quota
 from ridgesill.core.serving.load_reports import RequestClass, UpstreamCalls
+from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.rates import RateState, RateUse
 from testing.app.front_world import Call, FrontWorld, Script
 from testing.app.test_forwarding import require_keys
@@ -53,6 +54,45 @@
     return world.front.collect_sent(now).calls
 
 
+def limit_to_one(world: FrontWorld) -> None:
+    """Applies news by which the front may have one request in progress."""
+    view = world.fleet.view
+    view.services = {"plain": ServiceNews(350.0, limit=1.0)}
+    slots = sum(u.slots for u in view.upstreams.values())
+    view.fronts = slots
+    view.busy = dict.fromkeys(view.upstreams, 2 * slots)
+    view.updated_at = asyncio.get_running_loop().time()
+    world.front.service_admission.apply_news(view)
+
+
+class TestConcurrencyLimit:
+    async def test_a_request_beyond_the_limit_is_refused_at_once(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against queues that fill up before the owner's shares."""
+        upstream = await world.add("u1", stay_silent)
+        limit_to_one(world)
+        first = asyncio.create_task((await world.open()).ask("/safe/x"))
+        while not upstream.calls:
+            await asyncio.sleep(0.01)
+        limit_to_one(world)
+        refused = await (await world.open()).ask("/safe/x")
+        first.cancel()
+        assert (refused.status, len(upstream.calls)) == (503, 1)
+
+    @pytest.mark.parametrize("script", [answer, fail, reset, reject])
+    async def test_requests_that_have_ended_are_not_in_progress(
+        self, world: FrontWorld, script: Script
+    ) -> None:
+        """Guards against a front that refuses more with each failure."""
+        upstream = await world.add("u1", script)
+        for expected in range(1, 6):
+            limit_to_one(world)
+            await (await world.open()).ask("/unsafe/x", b"b")
+            world.front.chooser.outcomes = Outcomes()
+            assert len(upstream.calls) == expected
+
+
 class TestRefusals:
     async def test_a_request_is_refused_before_an_upstream_is_tried(
         self, world: FrontWorld
