--- a/src/ridgesill/app/fleet_loads.py
+++ b/src/ridgesill/app/fleet_loads.py
@@ -110,6 +110,22 @@
     return ArtifactReady("", after=wait, reason="earlier_owner")
 
 
+def _find_claim(
+    waiting: ArtifactWaiters, load_round: LoadRound | None
+) -> SlotClaim | None:
+    """Returns which adapters may be evicted for an artifact; None for any."""
+    if load_round is None or not is_adapter(waiting.want.artifact):
+        return None
+    return load_round.find_claim(waiting.customers())
+
+
+def _is_blocked(claim: SlotClaim | None, load_round: LoadRound | None) -> bool:
+    """Whether a customer above its fair share may start no load now."""
+    if load_round is None or claim is None:
+        return False
+    return not load_round.may_start(claim)
+
+
 def _find_load_rate(engines: Sequence[Engine]) -> float:
     """Returns the adapter loads a second of the store; 0 if unknown."""
     return max((e.spec.adapter_loads_per_second for e in engines), default=0.0)
@@ -160,6 +176,7 @@
         # None where the configuration has no customers.
         self._shares: LoadShares | None = None
         self._load_starts = LoadStarts()
+        self._positions: dict[tuple[str, str], int] = {}
         self._queue = WantQueue()
         self._shared_loads: dict[tuple[str, str], _SharedLoad] = {}
         self._logged_at = float("-inf")
@@ -374,9 +391,10 @@
         if self._shares is None or is_loading or not is_adapter(want.artifact):
             return False
         engines = self._owner.list_engines(want.service)
+        rate = _find_load_rate(engines)
         return is_hopeless(
-            self._count_ahead(want),
-            _find_load_rate(engines),
+            self._count_ahead(want) if rate > 0 else 0,
+            rate,
             want.patience,
             is_cached=any(e.is_cached_locally(want.artifact) for e in engines),
         )
@@ -399,7 +417,10 @@
         """Returns a refusal to retry once a slot should be free."""
         after = _NO_PLACE_RETRY_AFTER_SECONDS
         if self._shares is not None:
-            ahead = self._count_ahead(want)
+            # The position at the latest search for slots, which is 20 ms old
+            # at most; ranking all entries for each refusal takes milliseconds.
+            key = (want.service, want.artifact)
+            ahead = self._positions.get(key, len(self._queue))
             after = self._load_starts.retry_after(ahead, self._loop.time())
         return ArtifactReady("", after=after, reason="no_place")
 
@@ -466,17 +487,20 @@
         placement_snapshots: dict[str, PlacementSnapshot] = {}
         rounds: dict[str, LoadRound | None] = {}
         misses = 0
-        for waiting in self._queue.ranked(now):
+        ranked = self._queue.ranked(now)
+        self._positions = {
+            (each.want.service, each.want.artifact): position
+            for position, each in enumerate(ranked)
+        }
+        for waiting in ranked:
             service = waiting.want.service
             if service not in placement_snapshots:
                 placement_snapshots[service] = self._placement_snapshot(service)
                 rounds[service] = self._make_round(service)
             load_round = rounds[service]
-            claim = None
-            if load_round is not None:
-                claim = load_round.find_claim(waiting.customers())
-                if claim is not None and not load_round.may_start(claim):
-                    continue
+            claim = _find_claim(waiting, load_round)
+            if _is_blocked(claim, load_round):
+                continue
             choice = self._choose_engine(
                 waiting, placement_snapshots[service], claim
             )
@@ -484,7 +508,9 @@
                 self._start_load(waiting, choice, load_round)
                 placement_snapshots[service].invalidate_engine(choice.engine)
             elif load_round is not None and claim is not None:
-                load_round.record_without_slot(claim)
+                # Engines that are avoided concern this artifact alone.
+                if not waiting.avoid and waiting.can_meet_goal(now):
+                    load_round.record_without_slot(claim)
             else:
                 misses += 1
                 if misses >= _MAX_MISSES:
@@ -595,7 +621,7 @@
         load_round: LoadRound | None,
     ) -> None:
         want = waiting.want
-        if load_round is not None:
+        if load_round is not None and is_adapter(want.artifact):
             load_round.record_started(waiting.customers())
         self._queue.discard(waiting)
         waiting.failed_loads += 1
--- a/src/ridgesill/core/fleet/load_shares.py
+++ b/src/ridgesill/core/fleet/load_shares.py
@@ -26,6 +26,9 @@
 # With 1, half of the customers would be above their parts by chance; a count of
 # 20 loads exceeds its mean by half once in 60 times.
 _UNKNOWN_RATE_FACTOR = 1.5
+# Least fair part of a customer there, in loads a second: three loads at once.
+# With few loads in all, a single one would exceed every part for seconds.
+_MIN_FAIR_LOAD_RATE = 3 * math.log(2) / _LOADS_HALF_LIFE_SECONDS
 # How long after its last use an adapter isn't evicted by a customer above its
 # fair share, in seconds. Loads at the full rate of the store replace all slots
 # within 10 to 15 s, so adapters unused for longer would be evicted anyway.
@@ -140,7 +143,10 @@
         if len(active) <= 1:
             return {}
         total_weight = sum(map(self._weight, active))
-        rate = loads_per_second or _UNKNOWN_RATE_FACTOR * sum(rates.values())
+        rate = loads_per_second or max(
+            _UNKNOWN_RATE_FACTOR * sum(rates.values()),
+            _MIN_FAIR_LOAD_RATE * len(active),
+        )
         return {n: rate * self._weight(n) / total_weight for n in active}
 
     # -- adapters ------------------------------------------------------
@@ -197,7 +203,10 @@
         now: float,
     ) -> None:
         self._shares = shares
-        self._fair_rates = shares.fair_rates(waiting, loads_per_second, now)
+        self._waiting = frozenset(waiting)
+        self._fair_rates = shares.fair_rates(
+            self._waiting, loads_per_second, now
+        )
         self._lanes = float("inf")
         if loads_per_second > 0:
             self._lanes = max(loads_per_second * _LANE_SECONDS, 1.0)
@@ -206,11 +215,17 @@
         self._without_slot: set[str] = set()
 
     def find_claim(self, customers: Collection[str]) -> SlotClaim | None:
-        """Returns the claim of a load; None if a customer has its share yet.
+        """Returns the claim of a load; None if it may evict any adapter.
+
+        That is if one of its customers is within its share, or nobody else
+        waits where the rate of the store is unknown: slots that nobody needs
+        would stay unused otherwise.
 
         Args:
             customers: the customers that wait for the adapter.
         """
+        if self._lanes == math.inf and self._waiting <= set(customers):
+            return None
         if not all(map(self._is_above_share, customers)):
             return None
         return self._shares.make_claim(min(customers), self._now)
--- a/src/ridgesill/core/serving/concurrency_limit.py
+++ b/src/ridgesill/core/serving/concurrency_limit.py
@@ -8,7 +8,8 @@
 A front knows its own requests in progress at once, and those of all fronts
 from the owner's latest news. It always admits one request. More of them are
 admitted while slots are free, and fewer the closer the requests in progress
-over all fronts have come to the limit.
+over all fronts have come to the limit. Without news it admits more of them as
+long as its own offered load is within its part of the capacity.
 """
 
 import math
@@ -43,6 +44,13 @@
 # more, in seconds: a full queue of 0.34 s has been served, and the owner's
 # shares have been restricted for it.
 _DRAIN_SECONDS = 0.8
+# Time constant of a front's offered load, in seconds, and its largest multiple
+# of the front's part of the capacity at which further requests are admitted
+# without news. A front with three requests a second tells 0.6 of the capacity
+# from twice the capacity within two seconds. Otherwise every request that meets
+# another one at its front would be refused, a fifth of a calm load.
+_OFFERED_SECONDS = 2.0
+_MAX_OFFERED_FACTOR = 1.2
 # Priority from which on all are treated alike, as in `core/serving/rates.py`.
 _MAX_PRIORITY = 2
 
@@ -53,11 +61,13 @@
 
     Attributes:
         limit: requests in progress over all fronts that are served in time.
+        rate: requests per second that its upstreams can answer.
         slots: requests that its usable upstreams process at once.
         busy: requests in progress on them, over all fronts.
     """
 
     limit: float
+    rate: float
     slots: int
     busy: int
 
@@ -73,6 +83,8 @@
         total: their sum.
         decayed_at: time to which both apply, in seconds.
         seen_at: time of the latest request by priority, in seconds.
+        offered: decayed number of recent requests.
+        offered_at: time to which it applies, in seconds.
     """
 
     in_progress: int = 0
@@ -81,11 +93,16 @@
     total: float = 0.0
     decayed_at: float = float("-inf")
     seen_at: dict[int, float] = attrs.Factory(dict)
+    offered: float = 0.0
+    offered_at: float = float("-inf")
 
     def record_offer(self, request_class: RequestClass, now: float) -> None:
         """Counts a request towards the usual shares."""
         if now - self.decayed_at >= _DECAY_STEP_SECONDS:
             self._decay(now)
+        kept = math.exp((self.offered_at - now) / _OFFERED_SECONDS)
+        self.offered = self.offered * kept + 1.0
+        self.offered_at = now
         name = request_class.customer
         self.usual[name] = self.usual.get(name, 0.0) + 1.0
         self.total += 1.0
@@ -134,12 +151,18 @@
         self._told: dict[str, _Told] = {}
         self._own: dict[str, _Own] = {}
 
-    def apply_news(self, view: FleetView, limits: Mapping[str, float]) -> None:
+    def apply_news(
+        self,
+        view: FleetView,
+        limits: Mapping[str, float],
+        rates: Mapping[str, float],
+    ) -> None:
         """Applies the owner's news.
 
         Args:
             view: upstreams, and requests in progress over all fronts.
             limits: limit on the requests in progress by service, as told last.
+            rates: capacity of these services, in requests per second.
         """
         self._fronts = view.fronts
         told = dict.fromkeys(limits, (0, 0))
@@ -151,7 +174,7 @@
             busy += view.busy.get(upstream.name, 0)
             told[upstream.service] = slots + upstream.slots, busy
         self._told = {
-            name: _Told(limits[name], slots, busy)
+            name: _Told(limits[name], rates[name], slots, busy)
             for name, (slots, busy) in told.items()
         }
 
@@ -174,15 +197,21 @@
         beyond = own.in_progress + 1 - max(part, 1.0)
         if beyond <= 0:
             return True
-        pressure = 1.0
-        if age < _NEWS_TIMEOUT_SECONDS:
-            if request_class.is_return:
-                # The owner has kept room for it.
-                return True
-            pressure = _find_pressure(own, told, request_class, now)
-            pressure *= max(1 - age / _DRAIN_SECONDS, 0.0)
+        if age >= _NEWS_TIMEOUT_SECONDS:
+            return self._has_capacity(own, told)
+        if request_class.is_return:
+            # The owner has kept room for it.
+            return True
+        pressure = _find_pressure(own, told, request_class, now)
+        pressure *= max(1 - age / _DRAIN_SECONDS, 0.0)
         return self._rng.random() >= pressure * min(beyond, 1.0)
 
+    def _has_capacity(self, own: _Own, told: _Told) -> bool:
+        """Whether the front's offered load is within its part."""
+        part = told.rate / self._fronts * _OFFERED_SECONDS
+        # The request itself doesn't count.
+        return own.offered - 1.0 <= _MAX_OFFERED_FACTOR * part
+
     def record_start(self, request_class: RequestClass) -> None:
         """Counts an admitted request as in progress."""
         own = self._own.setdefault(request_class.service, _Own())
--- a/src/ridgesill/core/serving/service_admission.py
+++ b/src/ridgesill/core/serving/service_admission.py
@@ -141,7 +141,8 @@
             if view.updated_at - capacity.told_at > _CAPACITY_KEPT_SECONDS:
                 del self._capacities[service]
         limits = {n: c.limit for n, c in self._capacities.items() if c.limit}
-        self._limit.apply_news(view, limits)
+        rates = {n: c.rate for n, c in self._capacities.items()}
+        self._limit.apply_news(view, limits, rates)
 
     def is_controlled(self, service: str) -> bool:
         """Whether the owner controls the load of a service."""
@@ -167,9 +168,6 @@
             bucket=request_class.service,
         )
         age = now - self._news_at
-        if request_class.service not in self._services:
-            # A new owner, which doesn't know the service's capacity yet.
-            age = float("inf")
         has_room = self._limit.admits(request_class, now, age)
         self._is_refused_by_limit = is_drawn and not has_room
         if self._is_refused_by_limit:
