--- a/src/ridgesill/adapters/http1/slow_readers.py
+++ b/src/ridgesill/adapters/http1/slow_readers.py
@@ -46,12 +46,13 @@
         link_backlog: bytes that waited at the VM's link at both of the last two
             scans. What one scan finds may be a single large answer; with three
             scans, 2 of 8 narrow links were found too late, after half a second.
+        last_backlog: the same at the last scan alone.
     """
 
     def __init__(self, held: HeldBytes) -> None:
         self.held = held
         self.link_backlog = 0.0
-        self._last_backlog = 0.0
+        self.last_backlog = 0.0
         self._connections: dict[str, Connection] = {}
         # Time of each scan within the span, the last one before it, and the
         # bytes sent by connection until then.
@@ -90,8 +91,8 @@
             rate_bytes = sent - sent_before.get(name, 0)
             backlog += find_link_backlog(held, rate_bytes, span)
         scans.append((now, sent_now))
-        self.link_backlog = min(backlog, self._last_backlog)
-        self._last_backlog = backlog
+        self.link_backlog = min(backlog, self.last_backlog)
+        self.last_backlog = backlog
         self.held.discard_except(self._connections)
         self._disconnect_excess()
 
--- a/src/ridgesill/app/front_load_sampler.py
+++ b/src/ridgesill/app/front_load_sampler.py
@@ -80,9 +80,10 @@
     ) -> float:
         """Returns the time until the next sample, in seconds."""
         is_late = max(lag_seconds, turn_seconds) > _CALM_LAG_SECONDS
+        readers = self._listener.slow_readers
         # A narrow link has to show in two scans within half a second.
-        scans = self._listener.slow_readers is not None
-        if is_late or scans or self._load.is_full:
+        has_backlog = readers is not None and readers.last_backlog > 0
+        if is_late or has_backlog or self._load.is_full:
             return _INTERVAL_SECONDS
         return _CALM_INTERVAL_SECONDS
 
