Log what a front knew of a brittle upstream that rejected its request

Without it the three hypotheses can't be told apart: no line named the requests that the front counted there, nor whether it knew that the upstream is brittle. No decision changes.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -864,6 +864,7 @@
             head.status,
             self._search.chosen_by,
             self._relay.sent_at,
+            self._front.chooser.count_own_requests(upstream.name),
         )
         self._front.upstream_words.handle_word(upstream, word, context)
         return (
--- a/src/ridgesill/app/upstream_words.py
+++ b/src/ridgesill/app/upstream_words.py
@@ -31,12 +31,15 @@
         status: HTTP status of the answer.
         chosen_by: who chose the upstream: the front or the owner.
         sent_at: when the request was sent, on the loop's clock.
+        own_requests: this front's requests in progress at the upstream,
+            including this one.
     """
 
     request: str
     status: int
     chosen_by: str
     sent_at: float
+    own_requests: int = 0
 
     @property
     def is_success(self) -> bool:
@@ -79,6 +82,8 @@
             context: the answer.
         """
         now = self._loop.time()
+        if word.brittle is not None and context.status == _UNAVAILABLE:
+            self._log_turned_away(upstream, context)
         is_news = self._record_bounds(upstream.name, word, context)
         if word.brittle is not None and context.status == _UNAVAILABLE:
             self._pause_brittle(upstream.name)
@@ -115,6 +120,23 @@
             self._limits.record_unlimited(upstream, context.sent_at)
         return is_news
 
+    def _log_turned_away(
+        self, upstream: Upstream, context: AnswerContext
+    ) -> None:
+        """Logs what was known of a brittle upstream that rejected a request."""
+        view = self._fleet.view
+        log_message(
+            "request:turned_away",
+            request=context.request,
+            upstream=upstream.name,
+            peer=upstream.address,
+            was_known_brittle=self._brittle.is_brittle(upstream.name),
+            slots=upstream.slots,
+            own=context.own_requests,
+            told=view.busy.get(upstream.name, 0),
+            view_age=round(self._loop.time() - view.updated_at, 3),
+        )
+
     def _pause_brittle(self, upstream: str) -> None:
         """Pauses a brittle upstream that has turned a request away."""
         fronts = self._fleet.view.fronts
--- a/src/ridgesill/core/serving/brittle.py
+++ b/src/ridgesill/core/serving/brittle.py
@@ -57,6 +57,10 @@
         self._statements[upstream] = _Statement(bound, sent_at)
         return known is None or known.bound != bound
 
+    def is_brittle(self, upstream: str) -> bool:
+        """Whether an upstream has said that it is brittle."""
+        return upstream in self._statements
+
     def has_room(self, upstream: str, busy: int, slots: int) -> bool:
         """Whether an upstream has room for one more request.
 
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -150,7 +150,7 @@
 
     def count_busy(self, upstream: str) -> int:
         """Returns the known requests in progress at an upstream."""
-        return self._count_busy_of_others(upstream) + self._count_busy_of_own(
+        return self._count_busy_of_others(upstream) + self.count_own_requests(
             upstream
         )
 
@@ -174,7 +174,8 @@
         mean = self._means.get(upstream)
         return self._count_busy_of_others(upstream) if mean is None else mean
 
-    def _count_busy_of_own(self, upstream: str) -> int:
+    def count_own_requests(self, upstream: str) -> int:
+        """Returns this front's requests in progress at an upstream."""
         return sum(self._in_progress.get(upstream, {}).values())
 
     def load(self, service: str) -> float:
@@ -274,7 +275,7 @@
         if not slots:
             return candidates
         busy = sum(
-            self._mean_busy_of_others(u.name) + self._count_busy_of_own(u.name)
+            self._mean_busy_of_others(u.name) + self.count_own_requests(u.name)
             for u in local
         )
         local_share = (_LOCAL_FULL_SHARE - busy / slots) / (
@@ -352,7 +353,7 @@
                 others = 0.0
         fronts = min(self.view.fronts, _MAX_JITTER_FRONTS)
         unknown = self._rng.random() * _JITTER_PER_FRONT * fronts
-        busy = others + self._count_busy_of_own(upstream.name) + unknown
+        busy = others + self.count_own_requests(upstream.name) + unknown
         slots = min(max(upstream.slots, 1), _MAX_COUNTED_SLOTS)
         # Requests in progress at a slow upstream take longer to end.
         share = busy / slots * upstream.pace
