Reproduce brittle upstreams that fall over under several fronts

Four upstreams of six slots say that they bear three rejections a second, and let nobody wait 3 s later.

--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -166,6 +166,8 @@
         self.service = service
         # Version of its software, which it tells in heartbeats.
         self.software = "v1"
+        # Requests that it processes at once, as its heartbeats tell.
+        self.slots = 8
         self.refuse_share = 0.0
         self.hang_share = 0.0
         # Share of requests that it refuses with Retry-After, and the seconds
@@ -265,7 +267,7 @@
             "address": self._scripted_server.address,
             "zone": "a",
             "version": self.software,
-            "slots": 8,
+            "slots": self.slots,
             "state": self.state,
             "sequence": self._sequence,
             **self._engine_fields(),
