Grant slots of brittle upstreams to all fronts from one count

Cause: a bound over all fronts, kept by each front alone.

A request to a brittle service now needs a permit of the fleet's owner, which counts what all fronts hold. Fronts report what they hold as a whole, so that lost messages, killed fronts and new owners leave no slot counted wrong for long. The first word of any upstream marks its service at all fronts, new starts included, which get one request at first. An upstream that rejects a request all the same gets less. Without the owner fronts keep to a quarter of the bound together, or to their part of the slots.

The tests of the pause at each front asserted the design that failed; the tests of the ledger and of a front without the owner take their place, and check the bound over all fronts.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 .PHONY: test lint format demo build proofs check-long bench-control \
 	bench-routing bench-path bench-capacity bench-storage bench-recovery \
 	bench-partition bench-quotas bench-limits bench-overload bench-uneven bench-readers \
-	bench-streams soak \
+	bench-streams bench-slots soak \
 	experiment clean
 
 $(STAMP): requirements/dev.txt pyproject.toml
@@ -55,7 +55,7 @@
 	$(BIN)/python -m testing.soak --seeds $(SEEDS)
 
 bench-control bench-routing bench-path bench-capacity bench-storage bench-quotas \
-bench-limits bench-overload bench-uneven bench-readers bench-streams \
+bench-limits bench-overload bench-uneven bench-readers bench-streams bench-slots \
 bench-partition bench-recovery: $(STAMP)
 	$(BIN)/python -m bench.$(subst bench-,,$@)
 
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -27,6 +27,7 @@
 from ridgesill.app.telemetry import Instruments, serve_metrics
 from ridgesill.app.traffic import log_traffic
 from ridgesill.core.addresses import split_address, with_port
+from ridgesill.core.fleet.brittle_bounds import HeardBrittle
 from ridgesill.core.fleet.messages import (
     HeardHeartbeat,
     HeardLeave,
@@ -36,6 +37,7 @@
 )
 from ridgesill.core.fleet.orders import DeliverOrder, HolderAlive
 from ridgesill.core.fleet.rate_ledger import Tolerance
+from ridgesill.core.fleet.slot_permits import HeldSlots, RequestSlot
 from ridgesill.core.fleet.usage import UsageReport
 from ridgesill.core.following import AskLatest, Follow, Propose
 from ridgesill.core.log.messages import Timing
@@ -201,6 +203,18 @@
     async def _(self, message: DeliverOrder, sender: str) -> Any:
         return await self.owner.holder.handle_order(message)
 
+    @_handle_message.register
+    async def _(self, message: RequestSlot, sender: str) -> Any:
+        return await self.owner.handle_slot_request(sender, message)
+
+    @_handle_message.register
+    async def _(self, message: HeldSlots, sender: str) -> Any:
+        return self.owner.handle_held_slots(sender, message)
+
+    @_handle_message.register
+    async def _(self, message: HeardBrittle, sender: str) -> None:
+        self.owner.handle_heard_brittle(message)
+
     # -- running -------------------------------------------------------
 
     async def run(self) -> None:
--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -6,6 +6,7 @@
 import attrs
 from eliot import log_message
 
+from ridgesill.core.fleet.brittle_bounds import HeardBrittle
 from ridgesill.core.fleet.messages import (
     ArtifactReady,
     FleetNews,
@@ -15,6 +16,11 @@
     WatchFleet,
 )
 from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.fleet.slot_permits import (
+    HeldSlots,
+    RequestSlot,
+    SlotAnswer,
+)
 from ridgesill.core.fleet.usage import UsageReport
 from ridgesill.core.fleet.use_reports import OutgoingReports
 from ridgesill.ports.peers import PeerError, Peers
@@ -50,6 +56,12 @@
 # seconds. An election takes a second, and each unanswered message delays a
 # request.
 _ASSIGN_PAUSE_SECONDS = 0.5
+# How long the owner may take to answer a request for a slot beyond the patience
+# of the request, and how long it isn't asked after it failed to, in seconds.
+_SLOT_MARGIN_SECONDS = 0.1
+_SLOT_PAUSE_SECONDS = 0.3
+# How long the owner may take to confirm a report of held slots, in seconds.
+_SLOT_REPORT_SECONDS = 0.4
 # Network round trip that is added to the patience of a `WantArtifact` message,
 # in seconds.
 _WANT_MARGIN_SECONDS = 0.2
@@ -104,6 +116,7 @@
         # Address of the node that received the last usage report.
         self._reported_to = ""
         self._assign_allowed_from = float("-inf")
+        self._slots_allowed_from = float("-inf")
         self._listeners: list[Callable[[], None]] = []
         self._news_listeners: list[Callable[[FleetNews], None]] = []
 
@@ -272,6 +285,60 @@
             return None
         return answer
 
+    async def request_slot(self, request: RequestSlot) -> SlotAnswer | None:
+        """Asks the owner for a slot of a brittle upstream.
+
+        Returns:
+            The owner's answer; None if it didn't answer in time or is unknown.
+        """
+        owner = self._owner()
+        if not owner or self._loop.time() < self._slots_allowed_from:
+            return None
+        seconds = request.patience + _SLOT_MARGIN_SECONDS
+        try:
+            answer: SlotAnswer = await self._peers.call(owner, request, seconds)
+        except PeerError as error:
+            self._slots_allowed_from = self._loop.time() + _SLOT_PAUSE_SECONDS
+            log_message(
+                "fleet:no_slot_answer",
+                step=error.step,
+                peer=error.peer,
+                detail=str(error),
+            )
+            return None
+        return answer
+
+    async def report_slots(self, held: HeldSlots) -> str:
+        """Reports held slots to the owner.
+
+        Returns:
+            The address of the owner; empty if it hasn't confirmed the report.
+        """
+        owner = self._owner()
+        if not owner:
+            return ""
+        try:
+            await self._peers.call(owner, held, _SLOT_REPORT_SECONDS)
+        except PeerError as error:
+            log_message(
+                "fleet:slots_not_reported",
+                step=error.step,
+                peer=error.peer,
+                detail=str(error),
+            )
+            return ""
+        return owner
+
+    def report_brittle(self, heard: HeardBrittle) -> None:
+        """Reports to the owner what an upstream states about being brittle."""
+        owner = self._owner()
+        if owner:
+            self._peers.send(owner, heard)
+
+    def owner_address(self) -> str:
+        """Returns the address of the owner; empty if it is unknown."""
+        return self._owner()
+
     async def report_leave(self, leave: HeardLeave) -> None:
         """Reports a leaving upstream to the owner until it acknowledges."""
         deadline = self._loop.time() + _LEAVE_SECONDS
--- a/src/ridgesill/app/fleet_owner.py
+++ b/src/ridgesill/app/fleet_owner.py
@@ -33,9 +33,11 @@
 from ridgesill.app.order_holder import OrderHolder
 from ridgesill.app.order_lease_keeper import OrderLeaseKeeper
 from ridgesill.app.service_load import ServiceLoad
+from ridgesill.app.slot_desk import SlotDesk
 from ridgesill.core import codec
 from ridgesill.core.commands import GrantPool
 from ridgesill.core.fleet.backlog import Backlogs
+from ridgesill.core.fleet.brittle_bounds import HeardBrittle
 from ridgesill.core.fleet.engines import Engine
 from ridgesill.core.fleet.health import EngineHealth
 from ridgesill.core.fleet.messages import (
@@ -59,6 +61,11 @@
     Tolerance,
 )
 from ridgesill.core.fleet.registry import Registry
+from ridgesill.core.fleet.slot_permits import (
+    HeldSlots,
+    RequestSlot,
+    SlotAnswer,
+)
 from ridgesill.core.fleet.usage import Usage
 from ridgesill.core.fleet.use_reports import ReceivedReports, Sent, UseReport
 from ridgesill.core.serving.routes import RouteTable
@@ -188,6 +195,11 @@
             self._loop.time,
             time_of_day,
         )
+        self.slots = SlotDesk(
+            lambda: self._registry,
+            lambda: self._expected_front_count(self._loop.time()),
+            self._news.notify,
+        )
         self._loads = FleetLoads(
             self._placement,
             self._orders,
@@ -310,6 +322,7 @@
         )
         self._limits.restore(view, now)
         self.service_load.begin(now)
+        self.slots.begin(registry.upstreams.values())
         for sent in self._follower.pending_reports.take_unassigned():
             self._record_sent(sent, now)
         self._news.notify()
@@ -321,6 +334,7 @@
         self._follower.view.upstreams = dict(self._registry.upstreams)
         self._engines.end()
         self.service_load.end()
+        self.slots.end()
         self._term = 0
         self._loads.end()
         self._news.notify()
@@ -336,6 +350,7 @@
         self._quotas.record_fronts(self._usage.fronts, now)
         self._limits.update(self._usage.fronts, registry.upstreams, now)
         self._update_service_load(registry, now)
+        self.slots.update(registry)
         self._paces.publish(registry, self.table, now)
         self._backlogs.prune_lost(now)
         self._backlogs.discard_except(set(registry.upstreams))
@@ -577,8 +592,37 @@
         """Answers once an engine holds the artifact, or with a refusal."""
         if not self.is_owner():
             return ArtifactReady("", after=1.0, reason=NOT_OWNER)
+        full = self.slots.list_full(want.service)
+        if full:
+            want = attrs.evolve(want, avoid=(*want.avoid, *full))
         return await self._loads.provide_artifact(want)
 
+    # -- slots of brittle upstreams ------------------------------------
+
+    async def handle_slot_request(
+        self, sender: str, request: RequestSlot
+    ) -> SlotAnswer:
+        """Answers once a slot is free, or that there is none."""
+        if not self.is_owner():
+            return SlotAnswer(is_certain=False)
+        return await self.slots.provide(sender, request)
+
+    def handle_held_slots(self, sender: str, held: HeldSlots) -> Taken:
+        """Applies a front's report of the slots that it holds.
+
+        Raises:
+            PeerError: another node owns the fleet.
+        """
+        if not self.is_owner():
+            raise PeerError("HeldSlots", self._control.node.name, NOT_OWNER)
+        self.slots.handle_held(sender, held)
+        return Taken()
+
+    def handle_heard_brittle(self, heard: HeardBrittle) -> None:
+        """Records what an upstream states about being brittle."""
+        if self.is_owner():
+            self.slots.handle_heard(heard)
+
     async def handle_reading_ended(
         self, sender: str, ended: ReadingEnded
     ) -> None:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -33,6 +33,7 @@
     RequestSummary,
     record_request_end,
 )
+from ridgesill.app.slot_client import SlotEnd
 from ridgesill.app.start_checks import RestartedError, acquire_checked
 from ridgesill.app.suspect_request import SuspectRequest
 from ridgesill.app.upstream_search import (
@@ -226,6 +227,7 @@
             self._record_end("client_left")
             raise
         finally:
+            self._search.end_slot(SlotEnd.UNUSED)
             self._search.limit_draws.release()
             self._end_admission()
             if (
@@ -729,6 +731,7 @@
         exchange: Exchange | None = None
         head: ResponseHead | None = None
         failure: Failure | None = None
+        was_received = False
         try:
             exchange = await self._open(route, upstream)
             self._tried.append(upstream.name)
@@ -741,6 +744,7 @@
             asks_for_rest = self._handle_word(upstream, head)
             chooser.outcomes.record_byte(upstream.name, self._loop.time())
             failure = await self._receive(route, upstream, exchange, head)
+            was_received = failure is None
             if failure is not None and asks_for_rest:
                 failure = attrs.evolve(failure, asked_for_rest=True)
         except _WithheldError as error:
@@ -772,6 +776,9 @@
             raise
         finally:
             self._report_reading_ended(failure)
+            self._search.end_slot(
+                _find_slot_end(exchange, failure, was_received=was_received)
+            )
             chooser.record_end(upstream.name, artifact)
             chooser.outcomes.record_end(upstream.name)
             if exchange is not None:
@@ -1161,3 +1168,17 @@
         if self._customer is None or customers is None:
             return ""
         return customers.label(self._customer)
+
+
+def _find_slot_end(
+    exchange: Exchange | None, failure: Failure | None, *, was_received: bool
+) -> SlotEnd:
+    """Returns how an attempt left its slot at a brittle upstream."""
+    if was_received:
+        return SlotEnd.ANSWERED
+    if exchange is None:
+        return SlotEnd.UNUSED
+    if failure is None or failure.cut:
+        # Its upstream may go on with a request that has been broken off.
+        return SlotEnd.UNCERTAIN
+    return SlotEnd.NOT_SERVED
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -9,6 +9,7 @@
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.quarantine import Quarantine
 from ridgesill.app.reachability_tests import ReachabilityTests
+from ridgesill.app.slot_client import SlotClient
 from ridgesill.app.stream_keeping import StreamKeeping
 from ridgesill.app.unknown_field_log import UnknownFieldLog
 from ridgesill.app.upstream_words import UpstreamWords
@@ -92,8 +93,13 @@
         self.limits = FrontLimits(self.rng, name)
         self.service_admission = ServiceAdmission(self.rng)
         self.returning_callers = ReturningCallers()
+        self.slots = SlotClient(fleet, chooser)
         self.upstream_words = UpstreamWords(
-            chooser.unavailable, self.limits, chooser.brittle, fleet
+            chooser.unavailable,
+            self.limits,
+            chooser.brittle,
+            self.slots,
+            fleet,
         )
         # Whether the owner controls the load of plain services, so that their
         # offers and outcomes are counted and reported.
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -175,6 +175,7 @@
     def _apply_fleet_news(self) -> None:
         self.front.chooser.update_means(self._loop.time())
         view = self.fleet.view
+        self.front.chooser.brittle.apply_view(view)
         if view.knows_uses:
             self.front.quotas.apply_news(
                 view.quotas, view.fronts, view.updated_at
@@ -328,6 +329,7 @@
             self._prune_regularly(),
             self.front.reachability_tests.run(),
             self._streams.run(),
+            self.front.slots.run(),
             self.front.quarantine.run(self.control.propose),
             serve_metrics(
                 self._settings.metrics_address,
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 
 from ridgesill.app.front import Front
+from ridgesill.app.slot_client import Slot, SlotEnd
 from ridgesill.core.fleet.messages import (
     COPY_IS_SOONER,
     READY,
@@ -42,6 +43,8 @@
 _LOAD_WAIT_SHARE = 0.22
 # A refused client waits for at most this share of its time before its retry.
 _RETRY_SHARE = 1 / 3
+# Reason of refusals if no slot of a brittle upstream is free.
+NO_SLOT = "no_slot"
 # Loads that the owner is asked for on behalf of one request.
 _MAX_WANTS = 3
 
@@ -108,6 +111,8 @@
         self.limit_draws = LimitDraws(front.limits)
         # The software version at which the stream must go on; None for any.
         self.software: str | None = None
+        # The slot that the request holds; None where it needs none.
+        self._slot: Slot | None = None
         self._front = front
         self._facts = facts
         self._terms = SearchTerms("", 0.0, 0.0, 0.0, 0.0)
@@ -149,8 +154,10 @@
         self._tried = tried
         for _ in range(_MAX_WANTS):
             found = await self._find_candidate(is_new=is_new)
-            if isinstance(found, Refusal) or self.accepts_requests(found.name):
+            if isinstance(found, Refusal):
                 return found
+            if self.accepts_requests(found.name):
+                return await self._acquire_slot(found)
             # The upstream stated meanwhile that it accepts no requests; that
             # overrides the owner's choice and this front's earlier one.
         return self._refuse_if_unavailable() or Refusal("no_upstream")
@@ -162,6 +169,53 @@
             return False
         return self.limit_draws.is_allowed(upstream, now)
 
+    # -- slots of brittle upstreams ------------------------------------
+
+    async def _acquire_slot(self, found: Upstream) -> Upstream | Refusal:
+        """Returns the upstream at which the request has a slot."""
+        slots = self._front.slots
+        if not slots.needs_permit(self._terms.service):
+            return found
+        self.end_slot(SlotEnd.UNUSED)
+        self._slot = await slots.acquire(
+            self._list_alternatives(found),
+            self._terms.priority,
+            self._seconds_left(),
+        )
+        if self._slot is None:
+            self.report_reading_ended(was_read=False)
+            return Refusal(NO_SLOT)
+        return self._slot.upstream
+
+    def _list_alternatives(self, found: Upstream) -> list[Upstream]:
+        """Returns the upstreams that may get the request, the best first."""
+        required = self.requirements()
+        if required.artifact:
+            return [found]
+        chooser = self._front.chooser
+        now = self._loop.time()
+        return [
+            found,
+            *(
+                upstream
+                for upstream in chooser.candidates(required)
+                if upstream.name != found.name
+                and upstream.name not in self._tried
+                and not upstream.is_ejected
+                and not chooser.outcomes.is_ejected(upstream.name, now)
+                and not chooser.reachability.is_unreachable(upstream.name)
+                and self.accepts_requests(upstream.name)
+            ),
+        ]
+
+    def end_slot(self, end: SlotEnd) -> None:
+        """Gives the slot of the last attempt back, if there is one."""
+        slot, self._slot = self._slot, None
+        if slot is not None:
+            self._front.slots.end(slot, end)
+
+    # -- refusals ------------------------------------------------------
+
     def _refuse_if_unavailable(self) -> Refusal | None:
         """Returns a refusal if all upstreams rest or deny the request."""
         if resting_refusal := self._refuse_if_resting():
@@ -355,8 +409,6 @@
             return None
         if not self.accepts_requests(upstream.name):
             return None
-        if not self._front.chooser.has_room(upstream):
-            return None
         upstream.resident[required.artifact] = answer.version
         self._prefill_seconds = answer.read_seconds
         self.predicted_first_seconds = answer.first_seconds
--- a/src/ridgesill/app/upstream_words.py
+++ b/src/ridgesill/app/upstream_words.py
@@ -11,7 +11,14 @@
 from eliot import log_message
 
 from ridgesill.app.fleet_client import FleetClient
-from ridgesill.core.fleet.messages import READY, HeardLeave, Upstream
+from ridgesill.app.slot_client import SlotClient
+from ridgesill.core.fleet.brittle_bounds import HeardBrittle
+from ridgesill.core.fleet.messages import (
+    NOT_BRITTLE,
+    READY,
+    HeardLeave,
+    Upstream,
+)
 from ridgesill.core.serving.brittle import BrittleUpstreams
 from ridgesill.core.serving.front_limits import FrontLimits
 from ridgesill.core.serving.unavailable import Unavailable
@@ -20,6 +27,9 @@
 # Lowest status that isn't a success.
 _REDIRECT = 300
 _UNAVAILABLE = 503
+# Least time between two reports to the owner of what an upstream states about
+# being brittle, in seconds.
+_BRITTLE_REPORT_SECONDS = 0.2
 
 
 @attrs.frozen
@@ -54,6 +64,7 @@
         unavailable: keeps the upstreams that accept no requests now.
         limits: keeps the upstreams' rate limits.
         brittle: keeps the upstreams that are brittle.
+        slots: reports what brittle upstreams reject.
         fleet: the connection to the owner.
     """
 
@@ -62,13 +73,16 @@
         unavailable: Unavailable,
         limits: FrontLimits,
         brittle: BrittleUpstreams,
+        slots: SlotClient,
         fleet: FleetClient,
     ) -> None:
         self._unavailable = unavailable
         self._limits = limits
         self._brittle = brittle
+        self._slots = slots
         self._fleet = fleet
         self._loop = asyncio.get_running_loop()
+        self._brittle_reported_at: dict[str, float] = {}
         self._reports: dict[str, asyncio.Task[None]] = {}
 
     def handle_word(
@@ -82,11 +96,17 @@
             context: the answer.
         """
         now = self._loop.time()
-        if word.brittle is not None and context.status == _UNAVAILABLE:
+        is_rejected = (
+            word.brittle is not None
+            and context.status == _UNAVAILABLE
+            and not word.leaves
+        )
+        if is_rejected:
             self._log_turned_away(upstream, context)
-        is_news = self._record_bounds(upstream.name, word, context)
-        if word.brittle is not None and context.status == _UNAVAILABLE:
-            self._pause_brittle(upstream.name)
+        is_news = self._record_bounds(upstream, word, context)
+        if is_rejected:
+            self._slots.record_rejected(upstream)
+        self._report_brittle(upstream, word, context)
         repeated = attrs.evolve(
             EMPTY_UPSTREAM_WORD, limit=word.limit, brittle=word.brittle
         )
@@ -103,7 +123,7 @@
             self._report_leave(upstream)
 
     def _record_bounds(
-        self, upstream: str, word: UpstreamWord, context: AnswerContext
+        self, upstream: Upstream, word: UpstreamWord, context: AnswerContext
     ) -> bool:
         """Records a rate limit and brittleness, or that there is none.
 
@@ -114,10 +134,10 @@
         if word.limit is not None:
             now = self._loop.time()
             is_news |= self._limits.record_limit(
-                upstream, word.limit, context.sent_at, now
+                upstream.name, word.limit, context.sent_at, now
             )
         elif context.is_success and not word.unread_limit:
-            self._limits.record_unlimited(upstream, context.sent_at)
+            self._limits.record_unlimited(upstream.name, context.sent_at)
         return is_news
 
     def _log_turned_away(
@@ -137,11 +157,25 @@
             view_age=round(self._loop.time() - view.updated_at, 3),
         )
 
-    def _pause_brittle(self, upstream: str) -> None:
-        """Pauses a brittle upstream that has turned a request away."""
-        fronts = self._fleet.view.fronts
-        pause = self._brittle.pause_seconds(upstream, fronts)
-        self._unavailable.record_rest(upstream, self._loop.time() + pause)
+    def _report_brittle(
+        self, upstream: Upstream, word: UpstreamWord, context: AnswerContext
+    ) -> None:
+        """Reports a statement that differs from what the owner tells.
+
+        A report that gets lost is made up for by the next answer.
+        """
+        told = self._fleet.view.upstreams.get(upstream.name)
+        bound = NOT_BRITTLE if word.brittle is None else word.brittle
+        if told is None or told.brittle == bound:
+            self._brittle_reported_at.pop(upstream.name, None)
+            return
+        now = self._loop.time()
+        reported_at = self._brittle_reported_at.get(upstream.name, 0.0)
+        if now - reported_at >= _BRITTLE_REPORT_SECONDS:
+            self._brittle_reported_at[upstream.name] = now
+            self._fleet.report_brittle(
+                HeardBrittle(upstream.name, bound, now - context.sent_at)
+            )
 
     def _log(
         self, upstream: Upstream, word: UpstreamWord, context: AnswerContext
--- a/src/ridgesill/core/fleet/messages.py
+++ b/src/ridgesill/core/fleet/messages.py
@@ -13,6 +13,8 @@
 
 READY = "ready"
 DRAINING = "draining"
+# Value of `Upstream.brittle`.
+NOT_BRITTLE = -1.0
 
 
 @register
@@ -109,6 +111,8 @@
             should get none but probes.
         software: version of its software; empty if it names none. What two
             versions write doesn't fit together, and versions have no order.
+        brittle: rejections per second that it bears before it falls over;
+            `NOT_BRITTLE` if it bears any.
     """
 
     name: str
@@ -124,6 +128,7 @@
     pace: float = 1.0
     is_ejected: bool = False
     software: str = ""
+    brittle: float = NOT_BRITTLE
 
 
 @register
@@ -165,6 +170,7 @@
         removed: artifacts that it no longer holds.
         pace: the new `Upstream.pace`; None if it hasn't changed.
         is_ejected: the new `Upstream.is_ejected`; None if it hasn't changed.
+        brittle: the new `Upstream.brittle`; None if it hasn't changed.
     """
 
     name: str
@@ -174,6 +180,7 @@
     removed: tuple[str, ...] = ()
     pace: float | None = None
     is_ejected: bool | None = None
+    brittle: float | None = None
 
 
 @register
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from ridgesill.core.fleet.brittle_bounds import BrittleBounds
 from ridgesill.core.fleet.messages import (
     DRAINING,
     READY,
@@ -106,6 +107,7 @@
         self.epoch = epoch
         self.number = 0
         self.upstreams: dict[str, Upstream] = {}
+        self.brittle_bounds = BrittleBounds()
         self._names_by_address = _NameIndex()
         self._names_by_instance = _NameIndex()
         self._patience = patience
@@ -128,6 +130,8 @@
 
         Each counts as if its heartbeat had arrived now.
         """
+        upstreams = list(upstreams)
+        self.brittle_bounds.adopt(upstreams)
         for upstream in upstreams:
             if not upstream.instance:
                 upstream = attrs.evolve(upstream, instance=upstream.name)
@@ -215,6 +219,7 @@
             known.pace if known else 1.0,
             known.is_ejected if known else False,
             heartbeat.software,
+            self.brittle_bounds.find(name, heartbeat.service),
         )
         if record != known:
             self._store(record)
@@ -347,6 +352,7 @@
             self._discard(name)
             # Not added to the departed ones: a silent upstream may return.
             self._append_change(UpstreamChange(name, gone=True))
+        self.brittle_bounds.discard_except(self.upstreams)
         for name, at in list(self._departed_at.items()):
             if now - at > _REMOVED_NAME_KEPT_SECONDS:
                 del self._departed_at[name]
@@ -416,6 +422,38 @@
             UpstreamChange(name, pace=pace, is_ejected=is_ejected)
         )
 
+    def record_brittle(
+        self, name: str, bound: float, sent_at: float
+    ) -> list[Upstream]:
+        """Records what an upstream states about being brittle.
+
+        Args:
+            name: name of the upstream; nothing happens if it is unknown.
+            bound: rejections per second that it bears; `NOT_BRITTLE` if it
+                states nothing.
+            sent_at: when the answered request was sent, in seconds.
+
+        Returns:
+            The upstreams whose bounds have changed, as they are now.
+        """
+        known = self.upstreams.get(name)
+        if known is None:
+            return []
+        self.brittle_bounds.record(known, bound, sent_at)
+        changed = []
+        for upstream in list(self.upstreams.values()):
+            if upstream.service != known.service:
+                continue
+            current = self.brittle_bounds.find(upstream.name, upstream.service)
+            if current != upstream.brittle:
+                record = attrs.evolve(upstream, brittle=current)
+                self.upstreams[upstream.name] = record
+                self._append_change(
+                    UpstreamChange(upstream.name, brittle=current)
+                )
+                changed.append(record)
+        return changed
+
     # -- changes -------------------------------------------------------
 
     def _append_change(self, change: UpstreamChange) -> None:
@@ -586,6 +624,10 @@
             self.upstreams[change.name] = attrs.evolve(
                 known, pace=change.pace, is_ejected=change.is_ejected
             )
+        if change.brittle is not None:
+            self.upstreams[change.name] = attrs.evolve(
+                self.upstreams[change.name], brittle=change.brittle
+            )
 
     def ready_upstreams(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service that accept new requests."""
--- a/src/ridgesill/core/serving/choice.py
+++ b/src/ridgesill/core/serving/choice.py
@@ -106,7 +106,7 @@
         self.outcomes = outcomes
         self.unavailable = Unavailable()
         self.reachability = Reachability()
-        self.brittle = BrittleUpstreams()
+        self.brittle = BrittleUpstreams(rng or random.Random())
         self.silence = Silence(outcomes)
         self._probes = Probes()
         self.data_centre = data_centre
@@ -238,7 +238,6 @@
             if upstream.name not in avoid
             and self.unavailable.accepts_requests(upstream.name, now)
             and not self.reachability.is_unreachable(upstream.name)
-            and self.has_room(upstream)
         ]
         service_upstreams = (
             self.ready_upstreams(requirements)
@@ -375,15 +374,8 @@
             if self.outcomes.is_ejected(upstream.name, now)
             or not self.unavailable.accepts_requests(upstream.name, now)
             or self.reachability.is_unreachable(upstream.name)
-            or not self.has_room(upstream)
         ]
 
-    def has_room(self, upstream: Upstream) -> bool:
-        """Whether an upstream may get a request: not if brittle and full."""
-        return not self.brittle or self.brittle.has_room(
-            upstream.name, self.count_busy(upstream.name), upstream.slots
-        )
-
     def is_cut_off(self, requirements: Requirements) -> bool:
         """Whether upstreams could serve a request and none can be reached."""
         reachability = self.reachability
--- /dev/null
+++ b/src/ridgesill/standin/emulator/brittle_service.py
@@ -0,0 +1,408 @@
+"""A service of brittle upstreams under many fronts, on virtual time.
+
+Fronts and owner run the code that grants and reports slots in production; the
+messages between them, the upstreams and the callers are emulated.
+"""
+
+import asyncio
+import collections
+import itertools
+import random
+import time
+
+import attrs
+
+from ridgesill.app.fleet_client import FleetClient
+from ridgesill.app.slot_client import Slot, SlotClient, SlotEnd
+from ridgesill.app.slot_desk import SlotDesk
+from ridgesill.core import codec
+from ridgesill.core.fleet.brittle_bounds import HeardBrittle
+from ridgesill.core.fleet.messages import Heartbeat, Upstream, WatchFleet
+from ridgesill.core.fleet.registry import FleetView, Registry
+from ridgesill.core.fleet.slot_permits import (
+    HeldSlots,
+    RequestSlot,
+    SlotAnswer,
+)
+from ridgesill.core.serving.choice import Chooser
+from ridgesill.core.serving.outcomes import Outcomes
+from ridgesill.standin.emulator.clock import run_on_virtual_clock
+
+_SERVICE = "plain"
+# Time of a message between a front and the owner, and how often fronts hear
+# news, in seconds.
+_MESSAGE_SECONDS = 0.0015
+_NEWS_SECONDS = 0.2
+_QUEUE = 12
+_DOWN_SECONDS = 3.0
+_PATIENCE_SECONDS = 2.0
+
+
+@attrs.frozen
+class BrittlePlan:
+    """What is played.
+
+    Attributes:
+        fronts: number of fronts.
+        share: load, as a share of what fits.
+        seconds: length of the run; upstreams become brittle after one second
+            and let nobody wait three seconds later.
+        upstreams: number of upstreams.
+        slots: requests that each processes at once.
+        run_seconds: time of a request.
+        bound: rejections per second that an upstream bears.
+        owner_lost: from when until when nobody owns the fleet, in seconds.
+        seed: of all random choices.
+    """
+
+    fronts: int
+    share: float
+    seconds: float = 20.0
+    upstreams: int = 4
+    slots: int = 6
+    run_seconds: float = 0.35
+    bound: float = 3.0
+    owner_lost: tuple[float, float] = (1e9, 1e9)
+    seed: int = 1
+
+    @property
+    def tight_at(self) -> float:
+        """From when upstreams let nobody wait, in seconds."""
+        return 4.0
+
+    @property
+    def capacity(self) -> float:
+        """Requests a second that fit."""
+        return self.upstreams * self.slots / self.run_seconds
+
+
+@attrs.define
+class BrittleFigures:
+    """What came of a run; requests count from `BrittlePlan.tight_at` on.
+
+    Attributes:
+        falls: upstreams that fell over.
+        rejected: requests that upstreams rejected, those of falls included.
+        sent: requests of callers.
+        served: requests that were served.
+        waits: seconds that served requests waited for their slots.
+        refusal_seconds: seconds until refusals.
+        messages: messages that the owner received.
+        owner_seconds: processor time of the owner for these messages, decoding
+            and encoding included, without the transport.
+    """
+
+    falls: int = 0
+    rejected: int = 0
+    sent: int = 0
+    served: int = 0
+    waits: list[float] = attrs.Factory(list)
+    refusal_seconds: list[float] = attrs.Factory(list)
+    messages: int = 0
+    owner_seconds: float = 0.0
+
+
+class _FallenError(Exception):
+    """The upstream fell over, or is away."""
+
+
+class _EmulatedUpstream:
+    """An upstream that falls over if it rejects too many requests."""
+
+    def __init__(self, plan: BrittlePlan, figures: BrittleFigures) -> None:
+        self._plan = plan
+        self._figures = figures
+        self._loop = asyncio.get_running_loop()
+        self._accepted = 0
+        self._running = asyncio.Semaphore(plan.slots)
+        self._rejections: collections.deque[float] = collections.deque()
+        self.is_away = False
+        self._fallen: asyncio.Future[None] = self._loop.create_future()
+
+    async def serve(self) -> bool:
+        """Serves a request; returns whether it ran.
+
+        Raises:
+            _FallenError: the upstream has ended.
+        """
+        if self.is_away:
+            raise _FallenError
+        now = self._loop.time()
+        queue = _QUEUE if now < self._plan.tight_at else 0
+        if self._accepted >= self._plan.slots + queue:
+            self._reject(now)
+            return False
+        fallen = self._fallen
+        self._accepted += 1
+        try:
+            async with self._running:
+                await asyncio.sleep(self._plan.run_seconds)
+        finally:
+            if fallen is self._fallen:
+                self._accepted -= 1
+        if fallen is not self._fallen:
+            raise _FallenError
+        return True
+
+    def _reject(self, now: float) -> None:
+        self._figures.rejected += 1
+        self._rejections.append(now)
+        while self._rejections[0] <= now - 1.0:
+            self._rejections.popleft()
+        if now >= self._plan.tight_at and (
+            len(self._rejections) > self._plan.bound
+        ):
+            self._figures.falls += 1
+            self.is_away = True
+            self._accepted = 0
+            self._running = asyncio.Semaphore(self._plan.slots)
+            self._fallen = self._loop.create_future()
+            self._rejections.clear()
+            raise _FallenError
+
+
+class _OwnerLink(FleetClient):
+    """A front's link to the owner, whose messages take their time."""
+
+    def __init__(self, name: str, world: "_BrittleWorld") -> None:
+        self.view = FleetView()
+        self._name = name
+        self._world = world
+
+    async def request_slot(self, request: RequestSlot) -> SlotAnswer | None:
+        """Returns the owner's answer."""
+        data = codec.encode(request)
+        await asyncio.sleep(_MESSAGE_SECONDS)
+        if self._world.is_owner_lost():
+            await asyncio.sleep(request.patience + _MESSAGE_SECONDS)
+            return None
+        with self._world.measured():
+            message = codec.decode(data)
+        answer = await self._world.desk.provide(self._name, message)
+        with self._world.measured(0):
+            codec.encode(answer)
+        await asyncio.sleep(_MESSAGE_SECONDS)
+        return answer
+
+    async def report_slots(self, held: HeldSlots) -> str:
+        """Reports to the owner; returns its address."""
+        data = codec.encode(held)
+        await asyncio.sleep(_MESSAGE_SECONDS)
+        if self._world.is_owner_lost():
+            return ""
+        with self._world.measured():
+            self._world.desk.handle_held(self._name, codec.decode(data))
+        await asyncio.sleep(_MESSAGE_SECONDS)
+        return "owner"
+
+    def owner_address(self) -> str:
+        """Returns the address of the owner; empty while there is none."""
+        return "" if self._world.is_owner_lost() else "owner"
+
+
+class _Stopwatch:
+    """Adds the processor time of a block to the figures."""
+
+    def __init__(self, figures: BrittleFigures) -> None:
+        self._figures = figures
+        self._began = 0.0
+
+    def __enter__(self) -> None:
+        self._began = time.process_time()
+
+    def __exit__(self, *error: object) -> None:
+        self._figures.owner_seconds += time.process_time() - self._began
+
+
+class _BrittleWorld:
+    """Upstreams, owner, fronts and callers of a run."""
+
+    def __init__(self, plan: BrittlePlan) -> None:
+        self.plan = plan
+        self.figures = BrittleFigures()
+        self._loop = asyncio.get_running_loop()
+        self._rng = random.Random(plan.seed)
+        self._starts = itertools.count(1)
+        self._registry = Registry(1, 1e9)
+        self.desk = SlotDesk(
+            lambda: self._registry, lambda: plan.fronts, lambda: None
+        )
+        self.desk.begin([])
+        self._upstreams: dict[str, _EmulatedUpstream] = {}
+        for number in range(plan.upstreams):
+            self._start_upstream(f"u{number}")
+        self._links = [
+            _OwnerLink(f"f{number}", self) for number in range(plan.fronts)
+        ]
+        self._choosers = [
+            Chooser(
+                "a", link.view, Outcomes(), random.Random(self._rng.random())
+            )
+            for link in self._links
+        ]
+        self._clients = [
+            SlotClient(link, chooser)
+            for link, chooser in zip(self._links, self._choosers, strict=True)
+        ]
+
+    def _start_upstream(self, instance: str) -> None:
+        start = next(self._starts)
+        name = f"{instance}#{start}"
+        self._upstreams[name] = _EmulatedUpstream(self.plan, self.figures)
+        beat = Heartbeat(
+            name,
+            _SERVICE,
+            f"{instance}:1",
+            "a",
+            self.plan.slots,
+            False,
+            1,
+            instance=instance,
+            start=start,
+        )
+        self._registry.handle_heartbeat(beat, self._loop.time())
+
+    def is_owner_lost(self) -> bool:
+        """Whether nobody owns the fleet now."""
+        began, ended = self.plan.owner_lost
+        return began <= self._loop.time() < ended
+
+    def measured(self, messages: int = 1) -> _Stopwatch:
+        """Counts messages, and measures what the owner does with them."""
+        self.figures.messages += messages
+        return _Stopwatch(self.figures)
+
+    async def play(self) -> BrittleFigures:
+        """Plays the plan to its end."""
+        self._send_news()
+        tasks = [
+            self._loop.create_task(coroutine)
+            for coroutine in (
+                self._send_news_regularly(),
+                self._update_owner(),
+                self._change_owner(),
+                *(client.run() for client in self._clients),
+            )
+        ]
+        self._loop.call_at(1.0, self._become_brittle)
+        calls: set[asyncio.Task[None]] = set()
+        rate = self.plan.share * self.plan.capacity
+        at = 0.0
+        while (at := at + self._rng.expovariate(rate)) < self.plan.seconds:
+            await asyncio.sleep(max(at - self._loop.time(), 0.0))
+            front = self._rng.randrange(self.plan.fronts)
+            task = self._loop.create_task(self._call(front))
+            calls.add(task)
+            task.add_done_callback(calls.discard)
+        await asyncio.gather(*calls)
+        for task in tasks:
+            task.cancel()
+        return self.figures
+
+    def _become_brittle(self) -> None:
+        for name in self._upstreams:
+            self.desk.handle_heard(HeardBrittle(name, self.plan.bound, 0.0))
+
+    async def _send_news_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(_NEWS_SECONDS)
+            if not self.is_owner_lost():
+                self._send_news()
+
+    def _send_news(self) -> None:
+        for link, chooser in zip(self._links, self._choosers, strict=True):
+            view = link.view
+            question = WatchFleet(view.epoch, view.number, 0.0)
+            news = self._registry.make_news(
+                question, self.plan.fronts, {}, self._loop.time()
+            )
+            view.apply_news(news, self._loop.time())
+            chooser.brittle.apply_view(view)
+
+    async def _update_owner(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            if not self.is_owner_lost():
+                self.desk.update(self._registry)
+
+    async def _change_owner(self) -> None:
+        """Has another node own the fleet, which knows of no permit."""
+        await asyncio.sleep(self.plan.owner_lost[1])
+        self.desk.end()
+        self.desk.begin(self._registry.upstreams.values())
+
+    async def _call(self, front: int) -> None:
+        began = self._loop.time()
+        counts = began >= self.plan.tight_at
+        is_served, waited = await self._serve(front)
+        if not counts:
+            return
+        self.figures.sent += 1
+        if is_served:
+            self.figures.served += 1
+            self.figures.waits.append(waited)
+        else:
+            self.figures.refusal_seconds.append(waited)
+
+    async def _serve(self, front: int) -> tuple[bool, float]:
+        """Serves a request of a caller.
+
+        Returns:
+            Whether it was served, and the seconds until it was sent or refused.
+        """
+        began = self._loop.time()
+        client, chooser = self._clients[front], self._choosers[front]
+        ready = chooser.view.ready_upstreams(_SERVICE)
+        if not ready:
+            return False, 0.0
+        upstream = self._rng.choice(ready)
+        slot: Slot | None = None
+        if client.needs_permit(_SERVICE):
+            slot = await client.acquire(ready, 0, _PATIENCE_SECONDS)
+            if slot is None:
+                return False, self._loop.time() - began
+            upstream = slot.upstream
+        waited = self._loop.time() - began
+        return await self._run(client, chooser, upstream, slot), waited
+
+    async def _run(
+        self,
+        client: SlotClient,
+        chooser: Chooser,
+        upstream: Upstream,
+        slot: Slot | None,
+    ) -> bool:
+        chooser.record_start(upstream.name, "")
+        end = SlotEnd.UNCERTAIN
+        try:
+            ran = await self._upstreams[upstream.name].serve()
+            end = SlotEnd.ANSWERED if ran else SlotEnd.NOT_SERVED
+            if not ran and client.needs_permit(_SERVICE):
+                client.record_rejected(upstream)
+            return ran
+        except _FallenError:
+            self._remove(upstream)
+            return False
+        finally:
+            if slot is not None:
+                client.end(slot, end)
+            chooser.record_end(upstream.name, "")
+
+    def _remove(self, upstream: Upstream) -> None:
+        if upstream.name not in self._registry.upstreams:
+            return
+        self._registry.remove(upstream.name, self._loop.time())
+        self._loop.call_later(
+            _DOWN_SECONDS, self._start_upstream, upstream.instance
+        )
+
+
+def play_brittle_service(plan: BrittlePlan) -> BrittleFigures:
+    """Plays a plan on virtual time and returns its figures."""
+
+    async def play() -> BrittleFigures:
+        return await _BrittleWorld(plan).play()
+
+    figures = run_on_virtual_clock(play())
+    assert isinstance(figures, BrittleFigures)
+    return figures
--- a/testing/brittle_world.py
+++ b/testing/brittle_world.py
@@ -119,11 +119,12 @@
                 self._rejections.popleft()
             if len(self._rejections) > self.bound:
                 self._brittle_ledger.falls.append((now, self.name))
-                self._fall_over()
+                self.fall_over()
                 return
         await call.answer(503, b"", "Not-Run: 1", *self._bound_headers())
 
-    def _fall_over(self) -> None:
+    def fall_over(self) -> None:
+        """Ends this incarnation; the next one starts after some seconds."""
         self._has_fallen = True
         self.crash()
         self._restart_task = asyncio.create_task(
@@ -256,6 +257,13 @@
         host, _, port = self.client_address(vm).rpartition(":")
         return Client(*await asyncio.open_connection(host, int(port)))
 
+    def kill_owner(self) -> None:
+        """Kills the control node that owns the fleet."""
+        for vm in self.controls:
+            log = vm.settings_file.with_suffix(".log").read_text()
+            if log.rfind("fleet:owned") > log.rfind("fleet:given_up"):
+                vm.kill()
+
     def served_since(self, began: float) -> float:
         """Returns the share of requests since a loop time that were served."""
         since = [sent for sent in self.sent if sent.began >= began]
--- a/testing/scenarios/test_brittle_upstreams.py
+++ b/testing/scenarios/test_brittle_upstreams.py
@@ -6,11 +6,18 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
 
-from testing.brittle_world import TIGHT_AFTER_SECONDS, BrittleWorld
+from testing.brittle_world import (
+    DOWN_SECONDS,
+    SLOTS,
+    TIGHT_AFTER_SECONDS,
+    BrittleWorld,
+    Sent,
+)
 
 pytestmark = pytest.mark.process
 
@@ -37,6 +44,33 @@
     return tight_at
 
 
+def check_falls(world: BrittleWorld) -> None:
+    """Checks that upstreams fell over no more often than they may."""
+    assert len(world.ledger.falls) <= 2 + 0.1 * len(world.upstreams)
+
+
+def list_slow_refusals(world: BrittleWorld, since: float) -> list[Sent]:
+    """Returns the refusals since a loop time that took long."""
+    return [
+        sent
+        for sent in world.sent
+        if sent.began > since
+        and sent.status == 503
+        and sent.seconds > _REFUSED_SECONDS
+    ]
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[BrittleWorld]:
+    """Returns six fronts before four upstreams."""
+    made = BrittleWorld(tmp_path, 6)
+    try:
+        await made.start()
+        yield made
+    finally:
+        made.stop()
+
+
 class TestBrittleUpstreams:
     @pytest.mark.parametrize(
         ("fronts", "share"), [(6, 0.7), (6, 1.3), (24, 0.6)]
@@ -48,16 +82,43 @@
         try:
             await world.start()
             tight_at = await play(world, share)
-            assert len(world.ledger.falls) <= 2 + 0.1 * len(world.upstreams)
+            check_falls(world)
             fits = min(1.0, 1.0 / share)
             assert world.served_since(tight_at) >= _USED_SHARE * fits
-            slow = [
-                sent
-                for sent in world.sent
-                if sent.began > tight_at
-                and sent.status == 503
-                and sent.seconds > _REFUSED_SECONDS
-            ]
-            assert slow == []
+            assert list_slow_refusals(world, tight_at) == []
         finally:
             world.stop()
+
+    async def test_a_lost_owner_neither_fells_them_nor_stops_service(
+        self, world: BrittleWorld
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        killed_at = loop.time() + 5.0
+        loop.call_at(killed_at, world.kill_owner)
+        await play(world, 0.7)
+        check_falls(world)
+        # An election takes two seconds, and the reports of fronts one.
+        assert world.served_since(killed_at + 4.0) >= _USED_SHARE
+        assert list_slow_refusals(world, killed_at) == []
+
+    async def test_upstreams_with_fewer_slots_than_they_say_stay_up(
+        self, world: BrittleWorld
+    ) -> None:
+        for upstream in world.upstreams:
+            upstream.slots = SLOTS + 3
+        await asyncio.sleep(1.0)
+        await play(world, 1.3)
+        check_falls(world)
+
+    async def test_starts_that_are_back_together_do_not_fall_again(
+        self, world: BrittleWorld
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        back_at = loop.time() + 5.0 + DOWN_SECONDS
+        for upstream in world.upstreams:
+            loop.call_at(back_at - DOWN_SECONDS, upstream.fall_over)
+        await play(world, 1.3)
+        assert world.ledger.falls == []
+        # Their limits grow from one request each.
+        served = world.served_since(back_at + 2.0)
+        assert served >= _USED_SHARE / 1.3
