--- a/testing/brittle_world.py
+++ b/testing/brittle_world.py
@@ -61,7 +61,7 @@
         # Rejections per second that it bears; None while it isn't brittle.
         self.bound: float | None = None
         self._queue = _QUEUE
-        self._brittle_ledger = ledger
+        self.brittle_ledger = ledger
 
     def _begin_incarnation(self) -> None:
         super()._begin_incarnation()
@@ -113,12 +113,12 @@
     async def _reject(self, call: Call) -> None:
         now = asyncio.get_running_loop().time()
         if self.bound is not None:
-            self._brittle_ledger.rejected.append((now, self.name))
+            self.brittle_ledger.rejected.append((now, self.name))
             self._rejections.append(now)
             while self._rejections[0] <= now - 1.0:
                 self._rejections.popleft()
             if len(self._rejections) > self.bound:
-                self._brittle_ledger.falls.append((now, self.name))
+                self.brittle_ledger.falls.append((now, self.name))
                 self.fall_over()
                 return
         await call.answer(503, b"", "Not-Run: 1", *self._bound_headers())
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -35,6 +35,7 @@
     "named_limit",
     "crowded",
     "mixed",
+    "fell",
     "memory",
     "unlogged",
     "exit",
@@ -72,6 +73,7 @@
         await world.start()
         world.start_repeating_callers()
         world.start_stream_clients()
+        world.start_brittle_load()
         faults = Faults(world)
         record = PressureRecord()
         pressure = Pressure(world, record)
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -10,6 +10,7 @@
     QUOTA_WINDOW_SECONDS,
     REVOKE_SECONDS,
 )
+from testing.soak.brittle import list_falls
 from testing.soak.clients import NOT_RUN_STATUSES, UNSAFE, RequestOutcome
 from testing.soak.faults import InjectedFault
 from testing.soak.keys import COMPLIANT, LIMIT_PER_SECOND, LIMITED
@@ -129,6 +130,8 @@
     mixed = list_mixed(world.streams)
     if len(mixed) > _MAX_MIXED:
         verdict.violations["mixed"] = mixed
+    for line in list_falls(world):
+        verdict.record_violation("fell", line)
     for name, record in world.ledger.instances.items():
         _check_announcements(verdict, world, name, record)
         _check_upstream_limits(verdict, world, name, record)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from testing.brittle_world import BrittleUpstream
 from testing.platform_world import Vm
 from testing.soak.__main__ import run_seed, summarize
+from testing.soak.brittle import BrittleRecord, make_upstreams
 from testing.soak.checks import Verdict, judge
 from testing.soak.clients import RequestOutcome
 from testing.soak.faults import InjectedFault
@@ -59,6 +61,8 @@
         self.fronts: list[object] = []
         self.links: dict[str, UpstreamLinks] = {}
         self.streams: list[StreamRecord] = []
+        self.brittle = BrittleRecord()
+        self.brittle_upstreams: list[BrittleUpstream] = []
         self.paused_until: dict[str, float] = {}
         self.disturbed: dict[str, list[float]] = {}
         self.pressure = PressureRecord()
@@ -74,6 +78,17 @@
 
 
 class TestChecks:
+    @pytest.mark.parametrize(("falls", "found"), [(2, 0), (3, 1)])
+    async def test_brittle_upstreams_that_fall_too_often_are_found(
+        self, falls: int, found: int
+    ) -> None:
+        world = RecordedWorld()
+        world.brittle_upstreams = make_upstreams([], 1)
+        ledger = world.brittle_upstreams[0].brittle_ledger
+        world.brittle.times = [(1.0, 2.0)]
+        ledger.falls = [(1.5, "i-1")] * falls + [(2.5, "i-1")]
+        assert world.judge().count("fell") == found
+
     @pytest.mark.parametrize(("mixed", "found"), [(2, 0), (3, 3)])
     def test_streams_of_two_software_versions_are_found(
         self, mixed: int, found: int
@@ -242,8 +257,8 @@
             "soak: seeds=2 requests=15 lost=0 doubled=2 false_not_run=0"
             " reverted=0 cut=0 harmful=0 shut_out=0 rest=0 leaving=0"
             " customer=0 revoked=0 refused_key=0 limit=0"
-            " refused_within=0 named_limit=0 crowded=0 mixed=0 memory=0"
-            " unlogged=0 exit=0 open=1"
+            " refused_within=0 named_limit=0 crowded=0 mixed=0 fell=0"
+            " memory=0 unlogged=0 exit=0 open=1"
         )
 
 
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -9,6 +9,12 @@
 import msgspec
 
 from testing.platform_world import PlatformDeployment, Vm, send_http_request
+from testing.soak.brittle import (
+    BRITTLE,
+    BrittleLoad,
+    BrittleRecord,
+)
+from testing.soak.brittle import make_upstreams as make_brittle_upstreams
 from testing.soak.clients import (
     SAFE,
     SHARED,
@@ -46,8 +52,9 @@
 _PROXIED_PORT_OFFSET = 5
 
 
-_ROUTE_KINDS = {SHARED: "safe", VERSIONED: "stream"}
-# Every such seed has a service with two software versions.
+_ROUTE_KINDS = {SHARED: "safe", VERSIONED: "stream", BRITTLE: "safe"}
+# Every such seed has a service with two software versions, and the one after
+# it a service of brittle upstreams.
 _VERSIONED_SEEDS = 3
 _STREAM_CLIENTS = 6
 
@@ -65,6 +72,7 @@
         "stream": "engine",
         SHARED: SHARED,
         VERSIONED: VERSIONED,
+        BRITTLE: BRITTLE,
     }
     routes = [
         {
@@ -77,7 +85,7 @@
             "goal_ms": 500,
             "priority": 0,
             "service": service,
-            "attempts": 2 if kind in ("safe", SHARED, VERSIONED) else 1,
+            "attempts": 1 if kind in ("unsafe", "stream") else 2,
         }
         for kind, service in kinds.items()
     ]
@@ -93,6 +101,7 @@
         plain,
         {**plain, "name": SHARED},
         {**plain, "name": VERSIONED},
+        {**plain, "name": BRITTLE},
         {**plain, "name": "engine", "engine": engine},
     ]
     return msgspec.json.encode(
@@ -183,6 +192,12 @@
             if seed % _VERSIONED_SEEDS
             else make_upstreams(self.ledger, addresses, seed)
         )
+        self.brittle = BrittleRecord()
+        self.brittle_upstreams = (
+            make_brittle_upstreams(addresses, seed)
+            if seed % _VERSIONED_SEEDS == 1
+            else []
+        )
         self.links = {
             vm.name: self._make_links(vm) for vm in self.fronts[:linked]
         }
@@ -196,6 +211,7 @@
             *self.upstreams,
             *self.shared_upstreams,
             *self.versioned_upstreams,
+            *self.brittle_upstreams,
         ]
 
     def _make_links(self, vm: Vm) -> UpstreamLinks:
@@ -260,6 +276,12 @@
             releasing = run_releases(self.versioned_upstreams, rng)
             self._tasks.append(asyncio.create_task(releasing))
 
+    def start_brittle_load(self) -> None:
+        """Starts the callers of the service of brittle upstreams."""
+        if self.brittle_upstreams:
+            load = BrittleLoad(self, self.choose_steady_key)
+            self._tasks.append(asyncio.create_task(load.run()))
+
     def _make_caller(self, vm: Vm, number: int) -> Caller:
         front = (vm.name, f"{vm.ip}:{self._ports[0]}")
         rng = random.Random(self.rng.random())
