Log which prompt parts were aboard of upstreams that ended

No line showed whether requests that were cut have a part in common, or whether the upstream had begun to answer them, so that the hypotheses couldn't be told apart. Parts are logged as keyed hashes. No decision changes.

--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -44,6 +44,8 @@
         splitter: splits a stream that may be resumed; None for others.
         sent_at: when the request was last sent to an upstream; 0 if never.
         first_event_at: when the first part of a stream arrived; 0 before.
+        attempt_event_at: when the upstream that has the request now sent its
+            first part of a stream; 0 before.
     """
 
     def __init__(
@@ -58,12 +60,18 @@
         self.splitter: EventSplitter | None = None
         self.sent_at = 0.0
         self.first_event_at = 0.0
+        self.attempt_event_at = 0.0
         self._front = front
         self._facts = facts
         self._search = search
         self._answer = answer
         self._loop = asyncio.get_running_loop()
 
+    def begin_attempt(self) -> None:
+        """Records that the request is sent to an upstream now."""
+        self.sent_at = self._loop.time()
+        self.attempt_event_at = 0.0
+
     @property
     def last_event(self) -> str:
         """Id of the last event that the client has; empty without one."""
@@ -253,7 +261,8 @@
             self._front.service_admission.record_calls(upstream.name, calls)
 
     def _record_first_event(self) -> None:
-        """Records the time until the first event, once."""
+        """Records the time until the first event, once for the request."""
+        self.attempt_event_at = self.attempt_event_at or self._loop.time()
         if self.first_event_at:
             return
         now = self.first_event_at = self._loop.time()
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -724,7 +724,7 @@
         chooser = self._front.chooser
         artifact = self._facts.artifact
         chooser.record_start(upstream.name, artifact)
-        self._relay.sent_at = self._loop.time()
+        self._relay.begin_attempt()
         self._search.limit_draws.record_sent(upstream.name, self._relay.sent_at)
         chooser.outcomes.record_sent(upstream.name, self._relay.sent_at)
         self._last_upstream = upstream.name
@@ -1023,7 +1023,8 @@
             view_age=round(now - self._front.fleet.view.updated_at, 3),
         )
         if failure.cut:
-            self._suspect.record_cut(upstream)
+            has_begun = self._relay.attempt_event_at > 0
+            self._suspect.record_cut(upstream, has_begun=has_begun)
 
     def _may_retry(self, route: Route, failure: Failure) -> bool:
         """Whether the request may go to another upstream.
--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -53,11 +53,14 @@
     Attributes:
         upstream: name of the upstream.
         aboard: the requests that it served when it ended.
+        parts: hashes of prompt parts, with the number of these requests that
+            had brought no event yet and contain them.
         index: of the report in the log; 0 until it is there.
     """
 
     upstream: str
     aboard: set[Fingerprint] = attrs.Factory(set)
+    parts: collections.Counter[str] = attrs.Factory(collections.Counter)
     index: int = 0
 
 
@@ -145,20 +148,29 @@
 
     # -- observations --------------------------------------------------
 
-    def record_cut(self, upstream: Upstream, identity: Identity) -> None:
+    def record_cut(
+        self, upstream: Upstream, identity: Identity, *, has_begun: bool
+    ) -> None:
         """Records a request whose channel ended before its answer did.
 
         Args:
             upstream: that served the request.
             identity: of the request.
+            has_begun: whether the upstream had sent an event.
         """
         if not self._fingerprints.key:
             return
+        end = self._find_end(upstream)
+        if not has_begun:
+            end.parts.update(map(self._fingerprints.hash_part, identity.parts))
         if self._recent_answers.is_answered(
             identity.local_hash(), self._loop.time()
         ):
             return
-        fingerprint = self._fingerprints.compute(identity)
+        end.aboard.add(self._fingerprints.compute(identity))
+
+    def _find_end(self, upstream: Upstream) -> _UpstreamEnd:
+        """Returns the possible end of an upstream, which is then probed."""
         end = self._unprobed_ends.get(upstream.name)
         if end is None:
             end = self._unprobed_ends[upstream.name] = _UpstreamEnd(
@@ -167,7 +179,7 @@
             probe = asyncio.create_task(self._probe(upstream, end))
             self._probes.add(probe)
             probe.add_done_callback(self._probes.discard)
-        end.aboard.add(fingerprint)
+        return end
 
     async def is_gone(self, upstream: Upstream) -> bool:
         """Whether an upstream that has just closed a channel has ended."""
@@ -188,8 +200,9 @@
             peer=upstream.address,
             is_gone=is_gone,
             requests=sorted(f.content for f in end.aboard),
+            parts=end.parts,
         )
-        if is_gone:
+        if is_gone and end.aboard:
             self._unreported_ends.append(end)
             self._reports_pending.set()
 
--- a/src/ridgesill/app/suspect_request.py
+++ b/src/ridgesill/app/suspect_request.py
@@ -49,6 +49,8 @@
             request.target,
             caller,
             request.body,
+            # The last part belongs to the request itself or to its session.
+            tuple(name for name, _ in self._facts.parts[:-1]),
         )
 
     def _find_suspect(self) -> Fingerprint | None:
@@ -69,9 +71,16 @@
         )
         return True
 
-    def record_cut(self, upstream: Upstream) -> None:
-        """Records that the upstream's channel ended before the answer did."""
-        self._quarantine.record_cut(upstream, self._identity())
+    def record_cut(self, upstream: Upstream, *, has_begun: bool) -> None:
+        """Records that the upstream's channel ended before the answer did.
+
+        Args:
+            upstream: that served the request.
+            has_begun: whether the upstream had sent an event.
+        """
+        self._quarantine.record_cut(
+            upstream, self._identity(), has_begun=has_begun
+        )
 
     def record_served(self) -> None:
         """Records that the request was answered, which clears it."""
--- a/src/ridgesill/core/serving/fingerprints.py
+++ b/src/ridgesill/core/serving/fingerprints.py
@@ -12,10 +12,11 @@
 from ridgesill.core.codec import register
 
 # Length of the target hash, which only decides whether the content hash is
-# computed; and of the content hash, which decides whether a request is refused,
-# so that collisions must be negligible.
+# computed; of the content hash, which decides whether a request is refused, so
+# that collisions must be negligible; and of the hash of a prompt part.
 _TARGET_BYTES = 8
 _CONTENT_BYTES = 16
+_PART_BYTES = 16
 
 
 @register
@@ -44,6 +45,7 @@
         target: path and query.
         caller: the address of the caller, without the port.
         body: the whole body.
+        parts: ids of the parts of its prompt that other requests may share.
     """
 
     method: bytes
@@ -52,6 +54,8 @@
     caller: str
     body: bytes
 
+    parts: tuple[str, ...] = ()
+
     def local_hash(self) -> int:
         """Returns a hash of the content that is only valid in this process."""
         return hash_locally(self.method, self.host, self.target, self.body)
@@ -81,6 +85,13 @@
         )
         return hasher.hexdigest()
 
+    def hash_part(self, name: str) -> str:
+        """Returns the hash of a prompt part's id."""
+        hasher = hashlib.blake2b(
+            name.encode(), key=self.key, digest_size=_PART_BYTES, person=b"part"
+        )
+        return hasher.hexdigest()
+
     def compute(self, identity: Identity) -> Fingerprint:
         """Returns the fingerprint of a request."""
         hasher = hashlib.blake2b(key=self.key, digest_size=_CONTENT_BYTES)
--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -83,7 +83,7 @@
     ) -> None:
         """Has a front observe that an upstream cut requests."""
         for identity in identities:
-            front.record_cut(upstream(number), identity)
+            front.record_cut(upstream(number), identity, has_begun=False)
         await asyncio.sleep(0.06)
 
     def is_refused(self, front: Quarantine, identity: Identity) -> bool:
