--- a/testing/scenarios/test_brittle_upstreams.py
+++ b/testing/scenarios/test_brittle_upstreams.py
@@ -16,8 +16,8 @@
     SLOTS,
     TIGHT_AFTER_SECONDS,
     BrittleWorld,
-    Sent,
 )
+from testing.service_world import Sent
 
 pytestmark = pytest.mark.process
 
@@ -84,7 +84,7 @@
             tight_at = await play(world, share)
             check_falls(world)
             fits = min(1.0, 1.0 / share)
-            assert world.served_since(tight_at) >= _USED_SHARE * fits
+            assert world.served_between(tight_at) >= _USED_SHARE * fits
             assert list_slow_refusals(world, tight_at) == []
         finally:
             world.stop()
@@ -98,13 +98,13 @@
         await play(world, 0.7)
         check_falls(world)
         # An election takes two seconds, and the reports of fronts one.
-        assert world.served_since(killed_at + 4.0) >= _USED_SHARE
+        assert world.served_between(killed_at + 4.0) >= _USED_SHARE
         assert list_slow_refusals(world, killed_at) == []
 
     async def test_upstreams_with_fewer_slots_than_they_say_stay_up(
         self, world: BrittleWorld
     ) -> None:
-        for upstream in world.upstreams:
+        for upstream in world.brittle_upstreams:
             upstream.slots = SLOTS + 3
         await asyncio.sleep(1.0)
         await play(world, 1.3)
@@ -115,10 +115,10 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         back_at = loop.time() + 5.0 + DOWN_SECONDS
-        for upstream in world.upstreams:
+        for upstream in world.brittle_upstreams:
             loop.call_at(back_at - DOWN_SECONDS, upstream.fall_over)
         await play(world, 1.3)
         assert world.ledger.falls == []
         # Their limits grow from one request each.
-        served = world.served_since(back_at + 2.0)
+        served = world.served_between(back_at + 2.0)
         assert served >= _USED_SHARE / 1.3
