Quarantine parts of prompts that end upstreams

Cause: ends were counted by whole requests, and no two of these requests are alike.

Ends are now counted against the parts of the requests aboard too, except the last one, which is the request's own. Sound requests share the other parts and are aboard of the same ends. Three ends under two or more different requests put a part in quarantine; an end under it then blames nothing else. A part that was aboard by chance is freed by a further end of the cause, or by one of two trials, which the log grants to one front each.

--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -19,7 +19,7 @@
 from ridgesill.app.upstream_search import UpstreamSearch
 from ridgesill.core.completeness import Completeness
 from ridgesill.core.fleet.messages import Upstream
-from ridgesill.core.serving.events import EventSplitter
+from ridgesill.core.serving.events import EventSplitter, find_last_end
 from ridgesill.core.serving.stream_gaps import StreamGaps
 from ridgesill.ports.dialect import RequestFacts
 from ridgesill.ports.http import ChannelError, ResponseHead
@@ -44,8 +44,8 @@
         splitter: splits a stream that may be resumed; None for others.
         sent_at: when the request was last sent to an upstream; 0 if never.
         first_event_at: when the first part of a stream arrived; 0 before.
-        attempt_event_at: when the upstream that has the request now sent its
-            first part of a stream; 0 before.
+        attempt_event_at: when the upstream that has the request now had sent a
+            whole event; 0 before.
     """
 
     def __init__(
@@ -179,6 +179,7 @@
                 gaps.record_data(data, arrived_at)
                 self._search.report_reading_ended(was_read=True)
                 self._record_first_event()
+                self._record_begun(data)
                 self._send_head(upstream, head)
                 if splitter is not None:
                     self._search.software = upstream.software
@@ -260,9 +261,18 @@
         if calls is not None:
             self._front.service_admission.record_calls(upstream.name, calls)
 
+    def _record_begun(self, data: bytes) -> None:
+        """Records that the upstream writes, once it has sent a whole event.
+
+        A part of its first event may be all that it wrote before it ended.
+        """
+        if self.attempt_event_at or not find_last_end(data):
+            return
+        self.attempt_event_at = self._loop.time()
+        self._front.quarantine.record_parts_answered(self._facts.shared_parts)
+
     def _record_first_event(self) -> None:
         """Records the time until the first event, once for the request."""
-        self.attempt_event_at = self.attempt_event_at or self._loop.time()
         if self.first_event_at:
             return
         now = self.first_event_at = self._loop.time()
--- a/src/ridgesill/app/cli.py
+++ b/src/ridgesill/app/cli.py
@@ -118,10 +118,11 @@
             raise CommandError(str(error)) from error
 
     def quarantine(self, control: str) -> str:
-        """Lists quarantined requests and the upstreams that ended under them.
+        """Lists what is in quarantine, and the upstreams that ended under it.
 
-        Requests in quarantine are sent to no upstream. The fronts log each such
-        refusal as `request:quarantined`.
+        These are requests, and parts of prompts with the trials that were made
+        of them. Requests in quarantine, or with such a part, are sent to no
+        upstream. The fronts log each such refusal as `request:quarantined`.
 
         Args:
             control: IP:PORT of any control node's control address.
@@ -132,14 +133,15 @@
         return _format_json(answer)
 
     def lift(self, request: str, control: str) -> str:
-        """Releases a request from quarantine.
+        """Releases a request, or a part of prompts, from quarantine.
 
         Do so once the request no longer ends upstreams, for example after
         a repaired version was deployed. If it ends three more upstreams, it
         is put into quarantine again.
 
         Args:
-            request: the request's name in the output of `quarantine`.
+            request: the name of the request or part in the output of
+                `quarantine`.
             control: IP:PORT of any control node's control address.
         """
         from ridgesill.platform.control_calls import LIFT_PATH
--- a/src/ridgesill/app/control_api.py
+++ b/src/ridgesill/app/control_api.py
@@ -157,10 +157,14 @@
             await self._control.confirm_latest(_CONFIRM_LATEST_SECONDS)
         except UnavailableError as error:
             return _reply_unavailable("quarantine", str(error))
-        listing = [
+        listing: list[dict[str, Any]] = [
             {"request": suspect.fingerprint.content, "ended": suspect.ends}
             for suspect in self._control.state.suspects.quarantined()
         ]
+        listing += [
+            {"part": part.part, "ended": part.ends, "trials": part.trials}
+            for part in self._control.state.harmful_parts.quarantined()
+        ]
         return CallReply(200, document=msgspec.json.encode(listing))
 
     @_handle_call.register
@@ -182,8 +186,12 @@
 
     @_handle_call.register
     async def _(self, call: LiftQuarantineCall) -> CallReply:
-        if not self._control.state.suspects.has_content(call.request):
-            return CallReply(404, "nothing is held against such a request")
+        state = self._control.state
+        is_suspected = state.suspects.has_content(call.request)
+        if not is_suspected and state.harmful_parts.find(call.request) is None:
+            return CallReply(
+                404, "nothing is held against such a request or part"
+            )
         command = LiftQuarantine(call.request)
         try:
             await self._control.propose(command, _PROPOSE_SECONDS)
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -76,12 +76,10 @@
 # Channels that were idle for longer aren't used for requests that aren't
 # idempotent: the upstream may just have closed them.
 _UNSAFE_IDLE_SECONDS = 3.0
-# Retry delay for requests in quarantine. Only an operator lifts a quarantine,
-# so a client that honours this delay has in practice stopped retrying.
-_QUARANTINE_RETRY_SECONDS = 3600.0
+# Least retry delay for requests in quarantine.
+_QUARANTINE_RETRY_SECONDS = 1.0
 # A retry soon after reaches another front, on a new channel.
 _FRONT_FULL_REFUSAL = Refusal("front_full", 0.1)
-_QUARANTINE_REFUSAL = Refusal("quarantined", _QUARANTINE_RETRY_SECONDS)
 _OK = 200
 _REDIRECT = 300
 _SERVER_ERROR = 500
@@ -241,12 +239,20 @@
         """Returns why the request is refused whatever else holds."""
         if self._may_outlast_front():
             return Refusal("stopping", _STOPPING_RETRY_SECONDS)
-        if self._suspect.is_quarantined():
-            return _QUARANTINE_REFUSAL
+        if (refusal := self._refuse_in_quarantine()) is not None:
+            return refusal
         if self._is_front_full():
             return _FRONT_FULL_REFUSAL
         return None
 
+    def _refuse_in_quarantine(self) -> Refusal | None:
+        """Returns a refusal if the request, or a part of it, is harmful."""
+        seconds = self._suspect.quarantine_seconds()
+        if seconds is None:
+            return None
+        retry_after = max(seconds, _QUARANTINE_RETRY_SECONDS)
+        return Refusal("quarantined", retry_after)
+
     def _can_decide(self) -> bool:
         """Whether this front can check routes, keys and quotas."""
         table = self._front.table
@@ -569,10 +575,9 @@
                 else:
                     self._give_up(upstream)
                 return
-            if self._suspect.is_quarantined():
-                # It was quarantined since it arrived: more upstreams ended
-                # while they served it.
-                self._give_up(_QUARANTINE_REFUSAL)
+            if (refusal := self._refuse_in_quarantine()) is not None:
+                # It was quarantined since it arrived: more upstreams ended.
+                self._give_up(refusal)
                 return
             failure = await self._send(route, upstream)
             if failure is None:
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -404,6 +404,7 @@
             ),
             "ridgesill_fronts": lambda: view.fronts,
             "ridgesill_quarantined_requests": self.front.quarantine.count,
+            "ridgesill_quarantined_parts": self.front.quarantine.count_parts,
             "ridgesill_damaged_messages": (
                 lambda: self._peers.traffic.damaged + self._datagrams.damaged
             ),
--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -1,26 +1,36 @@
 """Detects and refuses requests that end the upstreams that serve them.
 
-All fronts share their observations through the replicated log.
+Either a request does so as a whole, or a part of its prompt. All fronts share
+their observations through the replicated log.
 """
 
 import asyncio
 import collections
 import random
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any
 
 import attrs
 from eliot import log_message
 
 from ridgesill.app.control import UnavailableError
+from ridgesill.app.quarantine_trials import QuarantineTrials
 from ridgesill.core.commands import (
+    ClearParts,
     ClearSuspects,
     Done,
     NoteUpstreamEnd,
     PutFingerprintKey,
+    TrialAnswer,
 )
 from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.harmful_parts import (
+    HarmfulParts,
+    PartSighting,
+    SuspectPart,
+)
+from ridgesill.core.serving.answered_parts import AnsweredParts
 from ridgesill.core.serving.fingerprints import (
     Fingerprint,
     Fingerprinter,
@@ -44,6 +54,11 @@
 _MAX_KEY_DELAY_SECONDS = 3.0
 # Ends kept until they are in the log; the oldest are dropped beyond this.
 _MAX_UNREPORTED = 512
+# A front waits a random time, up to this, before it clears parts in the log:
+# all fronts that have answered on a part learn at once that it is suspected.
+_MAX_CLEAR_DELAY_SECONDS = 0.1
+# Parts of a request that are counted, so that no request fills the log.
+_MAX_PARTS = 64
 
 
 @attrs.define(eq=False)
@@ -53,14 +68,13 @@
     Attributes:
         upstream: name of the upstream.
         aboard: the requests that it served when it ended.
-        parts: hashes of prompt parts, with the number of these requests that
-            had brought no event yet and contain them.
+        sightings: prompt parts of the requests that had brought no event.
         index: of the report in the log; 0 until it is there.
     """
 
     upstream: str
     aboard: set[Fingerprint] = attrs.Factory(set)
-    parts: collections.Counter[str] = attrs.Factory(collections.Counter)
+    sightings: set[PartSighting] = attrs.Factory(set)
     index: int = 0
 
 
@@ -81,6 +95,12 @@
         self._recent_answers = RecentAnswers()
         self._loop = asyncio.get_running_loop()
         self._suspects = Suspects()
+        self._answered_parts = AnsweredParts()
+        self._parts_in_log = HarmfulParts()
+        # The parts in the log, with what isn't reported yet.
+        self._parts = HarmfulParts()
+        self._cleared_parts: set[str] = set()
+        self._trials = QuarantineTrials()
         self._index = 0
         # Upstreams that cut requests and haven't been probed yet, by name.
         self._unprobed_ends: dict[str, _UpstreamEnd] = {}
@@ -103,6 +123,38 @@
         if self._fingerprints.key != state.fingerprint_key:
             self._fingerprints = Fingerprinter(state.fingerprint_key)
         self._discard_reported()
+        self._parts_in_log = state.harmful_parts
+        self._judge_parts()
+        self._clear_answered_parts()
+
+    def _judge_parts(self) -> None:
+        """Combines the parts in the log with what isn't reported yet."""
+        if not (self._parts_in_log or self._parts or self._unreported_ends):
+            return
+        self._parts = HarmfulParts(self._parts_in_log)
+        for end in self._unreported_ends:
+            if end.sightings:
+                self._parts.record_end(end.upstream, end.sightings)
+        self._parts.clear(self._cleared_parts)
+        quarantined = self._parts.quarantined()
+        self._trials.watch(quarantined, self._loop.time())
+
+    def _clear_answered_parts(self) -> None:
+        """Clears the suspected parts that were answered on here recently."""
+        if not self._parts:
+            return
+        now = self._loop.time()
+        for name in self._answered_parts.list_recent(now):
+            part = self._fingerprints.hash_part(name)
+            if self._parts.find(part) is not None:
+                self._clear_part(part)
+
+    def _clear_part(self, part: str) -> None:
+        self._cleared_parts.add(part)
+        self._parts.clear([part])
+        for end in self._unreported_ends:
+            end.sightings = {s for s in end.sightings if s.part != part}
+        self._reports_pending.set()
 
     def _discard_reported(self) -> None:
         """Discards the ends observed here that are now in the state."""
@@ -113,7 +165,7 @@
     # -- checks --------------------------------------------------------
 
     def has_suspects(self) -> bool:
-        """Whether any request is suspected."""
+        """Whether any request is suspected as a whole."""
         return bool(self._suspects) or bool(self._unreported_ends)
 
     def find_suspect(self, identity: Identity) -> Fingerprint | None:
@@ -146,6 +198,36 @@
         """Returns the number of requests in quarantine."""
         return len(self._suspects.quarantined())
 
+    def count_parts(self) -> int:
+        """Returns the number of prompt parts in quarantine."""
+        return len(self._parts.quarantined())
+
+    def find_harmful_part(self, parts: Collection[str]) -> SuspectPart | None:
+        """Returns the first part in quarantine, or None.
+
+        Args:
+            parts: ids of the parts that a request shares with others.
+        """
+        if not self._parts:
+            return None
+        for name in parts:
+            suspect = self._parts.find(self._fingerprints.hash_part(name))
+            if suspect is not None and suspect.is_quarantined:
+                return suspect
+        return None
+
+    def takes_trial(self, suspect: SuspectPart) -> bool:
+        """Whether a request with a part in quarantine is sent as a trial."""
+        now = self._loop.time()
+        is_taken = self._trials.take(suspect, now)
+        if self._trials.wanted:
+            self._reports_pending.set()
+        return is_taken
+
+    def seconds_until_trial(self, suspect: SuspectPart) -> float:
+        """Returns the seconds until a part in quarantine may be tried."""
+        return self._trials.seconds_left(suspect, self._loop.time())
+
     # -- observations --------------------------------------------------
 
     def record_cut(
@@ -162,13 +244,26 @@
             return
         end = self._find_end(upstream)
         if not has_begun:
-            end.parts.update(map(self._fingerprints.hash_part, identity.parts))
+            end.sightings |= self._list_sightings(identity)
         if self._recent_answers.is_answered(
             identity.local_hash(), self._loop.time()
         ):
             return
         end.aboard.add(self._fingerprints.compute(identity))
 
+    def _list_sightings(self, identity: Identity) -> set[PartSighting]:
+        """Returns the parts of a request that may have ended its upstream."""
+        now = self._loop.time()
+        parts = identity.parts[:_MAX_PARTS]
+        unanswered = self._answered_parts.list_unanswered(parts, now)
+        if not unanswered:
+            return set()
+        request = self._fingerprints.compute(identity).content
+        return {
+            PartSighting(self._fingerprints.hash_part(name), request)
+            for name in unanswered
+        }
+
     def _find_end(self, upstream: Upstream) -> _UpstreamEnd:
         """Returns the possible end of an upstream, which is then probed."""
         end = self._unprobed_ends.get(upstream.name)
@@ -200,10 +295,11 @@
             peer=upstream.address,
             is_gone=is_gone,
             requests=sorted(f.content for f in end.aboard),
-            parts=end.parts,
+            parts=sorted({s.part for s in end.sightings}),
         )
-        if is_gone and end.aboard:
+        if is_gone and (end.aboard or end.sightings):
             self._unreported_ends.append(end)
+            self._judge_parts()
             self._reports_pending.set()
 
     def record_answered(self, local_hash: int) -> None:
@@ -216,6 +312,23 @@
         """
         self._recent_answers.record(local_hash, self._loop.time())
 
+    def record_parts_answered(self, parts: Collection[str]) -> None:
+        """Records that an upstream has begun to answer on parts.
+
+        That clears those that are suspected, for a while and at all fronts.
+
+        Args:
+            parts: ids of the parts.
+        """
+        if not parts:
+            return
+        self._answered_parts.record(parts, self._loop.time())
+        if not self._parts:
+            return
+        for part in map(self._fingerprints.hash_part, parts):
+            if self._parts.find(part) is not None:
+                self._clear_part(part)
+
     def clear_suspect(self, fingerprint: Fingerprint) -> None:
         """Clears a request of suspicion because it has a complete answer."""
         for end in self._unreported_ends:
@@ -240,13 +353,59 @@
             await self._reports_pending.wait()
             self._reports_pending.clear()
             for end in [end for end in self._unreported_ends if not end.index]:
-                note_end = NoteUpstreamEnd(end.upstream, tuple(end.aboard))
+                note_end = NoteUpstreamEnd(
+                    end.upstream, tuple(end.aboard), tuple(end.sightings)
+                )
                 end.index = await self._report(propose, note_end)
                 self._discard_reported()
             cleared, self._cleared = self._cleared, set()
             if cleared:
                 clear = ClearSuspects(tuple(cleared))
                 await self._report(propose, clear)
+            await self._report_cleared_parts(propose)
+            await self._ask_for_trials(propose)
+
+    async def _report_cleared_parts(self, propose: Propose) -> None:
+        """Clears parts in the log, unless another front has meanwhile."""
+        if not self._cleared_parts:
+            return
+        await asyncio.sleep(random.uniform(0.0, _MAX_CLEAR_DELAY_SECONDS))
+        cleared = self._cleared_parts
+        known = {p for p in cleared if self._parts_in_log.find(p) is not None}
+        if known:
+            log_message("quarantine:parts_cleared", parts=sorted(known))
+            await self._report(propose, ClearParts(tuple(sorted(known))))
+        cleared -= known
+        self._cleared_parts = {
+            part for part in cleared if self._is_unreported(part)
+        }
+
+    def _is_unreported(self, part: str) -> bool:
+        """Whether an end that isn't in the log yet counts against a part."""
+        return any(
+            sighting.part == part
+            for end in self._unreported_ends
+            for sighting in end.sightings
+        )
+
+    async def _ask_for_trials(self, propose: Propose) -> None:
+        wanted, self._trials.wanted = self._trials.wanted, set()
+        for command in wanted:
+            try:
+                answer: TrialAnswer = await propose(
+                    command, _PROPOSE_TIMEOUT_SECONDS
+                )
+            except UnavailableError as error:
+                log_message("quarantine:not_told", detail=str(error))
+                continue
+            log_message(
+                "quarantine:trial",
+                part=command.part,
+                number=command.number,
+                granted=answer.granted,
+            )
+            if answer.granted:
+                self._trials.grant(command.part, self._loop.time())
 
     async def _report(self, propose: Propose, command: Any) -> int:
         """Proposes a command until it is in the log, and returns its index."""
--- a/src/ridgesill/app/suspect_request.py
+++ b/src/ridgesill/app/suspect_request.py
@@ -4,6 +4,7 @@
 
 from ridgesill.app.quarantine import Quarantine
 from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.harmful_parts import SuspectPart
 from ridgesill.core.serving.fingerprints import (
     Fingerprint,
     Identity,
@@ -12,6 +13,11 @@
 from ridgesill.ports.dialect import RequestFacts
 from ridgesill.ports.http import HttpRequest
 
+# Retry delay for a request that ends upstreams as a whole, in seconds. Only an
+# operator lifts its quarantine, so a client that honours this delay has in
+# practice stopped retrying.
+_QUARANTINE_SECONDS = 3600.0
+
 
 class SuspectRequest:
     """Checks one request against the quarantine and reports its outcome.
@@ -32,6 +38,8 @@
         self._request = request
         self._facts = facts
         self._customer = ""
+        # Whether it finds out if a part of its prompt is harmful.
+        self._is_trial = False
 
     def set_customer(self, customer: str) -> None:
         """Sets the customer, who identifies the caller instead of its address.
@@ -49,8 +57,7 @@
             request.target,
             caller,
             request.body,
-            # The last part belongs to the request itself or to its session.
-            tuple(name for name, _ in self._facts.parts[:-1]),
+            self._facts.shared_parts,
         )
 
     def _find_suspect(self) -> Fingerprint | None:
@@ -58,7 +65,26 @@
             return None
         return self._quarantine.find_suspect(self._identity())
 
-    def is_quarantined(self) -> bool:
+    def quarantine_seconds(self) -> float | None:
+        """Returns how long the request is in quarantine; None if it isn't."""
+        part = self._quarantine.find_harmful_part(self._facts.shared_parts)
+        if part is not None and not self._is_trial:
+            self._is_trial = self._quarantine.takes_trial(part)
+            if not self._is_trial:
+                self._log_part(part)
+                return self._quarantine.seconds_until_trial(part)
+        return _QUARANTINE_SECONDS if self._is_quarantined() else None
+
+    def _log_part(self, part: SuspectPart) -> None:
+        log_message(
+            "request:quarantined",
+            request=self._facts.request,
+            fingerprint=part.part,
+            is_part=True,
+            ended=list(part.ends),
+        )
+
+    def _is_quarantined(self) -> bool:
         """Whether too many upstreams ended while they served the request."""
         suspect = self._find_suspect()
         if suspect is None or not self._quarantine.is_quarantined(suspect):
@@ -67,6 +93,7 @@
             "request:quarantined",
             request=self._facts.request,
             fingerprint=suspect.content,
+            is_part=False,
             ended=sorted(self._quarantine.ended_upstreams(suspect)),
         )
         return True
@@ -78,6 +105,7 @@
             upstream: that served the request.
             has_begun: whether the upstream had sent an event.
         """
+        self._is_trial = False
         self._quarantine.record_cut(
             upstream, self._identity(), has_begun=has_begun
         )
@@ -85,6 +113,7 @@
     def record_served(self) -> None:
         """Records that the request was answered, which clears it."""
         request = self._request
+        self._quarantine.record_parts_answered(self._facts.shared_parts)
         self._quarantine.record_answered(
             hash_locally(
                 request.method, self._facts.host, request.target, request.body
--- a/src/ridgesill/core/commands.py
+++ b/src/ridgesill/core/commands.py
@@ -4,6 +4,7 @@
 
 from ridgesill.core.codec import register
 from ridgesill.core.configuration import Change
+from ridgesill.core.harmful_parts import PartSighting
 from ridgesill.core.serving.fingerprints import Fingerprint
 
 
@@ -184,10 +185,13 @@
     Attributes:
         upstream: the name of the upstream, which differs at each start.
         aboard: the requests that were in flight and got no whole answer.
+        sightings: prompt parts of the requests that it had not begun to
+            answer.
     """
 
     upstream: str
     aboard: tuple[Fingerprint, ...]
+    sightings: tuple[PartSighting, ...] = ()
 
 
 @register
@@ -198,13 +202,39 @@
     served: tuple[Fingerprint, ...]
 
 
+@register
+@attrs.frozen
+class ClearParts:
+    """Clears prompt parts that upstreams have answered on.
+
+    Attributes:
+        parts: keyed hashes of their ids.
+    """
+
+    parts: tuple[str, ...]
+
+
+@register
+@attrs.frozen
+class BeginPartTrial:
+    """Asks for leave to send one request with a part that is in quarantine.
+
+    Attributes:
+        part: keyed hash of the part's id.
+        number: of the trial, from 1.
+    """
+
+    part: str
+    number: int
+
+
 @register
 @attrs.frozen
 class LiftQuarantine:
-    """Lifts the quarantine of a request, as an operator ordered.
+    """Lifts the quarantine of a request or part, as an operator ordered.
 
     Attributes:
-        content: the hash of the request's content.
+        content: the hash of the request's content, or of the part's id.
     """
 
     content: str
@@ -274,6 +304,18 @@
     record: OnceRecord
 
 
+@register
+@attrs.frozen
+class TrialAnswer:
+    """Answers a `BeginPartTrial`.
+
+    Attributes:
+        granted: whether the asker, and nobody else, may make the trial.
+    """
+
+    granted: bool
+
+
 @register
 @attrs.frozen
 class Done:
--- a/src/ridgesill/core/state.py
+++ b/src/ridgesill/core/state.py
@@ -13,6 +13,8 @@
 from ridgesill.core import codec, commands
 from ridgesill.core.commands import (
     BeginOnce,
+    BeginPartTrial,
+    ClearParts,
     ClearSuspects,
     Configure,
     ConfigureAnswer,
@@ -30,8 +32,10 @@
     PutRoutes,
     ReleasePool,
     RemoveNode,
+    TrialAnswer,
 )
 from ridgesill.core.configuration import Change, Table
+from ridgesill.core.harmful_parts import HarmfulParts, SuspectPart
 from ridgesill.core.log.messages import Entry
 from ridgesill.core.log.replica import ChangeVoters, NoOp
 from ridgesill.core.suspects import Suspect, Suspects
@@ -92,6 +96,7 @@
     artifact_versions: dict[str, int] = attrs.Factory(dict)
     fingerprint_key: bytes = b""
     suspects: tuple[Suspect, ...] = ()
+    harmful_parts: tuple[SuspectPart, ...] = ()
 
 
 class State:
@@ -114,6 +119,7 @@
         fingerprint_key: the key for hashing request fingerprints; empty until
             it is set.
         suspects: requests that were in flight when their upstreams ended.
+        harmful_parts: prompt parts that were aboard then.
     """
 
     def __init__(self) -> None:
@@ -130,6 +136,7 @@
         self.artifact_versions: dict[str, int] = {}
         self.fingerprint_key = b""
         self.suspects = Suspects()
+        self.harmful_parts = HarmfulParts()
         self._operations: OrderedDict[str, Operation] = OrderedDict()
 
     def apply(self, entry: Entry) -> Any:
@@ -233,9 +240,26 @@
 
     @_apply.register
     def _(self, command: NoteUpstreamEnd) -> Done:
-        self.suspects.record_end(command.upstream, command.aboard)
+        upstream, aboard = command.upstream, command.aboard
+        self.harmful_parts.record_end(
+            upstream,
+            command.sightings,
+            is_explained=self.suspects.explains(upstream, aboard),
+        )
+        if not self.harmful_parts.explains(upstream):
+            self.suspects.record_end(upstream, aboard)
+        return Done(self.index)
+
+    @_apply.register
+    def _(self, command: ClearParts) -> Done:
+        self.harmful_parts.clear(command.parts)
         return Done(self.index)
 
+    @_apply.register
+    def _(self, command: BeginPartTrial) -> TrialAnswer:
+        granted = self.harmful_parts.begin_trial(command.part, command.number)
+        return TrialAnswer(granted)
+
     @_apply.register
     def _(self, command: ClearSuspects) -> Done:
         self.suspects.clear(command.served)
@@ -244,6 +268,7 @@
     @_apply.register
     def _(self, command: LiftQuarantine) -> Done:
         self.suspects.lift(command.content)
+        self.harmful_parts.clear([command.content])
         return Done(self.index)
 
     # -- nodes and owners ----------------------------------------------
@@ -355,6 +380,7 @@
                 dict(self.artifact_versions),
                 self.fingerprint_key,
                 tuple(self.suspects),
+                tuple(self.harmful_parts),
             )
         )
 
@@ -380,6 +406,7 @@
         state.artifact_versions = dict(image.artifact_versions)
         state.fingerprint_key = image.fingerprint_key
         state.suspects = Suspects(image.suspects)
+        state.harmful_parts = HarmfulParts(image.harmful_parts)
         state._operations = OrderedDict(image.operations)
         return state
 
--- a/src/ridgesill/core/suspects.py
+++ b/src/ridgesill/core/suspects.py
@@ -105,6 +105,16 @@
         }
         return list(by_content.values())
 
+    def explains(self, upstream: str, aboard: Iterable[Fingerprint]) -> bool:
+        """Whether a request in quarantine was aboard when an upstream ended."""
+        return any(
+            suspect.is_quarantined and upstream in suspect.ends
+            for suspect in self._suspects.values()
+        ) or any(
+            len(self.ended_upstreams(fingerprint)) >= MIN_ENDS_FOR_QUARANTINE
+            for fingerprint in aboard
+        )
+
     def record_end(self, upstream: str, aboard: Iterable[Fingerprint]) -> None:
         """Counts the end of an upstream once for each request in flight."""
         for fingerprint in aboard:
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -51,6 +51,14 @@
     resumes: str = ""
     software: str | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt parts that other requests may contain.
+
+        The last part belongs to the request itself or to its session.
+        """
+        return tuple(name for name, _ in self.parts[:-1])
+
     @property
     def artifact(self) -> str:
         """The artifact that an upstream must hold.
--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from ridgesill.app import quarantine
+from ridgesill.app import quarantine, quarantine_trials
 from ridgesill.app.control import UnavailableError
 from ridgesill.app.quarantine import Quarantine
 from ridgesill.core import codec
@@ -329,3 +329,87 @@
         cleared = ClearSuspects((fingerprint,))
         state.apply(Entry(3, 1, codec.encode(cleared)))
         assert not state.suspects
+
+
+def with_parts(number: int, *parts: str) -> Identity:
+    """Returns a request of its own that contains parts."""
+    body = b"request %d" % number
+    return attrs.evolve(HARMFUL, body=body, parts=parts)
+
+
+class TestParts:
+    async def test_ends_under_different_requests_add_up_at_all_fronts(
+        self, fronts: Fronts
+    ) -> None:
+        observers = (fronts.first, fronts.second, fronts.first)
+        for number, front in enumerate(observers):
+            await fronts.cut(front, number, with_parts(number, "s", "bad"))
+        for front in observers:
+            found = front.find_harmful_part(["s", "bad"])
+            assert found is not None
+            assert found.is_quarantined
+
+    async def test_a_part_that_another_front_has_answered_on_is_not_blamed(
+        self, fronts: Fronts
+    ) -> None:
+        fronts.second.record_parts_answered(["s"])
+        for number in range(4):
+            await fronts.cut(
+                fronts.first, number, with_parts(number, "s", "bad")
+            )
+            await asyncio.sleep(0.15)
+        for front in (fronts.first, fronts.second):
+            assert front.find_harmful_part(["bad"]) is not None
+            assert front.find_harmful_part(["s"]) is None
+
+    async def test_requests_that_had_brought_events_blame_no_part(
+        self, fronts: Fronts
+    ) -> None:
+        for number in range(4):
+            identity = with_parts(number, "part")
+            fronts.first.record_cut(upstream(number), identity, has_begun=True)
+            await asyncio.sleep(0.06)
+        assert fronts.first.find_harmful_part(["part"]) is None
+
+    async def test_a_front_counts_its_own_ends_without_a_leader(
+        self, fronts: Fronts
+    ) -> None:
+        fronts.log.is_led = False
+        for number in range(3):
+            await fronts.cut(fronts.first, number, with_parts(number, "bad"))
+        assert fronts.first.find_harmful_part(["bad"]) is not None
+        assert fronts.second.find_harmful_part(["bad"]) is None
+        fronts.log.is_led = True
+        await asyncio.sleep(0.1)
+        assert fronts.second.find_harmful_part(["bad"]) is not None
+
+    async def test_one_front_at_a_time_tries_a_part_that_is_held(
+        self, fronts: Fronts, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(
+            quarantine_trials, "_TRIAL_AFTER_SECONDS", (0.1, 60.0)
+        )
+        for number in range(3):
+            await fronts.cut(fronts.first, number, with_parts(number, "held"))
+        both = (fronts.first, fronts.second)
+        found = [front.find_harmful_part(["held"]) for front in both]
+        assert found[0] is not None
+        assert not any(front.takes_trial(found[0]) for front in both)
+        await asyncio.sleep(0.15)
+        # Each front asks for leave, and refuses this request.
+        assert not any(front.takes_trial(found[0]) for front in both)
+        await asyncio.sleep(0.05)
+        assert sum(front.takes_trial(found[0]) for front in both) == 1
+        fronts.first.record_parts_answered(["held"])
+        await asyncio.sleep(0.2)
+        assert fronts.second.find_harmful_part(["held"]) is None
+
+    async def test_an_operator_lifts_the_quarantine_of_a_part(
+        self, fronts: Fronts
+    ) -> None:
+        for number in range(3):
+            await fronts.cut(fronts.first, number, with_parts(number, "bad"))
+        found = fronts.first.find_harmful_part(["bad"])
+        assert found is not None
+        await fronts.log.propose(LiftQuarantine(found.part), 1.0)
+        assert fronts.second.find_harmful_part(["bad"]) is None
--- a/testing/scenarios/test_harmful_parts.py
+++ b/testing/scenarios/test_harmful_parts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -33,6 +34,9 @@
 # From twice that time on, sound requests begin at least this much as often as
 # before.
 _LEAST_SHARE = 0.5
+# Ends by other causes, and the time between them in seconds.
+_OTHER_ENDS = 12
+_OTHER_ENDS_SECONDS = 1.2
 
 # Prompts with the harmful part at several places.
 PROMPTS = {
@@ -104,3 +108,31 @@
         assert world.ledger.ends
         assert count_late_sends(world) <= _SENDS_ONCE_KNOWN
         check_sound_requests(world)
+
+    async def test_upstreams_that_end_by_other_causes_blame_no_sound_part(
+        self, tmp_path: Path, worlds: list[PartsWorld]
+    ) -> None:
+        world = PartsWorld(tmp_path)
+        worlds.append(world)
+        await world.start()
+        rng = random.Random(3)
+        for number in range(_OTHER_ENDS):
+            asyncio.get_running_loop().call_later(
+                _CALM_SECONDS + number * _OTHER_ENDS_SECONDS,
+                lambda: rng.choice(world.parts_upstreams).end(),
+            )
+        await play(world, PROMPTS["in the middle"])
+        assert count_late_sends(world) <= _SENDS_ONCE_KNOWN
+        check_sound_requests(world)
+
+    async def test_all_nodes_that_start_again_remember_it(
+        self, tmp_path: Path, worlds: list[PartsWorld]
+    ) -> None:
+        world = PartsWorld(tmp_path)
+        worlds.append(world)
+        await world.start()
+        asyncio.get_running_loop().call_later(
+            _CALM_SECONDS + _HARMFUL_SECONDS / 2, world.restart_all
+        )
+        await play(world, PROMPTS["in the middle"])
+        assert len(world.ledger.ends) <= _FIFTH + 1
--- a/testing/service_world.py
+++ b/testing/service_world.py
@@ -179,6 +179,13 @@
             if log.rfind("fleet:owned") > log.rfind("fleet:given_up"):
                 vm.kill()
 
+    def restart_all(self) -> None:
+        """Kills all processes and starts them again."""
+        for vm in self.vms:
+            vm.kill()
+        for vm in self.vms:
+            self.restart(vm)
+
     def served_between(
         self, began: float, ended: float = float("inf"), label: str = ""
     ) -> float:
