--- a/testing/service_world.py
+++ b/testing/service_world.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 import attrs
 import msgspec
@@ -69,6 +70,7 @@
         fronts: number of fronts.
         kind: kind of the route.
         seed: of the callers' random choices.
+        front_settings: further settings of the fronts.
 
     Attributes:
         upstreams: of the service; set before `start`.
@@ -76,9 +78,15 @@
     """
 
     def __init__(
-        self, folder: Path, fronts: int, kind: str = "safe", seed: int = 1
+        self,
+        folder: Path,
+        fronts: int,
+        kind: str = "safe",
+        seed: int = 1,
+        front_settings: dict[str, Any] | None = None,
     ) -> None:
-        super().__init__(folder, 3, fronts, {"contracts": ["pressure"]})
+        settings = {"contracts": ["pressure"], **(front_settings or {})}
+        super().__init__(folder, 3, fronts, settings)
         self.upstreams: Sequence[SoakUpstream] = ()
         self.sent: list[Sent] = []
         self._kind = kind
