--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -100,6 +100,9 @@
         # The parts in the log, with what isn't reported yet.
         self._parts = HarmfulParts()
         self._cleared_parts: set[str] = set()
+        # Suspected parts, with their ends, that were compared with the parts
+        # answered on here.
+        self._checked_parts: set[tuple[str, tuple[str, ...]]] = set()
         self._trials = QuarantineTrials()
         self._index = 0
         # Upstreams that cut requests and haven't been probed yet, by name.
@@ -140,9 +143,16 @@
         self._trials.watch(quarantined, self._loop.time())
 
     def _clear_answered_parts(self) -> None:
-        """Clears the suspected parts that were answered on here recently."""
-        if not self._parts:
+        """Clears the suspected parts that were answered on here recently.
+
+        Hashing all recent parts takes milliseconds, so that is done only after
+        an end has been counted against a part.
+        """
+        suspected = {(suspect.part, suspect.ends) for suspect in self._parts}
+        if suspected <= self._checked_parts:
+            self._checked_parts = suspected
             return
+        self._checked_parts = suspected
         now = self._loop.time()
         for name in self._answered_parts.list_recent(now):
             part = self._fingerprints.hash_part(name)
