Try requests that were aboard of the same ends as a harmful one

From three common ends nothing tells the two apart. So one request of each is sent as a trial, 0.5 to 1 s later and again 2 to 4 s after that, each granted by the log to one front: an answer frees it, and an end of the harmful one tells it from the others, which have fewer. A request that was alone at its ends is never tried. A request that had brought an event isn't aboard any more, since its upstream had begun it without ending.

Only a part of prompts with two ends more explains ends of whole requests.

The soak took a quarantine from a Retry-After of over 600 s; since a trial may be sooner it reads the fronts' logs now, and finds every refusal.

--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -15,7 +15,7 @@
 from eliot import log_message
 
 from ridgesill.app.control import UnavailableError
-from ridgesill.app.quarantine_trials import QuarantineTrials
+from ridgesill.app.quarantine_trials import Held, QuarantineTrials
 from ridgesill.core.commands import (
     ClearParts,
     ClearSuspects,
@@ -38,7 +38,11 @@
 )
 from ridgesill.core.serving.recent_answers import RecentAnswers
 from ridgesill.core.state import State
-from ridgesill.core.suspects import MIN_ENDS_FOR_QUARANTINE, Suspects
+from ridgesill.core.suspects import (
+    MIN_ENDS_FOR_QUARANTINE,
+    Suspect,
+    Suspects,
+)
 
 Propose = Callable[[Any, float], Awaitable[Any]]
 HasEnded = Callable[[str], Awaitable[bool]]
@@ -57,6 +61,12 @@
 # A front waits a random time, up to this, before it clears parts in the log:
 # all fronts that have answered on a part learn at once that it is suspected.
 _MAX_CLEAR_DELAY_SECONDS = 0.1
+# Time in quarantine before the first trial of a part, and from it to the second
+# one, in seconds.
+_PART_TRIALS = (30.0, 300.0)
+# The same for a request that others were aboard with at all its ends. A request
+# that was alone is tried never.
+_REQUEST_TRIALS = (0.5, 2.0)
 # Parts of a request that are counted, so that no request fills the log.
 _MAX_PARTS = 64
 
@@ -129,6 +139,21 @@
         self._parts_in_log = state.harmful_parts
         self._judge_parts()
         self._clear_answered_parts()
+        if self._parts or self._suspects:
+            self._trials.watch(self._list_held(), self._loop.time())
+
+    def _list_held(self) -> list[Held]:
+        """Returns all that is in quarantine."""
+        return [
+            *map(hold_part, self._parts.quarantined()),
+            *map(self._hold_request, self._suspects.quarantined()),
+        ]
+
+    def _hold_request(self, suspect: Suspect) -> Held:
+        content = suspect.fingerprint.content
+        is_ambiguous = self._suspects.is_ambiguous(content)
+        after = _REQUEST_TRIALS if is_ambiguous else ()
+        return Held(content, suspect.trials, after)
 
     def _judge_parts(self) -> None:
         """Combines the parts in the log with what isn't reported yet."""
@@ -139,8 +164,6 @@
             if end.sightings:
                 self._parts.record_end(end.upstream, end.sightings)
         self._parts.clear(self._cleared_parts)
-        quarantined = self._parts.quarantined()
-        self._trials.watch(quarantined, self._loop.time())
 
     def _clear_answered_parts(self) -> None:
         """Clears the suspected parts that were answered on here recently.
@@ -212,6 +235,14 @@
         """Returns the number of prompt parts in quarantine."""
         return len(self._parts.quarantined())
 
+    def find_held_request(self, fingerprint: Fingerprint) -> Held:
+        """Returns how a request is held that is in quarantine as a whole."""
+        for suspect in self._suspects.quarantined():
+            if suspect.fingerprint.content == fingerprint.content:
+                return self._hold_request(suspect)
+        # Ends that aren't in the log yet hold it.
+        return Held(fingerprint.content, 0, ())
+
     def find_harmful_part(self, parts: Collection[str]) -> SuspectPart | None:
         """Returns the first part in quarantine, or None.
 
@@ -226,17 +257,17 @@
                 return suspect
         return None
 
-    def takes_trial(self, suspect: SuspectPart) -> bool:
-        """Whether a request with a part in quarantine is sent as a trial."""
+    def takes_trial(self, held: Held) -> bool:
+        """Whether a request in quarantine is sent as a trial."""
         now = self._loop.time()
-        is_taken = self._trials.take(suspect, now)
+        is_taken = self._trials.take(held, now)
         if self._trials.wanted:
             self._reports_pending.set()
         return is_taken
 
-    def seconds_until_trial(self, suspect: SuspectPart) -> float:
-        """Returns the seconds until a part in quarantine may be tried."""
-        return self._trials.seconds_left(suspect, self._loop.time())
+    def seconds_until_trial(self, held: Held) -> float:
+        """Returns the seconds until what is in quarantine may be tried."""
+        return self._trials.seconds_left(held, self._loop.time())
 
     # -- observations --------------------------------------------------
 
@@ -248,13 +279,15 @@
         Args:
             upstream: that served the request.
             identity: of the request.
-            has_begun: whether the upstream had sent an event.
+            has_begun: whether the upstream had sent an event, so that the
+                request isn't what ended it.
         """
         if not self._fingerprints.key:
             return
         end = self._find_end(upstream)
-        if not has_begun:
-            end.sightings |= self._list_sightings(identity)
+        if has_begun:
+            return
+        end.sightings |= self._list_sightings(identity)
         if self._recent_answers.is_answered(
             identity.local_hash(), self._loop.time()
         ):
@@ -410,12 +443,12 @@
                 continue
             log_message(
                 "quarantine:trial",
-                part=command.part,
+                fingerprint=command.key,
                 number=command.number,
                 granted=answer.granted,
             )
             if answer.granted:
-                self._trials.grant(command.part, self._loop.time())
+                self._trials.grant(command.key, self._loop.time())
 
     async def _report(self, propose: Propose, command: Any) -> int:
         """Proposes a command until it is in the log, and returns its index."""
@@ -426,3 +459,8 @@
                 log_message("quarantine:not_told", detail=str(error))
             else:
                 return done.index
+
+
+def hold_part(suspect: SuspectPart) -> Held:
+    """Returns how a part in quarantine is held."""
+    return Held(suspect.part, suspect.trials, _PART_TRIALS)
--- a/src/ridgesill/app/suspect_request.py
+++ b/src/ridgesill/app/suspect_request.py
@@ -2,7 +2,7 @@
 
 from eliot import log_message
 
-from ridgesill.app.quarantine import Quarantine
+from ridgesill.app.quarantine import Quarantine, hold_part
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.harmful_parts import SuspectPart
 from ridgesill.core.serving.fingerprints import (
@@ -13,11 +13,6 @@
 from ridgesill.ports.dialect import RequestFacts
 from ridgesill.ports.http import HttpRequest
 
-# Retry delay for a request that ends upstreams as a whole, in seconds. Only an
-# operator lifts its quarantine, so a client that honours this delay has in
-# practice stopped retrying.
-_QUARANTINE_SECONDS = 3600.0
-
 
 class SuspectRequest:
     """Checks one request against the quarantine and reports its outcome.
@@ -67,13 +62,25 @@
 
     def quarantine_seconds(self) -> float | None:
         """Returns how long the request is in quarantine; None if it isn't."""
-        part = self._quarantine.find_harmful_part(self._facts.shared_parts)
-        if part is not None and not self._is_trial:
-            self._is_trial = self._quarantine.takes_trial(part)
-            if not self._is_trial:
-                self._log_part(part)
-                return self._quarantine.seconds_until_trial(part)
-        return _QUARANTINE_SECONDS if self._is_quarantined() else None
+        if self._is_trial:
+            return None
+        quarantine = self._quarantine
+        part = quarantine.find_harmful_part(self._facts.shared_parts)
+        suspect = self._find_suspect()
+        if part is not None:
+            held = hold_part(part)
+        elif suspect is not None and quarantine.is_quarantined(suspect):
+            held = quarantine.find_held_request(suspect)
+        else:
+            return None
+        if quarantine.takes_trial(held):
+            self._is_trial = True
+            return None
+        if part is not None:
+            self._log_part(part)
+        elif suspect is not None:
+            self._log_request(suspect)
+        return quarantine.seconds_until_trial(held)
 
     def _log_part(self, part: SuspectPart) -> None:
         log_message(
@@ -84,11 +91,7 @@
             ended=list(part.ends),
         )
 
-    def _is_quarantined(self) -> bool:
-        """Whether too many upstreams ended while they served the request."""
-        suspect = self._find_suspect()
-        if suspect is None or not self._quarantine.is_quarantined(suspect):
-            return False
+    def _log_request(self, suspect: Fingerprint) -> None:
         log_message(
             "request:quarantined",
             request=self._facts.request,
@@ -96,7 +99,6 @@
             is_part=False,
             ended=sorted(self._quarantine.ended_upstreams(suspect)),
         )
-        return True
 
     def record_cut(self, upstream: Upstream, *, has_begun: bool) -> None:
         """Records that the upstream's channel ended before the answer did.
--- a/src/ridgesill/core/commands.py
+++ b/src/ridgesill/core/commands.py
@@ -216,15 +216,16 @@
 
 @register
 @attrs.frozen
-class BeginPartTrial:
-    """Asks for leave to send one request with a part that is in quarantine.
+class BeginTrial:
+    """Asks for leave to send one request in spite of a quarantine.
 
     Attributes:
-        part: keyed hash of the part's id.
+        key: keyed hash of the request's content, or of the id of a part of its
+            prompt.
         number: of the trial, from 1.
     """
 
-    part: str
+    key: str
     number: int
 
 
@@ -307,7 +308,7 @@
 @register
 @attrs.frozen
 class TrialAnswer:
-    """Answers a `BeginPartTrial`.
+    """Answers a `BeginTrial`.
 
     Attributes:
         granted: whether the asker, and nobody else, may make the trial.
--- a/src/ridgesill/core/harmful_parts.py
+++ b/src/ridgesill/core/harmful_parts.py
@@ -6,8 +6,8 @@
 answers on is cleared, wherever that was seen. A part with several ends under
 different requests, and no answer, is quarantined.
 
-An end under a part in quarantine is explained by it and counts against nothing
-else. A part that was aboard by chance is freed in this way if the cause has had
+A part in quarantine explains its ends, which no longer count against parts with
+fewer ends. So a part that was aboard by chance is freed if the cause has had
 more ends; otherwise a few trials free it, each of which sends one request.
 """
 
@@ -110,55 +110,44 @@
         """Returns the parts in quarantine."""
         return [s for s in self._suspects.values() if s.is_quarantined]
 
-    def explains(self, upstream: str) -> bool:
-        """Whether a part in quarantine was aboard when an upstream ended."""
-        return any(
-            upstream in suspect.ends
-            for suspect in self._suspects.values()
-            if suspect.is_quarantined
-        )
-
     def record_end(
-        self,
-        upstream: str,
-        sightings: Iterable[PartSighting],
-        *,
-        is_explained: bool = False,
+        self, upstream: str, sightings: Iterable[PartSighting]
     ) -> None:
         """Counts the end of an upstream against the parts aboard.
 
         Args:
             upstream: name of the upstream's start.
             sightings: parts of requests that it had not begun to answer.
-            is_explained: whether another cause of this end is known.
         """
         aboard: dict[str, set[str]] = collections.defaultdict(set)
         for sighting in sightings:
             aboard[sighting.part].add(sighting.request)
-        causes = [part for part in aboard if self._is_quarantined(part)]
-        counted: Iterable[str] = causes
-        if not (causes or is_explained or self.explains(upstream)):
-            counted = aboard
-        for part in counted:
+        for part, requests in aboard.items():
             known = self._suspects.pop(part, None) or SuspectPart(part)
-            self._suspects[part] = known.add_end(upstream, aboard[part])
-        self._discard_explained()
+            self._suspects[part] = known.add_end(upstream, requests)
+        for cause in sorted(
+            self.quarantined(), key=lambda s: len(s.ends), reverse=True
+        ):
+            if self._is_quarantined(cause.part):
+                self.discard_explained(cause.ends)
         self._prune_oldest()
 
     def _is_quarantined(self, part: str) -> bool:
         known = self._suspects.get(part)
         return known is not None and known.is_quarantined
 
-    def _discard_explained(self) -> None:
-        """Discards the ends that a part with more ends explains."""
-        for cause in sorted(
-            self.quarantined(), key=lambda s: len(s.ends), reverse=True
-        ):
-            if not self._is_quarantined(cause.part):
-                continue
-            for other in list(self._suspects.values()):
-                if len(other.ends) < len(cause.ends):
-                    self._replace(other.without_ends(cause.ends))
+    def discard_explained(self, ends: tuple[str, ...]) -> None:
+        """Discards ends that have a known cause.
+
+        Parts with as many ends as the cause keep theirs: they may be the cause
+        themselves.
+
+        Args:
+            ends: the upstreams that ended under the cause.
+        """
+        for other in list(self._suspects.values()):
+            if len(other.ends) < len(ends):
+                self._replace(other.without_ends(ends))
 
     def _replace(self, suspect: SuspectPart) -> None:
         if suspect.ends:
--- a/src/ridgesill/core/state.py
+++ b/src/ridgesill/core/state.py
@@ -13,7 +13,7 @@
 from ridgesill.core import codec, commands
 from ridgesill.core.commands import (
     BeginOnce,
-    BeginPartTrial,
+    BeginTrial,
     ClearParts,
     ClearSuspects,
     Configure,
@@ -240,14 +240,12 @@
 
     @_apply.register
     def _(self, command: NoteUpstreamEnd) -> Done:
-        upstream, aboard = command.upstream, command.aboard
-        self.harmful_parts.record_end(
-            upstream,
-            command.sightings,
-            is_explained=self.suspects.explains(upstream, aboard),
-        )
-        if not self.harmful_parts.explains(upstream):
-            self.suspects.record_end(upstream, aboard)
+        self.harmful_parts.record_end(command.upstream, command.sightings)
+        self.suspects.record_end(command.upstream, command.aboard)
+        for part in self.harmful_parts.quarantined():
+            self.suspects.discard_explained(part.ends)
+        for suspect in self.suspects.quarantined():
+            self.harmful_parts.discard_explained(suspect.ends)
         return Done(self.index)
 
     @_apply.register
@@ -256,9 +254,12 @@
         return Done(self.index)
 
     @_apply.register
-    def _(self, command: BeginPartTrial) -> TrialAnswer:
-        granted = self.harmful_parts.begin_trial(command.part, command.number)
-        return TrialAnswer(granted)
+    def _(self, command: BeginTrial) -> TrialAnswer:
+        key, number = command.key, command.number
+        return TrialAnswer(
+            self.harmful_parts.begin_trial(key, number)
+            or self.suspects.begin_trial(key, number)
+        )
 
     @_apply.register
     def _(self, command: ClearSuspects) -> Done:
--- a/src/ridgesill/core/suspects.py
+++ b/src/ridgesill/core/suspects.py
@@ -6,6 +6,9 @@
 answer clears the count, and a request with several ends and no answer between
 them is quarantined: no upstream gets it any more.
 
+Requests that were aboard of the same ends can't be told apart so. Then a few
+trials, each of which sends one request, find out which one is harmful.
+
 Each end is counted under two keys. One is the hash of the request's content,
 since a caller may have several addresses. The other also includes the caller's
 address, since a request that ends upstreams for one caller may be answered for
@@ -27,6 +30,12 @@
 # Limits on the entries kept, so that no caller can exhaust the memory of all
 # nodes. At a limit the oldest entries are dropped; no request is refused.
 _SUSPECTS_MOST = 2000
+# Ends that are kept of a request.
+_MAX_ENDS = 8
+# Ends by which a part exceeds the requests whose ends it explains.
+_MARGIN_ENDS = 2
+# Trials of a request in quarantine, in all.
+MAX_TRIALS = 2
 _QUARANTINED_MOST = 1000
 
 
@@ -41,11 +50,13 @@
         fingerprint: the fingerprint of the request that was counted last.
         ends: the names of those upstreams; a restarted upstream has a new
             name.
+        trials: number of trials that were begun.
     """
 
     key: str
     fingerprint: Fingerprint
     ends: tuple[str, ...]
+    trials: int = 0
 
     @property
     def is_quarantined(self) -> bool:
@@ -105,25 +116,79 @@
         }
         return list(by_content.values())
 
-    def explains(self, upstream: str, aboard: Iterable[Fingerprint]) -> bool:
-        """Whether a request in quarantine was aboard when an upstream ended."""
-        return any(
-            suspect.is_quarantined and upstream in suspect.ends
-            for suspect in self._suspects.values()
-        ) or any(
-            len(self.ended_upstreams(fingerprint)) >= MIN_ENDS_FOR_QUARANTINE
-            for fingerprint in aboard
-        )
-
     def record_end(self, upstream: str, aboard: Iterable[Fingerprint]) -> None:
         """Counts the end of an upstream once for each request in flight."""
         for fingerprint in aboard:
             for key in count_keys(fingerprint):
-                ends = self._ends_of_key(key)
-                if upstream not in ends and len(ends) < MIN_ENDS_FOR_QUARANTINE:
-                    self._replace(Suspect(key, fingerprint, (*ends, upstream)))
+                self._add_end(key, fingerprint, upstream)
         self._prune_oldest()
 
+    def _add_end(
+        self, key: str, fingerprint: Fingerprint, upstream: str
+    ) -> None:
+        known = self._suspects.get(key)
+        ends = known.ends if known else ()
+        if upstream not in ends:
+            ends = (*ends, upstream)[-_MAX_ENDS:]
+            trials = known.trials if known else 0
+            self._replace(Suspect(key, fingerprint, ends, trials))
+
+    def discard_explained(self, ends: tuple[str, ...]) -> None:
+        """Discards ends that a part of prompts explains.
+
+        Requests with nearly as many ends keep theirs: they may be the cause
+        themselves.
+
+        Args:
+            ends: the upstreams that ended under the part.
+        """
+        for other in list(self._suspects.values()):
+            if len(other.ends) + _MARGIN_ENDS <= len(ends):
+                self._discard_ends(other, ends)
+
+    def _discard_ends(self, suspect: Suspect, ends: tuple[str, ...]) -> None:
+        left = tuple(end for end in suspect.ends if end not in ends)
+        if not left:
+            self._discard([suspect.key])
+        elif left != suspect.ends:
+            self._replace(attrs.evolve(suspect, ends=left))
+
+    def is_ambiguous(self, content: str) -> bool:
+        """Whether other requests were aboard of all ends of a request.
+
+        Args:
+            content: the hash of the request's content.
+        """
+        own = [self._suspects[key] for key in self._keys_with_content(content)]
+        ends = max((s.ends for s in own), key=len, default=())
+        return any(
+            other.is_quarantined
+            and other.fingerprint.content != content
+            and set(ends) <= set(other.ends)
+            for other in self._suspects.values()
+        )
+
+    def begin_trial(self, content: str, number: int) -> bool:
+        """Begins a trial of a request in quarantine.
+
+        Args:
+            content: the hash of the request's content.
+            number: of the trial, from 1.
+
+        Returns:
+            Whether the trial may be made; False if it was begun before, or the
+            request isn't in quarantine.
+        """
+        own = [self._suspects[key] for key in self._keys_with_content(content)]
+        if not any(suspect.is_quarantined for suspect in own):
+            return False
+        begun = max(suspect.trials for suspect in own)
+        if number != begun + 1 or number > MAX_TRIALS:
+            return False
+        for suspect in own:
+            self._replace(attrs.evolve(suspect, trials=number))
+        return True
+
     def clear(self, served: Iterable[Fingerprint]) -> None:
         """Clears the ends of answered requests.
 
--- a/testing/core/test_suspects.py
+++ b/testing/core/test_suspects.py
@@ -103,3 +103,36 @@
         for upstream in ("i-1", "i-2", "i-3"):
             tracker.record_end(upstream, many)
         assert quarantined_fingerprints(tracker) == many[-2:]
+
+
+class TestAmbiguity:
+    def test_requests_that_were_aboard_of_the_same_ends_are_ambiguous(
+        self,
+    ) -> None:
+        tracker = Suspects()
+        for upstream in ("i-1", "i-2", "i-3"):
+            tracker.record_end(upstream, [HARMFUL, HARMLESS])
+        assert tracker.is_ambiguous(HARMLESS.content)
+        assert tracker.is_ambiguous(HARMFUL.content)
+        tracker.record_end("i-4", [HARMFUL])
+        assert tracker.is_ambiguous(HARMLESS.content)
+        assert not tracker.is_ambiguous(HARMFUL.content)
+
+    def test_two_harmful_requests_stay_in_quarantine(self) -> None:
+        tracker = Suspects()
+        for upstream in ("i-1", "i-2", "i-3"):
+            tracker.record_end(upstream, [HARMFUL])
+        for upstream in ("i-4", "i-5", "i-6"):
+            tracker.record_end(upstream, [HARMLESS])
+        assert len(quarantined_fingerprints(tracker)) == 2
+
+    def test_each_trial_is_granted_once(self) -> None:
+        tracker = Suspects()
+        for upstream in ("i-1", "i-2", "i-3"):
+            tracker.record_end(upstream, [HARMFUL])
+        granted = [
+            tracker.begin_trial(HARMFUL.content, number)
+            for number in (1, 1, 2, 3)
+        ]
+        assert granted == [True, False, True, False]
+        assert not tracker.begin_trial(HARMLESS.content, 1)
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -52,8 +52,6 @@
 _DRAIN_SECONDS = 2.0
 # Late sends of a harmful request that are allowed.
 _MAX_SENDS_ONCE_KNOWN = 3
-# Only the refusal of a quarantined request has a longer Retry-After.
-_QUARANTINE_RETRY_SECONDS = 600.0
 
 
 # From this many seconds after a new key was acknowledged no front may answer
@@ -126,7 +124,7 @@
     pressure.crowded |= world.ledger.crowded
     check_pressure(pressure, world.outcomes, verdict.record_violation)
     _check_orders(verdict, world)
-    _check_quarantine(verdict, world)
+    _check_quarantine(verdict, world, pressure)
     mixed = list_mixed(world.streams)
     if len(mixed) > _MAX_MIXED:
         verdict.violations["mixed"] = mixed
@@ -244,7 +242,9 @@
     return bool(nearby) and not has_unplanned_fault and not has_crash
 
 
-def _check_quarantine(verdict: Verdict, world: SoakWorld) -> None:
+def _check_quarantine(
+    verdict: Verdict, world: SoakWorld, pressure: PressureRecord
+) -> None:
     """Checks that harmful requests, and only those, are quarantined."""
     for body, arrivals in world.ledger.harmful.items():
         late = count_late_arrivals(arrivals)
@@ -254,7 +254,7 @@
             )
     for outcome in world.outcomes:
         is_harmful = outcome.request.startswith("harmful")
-        if outcome.retry_after > _QUARANTINE_RETRY_SECONDS and not is_harmful:
+        if outcome.request in pressure.quarantined and not is_harmful:
             verdict.record_violation(
                 "shut_out", f"{outcome.request} at {outcome.front}"
             )
--- a/testing/soak/pressure.py
+++ b/testing/soak/pressure.py
@@ -40,12 +40,14 @@
 
     Attributes:
         crowded: Ids of requests that a front refused because of its load.
+        quarantined: Ids of requests that a front refused as quarantined.
         peak_bytes: Largest resident memory of each front, by name.
         flips: Number of bits flipped in messages between nodes.
         damage_lines: Number of log lines on damaged messages or lost streams.
     """
 
     crowded: set[str] = attrs.Factory(set)
+    quarantined: set[str] = attrs.Factory(set)
     peak_bytes: dict[str, int] = attrs.Factory(dict)
     flips: int = 0
     damage_lines: int = 0
@@ -96,6 +98,8 @@
                 end = msgspec.json.decode(line)
                 if end["reason"] in _LOAD_REASONS:
                     self._record.crowded.add(end["request"])
+                elif end["reason"] == "quarantined":
+                    self._record.quarantined.add(end["request"])
 
     async def _run_bursts(self) -> None:
         while True:
