Have a part of prompts end upstreams in every third seed of the soak

Sound requests share its first part, caller and upstreams. Checked: at most three sends from three seconds after the fifth end on, and no sound request refused as quarantined.

--- a/testing/parts_world.py
+++ b/testing/parts_world.py
@@ -35,13 +35,13 @@
     Attributes:
         harmful_parts: parts that end upstreams.
         ends: loop time of each end.
-        harmful_sends: loop time of each request with such a part that reached
-            an upstream.
+        harmful_sends: loop time, and address of the sender, of each request
+            with such a part that reached an upstream.
     """
 
     harmful_parts: set[str] = attrs.Factory(lambda: {HARMFUL_PART})
     ends: list[float] = attrs.Factory(list)
-    harmful_sends: list[float] = attrs.Factory(list)
+    harmful_sends: list[tuple[float, str]] = attrs.Factory(list)
 
 
 def read_parts(call: Call) -> list[str]:
@@ -62,18 +62,19 @@
         ends_at: EndsAt,
     ) -> None:
         super().__init__(service, ledger, controls, rng)
-        self._parts_ledger = ledger
+        self.parts_ledger = ledger
         self._ends_at = ends_at
 
     async def _serve(self, call: Call) -> None:
         incarnation = self.name
         loop = asyncio.get_running_loop()
         is_harmful = any(
-            part in self._parts_ledger.harmful_parts
-            for part in read_parts(call)
+            part in self.parts_ledger.harmful_parts for part in read_parts(call)
         )
         if is_harmful:
-            self._parts_ledger.harmful_sends.append(loop.time())
+            peer = call.writer.get_extra_info("peername")
+            sender = peer[0] if peer else ""
+            self.parts_ledger.harmful_sends.append((loop.time(), sender))
         await asyncio.sleep(_READ_SECONDS)
         if incarnation != self.name:
             return
@@ -94,7 +95,7 @@
         """Ends this incarnation; the next one starts after some seconds."""
         if self._restart_task is not None and not self._restart_task.done():
             return
-        self._parts_ledger.ends.append(asyncio.get_running_loop().time())
+        self.parts_ledger.ends.append(asyncio.get_running_loop().time())
         self.crash()
         self._restart_task = asyncio.create_task(
             self._restart_after(DOWN_SECONDS)
--- a/testing/scenarios/test_harmful_parts.py
+++ b/testing/scenarios/test_harmful_parts.py
@@ -78,7 +78,7 @@
     if len(ends) <= _FIFTH:
         return 0
     known_at = ends[_FIFTH] + _KNOWN_SECONDS
-    return sum(at > known_at for at in world.ledger.harmful_sends)
+    return sum(at > known_at for at, _ in world.ledger.harmful_sends)
 
 
 def check_sound_requests(world: PartsWorld) -> None:
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -36,6 +36,7 @@
     "crowded",
     "mixed",
     "fell",
+    "part",
     "memory",
     "unlogged",
     "exit",
@@ -74,6 +75,7 @@
         world.start_repeating_callers()
         world.start_stream_clients()
         world.start_brittle_load()
+        world.start_parts_load()
         faults = Faults(world)
         record = PressureRecord()
         pressure = Pressure(world, record)
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -15,6 +15,7 @@
 from testing.soak.faults import InjectedFault
 from testing.soak.keys import COMPLIANT, LIMIT_PER_SECOND, LIMITED
 from testing.soak.limits import find_excess
+from testing.soak.parts import SOUND, list_late_sends
 from testing.soak.pressure import PressureRecord, check_pressure
 from testing.soak.upstreams import Arrival, InstanceRecord, Ledger
 from testing.soak.versions import list_mixed
@@ -125,11 +126,7 @@
     check_pressure(pressure, world.outcomes, verdict.record_violation)
     _check_orders(verdict, world)
     _check_quarantine(verdict, world, pressure)
-    mixed = list_mixed(world.streams)
-    if len(mixed) > _MAX_MIXED:
-        verdict.violations["mixed"] = mixed
-    for line in list_falls(world):
-        verdict.record_violation("fell", line)
+    _check_services_of_some_seeds(verdict, world, pressure)
     for name, record in world.ledger.instances.items():
         _check_announcements(verdict, world, name, record)
         _check_upstream_limits(verdict, world, name, record)
@@ -140,6 +137,22 @@
     return verdict
 
 
+def _check_services_of_some_seeds(
+    verdict: Verdict, world: SoakWorld, pressure: PressureRecord
+) -> None:
+    """Checks versions, brittle upstreams and harmful parts."""
+    mixed = list_mixed(world.streams)
+    if len(mixed) > _MAX_MIXED:
+        verdict.violations["mixed"] = mixed
+    for line in list_falls(world):
+        verdict.record_violation("fell", line)
+    for line in list_late_sends(world):
+        verdict.record_violation("part", line)
+    for request in sorted(pressure.quarantined):
+        if request.startswith(SOUND):
+            verdict.record_violation("shut_out", request)
+
+
 def _check_request(
     verdict: Verdict, outcome: RequestOutcome, runs: int
 ) -> None:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from testing.brittle_world import BrittleUpstream
+from testing.parts_world import PartsUpstream
 from testing.platform_world import Vm
 from testing.soak.__main__ import run_seed, summarize
 from testing.soak.brittle import BrittleRecord, make_upstreams
@@ -14,6 +15,7 @@
 from testing.soak.clients import RequestOutcome
 from testing.soak.faults import InjectedFault
 from testing.soak.keys import LIMITED, Key, KeyRing
+from testing.soak.parts import make_upstreams as make_parts_upstreams
 from testing.soak.pressure import PressureRecord
 from testing.soak.proxy import FaultyProxy, Mode
 from testing.soak.upstreams import (
@@ -63,6 +65,7 @@
         self.streams: list[StreamRecord] = []
         self.brittle = BrittleRecord()
         self.brittle_upstreams: list[BrittleUpstream] = []
+        self.parts_upstreams: list[PartsUpstream] = []
         self.paused_until: dict[str, float] = {}
         self.disturbed: dict[str, list[float]] = {}
         self.pressure = PressureRecord()
@@ -78,6 +81,22 @@
 
 
 class TestChecks:
+    @pytest.mark.parametrize(("sends", "found"), [(3, 0), (4, 4)])
+    async def test_sends_with_a_part_that_is_known_are_found(
+        self, sends: int, found: int
+    ) -> None:
+        world = RecordedWorld()
+        world.parts_upstreams = make_parts_upstreams([], 2)
+        ledger = world.parts_upstreams[0].parts_ledger
+        ledger.ends = [1.0, 2.0, 3.0, 4.0, 5.0]
+        ledger.harmful_sends = [(7.9, "f"), *[(8.1, "f")] * sends]
+        assert world.judge().count("part") == found
+
+    def test_the_quarantine_of_a_sound_part_is_found(self) -> None:
+        world = RecordedWorld()
+        world.pressure.quarantined.add("sound-part-1")
+        assert world.judge().count("shut_out") == 1
+
     @pytest.mark.parametrize(("falls", "found"), [(2, 0), (3, 1)])
     async def test_brittle_upstreams_that_fall_too_often_are_found(
         self, falls: int, found: int
@@ -261,7 +280,7 @@
             " reverted=0 cut=0 harmful=0 shut_out=0 rest=0 leaving=0"
             " customer=0 revoked=0 refused_key=0 limit=0"
             " refused_within=0 named_limit=0 crowded=0 mixed=0 fell=0"
-            " memory=0 unlogged=0 exit=0 open=1"
+            " part=0 memory=0 unlogged=0 exit=0 open=1"
         )
 
 
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -25,6 +25,8 @@
     RequestOutcome,
 )
 from testing.soak.keys import KeyRing
+from testing.soak.parts import PARTS, PartsLoad
+from testing.soak.parts import make_upstreams as make_parts_upstreams
 from testing.soak.proxy import FaultyProxy
 from testing.soak.upstreams import (
     ADAPTER_SLOTS,
@@ -52,9 +54,15 @@
 _PROXIED_PORT_OFFSET = 5
 
 
-_ROUTE_KINDS = {SHARED: "safe", VERSIONED: "stream", BRITTLE: "safe"}
-# Every such seed has a service with two software versions, and the one after
-# it a service of brittle upstreams.
+_ROUTE_KINDS = {
+    SHARED: "safe",
+    VERSIONED: "stream",
+    BRITTLE: "safe",
+    PARTS: "stream",
+}
+# Every such seed has a service with two software versions, the one after it a
+# service of brittle upstreams, and the next one a part of prompts that ends
+# upstreams.
 _VERSIONED_SEEDS = 3
 _STREAM_CLIENTS = 6
 
@@ -73,6 +81,7 @@
         SHARED: SHARED,
         VERSIONED: VERSIONED,
         BRITTLE: BRITTLE,
+        PARTS: PARTS,
     }
     routes = [
         {
@@ -85,7 +94,7 @@
             "goal_ms": 500,
             "priority": 0,
             "service": service,
-            "attempts": 1 if kind in ("unsafe", "stream") else 2,
+            "attempts": 1 if kind in ("unsafe", "stream", PARTS) else 2,
         }
         for kind, service in kinds.items()
     ]
@@ -102,6 +111,7 @@
         {**plain, "name": SHARED},
         {**plain, "name": VERSIONED},
         {**plain, "name": BRITTLE},
+        {**plain, "name": PARTS},
         {**plain, "name": "engine", "engine": engine},
     ]
     return msgspec.json.encode(
@@ -198,6 +208,11 @@
             if seed % _VERSIONED_SEEDS == 1
             else []
         )
+        self.parts_upstreams = (
+            make_parts_upstreams(addresses, seed)
+            if seed % _VERSIONED_SEEDS == 2
+            else []
+        )
         self.links = {
             vm.name: self._make_links(vm) for vm in self.fronts[:linked]
         }
@@ -212,6 +227,7 @@
             *self.shared_upstreams,
             *self.versioned_upstreams,
             *self.brittle_upstreams,
+            *self.parts_upstreams,
         ]
 
     def _make_links(self, vm: Vm) -> UpstreamLinks:
@@ -282,6 +298,12 @@
             load = BrittleLoad(self, self.choose_steady_key)
             self._tasks.append(asyncio.create_task(load.run()))
 
+    def start_parts_load(self) -> None:
+        """Starts the callers whose prompts have parts."""
+        if self.parts_upstreams:
+            load = PartsLoad(self, self.choose_steady_key)
+            self._tasks.append(asyncio.create_task(load.run()))
+
     def _make_caller(self, vm: Vm, number: int) -> Caller:
         front = (vm.name, f"{vm.ip}:{self._ports[0]}")
         rng = random.Random(self.rng.random())
