Take an unframed answer for broken if its upstream can't be reached any more

What matters to the answer is whether the way to its upstream still works, not why it doesn't. So an upstream to which no connection comes up, 30 ms after the end, broke the answer off. The judgement of ends for the quarantine stays as it is.

The new test failed before.

--- a/src/ridgesill/app/answer_end.py
+++ b/src/ridgesill/app/answer_end.py
@@ -53,7 +53,7 @@
 
 WHOLE = AnswerEnd(Completeness.WHOLE)
 UPSTREAM_GONE = AnswerEnd(
-    Completeness.BROKEN, "its upstream ended at the same time"
+    Completeness.BROKEN, "its upstream can't be reached any more"
 )
 _UNKNOWN = AnswerEnd(Completeness.UNKNOWN, "ended by its connection")
 
--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -27,6 +27,9 @@
 # After a longer wait for a client that reads slowly, data may have arrived from
 # the upstream before this process noticed it; in seconds.
 _SLOW_CLIENT_SECONDS = 0.005
+# Time from the end of an answer until its upstream is tested, in seconds. All
+# channels to an upstream that ends close within a few milliseconds.
+_CHECK_DELAY_SECONDS = 0.03
 
 
 class AnswerRelay:
@@ -103,20 +106,24 @@
     ) -> AnswerEnd:
         """Returns the end of an answer that may have been broken off.
 
-        An upstream that has ended too broke it off, unless it announced that
-        it leaves. The answer is ready, so the check takes at most half of the
-        time that is left.
+        If its upstream has ended too, or can't be reached any more, that broke
+        it off, unless the upstream announced that it leaves. The answer is
+        ready, so the check takes at most half of the time that is left.
         """
         if self._front.chooser.unavailable.is_leaving(upstream.name):
             return end
         seconds = max(self.deadline - self._loop.time(), 0.0) / 2
         try:
-            is_gone = await asyncio.wait_for(
-                self._front.quarantine.is_gone(upstream), seconds
+            is_there = await asyncio.wait_for(
+                self._is_there(upstream.address), seconds
             )
         except TimeoutError:
-            is_gone = False
-        return UPSTREAM_GONE if is_gone else end
+            is_there = True
+        return end if is_there else UPSTREAM_GONE
+
+    async def _is_there(self, address: str) -> bool:
+        await asyncio.sleep(_CHECK_DELAY_SECONDS)
+        return await self._front.reachability_tests.accepts_connections(address)
 
     # -- streams -------------------------------------------------------
 
--- a/src/ridgesill/app/reachability_tests.py
+++ b/src/ridgesill/app/reachability_tests.py
@@ -97,6 +97,11 @@
         tests = [self._channels.test(upstream.address) for upstream in compared]
         return Connectivity.REACHABLE in await asyncio.gather(*tests)
 
+    async def accepts_connections(self, address: str) -> bool:
+        """Whether connections to an upstream come up, as far as is known."""
+        connectivity = await self._channels.test(address)
+        return connectivity in (Connectivity.REACHABLE, Connectivity.UNKNOWN)
+
     def record_reached(self, upstream: str) -> None:
         """Records that an upstream has been reached."""
         now = self._loop.time()
--- a/testing/app/test_unframed_answers.py
+++ b/testing/app/test_unframed_answers.py
@@ -129,6 +129,21 @@
         upstream = await add_engine(world, "u1", crash)
         assert not (await ask(world, "/stream/x")).complete
 
+    async def test_a_stream_that_a_cut_of_all_ways_ends_does_not_look_complete(
+        self, world: FrontWorld
+    ) -> None:
+        async def cut(call: Call) -> None:
+            await call.begin_unframed(EVENT_STREAM)
+            await call.send(EVENTS)
+            for upstream in upstreams:
+                upstream.stop()
+            call.writer.close()
+
+        upstreams = [
+            await add_engine(world, name, cut) for name in ("u1", "u2")
+        ]
+        assert not (await ask(world, "/stream/x")).complete
+
     @pytest.mark.parametrize("body", [EVENTS, EVENTS + PART])
     async def test_a_broken_stream_is_resumed_after_its_last_whole_event(
         self, world: FrontWorld, body: bytes
