Give a trial to another request if no upstream has run this one

It goes to the next request now, unless the upstream may have run this one. The new test failed before (1 of 3 requests was sent).

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -127,10 +127,12 @@
 ) -> None:
     """Serves a client's request and counts it while it is in progress."""
     front.in_progress += 1
+    forwarding = Forwarding(front, request, responder)
     try:
-        await Forwarding(front, request, responder).run()
+        await forwarding.run()
     finally:
         front.in_progress -= 1
+        forwarding.end_trial()
 
 
 class Forwarding:
@@ -235,6 +237,11 @@
             ):
                 self._refund_quota()
 
+    def end_trial(self) -> None:
+        """Lets another request be the trial if this one was and hasn't run."""
+        if not self.was_sent or self._was_answered_not_run:
+            self._suspect.return_trial()
+
     def _find_early_refusal(self) -> Refusal | None:
         """Returns why the request is refused whatever else holds."""
         if self._may_outlast_front():
--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -265,6 +265,10 @@
             self._reports_pending.set()
         return is_taken
 
+    def return_trial(self, held: Held) -> None:
+        """Lets another request be the trial, since this one showed nothing."""
+        self._trials.grant(held.key, self._loop.time())
+
     def seconds_until_trial(self, held: Held) -> float:
         """Returns the seconds until what is in quarantine may be tried."""
         return self._trials.seconds_left(held, self._loop.time())
--- a/src/ridgesill/app/suspect_request.py
+++ b/src/ridgesill/app/suspect_request.py
@@ -3,6 +3,7 @@
 from eliot import log_message
 
 from ridgesill.app.quarantine import Quarantine, hold_part
+from ridgesill.app.quarantine_trials import Held
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.harmful_parts import SuspectPart
 from ridgesill.core.serving.fingerprints import (
@@ -33,8 +34,8 @@
         self._request = request
         self._facts = facts
         self._customer = ""
-        # Whether it finds out if a part of its prompt is harmful.
-        self._is_trial = False
+        # What the request finds out about, as a trial; None if it is none.
+        self._trial: Held | None = None
 
     def set_customer(self, customer: str) -> None:
         """Sets the customer, who identifies the caller instead of its address.
@@ -62,7 +63,7 @@
 
     def quarantine_seconds(self) -> float | None:
         """Returns how long the request is in quarantine; None if it isn't."""
-        if self._is_trial:
+        if self._trial is not None:
             return None
         quarantine = self._quarantine
         part = quarantine.find_harmful_part(self._facts.shared_parts)
@@ -74,7 +75,7 @@
         else:
             return None
         if quarantine.takes_trial(held):
-            self._is_trial = True
+            self._trial = held
             return None
         if part is not None:
             self._log_part(part)
@@ -107,14 +108,21 @@
             upstream: that served the request.
             has_begun: whether the upstream had sent an event.
         """
-        self._is_trial = False
+        self._trial = None
         self._quarantine.record_cut(
             upstream, self._identity(), has_begun=has_begun
         )
 
+    def return_trial(self) -> None:
+        """Lets another request be the trial, if this one was it."""
+        trial, self._trial = self._trial, None
+        if trial is not None:
+            self._quarantine.return_trial(trial)
+
     def record_served(self) -> None:
         """Records that the request was answered, which clears it."""
         request = self._request
+        self._trial = None
         self._quarantine.record_parts_answered(self._facts.shared_parts)
         self._quarantine.record_answered(
             hash_locally(
--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -18,6 +18,7 @@
     PutFingerprintKey,
 )
 from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.harmful_parts import SuspectPart
 from ridgesill.core.log.messages import Entry
 from ridgesill.core.serving import recent_answers
 from ridgesill.core.serving.fingerprints import Fingerprinter, Identity
@@ -440,6 +441,30 @@
         await asyncio.sleep(0.2)
         assert fronts.second.find_harmful_part(["held"]) is None
 
+    async def test_a_trial_that_no_upstream_has_run_is_made_again(
+        self,
+    ) -> None:
+        world = FrontWorld()
+        await world.start()
+
+        async def turn_away(call: Call) -> None:
+            await call.answer(503, b"", "Not-Run: 1")
+
+        upstreams = [await world.add("u1", turn_away)]
+        held = SuspectPart("part", ("i-1", "i-2", "i-3"), ("r1", "r2"))
+        front = world.front.quarantine
+        front.find_harmful_part = lambda parts: held  # type: ignore
+        front._trials.watch([hold_part(held)], 0.0)
+        front._trials.grant("part", asyncio.get_running_loop().time())
+        client = await world.open()
+        for _ in range(3):
+            answer = await client.ask(
+                "/unsafe/x", b"b", prompt_prefix="p:1,q:1"
+            )
+            assert answer.status == 503
+        assert len(upstreams[0].calls) == 3
+        await world.stop()
+
     async def test_an_operator_lifts_the_quarantine_of_a_part(
         self, fronts: Fronts
     ) -> None:
