--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -35,6 +35,7 @@
     "named_limit",
     "crowded",
     "mixed",
+    "wrong",
     "fell",
     "part",
     "memory",
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -279,7 +279,7 @@
             "soak: seeds=2 requests=15 lost=0 doubled=2 false_not_run=0"
             " reverted=0 cut=0 harmful=0 shut_out=0 rest=0 leaving=0"
             " customer=0 revoked=0 refused_key=0 limit=0"
-            " refused_within=0 named_limit=0 crowded=0 mixed=0 fell=0"
+            " refused_within=0 named_limit=0 crowded=0 mixed=0 wrong=0 fell=0"
             " part=0 memory=0 unlogged=0 exit=0 open=1"
         )
 
