--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -25,6 +25,7 @@
 from ridgesill.app.client_answer import ClientAnswer
 from ridgesill.app.front import Front, FrontLinks
 from ridgesill.app.front_hop import FrontHop, HopAnswer
+from ridgesill.app.quota_charge import QuotaCharge
 from ridgesill.app.request_summary import (
     SENT_BACK,
     SENT_ON,
@@ -47,7 +48,6 @@
 from ridgesill.core.serving.customers import Customer
 from ridgesill.core.serving.events import EventSplitter
 from ridgesill.core.serving.load_reports import RequestClass, UpstreamCalls
-from ridgesill.core.serving.rates import RateUse, weigh_priority
 from ridgesill.core.serving.routes import STREAM, Route
 from ridgesill.ports.dialect import (
     EMPTY_UPSTREAM_WORD,
@@ -157,6 +157,7 @@
         self._relay = AnswerRelay(
             front, self._facts, self._search, self._answer
         )
+        self._quota_charge = QuotaCharge(front.quotas, self._facts)
         self._suspect = SuspectRequest(front.quarantine, request, self._facts)
         self._route: Route | None = None
         self._customer: Customer | None = None
@@ -172,8 +173,6 @@
         # Whether the client was told that the request has not run.
         self._was_answered_not_run = False
         self._last_upstream = ""
-        # Whether the customer's quota was charged.
-        self._is_charged = False
         # Whether another front serves the request, where it counts.
         self._was_sent_on = False
         self._hop: FrontHop | None = None
@@ -235,7 +234,7 @@
                 or self._was_sent_on
                 or not self.was_sent
             ):
-                self._refund_quota()
+                self._quota_charge.refund()
 
     def end_trial(self) -> None:
         """Lets another request be the trial if this one was and hasn't run."""
@@ -324,57 +323,14 @@
 
         A request that passes is charged to its customer's quota.
         """
-        if self._exceeds_quota():
+        if not self._quota_charge.charge(self._customer, self._route):
             retry_after = self._front.quotas.retry_after_seconds()
             return Refusal("beyond_quota", retry_after, 429)
         refusal = self._refuse_for_overload()
         if refusal is not None:
-            self._refund_quota()
+            self._quota_charge.refund()
         return refusal
 
-    def _exceeds_quota(self) -> bool:
-        """Charges the request to the customer's quota.
-
-        Returns:
-            Whether the quota refuses the request.
-        """
-        if self._customer is None:
-            return False
-        customer = self._customer
-        if customer.quota is None:
-            return False
-        now = self._loop.time()
-        cost = customer.quota.cost(self._quota_tokens())
-        quotas = self._front.quotas
-        # Only the route's priority counts: the customer's own priority is the
-        # same for all of its requests.
-        weight = weigh_priority(self._route.priority if self._route else 0)
-        if quotas.admit(customer.name, customer.quota, cost, now, weight):
-            self._is_charged = True
-            return False
-        log_message(
-            "request:beyond_quota",
-            request=self._facts.request,
-            customer=customer.name,
-            cost=cost,
-            **quotas.describe_decision(customer.name, now),
-        )
-        return True
-
-    def _refund_quota(self) -> None:
-        """Refunds the request to its customer's quota, if it was charged."""
-        customer = self._customer
-        is_charged, self._is_charged = self._is_charged, False
-        if is_charged and customer is not None and customer.quota is not None:
-            cost = customer.quota.cost(self._quota_tokens())
-            use = RateUse(cost, cost)
-            now = self._loop.time()
-            self._front.quotas.refund(customer.name, use, now)
-
-    def _quota_tokens(self) -> int:
-        """Returns the tokens that count towards the customer's quota."""
-        return self._facts.prompt_tokens + self._facts.answer_tokens
-
     def _find_class(self, route: Route) -> RequestClass | None:
         """Returns the class of a request to a plain service under control.
 
