Spread the returns of callers that found no slot, and read unchanged news once

Where no overload control has a calendar, all callers without a slot were told the same half second. And fronts went through all upstreams for brittle ones with each answer of the owner, ten times a second, also if nothing had changed.

--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -45,6 +45,8 @@
 _RETRY_SHARE = 1 / 3
 # Reason of refusals if no slot of a brittle upstream is free.
 NO_SLOT = "no_slot"
+# Shortest and longest retry delay after such a refusal.
+_SLOT_RETRY_SECONDS = (0.25, 1.0)
 # Loads that the owner is asked for on behalf of one request.
 _MAX_WANTS = 3
 
@@ -184,9 +186,18 @@
         )
         if self._slot is None:
             self.report_reading_ended(was_read=False)
-            return Refusal(NO_SLOT)
+            return Refusal(NO_SLOT, self._slot_retry_seconds())
         return self._slot.upstream
 
+    def _slot_retry_seconds(self) -> float | None:
+        """Returns a random retry delay, unless the service has a calendar.
+
+        Callers that are refused together would otherwise return together.
+        """
+        if self._front.service_admission.is_controlled(self._terms.service):
+            return None
+        return self._front.rng.uniform(*_SLOT_RETRY_SECONDS)
+
     def _list_alternatives(self, found: Upstream) -> list[Upstream]:
         """Returns the upstreams that may get the request, the best first."""
         required = self.requirements()
--- a/src/ridgesill/core/serving/brittle.py
+++ b/src/ridgesill/core/serving/brittle.py
@@ -54,6 +54,8 @@
         self._statements: dict[str, _Statement] = {}
         self._services: set[str] = set()
         self._told: dict[str, Upstream] = {}
+        # Epoch and number of the news that were applied last.
+        self._applied = (0, 0)
         self._paused_until: dict[str, float] = {}
         # When the next occasion begins to send without a permit, by upstream.
         self._occasions: dict[str, float] = {}
@@ -68,6 +70,10 @@
         A service of which no upstream is listed stays as it was: a start that
         is back is as brittle as the one before.
         """
+        applied = (view.epoch, view.number)
+        if view.number and applied == self._applied:
+            return
+        self._applied = applied
         listed = {upstream.service for upstream in view.upstreams.values()}
         self._told = {
             upstream.name: upstream
