Report the ends of requests at brittle upstreams without an answer

The report at the end of a request needs none, since a later one replaces it; each 0.8 s one is confirmed, and those with rejections are. Nothing is reported after an answer of the owner any more, which knows what it has granted.

A grant shows that its front is alive too.

--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -329,6 +329,12 @@
             return ""
         return owner
 
+    def send_slots(self, held: HeldSlots) -> None:
+        """Reports held slots to the owner without waiting for an answer."""
+        owner = self._owner()
+        if owner:
+            self._peers.send(owner, held)
+
     def report_brittle(self, heard: HeardBrittle) -> None:
         """Reports to the owner what an upstream states about being brittle."""
         owner = self._owner()
--- a/src/ridgesill/app/slot_client.py
+++ b/src/ridgesill/app/slot_client.py
@@ -12,13 +12,19 @@
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.core.fleet.messages import Upstream
-from ridgesill.core.fleet.slot_permits import HeldSlots, RequestSlot
+from ridgesill.core.fleet.slot_permits import (
+    HeldSlots,
+    RequestSlot,
+    SlotAnswer,
+)
 from ridgesill.core.serving.brittle import BrittleUpstreams
 from ridgesill.core.serving.choice import Chooser
 
 # How long a request waits at the owner for a slot, in seconds.
 _PATIENCE_SECONDS = 0.15
-_REPORT_INTERVAL_SECONDS = 0.5
+# Time between two reports that the owner confirms, in seconds. Those at the end
+# of a request are sent without, which costs the owner half as much.
+_REPORT_INTERVAL_SECONDS = 0.8
 # Pause after a report that the owner hasn't taken, in seconds.
 _RETRY_SECONDS = 0.1
 # Requests whose outcome is unknown keep their slot for this multiple of the
@@ -80,6 +86,9 @@
         self._changed = ChangeSignal()
         self._has_changed = False
         self._reported_to = ""
+        # Whether the owner has confirmed a report since the last change.
+        self._is_confirmed = True
+        self._confirmed_at = float("-inf")
 
     def needs_permit(self, service: str) -> bool:
         """Whether requests to a service need a permit."""
@@ -103,12 +112,14 @@
             priority,
         )
         self._asked.add(number)
+        answer: SlotAnswer | None = None
         try:
             answer = await self._fleet.request_slot(request)
         finally:
             self._asked.discard(number)
-            # An answer that doesn't arrive any more may have granted a slot.
-            self._notify()
+            if answer is None:
+                # One that doesn't arrive any more may have granted a slot.
+                self._notify()
         by_name = {upstream.name: upstream for upstream in upstreams}
         now = self._loop.time()
         if answer is None or not answer.is_certain:
@@ -174,20 +185,27 @@
         while True:
             if not self._has_changed:
                 await self._changed.wait(_REPORT_INTERVAL_SECONDS)
-            if not self._must_report():
-                self._has_changed = False
+            has_changed, self._has_changed = self._has_changed, False
+            if not (self._brittle or self._held):
                 continue
-            if not await self._report():
-                await asyncio.sleep(_RETRY_SECONDS)
-
-    def _must_report(self) -> bool:
-        if not (self._brittle or self._held):
-            return False
-        return bool(
-            self._has_changed
-            or self._held
-            or self._count_unpermitted()
-            or self._fleet.owner_address() != self._reported_to
+            if self._must_confirm():
+                if not await self._report():
+                    self._has_changed = True
+                    await asyncio.sleep(_RETRY_SECONDS)
+            elif has_changed:
+                self._is_confirmed = False
+                self._fleet.send_slots(self._make_report())
+                self._answered.clear()
+
+    def _must_confirm(self) -> bool:
+        """Whether the owner must confirm the next report."""
+        if self._rejected or self._fleet.owner_address() != self._reported_to:
+            return True
+        is_due = (
+            self._loop.time() >= self._confirmed_at + _REPORT_INTERVAL_SECONDS
+        )
+        return is_due and bool(
+            self._held or self._count_unpermitted() or not self._is_confirmed
         )
 
     def _count_unpermitted(self) -> dict[str, int]:
@@ -205,22 +223,26 @@
 
     async def _report(self) -> bool:
         """Sends a report; returns whether the owner has taken it."""
-        self._has_changed = False
+        report = self._make_report()
         answered, self._answered = self._answered, collections.Counter()
         rejected, self._rejected = self._rejected, collections.Counter()
-        report = HeldSlots(
-            next(self._sequences),
-            dict(self._held),
-            tuple(self._asked),
-            self._last_number,
-            self._count_unpermitted(),
-            dict(answered),
-            dict(rejected),
-        )
+        self._is_confirmed = True
         self._reported_to = await self._fleet.report_slots(report)
         if self._reported_to:
+            self._confirmed_at = self._loop.time()
             return True
+        self._is_confirmed = False
         self._answered += answered
         self._rejected += rejected
-        self._has_changed = True
         return False
+
+    def _make_report(self) -> HeldSlots:
+        return HeldSlots(
+            next(self._sequences),
+            dict(self._held),
+            tuple(self._asked),
+            self._last_number,
+            self._count_unpermitted(),
+            dict(self._answered),
+            dict(self._rejected),
+        )
--- a/src/ridgesill/core/fleet/slot_permits.py
+++ b/src/ridgesill/core/fleet/slot_permits.py
@@ -89,8 +89,7 @@
     """A front that holds permits.
 
     Attributes:
-        heard_at: when it last reported, in seconds; when it last asked, before
-            any report.
+        heard_at: when it last reported, or was granted a slot, in seconds.
         sequence: of its last report.
         permits: upstream by number.
         unpermitted: requests in progress without a permit, by upstream.
@@ -193,6 +192,7 @@
         if best is None or self._room(best, now) <= 0:
             return ""
         known = self._holders.setdefault(holder, _Holder(now))
+        known.heard_at = now
         if number not in known.permits:
             known.permits[number] = best.name
             self._add(best.name, 1)
--- a/src/ridgesill/standin/emulator/brittle_service.py
+++ b/src/ridgesill/standin/emulator/brittle_service.py
@@ -195,6 +195,10 @@
         await asyncio.sleep(_MESSAGE_SECONDS)
         return "owner"
 
+    def send_slots(self, held: HeldSlots) -> None:
+        """Reports to the owner without an answer."""
+        asyncio.get_running_loop().create_task(self.report_slots(held))
+
     def owner_address(self) -> str:
         """Returns the address of the owner; empty while there is none."""
         return "" if self._world.is_owner_lost() else "owner"
--- a/testing/core/fleet/test_slot_permits.py
+++ b/testing/core/fleet/test_slot_permits.py
@@ -103,6 +103,14 @@
         permits.prune(BOTH, 2.1)
         assert permits.count_held("u1") == 0
 
+    def test_a_permit_of_a_front_that_seldom_asks_stays(
+        self, permits: SlotPermits
+    ) -> None:
+        report(permits, "f1", HeldSlots(1, {}), 0.0)
+        permits.grant("f1", 1, [U1], 3.0)
+        permits.prune(BOTH, 3.1)
+        assert permits.count_held("u1") == 1
+
 
 class TestLimit:
     def test_a_start_that_is_back_gets_one_request_at_first(self) -> None:
