Let no part that was aboard by chance take ends from the cause

A rare sound part that was aboard of the first two ends of a harmful one, and of an earlier one by another cause, reached three ends first, and its quarantine discarded the two of the harmful part, which then needed three more. A cause explains only the ends of parts with two ends fewer now. The new test failed before; found by reading.

--- a/src/ridgesill/core/harmful_parts.py
+++ b/src/ridgesill/core/harmful_parts.py
@@ -7,7 +7,7 @@
 different requests, and no answer, is quarantined.
 
 A part in quarantine explains its ends, which no longer count against parts with
-fewer ends. So a part that was aboard by chance is freed if the cause has had
+two ends fewer. So a part that was aboard by chance is freed if the cause has had
 more ends; otherwise a few trials free it, each of which sends one request.
 """
 
@@ -25,6 +25,10 @@
 # Requests with a part in quarantine that are sent to find out whether it is
 # harmful, in all.
 MAX_TRIALS = 2
+# Ends by which a cause exceeds the parts whose ends it explains. A part that
+# was aboard by chance of the same ends as the cause, and of one more, must not
+# take them from it.
+_MARGIN_ENDS = 2
 # Ends that are kept of a part.
 _MAX_ENDS = 8
 # Limits on the entries kept, so that no caller can exhaust the memory of all
@@ -139,14 +143,14 @@
     def discard_explained(self, ends: tuple[str, ...]) -> None:
         """Discards ends that have a known cause.
 
-        Parts with as many ends as the cause keep theirs: they may be the cause
-        themselves.
+        Parts with nearly as many ends as the cause keep theirs: they may be the
+        cause themselves.
 
         Args:
             ends: the upstreams that ended under the cause.
         """
         for other in list(self._suspects.values()):
-            if len(other.ends) < len(ends):
+            if len(other.ends) + _MARGIN_ENDS <= len(ends):
                 self._replace(other.without_ends(ends))
 
     def _replace(self, suspect: SuspectPart) -> None:
