Count only competing requests as waiting for a slot, and look at all news

The queue of one brittle service was full when another's was, and what a front took for brittle upstreams stayed although a new owner had dropped them. Both found by reading.

--- a/src/ridgesill/app/slot_desk.py
+++ b/src/ridgesill/app/slot_desk.py
@@ -187,12 +187,17 @@
 
     def _is_queue_full(self, registry: Registry, request: RequestSlot) -> bool:
         """Whether more requests wait than slots can become free for."""
+        names = set(request.upstreams)
         slots = sum(
             registry.upstreams[name].slots
-            for name in request.upstreams
+            for name in names
             if name in registry.upstreams
         )
-        return len(self._waiting) >= slots
+        competing = sum(
+            not names.isdisjoint(waiting.request.upstreams)
+            for waiting in self._waiting
+        )
+        return competing >= slots
 
     def _serve_waiting(self) -> None:
         for waiting in sorted(self._waiting, key=lambda w: w.rank):
--- a/src/ridgesill/core/serving/brittle.py
+++ b/src/ridgesill/core/serving/brittle.py
@@ -54,8 +54,8 @@
         self._statements: dict[str, _Statement] = {}
         self._services: set[str] = set()
         self._told: dict[str, Upstream] = {}
-        # Epoch and number of the news that were applied last.
-        self._applied = (0, 0)
+        # What identifies the news that were applied last.
+        self._applied = (0, 0, 0)
         self._paused_until: dict[str, float] = {}
         # When the next occasion begins to send without a permit, by upstream.
         self._occasions: dict[str, float] = {}
@@ -70,7 +70,7 @@
         A service of which no upstream is listed stays as it was: a start that
         is back is as brittle as the one before.
         """
-        applied = (view.epoch, view.number)
+        applied = (view.epoch, view.number, view.records)
         if view.number and applied == self._applied:
             return
         self._applied = applied
