--- a/src/ridgesill/core/harmful_parts.py
+++ b/src/ridgesill/core/harmful_parts.py
@@ -6,9 +6,10 @@
 answers on is cleared, wherever that was seen. A part with several ends under
 different requests, and no answer, is quarantined.
 
-A part in quarantine explains its ends, which no longer count against parts with
-two ends fewer. So a part that was aboard by chance is freed if the cause has had
-more ends; otherwise a few trials free it, each of which sends one request.
+A part in quarantine explains its ends, which no longer count against parts
+with two ends fewer. So a part that was aboard by chance is freed if the cause
+has had more ends; otherwise a few trials free it, each of which sends one
+request.
 """
 
 import collections
