--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -64,8 +64,8 @@
 # Time in quarantine before the first trial of a part, and from it to the second
 # one, in seconds.
 _PART_TRIALS = (30.0, 300.0)
-# The same for a request that others were aboard with at all its ends. A request
-# that was alone is tried never.
+# The same for a request that shares all its ends with another one. A request
+# with an end of its own is never tried.
 _REQUEST_TRIALS = (0.5, 2.0)
 # Parts of a request that are counted, so that no request fills the log.
 _MAX_PARTS = 64
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -45,7 +45,7 @@
 _RETRY_SHARE = 1 / 3
 # Reason of refusals if no slot of a brittle upstream is free.
 NO_SLOT = "no_slot"
-# Shortest and longest retry delay after such a refusal.
+# Shortest and longest retry delay after such a refusal, in seconds.
 _SLOT_RETRY_SECONDS = (0.25, 1.0)
 # Loads that the owner is asked for on behalf of one request.
 _MAX_WANTS = 3
