Have stand-ins of upstreams wait for their old port

An upstream that is back listens at its old port, in the range that the kernel takes for outgoing connections, and a bind fails while one has it (tried on its own). No bound and no check has changed.

--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -37,6 +37,8 @@
 HARMFUL = b"harmful"
 # Shortest and longest time that such an upstream stays down, in seconds.
 _DOWNTIME_SECONDS = (0.8, 2.0)
+# Pause before an upstream tries to listen at its address again, in seconds.
+_PORT_RETRY_SECONDS = 0.1
 _incarnations = itertools.count(1)
 
 
@@ -203,11 +205,26 @@
         await self._listen()
 
     async def _listen(self, port: int = 0) -> None:
-        await self._scripted_server.start(port)
+        await self._start_server(port)
         for link in self.links:
             await link.add(self.address)
         self._tasks = [asyncio.create_task(self._send_heartbeats())]
 
+    async def _start_server(self, port: int) -> None:
+        """Listens at a port, as soon as no outgoing connection has it.
+
+        Args:
+            port: Where to listen; 0 for any free port.
+        """
+        while True:
+            try:
+                await self._scripted_server.start(port)
+                return
+            except OSError:
+                if not port:
+                    raise
+                await asyncio.sleep(_PORT_RETRY_SECONDS)
+
     @property
     def address(self) -> str:
         """Where it listens; empty before its start."""
