Find out once for each state which quarantined requests are ambiguous

Each change of the replicated state compared every request in quarantine with all suspects, and so did each refusal of such a request; a request with a part in quarantine was hashed as a whole although nothing needs that. The contents are found through their ends now, and kept until the next state.

--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -38,11 +38,7 @@
 )
 from ridgesill.core.serving.recent_answers import RecentAnswers
 from ridgesill.core.state import State
-from ridgesill.core.suspects import (
-    MIN_ENDS_FOR_QUARANTINE,
-    Suspect,
-    Suspects,
-)
+from ridgesill.core.suspects import MIN_ENDS_FOR_QUARANTINE, Suspects
 
 Propose = Callable[[Any, float], Awaitable[Any]]
 HasEnded = Callable[[str], Awaitable[bool]]
@@ -105,6 +101,7 @@
         self._recent_answers = RecentAnswers()
         self._loop = asyncio.get_running_loop()
         self._suspects = Suspects()
+        self._held_requests: dict[str, Held] = {}
         self._answered_parts = AnsweredParts()
         self._parts_in_log = HarmfulParts()
         # The parts in the log, with what isn't reported yet.
@@ -139,21 +136,28 @@
         self._parts_in_log = state.harmful_parts
         self._judge_parts()
         self._clear_answered_parts()
-        if self._parts or self._suspects:
-            self._trials.watch(self._list_held(), self._loop.time())
-
-    def _list_held(self) -> list[Held]:
-        """Returns all that is in quarantine."""
-        return [
-            *map(hold_part, self._parts.quarantined()),
-            *map(self._hold_request, self._suspects.quarantined()),
-        ]
-
-    def _hold_request(self, suspect: Suspect) -> Held:
-        content = suspect.fingerprint.content
-        is_ambiguous = self._suspects.is_ambiguous(content)
-        after = _REQUEST_TRIALS if is_ambiguous else ()
-        return Held(content, suspect.trials, after)
+        self._held_requests = self._hold_requests()
+        held_parts = map(hold_part, self._parts.quarantined())
+        self._trials.watch(
+            (*held_parts, *self._held_requests.values()), self._loop.time()
+        )
+
+    def _hold_requests(self) -> dict[str, Held]:
+        """Returns how requests are held that are in quarantine as a whole.
+
+        Returns:
+            By the hash of their content.
+        """
+        quarantined = self._suspects.quarantined()
+        if not quarantined:
+            return {}
+        ambiguous = self._suspects.list_ambiguous()
+        held = {}
+        for suspect in quarantined:
+            content = suspect.fingerprint.content
+            after = _REQUEST_TRIALS if content in ambiguous else ()
+            held[content] = Held(content, suspect.trials, after)
+        return held
 
     def _judge_parts(self) -> None:
         """Combines the parts in the log with what isn't reported yet."""
@@ -237,11 +241,9 @@
 
     def find_held_request(self, fingerprint: Fingerprint) -> Held:
         """Returns how a request is held that is in quarantine as a whole."""
-        for suspect in self._suspects.quarantined():
-            if suspect.fingerprint.content == fingerprint.content:
-                return self._hold_request(suspect)
-        # Ends that aren't in the log yet hold it.
-        return Held(fingerprint.content, 0, ())
+        content = fingerprint.content
+        # Others are held by ends that aren't in the log yet.
+        return self._held_requests.get(content) or Held(content, 0, ())
 
     def find_harmful_part(self, parts: Collection[str]) -> SuspectPart | None:
         """Returns the first part in quarantine, or None.
--- a/src/ridgesill/app/suspect_request.py
+++ b/src/ridgesill/app/suspect_request.py
@@ -5,7 +5,6 @@
 from ridgesill.app.quarantine import Quarantine, hold_part
 from ridgesill.app.quarantine_trials import Held
 from ridgesill.core.fleet.messages import Upstream
-from ridgesill.core.harmful_parts import SuspectPart
 from ridgesill.core.serving.fingerprints import (
     Fingerprint,
     Identity,
@@ -67,39 +66,25 @@
             return None
         quarantine = self._quarantine
         part = quarantine.find_harmful_part(self._facts.shared_parts)
-        suspect = self._find_suspect()
         if part is not None:
-            held = hold_part(part)
-        elif suspect is not None and quarantine.is_quarantined(suspect):
-            held = quarantine.find_held_request(suspect)
+            held, ended = hold_part(part), part.ends
         else:
-            return None
+            suspect = self._find_suspect()
+            if suspect is None or not quarantine.is_quarantined(suspect):
+                return None
+            held = quarantine.find_held_request(suspect)
+            ended = tuple(sorted(quarantine.ended_upstreams(suspect)))
         if quarantine.takes_trial(held):
             self._trial = held
             return None
-        if part is not None:
-            self._log_part(part)
-        elif suspect is not None:
-            self._log_request(suspect)
-        return quarantine.seconds_until_trial(held)
-
-    def _log_part(self, part: SuspectPart) -> None:
         log_message(
             "request:quarantined",
             request=self._facts.request,
-            fingerprint=part.part,
-            is_part=True,
-            ended=list(part.ends),
-        )
-
-    def _log_request(self, suspect: Fingerprint) -> None:
-        log_message(
-            "request:quarantined",
-            request=self._facts.request,
-            fingerprint=suspect.content,
-            is_part=False,
-            ended=sorted(self._quarantine.ended_upstreams(suspect)),
+            fingerprint=held.key,
+            is_part=part is not None,
+            ended=list(ended),
         )
+        return quarantine.seconds_until_trial(held)
 
     def record_cut(self, upstream: Upstream, *, has_begun: bool) -> None:
         """Records that the upstream's channel ended before the answer did.
--- a/src/ridgesill/core/suspects.py
+++ b/src/ridgesill/core/suspects.py
@@ -159,14 +159,34 @@
         Args:
             content: the hash of the request's content.
         """
-        own = [self._suspects[key] for key in self._keys_with_content(content)]
-        ends = max((s.ends for s in own), key=len, default=())
-        return any(
-            other.is_quarantined
-            and other.fingerprint.content != content
-            and set(ends) <= set(other.ends)
-            for other in self._suspects.values()
-        )
+        return content in self.list_ambiguous()
+
+    def list_ambiguous(self) -> set[str]:
+        """Returns the contents of quarantined requests that are ambiguous.
+
+        Others in quarantine were aboard of all their ends.
+        """
+        keys_by_end: dict[str, set[str]] = collections.defaultdict(set)
+        longest: dict[str, Suspect] = {}
+        for suspect in self._suspects.values():
+            if not suspect.is_quarantined:
+                continue
+            for end in suspect.ends:
+                keys_by_end[end].add(suspect.key)
+            content = suspect.fingerprint.content
+            known = longest.get(content)
+            if known is None or len(suspect.ends) > len(known.ends):
+                longest[content] = suspect
+        return {
+            content
+            for content, suspect in longest.items()
+            if any(
+                self._suspects[key].fingerprint.content != content
+                for key in set.intersection(
+                    *(keys_by_end[end] for end in suspect.ends)
+                )
+            )
+        }
 
     def begin_trial(self, content: str, number: int) -> bool:
         """Begins a trial of a request in quarantine.
