Distinguish only the ends of a slot that matter

Two of the four were treated alike, and a request that looks for an upstream holds no slot that it could give back first: each attempt has ended its own.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -226,7 +226,7 @@
             self._record_end("client_left")
             raise
         finally:
-            self._search.end_slot(SlotEnd.UNUSED)
+            self._search.end_slot(SlotEnd.FREE)
             self._search.limit_draws.release()
             self._end_admission()
             if (
@@ -1145,9 +1145,7 @@
     """Returns how an attempt left its slot at a brittle upstream."""
     if was_received:
         return SlotEnd.ANSWERED
-    if exchange is None:
-        return SlotEnd.UNUSED
-    if failure is None or failure.cut:
+    if exchange is not None and (failure is None or failure.cut):
         # Its upstream may go on with a request that has been broken off.
         return SlotEnd.UNCERTAIN
-    return SlotEnd.NOT_SERVED
+    return SlotEnd.FREE
--- a/src/ridgesill/app/slot_client.py
+++ b/src/ridgesill/app/slot_client.py
@@ -38,9 +38,9 @@
 class SlotEnd(enum.Enum):
     """How a request left its slot."""
 
-    UNUSED = enum.auto()
     ANSWERED = enum.auto()
-    NOT_SERVED = enum.auto()
+    # It never ran, or ended without an answer.
+    FREE = enum.auto()
     # The upstream may go on with the request.
     UNCERTAIN = enum.auto()
 
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -178,7 +178,6 @@
         slots = self._front.slots
         if not slots.needs_permit(self._terms.service):
             return found
-        self.end_slot(SlotEnd.UNUSED)
         self._slot = await slots.acquire(
             self._list_alternatives(found),
             self._terms.priority,
--- a/src/ridgesill/standin/emulator/brittle_service.py
+++ b/src/ridgesill/standin/emulator/brittle_service.py
@@ -380,7 +380,7 @@
         end = SlotEnd.UNCERTAIN
         try:
             ran = await self._upstreams[upstream.name].serve()
-            end = SlotEnd.ANSWERED if ran else SlotEnd.NOT_SERVED
+            end = SlotEnd.ANSWERED if ran else SlotEnd.FREE
             if not ran and client.needs_permit(_SERVICE):
                 client.record_rejected(upstream)
             return ran
