Remember answered requests and parts in one kind of table

The table of parts was a copy of the one of requests with another retention and size. The delay before an upstream that closed a channel is tested also stood twice, and the quarantine's public test of one has had no caller but itself since answers test whether their upstream can be reached.

The test that an old answer doesn't clear a request sets the retention of its front's table now, with the same value and assertion.

--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -16,6 +16,7 @@
 )
 from ridgesill.app.client_answer import ClientAnswer
 from ridgesill.app.front import Front
+from ridgesill.app.quarantine import PROBE_DELAY_SECONDS
 from ridgesill.app.upstream_search import UpstreamSearch
 from ridgesill.core.completeness import Completeness
 from ridgesill.core.fleet.messages import Upstream
@@ -27,9 +28,6 @@
 # After a longer wait for a client that reads slowly, data may have arrived from
 # the upstream before this process noticed it; in seconds.
 _SLOW_CLIENT_SECONDS = 0.005
-# Time from the end of an answer until its upstream is tested, in seconds. All
-# channels to an upstream that ends close within a few milliseconds.
-_CHECK_DELAY_SECONDS = 0.03
 
 
 class AnswerRelay:
@@ -122,7 +120,7 @@
         return end if is_there else UPSTREAM_GONE
 
     async def _is_there(self, address: str) -> bool:
-        await asyncio.sleep(_CHECK_DELAY_SECONDS)
+        await asyncio.sleep(PROBE_DELAY_SECONDS)
         return await self._front.reachability_tests.accepts_connections(address)
 
     # -- streams -------------------------------------------------------
--- a/src/ridgesill/app/quarantine.py
+++ b/src/ridgesill/app/quarantine.py
@@ -30,7 +30,6 @@
     PartSighting,
     SuspectPart,
 )
-from ridgesill.core.serving.answered_parts import AnsweredParts
 from ridgesill.core.serving.fingerprints import (
     Fingerprint,
     Fingerprinter,
@@ -45,7 +44,7 @@
 
 # Time from the first request that an upstream cut until the upstream is probed.
 # All channels to an upstream that ends close within a few milliseconds.
-_PROBE_DELAY_SECONDS = 0.03
+PROBE_DELAY_SECONDS = 0.03
 # How long a proposal waits for a leader before that is logged and retried.
 _PROPOSE_TIMEOUT_SECONDS = 2.0
 _KEY_BYTES = 16
@@ -63,6 +62,16 @@
 # The same for a request that shares all its ends with another one. A request
 # with an end of its own is never tried.
 _REQUEST_TRIALS = (0.5, 2.0)
+# How long an answer counts as evidence that a request is harmless, in seconds.
+# This is longer than a crashed upstream takes to return, and short enough that
+# a request that crashes a newly deployed version isn't considered harmless.
+_REQUEST_RETENTION_SECONDS = 10.0
+# The same for a part of prompts. This is longer than upstreams take to return
+# that one part has ended together.
+_PART_RETENTION_SECONDS = 20.0
+# How many answered requests and parts are remembered.
+_MAX_ANSWERED_REQUESTS = 1024
+_MAX_ANSWERED_PARTS = 4096
 # Parts of a request that are counted, so that no request fills the log.
 _MAX_PARTS = 64
 
@@ -98,11 +107,15 @@
     def __init__(self, has_ended: HasEnded) -> None:
         self._has_ended = has_ended
         self._fingerprints = Fingerprinter()
-        self._recent_answers = RecentAnswers()
+        self._answered_requests: RecentAnswers[int] = RecentAnswers(
+            _REQUEST_RETENTION_SECONDS, _MAX_ANSWERED_REQUESTS
+        )
+        self._answered_parts: RecentAnswers[str] = RecentAnswers(
+            _PART_RETENTION_SECONDS, _MAX_ANSWERED_PARTS
+        )
         self._loop = asyncio.get_running_loop()
         self._suspects = Suspects()
         self._held_requests: dict[str, Held] = {}
-        self._answered_parts = AnsweredParts()
         self._parts_in_log = HarmfulParts()
         # The parts in the log, with what isn't reported yet.
         self._parts = HarmfulParts()
@@ -181,7 +194,7 @@
             return
         self._checked_parts = suspected
         now = self._loop.time()
-        for name in self._answered_parts.list_recent(now):
+        for name in self._answered_parts.list_answered(now):
             part = self._fingerprints.hash_part(name)
             if self._parts.find(part) is not None:
                 self._clear_part(part)
@@ -294,7 +307,7 @@
         if has_begun:
             return
         end.sightings |= self._list_sightings(identity)
-        if self._recent_answers.is_answered(
+        if self._answered_requests.is_answered(
             identity.local_hash(), self._loop.time()
         ):
             return
@@ -304,7 +317,11 @@
         """Returns the parts of a request that may have ended its upstream."""
         now = self._loop.time()
         parts = identity.parts[:_MAX_PARTS]
-        unanswered = self._answered_parts.list_unanswered(parts, now)
+        unanswered = [
+            part
+            for part in parts
+            if not self._answered_parts.is_answered(part, now)
+        ]
         if not unanswered:
             return set()
         request = self._fingerprints.compute(identity).content
@@ -325,18 +342,14 @@
             probe.add_done_callback(self._probes.discard)
         return end
 
-    async def is_gone(self, upstream: Upstream) -> bool:
-        """Whether an upstream that has just closed a channel has ended."""
-        await asyncio.sleep(_PROBE_DELAY_SECONDS)
-        return await self._has_ended(upstream.address)
-
     async def _probe(self, upstream: Upstream, end: _UpstreamEnd) -> None:
         """Counts an end if the upstream's address refuses connections.
 
         An upstream that only cut an answer still accepts connections, and one
         that is partitioned from this front doesn't respond at all.
         """
-        is_gone = await self.is_gone(upstream)
+        await asyncio.sleep(PROBE_DELAY_SECONDS)
+        is_gone = await self._has_ended(upstream.address)
         del self._unprobed_ends[upstream.name]
         log_message(
             "upstream:cut_requests",
@@ -359,7 +372,7 @@
         Args:
             local_hash: of the request, as `Identity.local_hash` returns it.
         """
-        self._recent_answers.record(local_hash, self._loop.time())
+        self._answered_requests.record(local_hash, self._loop.time())
 
     def record_parts_answered(self, parts: Collection[str]) -> None:
         """Records that an upstream has begun to answer on parts.
@@ -369,9 +382,9 @@
         Args:
             parts: ids of the parts.
         """
-        if not parts:
-            return
-        self._answered_parts.record(parts, self._loop.time())
+        now = self._loop.time()
+        for name in parts:
+            self._answered_parts.record(name, now)
         if not self._parts:
             return
         for part in map(self._fingerprints.hash_part, parts):
--- a/src/ridgesill/core/serving/recent_answers.py
+++ b/src/ridgesill/core/serving/recent_answers.py
@@ -1,41 +1,51 @@
-"""Requests that were answered recently, which are unlikely to crash upstreams.
+"""What was answered recently, which is unlikely to crash upstreams.
 
-A request that many callers send with identical content is in progress at every
-upstream that crashes without being the cause. Its recent answers show that.
+A request that many callers send with identical content, or a part that many
+prompts share, is in progress at every upstream that crashes without being the
+cause. Its recent answers show that, at whichever front they passed.
 """
 
-# How long an answer counts as evidence that a request is harmless. This is
-# longer than a crashed upstream takes to return, and short enough that a
-# request that crashes a newly deployed version isn't considered harmless.
-_RETENTION_SECONDS = 10.0
-# How many requests are kept. Fronts that answer fewer than this many distinct
-# requests within the retention time keep each of them for all of it.
-_MAX_KEYS = 1024
+from typing import Generic, TypeVar
 
+import attrs
 
-class RecentAnswers:
-    """Remembers the requests that received a complete answer recently."""
+K = TypeVar("K")
 
-    def __init__(self) -> None:
-        # Ordered by age, the oldest first.
-        self._answered_at: dict[int, float] = {}
 
-    def record(self, key: int, now: float) -> None:
-        """Records a complete answer to a request.
+@attrs.define
+class RecentAnswers(Generic[K]):
+    """Remembers what received an answer recently.
+
+    Attributes:
+        retention: seconds for which an answer counts as evidence.
+        max_keys: how many keys are kept; the oldest are dropped. A front that
+            answers fewer distinct ones within the retention time keeps each of
+            them for all of it.
+    """
+
+    retention: float
+    max_keys: int
+    # Ordered by age, the oldest first.
+    _answered_at: dict[K, float] = attrs.field(factory=dict, init=False)
+
+    def record(self, key: K, now: float) -> None:
+        """Records an answer.
 
         Args:
-            key: hash of the request's content; a hash that is only valid in
-                this process is enough, and cheaper than a portable one.
+            key: what was answered. A hash that is only valid in this process is
+                enough, and cheaper than a portable one.
             now: the current time, in seconds.
         """
         self._answered_at.pop(key, None)
         self._answered_at[key] = now
-        if len(self._answered_at) > _MAX_KEYS:
+        if len(self._answered_at) > self.max_keys:
             del self._answered_at[next(iter(self._answered_at))]
 
-    def is_answered(self, key: int, now: float) -> bool:
-        """Whether a request was answered within the retention time."""
+    def is_answered(self, key: K, now: float) -> bool:
+        """Whether there was an answer within the retention time."""
         answered_at = self._answered_at.get(key)
-        return (
-            answered_at is not None and now - answered_at <= _RETENTION_SECONDS
-        )
+        return answered_at is not None and now - answered_at <= self.retention
+
+    def list_answered(self, now: float) -> list[K]:
+        """Returns all keys with an answer within the retention time."""
+        return [key for key in self._answered_at if self.is_answered(key, now)]
--- a/testing/app/test_quarantine.py
+++ b/testing/app/test_quarantine.py
@@ -20,7 +20,6 @@
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.harmful_parts import SuspectPart
 from ridgesill.core.log.messages import Entry
-from ridgesill.core.serving import recent_answers
 from ridgesill.core.serving.fingerprints import Fingerprinter, Identity
 from ridgesill.core.state import State
 from testing.app.front_world import Call, FrontWorld, ScriptedUpstream
@@ -261,7 +260,7 @@
         self, fronts: Fronts, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         # The request may end upstreams of a version that came later.
-        monkeypatch.setattr(recent_answers, "_RETENTION_SECONDS", 0.01)
+        monkeypatch.setattr(fronts.first._answered_requests, "retention", 0.01)
         fronts.first.record_answered(HARMFUL.local_hash())
         await asyncio.sleep(0.02)
         for number in (1, 2, 3):
