Share the random callers of the soak's brittle and harmful services

Both had the same loop and the same way to send a request, and the check of harmful parts had a copy of how disturbed fronts are found. The check stands beside the others now, with the same bounds.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -15,7 +15,7 @@
 from testing.soak.faults import InjectedFault
 from testing.soak.keys import COMPLIANT, LIMIT_PER_SECOND, LIMITED
 from testing.soak.limits import find_excess
-from testing.soak.parts import SOUND, list_late_sends
+from testing.soak.parts import SOUND
 from testing.soak.pressure import PressureRecord, check_pressure
 from testing.soak.upstreams import Arrival, InstanceRecord, Ledger
 from testing.soak.versions import list_mixed
@@ -51,7 +51,9 @@
 _MAX_SENDS_DURING_RETRY_AFTER = 2
 _RETRY_AFTER_GRACE_SECONDS = 0.5
 _DRAIN_SECONDS = 2.0
-# Late sends of a harmful request that are allowed.
+# Upstream ends after which a part of prompts is known to be harmful.
+_MIN_PART_ENDS = 5
+# Late sends of a harmful request, or with a harmful part, that are allowed.
 _MAX_SENDS_ONCE_KNOWN = 3
 
 
@@ -146,13 +148,37 @@
         verdict.violations["mixed"] = mixed
     for line in list_falls(world):
         verdict.record_violation("fell", line)
-    for line in list_late_sends(world):
-        verdict.record_violation("part", line)
+    _check_harmful_parts(verdict, world)
     for request in sorted(pressure.quarantined):
         if request.startswith(SOUND):
             verdict.record_violation("shut_out", request)
 
 
+def _check_harmful_parts(verdict: Verdict, world: SoakWorld) -> None:
+    """Checks that few requests with a harmful part are sent once it is known.
+
+    Sends of a front that a fault has hit since the first end don't count.
+    """
+    if not world.parts_upstreams:
+        return
+    ledger = world.parts_upstreams[0].parts_ledger
+    if len(ledger.ends) < _MIN_PART_ENDS:
+        return
+    known_at = ledger.ends[_MIN_PART_ENDS - 1] + _PROPAGATION_SECONDS
+    fronts = {vm.ip: vm.name for vm in world.fronts}
+    fronts |= {links.source: name for name, links in world.links.items()}
+    late = [
+        f"{at:.2f} s from {fronts.get(sender, sender)}"
+        for at, sender in ledger.harmful_sends
+        if at > known_at
+        and not _was_disturbed(
+            world, fronts.get(sender, ""), ledger.ends[0], at
+        )
+    ]
+    if len(late) > _MAX_SENDS_ONCE_KNOWN:
+        verdict.violations["part"] = late
+
+
 def _check_request(
     verdict: Verdict, outcome: RequestOutcome, runs: int
 ) -> None:
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -295,13 +295,13 @@
     def start_brittle_load(self) -> None:
         """Starts the callers of the service of brittle upstreams."""
         if self.brittle_upstreams:
-            load = BrittleLoad(self, self.choose_steady_key)
+            load = BrittleLoad(self)
             self._tasks.append(asyncio.create_task(load.run()))
 
     def start_parts_load(self) -> None:
         """Starts the callers whose prompts have parts."""
         if self.parts_upstreams:
-            load = PartsLoad(self, self.choose_steady_key)
+            load = PartsLoad(self)
             self._tasks.append(asyncio.create_task(load.run()))
 
     def _make_caller(self, vm: Vm, number: int) -> Caller:
