Let emulated messages to a stopped node end without an error

A message sent without an answer to a node that is down waits until the end of the replay. Its task was referenced by nothing, so that it could be destroyed while it waited, and its callback raised once it was cancelled.

--- a/src/ridgesill/standin/emulator/network.py
+++ b/src/ridgesill/standin/emulator/network.py
@@ -22,11 +22,19 @@
         self._nodes = nodes
         self._name = name
         self._delay = delay
+        # Strong references: the event loop keeps only weak ones.
+        self._sent: set[asyncio.Task[Any]] = set()
 
     def send(self, address: str, message: Any) -> None:
         """Sends a message and ignores its answer and errors."""
         task = asyncio.ensure_future(self._deliver(address, message))
-        task.add_done_callback(lambda done: done.exception())
+        self._sent.add(task)
+        task.add_done_callback(self._end_sent)
+
+    def _end_sent(self, task: asyncio.Task[Any]) -> None:
+        self._sent.discard(task)
+        if not task.cancelled():
+            task.exception()
 
     async def _deliver(self, address: str, message: Any) -> Any:
         await asyncio.sleep(self._delay)
