Emulate the owner of brittle services behind the real client and network

The emulator had its own link to the owner, which left out the client's time-outs and pauses, though the emulated network was there.

--- a/src/ridgesill/standin/emulator/brittle_service.py
+++ b/src/ridgesill/standin/emulator/brittle_service.py
@@ -9,6 +9,8 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -17,18 +19,21 @@
 from ridgesill.app.slot_desk import SlotDesk
 from ridgesill.core import codec
 from ridgesill.core.fleet.brittle_bounds import HeardBrittle
-from ridgesill.core.fleet.messages import Heartbeat, Upstream, WatchFleet
-from ridgesill.core.fleet.registry import FleetView, Registry
-from ridgesill.core.fleet.slot_permits import (
-    HeldSlots,
-    RequestSlot,
-    SlotAnswer,
+from ridgesill.core.fleet.messages import (
+    Heartbeat,
+    Taken,
+    Upstream,
+    WatchFleet,
 )
+from ridgesill.core.fleet.registry import Registry
+from ridgesill.core.fleet.slot_permits import HeldSlots
 from ridgesill.core.serving.choice import Chooser
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.standin.emulator.clock import run_on_virtual_clock
+from ridgesill.standin.emulator.network import EmulatedPeers
 
 _SERVICE = "plain"
+_OWNER = "owner"
 # Time of a message between a front and the owner, and how often fronts hear
 # news, in seconds.
 _MESSAGE_SECONDS = 0.0015
@@ -88,8 +93,8 @@
         waits: seconds that served requests waited for their slots.
         refusal_seconds: seconds until refusals.
         messages: messages that the owner received.
-        owner_seconds: processor time of the owner for these messages, decoding
-            and encoding included, without the transport.
+        owner_seconds: processor time of the owner for decoding these messages
+            and applying reports, without the transport.
     """
 
     falls: int = 0
@@ -161,63 +166,6 @@
             raise _FallenError
 
 
-class _OwnerLink(FleetClient):
-    """A front's link to the owner, whose messages take their time."""
-
-    def __init__(self, name: str, world: "_BrittleWorld") -> None:
-        self.view = FleetView()
-        self._name = name
-        self._world = world
-
-    async def request_slot(self, request: RequestSlot) -> SlotAnswer | None:
-        """Returns the owner's answer."""
-        data = codec.encode(request)
-        await asyncio.sleep(_MESSAGE_SECONDS)
-        if self._world.is_owner_lost():
-            await asyncio.sleep(request.patience + _MESSAGE_SECONDS)
-            return None
-        with self._world.measured():
-            message = codec.decode(data)
-        answer = await self._world.desk.provide(self._name, message)
-        with self._world.measured(0):
-            codec.encode(answer)
-        await asyncio.sleep(_MESSAGE_SECONDS)
-        return answer
-
-    async def report_slots(self, held: HeldSlots) -> str:
-        """Reports to the owner; returns its address."""
-        data = codec.encode(held)
-        await asyncio.sleep(_MESSAGE_SECONDS)
-        if self._world.is_owner_lost():
-            return ""
-        with self._world.measured():
-            self._world.desk.handle_held(self._name, codec.decode(data))
-        await asyncio.sleep(_MESSAGE_SECONDS)
-        return "owner"
-
-    def send_slots(self, held: HeldSlots) -> None:
-        """Reports to the owner without an answer."""
-        asyncio.get_running_loop().create_task(self.report_slots(held))
-
-    def owner_address(self) -> str:
-        """Returns the address of the owner; empty while there is none."""
-        return "" if self._world.is_owner_lost() else "owner"
-
-
-class _Stopwatch:
-    """Adds the processor time of a block to the figures."""
-
-    def __init__(self, figures: BrittleFigures) -> None:
-        self._figures = figures
-        self._began = 0.0
-
-    def __enter__(self) -> None:
-        self._began = time.process_time()
-
-    def __exit__(self, *error: object) -> None:
-        self._figures.owner_seconds += time.process_time() - self._began
-
-
 class _BrittleWorld:
     """Upstreams, owner, fronts and callers of a run."""
 
@@ -235,19 +183,31 @@
         self._upstreams: dict[str, _EmulatedUpstream] = {}
         for number in range(plan.upstreams):
             self._start_upstream(f"u{number}")
-        self._links = [
-            _OwnerLink(f"f{number}", self) for number in range(plan.fronts)
-        ]
-        self._choosers = [
-            Chooser(
-                "a", link.view, Outcomes(), random.Random(self._rng.random())
-            )
-            for link in self._links
-        ]
-        self._clients = [
-            SlotClient(link, chooser)
-            for link, chooser in zip(self._links, self._choosers, strict=True)
-        ]
+        self._nodes: dict[str, Callable[..., Any]] = {_OWNER: self._handle}
+        self._choosers: list[Chooser] = []
+        self._clients: list[SlotClient] = []
+        for number in range(plan.fronts):
+            self._make_front(f"f{number}")
+
+    def _make_front(self, name: str) -> None:
+        peers = EmulatedPeers(self._nodes, name, _MESSAGE_SECONDS)
+        fleet = FleetClient(peers, lambda: _OWNER, name)
+        rng = random.Random(self._rng.random())
+        chooser = Chooser("a", fleet.view, Outcomes(), rng)
+        self._choosers.append(chooser)
+        self._clients.append(SlotClient(fleet, chooser))
+
+    async def _handle(self, sender: str, message: Any) -> Any:
+        """Handles a message as the owner, and counts it and its cost."""
+        self.figures.messages += 1
+        began = time.process_time()
+        message = codec.decode(codec.encode(message))
+        if isinstance(message, HeldSlots):
+            self.desk.handle_held(sender, message)
+        self.figures.owner_seconds += time.process_time() - began
+        if isinstance(message, HeldSlots):
+            return Taken()
+        return await self.desk.provide(sender, message)
 
     def _start_upstream(self, instance: str) -> None:
         start = next(self._starts)
@@ -271,11 +231,6 @@
         began, ended = self.plan.owner_lost
         return began <= self._loop.time() < ended
 
-    def measured(self, messages: int = 1) -> _Stopwatch:
-        """Counts messages, and measures what the owner does with them."""
-        self.figures.messages += messages
-        return _Stopwatch(self.figures)
-
     async def play(self) -> BrittleFigures:
         """Plays the plan to its end."""
         self._send_news()
@@ -284,7 +239,7 @@
             for coroutine in (
                 self._send_news_regularly(),
                 self._update_owner(),
-                self._change_owner(),
+                self._lose_owner(),
                 *(client.run() for client in self._clients),
             )
         ]
@@ -314,8 +269,8 @@
                 self._send_news()
 
     def _send_news(self) -> None:
-        for link, chooser in zip(self._links, self._choosers, strict=True):
-            view = link.view
+        for chooser in self._choosers:
+            view = chooser.view
             question = WatchFleet(view.epoch, view.number, 0.0)
             news = self._registry.make_news(
                 question, self.plan.fronts, {}, self._loop.time()
@@ -329,9 +284,13 @@
             if not self.is_owner_lost():
                 self.desk.update(self._registry)
 
-    async def _change_owner(self) -> None:
-        """Has another node own the fleet, which knows of no permit."""
-        await asyncio.sleep(self.plan.owner_lost[1])
+    async def _lose_owner(self) -> None:
+        """Has another node own the fleet after a while, without any permit."""
+        began, ended = self.plan.owner_lost
+        await asyncio.sleep(began)
+        del self._nodes[_OWNER]
+        await asyncio.sleep(ended - began)
+        self._nodes[_OWNER] = self._handle
         self.desk.end()
         self.desk.begin(self._registry.upstreams.values())
 
