--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -221,24 +221,14 @@
 
     def filter_front_answer(self, head: ResponseHead) -> ResponseHead:
         """Returns the head of another front's answer as an upstream sent it."""
-        return attrs.evolve(
-            head,
-            headers=tuple(
-                (name, value)
-                for name, value in head.headers
-                if name != _SOFTWARE_HEADER
-            ),
-        )
+        headers = _remove_header(head.headers, _SOFTWARE_HEADER)
+        return attrs.evolve(head, headers=headers)
 
     def read_front_request(self, request: HttpRequest) -> HttpRequest:
         """Returns a request as its client sent it to another front."""
         return attrs.evolve(
             request,
-            headers=tuple(
-                (name, value)
-                for name, value in request.headers
-                if name != _CLIENT_HEADER
-            ),
+            headers=_remove_header(request.headers, _CLIENT_HEADER),
             peer=find_header(request.headers, _CLIENT_HEADER),
             is_from_front=True,
         )
@@ -453,6 +443,10 @@
     )
 
 
+def _remove_header(headers: Headers, name: bytes) -> Headers:
+    return tuple(header for header in headers if header[0] != name)
+
+
 def _parse_prompt_parts(text: str) -> tuple[tuple[str, int], ...]:
     """Parses `ID:TOKENS, ...` into the parts of a prompt."""
     parts = []
