--- a/testing/app/test_stream_versions.py
+++ b/testing/app/test_stream_versions.py
@@ -69,6 +69,26 @@
         other.share_upstreams(fronts[0])
 
 
+def answer_report(upstream: ScriptedUpstream, status: int, body: bytes) -> None:
+    """Has an upstream answer requests for its report, and others as before."""
+    answer_stream = upstream.script
+
+    async def answer(call: Call) -> None:
+        if call.head.startswith("GET /ridgesill/report"):
+            await call.answer(status, body)
+        else:
+            await answer_stream(call)
+
+    upstream.script = answer
+
+
+def begin_stream(world: FrontWorld, start: int) -> None:
+    """Has a front know that the stream r1 began at a start of u1."""
+    world.change("u1", start=start)
+    upstream = world.fleet.view.upstreams["u1"]
+    world.front.streams.record("", "r1", upstream, 1, 3.0)
+
+
 @pytest.fixture
 async def fronts() -> AsyncIterator[list[FrontWorld]]:
     """Yields three running fronts that know each other."""
@@ -381,19 +401,8 @@
         runners = Runners(breaks=False)
         await add_two_versions(fronts, runners)
         u1 = fronts[0].find_upstream("u1")
-        answer_stream = u1.script
-
-        async def tell_later_start(call: Call) -> None:
-            if call.head.startswith("GET /ridgesill/report"):
-                await call.answer(200, b'{"sequence": 0, "born": 9}')
-            else:
-                await answer_stream(call)
-
-        u1.script = tell_later_start
-        fronts[0].change("u1", start=8)
-        fronts[0].front.streams.record(
-            "", "r1", fronts[0].fleet.view.upstreams["u1"], 1, 3.0
-        )
+        answer_report(u1, 200, b'{"sequence": 0, "born": 9}')
+        begin_stream(fronts[0], start=8)
         assert (await fronts[0].take_up("r1", "1")).status == 503
         assert [call.head[:5] for call in u1.calls] == ["GET /"]
 
@@ -404,17 +413,6 @@
         runners = Runners(breaks=False)
         await add_two_versions(fronts, runners)
         u1 = fronts[0].find_upstream("u1")
-        answer_stream = u1.script
-
-        async def tell_no_start(call: Call) -> None:
-            if call.head.startswith("GET /ridgesill/report"):
-                await call.answer(*report)
-            else:
-                await answer_stream(call)
-
-        u1.script = tell_no_start
-        fronts[0].change("u1", start=8)
-        fronts[0].front.streams.record(
-            "", "r1", fronts[0].fleet.view.upstreams["u1"], 1, 3.0
-        )
+        answer_report(u1, *report)
+        begin_stream(fronts[0], start=8)
         assert (await fronts[0].take_up("r1", "1")).status == 200
