Start and stop the worlds of scenarios in one place

Each scenario of a service had its own try and finally, and the harmful parts a list of worlds that was stopped in the end. Checks and bounds are as they were.

--- a/testing/scenarios/test_brittle_upstreams.py
+++ b/testing/scenarios/test_brittle_upstreams.py
@@ -17,7 +17,7 @@
     TIGHT_AFTER_SECONDS,
     BrittleWorld,
 )
-from testing.service_world import Sent
+from testing.service_world import Sent, running
 
 pytestmark = pytest.mark.process
 
@@ -63,12 +63,8 @@
 @pytest.fixture
 async def world(tmp_path: Path) -> AsyncIterator[BrittleWorld]:
     """Returns six fronts before four upstreams."""
-    made = BrittleWorld(tmp_path, 6)
-    try:
-        await made.start()
+    async with running(BrittleWorld(tmp_path, 6)) as made:
         yield made
-    finally:
-        made.stop()
 
 
 class TestBrittleUpstreams:
@@ -78,16 +74,12 @@
     async def test_fronts_together_do_not_overrun_their_slots(
         self, tmp_path: Path, fronts: int, share: float
     ) -> None:
-        world = BrittleWorld(tmp_path, fronts)
-        try:
-            await world.start()
+        async with running(BrittleWorld(tmp_path, fronts)) as world:
             tight_at = await play(world, share)
             check_falls(world)
             fits = min(1.0, 1.0 / share)
             assert world.served_between(tight_at) >= _USED_SHARE * fits
             assert list_slow_refusals(world, tight_at) == []
-        finally:
-            world.stop()
 
     async def test_a_lost_owner_neither_fells_them_nor_stops_service(
         self, world: BrittleWorld
--- a/testing/scenarios/test_crowded_front.py
+++ b/testing/scenarios/test_crowded_front.py
@@ -11,6 +11,7 @@
 import pytest
 
 from testing.crowded_world import CrowdedWorld
+from testing.service_world import running
 
 pytestmark = pytest.mark.process
 
@@ -30,14 +31,10 @@
 @pytest.fixture
 async def world(tmp_path: Path) -> AsyncIterator[CrowdedWorld]:
     """Yields fronts that have a part of a core each."""
-    made = CrowdedWorld(tmp_path)
-    try:
-        await made.start()
+    async with running(CrowdedWorld(tmp_path)) as made:
         made.throttle()
         await asyncio.sleep(_START_SECONDS)
         yield made
-    finally:
-        made.stop()
 
 
 class TestCrowdedFront:
--- a/testing/scenarios/test_harmful_parts.py
+++ b/testing/scenarios/test_harmful_parts.py
@@ -18,6 +18,7 @@
     EndsAt,
     PartsWorld,
 )
+from testing.service_world import running
 
 pytestmark = pytest.mark.process
 
@@ -47,12 +48,10 @@
 
 
 @pytest.fixture
-async def worlds(tmp_path: Path) -> AsyncIterator[list[PartsWorld]]:
-    """Returns a list for worlds, which are stopped in the end."""
-    made: list[PartsWorld] = []
-    yield made
-    for world in made:
-        world.stop()
+async def world(tmp_path: Path) -> AsyncIterator[PartsWorld]:
+    """Returns six fronts whose upstreams send a head before they end."""
+    async with running(PartsWorld(tmp_path)) as made:
+        yield made
 
 
 async def play(world: PartsWorld, prompt: str) -> None:
@@ -97,24 +96,18 @@
     async def test_it_reaches_few_upstreams_after_the_fifth_end(
         self,
         tmp_path: Path,
-        worlds: list[PartsWorld],
         prompt: str,
         ends_at: EndsAt,
     ) -> None:
-        world = PartsWorld(tmp_path, ends_at=ends_at)
-        worlds.append(world)
-        await world.start()
-        await play(world, PROMPTS[prompt])
-        assert world.ledger.ends
-        assert count_late_sends(world) <= _SENDS_ONCE_KNOWN
-        check_sound_requests(world)
+        async with running(PartsWorld(tmp_path, ends_at=ends_at)) as world:
+            await play(world, PROMPTS[prompt])
+            assert world.ledger.ends
+            assert count_late_sends(world) <= _SENDS_ONCE_KNOWN
+            check_sound_requests(world)
 
     async def test_upstreams_that_end_by_other_causes_blame_no_sound_part(
-        self, tmp_path: Path, worlds: list[PartsWorld]
+        self, world: PartsWorld
     ) -> None:
-        world = PartsWorld(tmp_path)
-        worlds.append(world)
-        await world.start()
         rng = random.Random(3)
         for number in range(_OTHER_ENDS):
             asyncio.get_running_loop().call_later(
@@ -126,11 +119,8 @@
         check_sound_requests(world)
 
     async def test_all_nodes_that_start_again_remember_it(
-        self, tmp_path: Path, worlds: list[PartsWorld]
+        self, world: PartsWorld
     ) -> None:
-        world = PartsWorld(tmp_path)
-        worlds.append(world)
-        await world.start()
         asyncio.get_running_loop().call_later(
             _CALM_SECONDS + _HARMFUL_SECONDS / 2, world.restart_all
         )
--- a/testing/service_world.py
+++ b/testing/service_world.py
@@ -1,11 +1,12 @@
 """A deployment before one service, and callers that send at random times."""
 
 import asyncio
+import contextlib
 import itertools
 import random
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 import msgspec
@@ -213,3 +214,16 @@
         super().stop()
         for upstream in self.upstreams:
             upstream.crash()
+
+
+W = TypeVar("W", bound=ServiceWorld)
+
+
+@contextlib.asynccontextmanager
+async def running(world: W) -> AsyncIterator[W]:
+    """Starts a world, and stops it in the end."""
+    try:
+        await world.start()
+        yield world
+    finally:
+        world.stop()
