Log what may take a slot of a brittle upstream beside permitted requests

The logs couldn't tell whether a rejected request met a new connection, work that went on after a broken answer, or a test connection.

--- a/src/ridgesill/adapters/http1/channel.py
+++ b/src/ridgesill/adapters/http1/channel.py
@@ -42,6 +42,7 @@
 
     Attributes:
         requests: number of requests sent on this connection.
+        opened_at: event loop time at which the connection came up.
         idle_since: event loop time at which the last exchange ended.
         idle_timeout_seconds: how long the connection may stay idle before
             the upstream may close it.
@@ -51,6 +52,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.requests = 0
+        self.opened_at = 0.0
         self.idle_since = 0.0
         self.start = 0
         self.idle_timeout_seconds = _DEFAULT_IDLE_SECONDS
@@ -70,6 +72,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
         assert isinstance(transport, asyncio.Transport)
+        self.opened_at = self._loop.time()
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -896,6 +896,12 @@
             )
         else:
             channel = await acquire()
+        if not channel.requests and front.slots.needs_permit(self._service):
+            log_message(
+                "request:connection_opened",
+                request=self._facts.request,
+                upstream=upstream.name,
+            )
         if not self._search.accepts_requests(upstream.name):
             # The answer to another request said so while this one waited for
             # the channel.
--- a/src/ridgesill/app/reachability_tests.py
+++ b/src/ridgesill/app/reachability_tests.py
@@ -72,7 +72,7 @@
 
     async def test(self, upstream: str, address: str) -> None:
         """Tests an upstream now and records the outcome."""
-        connectivity = await self._channels.test(address)
+        connectivity = await self._connect(address)
         if connectivity is Connectivity.REACHABLE:
             self.record_reached(upstream)
         elif connectivity is not Connectivity.UNKNOWN:
@@ -84,6 +84,7 @@
         Its host then refuses connections. So may all hosts while this front is
         cut off, so that another upstream must be reachable.
         """
+        self._log_test(address)
         if not await self._channels.is_refused(address):
             return False
         others = [
@@ -94,14 +95,24 @@
         if not others:
             return True
         compared = random.sample(others, min(_COMPARED_UPSTREAMS, len(others)))
-        tests = [self._channels.test(upstream.address) for upstream in compared]
+        tests = [self._connect(upstream.address) for upstream in compared]
         return Connectivity.REACHABLE in await asyncio.gather(*tests)
 
     async def accepts_connections(self, address: str) -> bool:
         """Whether connections to an upstream come up, as far as is known."""
-        connectivity = await self._channels.test(address)
+        connectivity = await self._connect(address)
         return connectivity in (Connectivity.REACHABLE, Connectivity.UNKNOWN)
 
+    async def _connect(self, address: str) -> Connectivity:
+        """Opens and closes a test connection."""
+        self._log_test(address)
+        return await self._channels.test(address)
+
+    def _log_test(self, address: str) -> None:
+        """Logs a test, which may take a slot, while upstreams are brittle."""
+        if self._chooser.brittle:
+            log_message("upstream:test_connection", peer=address)
+
     def record_reached(self, upstream: str) -> None:
         """Records that an upstream has been reached."""
         now = self._loop.time()
--- a/src/ridgesill/app/slot_client.py
+++ b/src/ridgesill/app/slot_client.py
@@ -152,6 +152,8 @@
             self._answered[name] += 1
             longest = self._longest.get(service, 0.0) * _LONGEST_DECAY
             self._longest[service] = max(longest, seconds)
+        if end is SlotEnd.UNCERTAIN:
+            log_message("request:slot_uncertain", upstream=name)
         if end is SlotEnd.UNCERTAIN and slot.number:
             expected = _UNCERTAIN_SECONDS
             if service in self._longest:
