--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -156,11 +156,15 @@
     Args:
         name: of the upstream.
         script: called with each request; sends the answer.
+
+    Attributes:
+        connected: called when a connection has been accepted.
     """
 
     def __init__(self, name: str, script: Script) -> None:
         self.name = name
         self.script = script
+        self.connected: Callable[[], None] = lambda: None
         self.calls: list[Call] = []
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -176,6 +180,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.connected()
         try:
             while not writer.is_closing():
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
--- a/testing/brittle_world.py
+++ b/testing/brittle_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+import statistics
 from pathlib import Path
 
 import attrs
@@ -39,6 +40,15 @@
 
     It processes `SLOTS` requests at once, and goes on with those whose front
     has left.
+
+    Attributes:
+        slots: requests that it says it processes at once.
+        bound: rejections per second that it bears; None while it isn't brittle.
+        run_seconds: shortest and longest time of a request.
+        connection_seconds: how long a new connection takes a slot.
+        break_share: share of the answers that it breaks off.
+        linger_seconds: how long a request whose answer was broken off keeps its
+            slot.
     """
 
     def __init__(
@@ -50,9 +60,13 @@
     ) -> None:
         super().__init__(service, ledger, controls, rng)
         self.slots = SLOTS
-        # Rejections per second that it bears; None while it isn't brittle.
         self.bound: float | None = None
+        self.run_seconds = (RUN_SECONDS, RUN_SECONDS)
+        self.connection_seconds = 0.0
+        self.break_share = 0.0
+        self.linger_seconds = 0.0
         self._queue = _QUEUE
+        self._work_rng = random.Random(f"work {service} {controls}")
         self.brittle_ledger = ledger
 
     def _begin_incarnation(self) -> None:
@@ -61,6 +75,20 @@
         self._accepted = 0
         self._running = asyncio.Semaphore(SLOTS)
         self._rejections: collections.deque[float] = collections.deque()
+        self._scripted_server.connected = self._handle_connection
+
+    def _handle_connection(self) -> None:
+        if self.connection_seconds and not self._has_fallen:
+            self._accepted += 1
+            self._release_after(self.connection_seconds)
+
+    def _release_after(self, seconds: float) -> None:
+        """Frees a slot of this incarnation after a while."""
+        asyncio.get_running_loop().call_later(seconds, self._release, self.name)
+
+    def _release(self, incarnation: str) -> None:
+        if incarnation == self.name:
+            self._accepted -= 1
 
     def become_brittle(self, bound: float) -> None:
         """States in all answers that it bears `bound` rejections a second."""
@@ -91,15 +119,22 @@
             await self._reject(call)
             return
         self._accepted += 1
+        breaks = self._work_rng.random() < self.break_share
         try:
             async with self._running:
-                await asyncio.sleep(RUN_SECONDS)
+                await asyncio.sleep(self._work_rng.uniform(*self.run_seconds))
         finally:
-            if incarnation == self.name:
-                self._accepted -= 1
+            if breaks:
+                self._release_after(self.linger_seconds)
+            else:
+                self._release(incarnation)
         if incarnation != self.name:
             return
         self._ledger.record_run(call)
+        if breaks:
+            await call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfi")
+            call.writer.close()
+            return
         await call.answer(200, b"fine", *self._bound_headers())
 
     async def _reject(self, call: Call) -> None:
@@ -153,7 +188,10 @@
     @property
     def capacity(self) -> float:
         """Requests a second that all upstreams can serve."""
-        return len(self.upstreams) * SLOTS / RUN_SECONDS
+        return sum(
+            SLOTS / statistics.fmean(upstream.run_seconds)
+            for upstream in self.brittle_upstreams
+        )
 
     def become_brittle(self, bound: float) -> None:
         """Has all upstreams state a bound from now on."""
--- a/testing/scenarios/test_brittle_upstreams.py
+++ b/testing/scenarios/test_brittle_upstreams.py
@@ -27,19 +27,22 @@
 _REFUSED_SECONDS = 0.3
 
 
-async def play(world: BrittleWorld, share: float) -> float:
+async def play(
+    world: BrittleWorld, share: float, bound: float = _BOUND
+) -> float:
     """Plays load on upstreams that become brittle.
 
     Args:
         world: already started.
         share: of the requests that fit.
+        bound: rejections per second that each upstream bears.
 
     Returns:
         Loop time from which upstreams let nobody wait.
     """
     loop = asyncio.get_running_loop()
     tight_at = loop.time() + 1.0 + TIGHT_AFTER_SECONDS
-    loop.call_later(1.0, world.become_brittle, _BOUND)
+    loop.call_later(1.0, world.become_brittle, bound)
     await world.load(share * world.capacity, _SECONDS)
     return tight_at
 
