Let a rejection lower an upstream's limit instead of stopping the upstream

After one rejection a brittle upstream got nothing for 2 / N s, and its limit came back by one per round of answers: a second of all its slots for a taker of one slot for a millisecond.

The limit now falls below what the upstream held, stays there for 2 / N s, and goes beyond it only four times that later. What did fit stays in use. Half of it stays free while a further rejection within the second could exceed the bound, so that two rejections in one moment are still taken seriously, and an upstream that rejects everything still gets no more than N / 2 requests a second (the test of that is unchanged).

TestRejections fails without the change.

--- a/src/ridgesill/core/fleet/slot_permits.py
+++ b/src/ridgesill/core/fleet/slot_permits.py
@@ -6,12 +6,14 @@
 there are slots. Fronts report the permits that they hold; those of a front that
 falls silent expire.
 
-An upstream that rejects a request all the same has less room than it states, or
-is running requests that nobody reports. Its limit then falls below what it held
-and grows again with its answers, as a congestion window does. So does the limit
-of a new start, from one request on.
+An upstream that rejects a request all the same has less
+room than it states, or is running requests that nobody reports. Its limit then
+falls below what it held, stays there for as long as its bound on rejections
+asks, and grows again with its answers, as a congestion window does. So does the
+limit of a new start, from one request on.
 """
 
+import collections
 from collections.abc import Collection, Iterable, Mapping
 
 import attrs
@@ -24,7 +26,12 @@
 # Share of an upstream's bound on rejections that fronts with permits may cause;
 # the others are left to those that can't reach the owner.
 _REJECTED_SHARE = 0.5
-_MAX_PAUSE_SECONDS = 5.0
+# Longest time for which a limit stays lowered, in seconds.
+_MAX_HOLD_SECONDS = 5.0
+# A limit that was exceeded is tried again after this multiple of that time.
+_RETRY_FACTOR = 4.0
+# Time over which the bound on rejections counts, in seconds.
+_BOUND_SECONDS = 1.0
 
 
 @register
@@ -107,29 +114,65 @@
 
     Attributes:
         requests: the limit; a fraction counts as growth.
-        grows_fast_below: below this, each answer raises it by one.
-        paused_until: until when nothing is granted, in seconds.
+        fitting: requests that are taken to fit; below this, each answer raises
+            the limit by one.
+        lowered_until: until when the limit doesn't grow, in seconds.
+        fits_until: until when it doesn't grow beyond `fitting`, in seconds.
+        rejected_at: clock times of the latest rejections, in seconds.
     """
 
     requests: float
-    grows_fast_below: float
-    paused_until: float = float("-inf")
-
-    def grow(self, answers: int, slots: int) -> None:
+    fitting: float
+    lowered_until: float = float("-inf")
+    fits_until: float = float("-inf")
+    rejected_at: collections.deque[float] = attrs.Factory(collections.deque)
+
+    def find(self, now: float) -> int:
+        """Returns the whole requests that are allowed now."""
+        if now < self.lowered_until:
+            return int(self.requests)
+        return max(int(self.requests), 1)
+
+    def grow(self, answers: int, slots: int, now: float) -> None:
         """Raises the limit after whole answers, up to the slots."""
+        if now < self.lowered_until:
+            return
+        self.requests = max(self.requests, 1.0)
         for _ in range(answers):
-            is_fast = self.requests < self.grows_fast_below
-            self.requests += 1.0 if is_fast else 1.0 / self.requests
+            if self.requests < self.fitting:
+                self.requests += 1.0
+            elif now >= self.fits_until:
+                self.requests += 1.0 / self.requests
         self.requests = min(self.requests, slots)
 
     def shrink(self, held: int, bound: float, now: float) -> None:
-        """Lowers the limit below what the upstream held, and pauses."""
-        self.requests = max(min(self.requests, held) - 1.0, 1.0)
-        self.grows_fast_below = self.requests
-        pause = _MAX_PAUSE_SECONDS
-        if bound > 0:
-            pause = min(1.0 / (bound * _REJECTED_SHARE), _MAX_PAUSE_SECONDS)
-        self.paused_until = max(self.paused_until, now + pause)
+        """Lowers the limit below what the upstream held, for a while.
+
+        Slots are left free for whatever took the missing one: one of them, or
+        half of them if the next rejections could exceed the bound.
+
+        Args:
+            held: requests there, including the rejected one.
+            bound: rejections per second that the upstream bears.
+            now: clock time, in seconds.
+        """
+        self.requests = max(min(self.requests, held) - 1.0, 0.0)
+        self.fitting = self.requests
+        allowed = bound * _REJECTED_SHARE
+        if self._count_rejected(now) > allowed * _BOUND_SECONDS:
+            self.requests //= 2
+        seconds = _MAX_HOLD_SECONDS
+        if allowed > 0:
+            seconds = min(1.0 / allowed, _MAX_HOLD_SECONDS)
+        self.lowered_until = now + seconds
+        self.fits_until = now + min(_RETRY_FACTOR * seconds, _MAX_HOLD_SECONDS)
+
+    def _count_rejected(self, now: float) -> int:
+        """Counts a rejection; returns those over which the bound counts."""
+        self.rejected_at.append(now)
+        while self.rejected_at[0] <= now - _BOUND_SECONDS:
+            self.rejected_at.popleft()
+        return len(self.rejected_at)
 
 
 class SlotPermits:
@@ -160,12 +203,14 @@
 
     def _room(self, upstream: Upstream, now: float) -> float:
         """Returns the free share of an upstream's slots."""
-        limit = self._find_limit(upstream)
-        if now < limit.paused_until:
-            return 0.0
-        free = int(limit.requests) - self.count_held(upstream.name)
+        limit = self.find_limit(upstream, now)
+        free = limit - self.count_held(upstream.name)
         return free / max(upstream.slots, 1)
 
+    def find_limit(self, upstream: Upstream, now: float) -> int:
+        """Returns how many requests an upstream may have in progress."""
+        return self._find_limit(upstream).find(now)
+
     def _find_limit(self, upstream: Upstream) -> _Limit:
         slots = max(upstream.slots, 1)
         return self._limits.setdefault(upstream.name, _Limit(1.0, slots))
@@ -233,7 +278,8 @@
         for name, count in held.answered.items():
             if name in upstreams:
                 upstream = upstreams[name]
-                self._find_limit(upstream).grow(count, max(upstream.slots, 1))
+                slots = max(upstream.slots, 1)
+                self._find_limit(upstream).grow(count, slots, now)
         asked = set(held.asked)
         permits = {
             number: name
@@ -247,9 +293,10 @@
     ) -> None:
         if upstream is None:
             return
+        name = upstream.name
         limit = self._find_limit(upstream)
         for _ in range(count):
-            held = self.count_held(upstream.name)
+            held = self.count_held(name)
             limit.shrink(held, upstream.brittle, now)
 
     def _replace(
--- a/testing/core/fleet/test_slot_permits.py
+++ b/testing/core/fleet/test_slot_permits.py
@@ -12,6 +12,7 @@
 U1 = Upstream("u1", "plain", "h:1", "a", 3, brittle=4.0)
 U2 = attrs.evolve(U1, name="u2")
 BOTH = {"u1": U1, "u2": U2}
+WIDE = attrs.evolve(U1, name="wide", slots=6, brittle=3.0)
 
 
 @pytest.fixture
@@ -112,6 +113,72 @@
         assert permits.count_held("u1") == 1
 
 
+def reject(
+    permits: SlotPermits, sequence: int, now: float, upstream: Upstream = WIDE
+) -> None:
+    """Reports a rejection; what the front holds stays as it is."""
+    held = {1000 + n: upstream.name for n in range(6)}
+    report = HeldSlots(
+        sequence, held, last_number=2000, rejected={upstream.name: 1}
+    )
+    permits.report("filler", report, {upstream.name: upstream}, now)
+
+
+def answer(
+    permits: SlotPermits, sequence: int, now: float, upstream: Upstream = WIDE
+) -> None:
+    """Reports 30 answers, and that the front holds nothing."""
+    held = HeldSlots(
+        sequence, {}, last_number=2000, answered={upstream.name: 30}
+    )
+    permits.report("filler", held, {upstream.name: upstream}, now)
+
+
+class TestRejections:
+    @pytest.fixture
+    def full(self) -> SlotPermits:
+        """Returns permits of which all six of an upstream are held."""
+        made = SlotPermits()
+        made.start_full([WIDE])
+        assert fill(made, WIDE) == 6
+        return made
+
+    def test_one_rejection_leaves_the_other_slots_in_use(
+        self, full: SlotPermits
+    ) -> None:
+        reject(full, 1, 1.0)
+        answer(full, 2, 1.1)
+        assert fill(full, WIDE, 1.1) == 5
+
+    def test_a_second_one_within_the_bound_leaves_half_of_them(
+        self, full: SlotPermits
+    ) -> None:
+        reject(full, 1, 1.0)
+        reject(full, 2, 1.2)
+        answer(full, 3, 1.3)
+        assert fill(full, WIDE, 1.3) == 2
+
+    def test_one_leaves_half_where_a_second_could_exceed_the_bound(
+        self,
+    ) -> None:
+        frail = attrs.evolve(WIDE, brittle=1.0)
+        permits = SlotPermits()
+        permits.start_full([frail])
+        fill(permits, frail)
+        reject(permits, 1, 1.0, frail)
+        answer(permits, 2, 1.1, frail)
+        assert fill(permits, frail, 1.1) == 2
+
+    def test_what_fitted_before_is_used_again_and_only_later_more(
+        self, full: SlotPermits
+    ) -> None:
+        reject(full, 1, 1.0)
+        answer(full, 2, 2.0)
+        assert fill(full, WIDE, 2.0) == 5
+        answer(full, 3, 6.1)
+        assert fill(full, WIDE, 6.1) == 6
+
+
 class TestLimit:
     def test_a_start_that_is_back_gets_one_request_at_first(self) -> None:
         permits = SlotPermits()
