Count whatever takes a slot of a brittle upstream with the request

Brittle upstreams rejected permitted requests for as long as load came, and fell over: the owner counted one slot for a request, and the upstream spent more. Class: a count of requests where the resource is taken by more than requests.

One permit now covers the connection and then the request: a request that opened a connection is sent once the connection takes no slot any more. How long that is, and for how much longer than usual upstreams go on with broken requests, the owner learns for each service from rejections that its count didn't expect, and tells with each permit (core/fleet/slot_overheads.py). The owner grants slots where the front has an idle connection, so that few are opened. Test connections to brittle upstreams need a permit as well.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -219,6 +219,15 @@
         )
         return channel
 
+    def has_idle(self, address: str, max_idle_seconds: float) -> bool:
+        """Whether a channel is idle that `acquire` would return."""
+        now = self._loop.time()
+        for channel in reversed(self._idle.get(address, [])):
+            idle_seconds = now - channel.idle_since
+            if channel.is_open and idle_seconds < channel.idle_timeout_seconds:
+                return idle_seconds < max_idle_seconds
+        return False
+
     def release_unused(self, channel: UpstreamChannel) -> None:
         """Returns an acquired channel to the pool; nothing was sent on it."""
         channel.idle_since = self._loop.time()
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -37,6 +37,7 @@
 from ridgesill.app.slot_client import SlotEnd
 from ridgesill.app.start_checks import RestartedError, acquire_checked
 from ridgesill.app.suspect_request import SuspectRequest
+from ridgesill.app.upstream_connections import acquire_channel
 from ridgesill.app.upstream_search import (
     Refusal,
     SearchTerms,
@@ -70,12 +71,6 @@
 # Retry delay for clients that a stopping front refuses. A retry on a new
 # channel reaches another front.
 _STOPPING_RETRY_SECONDS = 0.02
-# Channels to an upstream that a front may always open, however many fronts
-# share the upstream: one in use and one for a request that arrives meanwhile.
-_MIN_CHANNELS = 2
-# Channels that were idle for longer aren't used for requests that aren't
-# idempotent: the upstream may just have closed them.
-_UNSAFE_IDLE_SECONDS = 3.0
 # Least retry delay for requests in quarantine.
 _QUARANTINE_RETRY_SECONDS = 1.0
 # A retry soon after reaches another front, on a new channel.
@@ -882,13 +877,12 @@
             self._customer_name(),
         )
         forwarded = front.dialect.write_upstream_request(self._request, terms)
-        max_idle_seconds = 60.0 if route.is_idempotent else _UNSAFE_IDLE_SECONDS
         acquire = functools.partial(
-            front.channels.acquire,
-            upstream.address,
-            max_idle_seconds=max_idle_seconds,
-            max_open=self._max_channels(),
-            is_patient=not route.is_idempotent,
+            acquire_channel,
+            front,
+            upstream,
+            self._facts.request,
+            is_repeatable=route.is_idempotent,
         )
         if self._must_check_start(route, upstream):
             channel = await acquire_checked(
@@ -896,12 +890,6 @@
             )
         else:
             channel = await acquire()
-        if not channel.requests and front.slots.needs_permit(self._service):
-            log_message(
-                "request:connection_opened",
-                request=self._facts.request,
-                upstream=upstream.name,
-            )
         if not self._search.accepts_requests(upstream.name):
             # The answer to another request said so while this one waited for
             # the channel.
@@ -917,14 +905,6 @@
             and self._front.streams.is_told(upstream.service)
         )
 
-    def _max_channels(self) -> int:
-        """Returns this front's share of an upstream's channels; 0 for any."""
-        service = self._front.table.services.get(self._service)
-        if service is None or not service.connections:
-            return 0
-        share = service.connections // self._front.fleet.view.fronts
-        return max(share, _MIN_CHANNELS)
-
     async def _receive(
         self,
         route: Route,
@@ -1151,7 +1131,9 @@
     """Returns how an attempt left its slot at a brittle upstream."""
     if was_received:
         return SlotEnd.ANSWERED
-    if exchange is not None and (failure is None or failure.cut):
+    if exchange is None:
+        return SlotEnd.CONNECTED
+    if failure is None or failure.cut:
         # Its upstream may go on with a request that has been broken off.
         return SlotEnd.UNCERTAIN
     return SlotEnd.FREE
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -83,7 +83,10 @@
         self.chooser = chooser
         self.fleet = fleet
         self.channels = channels
-        self.reachability_tests = ReachabilityTests(chooser, channels)
+        self.slots = SlotClient(fleet, chooser)
+        self.reachability_tests = ReachabilityTests(
+            chooser, channels, self.slots
+        )
         self.links = links
         self.streams = streams or StreamKeeping(name, fleet.view)
         self.dialect = dialect
@@ -93,7 +96,6 @@
         self.limits = FrontLimits(self.rng, name)
         self.service_admission = ServiceAdmission(self.rng)
         self.returning_callers = ReturningCallers()
-        self.slots = SlotClient(fleet, chooser)
         self.upstream_words = UpstreamWords(
             chooser.unavailable,
             self.limits,
--- a/src/ridgesill/app/reachability_tests.py
+++ b/src/ridgesill/app/reachability_tests.py
@@ -6,6 +6,7 @@
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import Connectivity, UpstreamChannels
+from ridgesill.app.slot_client import SlotClient, SlotEnd
 from ridgesill.core.serving.choice import Chooser, Requirements
 
 # How often it is decided which upstreams to test, in seconds.
@@ -13,6 +14,12 @@
 # An upstream that owes answers and has sent nothing for this long is tested, in
 # seconds: a connection that hangs shows no error for a while.
 _SILENT_SECONDS = 0.6
+# How long a test of a brittle upstream keeps its slot, in seconds, before the
+# time for which a new connection takes one. Connections come up within it.
+_SLOT_SECONDS = 0.05
+# How long it waits for a slot, in seconds, and its priority.
+_SLOT_PATIENCE_SECONDS = 0.15
+_SLOT_PRIORITY = 0
 # Other upstreams that are tested to tell an upstream that has ended from a
 # front that is cut off.
 _COMPARED_UPSTREAMS = 4
@@ -24,11 +31,15 @@
     Args:
         chooser: knows the upstreams and what became of requests to them.
         channels: opens the connections.
+        slots: grants the slots that connections may take.
     """
 
-    def __init__(self, chooser: Chooser, channels: UpstreamChannels) -> None:
+    def __init__(
+        self, chooser: Chooser, channels: UpstreamChannels, slots: SlotClient
+    ) -> None:
         self._chooser = chooser
         self._channels = channels
+        self._slots = slots
         self._reachability = chooser.reachability
         self._loop = asyncio.get_running_loop()
         self._tests: set[asyncio.Task[None]] = set()
@@ -84,7 +95,8 @@
         Its host then refuses connections. So may all hosts while this front is
         cut off, so that another upstream must be reachable.
         """
-        self._log_test(address)
+        if not await self._acquire_slot(address):
+            return False
         if not await self._channels.is_refused(address):
             return False
         others = [
@@ -104,14 +116,40 @@
         return connectivity in (Connectivity.REACHABLE, Connectivity.UNKNOWN)
 
     async def _connect(self, address: str) -> Connectivity:
-        """Opens and closes a test connection."""
-        self._log_test(address)
+        """Opens and closes a test connection, unless it could do harm."""
+        if not await self._acquire_slot(address):
+            return Connectivity.UNKNOWN
         return await self._channels.test(address)
 
-    def _log_test(self, address: str) -> None:
-        """Logs a test, which may take a slot, while upstreams are brittle."""
-        if self._chooser.brittle:
-            log_message("upstream:test_connection", peer=address)
+    async def _acquire_slot(self, address: str) -> bool:
+        """Whether a test connection may take a slot for a moment."""
+        if not self._chooser.brittle:
+            return True
+        upstream = next(
+            (
+                each
+                for each in self._chooser.view.upstreams.values()
+                if each.address == address
+            ),
+            None,
+        )
+        if upstream is None or not self._slots.needs_permit(upstream.service):
+            return True
+        slot = await self._slots.acquire(
+            [upstream], _SLOT_PRIORITY, _SLOT_PATIENCE_SECONDS
+        )
+        log_message(
+            "upstream:test_connection",
+            upstream=upstream.name,
+            peer=address,
+            is_granted=slot is not None,
+        )
+        if slot is None:
+            return False
+        self._loop.call_later(
+            _SLOT_SECONDS, self._slots.end, slot, SlotEnd.CONNECTED
+        )
+        return True
 
     def record_reached(self, upstream: str) -> None:
         """Records that an upstream has been reached."""
--- a/src/ridgesill/app/slot_client.py
+++ b/src/ridgesill/app/slot_client.py
@@ -12,6 +12,7 @@
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.fleet.slot_overheads import MIN_SETTLE_SECONDS
 from ridgesill.core.fleet.slot_permits import (
     HeldSlots,
     RequestSlot,
@@ -28,7 +29,8 @@
 # Pause after a report that the owner hasn't taken, in seconds.
 _RETRY_SECONDS = 0.1
 # Requests whose outcome is unknown keep their slot for this multiple of the
-# longest recent answer, and for the constant before any answer, in seconds.
+# longest recent answer, and for the constant before any answer, in seconds; and
+# for what the owner has learned beyond that.
 _UNCERTAIN_SHARE = 1.25
 _UNCERTAIN_SECONDS = 1.0
 # How much the longest answer counts for after each later one.
@@ -41,6 +43,8 @@
     ANSWERED = enum.auto()
     # It never ran, or ended without an answer.
     FREE = enum.auto()
+    # It wasn't sent; the connection that it opened may still take the slot.
+    CONNECTED = enum.auto()
     # The upstream may go on with the request.
     UNCERTAIN = enum.auto()
 
@@ -77,12 +81,17 @@
         self._last_number = 0
         self._sequences = itertools.count(1)
         self._held: dict[int, str] = {}
-        # Permits of requests that have ended here and may go on upstream.
+        # Permits of requests that have ended here and may still take slots, and
+        # those of them that were broken off.
+        self._ended: set[int] = set()
         self._lingering: set[int] = set()
         self._asked: set[int] = set()
         self._answered: collections.Counter[str] = collections.Counter()
         self._rejected: collections.Counter[str] = collections.Counter()
         self._longest: dict[str, float] = {}
+        # What the owner last told of each service, in seconds.
+        self._settle_seconds: dict[str, float] = {}
+        self._linger_seconds: dict[str, float] = {}
         self._changed = ChangeSignal()
         self._has_changed = False
         self._reported_to = ""
@@ -94,8 +103,21 @@
         """Whether requests to a service need a permit."""
         return bool(self._brittle) and self._brittle.is_service_brittle(service)
 
+    def settle_seconds(self, service: str) -> float:
+        """Returns for how long a new connection may take a slot.
+
+        0 if requests to the service need no permit.
+        """
+        if not self.needs_permit(service):
+            return 0.0
+        return self._settle_seconds.get(service, MIN_SETTLE_SECONDS)
+
     async def acquire(
-        self, upstreams: Sequence[Upstream], priority: int, patience: float
+        self,
+        upstreams: Sequence[Upstream],
+        priority: int,
+        patience: float,
+        connected: Sequence[str] = (),
     ) -> Slot | None:
         """Returns a slot at one of the upstreams, or None if none is free.
 
@@ -103,6 +125,7 @@
             upstreams: that the request may go to, the best first.
             priority: 0 goes first.
             patience: seconds for which the request can wait.
+            connected: names of those that this front has a connection to.
         """
         number = self._last_number = next(self._numbers)
         request = RequestSlot(
@@ -110,6 +133,7 @@
             tuple(upstream.name for upstream in upstreams),
             max(min(_PATIENCE_SECONDS, patience), 0.0),
             priority,
+            tuple(connected),
         )
         self._asked.add(number)
         answer: SlotAnswer | None = None
@@ -127,7 +151,10 @@
         if answer.upstream not in by_name:
             return None
         self._held[number] = answer.upstream
-        return Slot(by_name[answer.upstream], number, now)
+        granted = by_name[answer.upstream]
+        self._settle_seconds[granted.service] = answer.settle_seconds
+        self._linger_seconds[granted.service] = answer.linger_seconds
+        return Slot(granted, number, now)
 
     def _acquire_alone(
         self, upstreams: Sequence[Upstream], now: float
@@ -154,17 +181,34 @@
             self._longest[service] = max(longest, seconds)
         if end is SlotEnd.UNCERTAIN:
             log_message("request:slot_uncertain", upstream=name)
-        if end is SlotEnd.UNCERTAIN and slot.number:
-            expected = _UNCERTAIN_SECONDS
-            if service in self._longest:
-                expected = _UNCERTAIN_SHARE * self._longest[service]
-            if expected > seconds:
+        seconds_left = self._find_seconds_left(service, end, seconds)
+        if slot.number and seconds_left > 0:
+            self._ended.add(slot.number)
+            if end is SlotEnd.UNCERTAIN:
                 self._lingering.add(slot.number)
-                self._loop.call_later(
-                    expected - seconds, self._release, slot.number
-                )
-                return
-        self._release(slot.number)
+            self._loop.call_later(seconds_left, self._release, slot.number)
+        else:
+            self._release(slot.number)
+
+    def _find_seconds_left(
+        self, service: str, end: SlotEnd, seconds: float
+    ) -> float:
+        """Returns for how long a slot that was left may still be taken.
+
+        Args:
+            service: of the upstream.
+            end: how the request left it.
+            seconds: since the slot was granted.
+        """
+        if end is SlotEnd.CONNECTED:
+            return self.settle_seconds(service)
+        if end is not SlotEnd.UNCERTAIN:
+            return 0.0
+        expected = _UNCERTAIN_SECONDS
+        if service in self._longest:
+            expected = _UNCERTAIN_SHARE * self._longest[service]
+        linger = self._linger_seconds.get(service, 0.0)
+        return max(expected - seconds, 0.0) + linger
 
     def record_rejected(self, upstream: Upstream) -> None:
         """Records that a brittle upstream had no room for a request."""
@@ -175,6 +219,7 @@
 
     def _release(self, number: int) -> None:
         self._held.pop(number, None)
+        self._ended.discard(number)
         self._lingering.discard(number)
         self._notify()
 
@@ -215,7 +260,7 @@
         permitted = collections.Counter(
             name
             for number, name in self._held.items()
-            if number not in self._lingering
+            if number not in self._ended
         )
         counts = {
             name: self._chooser.count_own_requests(name) - permitted[name]
@@ -247,4 +292,5 @@
             self._count_unpermitted(),
             dict(self._answered),
             dict(self._rejected),
+            tuple(self._lingering),
         )
--- a/src/ridgesill/app/slot_desk.py
+++ b/src/ridgesill/app/slot_desk.py
@@ -126,18 +126,41 @@
         registry = self._registry()
         if registry is None:
             return
-        for name, count in held.rejected.items():
-            log_message(
-                "fleet:slot_rejected",
-                upstream=name,
-                count=count,
-                held=self._permits.count_held(name),
-                front=sender,
-            )
+        counted = {
+            name: self._permits.count_held(name) for name in held.rejected
+        }
         now = self._loop.time()
         self._permits.report(sender, held, registry.upstreams, now)
+        for name, count in held.rejected.items():
+            self._log_rejected(registry, sender, name, count, counted[name])
         self._serve_waiting()
 
+    def _log_rejected(
+        self,
+        registry: Registry,
+        sender: str,
+        name: str,
+        count: int,
+        held: int,
+    ) -> None:
+        """Logs rejections that no permit accounts for, and what they change."""
+        upstream = registry.upstreams.get(name)
+        if upstream is None:
+            return
+        now = self._loop.time()
+        service = upstream.service
+        overheads = self._permits.overheads
+        log_message(
+            "fleet:slot_rejected",
+            upstream=name,
+            count=count,
+            held=held,
+            front=sender,
+            limit=self._permits.find_limit(upstream, now),
+            settle=round(overheads.settle_seconds(service, now), 4),
+            linger=round(overheads.linger_seconds(service, now), 4),
+        )
+
     async def provide(self, sender: str, request: RequestSlot) -> SlotAnswer:
         """Grants a slot, once one is free, or answers that there is none."""
         registry = self._registry()
@@ -148,18 +171,32 @@
             return SlotAnswer(free)
         granted = self._grant(sender, request)
         if granted or self._is_queue_full(registry, request):
-            return SlotAnswer(granted)
+            return self._make_answer(registry, granted)
         future = self._loop.create_future()
         waiting = _Waiting(sender, request, next(self._orders), future)
         self._waiting.append(waiting)
         try:
             async with asyncio.timeout(request.patience):
-                return SlotAnswer(await future)
+                return self._make_answer(registry, await future)
         except TimeoutError:
             return SlotAnswer()
         finally:
             self._waiting.remove(waiting)
 
+    def _make_answer(self, registry: Registry, granted: str) -> SlotAnswer:
+        """Returns an answer with what is known of the upstream's service."""
+        upstream = registry.upstreams.get(granted)
+        if upstream is None:
+            return SlotAnswer(granted)
+        now = self._loop.time()
+        service = upstream.service
+        overheads = self._permits.overheads
+        return SlotAnswer(
+            granted,
+            settle_seconds=overheads.settle_seconds(service, now),
+            linger_seconds=overheads.linger_seconds(service, now),
+        )
+
     def _knows_holders(self) -> bool:
         if self._loop.time() >= self._began_at + _REPORTS_SECONDS:
             return True
@@ -183,7 +220,9 @@
             if name in registry.upstreams
         ]
         now = self._loop.time()
-        return self._permits.grant(sender, request.number, upstreams, now)
+        return self._permits.grant(
+            sender, request.number, upstreams, now, request.connected
+        )
 
     def _is_queue_full(self, registry: Registry, request: RequestSlot) -> bool:
         """Whether more requests wait than slots can become free for."""
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -9,6 +9,7 @@
 
 from ridgesill.app.front import Front
 from ridgesill.app.slot_client import Slot, SlotEnd
+from ridgesill.app.upstream_connections import list_connected
 from ridgesill.core.fleet.messages import (
     COPY_IS_SOONER,
     READY,
@@ -178,10 +179,16 @@
         slots = self._front.slots
         if not slots.needs_permit(self._terms.service):
             return found
+        upstreams = self._list_alternatives(found)
         self._slot = await slots.acquire(
-            self._list_alternatives(found),
+            upstreams,
             self._terms.priority,
             self._seconds_left(),
+            list_connected(
+                self._front,
+                upstreams,
+                is_repeatable=self._terms.is_repeatable,
+            ),
         )
         if self._slot is None:
             self.report_reading_ended(was_read=False)
--- a/src/ridgesill/core/fleet/slot_permits.py
+++ b/src/ridgesill/core/fleet/slot_permits.py
@@ -6,7 +6,8 @@
 there are slots. Fronts report the permits that they hold; those of a front that
 falls silent expire.
 
-An upstream that rejects a request all the same has less
+A permit covers one slot: for the connection that the request may have to open,
+then for the request. An upstream that rejects a request all the same has less
 room than it states, or is running requests that nobody reports. Its limit then
 falls below what it held, stays there for as long as its bound on rejections
 asks, and grows again with its answers, as a congestion window does. So does the
@@ -20,6 +21,10 @@
 
 from ridgesill.core.codec import register
 from ridgesill.core.fleet.messages import Upstream
+from ridgesill.core.fleet.slot_overheads import (
+    MIN_SETTLE_SECONDS,
+    SlotOverheads,
+)
 
 # Holders report twice a second, so this is four missed reports.
 _SILENT_AFTER_SECONDS = 2.0
@@ -44,12 +49,15 @@
         upstreams: names of the upstreams that it may go to, the best first.
         patience: seconds for which it may wait for a slot.
         priority: 0 goes first.
+        connected: those of the upstreams to which the front has an idle
+            connection.
     """
 
     number: int
     upstreams: tuple[str, ...]
     patience: float
     priority: int = 0
+    connected: tuple[str, ...] = ()
 
 
 @register
@@ -61,10 +69,15 @@
         upstream: name of the upstream whose slot is granted; empty for none.
         is_certain: whether the owner knows that there is no free slot. One that
             has just taken over doesn't know yet what fronts hold.
+        settle_seconds: how long a new connection may take a slot.
+        linger_seconds: for how much longer than usual upstreams go on with
+            requests that were broken off.
     """
 
     upstream: str = ""
     is_certain: bool = True
+    settle_seconds: float = MIN_SETTLE_SECONDS
+    linger_seconds: float = 0.0
 
 
 @register
@@ -80,6 +93,7 @@
         unpermitted: requests in progress without a permit, by upstream.
         answered: whole answers by upstream.
         rejected: rejected requests by upstream.
+        lingering: those of the held numbers whose requests were broken off.
     """
 
     sequence: int
@@ -89,6 +103,7 @@
     unpermitted: dict[str, int] = attrs.Factory(dict)
     answered: dict[str, int] = attrs.Factory(dict)
     rejected: dict[str, int] = attrs.Factory(dict)
+    lingering: tuple[int, ...] = ()
 
 
 @attrs.define
@@ -100,12 +115,14 @@
         sequence: of its last report.
         permits: upstream by number.
         unpermitted: requests in progress without a permit, by upstream.
+        lingering: numbers of the permits whose requests were broken off.
     """
 
     heard_at: float
     sequence: int = -1
     permits: dict[int, str] = attrs.Factory(dict)
     unpermitted: dict[str, int] = attrs.Factory(dict)
+    lingering: set[int] = attrs.Factory(set)
 
 
 @attrs.define
@@ -176,9 +193,14 @@
 
 
 class SlotPermits:
-    """The permits that are held, over all fronts."""
+    """The permits that are held, over all fronts.
+
+    Attributes:
+        overheads: how long slots stay taken beyond the requests in them.
+    """
 
     def __init__(self) -> None:
+        self.overheads = SlotOverheads()
         self._holders: dict[str, _Holder] = {}
         self._held: dict[str, int] = {}
         self._limits: dict[str, _Limit] = {}
@@ -221,26 +243,37 @@
         number: int,
         upstreams: Collection[Upstream],
         now: float,
+        connected: Collection[str] = (),
     ) -> str:
         """Grants a slot at the upstream with the largest free share.
 
+        An upstream to which the front has a connection goes before others.
+
         Args:
             holder: identity of the front's process.
             number: of its request.
             upstreams: that the request may go to, the best first.
             now: clock time, in seconds.
+            connected: names of those to which it has a connection.
 
         Returns:
             The upstream's name; empty if none has room.
         """
-        best = max(upstreams, key=lambda u: self._room(u, now), default=None)
-        if best is None or self._room(best, now) <= 0:
+        rooms = [
+            (u, room) for u in upstreams if (room := self._room(u, now)) > 0
+        ]
+        if not rooms:
             return ""
+        best, _ = max(
+            rooms, key=lambda each: (each[0].name in connected, each[1])
+        )
         known = self._holders.setdefault(holder, _Holder(now))
         known.heard_at = now
         if number not in known.permits:
             known.permits[number] = best.name
             self._add(best.name, 1)
+            if best.name not in connected:
+                self.overheads.record_connection(best.name, now)
         return best.name
 
     def _add(self, upstream: str, count: int) -> None:
@@ -286,6 +319,10 @@
             for number, name in known.permits.items()
             if number in asked or number > held.last_number
         }
+        for number in known.lingering - held.held.keys():
+            name = known.permits.get(number, "")
+            self.overheads.record_released(name, now)
+        known.lingering = set(held.lingering)
         self._replace(known, {**held.held, **permits}, held.unpermitted)
 
     def _record_rejected(
@@ -294,6 +331,7 @@
         if upstream is None:
             return
         name = upstream.name
+        self.overheads.record_rejected(upstream.service, name, now)
         limit = self._find_limit(upstream)
         for _ in range(count):
             held = self.count_held(name)
@@ -330,3 +368,4 @@
         for name in list(self._limits):
             if name not in upstreams:
                 del self._limits[name]
+        self.overheads.discard_except(upstreams)
--- a/testing/brittle_world.py
+++ b/testing/brittle_world.py
@@ -132,11 +132,16 @@
             return
         self._ledger.record_run(call)
         if breaks:
-            await call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfi")
-            call.writer.close()
+            await self._break_off(call)
             return
         await call.answer(200, b"fine", *self._bound_headers())
 
+    async def _break_off(self, call: Call) -> None:
+        """Sends a part of an answer and closes the connection."""
+        lines = ["HTTP/1.1 200 OK", "Content-Length: 4", *self._bound_headers()]
+        await call.send("\r\n".join(lines).encode() + b"\r\n\r\nfi")
+        call.writer.close()
+
     async def _reject(self, call: Call) -> None:
         now = asyncio.get_running_loop().time()
         if self.bound is not None:
--- a/testing/core/fleet/test_slot_permits.py
+++ b/testing/core/fleet/test_slot_permits.py
@@ -59,6 +59,15 @@
         permits.grant("f1", 1, [U1], 0.0)
         assert permits.count_held("u1") == 1
 
+    def test_an_upstream_with_a_connection_goes_before_an_emptier_one(
+        self, permits: SlotPermits
+    ) -> None:
+        granted = [
+            permits.grant("f1", number, [U1, U2], 0.0, connected=("u2",))
+            for number in range(4)
+        ]
+        assert granted == ["u2"] * 3 + ["u1"]
+
 
 class TestReports:
     def test_a_permit_that_is_not_listed_is_free_again(
