Have one full upstream show what all others would reject

With one rejection a second allowed, callers lost what the first rejections of each of seven upstreams cost: all of them became full together and each showed the same.

One upstream of a service may now be full at first, twice as many after each second in which full ones answer, and none for 0.3 s after a rejection (core/fleet/last_slots.py). A rejection raises a learned time by a least step; a request that ended just before explains it before a connection does, since broken requests close connections; and only requests with a permit teach anything, once all fronts have reported what they sent before. Fronts report each slot of a broken request that they have given back: an owner that rarely heard of a front took such rejections for those of connections.

The emulator plays connections and broken answers now.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -835,6 +835,7 @@
             self._search.chosen_by,
             self._relay.sent_at,
             self._front.chooser.count_own_requests(upstream.name),
+            self._search.has_permit,
         )
         self._front.upstream_words.handle_word(upstream, word, context)
         return (
--- a/src/ridgesill/app/slot_client.py
+++ b/src/ridgesill/app/slot_client.py
@@ -12,7 +12,7 @@
 from ridgesill.app.change_signal import ChangeSignal
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.core.fleet.messages import Upstream
-from ridgesill.core.fleet.slot_overheads import MIN_SETTLE_SECONDS
+from ridgesill.core.fleet.slot_overheads import SETTLE_SECONDS
 from ridgesill.core.fleet.slot_permits import (
     HeldSlots,
     RequestSlot,
@@ -81,13 +81,15 @@
         self._last_number = 0
         self._sequences = itertools.count(1)
         self._held: dict[int, str] = {}
-        # Permits of requests that have ended here and may still take slots, and
-        # those of them that were broken off.
+        # Permits of requests that have ended here and may still take slots.
         self._ended: set[int] = set()
-        self._lingering: set[int] = set()
         self._asked: set[int] = set()
         self._answered: collections.Counter[str] = collections.Counter()
         self._rejected: collections.Counter[str] = collections.Counter()
+        # Those of them that had a permit.
+        self._unexpected: collections.Counter[str] = collections.Counter()
+        # Broken requests whose slots were given back.
+        self._broken: collections.Counter[str] = collections.Counter()
         self._longest: dict[str, float] = {}
         # What the owner last told of each service, in seconds.
         self._settle_seconds: dict[str, float] = {}
@@ -110,7 +112,7 @@
         """
         if not self.needs_permit(service):
             return 0.0
-        return self._settle_seconds.get(service, MIN_SETTLE_SECONDS)
+        return self._settle_seconds.get(service, SETTLE_SECONDS)
 
     async def acquire(
         self,
@@ -184,11 +186,9 @@
         seconds_left = self._find_seconds_left(service, end, seconds)
         if slot.number and seconds_left > 0:
             self._ended.add(slot.number)
-            if end is SlotEnd.UNCERTAIN:
-                self._lingering.add(slot.number)
-            self._loop.call_later(seconds_left, self._release, slot.number)
+            self._loop.call_later(seconds_left, self._release, slot, end)
         else:
-            self._release(slot.number)
+            self._release(slot, end)
 
     def _find_seconds_left(
         self, service: str, end: SlotEnd, seconds: float
@@ -210,17 +210,26 @@
         linger = self._linger_seconds.get(service, 0.0)
         return max(expected - seconds, 0.0) + linger
 
-    def record_rejected(self, upstream: Upstream) -> None:
-        """Records that a brittle upstream had no room for a request."""
+    def record_rejected(self, upstream: Upstream, *, had_permit: bool) -> None:
+        """Records that a brittle upstream had no room for a request.
+
+        Args:
+            upstream: that rejected it.
+            had_permit: whether the request had a permit.
+        """
         self._rejected[upstream.name] += 1
+        if had_permit:
+            self._unexpected[upstream.name] += 1
         fronts = self._chooser.view.fronts
         self._brittle.record_rejected(upstream, fronts, self._loop.time())
         self._notify()
 
-    def _release(self, number: int) -> None:
-        self._held.pop(number, None)
-        self._ended.discard(number)
-        self._lingering.discard(number)
+    def _release(self, slot: Slot, end: SlotEnd) -> None:
+        """Gives a slot back."""
+        if end is SlotEnd.UNCERTAIN:
+            self._broken[slot.upstream.name] += 1
+        self._held.pop(slot.number, None)
+        self._ended.discard(slot.number)
         self._notify()
 
     def _notify(self) -> None:
@@ -243,6 +252,7 @@
                 self._is_confirmed = False
                 self._fleet.send_slots(self._make_report())
                 self._answered.clear()
+                self._broken.clear()
 
     def _must_confirm(self) -> bool:
         """Whether the owner must confirm the next report."""
@@ -273,6 +283,8 @@
         report = self._make_report()
         answered, self._answered = self._answered, collections.Counter()
         rejected, self._rejected = self._rejected, collections.Counter()
+        unexpected, self._unexpected = self._unexpected, collections.Counter()
+        broken, self._broken = self._broken, collections.Counter()
         self._is_confirmed = True
         self._reported_to = await self._fleet.report_slots(report)
         if self._reported_to:
@@ -281,6 +293,8 @@
         self._is_confirmed = False
         self._answered += answered
         self._rejected += rejected
+        self._unexpected += unexpected
+        self._broken += broken
         return False
 
     def _make_report(self) -> HeldSlots:
@@ -292,5 +306,6 @@
             self._count_unpermitted(),
             dict(self._answered),
             dict(self._rejected),
-            tuple(self._lingering),
+            dict(self._broken),
+            dict(self._unexpected),
         )
--- a/src/ridgesill/app/slot_desk.py
+++ b/src/ridgesill/app/slot_desk.py
@@ -72,7 +72,7 @@
     def begin(self, upstreams: Iterable[Upstream]) -> None:
         """Begins without knowledge of what fronts hold, as a new owner does."""
         self._permits = SlotPermits()
-        self._permits.start_full(upstreams)
+        self._permits.start_full(upstreams, self._loop.time())
         self._began_at = self._loop.time()
 
     def end(self) -> None:
@@ -111,7 +111,7 @@
         if not changed:
             return
         # These were serving before they became brittle.
-        self._permits.start_full(changed)
+        self._permits.start_full(changed, self._loop.time())
         log_message(
             "fleet:brittle",
             upstream=heard.upstream,
--- a/src/ridgesill/app/upstream_search.py
+++ b/src/ridgesill/app/upstream_search.py
@@ -225,6 +225,11 @@
             ),
         ]
 
+    @property
+    def has_permit(self) -> bool:
+        """Whether the owner has granted the slot of the last attempt."""
+        return self._slot is not None and self._slot.number > 0
+
     def end_slot(self, end: SlotEnd) -> None:
         """Gives the slot of the last attempt back, if there is one."""
         slot, self._slot = self._slot, None
--- a/src/ridgesill/app/upstream_words.py
+++ b/src/ridgesill/app/upstream_words.py
@@ -43,6 +43,7 @@
         sent_at: when the request was sent, on the loop's clock.
         own_requests: this front's requests in progress at the upstream,
             including this one.
+        had_permit: whether the request had a permit for a slot.
     """
 
     request: str
@@ -50,6 +51,7 @@
     chosen_by: str
     sent_at: float
     own_requests: int = 0
+    had_permit: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -105,7 +107,7 @@
             self._log_turned_away(upstream, context)
         is_news = self._record_bounds(upstream, word, context)
         if is_rejected:
-            self._slots.record_rejected(upstream)
+            self._slots.record_rejected(upstream, had_permit=context.had_permit)
         self._report_brittle(upstream, word, context)
         repeated = attrs.evolve(
             EMPTY_UPSTREAM_WORD, limit=word.limit, brittle=word.brittle
--- a/src/ridgesill/core/fleet/slot_overheads.py
+++ b/src/ridgesill/core/fleet/slot_overheads.py
@@ -4,7 +4,9 @@
 request whose connection was closed. Neither time is stated anywhere. They are
 learned from requests that are rejected although the count of permits allows
 them: the time grows until it covers what happened last at that upstream, and
-shrinks slowly without rejections.
+shrinks slowly without rejections. The time of connections also shrinks with
+each one to a full upstream that rejects nothing, until the first that is
+followed by a rejection.
 """
 
 import math
@@ -12,18 +14,24 @@
 
 import attrs
 
-# Least and greatest time for which a new connection is expected to take a slot,
-# in seconds.
-MIN_SETTLE_SECONDS = 0.02
+# Time for which a new connection is expected to take a slot before anything was
+# learned, and its bounds, in seconds.
+SETTLE_SECONDS = 0.02
+_MIN_SETTLE_SECONDS = 0.002
 _MAX_SETTLE_SECONDS = 0.25
-# Greatest factor between that time and the age of a connection that is taken to
-# be the cause of a rejection. Older ones are too often there by chance.
+# Factor by which a connection that did no harm lowers that time.
+_SETTLE_SHRINK = 0.97
+# Least and greatest factor by which a rejection raises that time. A connection
+# that is older than the second one allows is too often there by chance to be
+# taken for the cause.
+_MIN_SETTLE_GROWTH = 1.5
 _MAX_SETTLE_GROWTH = 2.0
 # Greatest time for which a broken request is expected to go on, in seconds.
 _MAX_LINGER_SECONDS = 2.0
-# Time by which a rejection raises it at first, in seconds. Later ones double it
-# at most.
-_LINGER_STEP_SECONDS = 0.2
+# Least time by which a rejection raises it, and the greatest one at first, in
+# seconds. Later ones double it at most.
+_MIN_LINGER_STEP_SECONDS = 0.1
+_MAX_LINGER_STEP_SECONDS = 0.2
 # Least time between two growths, in seconds: requests that were sent before the
 # first one show nothing new.
 _GROWTH_PAUSE_SECONDS = 0.25
@@ -52,30 +60,49 @@
         age = max(now - self.changed_at, 0.0)
         return self.base + self.extra * math.exp2(-age / _HALF_LIFE_SECONDS)
 
+    def shrink(self, factor: float, least: float) -> None:
+        """Lowers the value, unless it has grown before."""
+        if self.changed_at == -math.inf:
+            self.base = max(self.base * factor, least)
+
     def raise_to(self, seconds: float, now: float) -> None:
         """Raises the value if it is lower and hasn't grown just now."""
         known = self.find(now)
         pause = max(known, _GROWTH_PAUSE_SECONDS)
         if seconds > known and now >= self.changed_at + pause:
+            # It doesn't shrink to what has proved to be too short.
+            self.base = max(self.base, seconds / 2)
             self.extra = seconds - self.base
             self.changed_at = now
 
 
 @attrs.define
 class _ServiceTimes:
-    settle: _LearnedTime = attrs.Factory(
-        lambda: _LearnedTime(MIN_SETTLE_SECONDS)
-    )
+    settle: _LearnedTime = attrs.Factory(lambda: _LearnedTime(SETTLE_SECONDS))
     linger: _LearnedTime = attrs.Factory(lambda: _LearnedTime(0.0))
 
 
+@attrs.frozen
+class _Connection:
+    """The connection that was last opened to an upstream.
+
+    Attributes:
+        at: clock time, in seconds.
+        fills: whether the upstream had no other slot left.
+    """
+
+    at: float
+    fills: bool
+
+
 class SlotOverheads:
     """The times of each service, and the events that explain rejections."""
 
     def __init__(self) -> None:
         self._times: dict[str, _ServiceTimes] = {}
-        # Clock time of the last event, by upstream.
-        self._connected_at: dict[str, float] = {}
+        # The last connection that no rejection followed, and the clock time of
+        # the last release, by upstream.
+        self._connections: dict[str, _Connection] = {}
         self._released_at: dict[str, float] = {}
 
     def _times_of(self, service: str) -> _ServiceTimes:
@@ -89,9 +116,26 @@
         """Returns for how much longer than usual broken requests run."""
         return self._times_of(service).linger.find(now)
 
-    def record_connection(self, upstream: str, now: float) -> None:
-        """Records that a front is about to connect to an upstream."""
-        self._connected_at[upstream] = now
+    def record_connection(
+        self, service: str, upstream: str, now: float, *, fills: bool = False
+    ) -> None:
+        """Records that a front is about to connect to an upstream.
+
+        Args:
+            service: of the upstream.
+            upstream: its name.
+            now: clock time, in seconds.
+            fills: whether the upstream has no other slot left.
+        """
+        previous = self._connections.get(upstream)
+        settle = self._times_of(service).settle
+        if (
+            previous is not None
+            and previous.fills
+            and now - previous.at > _MAX_SETTLE_GROWTH * settle.find(now)
+        ):
+            settle.shrink(_SETTLE_SHRINK, _MIN_SETTLE_SECONDS)
+        self._connections[upstream] = _Connection(now, fills)
 
     def record_released(self, upstream: str, now: float) -> None:
         """Records that the slot of a broken request was given back."""
@@ -100,25 +144,42 @@
     def record_rejected(self, service: str, upstream: str, now: float) -> None:
         """Learns from a rejection of a permitted request.
 
+        Broken requests close connections, so that new ones are often there by
+        chance: a request that ended just before explains the rejection first.
+
         Args:
             service: of the upstream.
             upstream: its name.
             now: clock time, in seconds.
         """
-        times = self._times_of(service)
-        known = times.settle.find(now)
-        age = now - self._connected_at.get(upstream, -math.inf)
-        if age <= min(_MAX_SETTLE_GROWTH * known, _MAX_SETTLE_SECONDS):
-            times.settle.raise_to(age, now)
-        known = times.linger.find(now)
-        age = now - self._released_at.get(upstream, -math.inf)
-        if age <= _MAX_LINGER_SECONDS:
-            step = min(age, max(known, _LINGER_STEP_SECONDS))
-            times.linger.raise_to(min(known + step, _MAX_LINGER_SECONDS), now)
+        settle = self._times_of(service).settle.find(now)
+        linger = self._times_of(service).linger.find(now)
+        connection = self._connections.pop(upstream, None)
+        connected_ago = math.inf
+        if connection is not None:
+            connected_ago = now - connection.at
+        released_ago = now - self._released_at.get(upstream, -math.inf)
+        if released_ago <= max(linger, _MAX_LINGER_STEP_SECONDS):
+            self._raise_linger(service, released_ago, now)
+        elif connected_ago <= min(
+            _MAX_SETTLE_GROWTH * settle, _MAX_SETTLE_SECONDS
+        ):
+            seconds = max(connected_ago, _MIN_SETTLE_GROWTH * settle)
+            self._times_of(service).settle.raise_to(seconds, now)
+        elif released_ago <= _MAX_LINGER_SECONDS:
+            self._raise_linger(service, released_ago, now)
+
+    def _raise_linger(self, service: str, seconds: float, now: float) -> None:
+        """Raises the time of broken requests by about so many seconds."""
+        times = self._times_of(service).linger
+        known = times.find(now)
+        step = min(seconds, max(known, _MAX_LINGER_STEP_SECONDS))
+        step = max(step, _MIN_LINGER_STEP_SECONDS)
+        times.raise_to(min(known + step, _MAX_LINGER_SECONDS), now)
 
     def discard_except(self, upstreams: Collection[str]) -> None:
         """Discards the events of all but the given upstreams."""
-        for events in (self._connected_at, self._released_at):
+        for events in (self._connections, self._released_at):
             for name in list(events):
                 if name not in upstreams:
-                    del events[name]
+                    del events[name]  # type: ignore[attr-defined]
--- a/src/ridgesill/core/fleet/slot_permits.py
+++ b/src/ridgesill/core/fleet/slot_permits.py
@@ -20,9 +20,10 @@
 import attrs
 
 from ridgesill.core.codec import register
+from ridgesill.core.fleet.last_slots import LastSlots
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.fleet.slot_overheads import (
-    MIN_SETTLE_SECONDS,
+    SETTLE_SECONDS,
     SlotOverheads,
 )
 
@@ -76,7 +77,7 @@
 
     upstream: str = ""
     is_certain: bool = True
-    settle_seconds: float = MIN_SETTLE_SECONDS
+    settle_seconds: float = SETTLE_SECONDS
     linger_seconds: float = 0.0
 
 
@@ -93,7 +94,9 @@
         unpermitted: requests in progress without a permit, by upstream.
         answered: whole answers by upstream.
         rejected: rejected requests by upstream.
-        lingering: those of the held numbers whose requests were broken off.
+        unexpected: those of them that had a permit, by upstream.
+        broken: requests by upstream that were broken off, and whose slots the
+            front has given back.
     """
 
     sequence: int
@@ -103,7 +106,8 @@
     unpermitted: dict[str, int] = attrs.Factory(dict)
     answered: dict[str, int] = attrs.Factory(dict)
     rejected: dict[str, int] = attrs.Factory(dict)
-    lingering: tuple[int, ...] = ()
+    broken: dict[str, int] = attrs.Factory(dict)
+    unexpected: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -115,14 +119,12 @@
         sequence: of its last report.
         permits: upstream by number.
         unpermitted: requests in progress without a permit, by upstream.
-        lingering: numbers of the permits whose requests were broken off.
     """
 
     heard_at: float
     sequence: int = -1
     permits: dict[int, str] = attrs.Factory(dict)
     unpermitted: dict[str, int] = attrs.Factory(dict)
-    lingering: set[int] = attrs.Factory(set)
 
 
 @attrs.define
@@ -204,6 +206,10 @@
         self._holders: dict[str, _Holder] = {}
         self._held: dict[str, int] = {}
         self._limits: dict[str, _Limit] = {}
+        # From when all requests at an upstream are known, by its name.
+        self._counted_from: dict[str, float] = {}
+        # By service.
+        self._last_slots: dict[str, LastSlots] = {}
 
     def count_reporters(self) -> int:
         """Returns the number of fronts that have reported."""
@@ -213,11 +219,19 @@
         """Returns the requests in progress at an upstream."""
         return self._held.get(upstream, 0)
 
-    def start_full(self, upstreams: Iterable[Upstream]) -> None:
-        """Lets upstreams that serve already use all their slots at once."""
+    def start_full(
+        self, upstreams: Iterable[Upstream], now: float = float("-inf")
+    ) -> None:
+        """Lets upstreams that serve already use all their slots at once.
+
+        Args:
+            upstreams: that have become brittle, or that an earlier owner knew.
+            now: clock time, in seconds.
+        """
         for upstream in upstreams:
             slots = max(upstream.slots, 1)
             self._limits.setdefault(upstream.name, _Limit(slots, slots))
+            self._counted_from[upstream.name] = now + _SILENT_AFTER_SECONDS
 
     def has_room(self, upstream: Upstream, now: float) -> bool:
         """Whether an upstream may get one more request now."""
@@ -225,9 +239,17 @@
 
     def _room(self, upstream: Upstream, now: float) -> float:
         """Returns the free share of an upstream's slots."""
-        limit = self.find_limit(upstream, now)
-        free = limit - self.count_held(upstream.name)
-        return free / max(upstream.slots, 1)
+        slots = max(upstream.slots, 1)
+        held = self.count_held(upstream.name)
+        free = self.find_limit(upstream, now) - held
+        if held == slots - 1 and not self._last_slots_of(
+            upstream.service
+        ).may_fill(slots, self._held, now):
+            return 0.0
+        return free / slots
+
+    def _last_slots_of(self, service: str) -> LastSlots:
+        return self._last_slots.setdefault(service, LastSlots())
 
     def find_limit(self, upstream: Upstream, now: float) -> int:
         """Returns how many requests an upstream may have in progress."""
@@ -272,8 +294,17 @@
         if number not in known.permits:
             known.permits[number] = best.name
             self._add(best.name, 1)
+            if self.count_held(best.name) == max(best.slots, 1):
+                self._last_slots_of(best.service).record_filled(
+                    best.name, best.slots, now
+                )
             if best.name not in connected:
-                self.overheads.record_connection(best.name, now)
+                self.overheads.record_connection(
+                    best.service,
+                    best.name,
+                    now,
+                    fills=self.count_held(best.name) >= best.slots,
+                )
         return best.name
 
     def _add(self, upstream: str, count: int) -> None:
@@ -307,36 +338,43 @@
         known.heard_at = now
         known.sequence = held.sequence
         for name, count in held.rejected.items():
-            self._record_rejected(upstreams.get(name), count, now)
+            if name in upstreams:
+                self._lower_limit(upstreams[name], count, now)
+                if name in held.unexpected:
+                    self._learn_from_rejection(upstreams[name], now)
         for name, count in held.answered.items():
             if name in upstreams:
                 upstream = upstreams[name]
                 slots = max(upstream.slots, 1)
                 self._find_limit(upstream).grow(count, slots, now)
+                self._last_slots_of(upstream.service).record_answer(
+                    name, self._held, now
+                )
         asked = set(held.asked)
         permits = {
             number: name
             for number, name in known.permits.items()
             if number in asked or number > held.last_number
         }
-        for number in known.lingering - held.held.keys():
-            name = known.permits.get(number, "")
+        for name in held.broken:
             self.overheads.record_released(name, now)
-        known.lingering = set(held.lingering)
         self._replace(known, {**held.held, **permits}, held.unpermitted)
 
-    def _record_rejected(
-        self, upstream: Upstream | None, count: int, now: float
-    ) -> None:
-        if upstream is None:
-            return
-        name = upstream.name
-        self.overheads.record_rejected(upstream.service, name, now)
+    def _lower_limit(self, upstream: Upstream, count: int, now: float) -> None:
         limit = self._find_limit(upstream)
         for _ in range(count):
-            held = self.count_held(name)
+            held = self.count_held(upstream.name)
             limit.shrink(held, upstream.brittle, now)
 
+    def _learn_from_rejection(self, upstream: Upstream, now: float) -> None:
+        """Learns from a rejection that the count doesn't explain."""
+        name = upstream.name
+        is_counted = now >= self._counted_from.get(name, float("-inf"))
+        if not is_counted or self.count_held(name) > max(upstream.slots, 1):
+            return
+        self.overheads.record_rejected(upstream.service, name, now)
+        self._last_slots_of(upstream.service).record_rejected(now)
+
     def _replace(
         self,
         holder: _Holder,
@@ -368,4 +406,5 @@
         for name in list(self._limits):
             if name not in upstreams:
                 del self._limits[name]
+                self._counted_from.pop(name, None)
         self.overheads.discard_except(upstreams)
--- a/src/ridgesill/standin/emulator/brittle_service.py
+++ b/src/ridgesill/standin/emulator/brittle_service.py
@@ -41,6 +41,8 @@
 _QUEUE = 12
 _DOWN_SECONDS = 3.0
 _PATIENCE_SECONDS = 2.0
+# How long a connection of a front stays open without a request, in seconds.
+_IDLE_SECONDS = 4.0
 
 
 @attrs.frozen
@@ -55,6 +57,9 @@
         upstreams: number of upstreams.
         slots: requests that each processes at once.
         run_seconds: time of a request.
+        connection_seconds: how long a new connection takes a slot.
+        break_share: share of the answers that upstreams break off.
+        linger_seconds: how long such a request keeps its slot.
         bound: rejections per second that an upstream bears.
         owner_lost: from when until when nobody owns the fleet, in seconds.
         seed: of all random choices.
@@ -66,6 +71,9 @@
     upstreams: int = 4
     slots: int = 6
     run_seconds: float = 0.35
+    connection_seconds: float = 0.0
+    break_share: float = 0.0
+    linger_seconds: float = 0.0
     bound: float = 3.0
     owner_lost: tuple[float, float] = (1e9, 1e9)
     seed: int = 1
@@ -111,12 +119,19 @@
     """The upstream fell over, or is away."""
 
 
+class _BrokenOffError(Exception):
+    """The answer broke off; the upstream may go on with the request."""
+
+
 class _EmulatedUpstream:
     """An upstream that falls over if it rejects too many requests."""
 
-    def __init__(self, plan: BrittlePlan, figures: BrittleFigures) -> None:
+    def __init__(
+        self, plan: BrittlePlan, figures: BrittleFigures, rng: random.Random
+    ) -> None:
         self._plan = plan
         self._figures = figures
+        self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._accepted = 0
         self._running = asyncio.Semaphore(plan.slots)
@@ -124,11 +139,25 @@
         self.is_away = False
         self._fallen: asyncio.Future[None] = self._loop.create_future()
 
+    def connect(self) -> None:
+        """Takes a slot for a new connection."""
+        if self._plan.connection_seconds and not self.is_away:
+            self._accepted += 1
+            self._loop.call_later(
+                self._plan.connection_seconds, self._release, self._fallen
+            )
+
+    def _release(self, fallen: asyncio.Future[None]) -> None:
+        """Frees a slot that was taken before the upstream fell over."""
+        if fallen is self._fallen:
+            self._accepted -= 1
+
     async def serve(self) -> bool:
         """Serves a request; returns whether it ran.
 
         Raises:
             _FallenError: the upstream has ended.
+            _BrokenOffError: the answer broke off.
         """
         if self.is_away:
             raise _FallenError
@@ -139,14 +168,20 @@
             return False
         fallen = self._fallen
         self._accepted += 1
+        breaks = self._rng.random() < self._plan.break_share
+        linger_seconds = self._plan.linger_seconds if breaks else 0.0
         try:
             async with self._running:
                 await asyncio.sleep(self._plan.run_seconds)
         finally:
-            if fallen is self._fallen:
-                self._accepted -= 1
+            if linger_seconds:
+                self._loop.call_later(linger_seconds, self._release, fallen)
+            else:
+                self._release(fallen)
         if fallen is not self._fallen:
             raise _FallenError
+        if breaks:
+            raise _BrokenOffError
         return True
 
     def _reject(self, now: float) -> None:
@@ -166,6 +201,30 @@
             raise _FallenError
 
 
+class _Connections:
+    """Idle connections of a front."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[float]] = {}
+
+    def list_connected(self, now: float) -> list[str]:
+        """Returns the upstreams to which a connection is idle."""
+        return [
+            name
+            for name, since in self._idle.items()
+            if since and now - since[-1] < _IDLE_SECONDS
+        ]
+
+    def take(self, upstream: str, now: float) -> bool:
+        """Takes an idle connection; returns whether there was one."""
+        since = self._idle.get(upstream, [])
+        return bool(since) and now - since.pop() < _IDLE_SECONDS
+
+    def give_back(self, upstream: str, now: float) -> None:
+        """Keeps a connection for another request."""
+        self._idle.setdefault(upstream, []).append(now)
+
+
 class _BrittleWorld:
     """Upstreams, owner, fronts and callers of a run."""
 
@@ -186,6 +245,7 @@
         self._nodes: dict[str, Callable[..., Any]] = {_OWNER: self._handle}
         self._choosers: list[Chooser] = []
         self._clients: list[SlotClient] = []
+        self._connections = [_Connections() for _ in range(plan.fronts)]
         for number in range(plan.fronts):
             self._make_front(f"f{number}")
 
@@ -212,7 +272,8 @@
     def _start_upstream(self, instance: str) -> None:
         start = next(self._starts)
         name = f"{instance}#{start}"
-        self._upstreams[name] = _EmulatedUpstream(self.plan, self.figures)
+        rng = random.Random(f"{name} {self.plan.seed}")
+        self._upstreams[name] = _EmulatedUpstream(self.plan, self.figures, rng)
         beat = Heartbeat(
             name,
             _SERVICE,
@@ -321,36 +382,50 @@
         upstream = self._rng.choice(ready)
         slot: Slot | None = None
         if client.needs_permit(_SERVICE):
-            slot = await client.acquire(ready, 0, _PATIENCE_SECONDS)
+            slot = await client.acquire(
+                ready,
+                0,
+                _PATIENCE_SECONDS,
+                self._connections[front].list_connected(began),
+            )
             if slot is None:
                 return False, self._loop.time() - began
             upstream = slot.upstream
         waited = self._loop.time() - began
-        return await self._run(client, chooser, upstream, slot), waited
+        return await self._run(front, upstream, slot), waited
 
     async def _run(
-        self,
-        client: SlotClient,
-        chooser: Chooser,
-        upstream: Upstream,
-        slot: Slot | None,
+        self, front: int, upstream: Upstream, slot: Slot | None
     ) -> bool:
+        client, chooser = self._clients[front], self._choosers[front]
         chooser.record_start(upstream.name, "")
         end = SlotEnd.UNCERTAIN
         try:
+            await self._connect(front, upstream)
             ran = await self._upstreams[upstream.name].serve()
+            now = self._loop.time()
+            self._connections[front].give_back(upstream.name, now)
             end = SlotEnd.ANSWERED if ran else SlotEnd.FREE
             if not ran and client.needs_permit(_SERVICE):
-                client.record_rejected(upstream)
+                client.record_rejected(upstream, had_permit=slot is not None)
             return ran
         except _FallenError:
             self._remove(upstream)
             return False
+        except _BrokenOffError:
+            return False
         finally:
             if slot is not None:
                 client.end(slot, end)
             chooser.record_end(upstream.name, "")
 
+    async def _connect(self, front: int, upstream: Upstream) -> None:
+        """Opens a connection, unless one is idle, and lets it settle."""
+        if self._connections[front].take(upstream.name, self._loop.time()):
+            return
+        self._upstreams[upstream.name].connect()
+        await asyncio.sleep(self._clients[front].settle_seconds(_SERVICE))
+
     def _remove(self, upstream: Upstream) -> None:
         if upstream.name not in self._registry.upstreams:
             return
--- a/testing/core/fleet/test_slot_overheads.py
+++ b/testing/core/fleet/test_slot_overheads.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ridgesill.core.fleet.slot_overheads import (
-    MIN_SETTLE_SECONDS,
+    SETTLE_SECONDS,
     SlotOverheads,
 )
 
@@ -22,33 +22,33 @@
     def test_it_grows_to_the_age_of_a_connection_beside_a_rejection(
         self, overheads: SlotOverheads
     ) -> None:
-        overheads.record_connection("u1", 10.0)
+        overheads.record_connection("plain", "u1", 10.0)
         overheads.record_rejected("plain", "u1", 10.035)
         assert overheads.settle_seconds("plain", 10.035) == pytest.approx(0.035)
-        assert overheads.settle_seconds("other", 10.035) == MIN_SETTLE_SECONDS
+        assert overheads.settle_seconds("other", 10.035) == SETTLE_SECONDS
 
     def test_it_reaches_a_long_time_in_a_few_rejections(
         self, overheads: SlotOverheads
     ) -> None:
         for step in range(4):
             now = 10.0 + step
-            overheads.record_connection("u1", now)
+            overheads.record_connection("plain", "u1", now)
             settle = overheads.settle_seconds("plain", now)
-            overheads.record_rejected("plain", "u1", now + 1.9 * settle)
+            overheads.record_rejected("plain", "u1", now + 1.8 * settle)
         assert overheads.settle_seconds("plain", 14.0) > 0.15
 
     def test_an_old_connection_or_one_elsewhere_explains_nothing(
         self, overheads: SlotOverheads
     ) -> None:
-        overheads.record_connection("u1", 10.0)
+        overheads.record_connection("plain", "u1", 10.0)
         overheads.record_rejected("plain", "u1", 10.2)
         overheads.record_rejected("plain", "u2", 10.03)
-        assert overheads.settle_seconds("plain", 10.2) == MIN_SETTLE_SECONDS
+        assert overheads.settle_seconds("plain", 10.2) == SETTLE_SECONDS
 
     def test_rejections_at_the_same_time_raise_it_once(
         self, overheads: SlotOverheads
     ) -> None:
-        overheads.record_connection("u1", 10.0)
+        overheads.record_connection("plain", "u1", 10.0)
         overheads.record_rejected("plain", "u1", 10.03)
         overheads.record_rejected("plain", "u1", 10.05)
         assert overheads.settle_seconds("plain", 10.05) < 0.031
@@ -56,10 +56,35 @@
     def test_it_shrinks_without_rejections(
         self, overheads: SlotOverheads
     ) -> None:
-        overheads.record_connection("u1", 10.0)
+        overheads.record_connection("plain", "u1", 10.0)
         overheads.record_rejected("plain", "u1", 10.04)
         assert overheads.settle_seconds("plain", 300.0) < 0.021
 
+    def test_connections_that_do_no_harm_to_a_full_upstream_shorten_it(
+        self, overheads: SlotOverheads
+    ) -> None:
+        for step in range(200):
+            now = 10.0 + step
+            overheads.record_connection("plain", "u1", now, fills=True)
+        assert overheads.settle_seconds("plain", 210.0) < 0.003
+
+    def test_connections_to_an_upstream_with_free_slots_show_nothing(
+        self, overheads: SlotOverheads
+    ) -> None:
+        for step in range(200):
+            overheads.record_connection("plain", "u1", 10.0 + step)
+        assert overheads.settle_seconds("plain", 210.0) == SETTLE_SECONDS
+
+    def test_it_does_not_shrink_again_to_what_was_too_short(
+        self, overheads: SlotOverheads
+    ) -> None:
+        overheads.record_connection("plain", "u1", 10.0)
+        overheads.record_rejected("plain", "u1", 10.04)
+        for step in range(200):
+            now = 11.0 + step
+            overheads.record_connection("plain", "u1", now, fills=True)
+        assert overheads.settle_seconds("plain", 211.0) >= 0.02
+
 
 class TestLinger:
     def test_it_grows_by_the_time_since_the_last_release(
--- a/testing/standin/emulator/test_brittle_service.py
+++ b/testing/standin/emulator/test_brittle_service.py
@@ -12,8 +12,11 @@
 
 _USED_SHARE = 0.9
 _REFUSED_SECONDS = 0.3
-# Falls that four upstreams may have.
+# The same where slots are taken beside requests.
+_SHARED_USED_SHARE = 0.8
+# Falls that four upstreams, or seven, may have.
 _FALLS = 2
+_UPSTREAMS = 7
 
 
 class TestBrittleService:
@@ -28,6 +31,34 @@
         assert figures.served >= _USED_SHARE * fits * figures.sent
         assert max(figures.refusal_seconds, default=0.0) <= _REFUSED_SECONDS
 
+    @pytest.mark.parametrize("fronts", [79, 330])
+    @pytest.mark.parametrize("bound", [1.0, 3.0])
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"connection_seconds": 0.001},
+            {"connection_seconds": 0.03},
+            {"break_share": 0.05, "linger_seconds": 0.5},
+        ],
+        ids=["connections", "slow connections", "broken answers"],
+    )
+    def test_slots_taken_beside_requests_neither_fell_nor_idle_them(
+        self, fronts: int, bound: float, fields: dict[str, float]
+    ) -> None:
+        plan = BrittlePlan(
+            fronts,
+            0.6,
+            upstreams=_UPSTREAMS,
+            run_seconds=0.12,
+            bound=bound,
+            **fields,  # type: ignore[arg-type]
+        )
+        figures = play_brittle_service(plan)
+        assert figures.falls <= _FALLS
+        whole = 1.0 - plan.break_share
+        assert figures.served >= _SHARED_USED_SHARE * whole * figures.sent
+        assert max(figures.refusal_seconds, default=0.0) <= _REFUSED_SECONDS
+
     @pytest.mark.parametrize("fronts", [6, 71, 330])
     def test_a_lost_owner_neither_fells_them_nor_delays_refusals(
         self, fronts: int
