Try waiting requests for slots only at upstreams that may have room

Each report of a front tried a grant for every waiting request, though the first that found no slot had shown that its upstreams are full.

--- a/src/ridgesill/app/slot_desk.py
+++ b/src/ridgesill/app/slot_desk.py
@@ -239,9 +239,14 @@
         return competing >= slots
 
     def _serve_waiting(self) -> None:
+        full: set[str] = set()
         for waiting in sorted(self._waiting, key=lambda w: w.rank):
             if waiting.granted.done():
                 continue
+            if full.issuperset(waiting.request.upstreams):
+                continue
             granted = self._grant(waiting.holder, waiting.request)
             if granted:
                 waiting.granted.set_result(granted)
+            else:
+                full.update(waiting.request.upstreams)
