--- a/src/ridgesill/core/fleet/slot_overheads.py
+++ b/src/ridgesill/core/fleet/slot_overheads.py
@@ -70,8 +70,6 @@
         known = self.find(now)
         pause = max(known, _GROWTH_PAUSE_SECONDS)
         if seconds > known and now >= self.changed_at + pause:
-            # It doesn't shrink to what has proved to be too short.
-            self.base = max(self.base, seconds / 2)
             self.extra = seconds - self.base
             self.changed_at = now
 
@@ -165,6 +163,7 @@
             _MAX_SETTLE_GROWTH * settle, _MAX_SETTLE_SECONDS
         ):
             seconds = max(connected_ago, _MIN_SETTLE_GROWTH * settle)
+            seconds = min(seconds, _MAX_SETTLE_SECONDS)
             self._times_of(service).settle.raise_to(seconds, now)
         elif released_ago <= _MAX_LINGER_SECONDS:
             self._raise_linger(service, released_ago, now)
--- a/testing/core/fleet/test_slot_overheads.py
+++ b/testing/core/fleet/test_slot_overheads.py
@@ -75,7 +75,14 @@
             overheads.record_connection("plain", "u1", 10.0 + step)
         assert overheads.settle_seconds("plain", 210.0) == SETTLE_SECONDS
 
-    def test_it_does_not_shrink_again_to_what_was_too_short(
+    def test_it_stays_bounded(self, overheads: SlotOverheads) -> None:
+        for step in range(30):
+            now = 10.0 + step
+            overheads.record_connection("plain", "u1", now)
+            overheads.record_rejected("plain", "u1", now + 0.02)
+        assert overheads.settle_seconds("plain", 40.0) <= 0.25
+
+    def test_connections_no_longer_shorten_it_once_it_was_too_short(
         self, overheads: SlotOverheads
     ) -> None:
         overheads.record_connection("plain", "u1", 10.0)
