Let a new owner grant no slot at upstreams that it takes for sound

Cause, by its log: the new owner had lost what upstreams had stated, so it answered each request for a slot with the first upstream as not brittle, for some 0.1 s until a front told it. Fronts ask for slots only where they know better.

testing/app/test_slot_desk.py fails without the change (all three requests granted).

--- a/src/ridgesill/app/slot_desk.py
+++ b/src/ridgesill/app/slot_desk.py
@@ -167,6 +167,9 @@
         if registry is None or not self._knows_holders():
             return _UNCERTAIN
         free = self._find_unbounded(registry, request)
+        if free and self._is_new():
+            # Fronts ask only where they know an upstream to be brittle.
+            return _UNCERTAIN
         if free:
             return SlotAnswer(free)
         granted = self._grant(sender, request)
@@ -197,8 +200,12 @@
             linger_seconds=overheads.linger_seconds(service, now),
         )
 
+    def _is_new(self) -> bool:
+        """Whether some fronts may not have told this owner what they know."""
+        return self._loop.time() < self._began_at + _REPORTS_SECONDS
+
     def _knows_holders(self) -> bool:
-        if self._loop.time() >= self._began_at + _REPORTS_SECONDS:
+        if not self._is_new():
             return True
         return self._permits.count_reporters() >= max(self._count_fronts(), 1)
 
