Look at a channel's requests only where a connection has to settle

The emulator of engines and the experiment tool ended each request with an AttributeError: their channels are addresses, and were asked for their requests though no service was brittle. 14 tests of testing/standin failed, by test_customer_burst.py and test_runs.py.

--- a/src/ridgesill/app/upstream_connections.py
+++ b/src/ridgesill/app/upstream_connections.py
@@ -74,7 +74,7 @@
 ) -> None:
     """Waits until a new channel takes no slot any more."""
     settle_seconds = front.slots.settle_seconds(upstream.service)
-    if channel.requests or not settle_seconds:
+    if not settle_seconds or channel.requests:
         return
     log_message(
         "request:connection_opened",
