Replace lost voters within the time that deployments allow

Cause: a successor became a voter only in place of one that had been silent for a fixed 6 s, counted anew from each election; deployments count a successor as sound after catch_up_s (4 s), which nothing read. At the third loss three voters of five were gone for good.

Change: the silence is a share of catch_up_s; a voter that others hear keeps its vote; lost disks go before stopping and silent voters; a stopping node hands its vote over while it still counts; changes that are due follow each other at once; a node with a disk avoids voters that don't answer, so that a new leader hears of a successor sooner; learners that are gone are removed.

Why it works: a lost voter is removed before the learner votes, so no step needs more live voters than the one before; only a caught-up, answering learner causes a change. core/log/replacements.py checks a live quorum at each step of random schedules.

--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -30,7 +30,11 @@
 from ridgesill.core.membership import BeatRelay, Membership
 from ridgesill.core.rendezvous import rank
 from ridgesill.core.state import State, is_needed_without_disk
-from ridgesill.core.voter_changes import decide_change, node_name_of
+from ridgesill.core.voter_changes import (
+    VoterPolicy,
+    decide_change,
+    node_name_of,
+)
 from ridgesill.core.voter_choice import VoterChoice
 from ridgesill.ports.peers import PeerError, Peers
 
@@ -46,6 +50,8 @@
 _PROPOSE_ATTEMPT_SECONDS = 2.0
 # Pause before a failed message is sent again, in seconds.
 _RETRY_SECONDS = 0.1
+# How long a voter that didn't answer is avoided, in seconds.
+_AVOID_SECONDS = 2.0
 # How often a leader checks whether nodes or voters have to change, in seconds.
 _LEAD_TICK_SECONDS = 0.25
 # A sleep that lasts longer than planned by this much, in seconds, means that
@@ -63,6 +69,8 @@
 # second of the traffic to other data centres.
 _BEATS_INTERVAL_SECONDS_PER_NODE = 0.005
 _MAX_BEATS_INTERVAL_SHARE = 0.25
+# How often a voter that stops checks whether it is replaced, in seconds.
+_HANDOVER_POLL_SECONDS = 0.05
 # How long a leader tries to confirm that it still leads, and how often it
 # checks, in seconds; a heartbeat round takes 0.3 s.
 _CONFIRM_LATEST_SECONDS = 0.8
@@ -82,7 +90,8 @@
         lease: seconds for which a node may rely on its copy of the state.
         silence_timeout: seconds of silence after which a node counts as gone.
         follow_wait: seconds after which a voter replies without new entries.
-        max_voters: how many voters there should be; 0 for no limit.
+        voter_policy: how many voters there should be, and how soon a lost one
+            is replaced.
         names_are_addresses: whether nodes are named by their addresses.
     """
 
@@ -90,7 +99,7 @@
     lease: float = 4.0
     silence_timeout: float = 4.0
     follow_wait: float = 0.5
-    max_voters: int = 0
+    voter_policy: VoterPolicy = VoterPolicy()
     names_are_addresses: bool = False
 
 
@@ -134,6 +143,8 @@
         self._listeners: list[Callable[[], None]] = []
         self._voter_choice = VoterChoice(node.name, node.data_centre)
         self._beats_relayed_at = float("-inf")
+        # When a `Follow` message last failed, by address, in seconds.
+        self._failed_at: dict[str, float] = {}
 
     @property
     def state(self) -> State:
@@ -249,9 +260,10 @@
         voters = self._voter_names()
         others = [name for name in voters if name != self.node.name]
         if self.driver:
-            if known_leader and failures % 2 == 0:
+            if known_leader and self._may_answer(known_leader):
                 return known_leader
-            ranked = rank(self.node.name, others)
+            reachable = [name for name in others if self._may_answer(name)]
+            ranked = rank(self.node.name, reachable or others)
             return ranked[failures % len(ranked)] if ranked else ""
         if len(others) > 1:
             # The leader has to serve the other voters, so nodes without a disk
@@ -260,6 +272,23 @@
         now = self._loop.time()
         return self._voter_choice.choose(others, self.state.nodes, now)
 
+    def _may_answer(self, name: str) -> bool:
+        """Whether a node's address is known and it isn't known to be silent.
+
+        Each attempt at a lost node delays the beats by which a new leader
+        learns of this one. A leader that the replica hears again is reachable.
+        """
+        address = self.address_of(name)
+        if not address:
+            return False
+        failed_at = self._failed_at.get(address, float("-inf"))
+        if self._loop.time() - failed_at > _AVOID_SECONDS:
+            return True
+        assert self.driver is not None
+        replica = self.driver.replica
+        is_leader = node_name_of(replica.leader) == name
+        return is_leader and replica.leader_heard_at > failed_at
+
     def _voter_names(self) -> list[str]:
         state_voters = [n.name for n in self.state.nodes.values() if n.voter]
         return sorted(set(state_voters) | set(self.settings.seeds))
@@ -282,7 +311,9 @@
                 self.settings.follow_wait + _FOLLOW_MARGIN_SECONDS,
             )
         except PeerError:
+            self._failed_at[address] = self._loop.time()
             return False
+        self._failed_at.pop(address, None)
         self._relay.record_received(new, reply.unknown)
         self.leader = reply.leader
         await self._apply_reply(reply, requested_at=now)
@@ -389,6 +420,43 @@
         )
         return FollowReply(age, upto, entries, b"", leader)
 
+    # -- leaving -------------------------------------------------------
+
+    async def hand_over_vote(self, timeout: float) -> None:
+        """Announces that this node stops, and waits until it is replaced.
+
+        Returns at once if no learner waits, and after `timeout` seconds at the
+        latest. Without this, the successor in a planned replacement gets its
+        vote only after this node has been silent for some time.
+        """
+        self.draining = True
+        if self.driver is None or self._is_learner():
+            return
+        has_successor = bool(self.driver.replica.voters.learners)
+        deadline = self._loop.time() + timeout
+        await self._announce_stop(timeout)
+        while has_successor and (self.is_leader or not self._is_learner()):
+            if self._loop.time() > deadline:
+                log_message("log:vote_not_handed_over", seconds=timeout)
+                return
+            await asyncio.sleep(_HANDOVER_POLL_SECONDS)
+
+    async def _announce_stop(self, timeout: float) -> None:
+        """Sends the leader this node's last beat without waiting for entries.
+
+        The beat in the current `Follow` message doesn't say that it stops, and
+        the next one may be sent only after this node has ended.
+        """
+        address = "" if self.is_leader else self.leader_address()
+        if not address:
+            return
+        try:
+            await self._peers.call(
+                address, Follow(self._make_beat(), 0), timeout
+            )
+        except PeerError as error:
+            log_message("log:stop_not_announced", detail=str(error))
+
     # -- leading -------------------------------------------------------
 
     async def lead(self) -> None:
@@ -415,20 +483,36 @@
             self.leader = self.node.name
             log_message("log:leading", term=driver.replica.term)
         self._membership.record_beat(self._make_beat(), now)
-        change = decide_change(
-            driver.replica,
-            self._membership.live_beats(now),
-            now,
-            self.settings.max_voters,
-        )
-        commands = self._membership.decide_commands(driver.state, now)
-        if change is not None:
-            commands.append(change)
-        for command in commands:
-            try:
+        try:
+            for command in self._membership.decide_commands(driver.state, now):
                 await driver.propose(command)
-            except (NotLeaderError, LostLeadershipError):
+            await self._change_voters(driver)
+        except (NotLeaderError, LostLeadershipError):
+            return
+
+    async def _change_voters(self, driver: LogDriver) -> None:
+        """Makes all changes of voters that are due, one after the other.
+
+        Raises:
+            NotLeaderError: this node doesn't lead, or can't change voters yet.
+            LostLeadershipError: this node has stopped leading meanwhile.
+        """
+        while True:
+            now = self._loop.time()
+            change = decide_change(
+                driver.replica,
+                self._membership.recent_beats(now),
+                now,
+                self.settings.voter_policy,
+            )
+            if change is None:
                 return
+            await driver.propose(change)
+            log_message(
+                "log:voters_changed",
+                voters=change.voters.voters,
+                learners=change.voters.learners,
+            )
 
     # -- linearizable reads --------------------------------------------
 
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -60,6 +60,9 @@
 _ELECTION_STAGGER_SECONDS = 0.2
 # How long calls in progress may take to end after SIGTERM, in seconds.
 _STOP_SECONDS = 0.3
+# How long a voter that stops waits for a learner to take its vote, as a share
+# of the time between SIGTERM and SIGKILL. It outlasts an election.
+_HANDOVER_SHARE = 0.5
 
 
 class ControlProcess:
@@ -237,6 +240,8 @@
         )
         if running.done() and running.exception() is not None:
             raise running.exception()  # type: ignore[misc]
+        grace_seconds = self._settings.bounds.grace_seconds
+        await self.control.hand_over_vote(_HANDOVER_SHARE * grace_seconds)
         await asyncio.sleep(_STOP_SECONDS)
         running.cancel()
         await self._calls.stop()
--- a/src/ridgesill/app/platform_node.py
+++ b/src/ridgesill/app/platform_node.py
@@ -7,6 +7,7 @@
 from ridgesill.core.commands import Node
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.core.state import State
+from ridgesill.core.voter_changes import VoterPolicy
 from ridgesill.platform.configuration import decode_configuration
 from ridgesill.platform.settings import PlatformSettings
 from ridgesill.ports.peers import Peers
@@ -47,7 +48,9 @@
             {seed: seed for seed in settings.seeds},
             lease=_FOLLOW_LEASE_SECONDS,
             follow_wait=_FOLLOW_WAIT_SECONDS,
-            max_voters=settings.voters,
+            voter_policy=VoterPolicy(
+                settings.voters, settings.bounds.catch_up_seconds
+            ),
             names_are_addresses=True,
         ),
         peers,
--- a/src/ridgesill/core/log/replica.py
+++ b/src/ridgesill/core/log/replica.py
@@ -101,6 +101,8 @@
         self.progress: dict[str, Progress] = {}
         self.voted_for = stored.hard_state.voted_for
         self.led_since = _NEVER
+        # The last other replica that this one followed.
+        self.previous_leader = ""
         # The latest time at which an earlier leader may have confirmed its
         # quorum, on this replica's clock.
         self.predecessor_until = _NEVER
@@ -108,7 +110,8 @@
         self._rng = rng
         self._votes: set[str] = set()
         self._is_pre_vote = False
-        self._leader_heard_at = _NEVER
+        # When the leader last sent this replica something, in seconds.
+        self.leader_heard_at = _NEVER
         # When it last followed or led a term, or started: a restarted replica
         # doesn't know what it did before.
         self._followed_at = now
@@ -325,7 +328,7 @@
     def _has_live_leader(self, now: float) -> bool:
         if self.role == LEADER:
             return True
-        return now - self._leader_heard_at < self._timing.election_min
+        return now - self.leader_heard_at < self._timing.election_min
 
     def _reset_election_timer(self, now: float) -> None:
         turn = self._election_turn() + _TURN_JITTER_SHARE * self._rng.random()
@@ -398,7 +401,8 @@
             self._send(sender, refusal)
             return False
         self._become_follower(message.term, sender, now)
-        self._leader_heard_at = now
+        self.previous_leader = sender
+        self.leader_heard_at = now
         self._followed_at = now
         return True
 
@@ -453,9 +457,21 @@
 
     def _send_all(self, now: float) -> None:
         self._next_heartbeat = now + self._timing.heartbeat
-        for peer in self._peers(self.voters.members):
+        for peer in self._peers(self._receivers()):
             self._send_append(peer, now)
 
+    def _receivers(self) -> tuple[str, ...]:
+        """Returns the members, and those whose removal isn't committed yet.
+
+        A replica that is removed has to receive the entry that removes it, so
+        that it knows that it is no longer needed.
+        """
+        members = self.voters.members
+        if not self.has_pending_voter_change or len(self._voters_by_index) < 2:
+            return members
+        removed = set(self._voters_by_index[-2][1].members) - set(members)
+        return (*members, *sorted(removed))
+
     def _send_append(self, peer: str, now: float) -> None:
         progress = self.progress.setdefault(
             peer, Progress(self.log.last_index + 1)
--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -61,6 +61,8 @@
         grace_seconds: time between SIGTERM and SIGKILL.
         configuration_seconds: time within which a configuration change must be
             in force on all fronts.
+        catch_up_seconds: time after its start within which a control node
+            counts as lost.
         lease_seconds: time within which two VMs must not both send orders.
         retry_share: share of requests that may be retried in
             `retry_window_seconds`.
@@ -79,6 +81,7 @@
     drain_seconds: float = 2.0
     grace_seconds: float = 8.0
     configuration_seconds: float = 2.0
+    catch_up_seconds: float = 4.0
     lease_seconds: float = 3.0
     retry_share: float = 0.2
     retry_window_seconds: float = 10.0
@@ -257,6 +260,9 @@
             configuration_seconds=get_seconds(
                 "config_ms", defaults.configuration_seconds
             ),
+            catch_up_seconds=float(
+                bounds.get("catch_up_s", defaults.catch_up_seconds)
+            ),
             lease_seconds=get_seconds("lease_ms", defaults.lease_seconds),
             retry_share=float(bounds.get("budget_ratio", defaults.retry_share)),
             retry_window_seconds=float(
--- a/testing/app/control_world.py
+++ b/testing/app/control_world.py
@@ -14,14 +14,23 @@
 from ridgesill.core.commands import Node
 from ridgesill.core.following import Follow, Propose
 from ridgesill.core.log.memory import append_truncating
-from ridgesill.core.log.messages import Entry, HardState, Snapshot, StoredLog
+from ridgesill.core.log.messages import (
+    Entry,
+    HardState,
+    Snapshot,
+    StoredLog,
+    Timing,
+    Voters,
+)
 from ridgesill.core.log.replica import make_initial_snapshot
 from ridgesill.core.pool.messages import Digest
 from ridgesill.core.runners import Announcement, Order
+from ridgesill.core.voter_changes import VoterPolicy, node_name_of
 from testing.app.faulty_network import FaultyNetwork, FaultyPeers
 
 VOTERS = ("a", "b", "c")
 LEASE_SECONDS = 4.0
+_TIMING = Timing(heartbeat=0.15, election_min=1.2, election_max=1.9)
 # Far below the lease, so that the leader often counts a live node as gone and
 # only the leases keep the old and the new owner of a pool apart.
 SILENCE_TIMEOUT_SECONDS = 1.5
@@ -94,13 +103,18 @@
         nodes_without_disk: names of the nodes without a disk.
         seed: decides losses and delays.
         loss: share of messages that are lost.
+        voter_policy: how many voters there should be.
 
     Attributes:
         sent_orders: time in seconds, sender and content of each order.
     """
 
     def __init__(
-        self, nodes_without_disk: tuple[str, ...], seed: int, loss: float = 0.02
+        self,
+        nodes_without_disk: tuple[str, ...],
+        seed: int,
+        loss: float = 0.02,
+        voter_policy: VoterPolicy | None = None,
     ) -> None:
         super().__init__(seed, loss, (0.001, 0.02))
         self.members: dict[str, Member] = {}
@@ -113,6 +127,7 @@
             for name in VOTERS
         }
         self._nodes_without_disk = nodes_without_disk
+        self._voter_policy = voter_policy or VoterPolicy()
         self._incarnation = 0
 
     # -- nodes ------------------------------------------------------------
@@ -134,8 +149,14 @@
             storage.identity if storage else "",
         )
         peers = FaultyPeers(self, name)
+        # The platform lists nodes that run at present to a new node.
+        seeds = [n for n in self._storages if n in self.members] or VOTERS
         settings = ControlSettings(
-            {v: v for v in VOTERS}, LEASE_SECONDS, SILENCE_TIMEOUT_SECONDS, 0.5
+            {seed: seed for seed in (seeds if name not in VOTERS else VOTERS)},
+            LEASE_SECONDS,
+            SILENCE_TIMEOUT_SECONDS,
+            0.5,
+            self._voter_policy,
         )
         created_pools: list[Pools] = []
 
@@ -148,6 +169,7 @@
                 storage,
                 control.send_to_replica,
                 control.notify_applied,
+                _TIMING,
                 compact_entries=20,
                 run_blocking=_run_inline,
                 rng=random.Random(self.rng.random()),
@@ -164,6 +186,12 @@
         tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
         self.members[name] = Member(control, pools, tasks)
 
+    def start_successor(self, name: str) -> None:
+        """Starts a new node with an empty disk."""
+        empty = Snapshot(0, 0, Voters(()), b"")
+        self._storages[name] = MemoryStorage(f"{name}.0", empty)
+        self.start_node(name)
+
     def stop_node(self, name: str) -> None:
         """Stops a node at once."""
         for task in self.members.pop(name).tasks:
@@ -179,7 +207,7 @@
 
     def names(self) -> Iterable[str]:
         """Returns the names of all nodes."""
-        return (*VOTERS, *self._nodes_without_disk)
+        return (*self._storages, *self._nodes_without_disk)
 
     def running(self) -> Container[str]:
         """Returns the nodes that receive messages."""
@@ -215,6 +243,12 @@
             name for name, m in self.members.items() if m.control.is_leader
         )
 
+    def voter_names(self) -> set[str]:
+        """Returns the names of the nodes that vote, as the leader knows."""
+        driver = self.members[self.leader()].control.driver
+        assert driver is not None
+        return {node_name_of(v) for v in driver.replica.voters.voters}
+
     def nodes_allowed_to_order(self) -> list[str]:
         """Returns the nodes that may send orders to the runner now."""
         now = asyncio.get_running_loop().time()
--- a/testing/app/test_control.py
+++ b/testing/app/test_control.py
@@ -16,9 +16,13 @@
     make_table,
 )
 from ridgesill.core.following import Propose, ProposeReply
+from ridgesill.core.voter_changes import VoterPolicy
 from testing.app.control_world import LEASE_SECONDS, VOTERS, ControlWorld
 
 _NODES_WITHOUT_DISK = ("x", "y")
+_CATCH_UP_SECONDS = 4.0
+# From the loss of a node to the start of its successor, as on the platform.
+_SUCCESSOR_DELAY_SECONDS = 1.0
 _SEED_COUNT = 40
 _LONG_SEED_COUNT = 1000
 
@@ -78,6 +82,63 @@
         world.stop()
 
 
+async def start_world_with_successor() -> ControlWorld:
+    """Returns a world of three voters and a caught-up learner, `d`."""
+    world = ControlWorld((), 1, 0.0, VoterPolicy(3, _CATCH_UP_SECONDS))
+    world.start()
+    await asyncio.sleep(6.0)
+    world.start_successor("d")
+    await asyncio.sleep(_CATCH_UP_SECONDS)
+    assert world.voter_names() == set(VOTERS)
+    return world
+
+
+class TestHandOverVote:
+    @pytest.mark.parametrize("leads", [False, True])
+    async def test_a_planned_replacement_leaves_no_voter_missing(
+        self, leads: bool
+    ) -> None:
+        """Guards against a successor that votes only after a silence."""
+        world = await start_world_with_successor()
+        followers = [n for n in VOTERS if n != world.leader()]
+        name = world.leader() if leads else followers[0]
+        loop = asyncio.get_running_loop()
+        stopped_at = loop.time()
+        await world.members[name].control.hand_over_vote(4.0)
+        assert loop.time() - stopped_at < 1.0
+        world.stop_node(name)
+        await asyncio.sleep(3.0)
+        assert world.voter_names() == {*VOTERS, "d"} - {name}
+        world.stop()
+
+    async def test_a_stop_without_a_successor_waits_for_nothing(self) -> None:
+        world = await start_world()
+        loop = asyncio.get_running_loop()
+        stopped_at = loop.time()
+        await world.members["b"].control.hand_over_vote(4.0)
+        assert loop.time() - stopped_at < 1.0
+        world.stop()
+
+
+class TestReplacedVoters:
+    async def test_a_lost_leaders_successor_votes_within_the_catch_up_time(
+        self,
+    ) -> None:
+        """Guards against replaced voters that count until the last is lost."""
+        world = ControlWorld((), 1, 0.0, VoterPolicy(3, _CATCH_UP_SECONDS))
+        world.start()
+        await asyncio.sleep(6.0)
+        for successor in ("d", "e", "f"):
+            lost = world.leader()
+            world.stop_node(lost)
+            await asyncio.sleep(_SUCCESSOR_DELAY_SECONDS)
+            world.start_successor(successor)
+            await asyncio.sleep(_CATCH_UP_SECONDS)
+            assert successor in world.voter_names()
+            assert lost not in world.voter_names()
+        world.stop()
+
+
 class TestFollow:
     async def test_all_nodes_apply_a_change_within_a_second(self) -> None:
         world = await start_world()
--- a/testing/core/log/cluster.py
+++ b/testing/core/log/cluster.py
@@ -95,11 +95,16 @@
     """Replicas and the simulated network between them."""
 
     def __init__(
-        self, names: tuple[str, ...], seed: int, faults: Faults | None = None
+        self,
+        names: tuple[str, ...],
+        seed: int,
+        faults: Faults | None = None,
+        timing: Timing | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.faults = faults or Faults()
+        self._timing = timing or Timing()
         self.members: dict[str, Member] = {}
         self.leaders: dict[int, str] = {}
         self.led_until: dict[int, float] = {}
@@ -121,7 +126,7 @@
 
     def _replica(self, name: str, disk: Disk) -> Replica:
         rng = random.Random(self.rng.random())
-        return Replica(name, disk.stored(), self.now, rng, Timing())
+        return Replica(name, disk.stored(), self.now, rng, self._timing)
 
     # -- faults -----------------------------------------------------------
 
--- a/testing/core/log/test_replica.py
+++ b/testing/core/log/test_replica.py
@@ -24,11 +24,13 @@
     make_initial_snapshot,
 )
 from testing.core.log.cluster import Cluster, Faults, Violation, Write
+from testing.core.log.replacements import ReplacementSchedule
 from testing.core.log.schedules import Schedule
 
 _NAMES = ("a.0", "b.0", "c.0")
 _SCHEDULES = 1000
 _EXTRA_SCHEDULES = 20_000
+_REPLACEMENT_SCHEDULES = 25
 
 
 def make_stable_cluster(seed: int = 1) -> Cluster:
@@ -309,3 +311,26 @@
     def test_invariants_hold_over_many_more_schedules(self) -> None:
         for seed in range(_SCHEDULES, _SCHEDULES + _EXTRA_SCHEDULES):
             Schedule(seed).run()
+
+
+class TestReplacements:
+    @pytest.mark.parametrize("catch_up_seconds", [4.0, 6.0])
+    def test_replaced_voters_never_cost_the_quorum(
+        self, catch_up_seconds: float
+    ) -> None:
+        """Guards against voters that are gone and still count."""
+        for seed in range(_REPLACEMENT_SCHEDULES):
+            play_replacements(seed, catch_up_seconds, with_returns=False)
+
+
+def play_replacements(
+    seed: int, catch_up_seconds: float, *, with_returns: bool
+) -> None:
+    """Plays a schedule; an error names its seed."""
+    schedule = ReplacementSchedule(
+        seed, catch_up_seconds, with_returns=with_returns
+    )
+    try:
+        schedule.run()
+    except Violation as error:
+        raise AssertionError(f"seed {seed}: {error}") from error
--- a/testing/core/test_voter_changes.py
+++ b/testing/core/test_voter_changes.py
@@ -2,10 +2,11 @@
 
 import random
 
+import attrs
 import pytest
 
 from ridgesill.core.commands import Node
-from ridgesill.core.following import Beat
+from ridgesill.core.following import Beat, HeardBeat
 from ridgesill.core.log.messages import AppendResponse, StoredLog, Voters
 from ridgesill.core.log.messages import HardState as State
 from ridgesill.core.log.replica import (
@@ -13,7 +14,7 @@
     Replica,
     make_initial_snapshot,
 )
-from ridgesill.core.voter_changes import decide_change
+from ridgesill.core.voter_changes import VoterPolicy, decide_change
 
 _VOTERS = ("10.0.0.1:70.a", "10.0.0.2:70.b", "10.0.0.3:70.c")
 _NEW = "10.0.0.9:70.z"
@@ -50,11 +51,17 @@
             self.replica.receive(answer, identity, self.now)
         self.replica.take_output()
 
-    def decide(self, identity: str, max_voters: int) -> Voters | None:
+    def decide(
+        self,
+        identity: str,
+        max_voters: int,
+        *others: HeardBeat,
+        catch_up_seconds: float = 4.0,
+    ) -> Voters | None:
         """Makes the next change for a learner; returns its voters, or None."""
-        change = decide_change(
-            self.replica, [beat(identity)], self.now, max_voters
-        )
+        heard = [HeardBeat(beat(identity), 0.0), *others]
+        policy = VoterPolicy(max_voters, catch_up_seconds)
+        change = decide_change(self.replica, heard, self.now, policy)
         if change is None:
             return None
         assert isinstance(change, ChangeVoters)
@@ -98,3 +105,81 @@
         reduced = leader.decide(successor, 3)
         assert set(reduced.voters) == set(_VOTERS[:2])
         assert successor in leader.decide(successor, 3).voters
+
+
+def voter_beat(
+    identity: str, age: float = 0.0, *, stops: bool = False
+) -> HeardBeat:
+    """Returns the beat of a node that takes itself for a voter."""
+    known = attrs.evolve(beat(identity), learner=False, draining=stops)
+    return HeardBeat(known, age)
+
+
+class TestReplacedVoters:
+    @pytest.mark.parametrize("catch_up_seconds", [4.0, 6.0, 20.0])
+    def test_a_silent_voter_is_replaced_within_the_catch_up_time(
+        self, leader: Leader, catch_up_seconds: float
+    ) -> None:
+        """Guards against a fixed time that outlasts the one that is allowed."""
+        leader.decide(_NEW, 3)
+        leader.now = 0.2 * catch_up_seconds
+        leader.acknowledge(_VOTERS[1], _NEW)
+        settings = {"catch_up_seconds": catch_up_seconds}
+        assert leader.decide(_NEW, 3, **settings) is None
+        leader.now = 0.4 * catch_up_seconds
+        leader.acknowledge(_VOTERS[1], _NEW)
+        assert _VOTERS[2] not in leader.decide(_NEW, 3, **settings).voters
+        assert _NEW in leader.decide(_NEW, 3, **settings).voters
+
+    def test_a_voter_that_others_hear_keeps_its_vote(
+        self, leader: Leader
+    ) -> None:
+        """Guards against a cut link of the leader alone that counts as loss."""
+        leader.decide(_NEW, 3)
+        leader.now = 20.0
+        leader.acknowledge(_VOTERS[1], _NEW)
+        assert leader.decide(_NEW, 3, voter_beat(_VOTERS[2], 1.5)) is None
+        assert leader.decide(_NEW, 3, voter_beat(_VOTERS[2], 2.0)) is not None
+
+    def test_a_voter_whose_disk_is_lost_goes_before_a_silent_one(
+        self, leader: Leader
+    ) -> None:
+        """Guards against the loss of a voter that may still return."""
+        wiped = HeardBeat(beat("10.0.0.3:70.d"), 0.0)
+        leader.decide(_NEW, 3, wiped)
+        leader.decide(_NEW, 3, wiped)
+        leader.replica.progress[_VOTERS[1]].acked_at = -1.0
+        leader.now = 20.0
+        leader.acknowledge(_NEW)
+        assert leader.decide(_NEW, 3, wiped).voters == _VOTERS[:2]
+
+    def test_a_voter_that_stops_goes_after_its_successor_votes(
+        self, leader: Leader
+    ) -> None:
+        """Guards against a voter too few while a replacement is under way."""
+        leader.decide(_NEW, 3)
+        stopping = voter_beat(_VOTERS[1], stops=True)
+        grown = leader.decide(_NEW, 3, stopping)
+        assert grown.voters == (*_VOTERS, _NEW)
+        leader.now = 0.1
+        reduced = leader.decide(_NEW, 3, stopping)
+        assert set(reduced.voters) == {_VOTERS[0], _VOTERS[2], _NEW}
+
+    def test_a_successor_that_is_lost_before_it_votes_gets_no_vote(
+        self, leader: Leader
+    ) -> None:
+        """Guards against a vote for a node that can't be part of a quorum."""
+        leader.decide(_NEW, 3)
+        leader.now = 20.0
+        leader.acknowledge(_VOTERS[1])
+        assert leader.decide(_NEW, 3) is None
+
+    def test_a_learner_whose_node_is_gone_is_removed(
+        self, leader: Leader
+    ) -> None:
+        """Guards against stops that wait for a successor that is gone."""
+        leader.decide(_NEW, 3)
+        leader.now = 20.0
+        leader.acknowledge(*_VOTERS[1:])
+        change = decide_change(leader.replica, [], 20.0, VoterPolicy(3))
+        assert change.voters == Voters(_VOTERS)
