Take back voters that were dropped while they were off

Cause: a voter that was off lost its vote to a waiting successor. When it came back, its own log still named it a voter, as a leader sends nothing to a node that is no member; its beat said learner=False, and the leader only looked at nodes that call themselves learners.

Change: each live node with a disk that is no member becomes a learner, whatever it says, unless it stops.

Why it works: the leader knows the members and hears who is alive, so it needs no word of a node that can't know. As a learner the node gets the log again.

--- a/src/ridgesill/core/voter_changes.py
+++ b/src/ridgesill/core/voter_changes.py
@@ -52,7 +52,9 @@
 ) -> ChangeVoters | None:
     """Returns the next change of voters, or None if there is none to make.
 
-    Each step changes one voter or one learner. A lost voter is removed before a
+    Each step changes one voter or one learner. Every live node with a disk that
+    is no member becomes a learner, whatever its own log says: a voter that was
+    dropped while it was off doesn't know so. A lost voter is removed before a
     learner takes its place, so that a quorum needs no more of the remaining
     ones than before; one that stops is removed after that, while it still
     counts.
@@ -105,7 +107,7 @@
         """Adds a live node that is no member; forgets its lost identities."""
         for name, item in sorted(self.heard.items()):
             identity = item.beat.node.voter
-            is_joining = item.beat.learner and not item.beat.draining
+            is_joining = not item.beat.draining
             if is_joining and identity not in self.voters.members:
                 others = _without_node(self.voters.learners, name)
                 return Voters(self.voters.voters, (*others, identity))
--- a/testing/app/test_control.py
+++ b/testing/app/test_control.py
@@ -138,6 +138,23 @@
             assert lost not in world.voter_names()
         world.stop()
 
+    async def test_a_voter_that_was_off_votes_again_when_it_is_needed(
+        self,
+    ) -> None:
+        """Guards against a node that returns to a log that dropped it."""
+        world = await start_world_with_successor()
+        off, old = [n for n in VOTERS if n != world.leader()]
+        world.stop_node(off)
+        await asyncio.sleep(7.0)
+        assert world.voter_names() == {*VOTERS, "d"} - {off}
+        world.start_node(off)
+        await asyncio.sleep(_CATCH_UP_SECONDS)
+        await world.members[old].control.hand_over_vote(4.0)
+        world.stop_node(old)
+        await asyncio.sleep(1.0)
+        assert world.voter_names() == {*VOTERS, "d"} - {old}
+        world.stop()
+
 
 class TestFollow:
     async def test_all_nodes_apply_a_change_within_a_second(self) -> None:
--- a/testing/core/log/test_replica.py
+++ b/testing/core/log/test_replica.py
@@ -31,6 +31,7 @@
 _SCHEDULES = 1000
 _EXTRA_SCHEDULES = 20_000
 _REPLACEMENT_SCHEDULES = 25
+_EXTRA_REPLACEMENT_SCHEDULES = 2000
 
 
 def make_stable_cluster(seed: int = 1) -> Cluster:
@@ -322,6 +323,24 @@
         for seed in range(_REPLACEMENT_SCHEDULES):
             play_replacements(seed, catch_up_seconds, with_returns=False)
 
+    @pytest.mark.parametrize("catch_up_seconds", [4.0, 6.0])
+    def test_returned_voters_never_cost_the_quorum(
+        self, catch_up_seconds: float
+    ) -> None:
+        """Guards against nodes that run and don't vote."""
+        for seed in range(_REPLACEMENT_SCHEDULES):
+            play_replacements(seed, catch_up_seconds, with_returns=True)
+
+    @pytest.mark.long
+    @pytest.mark.timeout(0)
+    @pytest.mark.parametrize("catch_up_seconds", [4.0, 6.0])
+    def test_a_quorum_lasts_over_many_more_schedules(
+        self, catch_up_seconds: float
+    ) -> None:
+        first, last = _REPLACEMENT_SCHEDULES, _EXTRA_REPLACEMENT_SCHEDULES
+        for seed in range(first, last):
+            play_replacements(seed, catch_up_seconds, with_returns=True)
+
 
 def play_replacements(
     seed: int, catch_up_seconds: float, *, with_returns: bool
--- a/testing/core/test_voter_changes.py
+++ b/testing/core/test_voter_changes.py
@@ -183,3 +183,27 @@
         leader.acknowledge(*_VOTERS[1:])
         change = decide_change(leader.replica, [], 20.0, VoterPolicy(3))
         assert change.voters == Voters(_VOTERS)
+
+
+class TestReturningVoters:
+    def test_a_dropped_voter_that_returns_is_taken_back(
+        self, leader: Leader
+    ) -> None:
+        """Guards against a node that wrongly takes itself for a voter."""
+        leader.decide(_NEW, 3)
+        leader.now = 20.0
+        leader.acknowledge(_VOTERS[1], _NEW)
+        leader.decide(_NEW, 3)
+        assert _NEW in leader.decide(_NEW, 3).voters
+        returned = voter_beat(_VOTERS[2])
+        joined = leader.decide(_NEW, 3, returned)
+        assert joined.learners == (_VOTERS[2],)
+        stopping = voter_beat(_VOTERS[1], stops=True)
+        assert _VOTERS[2] in leader.decide(_NEW, 3, returned, stopping).voters
+
+    def test_a_node_that_stops_becomes_no_learner(self, leader: Leader) -> None:
+        """Guards against a voter that is added again as it hands over."""
+        stopping = voter_beat("10.0.0.7:70.s", stops=True)
+        leader.decide(_NEW, 3)
+        leader.acknowledge(*_VOTERS[1:], _NEW)
+        assert leader.decide(_NEW, 3, stopping) is None
