Bound what is read and held of an upstream's answer

Callers would see: an upstream that sends bytes until its caller closes takes a front's memory (300 MB) or a control node's (64 MB) within seconds, and everything there ends; interim responses without end stop the event loop.

Cause: only the time of an answer was bounded. A channel received without regard to its reader; whole bodies, events and unneeded bodies had no size.

Ruled out: status lines, headers, trailers and chunk extensions, which the parser bounds at 16 KB (their tests passed before).

Change: channels stop receiving at 512 KB unread; 32 interim responses; whole bodies of 16 MB, of 1 MB for reports, orders and start checks; unneeded ones of 64 KB and 0.2 s; events of 1 MB. The own interface's runners likewise.

Why it works: each loop that reads from an upstream now ends by a count of bytes or messages and closes the connection, which is what ends the sender.

--- a/src/ridgesill/adapters/http1/channel.py
+++ b/src/ridgesill/adapters/http1/channel.py
@@ -21,6 +21,12 @@
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
 # Idle timeout of a channel whose upstream announces none.
 _DEFAULT_IDLE_SECONDS = 4.0
+# Received bytes that nobody has read yet, above which no more are received.
+_MAX_UNREAD_BYTES = 512 * 1024
+# Interim (1xx) responses before a response, at most.
+_MAX_INTERIM_RESPONSES = 32
+# Bytes of a response to another request that are skipped, at most.
+_MAX_SKIPPED_BYTES = 1024 * 1024
 REQUEST_ID_HEADER = b"request-id"
 _BODILESS_STATUSES = frozenset((204, 304))
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
@@ -66,6 +72,8 @@
         self._is_busy = False
         self._skipped_response = False
         self._user_timeout_ms = 0
+        self._unread_bytes = 0
+        self._is_paused = False
 
     # -- asyncio.Protocol callbacks ------------------------------------
 
@@ -84,6 +92,10 @@
             self._parser.receive_data(data)
         except h11.RemoteProtocolError as error:
             self.close(str(error))
+        self._unread_bytes += len(data)
+        if self._unread_bytes > _MAX_UNREAD_BYTES and self._transport:
+            self._is_paused = True
+            self._transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> bool:
@@ -111,6 +123,13 @@
         )
         self._wake()
 
+    def _resume_reading(self) -> None:
+        """Receives more bytes, since the parser has none left to read."""
+        self._unread_bytes = 0
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -170,8 +189,15 @@
         Raises:
             ChannelBrokenError: the connection ended before the head arrived.
         """
+        interim_responses = 0
         while True:
             event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                interim_responses += 1
+                if interim_responses > _MAX_INTERIM_RESPONSES:
+                    raise self._break(
+                        f"more than {_MAX_INTERIM_RESPONSES} interim responses"
+                    )
             if isinstance(event, h11.Response):
                 headers = tuple(event.headers)
                 head = ResponseHead(
@@ -209,8 +235,14 @@
         )
 
     async def _skip_response(self) -> None:
-        while not isinstance(await self._next_event(), h11.EndOfMessage):
-            pass
+        skipped_bytes = 0
+        event = await self._next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.Data):
+                skipped_bytes += len(event.data)
+            if skipped_bytes > _MAX_SKIPPED_BYTES:
+                raise self._break("a response to another request has no end")
+            event = await self._next_event()
         remaining, _ = self._parser.trailing_data
         # h11 accepts one response per request. A new parser, put into the
         # state after sending a request, reads the response that follows.
@@ -249,6 +281,7 @@
                 return event  # type: ignore[return-value]
             if self._close_reason:
                 raise ChannelBrokenError(self._close_reason)
+            self._resume_reading()
             self._waiter = self._loop.create_future()
             await self._waiter
 
@@ -277,12 +310,18 @@
         if not reusable:
             self.close("the connection cannot be reused")
             return False
+        self._resume_reading()
         parser.start_next_cycle()
         self._is_busy = False
         self.idle_since = self._loop.time()
         self.idle_timeout_seconds = _parse_idle_timeout(head)
         return True
 
+    def _break(self, reason: str) -> ChannelBrokenError:
+        """Closes the connection; returns the error for its reader."""
+        self.close(reason)
+        return ChannelBrokenError(reason)
+
     def close(self, reason: str) -> None:
         """Aborts the connection, by which the upstream cancels the request.
 
--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -33,6 +33,16 @@
 _PROBE_INTERVAL_SECONDS = 1
 
 
+# The longest body that is held whole, and the longest that is read although
+# nobody needs it. Answers longer than the first can only be streamed.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# The longest answer to a call that isn't a client's request.
+MAX_REPORT_BYTES = 1024 * 1024
+_MAX_DISCARDED_BYTES = 64 * 1024
+# How long a body that nobody needs may take, in seconds.
+_DISCARD_SECONDS = 0.2
+
+
 class Connectivity(enum.Enum):
     """What became of an attempt to open a connection.
 
@@ -104,7 +114,7 @@
         try:
             self.head = await self._channel.read_head()
         except ChannelBrokenError as error:
-            raise self._to_channel_error("head", error) from error
+            raise self._to_channel_error("head", str(error)) from error
         return self.head
 
     async def read_data(self) -> bytes:
@@ -116,25 +126,54 @@
         try:
             data = await self._channel.read_data()
         except ChannelBrokenError as error:
-            raise self._to_channel_error("body", error) from error
+            raise self._to_channel_error("body", str(error)) from error
         if not data:
             self._finish()
         return data
 
-    async def read_rest(self) -> bytes:
+    async def read_rest(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Returns the rest of the body.
 
+        Args:
+            max_bytes: how long it may be.
+
         Raises:
-            ChannelError: the connection ended before the body did.
+            ChannelError: the connection ended before the body did, or the body
+                is longer.
         """
         parts = []
+        length = 0
         while data := await self.read_data():
+            length += len(data)
+            if length > max_bytes:
+                raise self._to_channel_error(
+                    "body", f"longer than {max_bytes} bytes"
+                )
             parts.append(data)
         return b"".join(parts)
 
-    def _to_channel_error(self, step: str, error: Exception) -> ChannelError:
+    async def discard_rest(self) -> None:
+        """Reads the rest of a body that nobody needs, to keep the channel.
+
+        Closes the channel instead if the body is long or late.
+
+        Raises:
+            ChannelError: the connection ended before the body did.
+        """
+        length = 0
+        try:
+            async with asyncio.timeout(_DISCARD_SECONDS):
+                while data := await self.read_data():
+                    length += len(data)
+                    if length > _MAX_DISCARDED_BYTES:
+                        self.cancel()
+                        return
+        except TimeoutError:
+            self.cancel()
+
+    def _to_channel_error(self, step: str, detail: str) -> ChannelError:
         self.cancel()
-        return ChannelError(step, self._channel.address, str(error), True)
+        return ChannelError(step, self._channel.address, detail, True)
 
     def _finish(self) -> None:
         assert self.head is not None
--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -34,6 +34,10 @@
     urllib3.exceptions.ConnectTimeoutError,
 )
 _CHUNK_BYTES = 65536
+# The longest body that is held whole, and the longest that is read although
+# nobody needs it.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+_MAX_DISCARDED_BYTES = 64 * 1024
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -75,9 +79,19 @@
 
         Raises:
             IncompleteAnswerError: the connection ended before the body did, or
-                nothing shows that it didn't.
+                nothing shows that it didn't, or the body is too long.
         """
-        body = b"".join(self.chunks())
+        parts = []
+        length = 0
+        for part in self.chunks():
+            length += len(part)
+            if length > _MAX_BODY_BYTES:
+                self.cancel()
+                raise IncompleteAnswerError(
+                    f"the answer is longer than {_MAX_BODY_BYTES} bytes"
+                )
+            parts.append(part)
+        body = b"".join(parts)
         if self._is_framed() or judge_json(body) is Completeness.WHOLE:
             return body
         raise IncompleteAnswerError(
@@ -171,11 +185,18 @@
         return Ok(HttpRunnerResponse(response))
     detail = f"status {response.status}, not started"
     absent = response.status == 404
-    response.drain_conn()
-    response.release_conn()
+    _discard(response)
     return Err(RunnerFailure("start", address, detail, True, absent))
 
 
+def _discard(response: urllib3.BaseHTTPResponse) -> None:
+    """Reads a short body, so that the connection lasts, or closes it."""
+    if len(response.read(_MAX_DISCARDED_BYTES)) < _MAX_DISCARDED_BYTES:
+        response.release_conn()
+    else:
+        response.close()
+
+
 class HttpOrders:
     """Implements `ports.orders.Orders`."""
 
@@ -204,7 +225,9 @@
                 f"http://{order.address}{_ORDER_PATHS[order.action]}",
                 json={"lora_name": order.adapter},
                 headers=headers,
+                preload_content=False,
             )
+            _discard(response)
         except _NOT_SENT_ERRORS as error:
             return _log_failed_order(order, orders.FAILED, str(error))
         except urllib3.exceptions.HTTPError as error:
--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -20,7 +20,11 @@
 from ridgesill.app.upstream_search import UpstreamSearch
 from ridgesill.core.completeness import Completeness
 from ridgesill.core.fleet.messages import Upstream
-from ridgesill.core.serving.events import EventSplitter, find_last_end
+from ridgesill.core.serving.events import (
+    EventSplitter,
+    EventTooLongError,
+    find_last_end,
+)
 from ridgesill.core.serving.stream_gaps import StreamGaps
 from ridgesill.ports.dialect import RequestFacts
 from ridgesill.ports.http import ChannelError, ResponseHead
@@ -179,7 +183,7 @@
             outcomes.record_byte(upstream.name, arrived_at)
             tail.feed(data)
             if splitter is not None:
-                data = splitter.feed(data)
+                data = self._split(splitter, data, upstream)
             if data:
                 gaps.record_data(data, arrived_at)
                 self._search.report_reading_ended(was_read=True)
@@ -192,6 +196,21 @@
                 if self._loop.time() - arrived_at > _SLOW_CLIENT_SECONDS:
                     gaps.restart()
 
+    def _split(
+        self, splitter: EventSplitter, data: bytes, upstream: Upstream
+    ) -> bytes:
+        """Returns the events that the data complete.
+
+        Raises:
+            ChannelError: the stream has no end of an event.
+        """
+        try:
+            return splitter.feed(data)
+        except EventTooLongError as error:
+            raise ChannelError(
+                "body", upstream.address, str(error), True
+            ) from error
+
     async def relay_from_front(
         self, exchange: Exchange, head: ResponseHead, software: str | None
     ) -> None:
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -12,7 +12,10 @@
 import attrs
 from eliot import log_message
 
-from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.client import (
+    MAX_REPORT_BYTES,
+    UpstreamChannels,
+)
 from ridgesill.app.unknown_field_log import UnknownFieldLog
 from ridgesill.core.fleet.engine_capacity import fits_from_empty
 from ridgesill.core.fleet.engines import Engine, UnansweredLoad
@@ -363,7 +366,7 @@
         exchange = await self._channels.send(address, request)
         try:
             head = await exchange.read_head()
-            return head, await exchange.read_rest()
+            return head, await exchange.read_rest(MAX_REPORT_BYTES)
         finally:
             exchange.cancel()
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -653,12 +653,12 @@
         head = links.dialect.filter_front_answer(answer.head)
         software = links.dialect.read_software(answer.head)
         if self._answer.has_started and head.status != _OK:
-            await exchange.read_rest()
+            await exchange.discard_rest()
             self._fail(Failure(f"status {head.status} on resuming", False))
             return
         if self._may_have_run and claims_not_run(head):
             # It has not run there, but may have run before.
-            await exchange.read_rest()
+            await exchange.discard_rest()
             self._fail(Failure(f"status {head.status} elsewhere", True))
             return
         if route.kind == STREAM and head.status == _OK:
@@ -916,7 +916,7 @@
         """Delivers an upstream's answer, or returns why it isn't delivered."""
         dialect = self._front.dialect
         if dialect.is_not_run(head):
-            await exchange.read_rest()
+            await exchange.discard_rest()
             return Failure(
                 f"not run: {head.status}",
                 True,
@@ -928,7 +928,7 @@
         if self._answer.has_started and head.status != _OK:
             # The body of a refusal must not be appended to a stream that
             # another upstream has begun.
-            await exchange.read_rest()
+            await exchange.discard_rest()
             return Failure(f"status {head.status} on resuming", False)
         if route.kind == STREAM:
             end = await self._relay.relay_stream(upstream, exchange, head)
--- a/src/ridgesill/app/front_hop.py
+++ b/src/ridgesill/app/front_hop.py
@@ -130,7 +130,7 @@
                 exchange = None
                 return answer
             self.is_pending = False
-            await exchange.read_rest()
+            await exchange.discard_rest()
         except ChannelError as error:
             self.may_have_run |= self.is_pending
             self.is_pending = False
--- a/src/ridgesill/app/order_holder.py
+++ b/src/ridgesill/app/order_holder.py
@@ -5,7 +5,10 @@
 
 from eliot import log_message
 
-from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.client import (
+    MAX_REPORT_BYTES,
+    UpstreamChannels,
+)
 from ridgesill.app.control import Control
 from ridgesill.app.engine_orders import ORDER_TIMEOUT_SECONDS
 from ridgesill.core.fleet.order_leases import STAMP_INTERVAL_SECONDS, OrderGate
@@ -86,7 +89,7 @@
             exchange = await channels.send(order.address, request)
             try:
                 head = await exchange.read_head()
-                body = await exchange.read_rest()
+                body = await exchange.read_rest(MAX_REPORT_BYTES)
             finally:
                 exchange.cancel()
     except ChannelError as error:
--- a/src/ridgesill/app/start_checks.py
+++ b/src/ridgesill/app/start_checks.py
@@ -9,7 +9,10 @@
 from collections.abc import Awaitable, Callable
 
 from ridgesill.adapters.http1.channel import UpstreamChannel
-from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.client import (
+    MAX_REPORT_BYTES,
+    UpstreamChannels,
+)
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.ports.dialect import Dialect
 from ridgesill.ports.http import ChannelError
@@ -70,7 +73,7 @@
     try:
         async with asyncio.timeout(_ANSWER_SECONDS):
             head = await exchange.read_head()
-            body = await exchange.read_rest()
+            body = await exchange.read_rest(MAX_REPORT_BYTES)
     except TimeoutError as error:
         detail = "its start wasn't told in time"
         raise ChannelError("check", upstream.address, detail, False) from error
--- a/src/ridgesill/core/serving/events.py
+++ b/src/ridgesill/core/serving/events.py
@@ -2,6 +2,12 @@
 
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 _ID_FIELD = b"id:"
+# The longest event that is buffered until its end, in bytes.
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class EventTooLongError(Exception):
+    """An event has no end within `MAX_EVENT_BYTES`."""
 
 
 class EventSplitter:
@@ -16,11 +22,18 @@
         self._partial = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Adds data; returns the complete events and buffers the remainder."""
+        """Adds data; returns the complete events and buffers the remainder.
+
+        Raises:
+            EventTooLongError: the remainder is longer than an event may be.
+        """
         buffered = self._partial + data
         end = find_last_end(buffered)
         complete = buffered[:end]
         self._partial = buffered[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            self._partial = b""
+            raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         self._record_last_id(complete)
         return complete
 
--- a/testing/app/engine_world.py
+++ b/testing/app/engine_world.py
@@ -165,8 +165,9 @@
             await asyncio.Event().wait()
         return ResponseHead(self._status, ())
 
-    async def read_rest(self) -> bytes:
+    async def read_rest(self, max_bytes: int) -> bytes:
         """Returns the body of the answer."""
+        assert len(self._body) <= max_bytes
         return self._body
 
     def cancel(self) -> None:
