Confirm the only version of a service before a stream is taken up

Cause: a front that knew one version asked nobody; its news may be 0.8 to 1.4 s old, and news that waited while it was frozen counted as new; one keeper that named a sole version was believed against fronts that knew two.

Ruled out: fronts that were all killed at once.

Change: a take-up asks the keepers first; a sole version counts only if no front that answers has known another; without an answer the take-up waits for news that were asked for after it came. News are as old as the question for them.

Why it works: a front that begins a stream at a second version has told keepers of it before. Without keepers, the owner's news that were asked for later name each version at which the stream can have begun.

--- a/src/ridgesill/app/fleet_client.py
+++ b/src/ridgesill/app/fleet_client.py
@@ -185,6 +185,7 @@
             usage.is_relayed,
             usage.rooms,
         )
+        asked_at = self._loop.time()
         try:
             news: FleetNews = await self._peers.call(
                 address, watch, _WATCH_SECONDS + margin
@@ -200,7 +201,7 @@
             return False
         self._record_connection(True, address, "")
         self._withdraw_previous_report(address)
-        self.view.apply_news(news, self._loop.time())
+        self.view.apply_news(news, self._loop.time(), asked_at)
         for news_listener in self._news_listeners:
             news_listener(news)
         for listener in self._listeners:
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -54,10 +54,11 @@
 # has no effect: while few fronts of a data centre are ready, the balancer uses
 # all of them.
 _MAX_NEWS_AGE_SECONDS = 1.5
-# Age up to which the owner's news are what it knows, directly and through a
-# relay. Both answer each half second even without news.
-_FRESH_NEWS_SECONDS = 0.8
-_FRESH_RELAYED_NEWS_SECONDS = 1.4
+# Time since the question for the owner's news up to which they are what it
+# knows, directly and through a relay. Both answer each half second even without
+# news.
+_FRESH_NEWS_SECONDS = 1.3
+_FRESH_RELAYED_NEWS_SECONDS = 1.9
 # How often idle channels to upstreams are closed, which upstreams close
 # themselves after some seconds, and how often expired entries are pruned.
 _PRUNE_INTERVAL_SECONDS = 1.0
@@ -126,6 +127,7 @@
             self._datagrams,
             self._is_news_fresh,
             float("-inf") if settings.is_first_start else self._loop.time(),
+            lambda: self.fleet.view.asked_at,
         )
         self.front = Front(
             Chooser(settings.data_centre, self.fleet.view, Outcomes()),
@@ -207,7 +209,9 @@
 
     def _is_news_fresh(self) -> bool:
         """Whether this front must have heard of any new software version."""
-        age = self._loop.time() - self.fleet.view.updated_at
+        # News that came while this process stood still arrived late: only the
+        # time of the question tells what they must hold.
+        age = self._loop.time() - self.fleet.view.asked_at
         is_relayed = bool(self._relay_address())
         return age <= (
             _FRESH_RELAYED_NEWS_SECONDS if is_relayed else _FRESH_NEWS_SECONDS
--- a/src/ridgesill/app/stream_keeping.py
+++ b/src/ridgesill/app/stream_keeping.py
@@ -40,6 +40,10 @@
 # How long further answers are awaited after one that knows the stream, in
 # seconds.
 _FURTHER_ANSWERS_SECONDS = 0.01
+# How long a take-up waits for news that were asked for after it, if no other
+# front answers, and how often it looks, in seconds.
+_CONFIRM_SECONDS = 1.5
+_CONFIRM_POLL_SECONDS = 0.05
 # Takes that wait for keepers at once, at most. Ids may be made up.
 _MAX_QUESTIONS = 200
 # How often it is decided whether streams must be told to others, in seconds.
@@ -80,11 +84,13 @@
         origin: where the stream began; None if the keeper doesn't know.
         sole: the only version of the service that was known lately; None if
             there were several, or if there may have been.
+        versions: all versions of the service that the keeper has known lately.
     """
 
     number: int
     origin: StreamOrigin | None = None
     sole: str | None = None
+    versions: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -123,6 +129,7 @@
 class _Question:
     """A question that keepers have yet to answer."""
 
+    number: int
     answered: asyncio.Event
     asked: dict[str, Node] = attrs.Factory(dict)
     answers: dict[str, OriginAnswer] = attrs.Factory(dict)
@@ -134,10 +141,19 @@
             functools.reduce(StreamOrigin.merge, origins) if origins else None
         )
 
-    def find_sole(self) -> str | None:
-        """Returns the only version of the service, if a keeper knows it."""
-        versions = {a.sole for a in self.answers.values() if a.sole is not None}
-        return versions.pop() if len(versions) == 1 else None
+    def find_sole(self, own: OriginAnswer) -> str | None:
+        """Returns the only version of the service, if anybody knows it.
+
+        A version that any other front has known speaks against it: the one that
+        knows only one may be out of step.
+
+        Args:
+            own: what this front would answer.
+        """
+        answers = [own, *self.answers.values()]
+        soles = {a.sole for a in answers if a.sole is not None}
+        versions = soles.union(*(answer.versions for answer in answers))
+        return versions.pop() if soles and len(versions) == 1 else None
 
 
 def choose_keepers(
@@ -175,6 +191,8 @@
             this front must have heard of any new version.
         since: from when on this front knows all versions, on the loop's clock;
             minus infinity for the first start of a deployment.
+        news_asked_at: returns when the latest news were asked for, on the
+            loop's clock: all that the owner knew then is known here.
     """
 
     def __init__(
@@ -184,11 +202,13 @@
         datagrams: Datagrams | None = None,
         is_news_fresh: Callable[[], bool] = lambda: True,
         since: float = float("-inf"),
+        news_asked_at: Callable[[], float] = lambda: float("inf"),
     ) -> None:
         self._name = name
         self._view = view
         self._datagrams = datagrams
         self._is_news_fresh = is_news_fresh
+        self._news_asked_at = news_asked_at
         self._history = SoftwareHistory(since)
         self._origins = StreamOrigins()
         # Streams that began here, by key. A stream that was sent whole is kept
@@ -397,42 +417,92 @@
                 the client doesn't say.
             service: service at which it is taken up.
         """
-        now = self._loop.time()
-        self._update_history(now)
+        began_at = self._loop.time()
+        self._update_history(began_at)
         key = make_stream_key(customer, request)
-        own = self._origins.find(key, now)
+        own = self._origins.find(key, began_at)
         if own is not None:
             return _make_found(own, OWN)
-        sole = self._find_sole(service, now)
-        if sole is not None:
-            return FoundVersion(service, sole, SOLE_VERSION)
-        if not request or len(self._questions) >= _MAX_QUESTIONS:
+        sole = self._find_sole(service, began_at)
+        may_ask = bool(request) and len(self._questions) < _MAX_QUESTIONS
+        if not may_ask:
+            return await self._confirm_sole(service, sole, began_at)
+        question = await self._ask_keepers(key, service)
+        origin = question.find_origin()
+        if origin is not None:
+            self._origins.record(origin, self._loop.time())
+            return _make_found(origin, KEEPER)
+        if sole is not None and not question.answers:
+            return await self._confirm_sole(service, sole, began_at)
+        return self._find_agreed(question, service)
+
+    def _find_agreed(
+        self, question: _Question, service: str
+    ) -> FoundVersion | None:
+        """Returns the only version that any front has known lately."""
+        own = self._make_answer(question.number, None, service)
+        sole = question.find_sole(own)
+        if sole is None:
             return None
-        return await self._ask_keepers(key, service)
+        source = KEEPER if own.sole is None else SOLE_VERSION
+        return FoundVersion(service, sole, source)
 
-    async def _ask_keepers(
-        self, key: bytes, service: str
+    def _make_answer(
+        self, number: int, origin: StreamOrigin | None, service: str
+    ) -> OriginAnswer:
+        """Returns what this front knows of a stream and its service."""
+        now = self._loop.time()
+        self._update_history(now)
+        sole = None if origin else self._find_sole(service, now)
+        seconds = self._take_up_seconds.get(service, kept_seconds(0.0))
+        lately = self._history.list_lately(service, now, seconds)
+        return OriginAnswer(number, origin, sole, tuple(sorted(lately)))
+
+    async def _confirm_sole(
+        self, service: str, sole: str | None, began_at: float
     ) -> FoundVersion | None:
+        """Returns a service's only version once later news confirm it.
+
+        No other front has told whether the stream began at a version that this
+        front hasn't heard of yet. News that were asked for after the take-up
+        name each version at which it can have begun.
+        """
+        if sole is None:
+            return None
+        deadline = began_at + _CONFIRM_SECONDS
+        while self._has_others() and self._news_asked_at() < began_at:
+            if self._loop.time() >= deadline:
+                return None
+            await asyncio.sleep(_CONFIRM_POLL_SECONDS)
+        now = self._loop.time()
+        self._update_history(now)
+        if self._find_sole(service, now) != sole:
+            return None
+        return FoundVersion(service, sole, SOLE_VERSION)
+
+    def _has_others(self) -> bool:
+        return any(name != self._name for name in self._fronts)
+
+    async def _ask_keepers(self, key: bytes, service: str) -> _Question:
+        """Asks keepers until one knows the stream; returns all answers."""
         self._question_number += 1
         number = self._question_number
-        question = _Question(asyncio.Event())
+        question = _Question(number, asyncio.Event())
         self._questions[number] = question
+        # In the usual case nobody has to know the stream, and one round shows
+        # that no front knows another version.
+        is_sole = self._find_sole(service, self._loop.time()) is not None
         try:
-            for count in _ROUNDS:
+            for count in _ROUNDS[:1] if is_sole else _ROUNDS:
                 self._ask(question, FindOrigin(number, key, service), count)
                 await self._await_answers(question)
                 if question.find_origin() is not None:
                     break
-                if question.find_sole() is not None:
+                if question.answers and self._find_agreed(question, service):
                     break
         finally:
             del self._questions[number]
-        origin = question.find_origin()
-        if origin is not None:
-            self._origins.record(origin, self._loop.time())
-            return _make_found(origin, KEEPER)
-        sole = question.find_sole()
-        return None if sole is None else FoundVersion(service, sole, KEEPER)
+        return question
 
     def _ask(
         self, question: _Question, message: FindOrigin, count: int
@@ -474,11 +544,9 @@
         """Answers another front's question."""
         if self._datagrams is None:
             return
-        now = self._loop.time()
-        self._update_history(now)
-        origin = self._origins.find(message.key, now)
-        sole = None if origin else self._find_sole(message.service, now)
-        self._datagrams.send(sender, OriginAnswer(message.number, origin, sole))
+        origin = self._origins.find(message.key, self._loop.time())
+        answer = self._make_answer(message.number, origin, message.service)
+        self._datagrams.send(sender, answer)
 
     def handle_answer(self, sender: str, message: OriginAnswer) -> None:
         """Records an answer to a question of this front."""
--- a/src/ridgesill/core/fleet/registry.py
+++ b/src/ridgesill/core/fleet/registry.py
@@ -520,6 +520,8 @@
         fronts: number of fronts that report to the owner, at least 1.
         updated_at: when the owner's last news arrived here, or at the relay
             that passed them on; seconds on the runtime's clock.
+        asked_at: the same for when those news were asked for. What the owner
+            knew then is known here, however long the news were under way.
         upstreams: upstreams by name.
         busy: requests in progress by upstream, over all fronts.
         quotas: rate states of the customers near their limits.
@@ -537,6 +539,7 @@
     records: int = 0
     fronts: int = 1
     updated_at: float = float("-inf")
+    asked_at: float = float("-inf")
     upstreams: dict[str, Upstream] = attrs.Factory(dict)
     busy: dict[str, int] = attrs.Factory(dict)
     quotas: dict[str, RateState] = attrs.Factory(dict)
@@ -547,8 +550,16 @@
     rooms: dict[str, FrontRoom] = attrs.Factory(dict)
     _unconfirmed: set[str] = attrs.Factory(set)
 
-    def apply_news(self, news: FleetNews, now: float) -> None:
-        """Applies the owner's news; ignores news of an earlier epoch."""
+    def apply_news(
+        self, news: FleetNews, now: float, asked_at: float | None = None
+    ) -> None:
+        """Applies the owner's news; ignores news of an earlier epoch.
+
+        Args:
+            news: the news.
+            now: the current time, in seconds.
+            asked_at: when they were asked for, in seconds; now by default.
+        """
         if news.epoch < self.epoch:
             return
         if news.whole:
@@ -571,6 +582,7 @@
         self.services = news.services
         self.rooms = news.rooms
         self.updated_at = now - news.age
+        self.asked_at = (now if asked_at is None else asked_at) - news.age
 
     def _remove_unconfirmed(self) -> None:
         for name in self._unconfirmed:
--- a/src/ridgesill/core/serving/stream_origins.py
+++ b/src/ridgesill/core/serving/stream_origins.py
@@ -175,15 +175,25 @@
         Returns:
             None if there were several, or if there may have been.
         """
-        versions = self._services.get(service)
-        if versions is None or self._since > now - seconds:
+        if self._since > now - seconds:
             return None
-        lately = set(versions.present)
-        for software, gone_at in versions.gone_at.items():
-            if gone_at > now - seconds:
-                lately.add(software)
+        lately = self.list_lately(service, now, seconds)
         return lately.pop() if len(lately) == 1 else None
 
+    def list_lately(self, service: str, now: float, seconds: float) -> set[str]:
+        """Returns the versions of a service that were known lately.
+
+        Args:
+            service: name of the service.
+            now: the time, in seconds.
+            seconds: how far back, at most; less if this history is shorter.
+        """
+        versions = self._services.get(service)
+        if versions is None:
+            return set()
+        gone = {v for v, at in versions.gone_at.items() if at > now - seconds}
+        return versions.present | gone
+
 
 def is_possibly_restarted(
     origin: StreamOrigin, age: float, upstreams: Iterable[Upstream]
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -39,6 +39,10 @@
     Service,
     Target,
 )
+from ridgesill.core.serving.stream_origins import (
+    SoftwareHistory,
+    StreamOrigins,
+)
 from ridgesill.platform.requests import PlatformDialect
 from ridgesill.ports.http import HttpRequest, Responder
 from testing.processes import free_address
@@ -239,11 +243,14 @@
         self.datagrams = PeerDatagrams()
         # Seconds since the owner's last news, as this front takes it.
         self.news_age = 0.0
+        # When they were asked for, on the loop's clock.
+        self.news_asked_at = float("inf")
         streams = StreamKeeping(
             self.front_address,
             self.fleet.view,
             self.datagrams,
             lambda: self.news_age < _MAX_NEWS_AGE_SECONDS,
+            news_asked_at=lambda: self.news_asked_at,
         )
         self.front = Front(
             Chooser("a", self.fleet.view, Outcomes(), random.Random(1)),
@@ -307,6 +314,13 @@
         view.apply_news(news, 0.0)
         self.front.streams.handle_news()
 
+    def restart_streams(self) -> None:
+        """Forgets all streams and versions, as a front that was killed does."""
+        streams = self.front.streams
+        now = asyncio.get_running_loop().time()
+        streams._history = SoftwareHistory(now)
+        streams._origins = StreamOrigins()
+
     async def start(self) -> None:
         """Starts to listen for clients and other fronts."""
         await self._listener.start()
--- a/testing/app/test_stream_versions.py
+++ b/testing/app/test_stream_versions.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from ridgesill.core.serving.stream_origins import StreamOrigins
 from testing.app.front_world import Answer, Call, FrontWorld, ScriptedUpstream
 from testing.app.test_forwarding import LIMITED, require_keys
 from testing.processes import free_address
@@ -416,3 +417,78 @@
         answer_report(u1, *report)
         begin_stream(fronts[0], start=8)
         assert (await fronts[0].take_up("r1", "1")).status == 200
+
+
+class TestFrontOutOfStep:
+    async def begin_at_new_version(self, fronts: list[FrontWorld]) -> None:
+        """Begins r1 at v2, of which the last front hears nothing."""
+        runners = Runners()
+        await runners.add(fronts[0], "u1", "v1")
+        for other in fronts[1:]:
+            other.share_upstreams(fronts[0])
+        await runners.add(fronts[0], "u2", "v2")
+        fronts[1].share_upstreams(fronts[0])
+        fronts[0].front.chooser.unavailable.record_leaving("u1", 0.0)
+        await (await fronts[0].open()).ask("/resume/x", **STREAM)
+        assert runners.started == {"r1": "v2"}
+        await asyncio.sleep(0.05)
+        fronts[2].front.streams._origins = StreamOrigins()
+
+    async def test_it_joins_no_stream_of_a_version_that_it_has_not_heard_of(
+        self, fronts: list[FrontWorld]
+    ) -> None:
+        """Guards against a front that trusts its own view of one version."""
+        await self.begin_at_new_version(fronts)
+        assert (await fronts[2].take_up("r1", "1")).status == 503
+
+    async def test_others_do_not_believe_its_view_of_one_version(
+        self, fronts: list[FrontWorld]
+    ) -> None:
+        """Guards against a keeper out of step that is believed."""
+        await self.begin_at_new_version(fronts)
+        fronts[0].datagrams.close()
+        fronts[1].front.streams._origins = StreamOrigins()
+        assert (await fronts[1].take_up("r1", "1")).status == 503
+
+    async def test_cut_off_from_all_fronts_it_waits_for_the_owner_s_news(
+        self, fronts: list[FrontWorld]
+    ) -> None:
+        """Guards against news from before the stream began."""
+        await self.begin_at_new_version(fronts)
+        for front in fronts[:2]:
+            front.datagrams.close()
+        fronts[2].news_asked_at = 0.0
+        assert (await fronts[2].take_up("r1", "1")).status == 503
+
+    async def test_later_news_of_one_version_let_streams_go_on(
+        self, fronts: list[FrontWorld]
+    ) -> None:
+        """Guards against refusals of all streams while fronts are cut off."""
+        runners = Runners(breaks=False)
+        await runners.add(fronts[2], "u1", "v1")
+        for front in fronts[:2]:
+            front.datagrams.close()
+        fronts[2].news_asked_at = 0.0
+        taken = asyncio.create_task(fronts[2].take_up("r1", "1"))
+        await asyncio.sleep(0.3)
+        fronts[2].news_asked_at = asyncio.get_running_loop().time()
+        assert (await taken).status == 200
+
+
+class TestAllFrontsKilled:
+    @pytest.mark.parametrize("versions", [("v1", "v2"), ("v2",)])
+    async def test_streams_are_not_joined_from_what_is_left(
+        self, fronts: list[FrontWorld], versions: tuple[str, ...]
+    ) -> None:
+        """Guards against fronts that take all they see for all there was."""
+        runners = Runners(breaks=False)
+        for world in fronts:
+            world.restart_streams()
+        for version in versions:
+            await runners.add(fronts[0], version, version)
+        for other in fronts[1:]:
+            other.share_upstreams(fronts[0])
+        for world in fronts:
+            answer = await world.take_up("r1", "1")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
