Keep where streams began at control nodes as well

Cause: only fronts kept where streams began and which versions a service had. Fronts that start again know that they know neither, and refuse.

Change: control nodes run the same keeping. One is told of each stream that fronts tell each other of, two are asked; they also remember versions. All fronts together send one control node at most 60 records a second.

Why it works: the record is at a process that doesn't share the fronts' loss. A control node that starts at the same moment knows that it doesn't know.

--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -12,6 +12,7 @@
 from ridgesill.adapters.file_log import FileLog
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.adapters.peer_datagrams import PeerDatagrams
 from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
 from ridgesill.app.control_api import ControlApi
 from ridgesill.app.fleet_client import FleetClient
@@ -24,6 +25,7 @@
     make_control,
     make_node,
 )
+from ridgesill.app.stream_keeping import StreamKeeping
 from ridgesill.app.telemetry import Instruments, serve_metrics
 from ridgesill.app.traffic import log_traffic
 from ridgesill.core.addresses import split_address, with_port
@@ -58,6 +60,9 @@
 # delays, three voters that all had to vote needed two elections.
 _FIRST_ELECTION_SECONDS = 0.15
 _ELECTION_STAGGER_SECONDS = 0.2
+# Time since the question for the owner's news up to which they are what it
+# knows. It answers each half second even without news.
+_FRESH_NEWS_SECONDS = 1.3
 # How long calls in progress may take to end after SIGTERM, in seconds.
 _STOP_SECONDS = 0.3
 # How long a voter that stops waits for a learner to take its vote, as a share
@@ -111,6 +116,17 @@
                 settings.bounds.quota_slack,
             ),
         )
+        self._datagrams = PeerDatagrams()
+        # Fronts that were all killed at once learn here at which versions their
+        # streams began.
+        self._streams = StreamKeeping(
+            self._node.name,
+            self.fleet.view,
+            self._datagrams,
+            self._is_news_fresh,
+            float("-inf") if settings.is_first_start else self._loop.time(),
+        )
+        self.fleet.add_listener(self._streams.handle_news)
         # Deployments without this contract are served as before.
         self.owner.service_load.is_enabled = settings.has_slow_peers
         self.control.add_listener(self._apply_state)
@@ -137,6 +153,14 @@
         _, port = split_address(self._settings.control_address)
         return with_port(owner, port)
 
+    def _is_news_fresh(self) -> bool:
+        """Whether this node must have heard of any new software version.
+
+        The owner asks nobody for news, so it vouches for no version.
+        """
+        age = self._loop.time() - self.fleet.view.asked_at
+        return age <= _FRESH_NEWS_SECONDS
+
     def _report_usage(self) -> UsageReport:
         """Returns the use reported by the fronts that get news from here."""
         return self.owner.relay.make_usage_report()
@@ -145,6 +169,7 @@
         table = decode_newer_routes(self.control.state, self.owner.table)
         if table is not None:
             self.owner.apply_table(table)
+            self._streams.set_table(table)
 
     # -- messages ------------------------------------------------------
 
@@ -226,6 +251,7 @@
         self._loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._peer_server.start(self._settings.peer_listen_address)
+        await self._datagrams.start(self._settings.peer_listen_address)
         await self._calls.start()
         stopping = self._loop.create_task(self._stopping.wait())
         running = self._loop.create_task(self._run_tasks())
@@ -244,6 +270,7 @@
         await self.control.hand_over_vote(_HANDOVER_SHARE * grace_seconds)
         await asyncio.sleep(_STOP_SECONDS)
         running.cancel()
+        self._datagrams.close()
         await self._calls.stop()
         log_message("control:stopped", vm=self._settings.vm)
 
@@ -265,6 +292,7 @@
             group.create_task(self.owner.run())
             group.create_task(self.owner.holder.run())
             group.create_task(self.fleet.run())
+            group.create_task(self._streams.run())
             group.create_task(
                 serve_metrics(
                     self._settings.metrics_address,
@@ -285,7 +313,9 @@
             "ridgesill_log_index": lambda: driver.state.index,
             "ridgesill_log_leads": lambda: float(driver.is_leader),
             "ridgesill_fleet_owned": lambda: float(self.owner.is_owner()),
-            "ridgesill_damaged_messages": (lambda: self._peers.traffic.damaged),
+            "ridgesill_damaged_messages": (
+                lambda: self._peers.traffic.damaged + self._datagrams.damaged
+            ),
             "ridgesill_service_capacity": self.owner.service_load.capacity,
             "ridgesill_lowest_admitted_share": (
                 self.owner.service_load.lowest_share
--- a/src/ridgesill/app/stream_keeping.py
+++ b/src/ridgesill/app/stream_keeping.py
@@ -2,7 +2,8 @@
 
 A front tells a few others, the keepers of a stream, at which software version
 it is about to begin; the stream's id names the keepers. While a service has had
-one version for long, nothing needs to be told.
+one version for long, nothing needs to be told. One keeper is a control node, so
+that what is known outlives the loss of all fronts.
 """
 
 import asyncio
@@ -44,6 +45,15 @@
 # front answers, and how often it looks, in seconds.
 _CONFIRM_SECONDS = 1.5
 _CONFIRM_POLL_SECONDS = 0.05
+# Versions that an answer names: two already show that none is the only one.
+_MAX_NAMED_VERSIONS = 2
+# Control nodes that are told where a stream begins, and that are asked.
+_CONTROL_KEEPERS = 1
+_ASKED_CONTROL_KEEPERS = 2
+# Records that all fronts together tell one control node, per second, and what
+# may be saved up, in seconds: 60 records take 10 KB.
+_CONTROL_RECORDS_PER_SECOND = 60.0
+_CONTROL_BURST_SECONDS = 5.0
 # Takes that wait for keepers at once, at most. Ids may be made up.
 _MAX_QUESTIONS = 200
 # How often it is decided whether streams must be told to others, in seconds.
@@ -84,7 +94,8 @@
         origin: where the stream began; None if the keeper doesn't know.
         sole: the only version of the service that was known lately; None if
             there were several, or if there may have been.
-        versions: all versions of the service that the keeper has known lately.
+        versions: versions of the service that the keeper has known lately; the
+            first two if there are more.
     """
 
     number: int
@@ -184,8 +195,8 @@
     """Records where streams begin, and finds where earlier ones began.
 
     Args:
-        name: name of this front's node.
-        view: this front's view of the upstreams.
+        name: name of this node, a front or a control node.
+        view: this node's view of the upstreams.
         datagrams: the way to other fronts; None where there are none.
         is_news_fresh: returns whether the owner's last news are so recent that
             this front must have heard of any new version.
@@ -217,6 +228,10 @@
         self._must_tell_again = False
         self._upkeep_at = 0.0
         self._fronts: dict[str, Node] = {}
+        self._controls: dict[str, Node] = {}
+        # Records that may be sent to control nodes, as of a time.
+        self._control_allowance = 0.0
+        self._allowance_at = 0.0
         self._questions: dict[int, _Question] = {}
         self._question_number = random.getrandbits(32)
         # Longest time for which streams of each service are taken up, seconds.
@@ -232,9 +247,12 @@
 
     def set_nodes(self, nodes: Iterable[Node]) -> None:
         """Sets the nodes of the deployment."""
-        fronts = {node.name: node for node in nodes if not node.voter}
-        if fronts != self._fronts:
+        known = {node.name: node for node in nodes}
+        fronts = {name: n for name, n in known.items() if not n.voter}
+        controls = {name: n for name, n in known.items() if n.voter}
+        if (fronts, controls) != (self._fronts, self._controls):
             self._fronts = fronts
+            self._controls = controls
             self._must_tell_again = True
 
     def set_table(self, table: RouteTable) -> None:
@@ -399,11 +417,29 @@
         if self._datagrams is None:
             return
         told = self._own[origin.key].told
-        for node in choose_keepers(origin.key, self._fronts, KEEPERS):
+        fronts = choose_keepers(origin.key, self._fronts, KEEPERS)
+        controls = choose_keepers(origin.key, self._controls, _CONTROL_KEEPERS)
+        untold = [node for node in controls if node.identity not in told]
+        if untold and not self._take_allowance():
+            untold = []
+        for node in (*fronts, *untold):
             if node.name != self._name and node.identity not in told:
                 told.add(node.identity)
                 self._datagrams.send(node.address, origin)
 
+    def _take_allowance(self) -> bool:
+        """Returns whether a control node may be told of one more stream."""
+        now = self._loop.time()
+        controls_per_front = len(self._controls) / max(len(self._fronts), 1)
+        rate = _CONTROL_RECORDS_PER_SECOND * controls_per_front
+        saved = self._control_allowance + (now - self._allowance_at) * rate
+        self._control_allowance = min(saved, _CONTROL_BURST_SECONDS * rate)
+        self._allowance_at = now
+        if self._control_allowance < 1.0:
+            return False
+        self._control_allowance -= 1.0
+        return True
+
     # -- streams that are taken up -------------------------------------
 
     async def find(
@@ -456,7 +492,8 @@
         sole = None if origin else self._find_sole(service, now)
         seconds = self._take_up_seconds.get(service, kept_seconds(0.0))
         lately = self._history.list_lately(service, now, seconds)
-        return OriginAnswer(number, origin, sole, tuple(sorted(lately)))
+        named = tuple(sorted(lately)[:_MAX_NAMED_VERSIONS])
+        return OriginAnswer(number, origin, sole, named)
 
     async def _confirm_sole(
         self, service: str, sole: str | None, began_at: float
@@ -510,7 +547,11 @@
         """Asks the keepers that haven't answered yet."""
         if self._datagrams is None:
             return
-        for node in choose_keepers(message.key, self._fronts, count):
+        fronts = choose_keepers(message.key, self._fronts, count)
+        controls = choose_keepers(
+            message.key, self._controls, _ASKED_CONTROL_KEEPERS
+        )
+        for node in (*fronts, *controls):
             if node.name == self._name or node.address in question.answers:
                 continue
             question.asked[node.address] = node
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -319,6 +319,7 @@
         streams = self.front.streams
         now = asyncio.get_running_loop().time()
         streams._history = SoftwareHistory(now)
+        streams._history.update(self.fleet.view.upstreams.values(), now)
         streams._origins = StreamOrigins()
 
     async def start(self) -> None:
--- a/testing/app/test_stream_versions.py
+++ b/testing/app/test_stream_versions.py
@@ -6,7 +6,12 @@
 import attrs
 import pytest
 
-from ridgesill.core.serving.stream_origins import StreamOrigins
+from ridgesill.adapters.peer_datagrams import PeerDatagrams
+from ridgesill.app.stream_keeping import StreamKeeping
+from ridgesill.core.commands import Node
+from ridgesill.core.fleet.messages import FleetNews, UpstreamChange
+from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.serving.stream_origins import SoftwareHistory, StreamOrigins
 from testing.app.front_world import Answer, Call, FrontWorld, ScriptedUpstream
 from testing.app.test_forwarding import LIMITED, require_keys
 from testing.processes import free_address
@@ -475,7 +480,94 @@
         assert (await taken).status == 200
 
 
+@attrs.define
+class ControlKeeper:
+    """A control node that keeps what is known of streams and versions."""
+
+    address: str
+    view: FleetView
+    datagrams: PeerDatagrams
+    streams: StreamKeeping
+
+    def share_upstreams(self, world: FrontWorld) -> None:
+        """Gives the control node the view of a front."""
+        upstreams = world.fleet.view.upstreams.values()
+        changes = tuple(UpstreamChange(u.name, u) for u in upstreams)
+        number = self.view.number + 1
+        self.view.apply_news(FleetNews(1, number, True, changes), 0.0)
+        self.streams.handle_news()
+
+
+@pytest.fixture
+async def control(fronts: list[FrontWorld]) -> AsyncIterator[ControlKeeper]:
+    """Yields a control node that the fronts know."""
+    address = free_address()
+    view, datagrams = FleetView(), PeerDatagrams()
+    streams = StreamKeeping(address, view, datagrams)
+    await datagrams.start(address)
+    nodes = [
+        Node(world.front_address, "1", world.front_address, "a")
+        for world in fronts
+    ]
+    nodes.append(Node(address, "1", address, "a", f"{address}.0"))
+    for world in fronts:
+        world.front.streams.set_nodes(nodes)
+    yield ControlKeeper(address, view, datagrams, streams)
+    datagrams.close()
+
+
 class TestAllFrontsKilled:
+    async def test_streams_go_on_at_the_version_that_began_them(
+        self, fronts: list[FrontWorld], control: ControlKeeper
+    ) -> None:
+        """Guards against records of streams that end with the fronts."""
+        runners = Runners()
+        await add_two_versions(fronts, runners)
+        control.share_upstreams(fronts[0])
+        first = await (await fronts[0].open()).ask("/resume/x", **STREAM)
+        for world in fronts:
+            world.restart_streams()
+        second = await fronts[1].take_up("r1", "1")
+        assert (second.status, second.complete) == (200, True)
+        assert len(list_versions(first, second)) == 1
+
+    async def test_streams_go_on_where_one_version_served_all_the_time(
+        self, fronts: list[FrontWorld], control: ControlKeeper
+    ) -> None:
+        """Guards against versions that only the fronts remember."""
+        await Runners(breaks=False).add(fronts[0], "u1", "v1")
+        control.share_upstreams(fronts[0])
+        for world in fronts:
+            world.restart_streams()
+        assert (await fronts[0].take_up("r1", "1")).status == 200
+
+    async def test_control_nodes_are_told_of_few_streams_of_many_fronts(
+        self, fronts: list[FrontWorld], control: ControlKeeper
+    ) -> None:
+        """Guards against control nodes that records keep from their work."""
+        told: list[object] = []
+        control.datagrams.receiver = lambda _, message: told.append(message)
+        await add_two_versions(fronts[:1], Runners(breaks=False))
+        streams = fronts[0].front.streams
+        upstream = fronts[0].fleet.view.upstreams["u1"]
+        for number in range(1000):
+            streams.record("", f"s{number}", upstream, 1, 3.0)
+        await asyncio.sleep(0.2)
+        # 60 a second for one control node and three fronts, saved up for 5 s.
+        assert 90 <= len(told) <= 105
+
+    async def test_a_control_node_that_was_killed_too_knows_nothing(
+        self, fronts: list[FrontWorld], control: ControlKeeper
+    ) -> None:
+        """Guards against an empty memory taken for one version."""
+        await Runners(breaks=False).add(fronts[0], "u1", "v1")
+        now = asyncio.get_running_loop().time()
+        control.streams._history = SoftwareHistory(now)
+        control.share_upstreams(fronts[0])
+        for world in fronts:
+            world.restart_streams()
+        assert (await fronts[0].take_up("r1", "1")).status == 503
+
     @pytest.mark.parametrize("versions", [("v1", "v2"), ("v2",)])
     async def test_streams_are_not_joined_from_what_is_left(
         self, fronts: list[FrontWorld], versions: tuple[str, ...]
