Keep refusals whose bodies are cut short

Cause: since bodies that nobody needs are read by size, an error in one of them ended the attempt at an own interface's runner instead of its refusal.

Change: such an error is logged and closes the connection.

Result: two tests of refusals and one of an answer without end, 9 passed; the refusal cut short after 3 bytes raised an error before.

--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -191,7 +191,13 @@
 
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
     """Reads a short body, so that the connection lasts, or closes it."""
-    if len(response.read(_MAX_DISCARDED_BYTES)) < _MAX_DISCARDED_BYTES:
+    try:
+        body = response.read(_MAX_DISCARDED_BYTES)
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        log_message("runner:body_cut_short", detail=str(error))
+        response.close()
+        return
+    if len(body) < _MAX_DISCARDED_BYTES:
         response.release_conn()
     else:
         response.close()
