Build the keeping of streams in one place for fronts and control nodes

Cause: fronts and control nodes each built it and decided alike how old news may be; the time of the news' question was passed beside the view that holds it; a take-up looked for the only version twice.

Change: make_stream_keeping in app/platform_node.py; the keeping reads FleetView.asked_at itself; the rounds follow from the version found first. One loop tells fronts and control nodes. Behaviour and bounds stay.

Assertions are unchanged; test worlds set the view's time.

--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -24,8 +24,8 @@
     decode_newer_routes,
     make_control,
     make_node,
+    make_stream_keeping,
 )
-from ridgesill.app.stream_keeping import StreamKeeping
 from ridgesill.app.telemetry import Instruments, serve_metrics
 from ridgesill.app.traffic import log_traffic
 from ridgesill.core.addresses import split_address, with_port
@@ -60,9 +60,6 @@
 # delays, three voters that all had to vote needed two elections.
 _FIRST_ELECTION_SECONDS = 0.15
 _ELECTION_STAGGER_SECONDS = 0.2
-# Time since the question for the owner's news up to which they are what it
-# knows. It answers each half second even without news.
-_FRESH_NEWS_SECONDS = 1.3
 # How long calls in progress may take to end after SIGTERM, in seconds.
 _STOP_SECONDS = 0.3
 # How long a voter that stops waits for a learner to take its vote, as a share
@@ -119,12 +116,8 @@
         self._datagrams = PeerDatagrams()
         # Fronts that were all killed at once learn here at which versions their
         # streams began.
-        self._streams = StreamKeeping(
-            self._node.name,
-            self.fleet.view,
-            self._datagrams,
-            self._is_news_fresh,
-            float("-inf") if settings.is_first_start else self._loop.time(),
+        self._streams = make_stream_keeping(
+            settings, self._node, self.fleet.view, self._datagrams
         )
         self.fleet.add_listener(self._streams.handle_news)
         # Deployments without this contract are served as before.
@@ -153,14 +146,6 @@
         _, port = split_address(self._settings.control_address)
         return with_port(owner, port)
 
-    def _is_news_fresh(self) -> bool:
-        """Whether this node must have heard of any new software version.
-
-        The owner asks nobody for news, so it vouches for no version.
-        """
-        age = self._loop.time() - self.fleet.view.asked_at
-        return age <= _FRESH_NEWS_SECONDS
-
     def _report_usage(self) -> UsageReport:
         """Returns the use reported by the fronts that get news from here."""
         return self.owner.relay.make_usage_report()
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -19,11 +19,12 @@
 from ridgesill.app.front_load_sampler import FrontLoadSampler
 from ridgesill.app.platform_node import (
     CONNECT_TIMEOUT_SECONDS,
+    FRESH_NEWS_SECONDS,
     decode_newer_routes,
     make_control,
     make_node,
+    make_stream_keeping,
 )
-from ridgesill.app.stream_keeping import StreamKeeping
 from ridgesill.app.telemetry import Instruments, serve_metrics
 from ridgesill.app.traffic import log_traffic
 from ridgesill.core.commands import Node
@@ -54,10 +55,8 @@
 # has no effect: while few fronts of a data centre are ready, the balancer uses
 # all of them.
 _MAX_NEWS_AGE_SECONDS = 1.5
-# Time since the question for the owner's news up to which they are what it
-# knows, directly and through a relay. Both answer each half second even without
-# news.
-_FRESH_NEWS_SECONDS = 1.3
+# `FRESH_NEWS_SECONDS` for news through a relay, which answers each half second
+# as the owner does.
 _FRESH_RELAYED_NEWS_SECONDS = 1.9
 # How often idle channels to upstreams are closed, which upstreams close
 # themselves after some seconds, and how often expired entries are pruned.
@@ -121,13 +120,12 @@
             PlatformDialect(),
         )
         self._datagrams = PeerDatagrams()
-        self._streams = StreamKeeping(
-            node.name,
+        self._streams = make_stream_keeping(
+            settings,
+            node,
             self.fleet.view,
             self._datagrams,
-            self._is_news_fresh,
-            float("-inf") if settings.is_first_start else self._loop.time(),
-            lambda: self.fleet.view.asked_at,
+            self._find_max_news_age,
         )
         self.front = Front(
             Chooser(settings.data_centre, self.fleet.view, Outcomes()),
@@ -207,15 +205,10 @@
         with_room = 0 if load.is_full else 1
         return {self._settings.data_centre: FrontRoom(1, with_room)}
 
-    def _is_news_fresh(self) -> bool:
-        """Whether this front must have heard of any new software version."""
-        # News that came while this process stood still arrived late: only the
-        # time of the question tells what they must hold.
-        age = self._loop.time() - self.fleet.view.asked_at
+    def _find_max_news_age(self) -> float:
+        """Returns up to which age news name each software version, seconds."""
         is_relayed = bool(self._relay_address())
-        return age <= (
-            _FRESH_RELAYED_NEWS_SECONDS if is_relayed else _FRESH_NEWS_SECONDS
-        )
+        return _FRESH_RELAYED_NEWS_SECONDS if is_relayed else FRESH_NEWS_SECONDS
 
     def _relay_address(self) -> str:
         """Returns the address of the relay of the owner's news.
--- a/src/ridgesill/app/stream_keeping.py
+++ b/src/ridgesill/app/stream_keeping.py
@@ -202,8 +202,6 @@
             this front must have heard of any new version.
         since: from when on this front knows all versions, on the loop's clock;
             minus infinity for the first start of a deployment.
-        news_asked_at: returns when the latest news were asked for, on the
-            loop's clock: all that the owner knew then is known here.
     """
 
     def __init__(
@@ -213,13 +211,11 @@
         datagrams: Datagrams | None = None,
         is_news_fresh: Callable[[], bool] = lambda: True,
         since: float = float("-inf"),
-        news_asked_at: Callable[[], float] = lambda: float("inf"),
     ) -> None:
         self._name = name
         self._view = view
         self._datagrams = datagrams
         self._is_news_fresh = is_news_fresh
-        self._news_asked_at = news_asked_at
         self._history = SoftwareHistory(since)
         self._origins = StreamOrigins()
         # Streams that began here, by key. A stream that was sent whole is kept
@@ -419,13 +415,13 @@
         told = self._own[origin.key].told
         fronts = choose_keepers(origin.key, self._fronts, KEEPERS)
         controls = choose_keepers(origin.key, self._controls, _CONTROL_KEEPERS)
-        untold = [node for node in controls if node.identity not in told]
-        if untold and not self._take_allowance():
-            untold = []
-        for node in (*fronts, *untold):
-            if node.name != self._name and node.identity not in told:
-                told.add(node.identity)
-                self._datagrams.send(node.address, origin)
+        for node in (*fronts, *controls):
+            if node.name == self._name or node.identity in told:
+                continue
+            if node.voter and not self._take_allowance():
+                continue
+            told.add(node.identity)
+            self._datagrams.send(node.address, origin)
 
     def _take_allowance(self) -> bool:
         """Returns whether a control node may be told of one more stream."""
@@ -463,7 +459,10 @@
         may_ask = bool(request) and len(self._questions) < _MAX_QUESTIONS
         if not may_ask:
             return await self._confirm_sole(service, sole, began_at)
-        question = await self._ask_keepers(key, service)
+        # In the usual case nobody has to know the stream, and one round shows
+        # that no front knows another version.
+        rounds = _ROUNDS if sole is None else _ROUNDS[:1]
+        question = await self._ask_keepers(key, service, rounds)
         origin = question.find_origin()
         if origin is not None:
             self._origins.record(origin, self._loop.time())
@@ -507,7 +506,7 @@
         if sole is None:
             return None
         deadline = began_at + _CONFIRM_SECONDS
-        while self._has_others() and self._news_asked_at() < began_at:
+        while self._has_others() and self._view.asked_at < began_at:
             if self._loop.time() >= deadline:
                 return None
             await asyncio.sleep(_CONFIRM_POLL_SECONDS)
@@ -520,17 +519,16 @@
     def _has_others(self) -> bool:
         return any(name != self._name for name in self._fronts)
 
-    async def _ask_keepers(self, key: bytes, service: str) -> _Question:
+    async def _ask_keepers(
+        self, key: bytes, service: str, rounds: Iterable[int]
+    ) -> _Question:
         """Asks keepers until one knows the stream; returns all answers."""
         self._question_number += 1
         number = self._question_number
         question = _Question(number, asyncio.Event())
         self._questions[number] = question
-        # In the usual case nobody has to know the stream, and one round shows
-        # that no front knows another version.
-        is_sole = self._find_sole(service, self._loop.time()) is not None
         try:
-            for count in _ROUNDS[:1] if is_sole else _ROUNDS:
+            for count in rounds:
                 self._ask(question, FindOrigin(number, key, service), count)
                 await self._await_answers(question)
                 if question.find_origin() is not None:
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -243,14 +243,11 @@
         self.datagrams = PeerDatagrams()
         # Seconds since the owner's last news, as this front takes it.
         self.news_age = 0.0
-        # When they were asked for, on the loop's clock.
-        self.news_asked_at = float("inf")
         streams = StreamKeeping(
             self.front_address,
             self.fleet.view,
             self.datagrams,
             lambda: self.news_age < _MAX_NEWS_AGE_SECONDS,
-            news_asked_at=lambda: self.news_asked_at,
         )
         self.front = Front(
             Chooser("a", self.fleet.view, Outcomes(), random.Random(1)),
@@ -311,7 +308,7 @@
         )
         view = self.fleet.view
         news = FleetNews(1, view.number + 1, True, changes)
-        view.apply_news(news, 0.0)
+        view.apply_news(news, 0.0, float("inf"))
         self.front.streams.handle_news()
 
     def restart_streams(self) -> None:
@@ -381,7 +378,9 @@
             UpstreamChange(u.name, u) for u in view.upstreams.values()
         )
         changes = (*known, UpstreamChange(name, record))
-        view.apply_news(FleetNews(1, view.number + 1, True, changes), 0.0)
+        view.apply_news(
+            FleetNews(1, view.number + 1, True, changes), 0.0, float("inf")
+        )
         self.front.streams.handle_news()
         self.front.limits.apply_news(view)
         return upstream
@@ -402,7 +401,7 @@
     def _apply(self, change: UpstreamChange) -> None:
         view = self.fleet.view
         news = FleetNews(1, view.number + 1, False, (change,))
-        view.apply_news(news, 0.0)
+        view.apply_news(news, 0.0, float("inf"))
         self.front.streams.handle_news()
 
     async def take_up(
--- a/testing/app/test_stream_versions.py
+++ b/testing/app/test_stream_versions.py
@@ -462,7 +462,7 @@
         await self.begin_at_new_version(fronts)
         for front in fronts[:2]:
             front.datagrams.close()
-        fronts[2].news_asked_at = 0.0
+        fronts[2].fleet.view.asked_at = 0.0
         assert (await fronts[2].take_up("r1", "1")).status == 503
 
     async def test_later_news_of_one_version_let_streams_go_on(
@@ -473,10 +473,10 @@
         await runners.add(fronts[2], "u1", "v1")
         for front in fronts[:2]:
             front.datagrams.close()
-        fronts[2].news_asked_at = 0.0
+        fronts[2].fleet.view.asked_at = 0.0
         taken = asyncio.create_task(fronts[2].take_up("r1", "1"))
         await asyncio.sleep(0.3)
-        fronts[2].news_asked_at = asyncio.get_running_loop().time()
+        fronts[2].fleet.view.asked_at = asyncio.get_running_loop().time()
         assert (await taken).status == 200
 
 
