State the bounds of bodies once for both kinds of upstreams

Cause: the adapters for upstreams and for the own interface's runners each named the same two sizes.

Change: they stand in ports/http.py, with the size of reports, which fits the callers' imports as well. Values, checks and tests stay as they were.

Result: make lint; 48 tests of both adapters, endless answers, late orders and constants pass.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -13,6 +13,8 @@
 )
 from ridgesill.core.addresses import split_address
 from ridgesill.ports.http import (
+    MAX_BODY_BYTES,
+    MAX_DISCARDED_BYTES,
     ChannelError,
     HttpRequest,
     ResponseHead,
@@ -31,14 +33,6 @@
 # 2 s after the last byte; clients abandon a stream after at least 2 s of
 # silence.
 _PROBE_INTERVAL_SECONDS = 1
-
-
-# The longest body that is held whole, and the longest that is read although
-# nobody needs it. Answers longer than the first can only be streamed.
-MAX_BODY_BYTES = 16 * 1024 * 1024
-# The longest answer to a call that isn't a client's request.
-MAX_REPORT_BYTES = 1024 * 1024
-_MAX_DISCARDED_BYTES = 64 * 1024
 # How long a body that nobody needs may take, in seconds.
 _DISCARD_SECONDS = 0.2
 
@@ -165,7 +159,7 @@
             async with asyncio.timeout(_DISCARD_SECONDS):
                 while data := await self.read_data():
                     length += len(data)
-                    if length > _MAX_DISCARDED_BYTES:
+                    if length > MAX_DISCARDED_BYTES:
                         self.cancel()
                         return
         except TimeoutError:
--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -11,6 +11,7 @@
 from ridgesill.core.completeness import Completeness, judge_json
 from ridgesill.core.runners import FENCE, LOAD, Order
 from ridgesill.ports import orders
+from ridgesill.ports.http import MAX_BODY_BYTES, MAX_DISCARDED_BYTES
 from ridgesill.ports.runner import (
     IncompleteAnswerError,
     RunnerFailure,
@@ -34,10 +35,6 @@
     urllib3.exceptions.ConnectTimeoutError,
 )
 _CHUNK_BYTES = 65536
-# The longest body that is held whole, and the longest that is read although
-# nobody needs it.
-_MAX_BODY_BYTES = 16 * 1024 * 1024
-_MAX_DISCARDED_BYTES = 64 * 1024
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -85,10 +82,10 @@
         length = 0
         for part in self.chunks():
             length += len(part)
-            if length > _MAX_BODY_BYTES:
+            if length > MAX_BODY_BYTES:
                 self.cancel()
                 raise IncompleteAnswerError(
-                    f"the answer is longer than {_MAX_BODY_BYTES} bytes"
+                    f"the answer is longer than {MAX_BODY_BYTES} bytes"
                 )
             parts.append(part)
         body = b"".join(parts)
@@ -192,12 +189,12 @@
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
     """Reads a short body, so that the connection lasts, or closes it."""
     try:
-        body = response.read(_MAX_DISCARDED_BYTES)
+        body = response.read(MAX_DISCARDED_BYTES)
     except (urllib3.exceptions.HTTPError, OSError) as error:
         log_message("runner:body_cut_short", detail=str(error))
         response.close()
         return
-    if len(body) < _MAX_DISCARDED_BYTES:
+    if len(body) < MAX_DISCARDED_BYTES:
         response.release_conn()
     else:
         response.close()
--- a/src/ridgesill/app/engine_orders.py
+++ b/src/ridgesill/app/engine_orders.py
@@ -12,10 +12,7 @@
 import attrs
 from eliot import log_message
 
-from ridgesill.adapters.http1.client import (
-    MAX_REPORT_BYTES,
-    UpstreamChannels,
-)
+from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.app.unknown_field_log import UnknownFieldLog
 from ridgesill.core.fleet.engine_capacity import fits_from_empty
 from ridgesill.core.fleet.engines import Engine, UnansweredLoad
@@ -33,7 +30,12 @@
     SentOrders,
 )
 from ridgesill.ports.dialect import EngineCalls
-from ridgesill.ports.http import ChannelError, HttpRequest, ResponseHead
+from ridgesill.ports.http import (
+    MAX_REPORT_BYTES,
+    ChannelError,
+    HttpRequest,
+    ResponseHead,
+)
 from ridgesill.ports.telemetry import BufferedTelemetry, Telemetry
 
 # Time within which an engine answers an order, in seconds. After that the
--- a/src/ridgesill/app/order_holder.py
+++ b/src/ridgesill/app/order_holder.py
@@ -5,10 +5,7 @@
 
 from eliot import log_message
 
-from ridgesill.adapters.http1.client import (
-    MAX_REPORT_BYTES,
-    UpstreamChannels,
-)
+from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.app.control import Control
 from ridgesill.app.engine_orders import ORDER_TIMEOUT_SECONDS
 from ridgesill.core.fleet.order_leases import STAMP_INTERVAL_SECONDS, OrderGate
@@ -20,7 +17,7 @@
     OrderAnswer,
 )
 from ridgesill.ports.dialect import EngineCalls
-from ridgesill.ports.http import ChannelError
+from ridgesill.ports.http import MAX_REPORT_BYTES, ChannelError
 
 # Greatest length of the part of an engine's answer that is logged, in bytes.
 _MAX_DETAIL_BYTES = 80
--- a/src/ridgesill/app/start_checks.py
+++ b/src/ridgesill/app/start_checks.py
@@ -9,13 +9,10 @@
 from collections.abc import Awaitable, Callable
 
 from ridgesill.adapters.http1.channel import UpstreamChannel
-from ridgesill.adapters.http1.client import (
-    MAX_REPORT_BYTES,
-    UpstreamChannels,
-)
+from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.ports.dialect import Dialect
-from ridgesill.ports.http import ChannelError
+from ridgesill.ports.http import MAX_REPORT_BYTES, ChannelError
 
 # How long an upstream may take to tell its start, in seconds.
 _ANSWER_SECONDS = 0.3
--- a/src/ridgesill/ports/http.py
+++ b/src/ridgesill/ports/http.py
@@ -6,6 +6,13 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# The longest body that is held whole. Longer answers can only be streamed.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# The longest answer to a call that isn't a client's request.
+MAX_REPORT_BYTES = 1024 * 1024
+# The longest body that is read although nobody needs it, to keep a connection.
+MAX_DISCARDED_BYTES = 64 * 1024
+
 
 def find_header(headers: Headers, name: bytes) -> str:
     """Returns the first value of a header; empty if the header is missing.
