Keep silent voters beside failed ones, and the log's timing once

Cause: Control remembered voters that didn't answer in a dictionary of its own, beside VoterChoice, which remembers those that failed. Three test worlds each repeated the timing that control nodes give the log.

Change: VoterChoice keeps both, by name; how long each counts stays as it was, as an outdated voter still relays the beats of a node with a disk. LOG_TIMING in app/platform_node.py is what control nodes and the test worlds use.

The values are the same.

--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -50,8 +50,6 @@
 _PROPOSE_ATTEMPT_SECONDS = 2.0
 # Pause before a failed message is sent again, in seconds.
 _RETRY_SECONDS = 0.1
-# How long a voter that didn't answer is avoided, in seconds.
-_AVOID_SECONDS = 2.0
 # How often a leader checks whether nodes or voters have to change, in seconds.
 _LEAD_TICK_SECONDS = 0.25
 # A sleep that lasts longer than planned by this much, in seconds, means that
@@ -143,8 +141,6 @@
         self._listeners: list[Callable[[], None]] = []
         self._voter_choice = VoterChoice(node.name, node.data_centre)
         self._beats_relayed_at = float("-inf")
-        # When a `Follow` message last failed, by address, in seconds.
-        self._failed_at: dict[str, float] = {}
 
     @property
     def state(self) -> State:
@@ -245,7 +241,7 @@
                 continue
             name = self._choose_voter(failures)
             address = self.address_of(name) if name else ""
-            if address and await self._follow_once(address):
+            if address and await self._follow_once(name, address):
                 self._voter_choice.record_answer()
                 # With no failures, a voter follows the leader next.
                 failures = 0
@@ -278,16 +274,12 @@
         Each attempt at a lost node delays the beats by which a new leader
         learns of this one. A leader that the replica hears again is reachable.
         """
-        address = self.address_of(name)
-        if not address:
+        if not self.address_of(name):
             return False
-        failed_at = self._failed_at.get(address, float("-inf"))
-        if self._loop.time() - failed_at > _AVOID_SECONDS:
-            return True
-        assert self.driver is not None
-        replica = self.driver.replica
-        is_leader = node_name_of(replica.leader) == name
-        return is_leader and replica.leader_heard_at > failed_at
+        heard_at = NEVER
+        if self.driver and node_name_of(self.driver.replica.leader) == name:
+            heard_at = self.driver.replica.leader_heard_at
+        return self._voter_choice.may_answer(name, heard_at, self._loop.time())
 
     def _voter_names(self) -> list[str]:
         state_voters = [n.name for n in self.state.nodes.values() if n.voter]
@@ -298,7 +290,7 @@
             return node_name_of(self.driver.replica.leader)
         return "" if self.leader == self.node.name else self.leader
 
-    async def _follow_once(self, address: str) -> bool:
+    async def _follow_once(self, name: str, address: str) -> bool:
         now = self._loop.time()
         new, alive = self._relay.split_new(self._beats_to_relay(now), address)
         request = Follow(
@@ -311,9 +303,9 @@
                 self.settings.follow_wait + _FOLLOW_MARGIN_SECONDS,
             )
         except PeerError:
-            self._failed_at[address] = self._loop.time()
+            self._voter_choice.record_silence(name, self._loop.time())
             return False
-        self._failed_at.pop(address, None)
+        self._voter_choice.record_reply(name)
         self._relay.record_received(new, reply.unknown)
         self.leader = reply.leader
         await self._apply_reply(reply, requested_at=now)
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -21,6 +21,7 @@
 from ridgesill.app.log_driver import LogDriver, ReplicaMessage
 from ridgesill.app.platform_node import (
     CONNECT_TIMEOUT_SECONDS,
+    LOG_TIMING,
     decode_newer_routes,
     make_control,
     make_node,
@@ -42,19 +43,12 @@
 from ridgesill.core.fleet.slot_permits import HeldSlots, RequestSlot
 from ridgesill.core.fleet.usage import UsageReport
 from ridgesill.core.following import AskLatest, Follow, Propose
-from ridgesill.core.log.messages import Timing
 from ridgesill.core.voter_changes import node_name_of
 from ridgesill.platform.control_calls import PlatformControlCalls
 from ridgesill.platform.settings import METRICS_PATH, PlatformSettings
 from ridgesill.platform.upstreams import PlatformEngines
 from ridgesill.ports.peers import PeerError
 
-# Shorter than the default timing of the log, because the data centres are a
-# millisecond apart. The shortest election timeout exceeds 1.1 s, within which a
-# leader that was only killed has restarted. As the last owner, that node need
-# not wait for a lease; any other leader has to wait for 3.7 s, however soon it
-# is elected.
-_TIMING = Timing(heartbeat=0.15, election_min=1.2, election_max=1.9)
 # When a node that has just started stands for election, in seconds: the last
 # owner of the fleet first, and each further voter this much later. With random
 # delays, three voters that all had to vote needed two elections.
@@ -265,7 +259,7 @@
             self._storage,
             self.control.send_to_replica,
             self.control.notify_applied,
-            _TIMING,
+            LOG_TIMING,
         )
         self._schedule_first_election(driver)
         self.control.driver = driver
--- a/src/ridgesill/app/platform_node.py
+++ b/src/ridgesill/app/platform_node.py
@@ -9,6 +9,7 @@
 from ridgesill.app.stream_keeping import StreamKeeping
 from ridgesill.core.commands import Node
 from ridgesill.core.fleet.registry import FleetView
+from ridgesill.core.log.messages import Timing
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.core.state import State
 from ridgesill.core.voter_changes import VoterPolicy
@@ -25,6 +26,12 @@
 # Time since the question for the owner's news up to which they are what it
 # knows. It answers each half second even without news.
 FRESH_NEWS_SECONDS = 1.3
+# Shorter than the default timing of the log, because the data centres are a
+# millisecond apart. The shortest election timeout exceeds 1.1 s, within which a
+# leader that was only killed has restarted. As the last owner, that node need
+# not wait for a lease; any other leader has to wait for 3.7 s, however soon it
+# is elected.
+LOG_TIMING = Timing(heartbeat=0.15, election_min=1.2, election_max=1.9)
 # Time limit for connecting to an upstream.
 CONNECT_TIMEOUT_SECONDS = 0.4
 
--- a/src/ridgesill/core/voter_choice.py
+++ b/src/ridgesill/core/voter_choice.py
@@ -1,4 +1,4 @@
-"""Chooses the voter that a node without a disk follows.
+"""Chooses the voter that a node follows.
 
 Near voters are preferred to save traffic: with 195 nodes in five data centres
 that each ask a random voter three times a second, four fifths of the requests
@@ -8,12 +8,16 @@
 from collections.abc import Iterable, Mapping
 
 from ridgesill.core.commands import Node
+from ridgesill.core.freshness import NEVER
 from ridgesill.core.rendezvous import rank
 
 # Seconds for which a voter that failed is not asked again: it may still be
 # partitioned, and each failed attempt makes the node's state one second staler.
 # Afterwards the nearest voter is tried again.
 _RETRY_AFTER_SECONDS = 10.0
+# The same for a node that votes itself, and only for voters that didn't answer
+# at all: an outdated voter still relays the node's beats.
+_SILENT_RETRY_SECONDS = 2.0
 
 
 class VoterChoice:
@@ -28,6 +32,7 @@
         self._node = node
         self._data_centre = data_centre
         self._failed_at: dict[str, float] = {}
+        self._silent_at: dict[str, float] = {}
         self._has_followed = False
 
     def record_answer(self) -> None:
@@ -42,6 +47,25 @@
         """Records that a voter gave no answer or an outdated one."""
         self._failed_at[voter] = now
 
+    def record_reply(self, voter: str) -> None:
+        """Records that a voter answered, with an up-to-date state or not."""
+        self._silent_at.pop(voter, None)
+
+    def record_silence(self, voter: str, now: float) -> None:
+        """Records that a voter didn't answer at all."""
+        self._silent_at[voter] = now
+
+    def may_answer(self, voter: str, heard_at: float, now: float) -> bool:
+        """Whether a voter wasn't silent lately, or was heard since.
+
+        Args:
+            voter: the name of the voter.
+            heard_at: when it last sent anything else, in seconds.
+            now: the current time, in seconds.
+        """
+        silent_at = self._silent_at.get(voter, NEVER)
+        return now - silent_at > _SILENT_RETRY_SECONDS or heard_at > silent_at
+
     def choose(
         self, voters: Iterable[str], nodes: Mapping[str, Node], now: float
     ) -> str:
@@ -53,9 +77,8 @@
             now: the current time, in seconds.
         """
         ranked = self._nearest_first(rank(self._node, voters), nodes)
-        never = float("-inf")
         for name in ranked:
-            if self._failed_at.get(name, never) <= now - _RETRY_AFTER_SECONDS:
+            if self._failed_at.get(name, NEVER) <= now - _RETRY_AFTER_SECONDS:
                 return name
         return min(ranked, key=self._failed_at.__getitem__, default="")
 
--- a/testing/app/control_world.py
+++ b/testing/app/control_world.py
@@ -10,6 +10,7 @@
 from ridgesill.app.control import Control, ControlSettings
 from ridgesill.app.entry import StateView
 from ridgesill.app.log_driver import LogDriver, ReplicaMessage
+from ridgesill.app.platform_node import LOG_TIMING
 from ridgesill.app.pools import Pools
 from ridgesill.core.commands import Node
 from ridgesill.core.following import Follow, Propose
@@ -19,7 +20,6 @@
     HardState,
     Snapshot,
     StoredLog,
-    Timing,
     Voters,
 )
 from ridgesill.core.log.replica import make_initial_snapshot
@@ -30,7 +30,6 @@
 
 VOTERS = ("a", "b", "c")
 LEASE_SECONDS = 4.0
-_TIMING = Timing(heartbeat=0.15, election_min=1.2, election_max=1.9)
 # Far below the lease, so that the leader often counts a live node as gone and
 # only the leases keep the old and the new owner of a pool apart.
 SILENCE_TIMEOUT_SECONDS = 1.5
@@ -150,9 +149,10 @@
         )
         peers = FaultyPeers(self, name)
         # The platform lists nodes that run at present to a new node.
-        seeds = [n for n in self._storages if n in self.members] or VOTERS
+        running = tuple(n for n in self._storages if n in self.members)
+        seeds = VOTERS if name in VOTERS else running or VOTERS
         settings = ControlSettings(
-            {seed: seed for seed in (seeds if name not in VOTERS else VOTERS)},
+            {seed: seed for seed in seeds},
             LEASE_SECONDS,
             SILENCE_TIMEOUT_SECONDS,
             0.5,
@@ -169,7 +169,7 @@
                 storage,
                 control.send_to_replica,
                 control.notify_applied,
-                _TIMING,
+                LOG_TIMING,
                 compact_entries=20,
                 run_blocking=_run_inline,
                 rng=random.Random(self.rng.random()),
--- a/testing/app/order_world.py
+++ b/testing/app/order_world.py
@@ -12,11 +12,11 @@
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.fleet_owner import FleetOwner
 from ridgesill.app.log_driver import LogDriver, ReplicaMessage
+from ridgesill.app.platform_node import LOG_TIMING
 from ridgesill.core.commands import Node
 from ridgesill.core.fleet.messages import Heartbeat, WantArtifact, WatchFleet
 from ridgesill.core.fleet.orders import DeliverOrder, HolderAlive
 from ridgesill.core.following import Follow
-from ridgesill.core.log.messages import Timing
 from ridgesill.core.log.replica import make_initial_snapshot
 from ridgesill.platform.upstreams import PlatformEngines
 from ridgesill.ports.http import HttpRequest
@@ -37,7 +37,6 @@
 _SERVICE = "s"
 _ADAPTER_SLOTS = 3
 _ADAPTER_COUNT = 30
-_TIMING = Timing(heartbeat=0.15, election_min=1.2, election_max=1.9)
 
 
 @attrs.frozen
@@ -159,7 +158,7 @@
             storage,
             control.send_to_replica,
             control.notify_applied,
-            _TIMING,
+            LOG_TIMING,
             run_blocking=_run_inline,
             rng=random.Random(self.rng.random()),
         )
--- a/testing/core/log/replacements.py
+++ b/testing/core/log/replacements.py
@@ -9,9 +9,10 @@
 
 import attrs
 
+from ridgesill.app.platform_node import LOG_TIMING
 from ridgesill.core.commands import Node
 from ridgesill.core.following import Beat, HeardBeat
-from ridgesill.core.log.messages import Timing, Voters
+from ridgesill.core.log.messages import Voters
 from ridgesill.core.log.replica import LEADER
 from ridgesill.core.voter_changes import VoterPolicy, decide_change
 from testing.core.log.cluster import Cluster, Faults, Violation, Write
@@ -24,7 +25,6 @@
 _BEAT_TIMEOUT_SECONDS = 4.0
 # The longest time for which a node that stops waits for its successor.
 _HANDOVER_SECONDS = 4.0
-_TIMING = Timing(heartbeat=0.15, election_min=1.2, election_max=1.9)
 _FAULTS = Faults(loss_share=0, duplication_share=0.05, slow_share=0)
 
 
@@ -65,7 +65,7 @@
         with_returns: bool = True,
     ) -> None:
         names = tuple(f"n{number}.0" for number in range(_VOTERS))
-        self.cluster = Cluster(names, seed, _FAULTS, _TIMING)
+        self.cluster = Cluster(names, seed, _FAULTS, LOG_TIMING)
         self._rng = self.cluster.rng
         self._policy = VoterPolicy(_VOTERS, catch_up_seconds)
         self._losses = losses
