Confirm news that become fresh while no front answers

Callers saw: nothing yet; a front that was cut off from all others and whose news became fresh while it asked would have taken a stream of v2 up at v1 (ORDER).

Cause: only a version that was the only one before the question was confirmed by later news. One that became the only one during the question was taken as it was.

Change: without any answer the take-up ends in the confirmation, which refuses at once where no version was the only one.

--- a/src/ridgesill/app/stream_keeping.py
+++ b/src/ridgesill/app/stream_keeping.py
@@ -456,20 +456,19 @@
         if own is not None:
             return _make_found(own, OWN)
         sole = self._find_sole(service, began_at)
-        may_ask = bool(request) and len(self._questions) < _MAX_QUESTIONS
-        if not may_ask:
+        if not request or len(self._questions) >= _MAX_QUESTIONS:
             return await self._confirm_sole(service, sole, began_at)
         # In the usual case nobody has to know the stream, and one round shows
         # that no front knows another version.
         rounds = _ROUNDS if sole is None else _ROUNDS[:1]
         question = await self._ask_keepers(key, service, rounds)
-        origin = question.find_origin()
-        if origin is not None:
-            self._origins.record(origin, self._loop.time())
-            return _make_found(origin, KEEPER)
-        if sole is not None and not question.answers:
+        if not question.answers:
             return await self._confirm_sole(service, sole, began_at)
-        return self._find_agreed(question, service)
+        origin = question.find_origin()
+        if origin is None:
+            return self._find_agreed(question, service)
+        self._origins.record(origin, self._loop.time())
+        return _make_found(origin, KEEPER)
 
     def _find_agreed(
         self, question: _Question, service: str
--- a/testing/app/test_stream_versions.py
+++ b/testing/app/test_stream_versions.py
@@ -465,6 +465,20 @@
         fronts[2].fleet.view.asked_at = 0.0
         assert (await fronts[2].take_up("r1", "1")).status == 503
 
+    async def test_news_that_become_fresh_meanwhile_are_confirmed_too(
+        self, fronts: list[FrontWorld]
+    ) -> None:
+        """Guards against old news that count as new once others are silent."""
+        await self.begin_at_new_version(fronts)
+        for front in fronts[:2]:
+            front.datagrams.close()
+        fronts[2].fleet.view.asked_at = 0.0
+        fronts[2].news_age = 5.0
+        taken = asyncio.create_task(fronts[2].take_up("r1", "1"))
+        await asyncio.sleep(0.1)
+        fronts[2].news_age = 0.0
+        assert (await taken).status == 503
+
     async def test_later_news_of_one_version_let_streams_go_on(
         self, fronts: list[FrontWorld]
     ) -> None:
