Name a bound of a deployment that is no number

What operators saw: a bound such as catch_up_s that was negative or not finite was used as it stood, "soon" ended the process with a ValueError that named neither file nor field, and true counted as 1.

Cause: bounds were converted with float(), unlike limits, which are checked. Both are read by one checked method now; an invalid value is refused with the name of its field. A bound without a value has its default, as limits do.

--- a/src/ridgesill/platform/settings.py
+++ b/src/ridgesill/platform/settings.py
@@ -247,61 +247,68 @@
         # The platform gives milliseconds.
         return float(self._document.get("heartbeat_interval_ms", 1000)) / 1000
 
+    def _get_number(self, table: str, name: str, default: float = 0.0) -> float:
+        value = self._get_table(table).get(name)
+        if value is None or value == "":
+            return default
+        is_number = isinstance(value, int | float) and not isinstance(
+            value, bool
+        )
+        if not is_number or not 0 <= value < float("inf"):
+            raise PlatformSettingsError(
+                self._path, f"{table}.{name}", "a number, 0 or more"
+            )
+        return float(value)
+
     def _read_bounds(self) -> Bounds:
         bounds = self._get_table("bounds")
         defaults = Bounds()
 
+        def get_number(name: str, default: float) -> float:
+            return self._get_number("bounds", name, default)
+
         def get_seconds(name: str, default_seconds: float) -> float:
-            return float(bounds.get(name, default_seconds * 1000)) / 1000
+            return get_number(name, default_seconds * 1000) / 1000
 
         return Bounds(
             drain_seconds=get_seconds("drain_ms", defaults.drain_seconds),
-            grace_seconds=float(bounds.get("grace_s", defaults.grace_seconds)),
+            grace_seconds=get_number("grace_s", defaults.grace_seconds),
             configuration_seconds=get_seconds(
                 "config_ms", defaults.configuration_seconds
             ),
-            catch_up_seconds=float(
-                bounds.get("catch_up_s", defaults.catch_up_seconds)
+            catch_up_seconds=get_number(
+                "catch_up_s", defaults.catch_up_seconds
             ),
             lease_seconds=get_seconds("lease_ms", defaults.lease_seconds),
-            retry_share=float(bounds.get("budget_ratio", defaults.retry_share)),
-            retry_window_seconds=float(
-                bounds.get("budget_window_s", defaults.retry_window_seconds)
+            retry_share=get_number("budget_ratio", defaults.retry_share),
+            retry_window_seconds=get_number(
+                "budget_window_s", defaults.retry_window_seconds
             ),
-            retry_slack=float(bounds.get("budget_slack", defaults.retry_slack)),
+            retry_slack=get_number("budget_slack", defaults.retry_slack),
             version_seconds=get_seconds("version_ms", defaults.version_seconds),
             revocation_seconds=get_seconds(
                 "revoke_ms", defaults.revocation_seconds
             )
             if bounds.get("strict_revocation")
             else defaults.revocation_seconds,
-            quota_window_seconds=float(
-                bounds.get("quota_window_s", defaults.quota_window_seconds)
+            quota_window_seconds=get_number(
+                "quota_window_s", defaults.quota_window_seconds
             ),
-            quota_share=float(bounds.get("quota_excess", defaults.quota_share)),
-            quota_slack=float(bounds.get("quota_slack", defaults.quota_slack)),
+            quota_share=get_number("quota_excess", defaults.quota_share),
+            quota_slack=get_number("quota_slack", defaults.quota_slack),
         )
 
     def _read_limits(self) -> VmLimits:
-        limits = self._get_table("limits")
-
-        def get_number(name: str) -> float:
-            value = limits.get(name) or 0
-            is_number = isinstance(value, int | float) and value is not True
-            if not is_number or not 0 <= value < float("inf"):
-                raise PlatformSettingsError(
-                    self._path, f"limits.{name}", "a number, 0 or more"
-                )
-            return float(value)
-
         # The share is of each core: a VM of 3 cores with a share of 0.86 has
         # 2.58 cores.
-        cores = get_number("cores") or 1.0
+        cores = self._get_number("limits", "cores") or 1.0
         return VmLimits(
-            processor_share=get_number("cpu_share") * cores,
-            memory_bytes=get_number("memory_mb") * _BYTES_PER_MB,
-            descriptors=int(get_number("file_descriptors")),
-            link_bytes_per_second=get_number("link_mbps") * _BYTES_PER_MBIT,
+            processor_share=self._get_number("limits", "cpu_share") * cores,
+            memory_bytes=self._get_number("limits", "memory_mb")
+            * _BYTES_PER_MB,
+            descriptors=int(self._get_number("limits", "file_descriptors")),
+            link_bytes_per_second=self._get_number("limits", "link_mbps")
+            * _BYTES_PER_MBIT,
         )
 
     def _read_contracts(self) -> list[str]:
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -59,6 +59,28 @@
             read(tmp_path, limits={"memory_mb": value})
 
 
+class TestBounds:
+    @pytest.mark.parametrize(
+        "bounds", [None, {}, {"catch_up_s": None, "lease_ms": "", "other": "x"}]
+    )
+    def test_missing_bounds_have_defaults(
+        self, tmp_path: Path, bounds: Any
+    ) -> None:
+        settings = read(tmp_path, bounds=bounds)
+        assert settings.bounds.catch_up_seconds == 4.0
+        assert settings.bounds.lease_seconds == 3.0
+
+    @pytest.mark.parametrize("name", ["catch_up_s", "lease_ms", "budget_ratio"])
+    @pytest.mark.parametrize(
+        "value", [-1, "soon", True, [4], float("nan"), float("inf")]
+    )
+    def test_an_invalid_bound_is_named(
+        self, tmp_path: Path, name: str, value: Any
+    ) -> None:
+        with pytest.raises(PlatformSettingsError, match=f"bounds.{name}"):
+            read(tmp_path, bounds={name: value})
+
+
 class TestFrontLimits:
     @pytest.mark.parametrize(
         ("value", "expected"), [(None, True), ("on", True), ("off", False)]
