Keep voters that answer where no time to catch up is allowed

What callers would see: in a deployment with a catch_up_s near 0 a waiting learner costs an answering voter its vote between two heartbeats, again and again. Found by reading; no deployment that we have asks for it.

Cause: the silence after which a voter counts as lost is a share of catch_up_s without a lower bound. It is at least 0.6 s now, four heartbeats of the log; from 2 s of catch_up_s on nothing changes.

test_no_catch_up_time_costs_an_answering_voter_its_vote failed before.

--- a/src/ridgesill/core/voter_changes.py
+++ b/src/ridgesill/core/voter_changes.py
@@ -22,6 +22,9 @@
 # The same for a voter that other voters still hear. It polls them in turn once
 # it can't reach the leader, so that its relayed beats are further apart.
 _UNHEARD_SHARE = 0.45
+# A shorter silence than four heartbeats of the platform's log is no sign of a
+# loss, however soon a new node has to be a voter.
+_MIN_SILENT_SECONDS = 0.6
 
 
 def node_name_of(identity: str) -> str:
@@ -43,6 +46,16 @@
     max_voters: int = 0
     catch_up_seconds: float = 4.0
 
+    @property
+    def silent_seconds(self) -> float:
+        """Silence towards the leader after which a voter may be replaced."""
+        return max(_SILENT_SHARE * self.catch_up_seconds, _MIN_SILENT_SECONDS)
+
+    @property
+    def unheard_seconds(self) -> float:
+        """Silence towards all others after which it may be replaced."""
+        return max(_UNHEARD_SHARE * self.catch_up_seconds, self.silent_seconds)
+
 
 def decide_change(
     replica: Replica,
@@ -210,17 +223,14 @@
         if self._is_superseded(identity):
             return True
         item = self.heard.get(node_name_of(identity))
-        unheard_seconds = _UNHEARD_SHARE * self.policy.catch_up_seconds
-        is_unheard = item is None or item.age > unheard_seconds
+        is_unheard = item is None or item.age > self.policy.unheard_seconds
         return is_unheard and self._is_silent(identity)
 
     def _is_silent(self, identity: str) -> bool:
-        silent_seconds = _SILENT_SHARE * self.policy.catch_up_seconds
-        expected_at = self._expected_at(identity, silent_seconds)
-        answered_at = max(self._acked_at(identity), expected_at)
-        return self.now - answered_at > silent_seconds
+        answered_at = max(self._acked_at(identity), self._expected_at(identity))
+        return self.now - answered_at > self.policy.silent_seconds
 
-    def _expected_at(self, identity: str, silent_seconds: float) -> float:
+    def _expected_at(self, identity: str) -> float:
         """Returns the time from which a member's silence counts.
 
         It counts from the election. The silence of the previous leader was the
@@ -228,7 +238,7 @@
         """
         led_since = self.replica.led_since
         if identity == self.replica.previous_leader:
-            return led_since - silent_seconds / 2
+            return led_since - self.policy.silent_seconds / 2
         return led_since
 
     def _acked_at(self, identity: str) -> float:
--- a/testing/core/test_voter_changes.py
+++ b/testing/core/test_voter_changes.py
@@ -131,6 +131,18 @@
         assert _VOTERS[2] not in leader.decide(_NEW, 3, **settings).voters
         assert _NEW in leader.decide(_NEW, 3, **settings).voters
 
+    def test_no_catch_up_time_costs_an_answering_voter_its_vote(
+        self, leader: Leader
+    ) -> None:
+        """Guards against heartbeats that count as silence."""
+        leader.decide(_NEW, 3)
+        leader.now = 0.5
+        leader.acknowledge(_VOTERS[1], _NEW)
+        assert leader.decide(_NEW, 3, catch_up_seconds=0.0) is None
+        leader.now = 0.7
+        leader.acknowledge(_VOTERS[1], _NEW)
+        assert leader.decide(_NEW, 3, catch_up_seconds=0.0) is not None
+
     def test_a_voter_that_others_hear_keeps_its_vote(
         self, leader: Leader
     ) -> None:
