Tell writes that a power loss tore from damaged records

Cause: a damaged last record counted as unsynced only if the file ended inside it or nothing but zeros followed. A write of full length with zeros in it, which no sync had covered and nobody had acknowledged, stopped the process as damage to a synced record must. The file didn't say how far a sync had come.

Now a mark with its own offset follows each sync. Damage before a mark stops the process as before, damage after the last one is truncated and logged. A log without marks, of an earlier release, is read as before and gets one. load() also syncs what it reads: the process before may have been killed between writing and syncing, and replicas acknowledge what they have read.

--- a/src/ridgesill/adapters/file_log.py
+++ b/src/ridgesill/adapters/file_log.py
@@ -2,10 +2,14 @@
 
 The file `log` holds records, each with a header (length, checksum of the body,
 checksum of the header) and a body. `snapshot` holds one such record, and
-`identity` the voter's identity. An incomplete last record was never
-acknowledged and is truncated. Any other checksum mismatch raises
-`StorageError`, which stops the process: a voter must not lose entries that it
-has acknowledged.
+`identity` the voter's identity.
+
+A loss of power may tear a write that no sync has covered: any of its bytes may
+be missing or zero. So a mark follows each synced write in `log`. Damage before
+a mark raises `StorageError`, which stops the process: a voter must not lose
+entries that it has acknowledged. What is damaged after the last mark was never
+acknowledged and is truncated. The mark itself isn't synced; where a loss of
+power takes it, the records before it are whole.
 """
 
 import io
@@ -17,6 +21,7 @@
 from typing import Any
 
 import attrs
+from eliot import log_message
 
 from ridgesill.core import codec
 from ridgesill.core.log.memory import append_truncating
@@ -52,10 +57,20 @@
         self.offset = offset
 
 
+@codec.register
 @attrs.frozen
-class _Record:
+class SyncMark:
+    """Says that everything before it has been synced.
+
+    Attributes:
+        offset: its own byte offset, by which it is told from a copy.
+    """
+
     offset: int
-    value: Any
+
+
+# How the body of a mark begins.
+_MARK_START = codec.encode(SyncMark(0))[:10]
 
 
 class FileLog:
@@ -92,7 +107,7 @@
                 self._folder / _IDENTITY, 0, "the folder already holds a log"
             )
         self._write_file(_SNAPSHOT, _encode_record(codec.encode(snapshot)))
-        self._write_file(_LOG, b"")
+        self._write_file(_LOG, _encode_mark(0))
         self._write_file(_IDENTITY, identity.encode())
         self.identity = identity
 
@@ -117,12 +132,13 @@
         snapshot = self._load_snapshot()
         hard_state = HardState()
         entries: list[Entry] = []
-        for record in self._read_log():
-            if isinstance(record.value, HardState):
-                hard_state = record.value
-            else:
-                append_truncating(entries, record.value)
+        for value in self._read_log():
+            if isinstance(value, HardState):
+                hard_state = value
+            elif isinstance(value, Entry):
+                append_truncating(entries, value)
         self._open_log()
+        self._append_mark()
         uncovered = tuple(e for e in entries if e.index > snapshot.index)
         return StoredLog(hard_state, uncovered, snapshot)
 
@@ -153,6 +169,19 @@
             os.ftruncate(self._file.fileno(), self._size_bytes)
             raise
         self._size_bytes += len(data)
+        self._append_mark()
+
+    def _append_mark(self) -> None:
+        """Marks the log as synced up to its end, if the disk has room."""
+        assert self._file is not None
+        mark = _encode_mark(self._size_bytes)
+        try:
+            self._write_all(mark)
+        except OSError as error:
+            os.ftruncate(self._file.fileno(), self._size_bytes)
+            log_message("log:sync_not_marked", detail=str(error))
+            return
+        self._size_bytes += len(mark)
 
     def _write_all(self, data: bytes) -> None:
         assert self._file is not None
@@ -177,7 +206,8 @@
         encoded_records += [
             _encode_record(codec.encode(entry)) for entry in entries
         ]
-        self._write_file(_LOG, b"".join(encoded_records))
+        data = b"".join(encoded_records)
+        self._write_file(_LOG, data + _encode_mark(len(data)))
         if self._file is not None:
             self._file.close()
         self._open_log()
@@ -200,20 +230,30 @@
     def _load_snapshot(self) -> Snapshot:
         path = self._folder / _SNAPSHOT
         data = path.read_bytes()
-        records = _read_records(path, data)
-        if len(records) != 1:
+        body = _read_body(path, data, 0)
+        if _HEADER.size + len(body) != len(data):
             raise StorageError(path, 0, "expected one complete snapshot record")
-        return records[0].value
+        return _decode(path, 0, body)
 
-    def _read_log(self) -> list[_Record]:
+    def _read_log(self) -> list[Any]:
+        """Returns the records, and truncates what follows the last whole one.
+
+        Afterwards all of them are synced: a process that was killed may not
+        have come to it, and whoever reads them acts on them.
+        """
         path = self._folder / _LOG
         data = path.read_bytes()
-        records = _read_records(path, data)
-        end = _find_end(data)
-        if end < len(data):
-            with path.open("r+b") as file:
+        records, end = _read_records(path, data)
+        with path.open("r+b") as file:
+            if end < len(data):
+                log_message(
+                    "log:torn_write_cut_off",
+                    path=str(path),
+                    offset=end,
+                    bytes=len(data) - end,
+                )
                 file.truncate(end)
-                self._sync(file.fileno())
+            self._sync(file.fileno())
         return records
 
     def _write_file(self, name: str, data: bytes) -> None:
@@ -240,17 +280,77 @@
     return start + struct.pack("<I", zlib.crc32(start)) + body
 
 
-def _read_records(path: Path, data: bytes) -> list[_Record]:
-    records = []
+def _encode_mark(offset: int) -> bytes:
+    return _encode_record(codec.encode(SyncMark(offset)))
+
+
+def _read_records(path: Path, data: bytes) -> tuple[list[Any], int]:
+    """Returns all whole records of a log, and the offset after the last one.
+
+    Raises:
+        StorageError: something that had been synced is damaged.
+    """
+    records: list[Any] = []
     offset = 0
-    end = _find_end(data, path)
-    while offset < end:
-        length, _, _ = _HEADER.unpack_from(data, offset)
-        start = offset + _HEADER.size
-        body = data[start : start + length]
-        records.append(_Record(offset, _decode(path, offset, body)))
-        offset = start + length
-    return records
+    while offset < len(data):
+        try:
+            body = _read_body(path, data, offset)
+        except StorageError:
+            if not _is_unsynced(data, offset):
+                raise
+            break
+        records.append(_decode(path, offset, body))
+        offset += _HEADER.size + len(body)
+    return records, offset
+
+
+def _read_body(path: Path, data: bytes, offset: int) -> bytes:
+    """Returns the body of the record at an offset.
+
+    Raises:
+        StorageError: the record is incomplete, or a checksum doesn't match.
+    """
+    start = offset + _HEADER.size
+    if start > len(data):
+        raise StorageError(path, offset, "a record's header is incomplete")
+    length, checksum, header_checksum = _HEADER.unpack_from(data, offset)
+    if zlib.crc32(data[offset : offset + 8]) != header_checksum:
+        raise StorageError(path, offset, "a record's header is corrupt")
+    if start + length > len(data):
+        raise StorageError(path, offset, "a record's body is incomplete")
+    body = data[start : start + length]
+    if zlib.crc32(body) != checksum:
+        raise StorageError(path, offset, "a record's body is corrupt")
+    return body
+
+
+def _is_unsynced(data: bytes, offset: int) -> bool:
+    """Whether no sync that is known of covered what follows an offset."""
+    marks = _find_marks(data)
+    if marks:
+        return offset > marks[-1]
+    # A log of a release without marks: only a record that the end of the file
+    # cuts off, or space that was never written, can't have been synced.
+    header = data[offset : offset + _HEADER.size]
+    is_header_whole = len(header) == _HEADER.size and (
+        zlib.crc32(header[:8]) == _HEADER.unpack(header)[2]
+    )
+    if is_header_whole:
+        return offset + _HEADER.size + _HEADER.unpack(header)[0] > len(data)
+    return len(header) < _HEADER.size or not any(data[offset:])
+
+
+def _find_marks(data: bytes) -> list[int]:
+    """Returns the offsets of all valid marks, also of those after damage."""
+    marks = []
+    found = data.find(_MARK_START)
+    while found >= 0:
+        offset = found - _HEADER.size
+        mark = _encode_mark(offset) if offset >= 0 else b""
+        if mark and data.startswith(mark, offset):
+            marks.append(offset)
+        found = data.find(_MARK_START, found + 1)
+    return marks
 
 
 def _decode(path: Path, offset: int, body: bytes) -> Any:
@@ -258,26 +358,3 @@
         return codec.decode(body)
     except codec.DecodeError as error:
         raise StorageError(path, offset, str(error)) from error
-
-
-def _find_end(data: bytes, path: Path = Path()) -> int:
-    """Returns the offset after the last complete record.
-
-    Raises:
-        StorageError: a checksum doesn't match.
-    """
-    offset = 0
-    while offset + _HEADER.size <= len(data):
-        length, checksum, header_checksum = _HEADER.unpack_from(data, offset)
-        if zlib.crc32(data[offset : offset + 8]) != header_checksum:
-            if not any(data[offset:]):
-                # Space allocated before a crash but never written.
-                return offset
-            raise StorageError(path, offset, "a record's header is corrupt")
-        body_end = offset + _HEADER.size + length
-        if body_end > len(data):
-            return offset
-        if zlib.crc32(data[offset + _HEADER.size : body_end]) != checksum:
-            raise StorageError(path, offset, "a record's body is corrupt")
-        offset = body_end
-    return offset
