Decide on a damaged record by the error that names it

Whether a damaged record of a log without marks was cut off by the end of the file was found by parsing its header a second time. The error that _read_body() raises says so by its class now.

--- a/src/ridgesill/adapters/file_log.py
+++ b/src/ridgesill/adapters/file_log.py
@@ -57,6 +57,10 @@
         self.offset = offset
 
 
+class _CutOffError(StorageError):
+    """The end of the file cuts off a record."""
+
+
 @codec.register
 @attrs.frozen
 class SyncMark:
@@ -295,8 +299,8 @@
     while offset < len(data):
         try:
             body = _read_body(path, data, offset)
-        except StorageError:
-            if not _is_unsynced(data, offset):
+        except StorageError as error:
+            if not _is_unsynced(data, error):
                 raise
             break
         records.append(_decode(path, offset, body))
@@ -312,32 +316,26 @@
     """
     start = offset + _HEADER.size
     if start > len(data):
-        raise StorageError(path, offset, "a record's header is incomplete")
+        raise _CutOffError(path, offset, "a record's header is incomplete")
     length, checksum, header_checksum = _HEADER.unpack_from(data, offset)
     if zlib.crc32(data[offset : offset + 8]) != header_checksum:
         raise StorageError(path, offset, "a record's header is corrupt")
     if start + length > len(data):
-        raise StorageError(path, offset, "a record's body is incomplete")
+        raise _CutOffError(path, offset, "a record's body is incomplete")
     body = data[start : start + length]
     if zlib.crc32(body) != checksum:
         raise StorageError(path, offset, "a record's body is corrupt")
     return body
 
 
-def _is_unsynced(data: bytes, offset: int) -> bool:
-    """Whether no sync that is known of covered what follows an offset."""
+def _is_unsynced(data: bytes, error: StorageError) -> bool:
+    """Whether no sync that is known of covered a damaged record."""
     marks = _find_marks(data)
     if marks:
-        return offset > marks[-1]
+        return error.offset > marks[-1]
     # A log of a release without marks: only a record that the end of the file
     # cuts off, or space that was never written, can't have been synced.
-    header = data[offset : offset + _HEADER.size]
-    is_header_whole = len(header) == _HEADER.size and (
-        zlib.crc32(header[:8]) == _HEADER.unpack(header)[2]
-    )
-    if is_header_whole:
-        return offset + _HEADER.size + _HEADER.unpack(header)[0] > len(data)
-    return len(header) < _HEADER.size or not any(data[offset:])
+    return isinstance(error, _CutOffError) or not any(data[error.offset :])
 
 
 def _find_marks(data: bytes) -> list[int]:
