--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -306,10 +306,7 @@
             )
             for u in other.fleet.view.upstreams.values()
         )
-        view = self.fleet.view
-        news = FleetNews(1, view.number + 1, True, changes)
-        view.apply_news(news, 0.0, float("inf"))
-        self.front.streams.handle_news()
+        self._apply(*changes, whole=True)
 
     def restart_streams(self) -> None:
         """Forgets all streams and versions, as a front that was killed does."""
@@ -374,14 +371,8 @@
             software=software,
         )
         view = self.fleet.view
-        known = tuple(
-            UpstreamChange(u.name, u) for u in view.upstreams.values()
-        )
-        changes = (*known, UpstreamChange(name, record))
-        view.apply_news(
-            FleetNews(1, view.number + 1, True, changes), 0.0, float("inf")
-        )
-        self.front.streams.handle_news()
+        known = [UpstreamChange(u.name, u) for u in view.upstreams.values()]
+        self._apply(*known, UpstreamChange(name, record), whole=True)
         self.front.limits.apply_news(view)
         return upstream
 
@@ -398,9 +389,9 @@
         known = self.fleet.view.upstreams[name]
         self._apply(UpstreamChange(name, attrs.evolve(known, **fields)))
 
-    def _apply(self, change: UpstreamChange) -> None:
+    def _apply(self, *changes: UpstreamChange, whole: bool = False) -> None:
         view = self.fleet.view
-        news = FleetNews(1, view.number + 1, False, (change,))
+        news = FleetNews(1, view.number + 1, whole, changes)
         view.apply_news(news, 0.0, float("inf"))
         self.front.streams.handle_news()
 
--- a/testing/app/test_stream_versions.py
+++ b/testing/app/test_stream_versions.py
@@ -424,6 +424,13 @@
         assert (await fronts[0].take_up("r1", "1")).status == 200
 
 
+def cut_off_last(fronts: list[FrontWorld]) -> None:
+    """Leaves the last front without the others' answers and later news."""
+    for front in fronts[:-1]:
+        front.datagrams.close()
+    fronts[-1].fleet.view.asked_at = 0.0
+
+
 class TestFrontOutOfStep:
     async def begin_at_new_version(self, fronts: list[FrontWorld]) -> None:
         """Begins r1 at v2, of which the last front hears nothing."""
@@ -460,9 +467,7 @@
     ) -> None:
         """Guards against news from before the stream began."""
         await self.begin_at_new_version(fronts)
-        for front in fronts[:2]:
-            front.datagrams.close()
-        fronts[2].fleet.view.asked_at = 0.0
+        cut_off_last(fronts)
         assert (await fronts[2].take_up("r1", "1")).status == 503
 
     async def test_news_that_become_fresh_meanwhile_are_confirmed_too(
@@ -470,9 +475,7 @@
     ) -> None:
         """Guards against old news that count as new once others are silent."""
         await self.begin_at_new_version(fronts)
-        for front in fronts[:2]:
-            front.datagrams.close()
-        fronts[2].fleet.view.asked_at = 0.0
+        cut_off_last(fronts)
         fronts[2].news_age = 5.0
         taken = asyncio.create_task(fronts[2].take_up("r1", "1"))
         await asyncio.sleep(0.1)
@@ -485,9 +488,7 @@
         """Guards against refusals of all streams while fronts are cut off."""
         runners = Runners(breaks=False)
         await runners.add(fronts[2], "u1", "v1")
-        for front in fronts[:2]:
-            front.datagrams.close()
-        fronts[2].fleet.view.asked_at = 0.0
+        cut_off_last(fronts)
         taken = asyncio.create_task(fronts[2].take_up("r1", "1"))
         await asyncio.sleep(0.3)
         fronts[2].fleet.view.asked_at = asyncio.get_running_loop().time()
--- a/testing/core/test_voter_changes.py
+++ b/testing/core/test_voter_changes.py
@@ -51,6 +51,11 @@
             self.replica.receive(answer, identity, self.now)
         self.replica.take_output()
 
+    def acknowledge_at(self, now: float, *identities: str) -> None:
+        """Makes followers acknowledge the whole log at a later time."""
+        self.now = now
+        self.acknowledge(*identities)
+
     def decide(
         self,
         identity: str,
@@ -85,14 +90,12 @@
         self, leader: Leader
     ) -> None:
         assert leader.decide(_NEW, 3).learners == (_NEW,)
-        leader.now = 20.0
-        leader.acknowledge(*_VOTERS[1:], _NEW)
+        leader.acknowledge_at(20.0, *_VOTERS[1:], _NEW)
         assert leader.decide(_NEW, 3) is None
 
     def test_a_new_node_replaces_a_silent_voter(self, leader: Leader) -> None:
         leader.decide(_NEW, 3)
-        leader.now = 20.0
-        leader.acknowledge(_VOTERS[1], _NEW)
+        leader.acknowledge_at(20.0, _VOTERS[1], _NEW)
         reduced = leader.decide(_NEW, 3)
         assert set(reduced.voters) == set(_VOTERS[:2])
         final = leader.decide(_NEW, 3)
@@ -122,12 +125,10 @@
     ) -> None:
         """Guards against a fixed time that outlasts the one that is allowed."""
         leader.decide(_NEW, 3)
-        leader.now = 0.2 * catch_up_seconds
-        leader.acknowledge(_VOTERS[1], _NEW)
+        leader.acknowledge_at(0.2 * catch_up_seconds, _VOTERS[1], _NEW)
         settings = {"catch_up_seconds": catch_up_seconds}
         assert leader.decide(_NEW, 3, **settings) is None
-        leader.now = 0.4 * catch_up_seconds
-        leader.acknowledge(_VOTERS[1], _NEW)
+        leader.acknowledge_at(0.4 * catch_up_seconds, _VOTERS[1], _NEW)
         assert _VOTERS[2] not in leader.decide(_NEW, 3, **settings).voters
         assert _NEW in leader.decide(_NEW, 3, **settings).voters
 
@@ -136,11 +137,9 @@
     ) -> None:
         """Guards against heartbeats that count as silence."""
         leader.decide(_NEW, 3)
-        leader.now = 0.5
-        leader.acknowledge(_VOTERS[1], _NEW)
+        leader.acknowledge_at(0.5, _VOTERS[1], _NEW)
         assert leader.decide(_NEW, 3, catch_up_seconds=0.0) is None
-        leader.now = 0.7
-        leader.acknowledge(_VOTERS[1], _NEW)
+        leader.acknowledge_at(0.7, _VOTERS[1], _NEW)
         assert leader.decide(_NEW, 3, catch_up_seconds=0.0) is not None
 
     def test_a_voter_that_others_hear_keeps_its_vote(
@@ -148,8 +147,7 @@
     ) -> None:
         """Guards against a cut link of the leader alone that counts as loss."""
         leader.decide(_NEW, 3)
-        leader.now = 20.0
-        leader.acknowledge(_VOTERS[1], _NEW)
+        leader.acknowledge_at(20.0, _VOTERS[1], _NEW)
         assert leader.decide(_NEW, 3, voter_beat(_VOTERS[2], 1.5)) is None
         assert leader.decide(_NEW, 3, voter_beat(_VOTERS[2], 2.0)) is not None
 
@@ -161,8 +159,7 @@
         leader.decide(_NEW, 3, wiped)
         leader.decide(_NEW, 3, wiped)
         leader.replica.progress[_VOTERS[1]].acked_at = -1.0
-        leader.now = 20.0
-        leader.acknowledge(_NEW)
+        leader.acknowledge_at(20.0, _NEW)
         assert leader.decide(_NEW, 3, wiped).voters == _VOTERS[:2]
 
     def test_a_voter_that_stops_goes_after_its_successor_votes(
@@ -182,8 +179,7 @@
     ) -> None:
         """Guards against a vote for a node that can't be part of a quorum."""
         leader.decide(_NEW, 3)
-        leader.now = 20.0
-        leader.acknowledge(_VOTERS[1])
+        leader.acknowledge_at(20.0, _VOTERS[1])
         assert leader.decide(_NEW, 3) is None
 
     def test_a_learner_whose_node_is_gone_is_removed(
@@ -191,8 +187,7 @@
     ) -> None:
         """Guards against stops that wait for a successor that is gone."""
         leader.decide(_NEW, 3)
-        leader.now = 20.0
-        leader.acknowledge(*_VOTERS[1:])
+        leader.acknowledge_at(20.0, *_VOTERS[1:])
         change = decide_change(leader.replica, [], 20.0, VoterPolicy(3))
         assert change.voters == Voters(_VOTERS)
 
@@ -203,8 +198,7 @@
     ) -> None:
         """Guards against a node that wrongly takes itself for a voter."""
         leader.decide(_NEW, 3)
-        leader.now = 20.0
-        leader.acknowledge(_VOTERS[1], _NEW)
+        leader.acknowledge_at(20.0, _VOTERS[1], _NEW)
         leader.decide(_NEW, 3)
         assert _NEW in leader.decide(_NEW, 3).voters
         returned = voter_beat(_VOTERS[2])
