Limit what control nodes are told by the bucket that fronts have

StreamKeeping refilled and took from an allowance of its own, although core/serving/rates.py has LocalBucket for a front's part of a rate. As such a bucket may be overdrawn by one record, it holds one less: rate and burst are as before.

A question holds its message, so that its number, key and service need not be passed beside it, and how long streams are taken up is looked up in one place. testing/app/test_stream_versions.py passed, with the bounds of 90 to 105 records as they were.

--- a/src/ridgesill/app/stream_keeping.py
+++ b/src/ridgesill/app/stream_keeping.py
@@ -19,6 +19,7 @@
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.core.fleet.registry import FleetView
 from ridgesill.core.rendezvous import rank
+from ridgesill.core.serving.rates import LocalBucket
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.core.serving.stream_origins import (
     SoftwareHistory,
@@ -140,7 +141,7 @@
 class _Question:
     """A question that keepers have yet to answer."""
 
-    number: int
+    message: FindOrigin
     answered: asyncio.Event
     asked: dict[str, Node] = attrs.Factory(dict)
     answers: dict[str, OriginAnswer] = attrs.Factory(dict)
@@ -225,9 +226,8 @@
         self._upkeep_at = 0.0
         self._fronts: dict[str, Node] = {}
         self._controls: dict[str, Node] = {}
-        # Records that may be sent to control nodes, as of a time.
-        self._control_allowance = 0.0
-        self._allowance_at = 0.0
+        # Records that may be sent to control nodes.
+        self._control_allowance = LocalBucket(0.0, 0.0)
         self._questions: dict[int, _Question] = {}
         self._question_number = random.getrandbits(32)
         # Longest time for which streams of each service are taken up, seconds.
@@ -330,9 +330,12 @@
         """Returns a service's only version lately; None if in doubt."""
         if not self._is_news_fresh():
             return None
-        seconds = self._take_up_seconds.get(service, kept_seconds(0.0))
+        seconds = self._find_take_up_seconds(service)
         return self._history.find_sole(service, now, seconds)
 
+    def _find_take_up_seconds(self, service: str) -> float:
+        return self._take_up_seconds.get(service, kept_seconds(0.0))
+
     # -- streams that begin here ---------------------------------------
 
     def record(
@@ -425,16 +428,12 @@
 
     def _take_allowance(self) -> bool:
         """Returns whether a control node may be told of one more stream."""
-        now = self._loop.time()
         controls_per_front = len(self._controls) / max(len(self._fronts), 1)
         rate = _CONTROL_RECORDS_PER_SECOND * controls_per_front
-        saved = self._control_allowance + (now - self._allowance_at) * rate
-        self._control_allowance = min(saved, _CONTROL_BURST_SECONDS * rate)
-        self._allowance_at = now
-        if self._control_allowance < 1.0:
-            return False
-        self._control_allowance -= 1.0
-        return True
+        # The bucket may be overdrawn by one record.
+        capacity = _CONTROL_BURST_SECONDS * rate - 1.0
+        now = self._loop.time()
+        return self._control_allowance.acquire(1, rate, capacity, now)
 
     # -- streams that are taken up -------------------------------------
 
@@ -466,32 +465,31 @@
             return await self._confirm_sole(service, sole, began_at)
         origin = question.find_origin()
         if origin is None:
-            return self._find_agreed(question, service)
+            return self._find_agreed(question)
         self._origins.record(origin, self._loop.time())
         return _make_found(origin, KEEPER)
 
-    def _find_agreed(
-        self, question: _Question, service: str
-    ) -> FoundVersion | None:
+    def _find_agreed(self, question: _Question) -> FoundVersion | None:
         """Returns the only version that any front has known lately."""
-        own = self._make_answer(question.number, None, service)
+        own = self._make_answer(question.message, None)
         sole = question.find_sole(own)
         if sole is None:
             return None
         source = KEEPER if own.sole is None else SOLE_VERSION
-        return FoundVersion(service, sole, source)
+        return FoundVersion(question.message.service, sole, source)
 
     def _make_answer(
-        self, number: int, origin: StreamOrigin | None, service: str
+        self, message: FindOrigin, origin: StreamOrigin | None
     ) -> OriginAnswer:
         """Returns what this front knows of a stream and its service."""
         now = self._loop.time()
         self._update_history(now)
+        service = message.service
         sole = None if origin else self._find_sole(service, now)
-        seconds = self._take_up_seconds.get(service, kept_seconds(0.0))
+        seconds = self._find_take_up_seconds(service)
         lately = self._history.list_lately(service, now, seconds)
         named = tuple(sorted(lately)[:_MAX_NAMED_VERSIONS])
-        return OriginAnswer(number, origin, sole, named)
+        return OriginAnswer(message.number, origin, sole, named)
 
     async def _confirm_sole(
         self, service: str, sole: str | None, began_at: float
@@ -523,27 +521,26 @@
     ) -> _Question:
         """Asks keepers until one knows the stream; returns all answers."""
         self._question_number += 1
-        number = self._question_number
-        question = _Question(number, asyncio.Event())
-        self._questions[number] = question
+        message = FindOrigin(self._question_number, key, service)
+        question = _Question(message, asyncio.Event())
+        self._questions[message.number] = question
         try:
             for count in rounds:
-                self._ask(question, FindOrigin(number, key, service), count)
+                self._ask(question, count)
                 await self._await_answers(question)
                 if question.find_origin() is not None:
                     break
-                if question.answers and self._find_agreed(question, service):
+                if question.answers and self._find_agreed(question):
                     break
         finally:
-            del self._questions[number]
+            del self._questions[message.number]
         return question
 
-    def _ask(
-        self, question: _Question, message: FindOrigin, count: int
-    ) -> None:
+    def _ask(self, question: _Question, count: int) -> None:
         """Asks the keepers that haven't answered yet."""
         if self._datagrams is None:
             return
+        message = question.message
         fronts = choose_keepers(message.key, self._fronts, count)
         controls = choose_keepers(
             message.key, self._controls, _ASKED_CONTROL_KEEPERS
@@ -583,8 +580,7 @@
         if self._datagrams is None:
             return
         origin = self._origins.find(message.key, self._loop.time())
-        answer = self._make_answer(message.number, origin, message.service)
-        self._datagrams.send(sender, answer)
+        self._datagrams.send(sender, self._make_answer(message, origin))
 
     def handle_answer(self, sender: str, message: OriginAnswer) -> None:
         """Records an answer to a question of this front."""
