Read bodies up to a bound by one class for real and emulated answers

An emulated body that nobody needs is given up after 0.2 s of emulated time, as a real one is.

testing/adapters/http1, testing/app/test_endless_answers.py and testing/standin/emulator/test_engines.py passed.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 
+from ridgesill.adapters.http1.bodies import BodyReader
 from ridgesill.adapters.http1.channel import (
     REQUEST_ID_HEADER,
     ChannelBrokenError,
@@ -13,8 +14,6 @@
 )
 from ridgesill.core.addresses import split_address
 from ridgesill.ports.http import (
-    MAX_BODY_BYTES,
-    MAX_DISCARDED_BYTES,
     ChannelError,
     HttpRequest,
     ResponseHead,
@@ -33,8 +32,6 @@
 # 2 s after the last byte; clients abandon a stream after at least 2 s of
 # silence.
 _PROBE_INTERVAL_SECONDS = 1
-# How long a body that nobody needs may take, in seconds.
-_DISCARD_SECONDS = 0.2
 
 
 class Connectivity(enum.Enum):
@@ -84,7 +81,7 @@
     return _CONNECTIVITY_BY_ERRNO.get(error.errno or 0, Connectivity.UNKNOWN)
 
 
-class Exchange:
+class Exchange(BodyReader):
     """A request that was sent on a channel, and its response.
 
     Attributes:
@@ -125,46 +122,6 @@
             self._finish()
         return data
 
-    async def read_rest(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
-        """Returns the rest of the body.
-
-        Args:
-            max_bytes: how long it may be.
-
-        Raises:
-            ChannelError: the connection ended before the body did, or the body
-                is longer.
-        """
-        parts = []
-        length = 0
-        while data := await self.read_data():
-            length += len(data)
-            if length > max_bytes:
-                raise self._to_channel_error(
-                    "body", f"longer than {max_bytes} bytes"
-                )
-            parts.append(data)
-        return b"".join(parts)
-
-    async def discard_rest(self) -> None:
-        """Reads the rest of a body that nobody needs, to keep the channel.
-
-        Closes the channel instead if the body is long or late.
-
-        Raises:
-            ChannelError: the connection ended before the body did.
-        """
-        length = 0
-        try:
-            async with asyncio.timeout(_DISCARD_SECONDS):
-                while data := await self.read_data():
-                    length += len(data)
-                    if length > MAX_DISCARDED_BYTES:
-                        self.cancel()
-                        return
-        except TimeoutError:
-            self.cancel()
-
     def _to_channel_error(self, step: str, detail: str) -> ChannelError:
         self.cancel()
         return ChannelError(step, self._channel.address, detail, True)
--- a/src/ridgesill/standin/emulator/engines.py
+++ b/src/ridgesill/standin/emulator/engines.py
@@ -7,16 +7,11 @@
 import attrs
 import msgspec
 
+from ridgesill.adapters.http1.bodies import BodyReader
 from ridgesill.adapters.http1.client import Connectivity
 from ridgesill.core.fleet.messages import Heartbeat
 from ridgesill.ports.dialect import RequestFacts
-from ridgesill.ports.http import (
-    MAX_BODY_BYTES,
-    MAX_DISCARDED_BYTES,
-    ChannelError,
-    HttpRequest,
-    ResponseHead,
-)
+from ridgesill.ports.http import ChannelError, HttpRequest, ResponseHead
 from ridgesill.standin.emulator.adapter_slots import AdapterSlots
 from ridgesill.standin.emulator.batch import Batch, EngineShape, Sequence
 from ridgesill.standin.emulator.messages import (
@@ -150,7 +145,7 @@
         exchange.send_whole(encode_verdict(verdict), b"")
 
 
-class EmulatedExchange:
+class EmulatedExchange(BodyReader):
     """One request and its answer; replaces `adapters.http1.client.Exchange`.
 
     Args:
@@ -238,39 +233,9 @@
         assert isinstance(data, bytes)
         return data
 
-    async def read_rest(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
-        """Reads the remaining body to its end.
-
-        Args:
-            max_bytes: how long it may be.
-
-        Raises:
-            ChannelError: the upstream broke the connection, or the body is
-                longer.
-        """
-        parts = []
-        length = 0
-        while data := await self.read_data():
-            length += len(data)
-            if length > max_bytes:
-                self.cancel()
-                detail = f"longer than {max_bytes} bytes"
-                raise ChannelError("body", self._address, detail, True)
-            parts.append(data)
-        return b"".join(parts)
-
-    async def discard_rest(self) -> None:
-        """Reads a body that nobody needs; cancels it if it is long.
-
-        Raises:
-            ChannelError: the upstream broke the connection.
-        """
-        length = 0
-        while data := await self.read_data():
-            length += len(data)
-            if length > MAX_DISCARDED_BYTES:
-                self.cancel()
-                return
+    def _to_channel_error(self, step: str, detail: str) -> ChannelError:
+        self.cancel()
+        return ChannelError(step, self._address, detail, True)
 
     def cancel(self) -> None:
         """Tells the upstream to stop, unless the answer has ended."""
