--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -98,7 +98,9 @@
         end = judge_body(head, body)
         if end.is_unknown:
             end = await self._check_upstream(upstream, end)
-        self._log_answer_end(upstream, head, end, len(body), 0)
+        self._log_answer_end(
+            upstream.name, upstream.address, head, end, len(body), 0
+        )
         if end.is_broken:
             raise ChannelError("body", upstream.address, end.reason, True)
         return body, end
@@ -153,7 +155,12 @@
             self._record_gaps(upstream, gaps)
         end = await self._judge_stream(upstream, head, tail)
         self._log_answer_end(
-            upstream, head, end, tail.byte_count, tail.event_count
+            upstream.name,
+            upstream.address,
+            head,
+            end,
+            tail.byte_count,
+            tail.event_count,
         )
         if end.is_broken:
             raise ChannelError("body", upstream.address, end.reason, True)
@@ -211,12 +218,31 @@
                 "body", upstream.address, str(error), True
             ) from error
 
+    # -- answers of other fronts ---------------------------------------
+
+    async def read_from_front(
+        self, peer: str, exchange: Exchange, head: ResponseHead
+    ) -> bytes:
+        """Returns the body of another front's answer.
+
+        Raises:
+            ChannelError: the body was broken off.
+        """
+        body = await exchange.read_rest()
+        self._check_front_end(peer, head, judge_body(head, body), len(body))
+        return body
+
     async def relay_from_front(
-        self, exchange: Exchange, head: ResponseHead, software: str | None
+        self,
+        peer: str,
+        exchange: Exchange,
+        head: ResponseHead,
+        software: str | None,
     ) -> None:
         """Passes on a stream that another front serves.
 
         Args:
+            peer: address of the other front.
             exchange: reads the stream.
             head: of the other front's answer.
             software: the version that serves it there; None if unknown.
@@ -226,11 +252,30 @@
         """
         if head.is_framed:
             self._answer.send_head(head)
+        tail = StreamTail(counts_events=not head.is_framed)
         while data := await exchange.read_data():
+            tail.feed(data)
             self._answer.send_head(head)
             self._search.software = software
             self.first_event_at = self.first_event_at or self._loop.time()
             await self._answer.send_data(data)
+        # The other front may have sent it to a service whose streams have no
+        # end mark.
+        end = judge_stream(head, tail, expects_mark=False)
+        self._check_front_end(
+            peer, head, end, tail.byte_count, tail.event_count
+        )
+
+    def _check_front_end(
+        self,
+        peer: str,
+        head: ResponseHead,
+        end: AnswerEnd,
+        byte_count: int,
+        event_count: int = 0,
+    ) -> None:
+        """Logs the end of another front's answer."""
+        self._log_answer_end("", peer, head, end, byte_count, event_count)
 
     async def _judge_stream(
         self, upstream: Upstream, head: ResponseHead, tail: StreamTail
@@ -255,7 +300,8 @@
 
     def _log_answer_end(
         self,
-        upstream: Upstream,
+        upstream: str,
+        peer: str,
         head: ResponseHead,
         end: AnswerEnd,
         byte_count: int,
@@ -271,8 +317,8 @@
         log_message(
             "request:answer_end",
             request=self._facts.request,
-            upstream=upstream.name,
-            peer=upstream.address,
+            upstream=upstream,
+            peer=peer,
             ended_by="framing" if head.is_framed else "connection",
             completeness=end.completeness.value,
             reason=end.reason,
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -650,6 +650,7 @@
             ChannelError: the answer was broken off.
         """
         exchange = answer.exchange
+        peer = answer.front.address
         head = links.dialect.filter_front_answer(answer.head)
         software = links.dialect.read_software(answer.head)
         if self._answer.has_started and head.status != _OK:
@@ -667,14 +668,15 @@
                 self._may_have_run = True
                 self._fail(Failure("another software version elsewhere", False))
                 return
-            await self._relay.relay_from_front(exchange, head, software)
-            self._answer.check_framing(head, answer.front.address)
+            await self._relay.relay_from_front(peer, exchange, head, software)
+            self._answer.check_framing(head, peer)
             self._answer.send_head(head)
             self._answer.finish()
         else:
-            self._answer.deliver(head, await exchange.read_rest())
+            body = await self._relay.read_from_front(peer, exchange, head)
+            self._answer.deliver(head, body)
         self._search.chosen_by = "front"
-        self._record_end(SENT_ON, answer.front.address, status=head.status)
+        self._record_end(SENT_ON, peer, status=head.status)
 
     # -- one attempt ---------------------------------------------------
 
