Reset unframed answers of a process that ends

Their answers had neither a length nor chunks, so the close completed them.

Cause: the front set its connection to reset only when it broke such an answer off itself. A killed process is closed by its kernel, in order. A front that passed the answer on took that close for the end and ended its own in order.

The connection now resets on close from the head of such an answer until the kernel has every byte of it, so that whoever closes it earlier breaks it off. The state outlasts abort(): the task that serves used to go on to the orderly end. A front judges the end of another front's answer as that of an upstream.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -33,8 +33,10 @@
 # How long a client may take to close a connection whose end completed a
 # response.
 _HALF_CLOSED_SECONDS = 1.0
-# Socket option by which closing a connection resets it.
-_NO_LINGER = struct.pack("ii", 1, 0)
+# Values of the socket option SO_LINGER: closing a connection resets it, or ends
+# it after all that was written.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class _BodyTooLargeError(Exception):
@@ -76,7 +78,8 @@
         self._is_closed = False
         # Whether the end of the connection completes the current response.
         self._ends_response = False
-        # Whether the connection waits only for its client to close it.
+        # Whether the current response is complete, so that the connection waits
+        # only until its client has all of it and closes.
         self._is_half_closed = False
 
     # -- asyncio.Protocol callbacks ------------------------------------
@@ -109,6 +112,8 @@
     def resume_writing(self) -> None:
         """Lets `drain` return: the write buffer has room again."""
         self._wake_writer()
+        if self._is_half_closed:
+            self._send_end()
 
     def _wake_writer(self) -> None:
         if self._writable is not None and not self._writable.done():
@@ -211,7 +216,7 @@
     def _start_next_cycle(self) -> None:
         http = self._http
         reusable = http.our_state is h11.DONE and http.their_state is h11.DONE
-        if not reusable and self._ends_response:
+        if self._ends_response and http.our_state is h11.MUST_CLOSE:
             self._half_close()
             return
         if not reusable or self._must_close():
@@ -275,6 +280,10 @@
         self._ends_response = not _has_length(head) and (
             (self._http.their_http_version or b"") <= _UNCHUNKED_VERSION
         )
+        if self._ends_response and self._transport is not None:
+            # Should this process end, its kernel closes the connection. Without
+            # a reset, that would complete the response.
+            _set_reset_on_close(self._transport, True)
         self.send(head)
 
     def send(self, event: h11.Event) -> None:
@@ -307,12 +316,13 @@
 
     def abort(self) -> None:
         """Closes the connection at once and drops unsent response bytes."""
-        if self._transport is None:
-            return
-        if self._ends_response:
-            # A plain close would complete the response.
-            _reset_on_close(self._transport)
-        self._transport.abort()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _count_buffered(self) -> int:
+        """Returns the response bytes that the kernel hasn't taken."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport else 0
 
     def _write(self, data: bytes | None) -> None:
         if data and self._transport is not None:
@@ -325,9 +335,23 @@
         Closing with unread requests would reset the connection, which makes a
         response that the connection ends look broken off.
         """
-        if self._transport is not None:
-            self._is_half_closed = True
-            self._transport.write_eof()
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        self._is_half_closed = True
+        # `resume_writing` is called once the buffer is empty.
+        transport.set_write_buffer_limits(high=0)
+        if not transport.get_write_buffer_size():
+            self._send_end()
+
+    def _send_end(self) -> None:
+        """Ends a response of which the kernel has every byte."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        self._period_started_at = self._loop.time()
+        _set_reset_on_close(transport, False)
+        transport.write_eof()
 
     def _close(self) -> None:
         if self._transport is not None:
@@ -346,7 +370,8 @@
         limits = self._listener.limits
         elapsed_seconds = now - self._period_started_at
         if self._is_half_closed:
-            if elapsed_seconds > _HALF_CLOSED_SECONDS:
+            is_sent = not self._count_buffered()
+            if is_sent and elapsed_seconds > _HALF_CLOSED_SECONDS:
                 self._close()
             return
         if self._receiving and self._head is None:
@@ -412,11 +437,16 @@
     return any(name == b"content-length" for name, _ in head.headers)
 
 
-def _reset_on_close(transport: asyncio.Transport) -> None:
-    """Makes closing the transport reset its connection."""
+def _set_reset_on_close(transport: asyncio.Transport, resets: bool) -> None:
+    """Sets whether closing the connection resets it, by whomever it is closed.
+
+    The kernel does so as well for a process that is killed.
+    """
     connected = transport.get_extra_info("socket")
-    if connected is not None and connected.fileno() >= 0:
-        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    if connected is None or connected.fileno() < 0:
+        return
+    value = _RESET_ON_CLOSE if resets else _END_ON_CLOSE
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
 
 def _count_kernel_bytes(transport: asyncio.Transport) -> int:
--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -274,8 +274,17 @@
         byte_count: int,
         event_count: int = 0,
     ) -> None:
-        """Logs the end of another front's answer."""
+        """Logs the end of another front's answer.
+
+        A front that is killed resets its connections, so an end that may be
+        whole is what the other front has judged.
+
+        Raises:
+            ChannelError: the answer was broken off.
+        """
         self._log_answer_end("", peer, head, end, byte_count, event_count)
+        if end.is_broken:
+            raise ChannelError("body", peer, end.reason, True)
 
     async def _judge_stream(
         self, upstream: Upstream, head: ResponseHead, tail: StreamTail
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -11,7 +11,7 @@
 import attrs
 
 from ridgesill.adapters.http1.client import UpstreamChannels
-from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.adapters.http1.server import HttpListener, ServerConnection
 from ridgesill.adapters.peer_datagrams import PeerDatagrams
 from ridgesill.app.fleet_client import FleetClient
 from ridgesill.app.forwarding import serve_request
@@ -268,6 +268,11 @@
         )
         self._upstreams: list[ScriptedUpstream] = []
 
+    @property
+    def connections(self) -> set[ServerConnection]:
+        """The open connections of clients."""
+        return self._listener.connections
+
     async def _serve_front_request(
         self, request: HttpRequest, responder: Responder
     ) -> None:
--- a/testing/app/test_front_hop.py
+++ b/testing/app/test_front_hop.py
@@ -259,6 +259,26 @@
         answer = await fronts.ask("/stream/x", **STREAM)
         assert (answer.framed, answer.complete) == (False, True)
 
+    async def test_a_stream_that_another_front_cuts_does_not_look_complete(
+        self, fronts: Fronts
+    ) -> None:
+        """Guards against a front that ends a stream by closing in order."""
+
+        async def cut(call: Call) -> None:
+            await call.begin_unframed("text/event-stream")
+            await call.send(b"id: 1\ndata: x\n\nid: 2\nda")
+            call.writer.close()
+
+        other = ScriptedUpstream("other", cut)
+        await other.start()
+        await fronts.whole.add("u1", answer_ok, "engine", base__a1=1)
+        fronts.share_upstreams()
+        node = Node("other", "1", other.address, "a")
+        fronts.cut.front.links.fronts.set_nodes([node])
+        answer = await fronts.ask("/stream/x", **STREAM)
+        other.stop()
+        assert (answer.framed, answer.complete) == (False, False)
+
     async def test_a_client_that_leaves_ends_the_work(
         self, fronts: Fronts
     ) -> None:
--- a/testing/app/test_unframed_answers.py
+++ b/testing/app/test_unframed_answers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -21,6 +23,8 @@
 EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 PART = b"id: 3\nda"
 MARK = b"id: 3\ndata: [DONE]\n\n"
+# More than the kernel takes for a client that reads nothing.
+LONG_EVENTS = b"id: 1\ndata: %s\n\n" % (b"x" * 2**20) * 12
 
 Script = Callable[[Call], Awaitable[None]]
 
@@ -305,3 +309,50 @@
         first = await client.read()
         assert (first.body, first.complete) == (EVENTS, True)
         assert len(upstream.calls) == 1
+
+    async def test_a_response_resets_its_connection_until_all_of_it_is_sent(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against a killed process that completes a response."""
+
+        async def answer(call: Call) -> None:
+            await call.begin_unframed(EVENT_STREAM)
+            await call.send(LONG_EVENTS)
+            call.writer.close()
+
+        await add_engine(world, "u1", answer)
+        client = await world.open()
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await client.send("/stream/x", b"b", **STREAM)
+        await asyncio.sleep(0.3)
+        (connection,) = world.connections
+        transport = connection._transport
+        assert transport.get_write_buffer_size() > 0
+        assert resets_on_close(transport)
+        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        got = await client.read()
+        assert (got.body, got.complete) == (LONG_EVENTS, True)
+        assert not resets_on_close(transport)
+
+    async def test_an_aborted_response_stays_broken_off(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against an end of the task that takes the reset back."""
+
+        async def wait(call: Call) -> None:
+            await call.begin_unframed(EVENT_STREAM)
+            await call.send(EVENTS)
+            await call.wait_closed()
+
+        await add_engine(world, "u1", wait)
+        client = await world.open()
+        await client.send("/stream/x", b"b", request_deadline="300", **STREAM)
+        answer = await client.read()
+        assert (answer.body, answer.complete) == (EVENTS, False)
+
+
+def resets_on_close(transport: asyncio.Transport) -> bool:
+    """Whether the kernel resets the connection when its process ends."""
+    connected = transport.get_extra_info("socket")
+    option = connected.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+    return struct.unpack("ii", option) == (1, 0)
