Log which configurations two fronts have that serve a request

Fronts now name to each other what they have applied: the version of the configuration and the index in the log. request:end and request:front_refused have it as peer_version. Nothing is decided by it yet.

--- a/src/ridgesill/app/client_answer.py
+++ b/src/ridgesill/app/client_answer.py
@@ -61,6 +61,7 @@
         if self._request.is_from_front and links is not None:
             told = links.dialect.make_software_headers(software)
             headers = (*told, *headers)
+        headers = (*self._make_applied_headers(), *headers)
         self._responder.send_head(
             head.status, headers, head.reason, is_framed=head.is_framed
         )
@@ -101,6 +102,7 @@
         )
         if has_body:
             headers = _replace_length(headers, len(body) if is_whole else None)
+        headers = (*self._make_applied_headers(), *headers)
         self._responder.send_head(
             head.status, headers, head.reason, is_framed=is_whole
         )
@@ -123,8 +125,16 @@
         dialect = self._front.links.dialect
         self._send_empty(status, dialect.make_front_refusal_headers(reason))
 
+    def _make_applied_headers(self) -> Headers:
+        """Returns the headers that tell a front what is applied here."""
+        links = self._front.links
+        if links is None or not self._request.is_from_front:
+            return ()
+        return links.dialect.make_applied_headers(self._front.applied)
+
     def _send_empty(self, status: int, headers: Headers) -> None:
-        self._responder.send_head(status, (*headers, _EMPTY_BODY))
+        told = (*self._make_applied_headers(), *headers)
+        self._responder.send_head(status, (*told, _EMPTY_BODY))
         self._responder.finish()
 
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -171,6 +171,8 @@
         # Whether another front serves the request, where it counts.
         self._was_sent_on = False
         self._hop: FrontHop | None = None
+        # What the front that sent the request, or that served it, has applied.
+        self._peer_applied = self._facts.sender
         # Key of the stream that it begins; empty if it begins none.
         self._stream_key = b""
         # Whose upstreams answer nothing here, so that another front is asked.
@@ -602,7 +604,11 @@
         last_event = self._relay.last_event if self._relay.splitter else ""
         options = FrontOptions(0.0, last_event, self._search.software)
         hop = self._hop = FrontHop(
-            links, self._request, options, self._facts.request
+            links,
+            self._request,
+            options,
+            self._facts.request,
+            lambda: self._front.applied,
         )
         began_at = self._loop.time()
         while True:
@@ -652,6 +658,7 @@
         exchange = answer.exchange
         peer = answer.front.address
         head = links.dialect.filter_front_answer(answer.head)
+        self._peer_applied = links.dialect.read_applied(answer.head.headers)
         software = links.dialect.read_software(answer.head)
         if self._answer.has_started and head.status != _OK:
             await exchange.discard_rest()
@@ -1091,6 +1098,9 @@
                 priority=self._priority(),
                 goal=route.goal if route else 0.0,
                 version=self._front.table.version,
+                peer_version=(
+                    self._peer_applied.version if self._peer_applied else 0
+                ),
                 customer=self._customer_name(),
                 customer_label=self._customer_label(),
                 artifact=self._facts.artifact,
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -27,7 +27,7 @@
 from ridgesill.core.serving.returning_callers import ReturningCallers
 from ridgesill.core.serving.routes import RouteTable
 from ridgesill.core.serving.service_admission import ServiceAdmission
-from ridgesill.ports.dialect import Dialect, FrontDialect
+from ridgesill.ports.dialect import AppliedState, Dialect, FrontDialect
 from ridgesill.ports.telemetry import BufferedTelemetry, Telemetry
 
 
@@ -79,6 +79,8 @@
         streams: StreamKeeping | None = None,
     ) -> None:
         self.table = RouteTable()
+        # Index of the last log entry that has been applied.
+        self.applied_index = 0
         self.versions: dict[str, int] = {}
         self.chooser = chooser
         self.fleet = fleet
@@ -130,6 +132,11 @@
         # When the amounts sent were last collected, on the loop's clock.
         self._collected_at = float("inf")
 
+    @property
+    def applied(self) -> AppliedState:
+        """What this front has applied of the log."""
+        return AppliedState(self.table.version, self.applied_index)
+
     def configuration_freshness(self, now: float) -> ConfigurationFreshness:
         """Returns how far this front may rely on its configuration.
 
--- a/src/ridgesill/app/front_hop.py
+++ b/src/ridgesill/app/front_hop.py
@@ -1,6 +1,7 @@
 """Sends a request on to a front that can reach the upstreams."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 from eliot import log_message
@@ -8,7 +9,7 @@
 from ridgesill.adapters.http1.client import Exchange
 from ridgesill.app.front import FrontLinks
 from ridgesill.core.commands import Node
-from ridgesill.ports.dialect import FrontOptions
+from ridgesill.ports.dialect import AppliedState, FrontOptions
 from ridgesill.ports.http import ChannelError, HttpRequest, ResponseHead
 
 # Fronts that one request is sent to, at most.
@@ -45,8 +46,10 @@
     Args:
         links: the way to other fronts.
         request: as the client sent it.
-        options: what has changed since; `send` sets the time that is left.
+        options: what has changed since; `send` sets the time that is left, and
+            what is applied here.
         name: id of the request, for the log.
+        get_applied: returns what this front has applied.
 
     Attributes:
         may_have_run: whether a front got the request and broke off.
@@ -59,6 +62,7 @@
         request: HttpRequest,
         options: FrontOptions,
         name: str,
+        get_applied: Callable[[], AppliedState],
     ) -> None:
         self.may_have_run = False
         self.is_pending = False
@@ -66,6 +70,7 @@
         self._request = request
         self._options = options
         self._name = name
+        self._get_applied = get_applied
         self._loop = asyncio.get_running_loop()
         self._asked: list[str] = []
 
@@ -115,7 +120,11 @@
         dialect = self._links.dialect
         exchange: Exchange | None = None
         seconds_left = deadline - self._loop.time()
-        options = attrs.evolve(self._options, seconds_left=seconds_left)
+        applied = self._get_applied()
+        options = attrs.evolve(
+            self._options, seconds_left=seconds_left, applied=applied
+        )
+        theirs: AppliedState | None = None
         try:
             exchange = await self._links.channels.send(
                 peer.address,
@@ -124,6 +133,7 @@
             )
             self.is_pending = True
             head = await exchange.read_head()
+            theirs = dialect.read_applied(head.headers)
             reason = dialect.read_front_refusal(head)
             if not reason:
                 answer = HopAnswer(peer, exchange, head)
@@ -143,5 +153,7 @@
             request=self._name,
             peer=peer.address,
             reason=reason,
+            version=applied.version,
+            peer_version=theirs.version if theirs else 0,
         )
         return None
--- a/src/ridgesill/app/request_summary.py
+++ b/src/ridgesill/app/request_summary.py
@@ -32,6 +32,8 @@
         goal: time within which the first part of the answer must be sent; 0 if
             there is no route.
         version: version of the configuration.
+        peer_version: version at the front that sent the request, or that served
+            it; 0 if there is none, or if it doesn't say.
         customer: the customer that sent it; empty if unknown.
         customer_label: label of the customer in metrics.
         artifact: the model or adapter that it asked for.
@@ -57,6 +59,7 @@
     priority: int
     goal: float
     version: int
+    peer_version: int
     customer: str
     customer_label: str
     artifact: str
@@ -104,6 +107,7 @@
         request=summary.request,
         route=summary.route,
         version=summary.version,
+        peer_version=summary.peer_version,
         customer=summary.customer,
         artifact=summary.artifact,
         upstream=summary.upstream,
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -17,6 +17,7 @@
 from ridgesill.ports.dialect import (
     EMPTY_UPSTREAM_WORD,
     NORMAL_PRIORITY,
+    AppliedState,
     ForwardOptions,
     FrontOptions,
     RequestFacts,
@@ -66,6 +67,10 @@
 # version from a missing header.
 _SOFTWARE_HEADER = b"ridgesill-software"
 _SOFTWARE_SIGN = "="
+# Between fronts only: what the sender of a request or an answer has applied, as
+# `VERSION;index=INDEX`.
+_APPLIED_HEADER = b"ridgesill-applied"
+_APPLIED_VALUE = re.compile(r"([0-9]{1,18});index=([0-9]{1,18})", re.ASCII)
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 # An unsigned decimal number; 20 fraction digits cover what programs print for
@@ -96,6 +101,7 @@
         _KEY_HEADER,
         _CUSTOMER_HEADER,
         _SOFTWARE_HEADER,
+        _APPLIED_HEADER,
         # Uses a slot and memory that were reserved before.
         b"hold",
         # Keeps a run's memory after the run has ended.
@@ -126,7 +132,9 @@
 _WORD_HEADERS = frozenset((LEAVING_HEADER, _LIMIT_HEADER, _BRITTLE_HEADER))
 _SPEAKING_STATUSES = frozenset((_MISDIRECTED, _UNAVAILABLE))
 # Headers of a client's request that are written anew between fronts.
-_FRONT_HEADERS = frozenset((_DEADLINE_HEADER, _CLIENT_HEADER, _SOFTWARE_HEADER))
+_FRONT_HEADERS = frozenset(
+    (_DEADLINE_HEADER, _CLIENT_HEADER, _SOFTWARE_HEADER, _APPLIED_HEADER)
+)
 
 
 class PlatformDialect:
@@ -158,6 +166,9 @@
             key_digest=_compute_key_digest(headers),
             resumes=find_header(headers, _RESUMES_HEADER),
             software=_read_software(headers) if request.is_from_front else None,
+            sender=self.read_applied(headers)
+            if request.is_from_front
+            else None,
         )
 
     def write_upstream_request(
@@ -206,6 +217,8 @@
             headers.append((_LAST_EVENT_HEADER, options.last_event.encode()))
         if options.software is not None:
             headers += self.make_software_headers(options.software)
+        if options.applied is not None:
+            headers += self.make_applied_headers(options.applied)
         return HttpRequest(
             request.method, request.target, tuple(headers), request.body
         )
@@ -219,9 +232,20 @@
         """Returns which version serves at another front; None if unknown."""
         return _read_software(head.headers)
 
+    def make_applied_headers(self, applied: AppliedState) -> Headers:
+        """Returns the headers that tell another front what is applied here."""
+        value = b"%d;index=%d" % (applied.version, applied.index)
+        return ((_APPLIED_HEADER, value),)
+
+    def read_applied(self, headers: Headers) -> AppliedState | None:
+        """Returns what another front has applied; None if it doesn't say."""
+        value = _APPLIED_VALUE.fullmatch(find_header(headers, _APPLIED_HEADER))
+        return AppliedState(int(value[1]), int(value[2])) if value else None
+
     def filter_front_answer(self, head: ResponseHead) -> ResponseHead:
         """Returns the head of another front's answer as an upstream sent it."""
         headers = _remove_header(head.headers, _SOFTWARE_HEADER)
+        headers = _remove_header(headers, _APPLIED_HEADER)
         return attrs.evolve(head, headers=headers)
 
     def read_front_request(self, request: HttpRequest) -> HttpRequest:
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -16,6 +16,19 @@
 NORMAL_PRIORITY = 5
 
 
+@attrs.frozen
+class AppliedState:
+    """How much of the log a front has applied.
+
+    Attributes:
+        version: version of its configuration; 0 without one.
+        index: index of the last log entry that it has applied.
+    """
+
+    version: int
+    index: int = 0
+
+
 @attrs.frozen
 class RequestFacts:
     """The facts that a client gives about its request.
@@ -36,6 +49,8 @@
             of the stream that this one takes up; empty for a new stream.
         software: the software version that another front requires, which sent
             the request on; None if it requires none.
+        sender: what that front has applied; None if a client sent the request,
+            or if that front doesn't say.
     """
 
     request: str
@@ -50,6 +65,7 @@
     key_digest: bytes = b""
     resumes: str = ""
     software: str | None = None
+    sender: AppliedState | None = None
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
@@ -103,11 +119,13 @@
         last_event: id of the event after which the stream goes on; empty if
             none has been sent to the client here.
         software: the software version that must serve it; None for any.
+        applied: what this front has applied; None to name nothing.
     """
 
     seconds_left: float
     last_event: str = ""
     software: str | None = None
+    applied: AppliedState | None = None
 
 
 @attrs.frozen
@@ -158,6 +176,12 @@
     def read_software(self, head: ResponseHead) -> str | None:
         """Returns which version serves at another front; None if unknown."""
 
+    def make_applied_headers(self, applied: AppliedState) -> Headers:
+        """Returns the headers that tell another front what is applied here."""
+
+    def read_applied(self, headers: Headers) -> AppliedState | None:
+        """Returns what another front has applied; None if it doesn't say."""
+
     def filter_front_answer(self, head: ResponseHead) -> ResponseHead:
         """Returns the head of another front's answer as an upstream sent it."""
 
