Let two fronts serve a request by one configuration only

Callers saw a front go back: two requests to a front that had shown the effect of version 17 were refused as only version 10 or older allows.

Cause: the front had sent them on to one that it could reach upstreams through, and that one decided by its own, older table. Its 404 was passed on as final. Nothing between the fronts named a version. It goes both ways: a front that is ahead shows an effect that the sending front's own next answers take back.

The sending front now names what it has applied. One that is behind waits until it has that too, or sends the request back as not run, and another one is asked. One that is ahead sends it back with its version, for which the sending front waits before it sends the request again. So both decide by one version, or nobody does. While no leader is there nothing changes, and fronts with the same version go on helping each other, however old it is. A front that is out of touch counts as behind by its place in the log as well: keys, quotas, quarantine and adapter versions come the same way.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -90,6 +90,8 @@
         "stale",
         "no_configuration",
         "no_upstream",
+        "behind",
+        "ahead",
     )
 )
 # How long a request that finds out whether a silent upstream answers again
@@ -102,6 +104,11 @@
 # How long a request with an unknown key waits for a newer configuration that
 # may contain the key. Nearly all fronts have a change within this time.
 _KEY_WAIT_SECONDS = 0.3
+# How long a front waits for a change that another front has, with which it
+# serves a request. Nearly all fronts have a change within this time.
+_CATCH_UP_SECONDS = 0.3
+# The share of a request's time that such a wait may take.
+_CATCH_UP_SHARE = 0.5
 # Retry delay for callers whose keys can't be checked because the configuration
 # here is stale. A retry on a new channel reaches another front.
 _STALE_RETRY_SECONDS = 0.5
@@ -189,10 +196,7 @@
 
     async def run(self) -> None:
         """Serves the request; answers, aborts or refuses it in every case."""
-        if not self._can_decide():
-            await self._search.wait_until_known(self._can_decide)
-        route = self._find_route()
-        if route is None:
+        if (route := await self._find_route()) is None:
             return
         self._route = route
         caller = await self._find_caller(route)
@@ -268,6 +272,50 @@
         freshness = self._front.configuration_freshness(self._loop.time())
         return not (freshness.is_stale and freshness.is_missing)
 
+    async def _match_sender(self) -> Refusal | None:
+        """Waits until this front has applied what the sending front has.
+
+        A front that is behind would take back what the client has seen, and
+        with one that is ahead the sending front's own next answers would.
+
+        Returns:
+            A refusal unless both have the same configuration.
+        """
+        sender = self._facts.sender
+        if sender is None:
+            return None
+        front = self._front
+        deadline = self._find_catch_up_deadline()
+        while front.is_behind(sender, now := self._loop.time()):
+            if now >= deadline:
+                return Refusal("behind")
+            await front.discovery_signal.wait(deadline - now)
+        if front.table.version > sender.version:
+            return Refusal("ahead")
+        return None
+
+    def _find_catch_up_deadline(self) -> float:
+        """Returns until when to wait for a change, on the loop's clock."""
+        now = self._loop.time()
+        seconds = _CATCH_UP_SECONDS
+        left = self._client_seconds_left(now)
+        return now + max(min(seconds, left * _CATCH_UP_SHARE), 0.0)
+
+    async def _catch_up(self, version: int) -> bool:
+        """Waits for a configuration that another front has.
+
+        Returns:
+            Whether this front has that version, or a later one.
+        """
+        front = self._front
+        deadline = self._find_catch_up_deadline()
+        while front.table.version < version:
+            now = self._loop.time()
+            if now >= deadline:
+                return False
+            await front.discovery_signal.wait(deadline - now)
+        return True
+
     async def _find_caller(self, route: Route) -> Result[Customer | None, str]:
         """Returns the customer of the request, or why it can't be served.
 
@@ -401,7 +449,16 @@
         seconds_left = self._client_seconds_left(now)
         return admission.retry_after(request_class, seconds_left, now)
 
-    def _find_route(self) -> Route | None:
+    async def _find_route(self) -> Route | None:
+        """Returns the route, or None if the request has been refused.
+
+        Waits until this front can decide about the request.
+        """
+        if not self._can_decide():
+            await self._search.wait_until_known(self._can_decide)
+        if (refusal := await self._match_sender()) is not None:
+            self._refuse(refusal)
+            return None
         table = self._front.table
         if not table.version:
             self._refuse(Refusal("no_configuration"))
@@ -623,6 +680,10 @@
                     self._silence, seconds, now
                 )
             if answer is None:
+                if hop.newer_version and await self._catch_up(
+                    hop.newer_version
+                ):
+                    continue
                 return self._has_no_other_way(route)
             self._was_sent_on = True
             try:
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -137,6 +137,22 @@
         """What this front has applied of the log."""
         return AppliedState(self.table.version, self.applied_index)
 
+    def is_behind(self, applied: AppliedState, now: float) -> bool:
+        """Whether another front knows of changes that this one may lack.
+
+        A front in touch with a voter gets each change soon, so its place in the
+        log counts only once it is out of touch.
+
+        Args:
+            applied: what the other front has applied.
+            now: the loop's clock, in seconds.
+        """
+        if self.table.version < applied.version:
+            return True
+        if self._freshness.is_valid(now):
+            return False
+        return self.applied_index < applied.index
+
     def configuration_freshness(self, now: float) -> ConfigurationFreshness:
         """Returns how far this front may rely on its configuration.
 
--- a/src/ridgesill/app/front_hop.py
+++ b/src/ridgesill/app/front_hop.py
@@ -41,7 +41,8 @@
     """Finds a front that serves one request on behalf of this one.
 
     A front that can't help says so at once, and the request has not run there.
-    Any other answer is final.
+    Any other answer is final: that front decided by the configuration that this
+    one has.
 
     Args:
         links: the way to other fronts.
@@ -54,6 +55,9 @@
     Attributes:
         may_have_run: whether a front got the request and broke off.
         is_pending: whether a front has the request and hasn't sent it back.
+        newer_version: version of a front that is ahead of this one, so that its
+            answer would show what this one's next answers take back; 0 if none
+            is.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
     ) -> None:
         self.may_have_run = False
         self.is_pending = False
+        self.newer_version = 0
         self._links = links
         self._request = request
         self._options = options
@@ -79,13 +84,15 @@
     ) -> HopAnswer | None:
         """Returns the answer of a front, or None if nobody can help.
 
-        The caller must read the answer or cancel it, and then call `end`.
+        Also returns None once a front is ahead (`newer_version`). The caller
+        must read the answer or cancel it, and then call `end`.
 
         Args:
             deadline: of the request, on the loop's clock.
             is_repeatable: whether the request may run twice.
         """
         peers = self._links.fronts
+        self.newer_version = 0
         while len(self._asked) < MAX_FRONTS:
             if self.may_have_run and not is_repeatable:
                 return None
@@ -107,6 +114,10 @@
                 else:
                     peers.record_help(peer)
                 return answer
+            if self.newer_version:
+                # It can help once this front has caught up.
+                self._asked.remove(peer.name)
+                return None
             peers.record_refusal(peer, self._loop.time())
         return None
 
@@ -140,6 +151,8 @@
                 exchange = None
                 return answer
             self.is_pending = False
+            if theirs is not None and theirs.version > applied.version:
+                self.newer_version = theirs.version
             await exchange.discard_rest()
         except ChannelError as error:
             self.may_have_run |= self.is_pending
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -229,6 +229,7 @@
         self._streams.set_nodes(state.nodes.values())
         self.front.versions = state.artifact_versions
         self.front.applied_index = state.index
+        self.front.discovery_signal.notify()
         self.front.quarantine.apply_state(state)
         table = decode_newer_routes(state, self.front.table)
         if table is not None:
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -279,6 +279,13 @@
         request = PlatformDialect().read_front_request(request)
         await serve_request(self.front, request, responder)
 
+    def set_table(self, table: RouteTable, index: int = 0) -> None:
+        """Puts a configuration in force, as news from a voter do."""
+        self.front.table = table
+        self.front.applied_index = index
+        self.front.streams.set_table(table)
+        self.front.discovery_signal.notify()
+
     def link_to(self, *others: "FrontWorld") -> None:
         """Lets this front send requests on to others of its data centre."""
         self.link_to_address(*(other.front_address for other in others))
@@ -423,12 +430,19 @@
         return Client(reader, writer)
 
 
-def make_table(timeout: float = 3.0, goal: float = 0.5) -> RouteTable:
+def make_table(
+    timeout: float = 3.0,
+    goal: float = 0.5,
+    version: int = 1,
+    without: str = "",
+) -> RouteTable:
     """Returns a table with a route of each kind.
 
     Args:
         timeout: of each route, in seconds.
         goal: seconds within which an answer is in time.
+        version: of the configuration.
+        without: prefix of a route that isn't there; empty for none.
     """
     routes = [
         Route(
@@ -444,12 +458,13 @@
             resumable=resumable,
         )
         for kind, prefix, service, attempts, resumable in ROUTES
+        if prefix != without
     ]
     services = [
         Service("plain", "/health", 10),
         Service("engine", "/health", 10, ENGINE),
     ]
-    return RouteTable(1, routes, services)
+    return RouteTable(version, routes, services)
 
 
 @attrs.define
--- a/testing/app/test_front_hop.py
+++ b/testing/app/test_front_hop.py
@@ -7,12 +7,15 @@
 import pytest
 
 from ridgesill.core.commands import Node
+from ridgesill.core.freshness import Freshness
 from ridgesill.core.serving.customers import Quota
 from testing.app.front_world import (
     Answer,
     Call,
+    Client,
     FrontWorld,
     ScriptedUpstream,
+    make_table,
 )
 from testing.app.test_forwarding import LIMITED, require_keys
 from testing.processes import free_address
@@ -385,3 +388,111 @@
         silent.cut.link_to_address(free_address())
         answer = await silent.ask("/unsafe/x")
         assert answer.status == 200
+
+
+WITHOUT = make_table(version=1, without="/unsafe/")
+WITH = make_table(version=2)
+
+
+class TestConfigurations:
+    """Two fronts that serve a request have to decide by one configuration."""
+
+    @pytest.fixture
+    async def upstream(self, fronts: Fronts) -> ScriptedUpstream:
+        """Returns an upstream that only the last front reaches."""
+        added = await fronts.whole.add("u1", answer_ok)
+        fronts.share_upstreams()
+        fronts.cut.link_to(fronts.whole)
+        return added
+
+    async def test_a_front_that_is_behind_does_not_decide(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        """Guards against a 404 for a route that the asking front has."""
+        fronts.cut.set_table(WITH)
+        fronts.whole.set_table(WITHOUT)
+        answer = await fronts.ask("/unsafe/x")
+        assert (answer.status, upstream.calls) == (503, [])
+        assert float(answer.headers["retry-after"]) > 0
+
+    async def test_a_front_that_is_behind_does_not_run_it(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        fronts.cut.set_table(make_table(version=2))
+        fronts.whole.set_table(make_table(version=1))
+        answer = await fronts.ask("/unsafe/x")
+        assert (answer.status, upstream.calls) == (503, [])
+
+    async def test_a_front_that_catches_up_decides(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        fronts.cut.set_table(WITH)
+        fronts.whole.set_table(WITHOUT)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, fronts.whole.set_table, WITH)
+        answer = await fronts.ask("/unsafe/x")
+        assert (answer.status, len(upstream.calls)) == (200, 1)
+
+    async def test_another_front_is_asked_beside_one_that_is_behind(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        behind = fronts.worlds[1]
+        behind.share_upstreams(fronts.whole)
+        now = asyncio.get_running_loop().time()
+        behind.front.chooser.reachability.record_reached("u1", now)
+        fronts.cut.link_to(behind, fronts.whole)
+        for world in (fronts.cut, fronts.whole):
+            world.set_table(WITH)
+        behind.set_table(WITHOUT)
+        statuses = [(await fronts.ask("/unsafe/x")).status for _ in range(4)]
+        assert statuses == [200] * 4
+
+    async def test_a_front_that_is_ahead_does_not_decide(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        """Guards against an effect that the asking front then takes back."""
+        fronts.cut.set_table(make_table(version=1))
+        fronts.whole.set_table(make_table(version=2))
+        answer = await fronts.ask("/unsafe/x")
+        assert (answer.status, upstream.calls) == (503, [])
+
+    async def test_a_front_catches_up_with_one_that_is_ahead(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        ahead = make_table(version=2, without="/unsafe/")
+        fronts.cut.set_table(make_table(version=1))
+        fronts.whole.set_table(ahead)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, fronts.cut.set_table, ahead)
+        answer = await fronts.ask("/unsafe/x")
+        assert (answer.status, upstream.calls) == (404, [])
+
+    async def test_a_front_out_of_touch_that_is_behind_in_the_log_does_not_run(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        """Guards against old adapter versions and lifted quarantines."""
+        fronts.cut.set_table(make_table(), index=8)
+        fronts.whole.set_table(make_table(), index=7)
+        answer = await fronts.ask("/unsafe/x")
+        assert (answer.status, upstream.calls) == (503, [])
+
+    async def test_a_front_in_touch_may_be_behind_in_the_log(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        fronts.cut.set_table(make_table(), index=8)
+        fronts.whole.set_table(make_table(), index=7)
+        now = asyncio.get_running_loop().time()
+        fronts.whole.front._freshness = Freshness(1.2, now)
+        answer = await fronts.ask("/unsafe/x")
+        assert (answer.status, len(upstream.calls)) == (200, 1)
+
+    async def test_a_front_of_the_previous_release_is_served(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        """It names no version, so that it is served as by that release."""
+        fronts.whole.set_table(make_table(version=2))
+        host, _, port = fronts.whole.front_address.rpartition(":")
+        client = Client(*await asyncio.open_connection(host, int(port)))
+        answer = await client.ask("/unsafe/x", b"b", ridgesill_client="c:1")
+        client.close()
+        assert (answer.status, len(upstream.calls)) == (200, 1)
