Compare places in the log with senders in touch only, and ask past fronts ahead

Fronts of one version refused each other for as long as no leader was there: each front out of touch compared its place in the log with the sender's, and a last entry that only some fronts have keeps these apart until there is a leader.

A front out of touch names no place in the log. A front that is ahead is passed over, and asked again once the sender has caught up, when no other one helps. Only its own word that it is ahead counts as such, not a version that it moved to meanwhile. Fronts that name nothing get no header that they would pass to their clients.

On the code before, the tests of fronts without a leader, of others beside one that is ahead, and of a front of the previous release fail; they pass now.

--- a/src/ridgesill/app/client_answer.py
+++ b/src/ridgesill/app/client_answer.py
@@ -1,5 +1,7 @@
 """Writes the answer to a client's request, or to the front that sent it on."""
 
+import asyncio
+
 from ridgesill.app.answer_end import judge_body
 from ridgesill.app.front import Front
 from ridgesill.ports.http import (
@@ -126,11 +128,18 @@
         self._send_empty(status, dialect.make_front_refusal_headers(reason))
 
     def _make_applied_headers(self) -> Headers:
-        """Returns the headers that tell a front what is applied here."""
+        """Returns the headers that tell a front what is applied here.
+
+        A front that names nothing would pass them to its client.
+        """
         links = self._front.links
         if links is None or not self._request.is_from_front:
             return ()
-        return links.dialect.make_applied_headers(self._front.applied)
+        if links.dialect.read_applied(self._request.headers) is None:
+            return ()
+        now = asyncio.get_running_loop().time()
+        applied = self._front.describe_applied(now)
+        return links.dialect.make_applied_headers(applied)
 
     def _send_empty(self, status: int, headers: Headers) -> None:
         told = (*self._make_applied_headers(), *headers)
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -24,7 +24,7 @@
 from ridgesill.app.attempt_failure import Failure, claims_not_run
 from ridgesill.app.client_answer import ClientAnswer
 from ridgesill.app.front import Front, FrontLinks
-from ridgesill.app.front_hop import FrontHop, HopAnswer
+from ridgesill.app.front_hop import AHEAD, BEHIND, FrontHop, HopAnswer
 from ridgesill.app.quota_charge import QuotaCharge
 from ridgesill.app.request_summary import (
     SENT_BACK,
@@ -90,8 +90,8 @@
         "stale",
         "no_configuration",
         "no_upstream",
-        "behind",
-        "ahead",
+        BEHIND,
+        AHEAD,
     )
 )
 # How long a request that finds out whether a silent upstream answers again
@@ -288,10 +288,10 @@
         deadline = self._find_catch_up_deadline()
         while front.is_behind(sender, now := self._loop.time()):
             if now >= deadline:
-                return Refusal("behind")
+                return Refusal(BEHIND)
             await front.discovery_signal.wait(deadline - now)
         if front.table.version > sender.version:
-            return Refusal("ahead")
+            return Refusal(AHEAD)
         return None
 
     def _find_catch_up_deadline(self) -> float:
@@ -665,7 +665,7 @@
             self._request,
             options,
             self._facts.request,
-            lambda: self._front.applied,
+            lambda: self._front.describe_applied(self._loop.time()),
         )
         began_at = self._loop.time()
         while True:
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -132,10 +132,15 @@
         # When the amounts sent were last collected, on the loop's clock.
         self._collected_at = float("inf")
 
-    @property
-    def applied(self) -> AppliedState:
-        """What this front has applied of the log."""
-        return AppliedState(self.table.version, self.applied_index)
+    def describe_applied(self, now: float) -> AppliedState:
+        """Returns what this front has applied, as other fronts are told.
+
+        Args:
+            now: the loop's clock, in seconds.
+        """
+        is_in_touch = self._freshness.is_valid(now)
+        index = self.applied_index if is_in_touch else 0
+        return AppliedState(self.table.version, index)
 
     def is_behind(self, applied: AppliedState, now: float) -> bool:
         """Whether another front knows of changes that this one may lack.
--- a/src/ridgesill/app/front_hop.py
+++ b/src/ridgesill/app/front_hop.py
@@ -14,6 +14,10 @@
 
 # Fronts that one request is sent to, at most.
 MAX_FRONTS = 10
+# Reasons of a front that has an older or a newer configuration than the front
+# that asks it.
+BEHIND = "behind"
+AHEAD = "ahead"
 # A channel that was idle for longer isn't used: the front may just have closed
 # it, and a request that isn't idempotent would be lost.
 _MAX_IDLE_SECONDS = 3.0
@@ -30,11 +34,15 @@
         front: the front that answers.
         exchange: reads the body.
         head: the head of the answer.
+        resets_when_killed: whether the connection is reset if that front ends
+            before the answer. A front of the previous release, which doesn't
+            say what it has applied, closes it in order.
     """
 
     front: Node
     exchange: Exchange
     head: ResponseHead
+    resets_when_killed: bool = True
 
 
 class FrontHop:
@@ -55,9 +63,9 @@
     Attributes:
         may_have_run: whether a front got the request and broke off.
         is_pending: whether a front has the request and hasn't sent it back.
-        newer_version: version of a front that is ahead of this one, so that its
-            answer would show what this one's next answers take back; 0 if none
-            is.
+        newer_version: oldest version of the fronts that are ahead of this one,
+            so that their answers would show what this one's next answers take
+            back; 0 if none is.
     """
 
     def __init__(
@@ -78,14 +86,15 @@
         self._get_applied = get_applied
         self._loop = asyncio.get_running_loop()
         self._asked: list[str] = []
+        self._ahead: set[str] = set()
 
     async def send(
         self, deadline: float, *, is_repeatable: bool
     ) -> HopAnswer | None:
         """Returns the answer of a front, or None if nobody can help.
 
-        Also returns None once a front is ahead (`newer_version`). The caller
-        must read the answer or cancel it, and then call `end`.
+        Fronts that are ahead are asked again by a later call. The caller must
+        read the answer or cancel it, and then call `end`.
 
         Args:
             deadline: of the request, on the loop's clock.
@@ -93,6 +102,8 @@
         """
         peers = self._links.fronts
         self.newer_version = 0
+        self._asked = [name for name in self._asked if name not in self._ahead]
+        self._ahead.clear()
         while len(self._asked) < MAX_FRONTS:
             if self.may_have_run and not is_repeatable:
                 return None
@@ -114,13 +125,15 @@
                 else:
                     peers.record_help(peer)
                 return answer
-            if self.newer_version:
-                # It can help once this front has caught up.
-                self._asked.remove(peer.name)
-                return None
-            peers.record_refusal(peer, self._loop.time())
+            if peer.name not in self._ahead:
+                peers.record_refusal(peer, self._loop.time())
         return None
 
+    def _record_ahead(self, peer: Node, theirs: AppliedState) -> None:
+        self._ahead.add(peer.name)
+        versions = (self.newer_version or theirs.version, theirs.version)
+        self.newer_version = min(versions)
+
     def end(self, answer: HopAnswer) -> None:
         """Ends an exchange, which may have been read in part."""
         answer.exchange.cancel()
@@ -147,12 +160,12 @@
             theirs = dialect.read_applied(head.headers)
             reason = dialect.read_front_refusal(head)
             if not reason:
-                answer = HopAnswer(peer, exchange, head)
+                answer = HopAnswer(peer, exchange, head, theirs is not None)
                 exchange = None
                 return answer
             self.is_pending = False
-            if theirs is not None and theirs.version > applied.version:
-                self.newer_version = theirs.version
+            if reason == AHEAD and theirs is not None:
+                self._record_ahead(peer, theirs)
             await exchange.discard_rest()
         except ChannelError as error:
             self.may_have_run |= self.is_pending
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -22,7 +22,8 @@
 
     Attributes:
         version: version of its configuration; 0 without one.
-        index: index of the last log entry that it has applied.
+        index: index of the last log entry that it has applied; 0 while it is
+            out of touch, since others may then lack what it has.
     """
 
     version: int
--- a/testing/app/test_front_hop.py
+++ b/testing/app/test_front_hop.py
@@ -473,9 +473,34 @@
         """Guards against old adapter versions and lifted quarantines."""
         fronts.cut.set_table(make_table(), index=8)
         fronts.whole.set_table(make_table(), index=7)
+        now = asyncio.get_running_loop().time()
+        fronts.cut.front._freshness = Freshness(1.2, now)
         answer = await fronts.ask("/unsafe/x")
         assert (answer.status, upstream.calls) == (503, [])
 
+    async def test_fronts_of_one_version_help_each_other_without_a_leader(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        """Guards against places in the log that differ until there is one."""
+        fronts.cut.set_table(make_table(), index=8)
+        fronts.whole.set_table(make_table(), index=7)
+        answer = await fronts.ask("/unsafe/x")
+        assert (answer.status, len(upstream.calls)) == (200, 1)
+
+    async def test_others_are_asked_beside_one_that_is_ahead(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        ahead = fronts.worlds[1]
+        ahead.share_upstreams(fronts.whole)
+        now = asyncio.get_running_loop().time()
+        ahead.front.chooser.reachability.record_reached("u1", now)
+        fronts.cut.link_to(ahead, fronts.whole)
+        for world in (fronts.cut, fronts.whole):
+            world.set_table(make_table(version=1))
+        ahead.set_table(make_table(version=2))
+        statuses = [(await fronts.ask("/unsafe/x")).status for _ in range(12)]
+        assert statuses == [200] * 12
+
     async def test_a_front_in_touch_may_be_behind_in_the_log(
         self, fronts: Fronts, upstream: ScriptedUpstream
     ) -> None:
@@ -496,3 +521,4 @@
         answer = await client.ask("/unsafe/x", b"b", ridgesill_client="c:1")
         client.close()
         assert (answer.status, len(upstream.calls)) == (200, 1)
+        assert "ridgesill-applied" not in answer.headers
