Ask whether a front of the previous release is there that ended an answer

Found by review: while a deployment is upgraded, a killed front of the previous release closes its connections in order, and between two events its end looked whole to a front of this release. The new front now asks whether that one still accepts connections, as it does with upstreams. Fronts of this release reset when they are killed, so they aren't asked.

The test fails on the code before and passes now.

--- a/src/ridgesill/app/answer_end.py
+++ b/src/ridgesill/app/answer_end.py
@@ -52,8 +52,8 @@
 
 
 WHOLE = AnswerEnd(Completeness.WHOLE)
-UPSTREAM_GONE = AnswerEnd(
-    Completeness.BROKEN, "its upstream can't be reached any more"
+PEER_GONE = AnswerEnd(
+    Completeness.BROKEN, "its sender can't be reached any more"
 )
 _UNKNOWN = AnswerEnd(Completeness.UNKNOWN, "ended by its connection")
 
--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -1,13 +1,15 @@
 """Passes the bodies of answers on to the client and judges their ends."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 import attrs
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import Exchange
 from ridgesill.app.answer_end import (
-    UPSTREAM_GONE,
+    PEER_GONE,
     WHOLE,
     AnswerEnd,
     StreamTail,
@@ -16,6 +18,7 @@
 )
 from ridgesill.app.client_answer import ClientAnswer
 from ridgesill.app.front import Front
+from ridgesill.app.front_hop import HopAnswer
 from ridgesill.app.quarantine import PROBE_DELAY_SECONDS
 from ridgesill.app.upstream_search import UpstreamSearch
 from ridgesill.core.completeness import Completeness
@@ -116,18 +119,24 @@
         """
         if self._front.chooser.unavailable.is_leaving(upstream.name):
             return end
+        test = self._front.reachability_tests.accepts_connections
+        return await self._check_sender(test(upstream.address), end)
+
+    async def _check_sender(
+        self, test: Coroutine[Any, Any, bool], end: AnswerEnd
+    ) -> AnswerEnd:
+        """Returns the same end if the sender is still there.
+
+        Args:
+            test: returns whether the sender accepts connections.
+            end: how the answer ended.
+        """
         seconds = max(self.deadline - self._loop.time(), 0.0) / 2
         try:
-            is_there = await asyncio.wait_for(
-                self._is_there(upstream.address), seconds
-            )
+            is_there = await asyncio.wait_for(_run_later(test), seconds)
         except TimeoutError:
             is_there = True
-        return end if is_there else UPSTREAM_GONE
-
-    async def _is_there(self, address: str) -> bool:
-        await asyncio.sleep(PROBE_DELAY_SECONDS)
-        return await self._front.reachability_tests.accepts_connections(address)
+        return end if is_there else PEER_GONE
 
     # -- streams -------------------------------------------------------
 
@@ -221,30 +230,31 @@
     # -- answers of other fronts ---------------------------------------
 
     async def read_from_front(
-        self, peer: str, exchange: Exchange, head: ResponseHead
+        self, answer: HopAnswer, head: ResponseHead
     ) -> bytes:
         """Returns the body of another front's answer.
 
+        Args:
+            answer: the answer.
+            head: its head as an upstream sent it.
+
         Raises:
             ChannelError: the body was broken off.
         """
-        body = await exchange.read_rest()
-        self._check_front_end(peer, head, judge_body(head, body), len(body))
+        body = await answer.exchange.read_rest()
+        await self._check_front_end(
+            answer, head, judge_body(head, body), len(body)
+        )
         return body
 
     async def relay_from_front(
-        self,
-        peer: str,
-        exchange: Exchange,
-        head: ResponseHead,
-        software: str | None,
+        self, answer: HopAnswer, head: ResponseHead, software: str | None
     ) -> None:
         """Passes on a stream that another front serves.
 
         Args:
-            peer: address of the other front.
-            exchange: reads the stream.
-            head: of the other front's answer.
+            answer: the answer of that front.
+            head: its head as an upstream sent it.
             software: the version that serves it there; None if unknown.
 
         Raises:
@@ -253,7 +263,7 @@
         if head.is_framed:
             self._answer.send_head(head)
         tail = StreamTail(counts_events=not head.is_framed)
-        while data := await exchange.read_data():
+        while data := await answer.exchange.read_data():
             tail.feed(data)
             self._answer.send_head(head)
             self._search.software = software
@@ -262,26 +272,32 @@
         # The other front may have sent it to a service whose streams have no
         # end mark.
         end = judge_stream(head, tail, expects_mark=False)
-        self._check_front_end(
-            peer, head, end, tail.byte_count, tail.event_count
+        await self._check_front_end(
+            answer, head, end, tail.byte_count, tail.event_count
         )
 
-    def _check_front_end(
+    async def _check_front_end(
         self,
-        peer: str,
+        answer: HopAnswer,
         head: ResponseHead,
         end: AnswerEnd,
         byte_count: int,
         event_count: int = 0,
     ) -> None:
-        """Logs the end of another front's answer.
+        """Judges and logs the end of another front's answer.
 
         A front that is killed resets its connections, so an end that may be
-        whole is what the other front has judged.
+        whole is what that front has judged. One of the previous release closes
+        them in order.
 
         Raises:
             ChannelError: the answer was broken off.
         """
+        peer = answer.front.address
+        if end.is_unknown and not answer.resets_when_killed:
+            links = self._front.links
+            assert links is not None
+            end = await self._check_sender(links.channels.accepts(peer), end)
         self._log_answer_end("", peer, head, end, byte_count, event_count)
         if end.is_broken:
             raise ChannelError("body", peer, end.reason, True)
@@ -361,3 +377,8 @@
         )
         tokens = self._facts.prompt_tokens
         self._front.prefill_rate(self.service).record(tokens, event_seconds)
+
+
+async def _run_later(test: Coroutine[Any, Any, bool]) -> bool:
+    await asyncio.sleep(PROBE_DELAY_SECONDS)
+    return await test
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -736,12 +736,12 @@
                 self._may_have_run = True
                 self._fail(Failure("another software version elsewhere", False))
                 return
-            await self._relay.relay_from_front(peer, exchange, head, software)
+            await self._relay.relay_from_front(answer, head, software)
             self._answer.check_framing(head, peer)
             self._answer.send_head(head)
             self._answer.finish()
         else:
-            body = await self._relay.read_from_front(peer, exchange, head)
+            body = await self._relay.read_from_front(answer, head)
             self._answer.deliver(head, body)
         self._search.chosen_by = "front"
         self._record_end(SENT_ON, peer, status=head.status)
--- a/testing/app/test_front_hop.py
+++ b/testing/app/test_front_hop.py
@@ -282,6 +282,26 @@
         other.stop()
         assert (answer.framed, answer.complete) == (False, False)
 
+    async def test_a_killed_front_of_the_previous_release_completes_nothing(
+        self, fronts: Fronts
+    ) -> None:
+        """It closes its connections in order, and accepts no others."""
+
+        async def end(call: Call) -> None:
+            await call.begin_unframed("text/event-stream")
+            await call.send(b"id: 1\ndata: x\n\n")
+            other.stop()
+            call.writer.close()
+
+        other = ScriptedUpstream("other", end)
+        await other.start()
+        await fronts.whole.add("u1", answer_ok, "engine", base__a1=1)
+        fronts.share_upstreams()
+        node = Node("other", "1", other.address, "a")
+        fronts.cut.front.links.fronts.set_nodes([node])
+        answer = await fronts.ask("/stream/x", **STREAM)
+        assert (answer.framed, answer.complete) == (False, False)
+
     async def test_a_client_that_leaves_ends_the_work(
         self, fronts: Fronts
     ) -> None:
