Show that clients without limits take the memory of a process

Checked are that the process lives, its peak of resident memory, its descriptors, and that an ordinary request is answered afterwards.

The crowd and the bounds are fixed before the product changes.

--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -196,6 +196,7 @@
         controls: number of control nodes.
         fronts: number of fronts.
         front_settings: further fields of the fronts' settings.
+        control_settings: the same for the control nodes.
     """
 
     def __init__(
@@ -204,9 +205,13 @@
         controls: int = 3,
         fronts: int = 2,
         front_settings: dict[str, Any] | None = None,
+        control_settings: dict[str, Any] | None = None,
     ) -> None:
         self._folder = folder
-        self._front_settings = front_settings or {}
+        self._further_settings = {
+            "front": front_settings or {},
+            "control": control_settings or {},
+        }
         # Second byte of all addresses; differs between concurrent test runs.
         self._second_byte = 1 + os.getpid() % 250
         self._ports = [int(free_address().rpartition(":")[2]) for _ in range(4)]
@@ -267,14 +272,17 @@
                 "quota_slack": QUOTA_SLACK,
             },
         }
-        if vm.role == "front":
-            settings.update(self._front_settings)
+        settings.update(self._further_settings[vm.role])
         vm.settings_file.write_text(yaml.safe_dump(settings))
 
     def client_address(self, vm: Vm) -> str:
         """Returns the address of a front for clients."""
         return f"{vm.ip}:{self._ports[0]}"
 
+    def readiness_address(self, vm: Vm) -> str:
+        """Returns the address at which a front says whether it is ready."""
+        return f"{vm.ip}:{self._ports[1]}"
+
     def control_address(self, vm: Vm) -> str:
         """Returns the address of a control node for upstreams and operators."""
         return f"{vm.ip}:{self._ports[2]}"
--- /dev/null
+++ b/testing/scenarios/test_unbounded_clients.py
@@ -0,0 +1,202 @@
+"""Processes whose clients keep no limit: they live, and within their memory."""
+
+import asyncio
+import os
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import attrs
+import msgspec
+import pytest
+
+from testing.clients_crowd import Crowd, repeat
+from testing.platform_world import (
+    ROUTE_HOST,
+    PlatformDeployment,
+    Vm,
+    make_document,
+    send_http_request,
+)
+
+pytestmark = pytest.mark.process
+
+_CLIENTS = 100
+_PRESSED_SECONDS = 8.0
+# What each process is told that its VM has, and must stay within. Without
+# clients it takes 45 to 50 MB.
+_MEMORY_MB = 80
+_DESCRIPTORS = 400
+_HEADER_BYTES = 16 * 1024
+_BODY_BYTES = 2**20
+_METRICS_PORT = 9464
+
+_HOST = b"Host: %s\r\n" % ROUTE_HOST.encode()
+_USUAL = _HOST + b"Request-Id: r9\r\nRequest-Deadline: 900\r\n"
+_POST = b"POST /first/x HTTP/1.1\r\n" + _USUAL
+_GET = b"GET /first/x HTTP/1.1\r\n" + _USUAL + b"\r\n"
+_HUGE_LENGTH = b"Content-Length: 524288000\r\n\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+_BODY = repeat(b"x")
+_CHUNK = b"%x\r\n%s\r\n" % (len(_BODY), _BODY)
+_READY = b"GET /ridgesill/ready HTTP/1.1\r\n" + _HOST + b"\r\n"
+
+
+@attrs.frozen
+class Pressure:
+    """What each client of a crowd sends.
+
+    Attributes:
+        beginning: once for each connection.
+        piece: again and again after it; empty for nothing.
+    """
+
+    beginning: bytes
+    piece: bytes = b""
+
+
+# By the limit that the clients don't keep.
+_AT_CLIENT_ADDRESS = {
+    "announced_body": Pressure(_POST + _HUGE_LENGTH, _BODY),
+    "endless_chunks": Pressure(_POST + _CHUNKED, _CHUNK),
+    "tiny_chunks": Pressure(_POST + _CHUNKED, repeat(b"1\r\nx\r\n")),
+    "unfinished_body": Pressure(
+        _POST
+        + b"Content-Length: %d\r\n\r\n" % _BODY_BYTES
+        + b"x" * (_BODY_BYTES - 1)
+    ),
+    "requests_ahead": Pressure(b"", repeat(_GET)),
+    "bare_requests_ahead": Pressure(
+        b"", repeat(b"GET /first/x HTTP/1.1\r\nHost: h\r\n\r\n")
+    ),
+    "unrouted_requests_ahead": Pressure(
+        b"", repeat(b"GET /none HTTP/1.1\r\n" + _HOST + b"\r\n")
+    ),
+    "body_behind_a_request": Pressure(_GET + _POST + _HUGE_LENGTH, _BODY),
+}
+_AT_READINESS_ADDRESS = {
+    "requests_ahead": Pressure(b"", repeat(_READY)),
+    "announced_body": Pressure(_POST + _HUGE_LENGTH, _BODY),
+}
+_AT_METRICS_ADDRESS = {
+    "requests_ahead": Pressure(
+        b"", repeat(b"GET /metrics HTTP/1.1\r\n" + _HOST + b"\r\n")
+    ),
+}
+_AT_CONTROL_ADDRESS = {
+    "announced_body": Pressure(
+        b"POST /ridgesill/Configuration.Put HTTP/1.1\r\n"
+        + _HOST
+        + _HUGE_LENGTH,
+        _BODY,
+    ),
+    "endless_chunks": Pressure(
+        b"POST /ridgesill/Configuration.Put HTTP/1.1\r\n" + _HOST + _CHUNKED,
+        _CHUNK,
+    ),
+    "requests_ahead": Pressure(
+        b"",
+        repeat(
+            b"GET /ridgesill/Configuration.Get HTTP/1.1\r\n" + _HOST + b"\r\n"
+        ),
+    ),
+}
+
+
+@pytest.fixture
+async def deployment(tmp_path: Path) -> AsyncIterator[PlatformDeployment]:
+    """Yields a front and a control node on VMs with little memory."""
+    settings = {
+        "limits": {
+            "memory_mb": _MEMORY_MB,
+            "file_descriptors": _DESCRIPTORS,
+        }
+    }
+    made = PlatformDeployment(tmp_path, 1, 1, settings, settings)
+    try:
+        await made.start()
+        await made.put_configuration(_make_document())
+        await made.wait_until_served(made.fronts[0], "/first/x")
+        yield made
+    finally:
+        made.stop()
+
+
+def _make_document() -> bytes:
+    """Returns a configuration with low limits on clients."""
+    document = msgspec.json.decode(make_document(1, "/first/"))
+    document["limits"] = {
+        "header_bytes": _HEADER_BYTES,
+        "body_bytes": _BODY_BYTES,
+        "header_ms": 3000,
+        "idle_ms": 15_000,
+    }
+    return msgspec.json.encode(document)
+
+
+async def press(address: str, pressure: Pressure) -> None:
+    """Has a crowd press for a while, and leave."""
+    crowd = Crowd(address, pressure.beginning, pressure.piece)
+    crowd.start(_CLIENTS)
+    await asyncio.sleep(_PRESSED_SECONDS)
+    await crowd.stop()
+
+
+def check_process(vm: Vm) -> None:
+    """Checks that a process lives and has stayed within its VM's limits."""
+    process = vm.process
+    assert process is not None
+    assert process.poll() is None
+    folder = Path(f"/proc/{process.pid}")
+    status = (folder / "status").read_text()
+    peak = next(s for s in status.splitlines() if s.startswith("VmHWM"))
+    assert int(peak.split()[1]) * 1024 <= _MEMORY_MB * 1e6
+    assert len(os.listdir(folder / "fd")) <= _DESCRIPTORS
+
+
+@pytest.mark.parametrize("kind", _AT_CLIENT_ADDRESS)
+async def test_a_front_outlives_its_clients(
+    deployment: PlatformDeployment, kind: str
+) -> None:
+    front = deployment.fronts[0]
+    address = deployment.client_address(front)
+    await press(address, _AT_CLIENT_ADDRESS[kind])
+    check_process(front)
+    await deployment.wait_until_served(front, "/first/x")
+
+
+@pytest.mark.parametrize("kind", _AT_READINESS_ADDRESS)
+async def test_a_front_outlives_clients_of_its_readiness(
+    deployment: PlatformDeployment, kind: str
+) -> None:
+    front = deployment.fronts[0]
+    address = deployment.readiness_address(front)
+    await press(address, _AT_READINESS_ADDRESS[kind])
+    check_process(front)
+    await deployment.wait_until_served(front, "/first/x")
+
+
+@pytest.mark.parametrize("kind", _AT_METRICS_ADDRESS)
+async def test_a_front_outlives_clients_of_its_metrics(
+    deployment: PlatformDeployment, kind: str
+) -> None:
+    front = deployment.fronts[0]
+    await press(f"{front.ip}:{_METRICS_PORT}", _AT_METRICS_ADDRESS[kind])
+    check_process(front)
+    await deployment.wait_until_served(front, "/first/x")
+
+
+@pytest.mark.parametrize("kind", _AT_CONTROL_ADDRESS)
+async def test_a_control_node_outlives_its_callers(
+    deployment: PlatformDeployment, kind: str
+) -> None:
+    control = deployment.controls[0]
+    address = deployment.control_address(control)
+    await press(address, _AT_CONTROL_ADDRESS[kind])
+    check_process(control)
+    url = f"http://{address}/ridgesill/Configuration.Get"
+
+    async def read() -> object | None:
+        answer = await send_http_request("GET", url)
+        return answer if answer and answer.status == 200 else None
+
+    await deployment.poll(read)
