Reset unframed responses of the callers' interface

Callers of HTTP/1.0 saw streams with status 200, a part of their events and an orderly close. Only the connection ends such a response: there is neither a length nor chunks. The same holds for responses of status 413 without a length, which cheroot sends without chunks to clients of HTTP/1.1 as well.

Cause: whoever closes the connection completes the response. The kernel closes that of a killed node in order, and cheroot shuts the socket down in order after a body that fails, after the time-out of a slow reader and while it stops.

The connection now resets on close from before the head of such a response until the kernel has its last byte. A connection that is set to reset is closed without the shutdown before, which would end it in order all the same. Sized responses are as before; chunked ones lack their last chunk when broken off.

--- a/src/ridgesill/adapters/http_server.py
+++ b/src/ridgesill/adapters/http_server.py
@@ -8,8 +8,10 @@
 import attrs
 import msgspec
 from cheroot import wsgi
+from cheroot.server import HTTPConnection, HTTPRequest
 from eliot import write_traceback
 
+from ridgesill.adapters.socket_closing import set_reset_on_close
 from ridgesill.core.addresses import split_address
 
 StartResponse = Callable[..., Any]
@@ -35,6 +37,54 @@
     timeout_seconds: float
 
 
+class _Request(HTTPRequest):  # type: ignore[misc]
+    """A request whose response resets its connection unless it is complete.
+
+    That holds for responses that only the end of the connection completes:
+    those to clients of HTTP/1.0 and of status 413, unless they have a length.
+    """
+
+    def send_headers(self) -> None:
+        """Writes the head of the response."""
+        if not any(n.lower() == b"content-length" for n, _ in self.outheaders):
+            # Set before the head is sent: should this process end, its kernel
+            # closes the connection, and a plain close completes the response.
+            self.conn.set_reset_on_close(True)
+        super().send_headers()
+        if self.chunked_write:
+            self.conn.set_reset_on_close(False)
+
+    def respond(self) -> None:
+        """Calls the application and writes its response."""
+        super().respond()
+        # The kernel has every byte: `write` returns no earlier.
+        self.conn.set_reset_on_close(False)
+
+
+class _Connection(HTTPConnection):  # type: ignore[misc]
+    """A connection from a client."""
+
+    RequestHandlerClass = _Request
+    _resets_on_close = False
+
+    def set_reset_on_close(self, resets: bool) -> None:
+        """Sets whether closing the connection resets it."""
+        if resets == self._resets_on_close:
+            return
+        self._resets_on_close = resets
+        set_reset_on_close(self.socket, resets)
+
+    def close(self) -> None:
+        """Closes the connection, in order unless it is set to reset."""
+        if not self._resets_on_close:
+            super().close()
+            return
+        # The base class shuts the socket down first, which ends the connection
+        # in order whatever the socket is set to.
+        self.rfile.close()
+        self.socket.close()
+
+
 class HttpServer:
     """Serves a WSGI application on its own threads.
 
@@ -56,6 +106,7 @@
             timeout=math.ceil(limits.timeout_seconds),
             shutdown_timeout=1,
         )
+        self._server.ConnectionClass = _Connection
         self._server.max_request_header_size = limits.header_bytes
         self._server.max_request_body_size = limits.body_bytes
         self._server.keep_alive_conn_limit = _BACKLOG_CONNECTIONS
