Test how a front ends unframed responses

Callers must not take a broken-off response for a complete one. Responses of a front to HTTP/1.0 without a length end with their connection, and so do unframed streams. No test covered the stop of the listener, the end of the grace, and handlers that fail or return before the end of their response.

No fault was found in the code as it stands: all new tests pass. Evidence that they guard something: with server.py as before, the tests of a handler that returns early and of the kernel's close fail; those of the listener's stop, of a failing handler and of complete responses pass there too. The test of the end of the grace was run on the current code only.

--- a/testing/adapters/http1/test_server.py
+++ b/testing/adapters/http1/test_server.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP/1.1 server: invalid requests, limits and draining."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator
 
 import pytest
@@ -8,6 +10,7 @@
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.core.serving.routes import ClientLimits
 from ridgesill.ports.http import HttpRequest, Responder
+from testing.app.front_world import Client
 from testing.processes import free_address
 
 
@@ -161,3 +164,72 @@
         assert rest.startswith(b"slowHTTP/1.1 200")
         assert b"connection: close" in rest.lower()
         writer.close()
+
+
+class TestResponsesToHttp10:
+    """Responses without a length, whose end is that of their connection."""
+
+    @pytest.fixture
+    async def streaming(self) -> AsyncIterator[HttpListener]:
+        """Yields a listener that begins responses and ends them late."""
+        started = HttpListener(free_address(), self.respond_late)
+        await started.start()
+        yield started
+        await started.stop()
+
+    async def respond_late(
+        self, request: HttpRequest, responder: Responder
+    ) -> None:
+        responder.send_head(200, ())
+        responder.send_data(b"part")
+        await asyncio.sleep(0.3)
+        if request.path == "/fault":
+            raise RuntimeError("error in the handler")
+        if request.path == "/endless":
+            await asyncio.sleep(60.0)
+        if request.path != "/unfinished":
+            responder.finish()
+
+    async def begin(self, listener: HttpListener, path: str) -> Client:
+        """Returns a client once the first part of its response has come."""
+        host, _, port = listener._address.rpartition(":")
+        client = Client(*await asyncio.open_connection(host, int(port)))
+        client.writer.write(f"GET {path} HTTP/1.0\r\n\r\n".encode())
+        await client.reader.readuntil(b"part")
+        return client
+
+    async def test_the_stop_of_the_listener_does_not_complete_them(
+        self, streaming: HttpListener
+    ) -> None:
+        client = await self.begin(streaming, "/endless")
+        await streaming.stop()
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(client.reader.read(), 5.0)
+
+    @pytest.mark.parametrize("path", ["/fault", "/unfinished"])
+    async def test_the_end_of_their_handler_does_not_complete_them(
+        self, streaming: HttpListener, path: str
+    ) -> None:
+        client = await self.begin(streaming, path)
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(client.reader.read(), 5.0)
+
+    async def test_the_kernel_does_not_complete_them(
+        self, streaming: HttpListener
+    ) -> None:
+        """Guards against a killed process that completes responses."""
+        client = await self.begin(streaming, "/endless")
+        (connection,) = streaming.connections
+        assert connection._transport is not None
+        connected = connection._transport.get_extra_info("socket")
+        linger = connected.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+        assert struct.unpack("ii", linger) == (1, 0)
+        client.close()
+
+    async def test_complete_ones_end_in_order(
+        self, streaming: HttpListener
+    ) -> None:
+        """Guards against resets of responses that have all their bytes."""
+        client = await self.begin(streaming, "/")
+        assert await asyncio.wait_for(client.reader.read(), 5.0) == b""
+        await streaming.stop()
--- a/testing/scenarios/test_killed_front.py
+++ b/testing/scenarios/test_killed_front.py
@@ -21,7 +21,13 @@
 
 
 class UnframedUpstream(PlainUpstream):
-    """Streams events without a length or chunks."""
+    """Streams events without a length or chunks.
+
+    Attributes:
+        events: number of events of each stream.
+    """
+
+    events = _EVENTS
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -31,7 +37,7 @@
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
             )
-            for _ in range(_EVENTS):
+            for _ in range(self.events):
                 writer.write(_EVENT)
                 await writer.drain()
                 await asyncio.sleep(_EVENT_SECONDS)
@@ -165,3 +171,13 @@
         world.direct.signal(signal.SIGTERM)
         streams = await asyncio.gather(*tasks)
         assert [stream.is_whole for stream in streams] == [True] * _CLIENTS
+
+    async def test_streams_that_outlast_the_grace_do_not_look_complete(
+        self, world: StreamsWorld
+    ) -> None:
+        world.upstream.events = 10 * _EVENTS
+        tasks = await world.begin("direct")
+        world.direct.signal(signal.SIGTERM)
+        streams = await asyncio.gather(*tasks)
+        assert all(stream.body for stream in streams)
+        assert [s.was_reset for s in streams] == [True] * _CLIENTS
