Decide repeats over the hop by the version that the request is sent with

A request to a route that had just become unsafe could run twice: another front broke off, and a third one was asked.

Cause: whether it may be repeated was decided by the route as found on arrival, while the request is sent on with the version in force at that time, which the other front decides by. After catching up with a front that is ahead these differ.

A repeat now also needs the route in force at that time to allow it, asked before each front. A route that has been dropped keeps the kind that it had.

Evidence: test_a_request_runs_once_if_the_newer_version_says_so failed before (3 calls at other fronts instead of 2: one sent back, one broken off, one repeated) and passes.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -655,7 +655,7 @@
             links is None
             or self._request.is_from_front
             or (self._answer.has_started and not route.resumable)
-            or (self._may_have_run and not route.is_idempotent)
+            or (self._may_have_run and not self._is_repeatable(route))
         ):
             return False
         last_event = self._relay.last_event if self._relay.splitter else ""
@@ -670,7 +670,7 @@
         began_at = self._loop.time()
         while True:
             answer = await hop.send(
-                self._deadline, is_repeatable=route.is_idempotent
+                self._deadline, functools.partial(self._is_repeatable, route)
             )
             self._may_have_run |= hop.may_have_run
             now = self._loop.time()
@@ -691,19 +691,30 @@
                 return True
             except ChannelError as error:
                 self._may_have_run = True
-                if self._answer.has_started or not route.is_idempotent:
+                if self._answer.has_started or not self._is_repeatable(route):
                     self._fail(Failure(str(error), False))
                     return True
             finally:
                 hop.end(answer)
 
+    def _is_repeatable(self, route: Route) -> bool:
+        """Whether the request may run twice.
+
+        Another front may have served it by a version that has come into force
+        here since the route was found.
+        """
+        if not route.is_idempotent:
+            return False
+        current = self._front.table.find(self._facts.host, self._request.path)
+        return current is None or current.is_idempotent
+
     def _has_no_other_way(self, route: Route) -> bool:
         """Ends a request that may have run elsewhere and may not run twice.
 
         Returns:
             Whether it has ended.
         """
-        if not self._may_have_run or route.is_idempotent:
+        if not self._may_have_run or self._is_repeatable(route):
             return False
         self._give_up(_UNREACHABLE_REFUSAL)
         return True
--- a/src/ridgesill/app/front_hop.py
+++ b/src/ridgesill/app/front_hop.py
@@ -89,7 +89,7 @@
         self._ahead: set[str] = set()
 
     async def send(
-        self, deadline: float, *, is_repeatable: bool
+        self, deadline: float, is_repeatable: Callable[[], bool]
     ) -> HopAnswer | None:
         """Returns the answer of a front, or None if nobody can help.
 
@@ -98,14 +98,15 @@
 
         Args:
             deadline: of the request, on the loop's clock.
-            is_repeatable: whether the request may run twice.
+            is_repeatable: returns whether the request may run twice, by the
+                configuration in force here.
         """
         peers = self._links.fronts
         self.newer_version = 0
         self._asked = [name for name in self._asked if name not in self._ahead]
         self._ahead.clear()
         while len(self._asked) < MAX_FRONTS:
-            if self.may_have_run and not is_repeatable:
+            if self.may_have_run and not is_repeatable():
                 return None
             peer = peers.choose(self._asked, self._loop.time())
             if peer is None:
--- a/testing/app/test_front_hop.py
+++ b/testing/app/test_front_hop.py
@@ -9,6 +9,7 @@
 from ridgesill.core.commands import Node
 from ridgesill.core.freshness import Freshness
 from ridgesill.core.serving.customers import Quota
+from ridgesill.core.serving.routes import RouteTable
 from testing.app.front_world import (
     Answer,
     Call,
@@ -542,3 +543,34 @@
         client.close()
         assert (answer.status, len(upstream.calls)) == (200, 1)
         assert "ridgesill-applied" not in answer.headers
+
+    async def test_a_request_runs_once_if_the_newer_version_says_so(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        """Guards against repeats by the kind that a route had before."""
+        before = make_table(version=1)
+        route = before.find("a.example", "/safe/x")
+        unsafe = attrs.evolve(route, kind="unsafe")
+        services = before.services.values()
+        calls: list[Call] = []
+
+        async def refuse_then_break_off(call: Call) -> None:
+            calls.append(call)
+            if len(calls) > 1:
+                call.reset()
+                return
+            applied = "Ridgesill-Applied: 2;index=0"
+            await call.answer(503, b"", "Ridgesill-Refusal: ahead", applied)
+            fronts.cut.set_table(RouteTable(2, [unsafe], services))
+
+        fronts.cut.set_table(before)
+        others = [
+            ScriptedUpstream(f"f{n}", refuse_then_break_off) for n in "12"
+        ]
+        for other in others:
+            await other.start()
+        fronts.cut.link_to_address(*(other.address for other in others))
+        answer = await fronts.ask("/safe/x")
+        for other in others:
+            other.stop()
+        assert (answer.status, len(calls)) == (502, 2)
