--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import fcntl
-import socket
 import struct
 import termios
 from collections.abc import Awaitable, Callable
@@ -19,6 +18,7 @@
 from ridgesill.adapters.http1.slow_readers import SlowReaders
 from ridgesill.core.addresses import split_address
 from ridgesill.core.serving.routes import ClientLimits
+from ridgesill.adapters.socket_closing import set_reset_on_close
 from ridgesill.ports.http import Headers, HttpRequest, Responder
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
@@ -33,10 +33,6 @@
 # How long a client may take to close a connection whose end completed a
 # response.
 _HALF_CLOSED_SECONDS = 1.0
-# Values of the socket option SO_LINGER: closing a connection resets it, or ends
-# it after all that was written.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class _BodyTooLargeError(Exception):
@@ -438,15 +434,10 @@
 
 
 def _set_reset_on_close(transport: asyncio.Transport, resets: bool) -> None:
-    """Sets whether closing the connection resets it, by whomever it is closed.
-
-    The kernel does so as well for a process that is killed.
-    """
+    """Sets whether closing the connection resets it."""
     connected = transport.get_extra_info("socket")
-    if connected is None or connected.fileno() < 0:
-        return
-    value = _RESET_ON_CLOSE if resets else _END_ON_CLOSE
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+    if connected is not None and connected.fileno() >= 0:
+        set_reset_on_close(connected, resets)
 
 
 def _count_kernel_bytes(transport: asyncio.Transport) -> int:
