Bound what the connections of a process hold together

Clients that keep no limit ended a process in a trial of the users: it ran out of memory. They sent bodies far over the limit, and many requests ahead whose answers they didn't read, at routes and at the path that says ready.

Cause: limits held for each request, and the process has one memory. Each byte that came was kept, also behind a request in progress. Requests sent ahead were answered into a buffer that nobody bounded. A body over the limit was refused only once as much had come, and nothing counted all connections. Bodies in chunks of a byte took all turns of the event loop.

What comes behind a request now waits in its socket, and the next one begins once the client has taken the answer. What all connections hold, over all interfaces of the process, is bounded by an eighth of the VM's memory: the one that holds most is refused as not run, or closed; requests in progress stay. An announced body over the limit is refused at once, in a way that its client can read. Connections with much to parse take turns.

--- /dev/null
+++ b/src/ridgesill/adapters/http1/connection_memory.py
@@ -0,0 +1,101 @@
+"""Bounds what the connections of a process hold in memory together."""
+
+from typing import Protocol
+
+from eliot import log_message
+
+from ridgesill.core.serving.held_bytes import HeldBytes
+
+# Share of the VM's memory that connections may hold. A body is held up to three
+# times over while it is forwarded.
+_HELD_SHARE = 0.125
+# The bound where the VM's memory isn't known, in bytes.
+_DEFAULT_BYTES = 64 * 2**20
+# Connections that hold less aren't counted: they are most, and together they
+# hold less than the descriptors of a VM allow for.
+_COUNTED_BYTES = 16 * 1024
+
+
+class Holder(Protocol):
+    """A connection, as far as what it holds is concerned."""
+
+    @property
+    def name(self) -> str:
+        """Address of the client."""
+
+    def shed(self) -> None:
+        """Refuses the request that is received, or ends the connection."""
+
+
+class ConnectionMemory:
+    """Counts what connections hold, and sheds those that hold most.
+
+    Requests in progress count, but aren't shed: they may have run.
+
+    Args:
+        vm_bytes: memory of the VM; 0 if unknown.
+    """
+
+    def __init__(self, vm_bytes: float = 0.0) -> None:
+        self._bound = vm_bytes * _HELD_SHARE or _DEFAULT_BYTES
+        self._in_progress = 0
+        self._held = HeldBytes(self._bound)
+        self._holders: dict[str, Holder] = {}
+
+    @property
+    def total(self) -> int:
+        """Bytes that all connections hold."""
+        return self._held.total + self._in_progress
+
+    def reserve(self, body_bytes: int) -> None:
+        """Makes room for at least two bodies of the largest size.
+
+        Args:
+            body_bytes: the largest size of a body.
+        """
+        self._bound = max(self._bound, 2.0 * body_bytes)
+
+    def record(self, key: str, holder: Holder, held: int) -> None:
+        """Replaces what a connection holds; sheds others, or it, if too much.
+
+        Args:
+            key: identifies the connection in this process.
+            holder: the connection.
+            held: bytes that it holds, without requests in progress.
+        """
+        if held < _COUNTED_BYTES:
+            self.discard(key)
+            return
+        self._holders[key] = holder
+        self._held.record(key, "", held)
+        self._shed_excess()
+
+    def discard(self, key: str) -> None:
+        """Removes a connection that holds nothing."""
+        if self._holders.pop(key, None) is not None:
+            self._held.discard(key)
+
+    def begin_request(self, body_bytes: int) -> None:
+        """Counts the body of a request that is in progress from now on."""
+        self._in_progress += body_bytes
+
+    def end_request(self, body_bytes: int) -> None:
+        """Removes the body of a request that has ended."""
+        self._in_progress -= body_bytes
+
+    def _shed_excess(self) -> None:
+        self._held.bound = self._bound - self._in_progress
+        # A single large answer is delivered to a slow client.
+        while len(self._holders) + bool(self._in_progress) > 1 and (
+            key := self._held.find_excess()
+        ):
+            holder = self._holders.pop(key)
+            log_message(
+                "channel:shed",
+                peer=holder.name,
+                held=self._held.count(key),
+                total=self.total,
+                bound=self._bound,
+            )
+            self._held.discard(key)
+            holder.shed()
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -15,11 +15,18 @@
 import h11
 from eliot import log_message, write_traceback
 
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
+from ridgesill.adapters.http1.parse_queue import ParseQueue
 from ridgesill.adapters.http1.slow_readers import SlowReaders
+from ridgesill.adapters.socket_closing import set_reset_on_close
 from ridgesill.core.addresses import split_address
 from ridgesill.core.serving.routes import ClientLimits
-from ridgesill.adapters.socket_closing import set_reset_on_close
-from ridgesill.ports.http import Headers, HttpRequest, Responder
+from ridgesill.ports.http import (
+    Headers,
+    HttpRequest,
+    Responder,
+    find_header,
+)
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
@@ -28,6 +35,22 @@
 _BACKLOG_CONNECTIONS = 1024
 # Interval at which connections are checked for timeouts.
 _TIMEOUT_CHECK_SECONDS = 0.5
+# Bytes received at once. All connections of a listener share one buffer.
+_RECEIVE_BYTES = 16 * 1024
+# A body is kept in blocks of this size, and up to one more read.
+_BLOCK_BYTES = 16 * 1024
+# Bytes that a connection keeps of what its client sends before the current
+# response is complete. A client that sends more waits.
+_MAX_AHEAD_BYTES = 16 * 1024
+# Parts of requests that a connection parses at once. A part takes about 20
+# microseconds, and other connections wait meanwhile.
+_MAX_EVENTS_AT_ONCE = 64
+# Bytes that are read and dropped after a refusal, so that its client can read
+# it. Closing with unread bytes would reset the connection.
+_MAX_DROPPED_BYTES = 256 * 1024
+# When a client may come back whose request was refused for want of memory, in
+# seconds.
+_SHED_RETRY_SECONDS = 1
 # Newest version of HTTP whose clients know no chunks.
 _UNCHUNKED_VERSION = b"1.0"
 # How long a client may take to close a connection whose end completed a
@@ -39,7 +62,7 @@
     """A request body is larger than the limit."""
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """A connection from a client.
 
     Args:
@@ -54,18 +77,27 @@
     def __init__(self, listener: "HttpListener") -> None:
         self._listener = listener
         self._loop = asyncio.get_running_loop()
-        self._http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=listener.limits.header_bytes,
-        )
+        self._http = _make_parser(listener.limits)
         self._transport: asyncio.Transport | None = None
         self.name = ""
         self.customer = ""
         self.written = 0
         self._head: h11.Request | None = None
         self._head_received_at = 0.0
-        self._body: list[bytes] = []
+        # Blocks of one size: a buffer that grows would leave holes in the heap.
+        self._body: list[bytearray] = []
         self._body_bytes = 0
+        # Bytes that the client sent before the current response was complete.
+        self._ahead = bytearray()
+        # Bytes that the parser holds, at most.
+        self._unparsed_bytes = 0
+        self._dropped_bytes = 0
+        self._is_reading_paused = False
+        # Whether received bytes wait for their turn to be parsed.
+        self._is_queued = False
+        # Whether the next request waits until the client has taken the last
+        # response.
+        self._awaits_flush = False
         self._task: asyncio.Task[None] | None = None
         self._writable: asyncio.Future[None] | None = None
         # When the current request or the current idle time began.
@@ -93,6 +125,7 @@
         """Cancels the request in progress: its client has disconnected."""
         self._is_closed = True
         self._listener.connections.discard(self)
+        self._listener.memory.discard(self._memory_key)
         self._wake_writer()
         if self._task is not None:
             self._task.cancel()
@@ -110,41 +143,132 @@
         self._wake_writer()
         if self._is_half_closed:
             self._send_end()
+        elif self._awaits_flush:
+            self._end_flush()
 
     def _wake_writer(self) -> None:
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
 
-    def data_received(self, data: bytes) -> None:
-        """Parses bytes of a request."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer into which the next bytes are received."""
+        return self._listener.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses bytes of a request, or keeps those sent ahead."""
         if self._is_half_closed:
+            self._drop(nbytes)
+            return
+        data = self._listener.receive_buffer[:nbytes]
+        if self._is_busy:
+            self._ahead += data
+            if len(self._ahead) > _MAX_AHEAD_BYTES:
+                self._pause_reading()
+            self._count_held()
             return
-        if not self._receiving and self._task is None:
+        if not self._receiving:
             self._period_started_at = self._loop.time()
             self._receiving = True
-        self._process(data)
+        self._process(bytes(data))
+
+    @property
+    def _is_busy(self) -> bool:
+        """Whether received bytes can't be parsed yet."""
+        return self._task is not None or self._is_queued or self._awaits_flush
+
+    def _drop(self, count: int) -> None:
+        """Counts bytes that arrived after a refusal."""
+        self._dropped_bytes += count
+        if self._dropped_bytes > _MAX_DROPPED_BYTES:
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        if not self._is_reading_paused and self._transport is not None:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused and self._transport is not None:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
 
     def _process(self, data: bytes = b"") -> None:
         """Parses received bytes; rejects malformed or oversized requests."""
         try:
             if data:
-                self._http.receive_data(data)
+                self._feed(data)
             self._process_events()
+            self._count_held()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
         except _BodyTooLargeError:
             self._reject(413, "the body is over the limit")
 
     def _process_events(self) -> None:
-        while self._task is None and not self._is_closed:
+        for _ in range(_MAX_EVENTS_AT_ONCE):
+            if self._task is not None or self._is_closed:
+                return
             event = self._http.next_event()
+            if event is h11.NEED_DATA and self._ahead:
+                self._parse_ahead()
+                continue
             if event is h11.NEED_DATA:
-                self._send_continue()
+                self._receive_more()
                 return
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return
             self._process_event(event)
+        if self._task is None:
+            self._is_queued = True
+            self._pause_reading()
+            self._listener.parse_queue.add(self)
+
+    def parse_more(self) -> None:
+        """Goes on with received bytes, of which there were many to parse."""
+        self._is_queued = False
+        if not self._is_closed and not self._is_half_closed:
+            self._process()
+
+    def _feed(self, data: bytes) -> None:
+        self._unparsed_bytes += len(data)
+        self._http.receive_data(data)
+
+    def _parse_ahead(self) -> None:
+        """Hands the bytes that were sent ahead to the parser."""
+        ahead = bytes(self._ahead)
+        self._ahead.clear()
+        self._unparsed_bytes = 0
+        self._feed(ahead)
+
+    def _receive_more(self) -> None:
+        """Receives more bytes, since the parser has none left to parse."""
+        if self._head is not None:
+            self._unparsed_bytes = 0
+        self._resume_reading()
+        self._send_continue()
+
+    # -- memory --------------------------------------------------------
+
+    @property
+    def _memory_key(self) -> str:
+        """Identifies this connection among those of all listeners."""
+        return str(id(self))
+
+    def _count_held(self) -> None:
+        """Counts what is held of requests, and of responses if nobody does."""
+        held = self._body_bytes + len(self._ahead) + self._unparsed_bytes
+        if self._listener.slow_readers is None:
+            held += self._count_buffered()
+        self._listener.memory.record(self._memory_key, self, held)
+
+    def shed(self) -> None:
+        """Refuses the request that is received, or ends the connection."""
+        if self._task is not None or self._awaits_flush or self._is_half_closed:
+            self.abort()
+            return
+        retry_after = ("retry-after", str(_SHED_RETRY_SECONDS))
+        self._reject(503, "no memory is left for it", retry_after)
 
     def _send_continue(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
@@ -155,16 +279,25 @@
         if isinstance(event, h11.Request):
             self._head = event
             self._head_received_at = self._loop.time()
-            self._body = []
-            self._body_bytes = 0
+            length = find_header(tuple(event.headers), b"content-length")
+            self._check_body(int(length or 0))
         elif isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
-            if self._body_bytes > self._listener.limits.body_bytes:
-                raise _BodyTooLargeError
-            self._body.append(bytes(event.data))
+            self._check_body(self._body_bytes)
+            if not self._body or len(self._body[-1]) >= _BLOCK_BYTES:
+                self._body.append(bytearray())
+            self._body[-1] += event.data
         elif isinstance(event, h11.EndOfMessage):
             self._start_request()
 
+    def _discard_body(self) -> None:
+        self._body.clear()
+        self._body_bytes = 0
+
+    def _check_body(self, length: int) -> None:
+        if length > self._listener.limits.body_bytes:
+            raise _BodyTooLargeError
+
     # -- serving -------------------------------------------------------
 
     def _start_request(self) -> None:
@@ -180,11 +313,13 @@
             self._head_received_at,
             self.name,
         )
-        self._body = []
+        self._discard_body()
         self._task = self._loop.create_task(self._serve(request))
 
     async def _serve(self, request: HttpRequest) -> None:
         responder = _ConnectionResponder(self, request)
+        memory = self._listener.memory
+        memory.begin_request(len(request.body))
         try:
             await self._listener.handler(request, responder)
         except asyncio.CancelledError:
@@ -195,10 +330,32 @@
             write_traceback()
             self._send_failure(responder)
         finally:
+            memory.end_request(len(request.body))
             self._task = None
             self._period_started_at = self._loop.time()
         if not self._is_closed:
+            self._begin_flush()
+
+    def _begin_flush(self) -> None:
+        """Goes on once the client has taken the response.
+
+        Otherwise the responses to requests that are sent ahead would pile up.
+        """
+        transport = self._transport
+        if transport is None or not self._count_buffered():
             self._start_next_cycle()
+            return
+        self._awaits_flush = True
+        # `resume_writing` is called once the buffer is empty.
+        transport.set_write_buffer_limits(high=0)
+
+    def _end_flush(self) -> None:
+        self._awaits_flush = False
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+        self._period_started_at = self._loop.time()
+        self._start_next_cycle()
 
     def _send_failure(self, responder: Responder) -> None:
         if self._is_closed:
@@ -219,10 +376,15 @@
             self._close()
             return
         http.start_next_cycle()
-        if http.trailing_data[0]:
+        if self._has_more:
             self._receiving = True
         self._process()
 
+    @property
+    def _has_more(self) -> bool:
+        """Whether more has been received than the current request."""
+        return bool(self._ahead or self._http.trailing_data[0])
+
     def _must_close(self) -> bool:
         """Whether to close a connection after its response while draining.
 
@@ -232,23 +394,33 @@
         closing with unread data would reset the connection and could truncate
         the last response.
         """
-        return self.draining and not self._http.trailing_data[0]
+        return self.draining and not self._has_more
 
-    def _reject(self, status: int, detail: str) -> None:
+    def _reject(
+        self, status: int, detail: str, *headers: tuple[str, str]
+    ) -> None:
+        """Refuses what is received, and reads no more than lets that arrive."""
         log_message(
             "channel:rejected", peer=self.name, status=status, detail=detail
         )
-        if self._task is not None:
-            self._task.cancel()
-            self.abort()
+        self._discard_body()
+        self._ahead.clear()
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._close()
             return
-        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            head = h11.Response(
-                status_code=status,
-                headers=[("content-length", "0"), ("connection", "close")],
-            )
-            self._write(self._http.send(head))
-        self._close()
+        head = h11.Response(
+            status_code=status,
+            headers=[
+                ("content-length", "0"),
+                ("connection", "close"),
+                *headers,
+            ],
+        )
+        self._write(self._http.send(head))
+        self._http = _make_parser(self._listener.limits)
+        self._unparsed_bytes = 0
+        self._resume_reading()
+        self._half_close()
 
     # -- used by the responder -----------------------------------------
 
@@ -324,6 +496,8 @@
         if data and self._transport is not None:
             self.written += len(data)
             self._transport.write(data)
+            if self._count_buffered():
+                self._count_held()
 
     def _half_close(self) -> None:
         """Ends the response, and discards requests that cross its end.
@@ -361,7 +535,7 @@
         Args:
             now: event loop time in seconds.
         """
-        if self._task is not None:
+        if self._task is not None or self._awaits_flush:
             return
         limits = self._listener.limits
         elapsed_seconds = now - self._period_started_at
@@ -379,7 +553,7 @@
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
         if (
-            self._task is None
+            not self._is_busy
             and not self._receiving
             and not self._is_half_closed
         ):
@@ -429,6 +603,12 @@
         self._connection.abort()
 
 
+def _make_parser(limits: ClientLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.header_bytes
+    )
+
+
 def _has_length(head: h11.Response) -> bool:
     return any(name == b"content-length" for name, _ in head.headers)
 
@@ -456,6 +636,8 @@
         address: `host:port`.
         handler: serves each request.
         limits: limits of each connection; may be replaced at runtime.
+        memory: bounds what the connections of this process hold together; of
+            its own if omitted.
 
     Attributes:
         connections: all open connections.
@@ -465,6 +647,8 @@
         sends_clients_away: returns whether to do the same for another reason.
         slow_readers: bounds what is held for slow clients in total; None makes
             handlers wait for each slow client instead.
+        receive_buffer: receives the bytes of all connections.
+        parse_queue: shares the time for parsing among them.
     """
 
     def __init__(
@@ -472,15 +656,19 @@
         address: str,
         handler: Handler,
         limits: ClientLimits | None = None,
+        memory: ConnectionMemory | None = None,
     ) -> None:
         self.handler = handler
+        self._address = address
+        self.memory = memory or ConnectionMemory()
+        self.receive_buffer = memoryview(bytearray(_RECEIVE_BYTES))
+        self.parse_queue = ParseQueue()
         self.limits = limits or ClientLimits()
         self.connections: set[ServerConnection] = set()
         self.draining = False
         self.is_crowded = False
         self.sends_clients_away: Callable[[], bool] = lambda: False
         self.slow_readers: SlowReaders | None = None
-        self._address = address
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task[None] | None = None
 
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -11,6 +11,7 @@
 
 from ridgesill.adapters.file_log import FileLog
 from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.adapters.peer_datagrams import PeerDatagrams
 from ridgesill.adapters.peer_rpc import PeerLinks, PeerServer
@@ -123,7 +124,12 @@
             PlatformControlCalls(),
             self._heartbeat_address,
         )
-        self._calls = HttpListener(settings.control_address, api.serve)
+        self._connection_memory = ConnectionMemory(settings.limits.memory_bytes)
+        self._calls = HttpListener(
+            settings.control_address,
+            api.serve,
+            memory=self._connection_memory,
+        )
         self._peer_server = PeerServer(
             self._handle, self._node.identity, self._peers.traffic
         )
@@ -279,6 +285,7 @@
                     Instruments(
                         self._gauges(driver), self.owner.swap_telemetry
                     ),
+                    self._connection_memory,
                 )
             )
             group.create_task(log_traffic(self._peers.traffic))
@@ -288,6 +295,9 @@
             "ridgesill_configuration_version": (
                 lambda: driver.state.routes_version
             ),
+            "ridgesill_connection_bytes": (
+                lambda: self._connection_memory.total
+            ),
             "ridgesill_log_term": lambda: driver.replica.term,
             "ridgesill_log_index": lambda: driver.state.index,
             "ridgesill_log_leads": lambda: float(driver.is_leader),
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.http1.server import HttpListener, ServerConnection
 from ridgesill.adapters.http1.slow_readers import SlowReaders
 from ridgesill.adapters.peer_datagrams import PeerDatagrams
@@ -42,7 +43,7 @@
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.peer_fronts import PeerFronts
 from ridgesill.core.serving.retries import RetryBounds
-from ridgesill.core.serving.routes import RouteTable
+from ridgesill.core.serving.routes import BODILESS_LIMITS, RouteTable
 from ridgesill.platform.control_calls import READY_PATH
 from ridgesill.platform.requests import PlatformDialect
 from ridgesill.platform.settings import METRICS_PATH, PlatformSettings
@@ -150,19 +151,27 @@
         self.fleet.add_listener(self.front.discovery_signal.notify)
         self.fleet.add_listener(self._apply_fleet_news)
         self.fleet.add_listener(self._streams.handle_news)
+        memory = ConnectionMemory(settings.limits.memory_bytes)
+        self._connection_memory = memory
         self._client_listener = HttpListener(
             settings.client_address,
             functools.partial(serve_request, self.front),
+            memory=memory,
         )
         self._client_listener.sends_clients_away = self._sends_clients_away
         self._front_listener = HttpListener(
-            settings.peer_listen_address, self._serve_front_request
+            settings.peer_listen_address,
+            self._serve_front_request,
+            memory=memory,
         )
         if settings.has_slow_peers and settings.limits.memory_bytes:
             bound = settings.limits.memory_bytes * _HELD_SHARE
             self._client_listener.slow_readers = SlowReaders(HeldBytes(bound))
         self._readiness_listener = HttpListener(
-            settings.readiness_address, self._answer_readiness
+            settings.readiness_address,
+            self._answer_readiness,
+            BODILESS_LIMITS,
+            memory,
         )
 
     async def _serve_front_request(
@@ -244,6 +253,7 @@
         if table.limits is not None:
             self._client_listener.limits = table.limits
             self._front_listener.limits = table.limits
+            self._connection_memory.reserve(table.limits.body_bytes)
         log_message("front:configuration", version=table.version, index=index)
 
     def _apply_limits(self, load: FrontLoad, nodes: Iterable[Node]) -> None:
@@ -334,6 +344,7 @@
                 self._settings.metrics_address,
                 METRICS_PATH,
                 Instruments(self._gauges(), self._swap_telemetry),
+                self._connection_memory,
             ),
             log_traffic(self._peers.traffic),
         ]
@@ -386,6 +397,9 @@
         load = self.front.load
         readers = self._client_listener.slow_readers
         return {
+            "ridgesill_connection_bytes": (
+                lambda: self._connection_memory.total
+            ),
             "ridgesill_held_bytes": (
                 lambda: readers.held.total if readers is not None else 0
             ),
--- a/src/ridgesill/app/telemetry.py
+++ b/src/ridgesill/app/telemetry.py
@@ -13,7 +13,9 @@
 
 from eliot import log_message
 
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.core.serving.routes import BODILESS_LIMITS
 from ridgesill.ports.http import HttpRequest, Responder
 from ridgesill.ports.telemetry import BufferedTelemetry, Telemetry
 
@@ -70,7 +72,10 @@
 
 
 async def serve_metrics(
-    address: str, path: str, instruments: Instruments
+    address: str,
+    path: str,
+    instruments: Instruments,
+    memory: ConnectionMemory,
 ) -> None:
     """Serves the metrics over HTTP until cancelled.
 
@@ -80,6 +85,7 @@
         address: `host:port` to listen on.
         path: URL path of the metrics.
         instruments: source of the metrics.
+        memory: bounds what the connections of this process hold.
     """
 
     async def handle_request(
@@ -95,7 +101,7 @@
         responder.send_data(body)
         responder.finish()
 
-    listener = HttpListener(address, handle_request)
+    listener = HttpListener(address, handle_request, BODILESS_LIMITS, memory)
     try:
         await listener.start()
     except OSError as error:
--- a/src/ridgesill/core/serving/routes.py
+++ b/src/ridgesill/core/serving/routes.py
@@ -155,6 +155,10 @@
     idle_seconds: float = 15.0
 
 
+# For interfaces whose requests have no body.
+BODILESS_LIMITS = ClientLimits(body_bytes=4096)
+
+
 class RouteTable:
     """The routes in force.
 
--- /dev/null
+++ b/testing/adapters/http1/test_server_memory.py
@@ -0,0 +1,247 @@
+"""Tests of what connections hold of clients that send without regard."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
+from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.core.serving.routes import ClientLimits
+from ridgesill.ports.http import HttpRequest, Responder
+from testing.processes import free_address
+
+_BODY_BYTES = 400_000
+_VM_BYTES = 8_000_000
+_POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
+_GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+_TIMEOUT_SECONDS = 10.0
+# Far more than the kernel takes for a client that reads nothing.
+_LONG_BYTES = 4 * 2**20
+
+
+class MemoryWorld:
+    """A listener that echoes bodies.
+
+    Args:
+        vm_bytes: memory of its VM.
+
+    Attributes:
+        released: lets requests to `/wait` end.
+        requests: number of requests so far.
+    """
+
+    def __init__(self, vm_bytes: float) -> None:
+        self.memory = ConnectionMemory(vm_bytes)
+        self.address = free_address()
+        self.listener = HttpListener(
+            self.address,
+            self.serve,
+            ClientLimits(16_384, _BODY_BYTES, 3.0, 5.0),
+            self.memory,
+        )
+        self.released = asyncio.Event()
+        self.requests = 0
+
+    async def serve(self, request: HttpRequest, responder: Responder) -> None:
+        """Echoes the body; `/wait` waits, and `/long` sends 4 MiB."""
+        self.requests += 1
+        body = request.body
+        if request.path == "/wait":
+            await self.released.wait()
+        if request.path == "/long":
+            body = bytes(_LONG_BYTES)
+        responder.send_head(200, ((b"content-length", b"%d" % len(body)),))
+        responder.send_data(body)
+        responder.finish()
+
+    async def open(
+        self, receive_bytes: int = 0
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connects a client."""
+        host, _, port = self.address.rpartition(":")
+        client = socket.socket()
+        if receive_bytes:
+            client.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+            )
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, (host, int(port)))
+        return await asyncio.open_connection(
+            sock=client, limit=receive_bytes or 2**16
+        )
+
+    async def ask(self, data: bytes) -> bytes:
+        """Sends bytes; returns the head of the answer."""
+        reader, writer = await self.open()
+        writer.write(data)
+        head = await asyncio.wait_for(
+            reader.readuntil(b"\r\n\r\n"), _TIMEOUT_SECONDS
+        )
+        writer.close()
+        return head
+
+
+@pytest.fixture(params=[_VM_BYTES])
+async def world(request: pytest.FixtureRequest) -> AsyncIterator[MemoryWorld]:
+    """Yields a listener that has been started; its parameter is its memory."""
+    started = MemoryWorld(request.param)
+    await started.listener.start()
+    yield started
+    await started.listener.stop()
+
+
+def post(body: bytes, length: int = 0) -> bytes:
+    """Returns a request that may announce more than it brings."""
+    announced = b"Content-Length: %d\r\n\r\n" % (length or len(body))
+    return _POST + announced + body
+
+
+class TestBodiesOverTheLimit:
+    async def test_an_announced_body_is_refused_before_it_comes(
+        self, world: MemoryWorld
+    ) -> None:
+        head = await world.ask(post(b"", 500 * 2**20))
+        assert head.startswith(b"HTTP/1.1 413")
+
+    async def test_a_refusal_arrives_although_the_body_comes(
+        self, world: MemoryWorld
+    ) -> None:
+        """Guards against a reset that discards the refusal."""
+        reader, writer = await world.open()
+        writer.write(post(b"x" * 200_000, 500 * 2**20))
+        await asyncio.sleep(0.2)
+        answer = await asyncio.wait_for(reader.read(), _TIMEOUT_SECONDS)
+        assert answer.startswith(b"HTTP/1.1 413")
+        writer.close()
+
+    async def test_a_client_that_sends_on_is_disconnected(
+        self, world: MemoryWorld
+    ) -> None:
+        reader, writer = await world.open()
+        writer.write(post(b"", 500 * 2**20))
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            with pytest.raises(ConnectionError):
+                while True:
+                    writer.write(bytes(65536))
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+
+
+class TestTinyChunks:
+    async def test_a_body_in_chunks_of_a_byte_is_served(
+        self, world: MemoryWorld
+    ) -> None:
+        body = bytes(range(256)) * 40
+        chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+        reader, writer = await world.open()
+        writer.write(_POST + _CHUNKED + chunks + b"0\r\n\r\n" + _GET)
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(len(body)) == body
+        assert await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    async def test_others_are_served_beside_many_such_bodies(
+        self, world: MemoryWorld
+    ) -> None:
+        """Guards against parsing that takes all turns of the event loop."""
+        piece = b"1\r\nx\r\n" * 20_000
+        writers = []
+        for _ in range(10):
+            _, writer = await world.open()
+            writer.write(_POST + _CHUNKED + piece)
+            writers.append(writer)
+        await asyncio.sleep(0.01)
+        queue = world.listener.parse_queue
+        head = await world.ask(_GET)
+        assert head.startswith(b"HTTP/1.1 200")
+        assert len(queue) > 5
+        for writer in writers:
+            writer.close()
+
+
+class TestRequestsAhead:
+    @pytest.mark.parametrize("world", [1e9], indirect=True)
+    async def test_they_wait_until_the_client_reads(
+        self, world: MemoryWorld
+    ) -> None:
+        """Guards against answers that pile up for a client."""
+        reader, writer = await world.open(4096)
+        request = b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n"
+        writer.write(request * 3)
+        await asyncio.sleep(0.3)
+        assert world.requests == 1
+        for _ in range(3):
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(_LONG_BYTES)
+        assert world.requests == 3
+        writer.close()
+
+    async def test_no_more_is_received_than_a_bound(
+        self, world: MemoryWorld
+    ) -> None:
+        _, writer = await world.open()
+        writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+        sent = 0
+        with pytest.raises(TimeoutError):
+            while sent < 64 * 2**20:
+                writer.write(_GET * 1000)
+                sent += len(_GET) * 1000
+                await asyncio.wait_for(writer.drain(), 0.5)
+        assert world.memory.total < 100_000
+        world.released.set()
+        writer.transport.abort()
+
+    async def test_all_are_served_in_order(self, world: MemoryWorld) -> None:
+        reader, writer = await world.open()
+        bodies = [b"%d" % number * 500 for number in range(200)]
+        writer.write(b"".join(map(post, bodies)))
+        for body in bodies:
+            await reader.readuntil(b"\r\n\r\n")
+            assert await reader.readexactly(len(body)) == body
+        writer.close()
+
+
+class TestAllTogether:
+    async def test_the_largest_unfinished_body_is_refused(
+        self, world: MemoryWorld
+    ) -> None:
+        opened = []
+        for size in (300_000, 390_000, 350_000):
+            reader, writer = await world.open()
+            writer.write(post(b"x" * size, _BODY_BYTES))
+            opened.append((reader, writer))
+            await asyncio.sleep(0.1)
+        reader, _ = opened[1]
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+        assert head.startswith(b"HTTP/1.1 503")
+        assert b"retry-after: 1" in head.lower()
+        assert world.memory.total <= 1_000_000
+        # The others go on.
+        reader, writer = opened[0]
+        writer.write(b"x" * (_BODY_BYTES - 300_000))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
+        assert head.startswith(b"HTTP/1.1 200")
+        for _, writer in opened:
+            writer.close()
+
+    async def test_requests_in_progress_count_and_stay(
+        self, world: MemoryWorld
+    ) -> None:
+        """Guards against the end of a request that may have run."""
+        body = b"x" * 390_000
+        head = b"POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 390000\r\n"
+        waiting = [
+            asyncio.create_task(world.ask(head + b"\r\n" + body))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0.2)
+        refused = await world.ask(post(b"x" * 300_000, _BODY_BYTES))
+        assert refused.startswith(b"HTTP/1.1 503")
+        assert (await world.ask(_GET)).startswith(b"HTTP/1.1 200")
+        world.released.set()
+        for answer in await asyncio.gather(*waiting):
+            assert answer.startswith(b"HTTP/1.1 200")
