Refuse runners' answers whose head was cut short

Callers of the own interface saw a 200 with an empty body, framed as whole, when a runner stopped inside its answer's head and closed. An order to which the answer was cut in this way counted as done.

Cause: http.client takes the end of the connection for the end of a line and of the headers. A header cut inside "Content-Length:" or "Transfer-Encoding: chu" then counted as framing, and a 204 or a length of 0 as a whole answer. In the same way a chunk size such as "0a" cut after its zero passed for the last chunk.

All pools of runner_http.py now use a connection whose answers refuse a line that ends without its newline, and a head whose last line isn't blank. Requests, plain services, probes and orders take this one way; an order's outcome is unknown then. A missing blank line after the last chunk is accepted as before: the body is whole.

--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
+from ridgesill.adapters.runner_pool import make_pool_manager
 from ridgesill.core.completeness import Completeness, judge_json
 from ridgesill.core.runners import FENCE, LOAD, Order
 from ridgesill.ports import orders
@@ -126,11 +127,8 @@
         self._timeout = urllib3.Timeout(
             connect=_CONNECT_SECONDS, read=silence_seconds
         )
-        self._pool = urllib3.PoolManager(
-            num_pools=_MAX_HOSTS,
-            maxsize=64,
-            retries=False,
-            timeout=self._timeout,
+        self._pool = make_pool_manager(
+            _MAX_HOSTS, self._timeout, connections=64
         )
 
     def open(
@@ -152,9 +150,7 @@
             if repeatable:
                 response = self._send(self._pool, url, request)
             else:
-                unshared_pool = urllib3.PoolManager(
-                    num_pools=1, retries=False, timeout=self._timeout
-                )
+                unshared_pool = make_pool_manager(1, self._timeout)
                 response = self._send(unshared_pool, url, request)
         except _NOT_SENT_ERRORS as error:
             return Err(RunnerFailure("connect", address, str(error), True))
@@ -207,9 +203,7 @@
         timeout = urllib3.Timeout(
             connect=_CONNECT_SECONDS, read=_ORDER_TIMEOUT_SECONDS
         )
-        self._pool = urllib3.PoolManager(
-            num_pools=_MAX_HOSTS, retries=False, timeout=timeout
-        )
+        self._pool = make_pool_manager(_MAX_HOSTS, timeout)
         self._threads = ThreadPoolExecutor(16, "orders")
 
     async def send(self, order: Order) -> str:
--- a/testing/adapters/test_runner_http.py
+++ b/testing/adapters/test_runner_http.py
@@ -1,5 +1,6 @@
 """Tests of reading runners' answers, over loopback."""
 
+import asyncio
 import contextlib
 import socket
 import threading
@@ -7,12 +8,29 @@
 
 import pytest
 
-from ridgesill.adapters.runner_http import UNSTARTED_HEADER, HttpRunners
+from ridgesill.adapters.runner_http import (
+    UNSTARTED_HEADER,
+    HttpOrders,
+    HttpRunners,
+)
+from ridgesill.core.runners import LOAD, Order
+from ridgesill.ports import orders
 from ridgesill.ports.runner import IncompleteAnswerError, RunnerRequest
 
 _REQUEST = RunnerRequest("GET", "/v1/models", {})
 
 
+def _read_request(connection: socket.socket) -> None:
+    """Reads a whole request; closing with unread bytes would be a reset."""
+    with connection.makefile("rb") as lines:
+        length = 0
+        while (line := lines.readline().strip()) != b"":
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                length = int(value)
+        lines.read(length)
+
+
 @contextlib.contextmanager
 def answer_once(answer: bytes) -> Iterator[str]:
     """Yields the address of a server that answers once and closes."""
@@ -20,11 +38,13 @@
     def serve() -> None:
         connection, _ = server.accept()
         with connection:
-            connection.recv(65536)
+            _read_request(connection)
             with contextlib.suppress(OSError):
                 connection.sendall(answer)
 
     with socket.create_server(("127.0.0.1", 0)) as server:
+        # A test that fails before it connects must not wait for ever.
+        server.settimeout(10.0)
         thread = threading.Thread(target=serve)
         thread.start()
         yield f"127.0.0.1:{server.getsockname()[1]}"
@@ -53,6 +73,69 @@
         assert read(answer) == b"text"
 
 
+_CUT_HEADS = (
+    b"HTTP/1.1 200",
+    b"HTTP/1.1 200 OK",
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Le",
+    b"HTTP/1.1 200 OK\r\nContent-Length:",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chu",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+    b"HTTP/1.1 204 No Content\r\nX-Requ",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+)
+
+
+class TestAnswersCutInsideTheHead:
+    """Guards against a head cut short that passes for a whole answer."""
+
+    @pytest.mark.parametrize("repeatable", [False, True])
+    @pytest.mark.parametrize("head", _CUT_HEADS)
+    def test_a_cut_head_is_no_answer(
+        self, head: bytes, repeatable: bool
+    ) -> None:
+        with answer_once(head) as address:
+            opened = HttpRunners(5.0).open(
+                address, _REQUEST, repeatable=repeatable
+            )
+        failure = opened.err_value
+        assert failure is not None
+        assert failure.step == "request"
+        assert not failure.not_run
+
+    @pytest.mark.parametrize("head", _CUT_HEADS)
+    def test_the_outcome_of_an_order_is_unknown(self, head: bytes) -> None:
+        with answer_once(head) as address:
+            order = Order(LOAD, "runner", address, "adapter", 1, 0.0)
+            verdict = asyncio.run(HttpOrders().send(order))
+        assert verdict == orders.UNKNOWN
+
+    def test_a_chunk_size_cut_after_a_zero_is_no_last_chunk(self) -> None:
+        with pytest.raises(IncompleteAnswerError):
+            read(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"04\r\ntext\r\n0"
+            )
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"HTTP/1.1 204 No Content\r\n\r\n",
+            b"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        ],
+    )
+    def test_a_whole_head_without_a_body_is_an_answer(
+        self, answer: bytes
+    ) -> None:
+        assert read(answer) == b""
+
+
 class TestBodiesWithoutEnd:
     def test_an_answer_is_given_up(self) -> None:
         """Guards against an answer that takes all memory of the process."""
