Answer requests from before a stop before the front ends

Callers of a front in a planned stop had requests cut with no answer at the end of the grace, also requests that may not be repeated.

Cause: a request's time limit takes the end of the grace in only when the request is checked. One checked before SIGTERM kept its own limit, which lay beyond the end. One that waited for an upstream since then was still sent late in the grace, because whether it may outlast the front was asked only once.

The front now keeps the time limits of the requests in progress and moves them to the end of the grace when the stop begins; a request that has been sent gets its 504 then, before the connections are closed. A request that may outlast the front and hasn't run is refused as not run where it would be sent.

No process was stopped for this.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -169,6 +169,9 @@
         # Whether it counts as in progress at its service.
         self._is_admitted = False
         self._deadline = 0.0
+        self._timeout: asyncio.Timeout | None = None
+        # `_deadline` as if the front didn't stop.
+        self._full_deadline = 0.0
         self._goal_at = 0.0
         self._tried: list[str] = []
         self._may_have_run = False
@@ -214,7 +217,9 @@
         self._deadline = min(self._deadline, self._front.stops_at)
         self._relay.deadline = self._deadline
         try:
-            async with asyncio.timeout_at(self._deadline):
+            async with asyncio.timeout_at(self._deadline) as timeout:
+                self._timeout = timeout
+                self._front.timeouts.add(timeout)
                 if (refusal := await self._take_up(route)) is not None:
                     self._give_up(refusal)
                 else:
@@ -227,6 +232,8 @@
             self._record_end("client_left")
             raise
         finally:
+            if self._timeout is not None:
+                self._front.timeouts.discard(self._timeout)
             self._search.end_slot(SlotEnd.FREE)
             self._search.limit_draws.release()
             self._end_admission()
@@ -474,6 +481,7 @@
             seconds = min(seconds, self._facts.patience)
         margin = min(_TIMEOUT_MARGIN_SECONDS, seconds / 4)
         self._deadline = self._request.arrived_at + seconds - margin
+        self._full_deadline = self._deadline
         self._goal_at = self._request.arrived_at + route.goal
         self._set_service(
             route, route.choose_target(self._front.rng.random()), seconds
@@ -509,7 +517,8 @@
         """
         front = self._front
         now = self._loop.time()
-        return now >= front.refuses_from and self._deadline > front.stops_at
+        may_outlast = self._full_deadline > front.stops_at
+        return now >= front.refuses_from and may_outlast
 
     # -- streams that are taken up -------------------------------------
 
@@ -596,6 +605,14 @@
                 # It was quarantined since it arrived: more upstreams ended.
                 self._give_up(refusal)
                 return
+            if (
+                not self._answer.has_started
+                and not self._may_have_run
+                and self._may_outlast_front()
+            ):
+                # It waited until late in the stop.
+                self._give_up(Refusal("stopping", _STOPPING_RETRY_SECONDS))
+                return
             failure = await self._send(route, upstream)
             if failure is None:
                 return
--- a/src/ridgesill/app/front.py
+++ b/src/ridgesill/app/front.py
@@ -1,5 +1,6 @@
 """State that all requests of a front share."""
 
+import asyncio
 import random
 
 import attrs
@@ -123,6 +124,8 @@
         # the remaining requests are cut.
         self.refuses_from = float("inf")
         self.stops_at = float("inf")
+        # Time limits of the requests in progress.
+        self.timeouts: set[asyncio.Timeout] = set()
         self._bounds = bounds
         self._freshness = freshness or Freshness(float("inf"))
         self._revocation = revocation
@@ -132,6 +135,22 @@
         # When the amounts sent were last collected, on the loop's clock.
         self._collected_at = float("inf")
 
+    def begin_stop(self, refuses_from: float, stops_at: float) -> None:
+        """Limits all requests, also those in progress, to the time left.
+
+        Args:
+            refuses_from: from when requests that may take longer are refused,
+                on the loop's clock in seconds.
+            stops_at: by when all requests are to be answered.
+        """
+        self.refuses_from = refuses_from
+        self.stops_at = stops_at
+        for timeout in self.timeouts:
+            ends_at = timeout.when()
+            is_later = ends_at is None or ends_at > stops_at
+            if is_later and not timeout.expired():
+                timeout.reschedule(stops_at)
+
     def describe_applied(self, now: float) -> AppliedState:
         """Returns what this front has applied, as other fronts are told.
 
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -440,8 +440,7 @@
         deadline = (
             began + self._settings.bounds.grace_seconds - _GRACE_MARGIN_SECONDS
         )
-        self.front.refuses_from = began + _REFUSE_AFTER_SECONDS
-        self.front.stops_at = deadline
+        self.front.begin_stop(began + _REFUSE_AFTER_SECONDS, deadline)
         self._client_listener.drain()
         self._front_listener.drain()
         await asyncio.sleep(_NOTICE_SECONDS)
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -326,6 +326,41 @@
         answer = await client.ask("/unsafe/x", b"b", request_deadline="2000")
         assert answer.status == 503
 
+    async def test_a_request_from_before_the_stop_is_answered_at_its_end(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against a request that is cut when the process ends."""
+        reached = asyncio.Event()
+
+        async def answer_never(call: Call) -> None:
+            reached.set()
+            await call.wait_closed()
+
+        await world.add("u1", answer_never)
+        client = await world.open()
+        asking = asyncio.create_task(client.ask("/unsafe/x", b"b"))
+        await reached.wait()
+        now = asyncio.get_running_loop().time()
+        world.front.begin_stop(now, now + 0.3)
+        answer = await asyncio.wait_for(asking, 0.8)
+        assert answer.status == 504
+
+    async def test_a_request_that_waited_into_the_stop_is_not_sent(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against a request that is sent late and then cut."""
+        client = await world.open()
+        asking = asyncio.create_task(
+            client.ask("/unsafe/x", b"b", request_deadline="5000")
+        )
+        await asyncio.sleep(0.1)
+        now = asyncio.get_running_loop().time()
+        world.front.begin_stop(now, now + 0.5)
+        upstream = await world.add("u1", answer_ok)
+        answer = await asyncio.wait_for(asking, 1.0)
+        assert answer.status == 503
+        assert upstream.calls == []
+
 
 class TestOverload:
     @pytest.mark.parametrize(("busy", "status"), [(99, 503), (0, 200)])
--- a/testing/app/test_front_process.py
+++ b/testing/app/test_front_process.py
@@ -131,7 +131,9 @@
         front._loop = asyncio.get_running_loop()
         front._client_listener = listener
         front._front_listener = HttpListener(free_address(), answer_late)
-        front.front = types.SimpleNamespace()  # type: ignore[assignment]
+        front.front = types.SimpleNamespace(  # type: ignore[assignment]
+            begin_stop=lambda _refuses_from, _stops_at: None
+        )
         front._stopping = asyncio.Event()
         return front
 
