Bound heads and trailers of runners on the own interface

Reported by other operators: a runner sent bytes without end in a head, and the machine that had called it kept them all.

Cause: http.client bounds a line at 64 KiB and a head at 100 headers, so one head could hold 6 MB. Interim responses (100) and trailers have no bound in number; they aren't kept, but they hold a thread for as long as the runner sends.

The reader of runners' answers now counts the bytes of lines without a part of a body between them, and gives up after 64 KiB. A body of many small chunks isn't affected, because each chunk's data begins the count anew.

--- a/src/ridgesill/adapters/runner_pool.py
+++ b/src/ridgesill/adapters/runner_pool.py
@@ -7,6 +7,14 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+# Bounds the lines in a row that hold no part of a body: a head with the interim
+# responses before it, or trailers. `http.client` bounds each line only.
+_MAX_LINES_BYTES = 65536
+
+
+class _LinesTooLongError(http.client.HTTPException):
+    """A head, interim responses or trailers have no end in sight."""
+
 
 class _CutHeadError(http.client.HTTPException):
     """The connection ended inside a line, or before the end of a head."""
@@ -19,19 +27,31 @@
     """
 
     last_line = b""
+    _lines_bytes = 0
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Returns the next line, or nothing at the end of the connection.
 
         Raises:
             _CutHeadError: the connection ended inside the line.
+            _LinesTooLongError: too many bytes came in lines.
         """
         line = super().readline(size)
         if line and not line.endswith(b"\n") and len(line) != size:
             raise _CutHeadError(f"the connection ended inside {line[:64]!r}")
         self.last_line = line
+        self._lines_bytes += len(line)
+        if self._lines_bytes > _MAX_LINES_BYTES:
+            raise _LinesTooLongError(
+                f"more than {_MAX_LINES_BYTES} bytes of headers or trailers"
+            )
         return line
 
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Returns a part of a body, after which lines are counted anew."""
+        self._lines_bytes = 0
+        return super().read(size)
+
 
 class _Response(http.client.HTTPResponse):
     """An answer whose head is refused unless its blank line came.
@@ -57,6 +77,7 @@
 
         Raises:
             _CutHeadError: the connection ended before the head did.
+            _LinesTooLongError: the head is too long.
         """
         super().begin()
         if self._lines.last_line not in (b"\r\n", b"\n"):
--- a/testing/adapters/test_runner_http.py
+++ b/testing/adapters/test_runner_http.py
@@ -152,3 +152,35 @@
         with answer_once(head.encode() + b"x" * length) as address:
             opened = HttpRunners(5.0).open(address, _REQUEST, repeatable=False)
         assert "not started" in opened.err_value.detail
+
+
+class TestLinesWithoutEnd:
+    """Guards against heads and trailers that are read without a bound."""
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 200 OK\r\n" + (b"X: " + b"x" * 60000 + b"\r\n") * 90,
+            b"HTTP/1.1 100 Continue\r\n\r\n" * 100_000 + b"HTTP/1.1 200 OK\r\n",
+        ],
+        ids=["headers", "interim responses"],
+    )
+    def test_a_head_is_given_up(self, head: bytes) -> None:
+        with answer_once(head + b"Content-Length: 0\r\n\r\n") as address:
+            opened = HttpRunners(5.0).open(address, _REQUEST, repeatable=False)
+        assert opened.is_err()
+
+    def test_trailers_are_given_up(self) -> None:
+        with pytest.raises(IncompleteAnswerError):
+            read(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"0\r\n" + b"X: x\r\n" * 100_000 + b"\r\n"
+            )
+
+    def test_many_small_chunks_are_an_answer(self) -> None:
+        answer = (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 50_000
+            + b"0\r\n\r\n"
+        )
+        assert read(answer) == b"x" * 50_000
