Test that a head cut short is no answer of an upstream

Reported by other operators: a runner that stopped inside its answer's head passed for a 200 with an empty body. On the platform path this can't happen: h11 yields no response before the blank line. Requests, orders and start checks use the same channels, and no test showed it.

--- a/testing/adapters/http1/test_client.py
+++ b/testing/adapters/http1/test_client.py
@@ -1,4 +1,4 @@
-"""Tests of upstreams that send bytes without end, on real connections."""
+"""Tests of upstreams whose bytes have no end, or end inside a head."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -159,3 +159,37 @@
         async with asyncio.timeout(_TIMEOUT_SECONDS):
             with pytest.raises(ChannelError):
                 await exchange.read_head()
+
+
+class TestHeadCutShort:
+    """Guards against a head cut short that passes for a whole answer."""
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 200",
+            _HEAD,
+            _HEAD + b"Content-Length:",
+            _HEAD + b"Content-Length: 0",
+            _HEAD + b"Content-Length: 0\r\n",
+            _HEAD + b"Transfer-Encoding: chu",
+            b"HTTP/1.1 204 No Content\r\n",
+        ],
+    )
+    async def test_it_is_no_answer(self, head: bytes) -> None:
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head)
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1")
+        host, port = server.sockets[0].getsockname()
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            exchange = await UpstreamChannels(1.0).send(
+                f"{host}:{port}", _REQUEST
+            )
+            with pytest.raises(ChannelError):
+                await exchange.read_head()
+        server.close()
