Ask a front that claims to be ahead again only if it is

Found by reading; no front of ours does so.

A refusal as ahead counts as such only with a version above the one that was sent. The test failed before and passes now, and so do the others of test_front_hop.py.

--- a/src/ridgesill/adapters/http1/connection_memory.py
+++ b/src/ridgesill/adapters/http1/connection_memory.py
@@ -11,8 +11,7 @@
 _HELD_SHARE = 0.125
 # The bound where the VM's memory isn't known, in bytes.
 _DEFAULT_BYTES = 64 * 2**20
-# Connections that hold less aren't counted: they are most, and together they
-# hold less than the descriptors of a VM allow for.
+# Smaller amounts aren't counted, so that ordinary requests cost nothing here.
 _COUNTED_BYTES = 16 * 1024
 
 
@@ -30,7 +29,8 @@
 class ConnectionMemory:
     """Counts what connections hold, and sheds those that hold most.
 
-    Requests in progress count, but aren't shed: they may have run.
+    The bodies of requests in progress count, but no connection is shed because
+    of them: these requests may have run.
 
     Args:
         vm_bytes: memory of the VM; 0 if unknown.
--- a/src/ridgesill/app/front_hop.py
+++ b/src/ridgesill/app/front_hop.py
@@ -130,7 +130,13 @@
                 peers.record_refusal(peer, self._loop.time())
         return None
 
-    def _record_ahead(self, peer: Node, theirs: AppliedState) -> None:
+    def _record_ahead(
+        self, peer: Node, ours: AppliedState, theirs: AppliedState | None
+    ) -> None:
+        """Records that a front can help once this one has its version."""
+        if theirs is None or theirs.version <= ours.version:
+            # Waiting for it would end at once, and it would be asked for ever.
+            return
         self._ahead.add(peer.name)
         versions = (self.newer_version or theirs.version, theirs.version)
         self.newer_version = min(versions)
@@ -165,8 +171,8 @@
                 exchange = None
                 return answer
             self.is_pending = False
-            if reason == AHEAD and theirs is not None:
-                self._record_ahead(peer, theirs)
+            if reason == AHEAD:
+                self._record_ahead(peer, applied, theirs)
             await exchange.discard_rest()
         except ChannelError as error:
             self.may_have_run |= self.is_pending
--- a/testing/app/test_front_hop.py
+++ b/testing/app/test_front_hop.py
@@ -508,6 +508,22 @@
         answer = await fronts.ask("/unsafe/x")
         assert (answer.status, len(upstream.calls)) == (200, 1)
 
+    async def test_a_front_that_claims_to_be_ahead_is_asked_once(
+        self, fronts: Fronts, upstream: ScriptedUpstream
+    ) -> None:
+        """Guards against a request that is sent again and again."""
+
+        async def refuse(call: Call) -> None:
+            applied = "Ridgesill-Applied: 1;index=0"
+            await call.answer(503, b"", "Ridgesill-Refusal: ahead", applied)
+
+        other = ScriptedUpstream("other", refuse)
+        await other.start()
+        fronts.cut.link_to_address(other.address)
+        answer = await fronts.ask("/unsafe/x")
+        other.stop()
+        assert (answer.status, len(other.calls)) == (503, 1)
+
     async def test_others_are_asked_beside_one_that_is_ahead(
         self, fronts: Fronts, upstream: ScriptedUpstream
     ) -> None:
