--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -302,11 +302,6 @@
         """
         return await self.test(address) is Connectivity.REFUSED
 
-    async def accepts(self, address: str) -> bool:
-        """Whether connections to an address come up, as far as is known."""
-        connectivity = await self.test(address)
-        return connectivity in (Connectivity.REACHABLE, Connectivity.UNKNOWN)
-
     async def test(self, address: str) -> Connectivity:
         """Opens and closes a test connection to an address."""
         host, port = split_address(address)
--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -7,7 +7,11 @@
 import attrs
 from eliot import log_message
 
-from ridgesill.adapters.http1.client import Exchange
+from ridgesill.adapters.http1.client import (
+    Connectivity,
+    Exchange,
+    UpstreamChannels,
+)
 from ridgesill.app.answer_end import (
     PEER_GONE,
     WHOLE,
@@ -297,7 +301,8 @@
         if end.is_unknown and not answer.resets_when_killed:
             links = self._front.links
             assert links is not None
-            end = await self._check_sender(links.channels.accepts(peer), end)
+            test = _accepts_connections(links.channels, peer)
+            end = await self._check_sender(test, end)
         self._log_answer_end("", peer, head, end, byte_count, event_count)
         if end.is_broken:
             raise ChannelError("body", peer, end.reason, True)
@@ -379,6 +384,14 @@
         self._front.prefill_rate(self.service).record(tokens, event_seconds)
 
 
+async def _accepts_connections(
+    channels: UpstreamChannels, address: str
+) -> bool:
+    """Whether connections to another front come up, as far as is known."""
+    connectivity = await channels.test(address)
+    return connectivity in (Connectivity.REACHABLE, Connectivity.UNKNOWN)
+
+
 async def _run_later(test: Coroutine[Any, Any, bool]) -> bool:
     await asyncio.sleep(PROBE_DELAY_SECONDS)
     return await test
