--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -49,6 +49,11 @@
     SILENT = "silent"
     UNKNOWN = "unknown"
 
+    @property
+    def may_accept(self) -> bool:
+        """Whether connections come up, as far as is known."""
+        return self in (Connectivity.REACHABLE, Connectivity.UNKNOWN)
+
 
 # Errors of connecting that say something about the way to the upstream.
 _CONNECTIVITY_BY_ERRNO = {
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -92,7 +92,6 @@
         # Bytes that the parser holds, at most.
         self._unparsed_bytes = 0
         self._dropped_bytes = 0
-        self._is_reading_paused = False
         # Whether received bytes wait for their turn to be parsed.
         self._is_queued = False
         # Whether the next request waits until the client has taken the last
@@ -184,13 +183,11 @@
             self._pause_reading()
 
     def _pause_reading(self) -> None:
-        if not self._is_reading_paused and self._transport is not None:
-            self._is_reading_paused = True
+        if self._transport is not None:
             self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
-        if self._is_reading_paused and self._transport is not None:
-            self._is_reading_paused = False
+        if self._transport is not None:
             self._transport.resume_reading()
 
     def _process(self, data: bytes = b"") -> None:
--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -8,7 +8,6 @@
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import (
-    Connectivity,
     Exchange,
     UpstreamChannels,
 )
@@ -388,8 +387,7 @@
     channels: UpstreamChannels, address: str
 ) -> bool:
     """Whether connections to another front come up, as far as is known."""
-    connectivity = await channels.test(address)
-    return connectivity in (Connectivity.REACHABLE, Connectivity.UNKNOWN)
+    return (await channels.test(address)).may_accept
 
 
 async def _run_later(test: Coroutine[Any, Any, bool]) -> bool:
--- a/src/ridgesill/app/client_answer.py
+++ b/src/ridgesill/app/client_answer.py
@@ -63,10 +63,7 @@
         if self._request.is_from_front and links is not None:
             told = links.dialect.make_software_headers(software)
             headers = (*told, *headers)
-        headers = (*self._make_applied_headers(), *headers)
-        self._responder.send_head(
-            head.status, headers, head.reason, is_framed=head.is_framed
-        )
+        self._begin(head.status, headers, head.reason, is_framed=head.is_framed)
 
     async def send_data(self, data: bytes) -> None:
         """Sends a part of the body, and waits while the client is slow."""
@@ -104,10 +101,7 @@
         )
         if has_body:
             headers = _replace_length(headers, len(body) if is_whole else None)
-        headers = (*self._make_applied_headers(), *headers)
-        self._responder.send_head(
-            head.status, headers, head.reason, is_framed=is_whole
-        )
+        self._begin(head.status, headers, head.reason, is_framed=is_whole)
         self.finish(body)
 
     def send_status(self, status: int, retry_after: float) -> None:
@@ -141,9 +135,20 @@
         applied = self._front.describe_applied(now)
         return links.dialect.make_applied_headers(applied)
 
-    def _send_empty(self, status: int, headers: Headers) -> None:
+    def _begin(
+        self,
+        status: int,
+        headers: Headers,
+        reason: bytes = b"",
+        *,
+        is_framed: bool = True,
+    ) -> None:
+        """Sends a head, to a front with what is applied here."""
         told = (*self._make_applied_headers(), *headers)
-        self._responder.send_head(status, (*told, _EMPTY_BODY))
+        self._responder.send_head(status, told, reason, is_framed=is_framed)
+
+    def _send_empty(self, status: int, headers: Headers) -> None:
+        self._begin(status, (*headers, _EMPTY_BODY))
         self._responder.finish()
 
 
--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+from collections.abc import Callable
 
 import attrs
 from eliot import log_message
@@ -292,37 +293,37 @@
         if sender is None:
             return None
         front = self._front
-        deadline = self._find_catch_up_deadline()
-        while front.is_behind(sender, now := self._loop.time()):
-            if now >= deadline:
-                return Refusal(BEHIND)
-            await front.discovery_signal.wait(deadline - now)
+        if not await self._catch_up(
+            lambda: not front.is_behind(sender, self._loop.time())
+        ):
+            return Refusal(BEHIND)
         if front.table.version > sender.version:
             return Refusal(AHEAD)
         return None
 
-    def _find_catch_up_deadline(self) -> float:
-        """Returns until when to wait for a change, on the loop's clock."""
-        now = self._loop.time()
-        seconds = _CATCH_UP_SECONDS
-        left = self._client_seconds_left(now)
-        return now + max(min(seconds, left * _CATCH_UP_SHARE), 0.0)
+    async def _catch_up(self, has_changes: Callable[[], bool]) -> bool:
+        """Waits for changes that another front has applied.
 
-    async def _catch_up(self, version: int) -> bool:
-        """Waits for a configuration that another front has.
+        Args:
+            has_changes: returns whether this front has them too.
 
         Returns:
-            Whether this front has that version, or a later one.
+            Whether they came in time.
         """
-        front = self._front
-        deadline = self._find_catch_up_deadline()
-        while front.table.version < version:
-            now = self._loop.time()
-            if now >= deadline:
+        now = self._loop.time()
+        left = self._client_seconds_left(now)
+        seconds = min(_CATCH_UP_SECONDS, left * _CATCH_UP_SHARE)
+        deadline = now + seconds
+        while not has_changes():
+            seconds = deadline - self._loop.time()
+            if seconds <= 0:
                 return False
-            await front.discovery_signal.wait(deadline - now)
+            await self._front.discovery_signal.wait(seconds)
         return True
 
+    def _has_version(self, version: int) -> bool:
+        return self._front.table.version >= version
+
     async def _find_caller(self, route: Route) -> Result[Customer | None, str]:
         """Returns the customer of the request, or why it can't be served.
 
@@ -697,9 +698,9 @@
                     self._silence, seconds, now
                 )
             if answer is None:
-                if hop.newer_version and await self._catch_up(
-                    hop.newer_version
-                ):
+                newer = hop.newer_version
+                has_newer = functools.partial(self._has_version, newer)
+                if newer and await self._catch_up(has_newer):
                     continue
                 return self._has_no_other_way(route)
             self._was_sent_on = True
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -238,18 +238,17 @@
         self._streams.set_nodes(state.nodes.values())
         self.front.versions = state.artifact_versions
         self.front.applied_index = state.index
-        self.front.discovery_signal.notify()
         self.front.quarantine.apply_state(state)
         table = decode_newer_routes(state, self.front.table)
         if table is not None:
             self._apply_table(table, state.index)
+        self.front.discovery_signal.notify()
         if self.front.load is not None:
             self._apply_limits(self.front.load, state.nodes.values())
 
     def _apply_table(self, table: RouteTable, index: int) -> None:
         self.front.table = table
         self._streams.set_table(table)
-        self.front.discovery_signal.notify()
         if table.limits is not None:
             self._client_listener.limits = table.limits
             self._front_listener.limits = table.limits
--- a/src/ridgesill/app/reachability_tests.py
+++ b/src/ridgesill/app/reachability_tests.py
@@ -112,8 +112,7 @@
 
     async def accepts_connections(self, address: str) -> bool:
         """Whether connections to an upstream come up, as far as is known."""
-        connectivity = await self._connect(address)
-        return connectivity in (Connectivity.REACHABLE, Connectivity.UNKNOWN)
+        return (await self._connect(address)).may_accept
 
     async def _connect(self, address: str) -> Connectivity:
         """Opens and closes a test connection, unless it could do harm."""
