Press on the address for fronts as on the others

Of the listeners that share the server's class, the one for other fronts had no test with clients that keep no limit. The crowd and the bounds are those of the other tests, which stay as they are.

--- a/testing/scenarios/test_unbounded_clients.py
+++ b/testing/scenarios/test_unbounded_clients.py
@@ -77,6 +77,10 @@
     "requests_ahead": Pressure(b"", repeat(_READY)),
     "announced_body": Pressure(_POST + _HUGE_LENGTH, _BODY),
 }
+_AT_FRONTS_ADDRESS = {
+    kind: _AT_CLIENT_ADDRESS[kind]
+    for kind in ("announced_body", "unfinished_body", "unrouted_requests_ahead")
+}
 _AT_METRICS_ADDRESS = {
     "requests_ahead": Pressure(
         b"", repeat(b"GET /metrics HTTP/1.1\r\n" + _HOST + b"\r\n")
@@ -175,6 +179,16 @@
     await deployment.wait_until_served(front, "/first/x")
 
 
+@pytest.mark.parametrize("kind", _AT_FRONTS_ADDRESS)
+async def test_a_front_outlives_clients_of_its_address_for_fronts(
+    deployment: PlatformDeployment, kind: str
+) -> None:
+    front = deployment.fronts[0]
+    await press(f"{front.ip}:{deployment.peers_port}", _AT_FRONTS_ADDRESS[kind])
+    check_process(front)
+    await deployment.wait_until_served(front, "/first/x")
+
+
 @pytest.mark.parametrize("kind", _AT_METRICS_ADDRESS)
 async def test_a_front_outlives_clients_of_its_metrics(
     deployment: PlatformDeployment, kind: str
