--- a/testing/adapters/http1/test_server_memory.py
+++ b/testing/adapters/http1/test_server_memory.py
@@ -1,7 +1,6 @@
 """Tests of what connections hold of clients that send without regard."""
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator
 
 import pytest
@@ -10,6 +9,7 @@
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.core.serving.routes import ClientLimits
 from ridgesill.ports.http import HttpRequest, Responder
+from testing.clients import open_with_buffer
 from testing.processes import free_address
 
 _BODY_BYTES = 400_000
@@ -61,18 +61,8 @@
         self, receive_bytes: int = 0
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Connects a client."""
-        host, _, port = self.address.rpartition(":")
-        client = socket.socket()
-        if receive_bytes:
-            client.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
-            )
-        client.setblocking(False)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(client, (host, int(port)))
-        return await asyncio.open_connection(
-            sock=client, limit=receive_bytes or 2**16
-        )
+        limit = receive_bytes or 2**16
+        return await open_with_buffer(self.address, receive_bytes, limit)
 
     async def ask(self, data: bytes) -> bytes:
         """Sends bytes; returns the head of the answer."""
--- a/testing/adapters/http1/test_slow_readers.py
+++ b/testing/adapters/http1/test_slow_readers.py
@@ -1,7 +1,6 @@
 """Tests of answers to clients that read slowly, over loopback."""
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -14,6 +13,7 @@
 from ridgesill.core.serving.held_bytes import HeldBytes
 from ridgesill.core.serving.routes import ClientLimits
 from ridgesill.ports.http import HttpRequest, Responder
+from testing.clients import open_with_buffer
 from testing.processes import free_address
 
 PART = bytes(64 * 1024)
@@ -60,13 +60,8 @@
 
     async def ask(self, customer: str) -> asyncio.StreamWriter:
         """Sends a request on a connection that isn't read."""
-        host, _, port = self.listener._address.rpartition(":")
-        slow = socket.socket()
-        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        slow.setblocking(False)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(slow, (host, int(port)))
-        reader, writer = await asyncio.open_connection(sock=slow, limit=1)
+        address = self.listener._address
+        _, writer = await open_with_buffer(address, 4096, limit=1)
         writer.transport.pause_reading()  # type: ignore[attr-defined]
         writer.write(b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n" % customer.encode())
         return writer
--- a/testing/app/test_front_hop.py
+++ b/testing/app/test_front_hop.py
@@ -47,6 +47,15 @@
             for name in world.fleet.view.upstreams:
                 world.front.chooser.reachability.record_unreachable(name)
 
+    def add_helper(self) -> FrontWorld:
+        """Lets the cut front ask another one that reaches `u1` as well."""
+        helper = self.worlds[1]
+        helper.share_upstreams(self.whole)
+        now = asyncio.get_running_loop().time()
+        helper.front.chooser.reachability.record_reached("u1", now)
+        self.cut.link_to(helper, self.whole)
+        return helper
+
     async def ask(self, path: str, **headers: str) -> Answer:
         """Sends a request to a cut front."""
         client = await self.cut.open()
@@ -457,11 +466,7 @@
     async def test_another_front_is_asked_beside_one_that_is_behind(
         self, fronts: Fronts, upstream: ScriptedUpstream
     ) -> None:
-        behind = fronts.worlds[1]
-        behind.share_upstreams(fronts.whole)
-        now = asyncio.get_running_loop().time()
-        behind.front.chooser.reachability.record_reached("u1", now)
-        fronts.cut.link_to(behind, fronts.whole)
+        behind = fronts.add_helper()
         for world in (fronts.cut, fronts.whole):
             world.set_table(WITH)
         behind.set_table(WITHOUT)
@@ -527,11 +532,7 @@
     async def test_others_are_asked_beside_one_that_is_ahead(
         self, fronts: Fronts, upstream: ScriptedUpstream
     ) -> None:
-        ahead = fronts.worlds[1]
-        ahead.share_upstreams(fronts.whole)
-        now = asyncio.get_running_loop().time()
-        ahead.front.chooser.reachability.record_reached("u1", now)
-        fronts.cut.link_to(ahead, fronts.whole)
+        ahead = fronts.add_helper()
         for world in (fronts.cut, fronts.whole):
             world.set_table(make_table(version=1))
         ahead.set_table(make_table(version=2))
--- a/testing/clients.py
+++ b/testing/clients.py
@@ -1,5 +1,6 @@
 """HTTP clients for tests, over urllib3 or plain sockets."""
 
+import asyncio
 import socket
 from collections.abc import Iterator
 from typing import Any
@@ -8,11 +9,31 @@
 import msgspec
 import urllib3
 
+from ridgesill.core.addresses import split_address
 from testing.processes import NodeHandle, send_request
 
 CHAT_PATH = "/v1/chat/completions"
 
 
+async def open_with_buffer(
+    address: str, receive_bytes: int, limit: int = 2**16
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connects a client whose kernel takes few bytes that it hasn't read.
+
+    Args:
+        address: `host:port`.
+        receive_bytes: size of its receive buffer; 0 for the kernel's choice.
+        limit: bytes that its reader takes ahead.
+    """
+    client = socket.socket()
+    if receive_bytes:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    client.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(client, split_address(address))
+    return await asyncio.open_connection(sock=client, limit=limit)
+
+
 @attrs.frozen
 class CallerAnswer:
     """A complete answer of a node."""
--- a/testing/readers_world.py
+++ b/testing/readers_world.py
@@ -1,12 +1,12 @@
 """One front process, with clients that read slowly beside others that don't."""
 
 import asyncio
-import socket
 import time
 from pathlib import Path
 
 import msgspec
 
+from testing.clients import open_with_buffer
 from testing.platform_world import (
     ROUTE_HOST,
     PlainUpstream,
@@ -129,18 +129,8 @@
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Sends a request on a new connection."""
         address = self.deployment.client_address(self.front)
-        host, _, port = address.rpartition(":")
-        client = socket.socket()
-        if receive_bytes:
-            client.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
-            )
-        client.setblocking(False)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(client, (host, int(port)))
-        reader, writer = await asyncio.open_connection(
-            sock=client, limit=receive_bytes or 2**16
-        )
+        limit = receive_bytes or 2**16
+        reader, writer = await open_with_buffer(address, receive_bytes, limit)
         writer.write(
             f"GET {path} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\n"
             "Request-Id: r1\r\nRequest-Deadline: 60000\r\n\r\n".encode()
