Ask leaving upstreams whether they are there before an answer ends

Callers saw streams with status 200, a part of their events and an orderly close. An upstream that had announced that it leaves and went at short notice, with many streams in progress, ended all its unframed answers as complete, at every front.

Cause: an unframed answer that shows no end is held against whether its upstream is still there, but one that had announced its departure wasn't asked: the word that it leaves was taken for the word that its answers are complete.

Each is asked now. An upstream that refuses connections still counts as there while another channel to it is open, so that one that takes no new connections may finish what it has. Without an open channel and a listener no process is left that could have completed anything.

Evidence: the new test of an upstream that left fails on the code before (the body ends in order after two events) and passes now; so does, before and after, the one of an upstream that goes on with another stream.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -223,6 +223,11 @@
                 return idle_seconds < max_idle_seconds
         return False
 
+    def has_open(self, address: str) -> bool:
+        """Whether a channel to an upstream is open, in use or idle."""
+        channels = self._open_channels.get(address, ())
+        return any(channel.is_open for channel in channels)
+
     def release_unused(self, channel: UpstreamChannel) -> None:
         """Returns an acquired channel to the pool; nothing was sent on it."""
         channel.idle_since = self._loop.time()
--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -117,12 +117,11 @@
         """Returns the end of an answer that may have been broken off.
 
         If its upstream has ended too, or can't be reached any more, that broke
-        it off, unless the upstream announced that it leaves. The answer is
-        ready, so the check takes at most half of the time that is left.
+        it off, also if the upstream had announced that it leaves: its process
+        may end before its answers do. The answer is ready, so the check takes
+        at most half of the time that is left.
         """
-        if self._front.chooser.unavailable.is_leaving(upstream.name):
-            return end
-        test = self._front.reachability_tests.accepts_connections
+        test = self._front.reachability_tests.is_there
         return await self._check_sender(test(upstream.address), end)
 
     async def _check_sender(
--- a/src/ridgesill/app/reachability_tests.py
+++ b/src/ridgesill/app/reachability_tests.py
@@ -110,9 +110,16 @@
         tests = [self._connect(upstream.address) for upstream in compared]
         return Connectivity.REACHABLE in await asyncio.gather(*tests)
 
-    async def accepts_connections(self, address: str) -> bool:
-        """Whether connections to an upstream come up, as far as is known."""
-        return (await self._connect(address)).may_accept
+    async def is_there(self, address: str) -> bool:
+        """Whether the process of an upstream runs, as far as is known.
+
+        One that is leaving may refuse connections and still finish the requests
+        on those it has.
+        """
+        connectivity = await self._connect(address)
+        if connectivity is Connectivity.REFUSED:
+            return self._channels.has_open(address)
+        return connectivity.may_accept
 
     async def _connect(self, address: str) -> Connectivity:
         """Opens and closes a test connection, unless it could do harm."""
--- a/testing/app/test_unframed_answers.py
+++ b/testing/app/test_unframed_answers.py
@@ -22,6 +22,7 @@
 JSON = "application/json"
 EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 PART = b"id: 3\nda"
+LEAVING = "Server-Leaving: 1"
 MARK = b"id: 3\ndata: [DONE]\n\n"
 # More than the kernel takes for a client that reads nothing.
 LONG_EVENTS = b"id: 1\ndata: %s\n\n" % (b"x" * 2**20) * 12
@@ -133,6 +134,23 @@
         upstream = await add_engine(world, "u1", crash)
         assert not (await ask(world, "/stream/x")).complete
 
+    async def test_a_stream_of_an_upstream_that_left_does_not_look_complete(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against departures that cut the streams in progress."""
+
+        async def leave(call: Call) -> None:
+            await call.begin_unframed(EVENT_STREAM, LEAVING)
+            await call.send(EVENTS)
+            upstream.stop()
+            call.writer.close()
+
+        upstream = await add_engine(world, "u1", leave)
+        with collect_lines("request:answer_end") as lines:
+            answer = await ask(world, "/stream/x")
+        assert (answer.body, answer.complete) == (EVENTS, False)
+        assert lines[0]["completeness"] == "broken"
+
     async def test_a_stream_that_a_cut_of_all_ways_ends_does_not_look_complete(
         self, world: FrontWorld
     ) -> None:
@@ -199,6 +217,31 @@
         assert answer.body == EVENTS
         assert [line["outcome"] for line in ends] == ["unverified"]
 
+    async def test_a_leaving_upstream_that_goes_on_serving_may_end_a_stream(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against whole answers that are broken off at a departure."""
+        both_arrived = asyncio.Event()
+
+        async def leave(call: Call) -> None:
+            if call.number:
+                both_arrived.set()
+            await both_arrived.wait()
+            await call.begin_unframed(EVENT_STREAM, LEAVING)
+            await call.send(EVENTS)
+            if call.number:
+                await call.wait_closed()
+            # It accepts no more connections and finishes what it has.
+            upstream.stop()
+            call.writer.close()
+
+        upstream = await add_engine(world, "u1", leave)
+        client, other = await world.open(), await world.open()
+        await client.send("/stream/x", b"b", **STREAM)
+        await other.send("/stream/x", b"b", **STREAM)
+        answer = await client.read()
+        assert (answer.body, answer.complete) == (EVENTS, True)
+
     async def test_a_stream_with_its_end_mark_is_whole(
         self, world: FrontWorld
     ) -> None:
--- a/testing/app/test_upstream_connections.py
+++ b/testing/app/test_upstream_connections.py
@@ -102,7 +102,7 @@
         scripted.connected = lambda: connected.append(1)
         tests = world.front.reachability_tests
         assert not await tests.has_ended(scripted.address)
-        assert await tests.accepts_connections(scripted.address)
+        assert await tests.is_there(scripted.address)
         await asyncio.sleep(0.05)
         assert connected == []
 
@@ -111,7 +111,7 @@
     ) -> None:
         grant(world, "u1")
         tests = world.front.reachability_tests
-        assert await tests.accepts_connections(_upstream(world).address)
+        assert await tests.is_there(_upstream(world).address)
         slots = world.front.slots
         assert list(slots._make_report().held.values()) == ["u1"]
         await asyncio.sleep(_SETTLE_SECONDS + 0.1)
