Refuse errors for streams of which nothing shows that they are whole

A caller of the own interface that asked for a stream got an error of the runner, cut short, with a last chunk that claimed that it was whole.

Cause: the body of every answer to a request for a stream was passed on as it came, and only one of status 200 was held against its end mark. A runner that breaks off an answer with neither a length nor chunks closes in order.

Answers of other statuses are no streams. They are read whole now, as the answers to other requests are, which accepts them if their framing or their JSON document is complete; else the attempt has failed.

Evidence: the two new tests fail on the code before and pass now.

--- a/src/ridgesill/app/exchange.py
+++ b/src/ridgesill/app/exchange.py
@@ -35,6 +35,8 @@
 from ridgesill.ports.serving import CallerRequest, IncompleteStreamError, Reply
 
 _MAX_ATTEMPTS = 4
+# Other statuses answer a request for a stream with a whole body.
+_STREAM_STATUS = 200
 # Ends each complete stream; looked for in the last bytes only.
 _DONE_MARK = b"[DONE]"
 _TAIL_BYTES = 64
@@ -227,7 +229,7 @@
         self, response: RunnerResponse, admission: Admission
     ) -> Result[Reply, RunnerFailure]:
         try:
-            if self._request.streamed:
+            if self._request.streamed and response.status == _STREAM_STATUS:
                 chunks = response.chunks()
                 first = next(chunks, b"")
                 self._observe_first_byte()
@@ -287,7 +289,7 @@
                 tail = (tail + chunk)[-_TAIL_BYTES:]
                 self._keep_body(kept, chunk)
                 yield chunk
-            if response.status == 200 and _DONE_MARK not in tail:
+            if _DONE_MARK not in tail:
                 raise IncompleteStreamError("the runner's stream ended early")
             outcome = calls.COMPLETED
             response.release()
--- a/testing/app/test_exchange.py
+++ b/testing/app/test_exchange.py
@@ -126,6 +126,17 @@
         self.ended = "cancelled"
 
 
+class FakeUnframedError(FakeResponse):
+    """An error's answer with neither a length nor chunks."""
+
+    status = 500
+    content_type = "text/plain"
+
+    def read(self) -> bytes:
+        """Fails, since nothing shows that the body is whole."""
+        raise IncompleteAnswerError("neither a length nor chunks")
+
+
 class FakeRunners:
     """Answers or fails requests by a script."""
 
@@ -272,6 +283,22 @@
         assert response.ended == "cancelled"
         assert fixture.entry.finished == [FINE]
 
+    def test_an_error_cut_in_order_does_not_look_complete(self) -> None:
+        """Guards against a last chunk behind an error that was cut short."""
+        response = FakeUnframedError([b"the engine has no me"])
+        reply = ExchangeFixture([None], [response]).serve(
+            streamed=True, repeatable=False
+        )
+        assert (reply.status, reply.body) == (502, b"")
+        assert (reply.outcome, response.ended) == (calls.UNKNOWN, "cancelled")
+
+    def test_an_error_for_a_stream_is_passed_on(self) -> None:
+        response = FakeResponse([b"{}"])
+        response.status = 500
+        reply = ExchangeFixture([None], [response]).serve(streamed=True)
+        assert (reply.status, reply.body) == (500, b"{}")
+        assert response.ended == "released"
+
     def test_a_stream_cut_before_its_first_byte_is_tried_elsewhere(
         self,
     ) -> None:
