Give emulated channels the question that real ones got

An emulated front would have failed on an answer of unknown completeness from an engine that has ended.

--- a/src/ridgesill/standin/emulator/engines.py
+++ b/src/ridgesill/standin/emulator/engines.py
@@ -294,6 +294,11 @@
             raise ChannelError("connect", address, "refused", False)
         return address
 
+    def has_open(self, address: str) -> bool:
+        """Whether an engine runs at the address."""
+        engine = self._engines.get(address)
+        return engine is not None and engine.is_up
+
     def release_unused(self, channel: str) -> None:
         """Does nothing: no channel is kept."""
 
