Bound the answers together that a process reads whole

Reported by operators of such systems: a faulty runner sent bytes without end, its caller kept them all and ran out of memory, and the requests of other clients ended with it. A head and interim responses without end held before.

Cause: a limit for each answer in a process whose memory is one.

What is held of bodies that are read whole is counted now as that of clients is, apart from it, so that neither costs the other. Beyond an eighth of the VM's memory the longest body is broken off; a single one is always read.

--- a/src/ridgesill/adapters/http1/bodies.py
+++ b/src/ridgesill/adapters/http1/bodies.py
@@ -32,6 +32,10 @@
     def _to_channel_error(self, step: str, detail: str) -> ChannelError:
         """Cancels the answer; returns the error for its reader."""
 
+    @abc.abstractmethod
+    def _record_held(self, count: int) -> None:
+        """Records how many bytes of the body are held."""
+
     async def read_rest(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Returns the rest of the body.
 
@@ -51,6 +55,7 @@
                     "body", f"longer than {max_bytes} bytes"
                 )
             parts.append(data)
+            self._record_held(length)
         return b"".join(parts)
 
     async def discard_rest(self) -> None:
--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -12,6 +12,7 @@
     ChannelBrokenError,
     UpstreamChannel,
 )
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.core.addresses import split_address
 from ridgesill.ports.http import (
     ChannelError,
@@ -89,6 +90,8 @@
 class Exchange(BodyReader):
     """A request that was sent on a channel, and its response.
 
+    Implements `connection_memory.Holder`.
+
     Attributes:
         head: the response head; None until it has been read.
     """
@@ -101,6 +104,22 @@
         self._ended = False
         self.head: ResponseHead | None = None
 
+    @property
+    def name(self) -> str:
+        """Address of the upstream."""
+        return self._channel.address
+
+    @property
+    def _memory_key(self) -> str:
+        return str(id(self))
+
+    def _record_held(self, count: int) -> None:
+        self._channels.memory.record(self._memory_key, self, count)
+
+    def shed(self) -> None:
+        """Breaks the response off, since too much is held of all of them."""
+        self._channel.close("no memory is left for its response")
+
     async def read_head(self) -> ResponseHead:
         """Returns the response head.
 
@@ -131,16 +150,20 @@
         self.cancel()
         return ChannelError(step, self._channel.address, detail, True)
 
+    def _end(self) -> None:
+        self._ended = True
+        self._channels.memory.discard(self._memory_key)
+
     def _finish(self) -> None:
         assert self.head is not None
         if not self._ended:
-            self._ended = True
+            self._end()
             self._channels.release(self._channel, self.head)
 
     def cancel(self) -> None:
         """Closes the channel unless the response was read completely."""
         if not self._ended:
-            self._ended = True
+            self._end()
             self._channels.discard(self._channel)
 
 
@@ -151,9 +174,17 @@
         connect_seconds: timeout for opening a connection.
         host: host to connect to instead of each upstream's own, as behind a
             proxy on the same ports; empty for none.
+        memory: bounds what is held of all responses that are read whole; of its
+            own if omitted.
     """
 
-    def __init__(self, connect_seconds: float, host: str = "") -> None:
+    def __init__(
+        self,
+        connect_seconds: float,
+        host: str = "",
+        memory: ConnectionMemory | None = None,
+    ) -> None:
+        self.memory = memory or ConnectionMemory()
         self._connect_seconds = connect_seconds
         self._host = host
         self._idle: dict[str, list[UpstreamChannel]] = {}
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -98,7 +98,10 @@
         self.owner = FleetOwner(
             self.control,
             self.fleet,
-            UpstreamChannels(CONNECT_TIMEOUT_SECONDS),
+            UpstreamChannels(
+                CONNECT_TIMEOUT_SECONDS,
+                memory=ConnectionMemory(settings.limits.memory_bytes),
+            ),
             PlatformEngines(),
             settings.bounds.lease_seconds,
             settings.heartbeat_seconds,
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -110,6 +110,8 @@
             self._relay_address,
         )
         bounds = settings.bounds
+        # Apart from that of clients, so that neither costs the other.
+        self._answer_memory = ConnectionMemory(settings.limits.memory_bytes)
         self._links = FrontLinks(
             PeerFronts(
                 node.name,
@@ -117,7 +119,9 @@
                 settings.regions,
                 random.Random(),
             ),
-            UpstreamChannels(_FRONT_CONNECT_SECONDS),
+            UpstreamChannels(
+                _FRONT_CONNECT_SECONDS, memory=self._answer_memory
+            ),
             PlatformDialect(),
         )
         self._datagrams = PeerDatagrams()
@@ -131,7 +135,11 @@
         self.front = Front(
             Chooser(settings.data_centre, self.fleet.view, Outcomes()),
             self.fleet,
-            UpstreamChannels(CONNECT_TIMEOUT_SECONDS, settings.upstream_host),
+            UpstreamChannels(
+                CONNECT_TIMEOUT_SECONDS,
+                settings.upstream_host,
+                self._answer_memory,
+            ),
             PlatformDialect(),
             RetryBounds(
                 bounds.retry_share,
@@ -399,6 +407,7 @@
             "ridgesill_connection_bytes": (
                 lambda: self._connection_memory.total
             ),
+            "ridgesill_answer_bytes": lambda: self._answer_memory.total,
             "ridgesill_held_bytes": (
                 lambda: readers.held.total if readers is not None else 0
             ),
--- a/src/ridgesill/standin/emulator/engines.py
+++ b/src/ridgesill/standin/emulator/engines.py
@@ -233,6 +233,13 @@
         assert isinstance(data, bytes)
         return data
 
+    def shed(self) -> None:
+        """Stops the answer."""
+        self.cancel()
+
+    def _record_held(self, count: int) -> None:
+        """Does nothing: emulated fronts have memory for all answers."""
+
     def _to_channel_error(self, step: str, detail: str) -> ChannelError:
         self.cancel()
         return ChannelError(step, self._address, detail, True)
