Refuse half-sent requests when a stopping front ends

Reported by operators of such systems: in a planned stop, requests that came late in the grace were cut with no answer. What was left: a client that was still sending its request at the end of the grace was disconnected with no answer, though the request can't have run.

Such a request is refused now (503, not run, with Retry-After), and its client gets a moment to read that before the process ends.

Evidence: on the code before, the new test of TestStop gets no byte, for a part of a head and for a part of a body; both are refused now.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -48,9 +48,9 @@
 # Bytes that are read and dropped after a refusal, so that its client can read
 # it. Closing with unread bytes would reset the connection.
 _MAX_DROPPED_BYTES = 256 * 1024
-# When a client may come back whose request was refused for want of memory, in
-# seconds.
-_SHED_RETRY_SECONDS = 1
+# When a client may come back whose request was refused before its end arrived,
+# in seconds.
+_UNREAD_RETRY_SECONDS = 1
 # Newest version of HTTP whose clients know no chunks.
 _UNCHUNKED_VERSION = b"1.0"
 # How long a client may take to close a connection whose end completed a
@@ -264,8 +264,12 @@
         if self._task is not None or self._awaits_flush or self._is_half_closed:
             self.abort()
             return
-        retry_after = ("retry-after", str(_SHED_RETRY_SECONDS))
-        self._reject(503, "no memory is left for it", retry_after)
+        self._refuse_unread("no memory is left for it")
+
+    def _refuse_unread(self, detail: str) -> None:
+        """Refuses the request that is received; another front may serve it."""
+        retry_after = ("retry-after", str(_UNREAD_RETRY_SECONDS))
+        self._reject(503, detail, retry_after)
 
     def _send_continue(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
@@ -547,6 +551,11 @@
         elif elapsed_seconds > limits.idle_seconds:
             self._close()
 
+    def refuse_if_unfinished(self) -> None:
+        """Refuses a request of which the end hasn't arrived: it can't run."""
+        if self._receiving and not self._is_half_closed:
+            self._refuse_unread("the process stops")
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
         if (
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -470,8 +470,18 @@
         self._front_listener.close()
         await asyncio.sleep(_DRAIN_POLL_SECONDS)
         await self._wait_for_channels(deadline)
+        await self._refuse_unfinished()
         self._stopping.set()
 
+    async def _refuse_unfinished(self) -> None:
+        """Refuses what clients are still sending at the end of the grace."""
+        connections = self._list_connections()
+        for connection in connections:
+            connection.refuse_if_unfinished()
+        if connections:
+            # Closing with unread bytes would discard the refusals.
+            await asyncio.sleep(_DRAIN_POLL_SECONDS)
+
     async def _wait_for_channels(self, deadline: float) -> None:
         """Waits until all client channels are closed, or until a deadline.
 
--- a/testing/app/test_front_process.py
+++ b/testing/app/test_front_process.py
@@ -166,3 +166,33 @@
         assert b"200" in await asyncio.wait_for(reader.readline(), 5.0)
         writer.close()
         await asyncio.wait_for(stopping, 5.0)
+
+    @pytest.mark.parametrize(
+        "part",
+        [
+            b"GET /x HTTP/1.1\r\nHo",
+            b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf",
+        ],
+    )
+    async def test_a_half_sent_request_is_refused_at_the_end_of_the_grace(
+        self,
+        listener: HttpListener,
+        monkeypatch: pytest.MonkeyPatch,
+        part: bytes,
+    ) -> None:
+        """Guards against a request that is cut with no answer."""
+        monkeypatch.setattr(front_process, "_NOTICE_SECONDS", 0.1)
+        monkeypatch.setattr(front_process, "_GRACE_MARGIN_SECONDS", 7.6)
+        assert listener._server is not None
+        host, port = listener._server.sockets[0].getsockname()
+        stopping = asyncio.create_task(
+            self.make_front(listener)._finish_requests()
+        )
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(part)
+        await asyncio.wait_for(stopping, 5.0)
+        await listener.stop()
+        head = await asyncio.wait_for(reader.read(), 5.0)
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"retry-after: " in head
+        writer.close()
