Show that idle clients take all descriptors of a front

What must hold beside clients that keep no limit: ordinary callers still get answers. 600 clients that connect and stay idle, before a request, inside its body or behind an answered one, keep all 400 descriptors of a front, and no request is answered within 20 s. Crowd and bounds are fixed here; the three cases are listed. A control node answers, since its idle time is shorter than the test waits, and gets the same test as a guard.

The stand-in upstream closes its connections also when the test ends.

--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -128,6 +128,8 @@
                     b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
                 )
         except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
             writer.close()
 
     async def _send_heartbeats(self) -> None:
--- a/testing/scenarios/test_unbounded_clients.py
+++ b/testing/scenarios/test_unbounded_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import resource
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -26,6 +27,10 @@
 # clients it takes 45 to 50 MB.
 _MEMORY_MB = 80
 _DESCRIPTORS = 400
+# More than a process has descriptors for.
+_IDLE_CLIENTS = 600
+# Longer than a test waits for an answer.
+_LONG_IDLE_MS = 60_000
 _HEADER_BYTES = 16 * 1024
 _BODY_BYTES = 2**20
 _METRICS_PORT = 9464
@@ -106,6 +111,14 @@
 }
 
 
+# What the clients send that then keep their connections.
+_IDLE = {
+    "nothing": Pressure(b""),
+    "a_part_of_a_body": Pressure(_POST + b"Content-Length: 9\r\n\r\nhalf"),
+    "a_request": Pressure(_GET),
+}
+
+
 @pytest.fixture
 async def deployment(tmp_path: Path) -> AsyncIterator[PlatformDeployment]:
     """Yields a front and a control node on VMs with little memory."""
@@ -125,14 +138,21 @@
         made.stop()
 
 
-def _make_document() -> bytes:
+def limit_descriptors(vm: Vm) -> None:
+    """Gives a process no more descriptors than its VM has."""
+    assert vm.process is not None
+    limits = (_DESCRIPTORS, _DESCRIPTORS)
+    resource.prlimit(vm.process.pid, resource.RLIMIT_NOFILE, limits)
+
+
+def _make_document(version: int = 1, idle_ms: int = 15_000) -> bytes:
     """Returns a configuration with low limits on clients."""
-    document = msgspec.json.decode(make_document(1, "/first/"))
+    document = msgspec.json.decode(make_document(version, "/first/"))
     document["limits"] = {
         "header_bytes": _HEADER_BYTES,
         "body_bytes": _BODY_BYTES,
         "header_ms": 3000,
-        "idle_ms": 15_000,
+        "idle_ms": idle_ms,
     }
     return msgspec.json.encode(document)
 
@@ -214,3 +234,35 @@
         return answer if answer and answer.status == 200 else None
 
     await deployment.poll(read)
+
+
+@pytest.mark.parametrize("kind", _IDLE)
+async def test_callers_are_served_beside_clients_that_stay_idle(
+    deployment: PlatformDeployment, kind: str
+) -> None:
+    """Guards against clients that take all descriptors of a front."""
+    front = deployment.fronts[0]
+    await deployment.put_configuration(_make_document(2, _LONG_IDLE_MS))
+    await deployment.wait_until_served(front, "/first/x")
+    limit_descriptors(front)
+    pressure = _IDLE[kind]
+    crowd = Crowd(deployment.client_address(front), pressure.beginning, b"")
+    crowd.start(_IDLE_CLIENTS)
+    await asyncio.sleep(_PRESSED_SECONDS)
+    check_process(front)
+    await deployment.wait_until_served(front, "/first/x")
+    await crowd.stop()
+
+
+async def test_a_control_node_answers_beside_callers_that_stay_idle(
+    deployment: PlatformDeployment,
+) -> None:
+    control = deployment.controls[0]
+    limit_descriptors(control)
+    crowd = Crowd(deployment.control_address(control), b"", b"")
+    crowd.start(_IDLE_CLIENTS)
+    await asyncio.sleep(_PRESSED_SECONDS)
+    check_process(control)
+    await deployment.put_configuration(make_document(2, "/first/", "/second/"))
+    await deployment.wait_until_served(deployment.fronts[0], "/second/x")
+    await crowd.stop()
