Bound the connections that clients of a process keep open

Ordinary callers got no answer beside 600 clients that connect and stay idle: these held all descriptors of a front until its idle time ended them, and took the next ones at once.

Cause: each connection had limits of its own, and nothing counted them. With no descriptor left, asyncio stops accepting for a second at a time.

Clients' connections may now take three quarters of the descriptors, over all interfaces of a process. Beyond that the one that has waited longest for its client is closed, first of those that have brought no request, and never one with a request in progress. A caller sends its request as soon as it is connected, so it isn't the one. Accepted in one turn of the event loop are 16, since asyncio counts connections only some turns later.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -15,6 +15,7 @@
 import h11
 from eliot import log_message, write_traceback
 
+from ridgesill.adapters.http1.connection_limit import ConnectionLimit
 from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.http1.parse_queue import ParseQueue
 from ridgesill.adapters.http1.slow_readers import SlowReaders
@@ -33,6 +34,9 @@
 # Response bytes buffered for a slow client before the handler has to wait.
 _WRITE_BUFFER_BYTES = 256 * 1024
 _BACKLOG_CONNECTIONS = 1024
+# Connections accepted in one turn of the event loop. Those of a few turns come
+# on top of the limit on connections.
+_MAX_ACCEPTED_AT_ONCE = 16
 # Interval at which connections are checked for timeouts.
 _TIMEOUT_CHECK_SECONDS = 0.5
 # Bytes received at once. All connections of a listener share one buffer.
@@ -119,11 +123,13 @@
         peer = transport.get_extra_info("peername")
         self.name = f"{peer[0]}:{peer[1]}" if peer else ""
         self._listener.connections.add(self)
+        self._listener.connection_limit.add(self, self._loop.time())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the request in progress: its client has disconnected."""
         self._is_closed = True
         self._listener.connections.discard(self)
+        self._listener.connection_limit.discard(self)
         self._listener.memory.discard(self._memory_key)
         self._wake_writer()
         if self._task is not None:
@@ -266,6 +272,15 @@
             return
         self._refuse_unread("no memory is left for it")
 
+    def make_room(self) -> None:
+        """Ends the connection; refuses a request that is being received."""
+        if self._awaits_flush or self._is_half_closed:
+            self.abort()
+            return
+        if self._receiving:
+            self._refuse_unread("too many connections are open")
+        self._close()
+
     def _refuse_unread(self, detail: str) -> None:
         """Refuses the request that is received; another front may serve it."""
         retry_after = ("retry-after", str(_UNREAD_RETRY_SECONDS))
@@ -315,6 +330,7 @@
             self.name,
         )
         self._discard_body()
+        self._listener.connection_limit.begin_request(self)
         self._task = self._loop.create_task(self._serve(request))
 
     async def _serve(self, request: HttpRequest) -> None:
@@ -334,6 +350,7 @@
             memory.end_request(len(request.body))
             self._task = None
             self._period_started_at = self._loop.time()
+            self._listener.connection_limit.end_request(self)
         if not self._is_closed:
             self._begin_flush()
 
@@ -644,6 +661,8 @@
         limits: limits of each connection; may be replaced at runtime.
         memory: bounds what the connections of this process hold together; of
             its own if omitted.
+        connection_limit: bounds the number of connections of this process; of
+            its own if omitted.
 
     Attributes:
         connections: all open connections.
@@ -663,10 +682,12 @@
         handler: Handler,
         limits: ClientLimits | None = None,
         memory: ConnectionMemory | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
         self.handler = handler
         self._address = address
         self.memory = memory or ConnectionMemory()
+        self.connection_limit = connection_limit or ConnectionLimit()
         self.receive_buffer = memoryview(bytearray(_RECEIVE_BYTES))
         self.parse_queue = ParseQueue()
         self.limits = limits or ClientLimits()
@@ -686,9 +707,13 @@
             lambda: ServerConnection(self),
             host,
             port,
-            backlog=_BACKLOG_CONNECTIONS,
+            backlog=_MAX_ACCEPTED_AT_ONCE,
             reuse_address=True,
         )
+        for listening in self._server.sockets:
+            # asyncio accepts as many connections at once as its backlog names.
+            with listening.dup() as same:
+                same.listen(_BACKLOG_CONNECTIONS)
         self._timeout_task = loop.create_task(self._check_timeouts())
 
     async def _check_timeouts(self) -> None:
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -11,6 +11,7 @@
 
 from ridgesill.adapters.file_log import FileLog
 from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.connection_limit import ConnectionLimit
 from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.adapters.peer_datagrams import PeerDatagrams
@@ -128,10 +129,12 @@
             self._heartbeat_address,
         )
         self._connection_memory = ConnectionMemory(settings.limits.memory_bytes)
+        self._connection_limit = ConnectionLimit(settings.limits.descriptors)
         self._calls = HttpListener(
             settings.control_address,
             api.serve,
             memory=self._connection_memory,
+            connection_limit=self._connection_limit,
         )
         self._peer_server = PeerServer(
             self._handle, self._node.identity, self._peers.traffic
@@ -289,6 +292,7 @@
                         self._gauges(driver), self.owner.swap_telemetry
                     ),
                     self._connection_memory,
+                    self._connection_limit,
                 )
             )
             group.create_task(log_traffic(self._peers.traffic))
@@ -298,6 +302,7 @@
             "ridgesill_configuration_version": (
                 lambda: driver.state.routes_version
             ),
+            "ridgesill_connections": lambda: self._connection_limit.count,
             "ridgesill_connection_bytes": (
                 lambda: self._connection_memory.total
             ),
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from ridgesill.adapters.http1.client import UpstreamChannels
+from ridgesill.adapters.http1.connection_limit import ConnectionLimit
 from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.http1.server import HttpListener, ServerConnection
 from ridgesill.adapters.http1.slow_readers import SlowReaders
@@ -161,16 +162,20 @@
         self.fleet.add_listener(self._streams.handle_news)
         memory = ConnectionMemory(settings.limits.memory_bytes)
         self._connection_memory = memory
+        connection_limit = ConnectionLimit(settings.limits.descriptors)
+        self._connection_limit = connection_limit
         self._client_listener = HttpListener(
             settings.client_address,
             functools.partial(serve_request, self.front),
             memory=memory,
+            connection_limit=connection_limit,
         )
         self._client_listener.sends_clients_away = self._sends_clients_away
         self._front_listener = HttpListener(
             settings.peer_listen_address,
             self._serve_front_request,
             memory=memory,
+            connection_limit=connection_limit,
         )
         if settings.has_slow_peers and settings.limits.memory_bytes:
             bound = settings.limits.memory_bytes * _HELD_SHARE
@@ -180,6 +185,7 @@
             self._answer_readiness,
             BODILESS_LIMITS,
             memory,
+            connection_limit,
         )
 
     async def _serve_front_request(
@@ -352,6 +358,7 @@
                 METRICS_PATH,
                 Instruments(self._gauges(), self._swap_telemetry),
                 self._connection_memory,
+                self._connection_limit,
             ),
             log_traffic(self._peers.traffic),
         ]
@@ -407,6 +414,7 @@
             "ridgesill_connection_bytes": (
                 lambda: self._connection_memory.total
             ),
+            "ridgesill_connections": lambda: self._connection_limit.count,
             "ridgesill_answer_bytes": lambda: self._answer_memory.total,
             "ridgesill_held_bytes": (
                 lambda: readers.held.total if readers is not None else 0
--- a/src/ridgesill/app/telemetry.py
+++ b/src/ridgesill/app/telemetry.py
@@ -13,6 +13,7 @@
 
 from eliot import log_message
 
+from ridgesill.adapters.http1.connection_limit import ConnectionLimit
 from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.core.serving.routes import BODILESS_LIMITS
@@ -76,6 +77,7 @@
     path: str,
     instruments: Instruments,
     memory: ConnectionMemory,
+    connection_limit: ConnectionLimit,
 ) -> None:
     """Serves the metrics over HTTP until cancelled.
 
@@ -86,6 +88,7 @@
         path: URL path of the metrics.
         instruments: source of the metrics.
         memory: bounds what the connections of this process hold.
+        connection_limit: bounds how many there are.
     """
 
     async def handle_request(
@@ -101,7 +104,9 @@
         responder.send_data(body)
         responder.finish()
 
-    listener = HttpListener(address, handle_request, BODILESS_LIMITS, memory)
+    listener = HttpListener(
+        address, handle_request, BODILESS_LIMITS, memory, connection_limit
+    )
     try:
         await listener.start()
     except OSError as error:
