Bound the answers together that a node of the own interface reads whole

Same cause as in a front: each answer was bounded to 16 MB, and nothing counted those of all threads together, so that a faulty runner whose answers have no end could take a node's memory.

The threads share one count now.

--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -1,6 +1,7 @@
 """Sends requests and orders to runners over HTTP, based on urllib3."""
 
 import asyncio
+import threading
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
@@ -8,6 +9,7 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.runner_pool import make_pool_manager
 from ridgesill.core.completeness import Completeness, judge_json
 from ridgesill.core.runners import FENCE, LOAD, Order
@@ -39,11 +41,53 @@
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
+class _AnswerMemory:
+    """Bounds what all threads hold together of answers that are read whole.
+
+    Args:
+        memory: counts it.
+    """
+
+    def __init__(self, memory: ConnectionMemory) -> None:
+        self._lock = threading.Lock()
+        self._memory = memory
+
+    def record(self, response: "HttpRunnerResponse", held: int) -> None:
+        """Replaces what is held of an answer, in bytes; sheds the longest."""
+        with self._lock:
+            self._memory.record(str(id(response)), response, held)
+
+    def discard(self, response: "HttpRunnerResponse") -> None:
+        """Removes an answer that has been read or given up."""
+        with self._lock:
+            self._memory.discard(str(id(response)))
+
+
 class HttpRunnerResponse:
-    """Implements `ports.runner.RunnerResponse`."""
+    """Implements `ports.runner.RunnerResponse` and `connection_memory.Holder`.
+
+    Args:
+        response: the response, whose body has not been read.
+        address: the runner's `host:port`.
+        memory: bounds what is held of all answers.
+
+    Attributes:
+        name: the runner's address.
+        status: HTTP status.
+        headers: of the response.
+    """
 
-    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+    def __init__(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        address: str,
+        memory: _AnswerMemory,
+    ) -> None:
         self._response = response
+        self._memory = memory
+        self._parts: list[bytes] = []
+        self._is_shed = False
+        self.name = address
         self.status = response.status
         self.headers = response.headers
 
@@ -79,17 +123,11 @@
             IncompleteAnswerError: the connection ended before the body did, or
                 nothing shows that it didn't, or the body is too long.
         """
-        parts = []
-        length = 0
-        for part in self.chunks():
-            length += len(part)
-            if length > MAX_BODY_BYTES:
-                self.cancel()
-                raise IncompleteAnswerError(
-                    f"the answer is longer than {MAX_BODY_BYTES} bytes"
-                )
-            parts.append(part)
-        body = b"".join(parts)
+        try:
+            body = self._read_parts()
+        finally:
+            self._parts.clear()
+            self._memory.discard(self)
         if self._is_framed() or judge_json(body) is Completeness.WHOLE:
             return body
         raise IncompleteAnswerError(
@@ -97,6 +135,27 @@
             "JSON document"
         )
 
+    def _read_parts(self) -> bytes:
+        length = 0
+        for part in self.chunks():
+            length += len(part)
+            if length > MAX_BODY_BYTES:
+                raise self._give_up(f"longer than {MAX_BODY_BYTES} bytes")
+            self._parts.append(part)
+            self._memory.record(self, length)
+            if self._is_shed:
+                raise self._give_up("too long for the memory that is left")
+        return b"".join(self._parts)
+
+    def _give_up(self, reason: str) -> IncompleteAnswerError:
+        self.cancel()
+        return IncompleteAnswerError(f"the answer is {reason}")
+
+    def shed(self) -> None:
+        """Drops what has been read; called by any thread."""
+        self._is_shed = True
+        self._parts.clear()
+
     def _is_framed(self) -> bool:
         """Whether something else than the connection ends the body."""
         response = self._response
@@ -121,9 +180,14 @@
     Args:
         silence_seconds: how long a runner may send nothing while its response
             is awaited or read.
+        memory: bounds what is held of answers that are read whole; of its own
+            if omitted.
     """
 
-    def __init__(self, silence_seconds: float) -> None:
+    def __init__(
+        self, silence_seconds: float, memory: ConnectionMemory | None = None
+    ) -> None:
+        self._memory = _AnswerMemory(memory or ConnectionMemory())
         self._timeout = urllib3.Timeout(
             connect=_CONNECT_SECONDS, read=silence_seconds
         )
@@ -156,7 +220,17 @@
             return Err(RunnerFailure("connect", address, str(error), True))
         except urllib3.exceptions.HTTPError as error:
             return Err(RunnerFailure("request", address, str(error), False))
-        return _to_result(response, address)
+        return self._to_result(response, address)
+
+    def _to_result(
+        self, response: urllib3.BaseHTTPResponse, address: str
+    ) -> Result[HttpRunnerResponse, RunnerFailure]:
+        if response.headers.get(UNSTARTED_HEADER, "") != "true":
+            return Ok(HttpRunnerResponse(response, address, self._memory))
+        detail = f"status {response.status}, not started"
+        absent = response.status == 404
+        _discard(response)
+        return Err(RunnerFailure("start", address, detail, True, absent))
 
     def _send(
         self, pool: urllib3.PoolManager, url: str, request: RunnerRequest
@@ -171,17 +245,6 @@
         )
 
 
-def _to_result(
-    response: urllib3.BaseHTTPResponse, address: str
-) -> Result[HttpRunnerResponse, RunnerFailure]:
-    if response.headers.get(UNSTARTED_HEADER, "") != "true":
-        return Ok(HttpRunnerResponse(response))
-    detail = f"status {response.status}, not started"
-    absent = response.status == 404
-    _discard(response)
-    return Err(RunnerFailure("start", address, detail, True, absent))
-
-
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
     """Reads a short body, so that the connection lasts, or closes it."""
     try:
--- a/testing/adapters/test_runner_http.py
+++ b/testing/adapters/test_runner_http.py
@@ -5,9 +5,11 @@
 import socket
 import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.runner_http import (
     UNSTARTED_HEADER,
     HttpOrders,
@@ -58,6 +60,39 @@
         return opened.ok_value.read()
 
 
+@contextlib.contextmanager
+def answer_together(count: int, half: bytes) -> Iterator[str]:
+    """Yields the address of a server that sends some answers side by side.
+
+    None gets its second half before the first halves of all have been taken.
+
+    Args:
+        count: number of answers.
+        half: of each body.
+    """
+    halves_sent = threading.Barrier(count)
+
+    def serve() -> None:
+        connection, _ = server.accept()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        with connection:
+            _read_request(connection)
+            with contextlib.suppress(OSError):
+                connection.sendall(head % (2 * len(half)) + half)
+            halves_sent.wait(10.0)
+            with contextlib.suppress(OSError):
+                connection.sendall(half)
+
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.settimeout(10.0)
+        threads = [threading.Thread(target=serve) for _ in range(count)]
+        for thread in threads:
+            thread.start()
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+        for thread in threads:
+            thread.join()
+
+
 class TestUnframedAnswers:
     @pytest.mark.parametrize("body", [b'{"choices": [', b"half", b"12", b""])
     def test_an_answer_that_may_be_cut_is_incomplete(self, body: bytes) -> None:
@@ -184,3 +219,24 @@
             + b"0\r\n\r\n"
         )
         assert read(answer) == b"x" * 50_000
+
+
+class TestLongAnswers:
+    def test_many_at_once_do_not_exceed_the_memory_of_a_node(self) -> None:
+        """Guards against a faulty runner whose answers have no end."""
+        half = b"x" * 7 * 2**20
+        memory = ConnectionMemory(vm_bytes=8 * 2**20)
+        runners = HttpRunners(5.0, memory)
+
+        def read_whole(address: str) -> int:
+            opened = runners.open(address, _REQUEST, repeatable=False)
+            try:
+                return len(opened.ok_value.read())
+            except IncompleteAnswerError as error:
+                assert "memory" in str(error)
+                return 0
+
+        with answer_together(3, half) as address, ThreadPoolExecutor(3) as pool:
+            lengths = sorted(pool.map(read_whole, [address] * 3))
+        assert lengths == [0, 0, 2 * len(half)]
+        assert memory.total == 0
