Refuse answers of runners that are shed while their end is awaited

Callers of the own interface got a 200 with an empty body, as complete, when another thread shed the answer after all of its data had come and before its last chunk had.

Cause: whether an answer had been shed was looked at only after each piece. One that is shed while its end is awaited brings no further piece, and what was left of it, nothing, counted as the body.

The body is put together first and whether it was shed is looked at afterwards.

Evidence: the new test sheds an answer that waits for its last chunk. It failed before (no error was raised) and passes now, with the others of the file.

--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -144,8 +144,12 @@
             self._parts.append(part)
             self._memory.record(self, length)
             if self._is_shed:
-                raise self._give_up("too long for the memory that is left")
-        return b"".join(self._parts)
+                break
+        body = b"".join(self._parts)
+        # Another thread may also shed it while the end of the body is awaited.
+        if self._is_shed:
+            raise self._give_up("too long for the memory that is left")
+        return body
 
     def _give_up(self, reason: str) -> IncompleteAnswerError:
         self.cancel()
--- a/testing/adapters/test_runner_http.py
+++ b/testing/adapters/test_runner_http.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
@@ -240,3 +241,45 @@
             lengths = sorted(pool.map(read_whole, [address] * 3))
         assert lengths == [0, 0, 2 * len(half)]
         assert memory.total == 0
+
+    def test_one_that_is_shed_before_its_end_is_incomplete(self) -> None:
+        """Guards against a body that is dropped and passes for an empty one."""
+        memory = ConnectionMemory(vm_bytes=8 * 2**20)
+        runners = HttpRunners(5.0, memory)
+        ends = threading.Event()
+
+        def serve() -> None:
+            connection, _ = server.accept()
+            with connection:
+                _read_request(connection)
+                length = 3 * 2**18
+                head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                connection.sendall(
+                    head + b"%x\r\n%s\r\n" % (length, b"x" * length)
+                )
+                assert ends.wait(10.0)
+                with contextlib.suppress(OSError):
+                    connection.sendall(b"0\r\n\r\n")
+
+        def read_whole() -> bytes:
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            opened = runners.open(address, _REQUEST, repeatable=False)
+            return opened.ok_value.read()
+
+        with (
+            socket.create_server(("127.0.0.1", 0)) as server,
+            ThreadPoolExecutor(2) as pool,
+        ):
+            server.settimeout(10.0)
+            served, body = pool.submit(serve), pool.submit(read_whole)
+            deadline = time.monotonic() + 5.0
+            while memory.total < 3 * 2**18 and time.monotonic() < deadline:
+                time.sleep(0.01)
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+            with answer_once(answer % 2**19 + b"x" * 2**19) as address:
+                other = runners.open(address, _REQUEST, repeatable=False)
+                assert len(other.ok_value.read()) == 2**19
+            ends.set()
+            served.result()
+            with pytest.raises(IncompleteAnswerError, match="memory"):
+                body.result()
