Don't take channels that slow clients hold up for a sign of the upstream

An unframed stream cut short by the end of its upstream looked complete at the client while another client of the same upstream read slowly.

Cause: an upstream that refuses connections counts as there while a channel to it is open.

Only channels that are received from count now. If there is none, the stream is broken off, as for an upstream without further channels.

Evidence: the new test ends an upstream that serves a slow client and another one. The other's stream was complete before and is broken off now; the other tests of the file pass.

--- a/src/ridgesill/adapters/http1/channel.py
+++ b/src/ridgesill/adapters/http1/channel.py
@@ -146,6 +146,14 @@
             and not transport.is_closing()
         )
 
+    @property
+    def is_watched(self) -> bool:
+        """Whether it is open and its end would be noticed at once.
+
+        The end of a connection isn't noticed while nothing is received from it.
+        """
+        return self.is_open and not self._is_paused
+
     def set_user_timeout(self, milliseconds: int) -> None:
         """Sets after which time without acknowledgement the kernel gives up."""
         if milliseconds == self._user_timeout_ms or self._transport is None:
--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -255,9 +255,13 @@
         return False
 
     def has_open(self, address: str) -> bool:
-        """Whether a channel to an upstream is open, in use or idle."""
+        """Whether a channel to an upstream is known to be open.
+
+        It may be in use or idle. One whose reader is slow doesn't count: it may
+        have ended.
+        """
         channels = self._open_channels.get(address, ())
-        return any(channel.is_open for channel in channels)
+        return any(channel.is_watched for channel in channels)
 
     def release_unused(self, channel: UpstreamChannel) -> None:
         """Returns an acquired channel to the pool; nothing was sent on it."""
--- a/testing/app/test_unframed_answers.py
+++ b/testing/app/test_unframed_answers.py
@@ -151,6 +151,37 @@
         assert (answer.body, answer.complete) == (EVENTS, False)
         assert lines[0]["completeness"] == "broken"
 
+    async def test_an_unread_channel_does_not_show_that_an_upstream_is_there(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against channels whose end isn't noticed for a slow client."""
+
+        async def answer(call: Call) -> None:
+            await call.begin_unframed(EVENT_STREAM)
+            if call.number == 0:
+                call.writer.write(LONG_EVENTS)
+                filled.set()
+                await call.wait_closed()
+                return
+            await call.send(EVENTS)
+            await ends.wait()
+            upstream.stop()
+            for each in upstream.calls:
+                each.writer.transport.abort()
+            call.writer.close()
+
+        filled, ends = asyncio.Event(), asyncio.Event()
+        upstream = await add_engine(world, "u1", answer)
+        slow, client = await world.open(), await world.open()
+        slow.writer.transport.pause_reading()
+        await slow.send("/stream/x", b"b", **STREAM)
+        await asyncio.wait_for(filled.wait(), 5.0)
+        await asyncio.sleep(0.5)
+        await client.send("/stream/x", b"b", **STREAM)
+        await asyncio.sleep(0.2)
+        ends.set()
+        assert not (await client.read()).complete
+
     async def test_a_stream_that_a_cut_of_all_ways_ends_does_not_look_complete(
         self, world: FrontWorld
     ) -> None:
