Don't count answers again that have been shed

Beside a long answer that was broken off for want of memory, a second one could be broken off that alone was within the bound.

Cause: a shed answer leaves the count at once, but its reader may have one more piece, and recorded the whole length again. The count was then over the bound by bytes that are dropped, and the answer that held most was shed for them.

Nothing is recorded any more of an answer that was shed, by fronts and by the own interface alike.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -102,6 +102,7 @@
         self._channels = channels
         self._channel = channel
         self._ended = False
+        self._is_shed = False
         self.head: ResponseHead | None = None
 
     @property
@@ -114,10 +115,14 @@
         return str(id(self))
 
     def _record_held(self, count: int) -> None:
+        if self._is_shed:
+            # It is broken off once what had been received is read.
+            return
         self._channels.memory.record(self._memory_key, self, count)
 
     def shed(self) -> None:
         """Breaks the response off, since too much is held of all of them."""
+        self._is_shed = True
         self._channel.close("no memory is left for its response")
 
     async def read_head(self) -> ResponseHead:
--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -53,9 +53,13 @@
         self._memory = memory
 
     def record(self, response: "HttpRunnerResponse", held: int) -> None:
-        """Replaces what is held of an answer, in bytes; sheds the longest."""
+        """Replaces what is held of an answer, in bytes; sheds the longest.
+
+        Of one that has been shed nothing is held any more.
+        """
         with self._lock:
-            self._memory.record(str(id(response)), response, held)
+            if not response.is_shed:
+                self._memory.record(str(id(response)), response, held)
 
     def discard(self, response: "HttpRunnerResponse") -> None:
         """Removes an answer that has been read or given up."""
@@ -75,6 +79,7 @@
         name: the runner's address.
         status: HTTP status.
         headers: of the response.
+        is_shed: whether what has been read was dropped.
     """
 
     def __init__(
@@ -86,7 +91,7 @@
         self._response = response
         self._memory = memory
         self._parts: list[bytes] = []
-        self._is_shed = False
+        self.is_shed = False
         self.name = address
         self.status = response.status
         self.headers = response.headers
@@ -143,11 +148,11 @@
                 raise self._give_up(f"longer than {MAX_BODY_BYTES} bytes")
             self._parts.append(part)
             self._memory.record(self, length)
-            if self._is_shed:
+            if self.is_shed:
                 break
         body = b"".join(self._parts)
         # Another thread may also shed it while the end of the body is awaited.
-        if self._is_shed:
+        if self.is_shed:
             raise self._give_up("too long for the memory that is left")
         return body
 
@@ -157,7 +162,7 @@
 
     def shed(self) -> None:
         """Drops what has been read; called by any thread."""
-        self._is_shed = True
+        self.is_shed = True
         self._parts.clear()
 
     def _is_framed(self) -> bool:
--- a/testing/adapters/http1/test_client.py
+++ b/testing/adapters/http1/test_client.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from ridgesill.adapters.http1.channel import UpstreamChannel
 from ridgesill.adapters.http1.client import (
     Exchange,
     UpstreamChannels,
 )
+from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.ports.http import ChannelError, HttpRequest
 
 _REQUEST = HttpRequest(b"GET", b"/", ((b"host", b"upstream"),))
@@ -193,3 +195,26 @@
             with pytest.raises(ChannelError):
                 await exchange.read_head()
         server.close()
+
+
+class TestShedBody:
+    async def test_it_costs_no_other(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against counting an answer again that was broken off."""
+        memory = ConnectionMemory(vm_bytes=8 * 2**20)
+        channels = UpstreamChannels(1.0, memory=memory)
+        exchange = Exchange(channels, UpstreamChannel("upstream:1"))
+        other = Exchange(channels, UpstreamChannel("upstream:1"))
+        pieces = [b"", b"x", b"x" * 3 * 2**18]
+
+        async def read_received() -> bytes:
+            # The second piece had been received before the first was shed.
+            if len(pieces) == 2:
+                memory.record("other", other, 2**19)
+                memory.record("other", other, 7 * 2**17)
+            return pieces.pop()
+
+        monkeypatch.setattr(exchange, "read_data", read_received)
+        await exchange.read_rest()
+        assert memory.total == 7 * 2**17
--- a/testing/adapters/test_runner_http.py
+++ b/testing/adapters/test_runner_http.py
@@ -6,8 +6,9 @@
 import threading
 import time
 from collections.abc import Iterator
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 
+import attrs
 import pytest
 
 from ridgesill.adapters.http1.connection_memory import ConnectionMemory
@@ -94,6 +95,63 @@
             thread.join()
 
 
+@attrs.define
+class FakeHolder:
+    """Holds a part of the memory for answers."""
+
+    name: str = "other"
+    is_shed: bool = False
+
+    def shed(self) -> None:
+        """Records the call."""
+        self.is_shed = True
+
+
+@contextlib.contextmanager
+def read_in_two_parts(
+    memory: ConnectionMemory, second: bytes
+) -> Iterator[Future[bytes]]:
+    """Yields an answer's body once 768 KiB have been read; then sends the rest.
+
+    Args:
+        memory: counts what is held.
+        second: second chunk of the body; empty if it has only one.
+    """
+    length = 3 * 2**18
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    first = b"%x\r\n%s\r\n" % (length, b"x" * length)
+    rest = b"%x\r\n%s\r\n" % (len(second), second) if second else b""
+    sends_rest = threading.Event()
+
+    def serve() -> None:
+        connection, _ = server.accept()
+        with connection:
+            _read_request(connection)
+            connection.sendall(head + first)
+            assert sends_rest.wait(10.0)
+            with contextlib.suppress(OSError):
+                connection.sendall(rest + b"0\r\n\r\n")
+
+    def read_whole() -> bytes:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        runners = HttpRunners(5.0, memory)
+        opened = runners.open(address, _REQUEST, repeatable=False)
+        return opened.ok_value.read()
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as server,
+        ThreadPoolExecutor(2) as pool,
+    ):
+        server.settimeout(10.0)
+        served, body = pool.submit(serve), pool.submit(read_whole)
+        deadline = time.monotonic() + 5.0
+        while memory.total < length and time.monotonic() < deadline:
+            time.sleep(0.01)
+        yield body
+        sends_rest.set()
+        served.result()
+
+
 class TestUnframedAnswers:
     @pytest.mark.parametrize("body", [b'{"choices": [', b"half", b"12", b""])
     def test_an_answer_that_may_be_cut_is_incomplete(self, body: bytes) -> None:
@@ -245,41 +303,24 @@
     def test_one_that_is_shed_before_its_end_is_incomplete(self) -> None:
         """Guards against a body that is dropped and passes for an empty one."""
         memory = ConnectionMemory(vm_bytes=8 * 2**20)
-        runners = HttpRunners(5.0, memory)
-        ends = threading.Event()
-
-        def serve() -> None:
-            connection, _ = server.accept()
-            with connection:
-                _read_request(connection)
-                length = 3 * 2**18
-                head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                connection.sendall(
-                    head + b"%x\r\n%s\r\n" % (length, b"x" * length)
-                )
-                assert ends.wait(10.0)
-                with contextlib.suppress(OSError):
-                    connection.sendall(b"0\r\n\r\n")
-
-        def read_whole() -> bytes:
-            address = f"127.0.0.1:{server.getsockname()[1]}"
-            opened = runners.open(address, _REQUEST, repeatable=False)
-            return opened.ok_value.read()
-
-        with (
-            socket.create_server(("127.0.0.1", 0)) as server,
-            ThreadPoolExecutor(2) as pool,
-        ):
-            server.settimeout(10.0)
-            served, body = pool.submit(serve), pool.submit(read_whole)
-            deadline = time.monotonic() + 5.0
-            while memory.total < 3 * 2**18 and time.monotonic() < deadline:
-                time.sleep(0.01)
+        with read_in_two_parts(memory, b"") as body:
             answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
             with answer_once(answer % 2**19 + b"x" * 2**19) as address:
-                other = runners.open(address, _REQUEST, repeatable=False)
+                other = HttpRunners(5.0, memory).open(
+                    address, _REQUEST, repeatable=False
+                )
                 assert len(other.ok_value.read()) == 2**19
-            ends.set()
-            served.result()
-            with pytest.raises(IncompleteAnswerError, match="memory"):
-                body.result()
+        with pytest.raises(IncompleteAnswerError, match="memory"):
+            body.result()
+
+    def test_one_that_was_shed_costs_no_other(self) -> None:
+        """Guards against counting bytes again that have been dropped."""
+        memory = ConnectionMemory(vm_bytes=8 * 2**20)
+        other = FakeHolder()
+        with read_in_two_parts(memory, b"x") as body:
+            memory.record("other", other, 2**19)
+            memory.record("other", other, 7 * 2**17)
+        with pytest.raises(IncompleteAnswerError, match="memory"):
+            body.result()
+        assert not other.is_shed
+        assert memory.total == 7 * 2**17
