Don't shed a long answer because of its own request's body

A slow client that alone was sent an answer longer than the bound for all connections was disconnected in the middle if its request had a body, be it of one byte. The same answer to a request without a body was delivered.

Cause: a connection isn't shed while it is the only one, but any body of a request in progress counted as another one, also that of the same connection.

Bodies in progress are now counted by connection, and the own one is left out.

--- a/src/ridgesill/adapters/http1/connection_memory.py
+++ b/src/ridgesill/adapters/http1/connection_memory.py
@@ -38,6 +38,8 @@
 
     def __init__(self, vm_bytes: float = 0.0) -> None:
         self._bound = vm_bytes * _HELD_SHARE or _DEFAULT_BYTES
+        # Size of the body by connection, of requests in progress.
+        self._bodies: dict[str, int] = {}
         self._in_progress = 0
         self._held = HeldBytes(self._bound)
         self._holders: dict[str, Holder] = {}
@@ -75,20 +77,32 @@
         if self._holders.pop(key, None) is not None:
             self._held.discard(key)
 
-    def begin_request(self, body_bytes: int) -> None:
-        """Counts the body of a request that is in progress from now on."""
-        self._in_progress += body_bytes
+    def begin_request(self, key: str, body_bytes: int) -> None:
+        """Counts the body of a request that is in progress from now on.
 
-    def end_request(self, body_bytes: int) -> None:
-        """Removes the body of a request that has ended."""
-        self._in_progress -= body_bytes
+        Args:
+            key: identifies its connection in this process.
+            body_bytes: size of the body.
+        """
+        if body_bytes:
+            self._bodies[key] = body_bytes
+            self._in_progress += body_bytes
+
+    def end_request(self, key: str) -> None:
+        """Removes the body of the request that a connection had in progress."""
+        self._in_progress -= self._bodies.pop(key, 0)
+
+    def _holds_alone(self, key: str) -> bool:
+        """Whether one connection holds all that is large enough to count."""
+        others_in_progress = self._in_progress - self._bodies.get(key, 0)
+        return len(self._holders) == 1 and others_in_progress < _COUNTED_BYTES
 
     def _shed_excess(self) -> None:
         self._held.bound = self._bound - self._in_progress
-        # A single large answer is delivered to a slow client.
-        while len(self._holders) + bool(self._in_progress) > 1 and (
-            key := self._held.find_excess()
-        ):
+        while self._holders and (key := self._held.find_excess()):
+            if self._holds_alone(key):
+                # A single large answer is delivered to a slow client.
+                return
             holder = self._holders.pop(key)
             log_message(
                 "channel:shed",
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -336,7 +336,7 @@
     async def _serve(self, request: HttpRequest) -> None:
         responder = _ConnectionResponder(self, request)
         memory = self._listener.memory
-        memory.begin_request(len(request.body))
+        memory.begin_request(self._memory_key, len(request.body))
         try:
             await self._listener.handler(request, responder)
         except asyncio.CancelledError:
@@ -347,7 +347,7 @@
             write_traceback()
             self._send_failure(responder)
         finally:
-            memory.end_request(len(request.body))
+            memory.end_request(self._memory_key)
             self._task = None
             self._period_started_at = self._loop.time()
             self._listener.connection_limit.end_request(self)
--- a/testing/adapters/http1/test_server_memory.py
+++ b/testing/adapters/http1/test_server_memory.py
@@ -235,3 +235,36 @@
         world.released.set()
         for answer in await asyncio.gather(*waiting):
             assert answer.startswith(b"HTTP/1.1 200")
+
+    @pytest.mark.parametrize("length", [1, 390_000])
+    async def test_a_single_long_answer_to_a_body_is_delivered(
+        self, world: MemoryWorld, length: int
+    ) -> None:
+        """Guards against a request that is counted as another one beside it."""
+        reader, writer = await world.open(4096)
+        writer.write(b"POST /long HTTP/1.1\r\nHost: a\r\n")
+        writer.write(b"Content-Length: %d\r\n\r\n" % length + bytes(length))
+        await asyncio.sleep(0.3)
+        assert world.requests == 1
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(_LONG_BYTES)
+        writer.close()
+
+    async def test_a_long_answer_is_given_up_beside_a_large_body(
+        self, world: MemoryWorld
+    ) -> None:
+        head = b"POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 390000\r\n"
+        waiting = asyncio.create_task(
+            world.ask(head + b"\r\n" + bytes(390_000))
+        )
+        await asyncio.sleep(0.2)
+        reader, writer = await world.open(4096)
+        writer.write(b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(_LONG_BYTES)
+        writer.close()
+        world.released.set()
+        assert (await waiting).startswith(b"HTTP/1.1 200")
