Break off cut streams that end too late to ask their upstream

An unframed stream that its upstream's end cut short looked complete at the client when less than about 60 ms were left until its deadline.

Cause: whether the upstream is still there is asked 30 ms after the end, and within half of the time that is left. If that time ran out, it was taken for there, so that late in a request nothing was asked at all.

The delay is now at most half of the time for the question, and an upstream of which nothing is known by then isn't there. A silent host, whose test connection runs out of time by itself, was already judged so. A whole stream at brittle upstreams may be broken off if no slot for the test is free in that time.

--- a/src/ridgesill/app/answer_relay.py
+++ b/src/ridgesill/app/answer_relay.py
@@ -127,17 +127,19 @@
     async def _check_sender(
         self, test: Coroutine[Any, Any, bool], end: AnswerEnd
     ) -> AnswerEnd:
-        """Returns the same end if the sender is still there.
+        """Returns the same end if the sender is known to be still there.
 
         Args:
             test: returns whether the sender accepts connections.
             end: how the answer ended.
         """
         seconds = max(self.deadline - self._loop.time(), 0.0) / 2
+        delay = min(PROBE_DELAY_SECONDS, seconds / 2)
         try:
-            is_there = await asyncio.wait_for(_run_later(test), seconds)
+            is_there = await asyncio.wait_for(_run_later(test, delay), seconds)
         except TimeoutError:
-            is_there = True
+            # A host that is silent accepts no connections either.
+            is_there = False
         return end if is_there else PEER_GONE
 
     # -- streams -------------------------------------------------------
@@ -389,6 +391,6 @@
     return (await channels.test(address)).may_accept
 
 
-async def _run_later(test: Coroutine[Any, Any, bool]) -> bool:
-    await asyncio.sleep(PROBE_DELAY_SECONDS)
+async def _run_later(test: Coroutine[Any, Any, bool], delay: float) -> bool:
+    await asyncio.sleep(delay)
     return await test
--- a/testing/app/test_unframed_answers.py
+++ b/testing/app/test_unframed_answers.py
@@ -182,6 +182,26 @@
         ends.set()
         assert not (await client.read()).complete
 
+    async def test_a_stream_cut_just_before_its_deadline_looks_incomplete(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against too little time to ask whether an upstream runs."""
+
+        async def crash(call: Call) -> None:
+            await call.begin_unframed(EVENT_STREAM)
+            await call.send(EVENTS)
+            # In half of the time that is left, the front can't ask after 30 ms.
+            await asyncio.sleep(0.95)
+            upstream.stop()
+            call.writer.close()
+
+        upstream = await add_engine(world, "u1", crash)
+        client = await world.open()
+        answer = await client.ask(
+            "/stream/x", b"b", request_deadline="1000", **STREAM
+        )
+        assert (answer.body, answer.complete) == (EVENTS, False)
+
     async def test_a_stream_that_a_cut_of_all_ways_ends_does_not_look_complete(
         self, world: FrontWorld
     ) -> None:
@@ -248,6 +268,24 @@
         assert answer.body == EVENTS
         assert [line["outcome"] for line in ends] == ["unverified"]
 
+    async def test_a_stream_that_ends_just_before_its_deadline_may_be_whole(
+        self, world: FrontWorld
+    ) -> None:
+        """Guards against whole answers that are broken off as late."""
+
+        async def end(call: Call) -> None:
+            await call.begin_unframed(EVENT_STREAM)
+            await call.send(EVENTS)
+            await asyncio.sleep(0.9)
+            call.writer.close()
+
+        await add_engine(world, "u1", end)
+        client = await world.open()
+        answer = await client.ask(
+            "/stream/x", b"b", request_deadline="1000", **STREAM
+        )
+        assert (answer.body, answer.complete) == (EVENTS, True)
+
     async def test_a_leaving_upstream_that_goes_on_serving_may_end_a_stream(
         self, world: FrontWorld
     ) -> None:
