Judge runners' answers by the framing that was read

Callers of the own interface got a part of an answer as complete if its header named a length that is no number, or a transfer coding other than chunks, and the runner's connection ended in its body. An answer to HEAD that names no length was refused as cut.

Cause: the mere presence of the two headers counted as framing, whatever the library made of them. It reads such bodies to the end of the connection.

The library's own view counts now: chunks, or a length, which is 0 for HEAD.

Evidence: the five headers and the answer to HEAD without a length failed in the new tests before and pass now; lengths named twice and chunks in other letters passed before and after.

--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -170,8 +170,8 @@
         response = self._response
         return (
             response.status in _BODILESS_STATUSES
-            or "Content-Length" in response.headers
-            or "Transfer-Encoding" in response.headers
+            or response.chunked
+            or response.length_remaining is not None
         )
 
     def release(self) -> None:
--- a/testing/adapters/test_runner_http.py
+++ b/testing/adapters/test_runner_http.py
@@ -158,6 +158,42 @@
         with pytest.raises(IncompleteAnswerError):
             read(b"HTTP/1.1 200 OK\r\n\r\n" + body)
 
+    @pytest.mark.parametrize(
+        "header",
+        [
+            b"Content-Length: abc",
+            b"Content-Length: -4",
+            b"Content-Length:",
+            b"Transfer-Encoding: identity",
+            b"Transfer-Encoding: gzip",
+        ],
+    )
+    def test_a_header_that_ends_no_body_does_not_make_it_complete(
+        self, header: bytes
+    ) -> None:
+        """Guards against cut bodies that only look as if they had an end."""
+        with pytest.raises(IncompleteAnswerError):
+            read(b"HTTP/1.1 200 OK\r\n%s\r\n\r\nhalf" % header)
+
+    @pytest.mark.parametrize(
+        "rest",
+        [
+            b"Content-Length: 4\r\n\r\ntext",
+            b"Content-Length: 4, 4\r\n\r\ntext",
+            b"Transfer-Encoding: Chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n",
+        ],
+    )
+    def test_a_framed_body_is_complete(self, rest: bytes) -> None:
+        assert read(b"HTTP/1.1 200 OK\r\n" + rest) == b"text"
+
+    @pytest.mark.parametrize("framing", [b"", b"Content-Length: 4\r\n"])
+    def test_an_answer_to_head_has_no_body(self, framing: bytes) -> None:
+        request = RunnerRequest("HEAD", "/v1/models", {})
+        head = b"HTTP/1.1 200 OK\r\n%s\r\n" % framing
+        with answer_once(head) as address:
+            opened = HttpRunners(5.0).open(address, request, repeatable=False)
+            assert opened.ok_value.read() == b""
+
     def test_a_complete_json_document_is_an_answer(self) -> None:
         body = b'{"choices": []}'
         assert read(b"HTTP/1.1 200 OK\r\n\r\n" + body) == body
