Don't close a new connection for others that wait

Where as many clients as a process may have connections had each been answered once and kept theirs open, each new client was disconnected at once. That holds for ordinary clients that keep connections as for those that stay idle.

Cause: of connections that wait for their clients, those that have brought no request go first, and the new one was already among these when one was chosen.

One is now chosen before the new connection joins them. The new one is closed only if all others have requests in progress.

Evidence: both new tests failed before (the new connection was closed, and its request got no answer) and pass now, with the others of testing/adapters/http1.

--- a/src/ridgesill/adapters/http1/connection_limit.py
+++ b/src/ridgesill/adapters/http1/connection_limit.py
@@ -54,17 +54,19 @@
     def add(self, connection: WaitingConnection, now: float) -> None:
         """Adds a new connection; closes another one if there are too many.
 
+        It is closed itself if all others have requests in progress.
+
         Args:
             connection: the connection.
             now: the loop's clock, in seconds.
         """
         self._open.add(connection)
-        self._unused[connection] = None
         while len(self._open) > self._bound and (self._unused or self._idle):
-            victim = next(iter(self._unused or self._idle))
-            self.discard(victim)
-            self._log_closed(victim, now)
-            victim.make_room()
+            self._close(next(iter(self._unused or self._idle)), now)
+        if len(self._open) > self._bound:
+            self._close(connection, now)
+        else:
+            self._unused[connection] = None
 
     def begin_request(self, connection: WaitingConnection) -> None:
         """Records that a request of a connection is in progress."""
@@ -81,6 +83,11 @@
         self.begin_request(connection)
         self._open.discard(connection)
 
+    def _close(self, victim: WaitingConnection, now: float) -> None:
+        self.discard(victim)
+        self._log_closed(victim, now)
+        victim.make_room()
+
     def _log_closed(self, victim: WaitingConnection, now: float) -> None:
         self._closed_count += 1
         if now - self._logged_at < _LOG_INTERVAL_SECONDS:
--- a/testing/adapters/http1/test_connection_limit.py
+++ b/testing/adapters/http1/test_connection_limit.py
@@ -57,6 +57,19 @@
         self.add(limit, *"abcd")
         assert not served.is_closed
 
+    def test_a_new_one_outlasts_those_that_wait(
+        self, limit: ConnectionLimit
+    ) -> None:
+        """Guards against idle clients that keep all new ones out."""
+        added = self.add(limit, *"abc")
+        for connection in added:
+            limit.begin_request(connection)
+            limit.end_request(connection)
+        (late,) = self.add(limit, "late")
+        assert not late.is_closed
+        assert [c.is_closed for c in added] == [True, False, False]
+        assert limit.count == 3
+
     def test_a_request_in_progress_is_never_cut(
         self, limit: ConnectionLimit
     ) -> None:
@@ -119,3 +132,14 @@
         answer = await asyncio.wait_for(half.read(), 5.0)
         assert (answer.status, answer.headers["retry-after"]) == (503, "1")
         assert len(others) == 3
+
+    async def test_a_caller_is_served_beside_clients_that_were_answered(
+        self, listener: HttpListener
+    ) -> None:
+        """Guards against kept connections that keep all new callers out."""
+        kept = [await self.connect(listener) for _ in range(3)]
+        for client in kept:
+            assert (await client.ask("/x")).status == 200
+        caller = await self.connect(listener)
+        assert (await caller.ask("/x")).status == 200
+        assert await asyncio.wait_for(kept[0].reader.read(), 5.0) == b""
