Show heads that take a process's memory, and new connections not served

Two faults that clients inside the limits can cause. Crowds and bounds are those of the neighbouring tests.

- A head of 2300 headers is 16 KiB on the wire and many times that in memory, and isn't counted. 100 of them whose bodies don't come take 84.1 MB of a front's 80, and 84.7 MB of a control node's.
- Beside 600 clients that stay after a request, or send one each second, no request on a new connection is answered within 20 s.
The test didn't show it, since its request went over a connection that was open before the crowd came; it now asks on a new connection as well.

--- a/testing/clients_crowd.py
+++ b/testing/clients_crowd.py
@@ -26,12 +26,20 @@
         address: `host:port` that they connect to.
         beginning: first bytes on each connection.
         piece: bytes that follow it; empty to send nothing more.
+        pause_seconds: pause after each piece.
     """
 
-    def __init__(self, address: str, beginning: bytes, piece: bytes) -> None:
+    def __init__(
+        self,
+        address: str,
+        beginning: bytes,
+        piece: bytes,
+        pause_seconds: float = 0.0,
+    ) -> None:
         self._address = split_address(address)
         self._beginning = beginning
         self._piece = piece
+        self._pause_seconds = pause_seconds
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self, clients: int) -> None:
@@ -66,4 +74,6 @@
         await loop.sock_sendall(client, self._beginning)
         while self._piece:
             await loop.sock_sendall(client, self._piece)
+            if self._pause_seconds:
+                await asyncio.sleep(self._pause_seconds)
         await asyncio.Event().wait()
--- a/testing/scenarios/test_unbounded_clients.py
+++ b/testing/scenarios/test_unbounded_clients.py
@@ -31,6 +31,8 @@
 _IDLE_CLIENTS = 600
 # Longer than a test waits for an answer.
 _LONG_IDLE_MS = 60_000
+# How long an attempt waits for an answer.
+_ANSWER_SECONDS = 1.0
 _HEADER_BYTES = 16 * 1024
 _BODY_BYTES = 2**20
 _METRICS_PORT = 9464
@@ -53,12 +55,20 @@
     Attributes:
         beginning: once for each connection.
         piece: again and again after it; empty for nothing.
+        pause_seconds: pause after each piece.
     """
 
     beginning: bytes
     piece: bytes = b""
+    pause_seconds: float = 0.0
 
 
+# Inside the limit on a head. Each header takes many times its bytes in memory.
+_MANY_HEADERS = b"".join(b"a%x:\r\n" % number for number in range(2300))
+_HEAD_OF_MANY_HEADERS = Pressure(
+    _POST + _MANY_HEADERS + b"Content-Length: 9\r\n\r\n"
+)
+
 # By the limit that the clients don't keep.
 _AT_CLIENT_ADDRESS = {
     "announced_body": Pressure(_POST + _HUGE_LENGTH, _BODY),
@@ -77,6 +87,7 @@
         b"", repeat(b"GET /none HTTP/1.1\r\n" + _HOST + b"\r\n")
     ),
     "body_behind_a_request": Pressure(_GET + _POST + _HUGE_LENGTH, _BODY),
+    "head_of_many_headers": _HEAD_OF_MANY_HEADERS,
 }
 _AT_READINESS_ADDRESS = {
     "requests_ahead": Pressure(b"", repeat(_READY)),
@@ -108,14 +119,17 @@
             b"GET /ridgesill/Configuration.Get HTTP/1.1\r\n" + _HOST + b"\r\n"
         ),
     ),
+    "head_of_many_headers": _HEAD_OF_MANY_HEADERS,
 }
 
 
-# What the clients send that then keep their connections.
+# What the clients send that then keep their connections, or come back to them
+# after a pause.
 _IDLE = {
     "nothing": Pressure(b""),
     "a_part_of_a_body": Pressure(_POST + b"Content-Length: 9\r\n\r\nhalf"),
     "a_request": Pressure(_GET),
+    "a_request_a_second": Pressure(b"", _GET, 1.0),
 }
 
 
@@ -157,9 +171,35 @@
     return msgspec.json.encode(document)
 
 
+def make_crowd(address: str, pressure: Pressure) -> Crowd:
+    """Returns clients that aren't started yet."""
+    return Crowd(
+        address, pressure.beginning, pressure.piece, pressure.pause_seconds
+    )
+
+
+async def ask_on_new_connection(address: str) -> bytes | None:
+    """Sends a request on a connection of its own; returns an answer of 200.
+
+    `send_http_request` may use a connection that was open before a crowd came.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(_ANSWER_SECONDS):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(_GET)
+                head = await reader.readuntil(b"\r\n\r\n")
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return None
+    return head if head.startswith(b"HTTP/1.1 200") else None
+
+
 async def press(address: str, pressure: Pressure) -> None:
     """Has a crowd press for a while, and leave."""
-    crowd = Crowd(address, pressure.beginning, pressure.piece)
+    crowd = make_crowd(address, pressure)
     crowd.start(_CLIENTS)
     await asyncio.sleep(_PRESSED_SECONDS)
     await crowd.stop()
@@ -245,12 +285,13 @@
     await deployment.put_configuration(_make_document(2, _LONG_IDLE_MS))
     await deployment.wait_until_served(front, "/first/x")
     limit_descriptors(front)
-    pressure = _IDLE[kind]
-    crowd = Crowd(deployment.client_address(front), pressure.beginning, b"")
+    address = deployment.client_address(front)
+    crowd = make_crowd(address, _IDLE[kind])
     crowd.start(_IDLE_CLIENTS)
     await asyncio.sleep(_PRESSED_SECONDS)
     check_process(front)
     await deployment.wait_until_served(front, "/first/x")
+    await deployment.poll(lambda: ask_on_new_connection(address))
     await crowd.stop()
 
 
