Serve new connections beside clients that stay after a request

Callers that connected anew got no answer beside 600 clients that stay after a request, or that send one each second and read nothing.

Cause: with too many connections open, one that had brought no request went first. When all others had brought one, that was always the new connection, before its request could be read.

Connections that have brought no request and those that wait for the next one are now two groups, and the larger one makes room with the one that has waited longest. Clients that connect and send nothing still can't take the places of those that stay after a request, as long as these have no more than half.

--- a/src/ridgesill/adapters/http1/connection_limit.py
+++ b/src/ridgesill/adapters/http1/connection_limit.py
@@ -27,9 +27,11 @@
 class ConnectionLimit:
     """Closes connections that wait for their clients when there are too many.
 
-    Connections that have brought no request yet go first, and of these the one
-    that has waited longest: a client that means to send a request does so at
-    once. Connections whose requests are in progress are never closed.
+    Connections that have brought no request yet and those that wait for the
+    next one are two groups. The one that has waited longest of the larger group
+    goes first: neither clients that connect and send nothing, nor those that
+    stay after a request, can take the places of the other group. Connections
+    whose requests are in progress are never closed.
 
     Args:
         descriptors: descriptors of the VM; those of the process if 0.
@@ -62,12 +64,18 @@
         """
         self._open.add(connection)
         while len(self._open) > self._bound and (self._unused or self._idle):
-            self._close(next(iter(self._unused or self._idle)), now)
+            self._close(self._choose_victim(), now)
         if len(self._open) > self._bound:
             self._close(connection, now)
         else:
             self._unused[connection] = None
 
+    def _choose_victim(self) -> WaitingConnection:
+        larger = (
+            self._unused if len(self._unused) > len(self._idle) else self._idle
+        )
+        return next(iter(larger))
+
     def begin_request(self, connection: WaitingConnection) -> None:
         """Records that a request of a connection is in progress."""
         self._unused.pop(connection, None)
