Count heads in what connections hold together

Clients whose heads have many headers and whose bodies don't come took more memory than a VM has: 100 of them 84.1 MB of a front's 80, and 84.7 MB of a control node's 80.

Cause: once parsed, a head wasn't counted. Each header is a tuple and up to three byte strings, 171 bytes besides its text where 1000 were measured, so that 16 KiB on the wire become several hundred KB. A refused request's head was also kept until its connection had ended.

A head now counts with its text and 200 bytes for each header, while it is received and while its request is in progress, and a refusal drops it.

The new test of the count fails on the code before.

--- a/src/ridgesill/adapters/http1/connection_memory.py
+++ b/src/ridgesill/adapters/http1/connection_memory.py
@@ -29,8 +29,8 @@
 class ConnectionMemory:
     """Counts what connections hold, and sheds those that hold most.
 
-    The bodies of requests in progress count, but no connection is shed because
-    of them: these requests may have run.
+    Requests in progress count, but no connection is shed because of them: these
+    requests may have run.
 
     Args:
         vm_bytes: memory of the VM; 0 if unknown.
@@ -38,8 +38,8 @@
 
     def __init__(self, vm_bytes: float = 0.0) -> None:
         self._bound = vm_bytes * _HELD_SHARE or _DEFAULT_BYTES
-        # Size of the body by connection, of requests in progress.
-        self._bodies: dict[str, int] = {}
+        # Bytes of the request in progress by connection.
+        self._requests: dict[str, int] = {}
         self._in_progress = 0
         self._held = HeldBytes(self._bound)
         self._holders: dict[str, Holder] = {}
@@ -77,24 +77,23 @@
         if self._holders.pop(key, None) is not None:
             self._held.discard(key)
 
-    def begin_request(self, key: str, body_bytes: int) -> None:
-        """Counts the body of a request that is in progress from now on.
+    def begin_request(self, key: str, held: int) -> None:
+        """Counts a request that is in progress from now on.
 
         Args:
             key: identifies its connection in this process.
-            body_bytes: size of the body.
+            held: bytes that its head and body take.
         """
-        if body_bytes:
-            self._bodies[key] = body_bytes
-            self._in_progress += body_bytes
+        self._requests[key] = held
+        self._in_progress += held
 
     def end_request(self, key: str) -> None:
-        """Removes the body of the request that a connection had in progress."""
-        self._in_progress -= self._bodies.pop(key, 0)
+        """Removes the request that a connection had in progress."""
+        self._in_progress -= self._requests.pop(key, 0)
 
     def _holds_alone(self, key: str) -> bool:
         """Whether one connection holds all that is large enough to count."""
-        others_in_progress = self._in_progress - self._bodies.get(key, 0)
+        others_in_progress = self._in_progress - self._requests.get(key, 0)
         return len(self._holders) == 1 and others_in_progress < _COUNTED_BYTES
 
     def _shed_excess(self) -> None:
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -43,6 +43,9 @@
 _RECEIVE_BYTES = 16 * 1024
 # A body is kept in blocks of this size, and up to one more read.
 _BLOCK_BYTES = 16 * 1024
+# A header is held as a tuple and up to three byte strings, which take far more
+# memory than its text.
+_HEADER_OBJECT_BYTES = 200
 # Bytes that a connection keeps of what its client sends before the current
 # response is complete. A client that sends more waits.
 _MAX_AHEAD_BYTES = 16 * 1024
@@ -88,6 +91,8 @@
         self.written = 0
         self._head: h11.Request | None = None
         self._head_received_at = 0.0
+        # Memory that the current head takes, about.
+        self._head_bytes = 0
         # Blocks of one size: a buffer that grows would leave holes in the heap.
         self._body: list[bytearray] = []
         self._body_bytes = 0
@@ -260,7 +265,8 @@
 
     def _count_held(self) -> None:
         """Counts what is held of requests, and of responses if nobody does."""
-        held = self._body_bytes + len(self._ahead) + self._unparsed_bytes
+        held = self._head_bytes + self._body_bytes
+        held += len(self._ahead) + self._unparsed_bytes
         if self._listener.slow_readers is None:
             held += self._count_buffered()
         self._listener.memory.record(self._memory_key, self, held)
@@ -294,6 +300,7 @@
     def _process_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
             self._head = event
+            self._head_bytes = _measure_head(event)
             self._head_received_at = self._loop.time()
             length = find_header(tuple(event.headers), b"content-length")
             self._check_body(int(length or 0))
@@ -306,7 +313,9 @@
         elif isinstance(event, h11.EndOfMessage):
             self._start_request()
 
-    def _discard_body(self) -> None:
+    def _discard_request(self) -> None:
+        self._head = None
+        self._head_bytes = 0
         self._body.clear()
         self._body_bytes = 0
 
@@ -319,7 +328,6 @@
     def _start_request(self) -> None:
         head = self._head
         assert head is not None
-        self._head = None
         self._receiving = False
         request = HttpRequest(
             head.method,
@@ -329,14 +337,15 @@
             self._head_received_at,
             self.name,
         )
-        self._discard_body()
+        held = self._head_bytes + len(request.body)
+        self._discard_request()
         self._listener.connection_limit.begin_request(self)
-        self._task = self._loop.create_task(self._serve(request))
+        self._task = self._loop.create_task(self._serve(request, held))
 
-    async def _serve(self, request: HttpRequest) -> None:
+    async def _serve(self, request: HttpRequest, held: int) -> None:
         responder = _ConnectionResponder(self, request)
         memory = self._listener.memory
-        memory.begin_request(self._memory_key, len(request.body))
+        memory.begin_request(self._memory_key, held)
         try:
             await self._listener.handler(request, responder)
         except asyncio.CancelledError:
@@ -421,7 +430,7 @@
         log_message(
             "channel:rejected", peer=self.name, status=status, detail=detail
         )
-        self._discard_body()
+        self._discard_request()
         self._ahead.clear()
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._close()
@@ -632,6 +641,14 @@
     )
 
 
+def _measure_head(head: h11.Request) -> int:
+    """Returns about how many bytes of memory a head takes."""
+    return len(head.target) + sum(
+        len(name) + len(value) + _HEADER_OBJECT_BYTES
+        for name, value in head.headers
+    )
+
+
 def _has_length(head: h11.Response) -> bool:
     return any(name == b"content-length" for name, _ in head.headers)
 
--- a/testing/adapters/http1/test_server_memory.py
+++ b/testing/adapters/http1/test_server_memory.py
@@ -218,6 +218,27 @@
         for _, writer in opened:
             writer.close()
 
+    async def test_heads_of_many_headers_count(
+        self, world: MemoryWorld
+    ) -> None:
+        """Guards against heads that take many times their bytes in memory."""
+        headers = b"".join(b"a%x:\r\n" % number for number in range(2300))
+        head = _POST + headers + b"Content-Length: 9\r\n\r\n"
+        opened = [await world.open() for _ in range(4)]
+        for _, writer in opened:
+            writer.write(head)
+        await asyncio.sleep(0.2)
+        assert 400_000 <= world.memory.total <= 1_000_000
+        answers = await asyncio.gather(
+            *(asyncio.wait_for(reader.read(), 1.0) for reader, _ in opened),
+            return_exceptions=True,
+        )
+        refusals = [answer for answer in answers if isinstance(answer, bytes)]
+        assert len(refusals) == 2
+        assert all(a.startswith(b"HTTP/1.1 503") for a in refusals)
+        for _, writer in opened:
+            writer.close()
+
     async def test_requests_in_progress_count_and_stay(
         self, world: MemoryWorld
     ) -> None:
