--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -11,6 +11,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -33,25 +34,55 @@
 
 def make_document(version: int, *prefixes: str) -> bytes:
     """Returns a configuration document with one safe route per prefix."""
+    return _make_document(
+        version,
+        [
+            _make_route(f"r{number}", prefix)
+            for number, prefix in enumerate(prefixes)
+        ],
+    )
+
+
+def make_kinds_document(
+    kinds: Sequence[str], timeout_ms: int = 2000, **limits: int
+) -> bytes:
+    """Returns a document with a route for each kind, at `/<kind>/`.
+
+    Args:
+        kinds: kinds of routes.
+        timeout_ms: timeout of the routes, in milliseconds.
+        **limits: limits on clients.
+    """
     routes = [
-        {
-            "name": f"r{number}",
-            "host": ROUTE_HOST,
-            "prefix": prefix,
-            "kind": "safe",
-            "timeout_ms": 2000,
-            "goal_ms": 200,
-            "priority": 0,
-            "service": "plain",
-            "attempts": 2,
-        }
-        for number, prefix in enumerate(prefixes)
+        _make_route(kind, f"/{kind}/", kind, timeout_ms) for kind in kinds
     ]
+    return _make_document(1, routes, limits=limits)
+
+
+def _make_route(
+    name: str, prefix: str, kind: str = "safe", timeout_ms: int = 2000
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": ROUTE_HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_ms": timeout_ms,
+        "goal_ms": 200,
+        "priority": 0,
+        "service": "plain",
+        "attempts": 2,
+    }
+
+
+def _make_document(
+    version: int, routes: list[dict[str, Any]], **further: Any
+) -> bytes:
     services = [
         {"name": "plain", "health_path": "/health", "connection_limit": 50}
     ]
     document = {"version": version, "routes": routes, "services": services}
-    return msgspec.json.encode(document)
+    return msgspec.json.encode(document | further)
 
 
 @attrs.define
