Test that a leaving upstream's end completes no stream

An upstream that says in the heads of its answers that it leaves, and then ends with its listener and all connections closed in order, must not complete the unframed streams in progress, at whichever front their clients are.

The heads are held back until all are asked for, since fronts send nothing more to an upstream that leaves.

--- a/testing/scenarios/test_killed_front.py
+++ b/testing/scenarios/test_killed_front.py
@@ -1,4 +1,4 @@
-"""Streams that end with their connection, at fronts that end before them."""
+"""Streams that end with their connection, when a process ends before them."""
 
 import asyncio
 import signal
@@ -29,14 +29,45 @@
 
     events = _EVENTS
 
+    def __init__(self, controls: list[str]) -> None:
+        super().__init__(controls)
+        self._writers: set[asyncio.StreamWriter] = set()
+        # Streams that have to be asked for before any begins; None if each
+        # begins at once, without the word that the upstream leaves.
+        self._departure: asyncio.Barrier | None = None
+
+    def leave_after(self, streams: int) -> None:
+        """Announces in the next streams that it leaves.
+
+        Fronts send an upstream that leaves no more requests, so the heads are
+        held back until all of the streams have been asked for.
+
+        Args:
+            streams: number of these streams.
+        """
+        self._departure = asyncio.Barrier(streams)
+
+    def end(self) -> None:
+        """Ends as its process does: the listener closes, then each stream."""
+        self.stop()
+        for writer in self._writers:
+            writer.close()
+
+    async def _make_head(self) -> bytes:
+        """Returns the head of a stream, once it may be sent."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        if self._departure is not None:
+            await self._departure.wait()
+            head += b"Server-Leaving: 1\r\n"
+        return head + b"\r\n"
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
-            )
+            writer.write(await self._make_head())
             for _ in range(self.events):
                 writer.write(_EVENT)
                 await writer.drain()
@@ -48,6 +79,7 @@
         ):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
@@ -120,9 +152,17 @@
             stream.was_reset = True
         return stream
 
-    async def begin(self, name: str) -> list[asyncio.Task[Stream]]:
-        """Has several clients read; returns once all streams have begun."""
-        tasks = [asyncio.create_task(self.read(name)) for _ in range(_CLIENTS)]
+    async def begin(self, *names: str) -> list[asyncio.Task[Stream]]:
+        """Has several clients read; returns once all streams have begun.
+
+        Args:
+            names: of the fronts; each gets as many clients.
+        """
+        tasks = [
+            asyncio.create_task(self.read(name))
+            for name in names
+            for _ in range(_CLIENTS)
+        ]
         async with asyncio.timeout(_TIMEOUT_SECONDS):
             for _ in tasks:
                 await self._begun.acquire()
@@ -181,3 +221,17 @@
         streams = await asyncio.gather(*tasks)
         assert all(stream.body for stream in streams)
         assert [s.was_reset for s in streams] == [True] * _CLIENTS
+
+
+class TestLeavingUpstream:
+    async def test_its_streams_do_not_look_complete(
+        self, world: StreamsWorld
+    ) -> None:
+        """Guards against the word of a departure taken for whole answers."""
+        count = 2 * _CLIENTS
+        world.upstream.leave_after(count)
+        tasks = await world.begin("direct", "linked")
+        world.upstream.end()
+        streams = await asyncio.gather(*tasks)
+        assert all(stream.body for stream in streams)
+        assert [s.was_reset for s in streams] == [True] * count
