Don't close a new connection where all others have requests in progress

Found by review: with three quarters of the descriptors used by requests in progress, each new connection was closed without an answer, also those that ask whether the front is ready.

Cause: the bound counted requests in progress, of which none may be cut, and so fell on the one connection that was left. The descriptors that remain are there for such a moment. It is accepted now; its request is refused or served as the load of the front decides.

--- a/src/ridgesill/adapters/http1/connection_limit.py
+++ b/src/ridgesill/adapters/http1/connection_limit.py
@@ -56,7 +56,7 @@
     def add(self, connection: WaitingConnection, now: float) -> None:
         """Adds a new connection; closes another one if there are too many.
 
-        It is closed itself if all others have requests in progress.
+        Nothing is closed if all others have requests in progress.
 
         Args:
             connection: the connection.
@@ -65,10 +65,7 @@
         self._open.add(connection)
         while len(self._open) > self._bound and (self._unused or self._idle):
             self._close(self._choose_victim(), now)
-        if len(self._open) > self._bound:
-            self._close(connection, now)
-        else:
-            self._unused[connection] = None
+        self._unused[connection] = None
 
     def _choose_victim(self) -> WaitingConnection:
         larger = (
