Show that requests in progress aren't bounded in memory

Clients whose requests have many headers take more than a front's memory, also while heads are counted: requests in progress count, but nothing refuses one that would exceed the bound. A request without a body comes in one piece and is in progress before its connection is counted.

Crowd and bound are those of the neighbouring tests; the case is listed.

--- a/testing/scenarios/test_unbounded_clients.py
+++ b/testing/scenarios/test_unbounded_clients.py
@@ -88,6 +88,9 @@
     ),
     "body_behind_a_request": Pressure(_GET + _POST + _HUGE_LENGTH, _BODY),
     "head_of_many_headers": _HEAD_OF_MANY_HEADERS,
+    "requests_of_many_headers": Pressure(
+        b"", repeat(_GET[:-2] + _MANY_HEADERS + b"\r\n")
+    ),
 }
 _AT_READINESS_ADDRESS = {
     "requests_ahead": Pressure(b"", repeat(_READY)),
