Refuse requests that would exceed the memory before they begin

100 clients whose requests have 2300 headers each, inside the limit on heads, took 95.7 MB of a front whose VM has 80.

Cause: a request in progress is never cut, since it may have run, and so its memory was counted without a bound. A request without a body comes in one piece and was in progress before anything could be refused.

A request of 16 KiB or more that would exceed the bound is refused now, before it begins: 503, not run. It is counted when it is admitted, no longer when its task has begun, so that those of one turn of the event loop see each other. A single request is always admitted.

--- a/src/ridgesill/adapters/http1/connection_memory.py
+++ b/src/ridgesill/adapters/http1/connection_memory.py
@@ -77,6 +77,15 @@
         if self._holders.pop(key, None) is not None:
             self._held.discard(key)
 
+    def admits(self, held: int) -> bool:
+        """Whether a request may be in progress beside all that is held.
+
+        Args:
+            held: bytes that its head and body take.
+        """
+        is_small = held < _COUNTED_BYTES
+        return is_small or not self.total or self.total + held <= self._bound
+
     def begin_request(self, key: str, held: int) -> None:
         """Counts a request that is in progress from now on.
 
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -58,6 +58,7 @@
 # When a client may come back whose request was refused before its end arrived,
 # in seconds.
 _UNREAD_RETRY_SECONDS = 1
+_NO_MEMORY = "no memory is left for it"
 # Newest version of HTTP whose clients know no chunks.
 _UNCHUNKED_VERSION = b"1.0"
 # How long a client may take to close a connection whose end completed a
@@ -69,6 +70,10 @@
     """A request body is larger than the limit."""
 
 
+class _NoMemoryError(Exception):
+    """A request takes more memory than is left for all connections."""
+
+
 class ServerConnection(asyncio.BufferedProtocol):
     """A connection from a client.
 
@@ -136,6 +141,8 @@
         self._listener.connections.discard(self)
         self._listener.connection_limit.discard(self)
         self._listener.memory.discard(self._memory_key)
+        # The task that serves the request may not have begun.
+        self._listener.memory.end_request(self._memory_key)
         self._wake_writer()
         if self._task is not None:
             self._task.cancel()
@@ -212,6 +219,8 @@
             self._reject(error.error_status_hint, str(error))
         except _BodyTooLargeError:
             self._reject(413, "the body is over the limit")
+        except _NoMemoryError:
+            self._refuse_unread(_NO_MEMORY)
 
     def _process_events(self) -> None:
         for _ in range(_MAX_EVENTS_AT_ONCE):
@@ -276,7 +285,7 @@
         if self._task is not None or self._awaits_flush or self._is_half_closed:
             self.abort()
             return
-        self._refuse_unread("no memory is left for it")
+        self._refuse_unread(_NO_MEMORY)
 
     def make_room(self) -> None:
         """Ends the connection; refuses a request that is being received."""
@@ -328,6 +337,8 @@
     def _start_request(self) -> None:
         head = self._head
         assert head is not None
+        held = self._head_bytes + self._body_bytes
+        self._begin_in_memory(held)
         self._receiving = False
         request = HttpRequest(
             head.method,
@@ -337,15 +348,28 @@
             self._head_received_at,
             self.name,
         )
-        held = self._head_bytes + len(request.body)
         self._discard_request()
         self._listener.connection_limit.begin_request(self)
-        self._task = self._loop.create_task(self._serve(request, held))
+        self._task = self._loop.create_task(self._serve(request))
 
-    async def _serve(self, request: HttpRequest, held: int) -> None:
-        responder = _ConnectionResponder(self, request)
+    def _begin_in_memory(self, held: int) -> None:
+        """Counts the request that begins.
+
+        Args:
+            held: bytes that its head and body take.
+
+        Raises:
+            _NoMemoryError: it takes more memory than is left.
+        """
         memory = self._listener.memory
+        # It has been counted as one that is received.
+        memory.discard(self._memory_key)
+        if not memory.admits(held):
+            raise _NoMemoryError
         memory.begin_request(self._memory_key, held)
+
+    async def _serve(self, request: HttpRequest) -> None:
+        responder = _ConnectionResponder(self, request)
         try:
             await self._listener.handler(request, responder)
         except asyncio.CancelledError:
@@ -356,7 +380,7 @@
             write_traceback()
             self._send_failure(responder)
         finally:
-            memory.end_request(self._memory_key)
+            self._listener.memory.end_request(self._memory_key)
             self._task = None
             self._period_started_at = self._loop.time()
             self._listener.connection_limit.end_request(self)
