Take turns while answers in tiny chunks are parsed

Cause: all that had been received of an answer, up to 512 KB, was parsed without a pause. The server side takes turns already.

A channel now lets other tasks run after 64 parts, as the server does.

Evidence: the new test reads 2,000 chunks that have all been received; on the code before no other task had a turn meanwhile, now at least 20 have.

--- a/src/ridgesill/adapters/http1/channel.py
+++ b/src/ridgesill/adapters/http1/channel.py
@@ -27,6 +27,9 @@
 _MAX_INTERIM_RESPONSES = 32
 # Bytes of a response to another request that are skipped, at most.
 _MAX_SKIPPED_BYTES = 1024 * 1024
+# Parts of a response that are parsed before other tasks have their turn. A part
+# takes about 20 microseconds.
+_MAX_EVENTS_AT_ONCE = 64
 REQUEST_ID_HEADER = b"request-id"
 _BODILESS_STATUSES = frozenset((204, 304))
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
@@ -74,6 +77,8 @@
         self._user_timeout_ms = 0
         self._unread_bytes = 0
         self._is_paused = False
+        # Parts that have been parsed without a pause.
+        self._events_at_once = 0
 
     # -- asyncio.Protocol callbacks ------------------------------------
 
@@ -286,13 +291,26 @@
             if isinstance(event, h11.ConnectionClosed):
                 raise ChannelBrokenError(self._close_reason or "closed")
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
+                await self._take_turns()
                 return event  # type: ignore[return-value]
             if self._close_reason:
                 raise ChannelBrokenError(self._close_reason)
             self._resume_reading()
+            self._events_at_once = 0
             self._waiter = self._loop.create_future()
             await self._waiter
 
+    async def _take_turns(self) -> None:
+        """Lets other tasks run after a number of parts.
+
+        A body in chunks of a byte takes thousands of times the processor time
+        of a body in one piece.
+        """
+        self._events_at_once += 1
+        if self._events_at_once >= _MAX_EVENTS_AT_ONCE:
+            self._events_at_once = 0
+            await asyncio.sleep(0)
+
     def finish(self, head: ResponseHead) -> bool:
         """Prepares the connection for another request, or closes it.
 
--- a/testing/adapters/http1/test_client.py
+++ b/testing/adapters/http1/test_client.py
@@ -218,3 +218,51 @@
         monkeypatch.setattr(exchange, "read_data", read_received)
         await exchange.read_rest()
         assert memory.total == 7 * 2**17
+
+
+class FakeTransport(asyncio.Transport):
+    """A connection that is always open."""
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Drops the data."""
+
+    def pause_reading(self) -> None:
+        """Does nothing."""
+
+    def resume_reading(self) -> None:
+        """Does nothing."""
+
+    def is_closing(self) -> bool:
+        """Whether it is closing."""
+        return False
+
+    def get_write_buffer_size(self) -> int:
+        """Returns the bytes that wait to be sent."""
+        return 0
+
+
+class TestTinyChunks:
+    async def test_others_have_their_turns_while_they_are_parsed(self) -> None:
+        """Guards against an answer that stops the event loop."""
+        turns = 0
+
+        async def count_turns() -> None:
+            nonlocal turns
+            while True:
+                await asyncio.sleep(0)
+                turns += 1
+
+        channel = UpstreamChannel("upstream:1")
+        channel.connection_made(FakeTransport())
+        channel.send(_REQUEST, b"")
+        channel.data_received(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 2000
+            + b"0\r\n\r\n"
+        )
+        exchange = Exchange(UpstreamChannels(1.0), channel)
+        counting = asyncio.create_task(count_turns())
+        await exchange.read_head()
+        assert await exchange.read_rest() == b"x" * 2000
+        counting.cancel()
+        assert turns >= 20
