--- a/testing/scenarios/test_unbounded_clients.py
+++ b/testing/scenarios/test_unbounded_clients.py
@@ -208,15 +208,20 @@
     await crowd.stop()
 
 
-def check_process(vm: Vm) -> None:
-    """Checks that a process lives and has stayed within its VM's limits."""
+def check_process(vm: Vm, memory_mb: int = _MEMORY_MB) -> None:
+    """Checks that a process lives and has stayed within its VM's limits.
+
+    Args:
+        vm: the VM of the process.
+        memory_mb: its memory, in megabytes.
+    """
     process = vm.process
     assert process is not None
     assert process.poll() is None
     folder = Path(f"/proc/{process.pid}")
     status = (folder / "status").read_text()
     peak = next(s for s in status.splitlines() if s.startswith("VmHWM"))
-    assert int(peak.split()[1]) * 1024 <= _MEMORY_MB * 1e6
+    assert int(peak.split()[1]) * 1024 <= memory_mb * 1e6
     assert len(os.listdir(folder / "fd")) <= _DESCRIPTORS
 
 
