Reset connections of the soak's proxy that have lost bytes

The link to the upstreams went mute at 2417.77 s; the upstream ended the stream at 2417.88 s and served other streams 0.1 s later. The proxy dropped the bytes and passed the orderly end on, and the front logged one event and `ended_by=connection`.

Cause: in the modes that discard bytes the proxy still closed the connection in order. TCP delivers in order, so no network lets the end of a connection arrive without the bytes before it, and no front can tell such an end from a complete answer. The direction is reset now. The check `wrong` is as it was, and applies to these streams as to all others.

--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -122,10 +122,7 @@
     def reset(self) -> None:
         """Resets all open connections, so that peers see ECONNRESET."""
         for writer in list(self._writers):
-            if not writer.is_closing():
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(SOL_SOCKET, SO_LINGER, _LINGER_RESET)
-            writer.transport.abort()
+            _reset(writer)
 
     def damage_next(
         self, damage: Callable[[bytes], bytes], *, is_answer: bool
@@ -177,7 +174,12 @@
         *,
         is_answer: bool,
     ) -> None:
-        """Forwards one direction of a connection until it ends."""
+        """Forwards one direction of a connection until it ends.
+
+        TCP delivers in order, so a direction that has lost bytes can't end in
+        order: it is reset.
+        """
+        has_discarded = False
         link = self._links[is_answer]
         chunk_bytes = _NARROW_CHUNK_BYTES if link else _CHUNK_BYTES
         try:
@@ -185,6 +187,7 @@
                 if link is not None:
                     await link.carry(len(data))
                 if self._discards(is_answer=is_answer):
+                    has_discarded = True
                     continue
                 if self.mode is Mode.DELAYED:
                     await asyncio.sleep(self.delay)
@@ -193,6 +196,8 @@
                 await writer.drain()
         except ConnectionError:
             pass
+        if has_discarded:
+            _reset(writer)
         writer.close()
 
     def _discards(self, *, is_answer: bool) -> bool:
@@ -201,6 +206,14 @@
         return self.mode is Mode.NO_ANSWERS and is_answer
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection that is open, and discards what it has to send."""
+    if not writer.is_closing():
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(SOL_SOCKET, SO_LINGER, _LINGER_RESET)
+    writer.transport.abort()
+
+
 def _make_socket(link: NarrowLink | None) -> socket:
     """Returns a socket that buffers little behind a link."""
     made = socket()
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -341,6 +341,34 @@
         proxy.stop()
         server.close()
 
+    async def test_a_connection_that_lost_bytes_does_not_end_in_order(
+        self,
+    ) -> None:
+        """Guards against ends of answers that no network could deliver."""
+        is_muted = asyncio.Event()
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b"one")
+            await is_muted.wait()
+            writer.write(b"two")
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        proxy = FaultyProxy("127.0.0.1:0", f"127.0.0.1:{port}")
+        await proxy.start()
+        reader, writer = await asyncio.open_connection(*proxy.address)
+        assert await asyncio.wait_for(reader.read(100), 1.0) == b"one"
+        proxy.mode = Mode.NO_ANSWERS
+        is_muted.set()
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(100), 1.0)
+        writer.close()
+        proxy.stop()
+        server.close()
+
 
 class TestKeyChecks:
     def make_world(self, outcome: RequestOutcome, key: Key) -> RecordedWorld:
