Let the soak's fronts and upstreams end while unframed streams last

The soak's unframed streams were few and lasted 60 ms, so a killed front or a crashed upstream hardly met one, and the check of complete streams (`wrong`) judged next to none that were in progress.

An upstream that crashes closes these streams in order, as the kernel does for a killed process, instead of resetting them. `wrong` judges them unchanged. A stream that a crash cuts counts as broken off by its upstream in the check `cut`; one that a planned departure cuts after its 4 s does not, so that the check still finds it.

An engine's stream that outlives a crash no longer takes its adapter out of the set that the next incarnation has in use.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -395,5 +395,5 @@
         if upstream.name == name:
             # With another name it has crashed meanwhile, and the new
             # incarnation isn't draining.
-            upstream.crash()
+            upstream.crash(is_planned=True)
             await upstream.restart()
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from testing.app.front_world import Answer, Client
 from testing.brittle_world import BrittleUpstream
 from testing.parts_world import PartsUpstream
 from testing.platform_world import Vm
@@ -24,6 +25,7 @@
     InstanceRecord,
     Ledger,
     RunIdentity,
+    SoakEngine,
 )
 from testing.soak.versions import StreamRecord
 from testing.upstream_links import UpstreamLinks
@@ -370,6 +372,61 @@
         server.close()
 
 
+class TestLastingStreams:
+    """Guards against ends of upstreams that meet no unframed stream."""
+
+    @pytest.fixture(autouse=True)
+    def lasting(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Makes all streams last, and breaks none off."""
+        shares = {
+            "_UNFRAMED_STREAM_SHARE": 0.0,
+            "_LASTING_SHARE": 1.0,
+            "_BROKEN_SHARE": 0.0,
+        }
+        for name, share in shares.items():
+            monkeypatch.setattr(f"testing.soak.upstreams.{name}", share)
+
+    async def read(self, engine: SoakEngine) -> Answer:
+        """Reads a stream from an engine."""
+        host, _, port = engine.address.rpartition(":")
+        client = Client(*await asyncio.open_connection(host, int(port)))
+        engine.engine.held["a1"] = 1
+        try:
+            return await client.ask("/stream/x", model="m/a1")
+        finally:
+            client.close()
+
+    async def test_one_lasts_and_is_whole(self) -> None:
+        ledger = Ledger()
+        engine = SoakEngine("engine", ledger, [], random.Random(1))
+        await engine.start()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        answer = await self.read(engine)
+        assert (answer.body.count(b"data: x"), answer.complete) == (3, True)
+        assert loop.time() - began >= 0.9
+        assert not ledger.broken_off
+        engine.crash()
+
+    @pytest.mark.parametrize(
+        ("is_planned", "broken_off"), [(False, {"r1"}), (True, set())]
+    )
+    async def test_a_crash_closes_one_in_order(
+        self, *, is_planned: bool, broken_off: set[str]
+    ) -> None:
+        """Planned work that cuts one must still be found by its check."""
+        ledger = Ledger()
+        engine = SoakEngine("engine", ledger, [], random.Random(1))
+        await engine.start()
+        reading = asyncio.create_task(self.read(engine))
+        await asyncio.sleep(0.8)
+        engine.crash(is_planned=is_planned)
+        answer = await reading
+        assert 0 < answer.body.count(b"data: x") < 3
+        assert answer.complete
+        assert ledger.broken_off == broken_off
+
+
 class TestKeyChecks:
     def make_world(self, outcome: RequestOutcome, key: Key) -> RecordedWorld:
         """Returns a world in which one request was sent with a key."""
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -33,6 +33,12 @@
 _UNFRAMED_BODY_SHARE = 0.02
 _UNFRAMED_STREAM_SHARE = 0.1
 _BROKEN_SHARE = 0.4
+# Share of the other streams that are unframed too and last long enough for a
+# front or an upstream to end meanwhile, and their shortest and longest time, in
+# seconds: less than the route's timeout and the time an upstream drains for.
+_LASTING_SHARE = 0.25
+_LASTING_SECONDS = (1.0, 2.0)
+_EVENT_SECONDS = 0.02
 # A request whose body has this prefix crashes every upstream that starts it.
 HARMFUL = b"harmful"
 # Shortest and longest time that such an upstream stays down, in seconds.
@@ -183,6 +189,8 @@
         # seeds in regressions.txt do.
         self._extra_rng = random.Random(f"{service} {controls}")
         self._framing_rng = random.Random(f"framing {service} {controls}")
+        # Depends on the seed and takes nothing from the seed's generator.
+        self._duration_rng = random.Random(f"durations {rng.getstate()}")
         # Links through which some fronts reach it.
         self.links: list[UpstreamLinks] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -230,8 +238,12 @@
         """Where it listens; empty before its start."""
         return self._scripted_server.address
 
-    def crash(self) -> None:
-        """Stops it without notice; requests in progress are cut."""
+    def crash(self, *, is_planned: bool = False) -> None:
+        """Stops it without notice; requests in progress are cut.
+
+        Args:
+            is_planned: Whether it has drained, so that nothing is in progress.
+        """
         if self._restart_task is not None:
             self._restart_task.cancel()
         for task in self._tasks:
@@ -241,7 +253,11 @@
             link.close(self.address)
         for call in self._scripted_server.calls:
             if not call.writer.is_closing():
-                call.reset()
+                self._cut(call, is_planned=is_planned)
+
+    def _cut(self, call: Call, *, is_planned: bool) -> None:
+        """Ends the connection of a request as it crashes."""
+        call.reset()
 
     async def restart(self) -> None:
         """Starts a new incarnation."""
@@ -427,6 +443,22 @@
     def _begin_incarnation(self) -> None:
         super()._begin_incarnation()
         self.engine = SimulatedEngine(self.name, ADAPTER_SLOTS)
+        # Ids of the requests whose lasting streams are in progress.
+        self._lasting: set[str] = set()
+
+    def _cut(self, call: Call, *, is_planned: bool) -> None:
+        """Ends the connection of a request as it crashes.
+
+        A lasting stream is closed in order, as the kernel does for a process
+        that is killed.
+        """
+        request = call.header("request-id")
+        if request not in self._lasting:
+            call.reset()
+            return
+        if not is_planned:
+            self._ledger.broken_off.add(request)
+        call.writer.close()
 
     def _engine_fields(self) -> dict[str, Any]:
         return {"models": self.engine.report(time.monotonic())["models"]}
@@ -462,35 +494,58 @@
             await call.answer(421, b"", _NOT_RUN)
             return
         self._ledger.record_run(call)
-        self.engine.adapters_in_use.add(adapter)
+        # A new incarnation may have begun when the stream ends.
+        engine = self.engine
+        engine.adapters_in_use.add(adapter)
         try:
             if self._framing_rng.random() < _UNFRAMED_STREAM_SHARE:
-                await self._stream_unframed(call)
+                await self._stream_unframed(call, _EVENT_SECONDS)
+                return
+            is_slow = call.head.split(" ")[1] == SLOW_PATH
+            if not is_slow and self._duration_rng.random() < _LASTING_SHARE:
+                await self._stream_lasting(call)
                 return
             await call.begin_stream(*self._announcement_headers(call))
             for number in range(1, _STREAM_EVENTS + 1):
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(_EVENT_SECONDS)
                 await call.send_event(number)
-            if call.head.split(" ")[1] == SLOW_PATH:
+            if is_slow:
                 data = b"x" * _LONG_EVENT_BYTES
                 for _ in range(_LONG_EVENTS):
                     await call.send(b"%x\r\n%s\r\n" % (len(data), data))
                 await call.send(b"2\r\n\n\n\r\n")
             await call.end_stream()
         finally:
-            self.engine.adapters_in_use.discard(adapter)
+            engine.adapters_in_use.discard(adapter)
+
+    async def _stream_lasting(self, call: Call) -> None:
+        """Sends an unframed stream that a crash closes in order."""
+        lasting, request = self._lasting, call.header("request-id")
+        lasting.add(request)
+        seconds = self._duration_rng.uniform(*_LASTING_SECONDS)
+        try:
+            await self._stream_unframed(call, seconds / _STREAM_EVENTS)
+        finally:
+            lasting.discard(request)
+
+    async def _stream_unframed(self, call: Call, event_seconds: float) -> None:
+        """Sends a stream that ends with its connection, at times too early.
 
-    async def _stream_unframed(self, call: Call) -> None:
-        """Sends a stream that ends with its connection, at times too early."""
+        Args:
+            call: The request.
+            event_seconds: Time before each event, in seconds.
+        """
         await call.begin_unframed(
             "text/event-stream", *self._announcement_headers(call)
         )
+        is_lasting = event_seconds > _EVENT_SECONDS
+        rng = self._duration_rng if is_lasting else self._framing_rng
         broken_at = 0
-        if self._framing_rng.random() < _BROKEN_SHARE:
-            broken_at = self._framing_rng.randint(1, _STREAM_EVENTS)
+        if rng.random() < _BROKEN_SHARE:
+            broken_at = rng.randint(1, _STREAM_EVENTS)
             self._ledger.broken_off.add(call.header("request-id"))
         for number in range(1, _STREAM_EVENTS + 1):
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(event_seconds)
             if number == broken_at:
                 await call.send(b"id: %d\nda" % number)
                 break
