Reload no process of the soak that doesn't handle SIGHUP yet

Of 60 processes started at load 28, the last ignored SIGHUP after 0.27 s (median 0.10 s): before that the signal ends a process, whatever the product does. A reload now waits until the process ignores or catches SIGHUP.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+import re
 import resource
 import signal
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import attrs
 
@@ -27,8 +29,8 @@
 _LEAVING_SECONDS = 3.0
 # Share of the cuts in which connections come up and nothing is answered.
 _MUTE_SHARE = 0.25
-# Seconds after which a started process has run its first line of code.
-_PROCESS_START_SECONDS = 0.1
+# Interval at which it is looked whether a started process handles SIGHUP.
+_HANDLER_POLL_SECONDS = 0.02
 # Largest file, in bytes, that can be written to the simulated full disk.
 _FULL_DISK_FILE_BYTES = 64
 
@@ -50,6 +52,16 @@
     planned: bool = False
 
 
+def handles_hangup(vm: Vm) -> bool:
+    """Returns whether SIGHUP ends no process of a VM, by how it is handled."""
+    if vm.process is None or vm.process.poll() is not None:
+        return True
+    status = Path(f"/proc/{vm.process.pid}/status").read_text()
+    masks = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)", status, re.MULTILINE)
+    hangup = 1 << (signal.SIGHUP - 1)
+    return any(int(mask, 16) & hangup for mask in masks)
+
+
 class Faults:
     """Injects faults into a deployment.
 
@@ -58,7 +70,8 @@
 
     Attributes:
         injected: The faults that are over.
-        exits: Names of the VMs whose process exited by itself.
+        exits: Name, exit status and time of each process that exited by
+            itself.
     """
 
     def __init__(self, world: SoakWorld) -> None:
@@ -116,9 +129,10 @@
         while True:
             await asyncio.sleep(_SUPERVISE_SECONDS)
             for vm in self._world.vms:
-                ended = vm.process is not None and vm.process.poll() is not None
-                if ended and vm.name not in self._busy:
-                    self.exits.append(vm.name)
+                status = None if vm.process is None else vm.process.poll()
+                if status is not None and vm.name not in self._busy:
+                    at = self._loop.time()
+                    self.exits.append(f"{vm.name}: {status} at {at:.3f} s")
                     self._world.restart(vm)
                     self._record_disturbance(vm)
 
@@ -232,11 +246,10 @@
 
     async def _reload(self) -> None:
         vm = self._rng.choice(self._world.vms)
-        times = self._world.disturbed.get(vm.name, [])
-        if times and self._loop.time() - times[-1] < _PROCESS_START_SECONDS:
-            # A process that has not run its first line has no signal handler
-            # yet, and SIGHUP would end it.
-            await asyncio.sleep(_PROCESS_START_SECONDS)
+        # A process that has not run its first line has no signal handler yet,
+        # and SIGHUP would end it.
+        while not handles_hangup(vm):
+            await asyncio.sleep(_HANDLER_POLL_SECONDS)
         vm.signal(signal.SIGHUP)
 
     async def _fill_disk(self) -> None:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -14,7 +16,7 @@
 from testing.soak.brittle import BrittleRecord, make_upstreams
 from testing.soak.checks import Verdict, judge
 from testing.soak.clients import RequestOutcome
-from testing.soak.faults import InjectedFault
+from testing.soak.faults import InjectedFault, handles_hangup
 from testing.soak.keys import LIMITED, Key, KeyRing
 from testing.soak.parts import make_upstreams as make_parts_upstreams
 from testing.soak.pressure import PressureRecord
@@ -318,6 +320,38 @@
         assert not world.judge().violations
 
 
+class TestReloads:
+    def test_a_process_without_a_handler_is_found(self) -> None:
+        """Guards against reloads that end a process which has just started."""
+        code = (
+            "import signal, sys\n"
+            "print(flush=True)\n"
+            "sys.stdin.readline()\n"
+            "signal.signal(signal.SIGHUP, signal.SIG_IGN)\n"
+            "print(flush=True)\n"
+            "sys.stdin.readline()\n"
+        )
+        vm = Vm("front-0", "front", "127.0.0.1", Path(), None)
+        assert handles_hangup(vm)
+        with subprocess.Popen(
+            [sys.executable, "-c", code],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        ) as process:
+            assert process.stdin is not None
+            assert process.stdout is not None
+            vm.process = process
+            process.stdout.readline()
+            assert not handles_hangup(vm)
+            process.stdin.write(b"\n")
+            process.stdin.flush()
+            process.stdout.readline()
+            assert handles_hangup(vm)
+            process.kill()
+            process.wait()
+            assert handles_hangup(vm)
+
+
 class TestProxy:
     async def test_it_forwards_discards_and_resets(self) -> None:
         async def echo(
