End all connections of an upstream that crashes in the soak

Cause, in the soak: a crash ended the connections of the requests that had been read whole. One whose request was still being read was served afterwards, so that the crashed upstream was still there for the front. A process that ends closes all its connections; so does a crash now.

A lasting stream on a connection with earlier requests was reset instead of closed in order, since the first request of a connection decided. The newest does now.

Both tests fail without their change. Checks and bounds are as they were.

--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -172,6 +172,7 @@
         self.calls: list[Call] = []
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int = 0) -> None:
         """Starts to listen, at a free port unless one is given."""
@@ -185,6 +186,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connected()
+        self._writers.add(writer)
         try:
             while not writer.is_closing():
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -196,8 +198,15 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
+    def abort_connections(self) -> None:
+        """Ends all connections, also those that no request came on."""
+        for writer in self._writers:
+            if not writer.is_closing():
+                writer.transport.abort()
+
     def stop(self) -> None:
         """Stops listening."""
         if self._server is not None:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -421,11 +421,12 @@
             monkeypatch.setattr(f"testing.soak.upstreams.{name}", share)
 
     async def read(self, engine: SoakEngine) -> Answer:
-        """Reads a stream from an engine."""
+        """Reads a stream from an engine, on a connection used before."""
         host, _, port = engine.address.rpartition(":")
         client = Client(*await asyncio.open_connection(host, int(port)))
         engine.engine.held["a1"] = 1
         try:
+            await client.ask("/ridgesill/report", request_id="r0")
             return await client.ask("/stream/x", model="m/a1")
         finally:
             client.close()
@@ -461,6 +462,24 @@
         assert ledger.broken_off == broken_off
 
 
+class TestCrashes:
+    async def test_a_request_that_is_being_read_is_not_served(self) -> None:
+        """Guards against crashed upstreams that go on serving a connection."""
+        engine = SoakEngine("engine", Ledger(), [], random.Random(1))
+        await engine.start()
+        host, _, port = engine.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /stream/x HTTP/1.1\r\n")
+        await asyncio.sleep(0.1)
+        engine.crash()
+        writer.write(b"\r\n")
+        try:
+            assert await asyncio.wait_for(reader.read(), 1.0) == b""
+        except ConnectionError:
+            pass
+        writer.close()
+
+
 class TestKeyChecks:
     def make_world(self, outcome: RequestOutcome, key: Key) -> RecordedWorld:
         """Returns a world in which one request was sent with a key."""
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -251,9 +251,12 @@
         self._scripted_server.stop()
         for link in self.links:
             link.close(self.address)
-        for call in self._scripted_server.calls:
+        # The newest request of each connection decides how that one ends.
+        for call in reversed(self._scripted_server.calls):
             if not call.writer.is_closing():
                 self._cut(call, is_planned=is_planned)
+        # A request that is being read must not be served after the crash.
+        self._scripted_server.abort_connections()
 
     def _cut(self, call: Call, *, is_planned: bool) -> None:
         """Ends the connection of a request as it crashes."""
