Move a route of the soak while fronts are cut off or frozen

The soak cut fronts off from the upstreams but moved no route, so it could not find a front that passes on an answer by an older configuration than it has shown. `reverted` compares only what control nodes read back.

A route now moves, comes and goes with the versions that the operator puts, and callers ask each front for its newest prefix and the one before. The new check `regressed` reports an answer that only older versions give to a request that was sent more than 0.25 s after the same process of that front had shown a newer one. No prefix is used twice, so status 200 or 404 tells which versions an answer can be from. The changes, the callers and the freezes draw their own chances.

Callers close their connections when the load ends: the garbage collection of these connections after the run filled its output.

--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -22,6 +22,7 @@
     "doubled",
     "false_not_run",
     "reverted",
+    "regressed",
     "cut",
     "harmful",
     "shut_out",
@@ -74,6 +75,7 @@
     try:
         await world.start()
         world.start_repeating_callers()
+        world.start_moving_callers()
         world.start_stream_clients()
         world.start_brittle_load()
         world.start_parts_load()
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -15,6 +15,7 @@
 from testing.soak.faults import InjectedFault
 from testing.soak.keys import COMPLIANT, LIMIT_PER_SECOND, LIMITED
 from testing.soak.limits import find_excess
+from testing.soak.moves import list_regressed
 from testing.soak.parts import SOUND
 from testing.soak.pressure import PressureRecord, check_pressure
 from testing.soak.upstreams import Arrival, InstanceRecord, Ledger
@@ -121,6 +122,8 @@
             )
     for line in world.reverted:
         verdict.record_violation("reverted", line)
+    for line in list_regressed(world):
+        verdict.record_violation("regressed", line)
     for outcome in world.outcomes:
         _check_key(verdict, world, outcome)
     _check_customer_limit(verdict, world)
--- a/testing/soak/clients.py
+++ b/testing/soak/clients.py
@@ -97,10 +97,10 @@
             async with asyncio.timeout(_ANSWER_TIMEOUT_SECONDS):
                 await self._exchange(outcome)
         except TimeoutError:
-            self._close()
+            self.close()
         except (OSError, asyncio.IncompleteReadError, ValueError, IndexError):
             outcome.cut = self._client is not None
-            self._close()
+            self.close()
         outcome.ended = loop.time()
         return outcome
 
@@ -142,7 +142,7 @@
                 outcome, answer.headers, answer.body
             )
         if outcome.cut or answer.headers.get("connection") == "close":
-            self._close()
+            self.close()
 
     def _choose_adapter(self) -> int:
         return int(self._rng.paretovariate(0.9)) % _ADAPTERS
@@ -160,7 +160,8 @@
             return all(has_event) or not outcome.complete
         return body.decode() == outcome.request and "server-stamp" in headers
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Closes the connection if it has one."""
         if self._client is not None:
             self._client.close()
             self._client = None
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -29,6 +29,10 @@
 _LEAVING_SECONDS = 3.0
 # Share of the cuts in which connections come up and nothing is answered.
 _MUTE_SHARE = 0.25
+# Share of the cuts during which a front is frozen, and for which part of the
+# cut it is.
+_FREEZE_SHARE = 0.5
+_FROZEN_PART = (0.4, 0.9)
 # Interval at which it is looked whether a started process handles SIGHUP.
 _HANDLER_POLL_SECONDS = 0.02
 # Largest file, in bytes, that can be written to the simulated full disk.
@@ -353,11 +357,15 @@
     async def _run_cuts(self) -> None:
         """Cuts fronts off from all upstreams, several at a time or in turn.
 
+        During some cuts a front is frozen, so that fronts that serve for each
+        other have different versions of the configuration.
+
         Uses its own random generator, so that the other faults of a seed don't
         depend on it.
         """
         rng = random.Random(f"cuts {self._world.seed}")
         mute_rng = random.Random(f"mute {self._world.seed}")
+        freeze_rng = random.Random(f"freeze {self._world.seed}")
         links = self._world.links
         while True:
             await asyncio.sleep(rng.uniform(0.5, 3.0))
@@ -369,7 +377,10 @@
             for front in cut:
                 await links[front].cut(how)
             try:
-                await asyncio.sleep(rng.uniform(0.3, 4.0))
+                seconds = rng.uniform(0.3, 4.0)
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(asyncio.sleep(seconds))
+                    group.create_task(self._freeze(freeze_rng, seconds))
             finally:
                 fault = InjectedFault(f"cut {how}", began, self._loop.time())
                 self.injected.append(fault)
@@ -377,6 +388,31 @@
                 await links[front].heal()
                 await asyncio.sleep(rng.uniform(0.0, 0.5))
 
+    async def _freeze(self, rng: random.Random, seconds: float) -> None:
+        """Freezes a front that no other fault hits, for a part of a cut.
+
+        It stays available to other faults, whose choices don't depend on it.
+
+        Args:
+            rng: Random generator for whether, which and how long.
+            seconds: Duration of the cut.
+        """
+        is_chosen = rng.random() < _FREEZE_SHARE
+        vm = rng.choice(self._world.fronts)
+        frozen_seconds = seconds * rng.uniform(*_FROZEN_PART)
+        if not is_chosen or vm.name in self._busy:
+            return
+        self._record_disturbance(vm)
+        began = self._loop.time()
+        vm.signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(frozen_seconds)
+        finally:
+            vm.signal(signal.SIGCONT)
+            self._record_disturbance(vm)
+            fault = InjectedFault(f"freeze {vm.name}", began, self._loop.time())
+            self.injected.append(fault)
+
     async def _leave_by_announcement(self, upstream: SoakUpstream) -> None:
         """Makes an upstream leave that announces it only in its answers."""
         name = upstream.name
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -18,6 +18,7 @@
 from testing.soak.clients import RequestOutcome
 from testing.soak.faults import InjectedFault, handles_hangup
 from testing.soak.keys import LIMITED, Key, KeyRing
+from testing.soak.moves import PutVersion, RouteMoves
 from testing.soak.parts import make_upstreams as make_parts_upstreams
 from testing.soak.pressure import PressureRecord
 from testing.soak.proxy import FaultyProxy, Mode
@@ -71,6 +72,8 @@
         self.brittle_upstreams: list[BrittleUpstream] = []
         self.parts_upstreams: list[PartsUpstream] = []
         self.paused_until: dict[str, float] = {}
+        self.starts: dict[str, list[float]] = {}
+        self.moves = RouteMoves(random.Random(1))
         self.disturbed: dict[str, list[float]] = {}
         self.pressure = PressureRecord()
 
@@ -281,13 +284,75 @@
         verdict = Verdict(3, 10, {"doubled": ["r1", "r2"]})
         assert summarize([verdict, Verdict(4, 5)]) == (
             "soak: seeds=2 requests=15 lost=0 doubled=2 false_not_run=0"
-            " reverted=0 cut=0 harmful=0 shut_out=0 rest=0 leaving=0"
-            " customer=0 revoked=0 refused_key=0 limit=0"
+            " reverted=0 regressed=0 cut=0 harmful=0 shut_out=0 rest=0"
+            " leaving=0 customer=0 revoked=0 refused_key=0 limit=0"
             " refused_within=0 named_limit=0 crowded=0 mixed=0 wrong=0 fell=0"
             " part=0 memory=0 unlogged=0 exit=0 open=1"
         )
 
 
+class TestMovesCheck:
+    def make_world(self, *answers: tuple[str, int, float]) -> RecordedWorld:
+        """Returns a world in which a route moved and went.
+
+        Args:
+            *answers: Prefix, status and time of sending of each request, which
+                is answered at once.
+        """
+        world = RecordedWorld(
+            *(
+                RequestOutcome(f"r{n}", prefix, "f", at, at + 0.01, status)
+                for n, (prefix, status, at) in enumerate(answers)
+            )
+        )
+        world.moves.versions = [
+            PutVersion(1, 0.0, "moving-0"),
+            PutVersion(2, 1.0, "moving-1"),
+            PutVersion(4, 2.0, "moving-1"),
+            PutVersion(5, 3.0, ""),
+        ]
+        return world
+
+    @pytest.mark.parametrize(
+        ("prefix", "status"), [("moving-0", 200), ("moving-1", 404)]
+    )
+    def test_an_answer_by_an_older_version_is_found(
+        self, prefix: str, status: int
+    ) -> None:
+        shown = ("moving-1", 200, 1.1)
+        world = self.make_world(shown, (prefix, status, 1.4))
+        assert world.judge().count("regressed") == 1
+        world = self.make_world(shown, (prefix, status, 1.3))
+        assert not world.judge().violations
+
+    def test_a_route_that_has_gone_and_is_served_again_is_found(self) -> None:
+        shown = ("moving-1", 200, 1.1), ("moving-1", 404, 3.1)
+        world = self.make_world(*shown, ("moving-1", 200, 3.5))
+        assert world.judge().count("regressed") == 1
+
+    def test_a_version_that_a_later_refusal_shows_is_no_older_one(
+        self,
+    ) -> None:
+        answers = ("moving-1", 200, 1.1), ("moving-1", 404, 3.1)
+        world = self.make_world(*answers, ("moving-0", 404, 3.5))
+        assert not world.judge().violations
+
+    def test_a_lower_version_shown_later_replaces_no_higher_one(self) -> None:
+        shown = ("moving-1", 200, 1.1), ("moving-0", 200, 1.2)
+        world = self.make_world(*shown, ("moving-0", 200, 1.6))
+        assert world.judge().count("regressed") == 1
+
+    def test_a_restarted_front_may_begin_with_an_older_version(self) -> None:
+        world = self.make_world(("moving-1", 200, 1.1), ("moving-0", 200, 1.6))
+        world.starts["f"] = [1.5]
+        assert not world.judge().violations
+
+    def test_other_fronts_may_have_an_older_version(self) -> None:
+        world = self.make_world(("moving-1", 200, 1.1), ("moving-0", 200, 1.6))
+        world.outcomes[0].front = "g"
+        assert not world.judge().violations
+
+
 class TestPressureChecks:
     @pytest.mark.parametrize(("refused", "found"), [(10, 0), (11, 1)])
     def test_refusals_because_of_the_hot_customer_are_found(
--- a/testing/soak/world.py
+++ b/testing/soak/world.py
@@ -25,6 +25,8 @@
     RequestOutcome,
 )
 from testing.soak.keys import KeyRing
+from testing.soak.moves import MOVING, MovingLoad, RouteMoves
+from testing.soak.moves import make_upstreams as make_moving_upstreams
 from testing.soak.parts import PARTS, PartsLoad
 from testing.soak.parts import make_upstreams as make_parts_upstreams
 from testing.soak.proxy import FaultyProxy
@@ -59,6 +61,7 @@
     VERSIONED: "stream",
     BRITTLE: "safe",
     PARTS: "stream",
+    MOVING: "safe",
 }
 # Every such seed has a service with two software versions, the one after it a
 # service of brittle upstreams, and the next one a part of prompts that ends
@@ -67,12 +70,15 @@
 _STREAM_CLIENTS = 6
 
 
-def make_document(version: int, customers: list[dict[str, Any]]) -> bytes:
+def make_document(
+    version: int, customers: list[dict[str, Any]], moving: str
+) -> bytes:
     """Returns an encoded configuration with a route of each kind.
 
     Args:
         version: Version of the configuration.
         customers: Customers with their keys and limits.
+        moving: Prefix of the route that moves; empty if there is none.
     """
     kinds = {
         "safe": "plain",
@@ -83,12 +89,14 @@
         BRITTLE: BRITTLE,
         PARTS: PARTS,
     }
+    if moving:
+        kinds[moving] = MOVING
     routes = [
         {
             "name": kind,
             "host": "a.example",
             "prefix": f"/{kind}/",
-            "kind": _ROUTE_KINDS.get(kind, kind),
+            "kind": _ROUTE_KINDS.get(service, kind),
             "resumable": kind == VERSIONED,
             "timeout_ms": 2500,
             "goal_ms": 500,
@@ -112,6 +120,7 @@
         {**plain, "name": VERSIONED},
         {**plain, "name": BRITTLE},
         {**plain, "name": PARTS},
+        {**plain, "name": MOVING},
         {**plain, "name": "engine", "engine": engine},
     ]
     return msgspec.json.encode(
@@ -142,6 +151,8 @@
         sent: Highest configuration version that was sent.
         reverted: Reads that returned an older version than acknowledged.
         paused_until: Loop time at which a VM last resumed, by its name.
+        starts: Loop times at which a VM's process was started, by its name.
+        moves: Prefixes of the route that moves, by version.
     """
 
     def __init__(
@@ -165,6 +176,8 @@
         self.sent = 0
         self.reverted: list[str] = []
         self.paused_until: dict[str, float] = {}
+        self.starts: dict[str, list[float]] = {}
+        self.moves = RouteMoves(random.Random(f"moves {seed}"))
         # Loop times at which a fault hit each VM or ended there, by its name.
         self.disturbed: dict[str, list[float]] = {}
         self._repeat_rng = random.Random(f"repeat {seed}")
@@ -213,6 +226,7 @@
             if seed % _VERSIONED_SEEDS == 2
             else []
         )
+        self.moving_upstreams = make_moving_upstreams(self, addresses)
         self.links = {
             vm.name: self._make_links(vm) for vm in self.fronts[:linked]
         }
@@ -228,6 +242,7 @@
             *self.versioned_upstreams,
             *self.brittle_upstreams,
             *self.parts_upstreams,
+            *self.moving_upstreams,
         ]
 
     def _make_links(self, vm: Vm) -> UpstreamLinks:
@@ -262,6 +277,18 @@
         ]
         self._tasks.append(asyncio.create_task(self._run_operator()))
 
+    def restart(self, vm: Vm) -> None:
+        """Starts a VM's process again, no longer as a first start."""
+        now = asyncio.get_running_loop().time()
+        self.starts.setdefault(vm.name, []).append(now)
+        super().restart(vm)
+
+    def start_moving_callers(self) -> None:
+        """Starts callers of the route that moves."""
+        for vm in self.fronts:
+            load = MovingLoad(self, vm)
+            self._tasks.append(asyncio.create_task(load.run()))
+
     def start_repeating_callers(self) -> None:
         """Starts callers that repeat a harmful and some harmless requests."""
         kinds = (SAFE, UNSAFE, STREAM)
@@ -376,7 +403,9 @@
         self.sent += self.rng.randint(1, 3)
         version = self.sent
         loop = asyncio.get_running_loop()
-        body = make_document(version, self.keys.draft(loop.time()))
+        customers = self.keys.draft(loop.time())
+        moving = self.moves.draft(version, loop.time())
+        body = make_document(version, customers, moving)
         deadline = loop.time() + timeout_seconds
         while loop.time() < deadline:
             vm = self.rng.choice(self.controls)
