Count only what the parser holds of unfinished requests

What callers would see: after many requests on kept connections, 830 bytes each where the bound is 1 MB, the connection with the most requests is refused or broken off for want of memory, though nothing is held.

Cause: _unparsed_bytes grows with each receipt and was only reset inside a body or when bytes that were sent ahead were parsed. Requests without a body never reset it, so it counted all requests of a connection (1,600 requests of 432 bytes: 692 kB). Found by reading.

Why this works: when a request is complete, the parser holds what was sent behind it and nothing else, so that is what is counted.

The new test failed before: the second client's connection was closed.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -349,6 +349,8 @@
             self.name,
         )
         self._discard_request()
+        # What the parser still holds was sent ahead.
+        self._unparsed_bytes = len(self._http.trailing_data[0])
         self._listener.connection_limit.begin_request(self)
         self._task = self._loop.create_task(self._serve(request))
 
--- a/testing/adapters/http1/test_server_memory.py
+++ b/testing/adapters/http1/test_server_memory.py
@@ -239,6 +239,20 @@
         for _, writer in opened:
             writer.close()
 
+    async def test_requests_that_are_complete_do_not_count(
+        self, world: MemoryWorld
+    ) -> None:
+        """Guards against counting each request of a connection for good."""
+        request = b"GET / HTTP/1.1\r\nHost: a\r\nA: %s\r\n\r\n" % (b"x" * 800)
+        opened = [await world.open() for _ in range(2)]
+        for _ in range(900):
+            for reader, writer in opened:
+                writer.write(request)
+                await reader.readuntil(b"\r\n\r\n")
+        assert world.memory.total == 0
+        for _, writer in opened:
+            writer.close()
+
     async def test_requests_in_progress_count_and_stay(
         self, world: MemoryWorld
     ) -> None:
