Have long heads wait for their turn to be parsed

Cause: a head is one event of the parser, of 7 ms with 2300 headers. All connections that had received one parsed it in the same turn of the event loop, so that each step of any other request waited for up to 100 heads. The turns that bodies in tiny chunks take didn't apply, since they count events.

Why this works: a head of more than 4 KiB waits in the same queue, from which one connection parses in a turn of the loop. Usual heads are shorter and don't wait.

The new test failed before: 40 long heads were served first.

--- a/src/ridgesill/adapters/http1/parse_queue.py
+++ b/src/ridgesill/adapters/http1/parse_queue.py
@@ -16,8 +16,9 @@
     """Lets one connection after the other parse, one a turn of the loop.
 
     A body in chunks of a byte takes thousands of times the processor time of a
-    body in one piece. All connections that send such bodies together take one
-    slice of each turn, so that other requests are served between the slices.
+    body in one piece, and a head of many headers a hundred times that of a
+    usual one. All connections that send such requests together take one slice
+    of each turn, so that other requests are served between the slices.
     """
 
     def __init__(self) -> None:
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -52,6 +52,8 @@
 # Parts of requests that a connection parses at once. A part takes about 20
 # microseconds, and other connections wait meanwhile.
 _MAX_EVENTS_AT_ONCE = 64
+# A longer head waits for its turn to be parsed: one of 2300 headers takes 7 ms.
+_LONG_HEAD_BYTES = 4 * 1024
 # Bytes that are read and dropped after a refusal, so that its client can read
 # it. Closing with unread bytes would reset the connection.
 _MAX_DROPPED_BYTES = 256 * 1024
@@ -208,12 +210,17 @@
         if self._transport is not None:
             self._transport.resume_reading()
 
-    def _process(self, data: bytes = b"") -> None:
-        """Parses received bytes; rejects malformed or oversized requests."""
+    def _process(self, data: bytes = b"", *, has_turn: bool = False) -> None:
+        """Parses received bytes; rejects malformed or oversized requests.
+
+        Args:
+            data: bytes that were received just now.
+            has_turn: whether this connection has waited for its turn.
+        """
         try:
             if data:
                 self._feed(data)
-            self._process_events()
+            self._process_events(has_turn=has_turn)
             self._count_held()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
@@ -222,10 +229,12 @@
         except _NoMemoryError:
             self._refuse_unread(_NO_MEMORY)
 
-    def _process_events(self) -> None:
+    def _process_events(self, *, has_turn: bool) -> None:
         for _ in range(_MAX_EVENTS_AT_ONCE):
             if self._task is not None or self._is_closed:
                 return
+            if self._holds_long_head and not has_turn:
+                break
             event = self._http.next_event()
             if event is h11.NEED_DATA and self._ahead:
                 self._parse_ahead()
@@ -241,11 +250,16 @@
             self._pause_reading()
             self._listener.parse_queue.add(self)
 
+    @property
+    def _holds_long_head(self) -> bool:
+        """Whether a head that isn't parsed yet is long, as far as received."""
+        return self._head is None and self._unparsed_bytes > _LONG_HEAD_BYTES
+
     def parse_more(self) -> None:
         """Goes on with received bytes, of which there were many to parse."""
         self._is_queued = False
         if not self._is_closed and not self._is_half_closed:
-            self._process()
+            self._process(has_turn=True)
 
     def _feed(self, data: bytes) -> None:
         self._unparsed_bytes += len(data)
--- a/testing/adapters/http1/test_server_memory.py
+++ b/testing/adapters/http1/test_server_memory.py
@@ -31,6 +31,7 @@
     Attributes:
         released: lets requests to `/wait` end.
         requests: number of requests so far.
+        paths: their paths, in order.
     """
 
     def __init__(self, vm_bytes: float) -> None:
@@ -44,10 +45,12 @@
         )
         self.released = asyncio.Event()
         self.requests = 0
+        self.paths: list[str] = []
 
     async def serve(self, request: HttpRequest, responder: Responder) -> None:
         """Echoes the body; `/wait` waits, and `/long` sends 4 MiB."""
         self.requests += 1
+        self.paths.append(request.path)
         body = request.body
         if request.path == "/wait":
             await self.released.wait()
@@ -153,6 +156,25 @@
             writer.close()
 
 
+class TestLongHeads:
+    @pytest.mark.parametrize("world", [100 * _VM_BYTES], indirect=True)
+    async def test_others_do_not_wait_until_all_are_parsed(
+        self, world: MemoryWorld
+    ) -> None:
+        """Guards against heads that take all turns of the event loop."""
+        headers = b"".join(b"a%x:\r\n" % number for number in range(2300))
+        opened = [await world.open() for _ in range(41)]
+        for _, writer in opened[:-1]:
+            writer.write(b"GET /long_head HTTP/1.1\r\nHost: a\r\n")
+            writer.write(headers + b"\r\n")
+        opened[-1][1].write(_GET)
+        for reader, writer in opened:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+        assert len(world.paths) == 41
+        assert "/" in world.paths[:5]
+
+
 class TestRequestsAhead:
     @pytest.mark.parametrize("world", [1e9], indirect=True)
     async def test_they_wait_until_the_client_reads(
