End refused connections whose clients don't take the refusal

What callers would see: a process whose clients don't read may run out of descriptors. A refused connection no longer counts for the limit on connections, and was only closed once its refusal had been sent; while the kernel has no room for it, it stayed open until its client closed it. Found by reading; not seen in a run.

Why this works: a refused connection is aborted after the time that a connection may be idle, which no client that reads takes.

The new test failed before: the connection was still open.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -124,6 +124,8 @@
         # Whether the current response is complete, so that the connection waits
         # only until its client has all of it and closes.
         self._is_half_closed = False
+        # Whether the client has been refused and its connection is to end.
+        self._is_refused = False
 
     # -- asyncio.Protocol callbacks ------------------------------------
 
@@ -470,6 +472,8 @@
         log_message(
             "channel:rejected", peer=self.name, status=status, detail=detail
         )
+        self._is_refused = True
+        self._period_started_at = self._loop.time()
         self._discard_request()
         self._ahead.clear()
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -606,6 +610,9 @@
             return
         limits = self._listener.limits
         elapsed_seconds = now - self._period_started_at
+        if self._is_refused and elapsed_seconds > limits.idle_seconds:
+            self.abort()
+            return
         if self._is_half_closed:
             is_sent = not self._count_buffered()
             if is_sent and elapsed_seconds > _HALF_CLOSED_SECONDS:
--- a/testing/adapters/http1/test_server.py
+++ b/testing/adapters/http1/test_server.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ridgesill.adapters.http1.server import HttpListener
+from ridgesill.adapters.http1.server import HttpListener, ServerConnection
 from ridgesill.core.serving.routes import ClientLimits
 from ridgesill.ports.http import HttpRequest, Responder
 from testing.app.front_world import Client
@@ -83,6 +83,60 @@
         assert b"HTTP/1.1 200" in answer
 
 
+class FullTransport(asyncio.Transport):
+    """A connection whose client takes nothing.
+
+    Attributes:
+        is_aborted: whether it has ended.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+        self._unsent = bytearray()
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Keeps the data."""
+        self._unsent += data
+
+    def get_write_buffer_size(self) -> int:
+        """Returns the bytes that wait to be sent."""
+        return len(self._unsent)
+
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        """Does nothing."""
+
+    def resume_reading(self) -> None:
+        """Does nothing."""
+
+    def is_closing(self) -> bool:
+        """Whether it has ended."""
+        return self.is_aborted
+
+    def abort(self) -> None:
+        """Ends the connection."""
+        self.is_aborted = True
+
+
+class TestRefusalThatIsNotTaken:
+    async def test_its_connection_ends(self, listener: HttpListener) -> None:
+        """Guards against connections that stay open and count nowhere."""
+        connection = ServerConnection(listener)
+        transport = FullTransport()
+        connection.connection_made(transport)
+        request = b"what is this\r\n\r\n"
+        connection.get_buffer(-1)[: len(request)] = request
+        connection.buffer_updated(len(request))
+        now = asyncio.get_running_loop().time()
+        connection.check_timeouts(now + 0.9)
+        assert not transport.is_aborted
+        connection.check_timeouts(now + 1.1)
+        assert transport.is_aborted
+        connection.connection_lost(None)
+
+
 class TestBodies:
     async def test_a_chunked_body_is_joined(
         self, listener: HttpListener
