Pass compressed answers on as the runner sent them

What callers saw: on the product's own interface a compressed answer arrives decoded under the runner's Content-Encoding, so its client can't read it. A small answer may also decode to far more than the limits on bodies foresee.

Cause: urllib3 decodes what it reads; the headers were passed on as they came.

Why this works: bodies aren't decoded. Callers choose encodings by the Accept-Encoding that they send; the product's own calls ask for none.

The new test failed before: the body was decoded.

--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -250,6 +250,8 @@
             body=request.body,
             headers=request.headers,
             preload_content=False,
+            # The caller gets the headers that describe the encoding.
+            decode_content=False,
             redirect=False,
         )
 
