Bound the models and adapters that an engine may report

What was seen: two engines whose valid status reports list 140,000 adapters each, 1 MB, take a control node to 114 MiB where its VM has 64 MB (real process, one run, ten reports).

Cause: the number of names in a report was bounded by its bytes alone. The owner keeps about 300 bytes for each name and sends it to all fronts.

Why this works: a report of more than 4096 names is malformed. That is far above what an engine holds (adapter_slots, its models, and the loads on their way). The status report gets a 400 that names the field and the count; an answer to a report request is logged and ignored.

Measured: 54 MiB in the same run. The new test failed before: the report was taken.

--- a/src/ridgesill/platform/upstreams.py
+++ b/src/ridgesill/platform/upstreams.py
@@ -43,6 +43,9 @@
 _MAX_JSON_INTEGER = 2**53
 # The most concurrent requests that an upstream may report as its slots.
 _MAX_SLOTS = 1_000_000
+# Models and adapters that an engine may report. Each takes about 300 bytes at
+# the owner and goes to all fronts.
+_MAX_REPORTED_ARTIFACTS = 4096
 # Decoder messages are truncated to this length in answers.
 _MAX_DETAIL_CHARACTERS = 200
 _MAX_PORT = 65535
@@ -192,6 +195,9 @@
 
 def _collect_resident(models: list[_HeldModel]) -> dict[str, int]:
     """Returns the versions of held artifacts by `model` or `model/adapter`."""
+    _check_count(
+        "models", len(models) + sum(len(each.adapters or ()) for each in models)
+    )
     resident = {}
     for model in models:
         resident[model.name] = model.version
@@ -203,9 +209,18 @@
 
 def _collect_incoming(entries: list[str]) -> dict[str, int]:
     """Returns the versions of artifacts that are being loaded, by name."""
+    _check_count("incoming", len(entries))
     return dict(_split_name_and_version("incoming", entry) for entry in entries)
 
 
+def _check_count(field: str, count: int) -> None:
+    if count > _MAX_REPORTED_ARTIFACTS:
+        raise MalformedError(
+            f"{field}: {count} models and adapters, and "
+            f"{_MAX_REPORTED_ARTIFACTS} are allowed"
+        )
+
+
 def _split_name_and_version(field: str, entry: str) -> tuple[str, int]:
     """Splits NAME@VERSION; the version defaults to 1."""
     if not _NAME_AT_VERSION.fullmatch(entry):
--- a/testing/platform/test_upstreams.py
+++ b/testing/platform/test_upstreams.py
@@ -169,6 +169,28 @@
         with pytest.raises(MalformedError):
             PlatformEngines().read_report(body)
 
+    def test_a_report_of_more_names_than_an_engine_holds_is_rejected(
+        self,
+    ) -> None:
+        """Guards against a control node that one valid report ends."""
+        names = [f"a{number}" for number in range(4096)]
+        models = [{"name": "m", "adapters": names[1:]}]
+        assert isinstance(
+            read_call(make_heartbeat(models=models)), HeartbeatCall
+        )
+        models = [{"name": "m", "adapters": names}]
+        call = read_call(make_heartbeat(models=models))
+        assert isinstance(call, BadCall)
+        assert "models: 4097" in call.detail
+        report = msgspec.json.encode({"sequence": 7, "models": models})
+        with pytest.raises(MalformedError, match="models: 4097"):
+            PlatformEngines().read_report(report)
+        incoming = msgspec.json.encode(
+            {"sequence": 7, "incoming": [*names, "b"]}
+        )
+        with pytest.raises(MalformedError, match="incoming: 4097"):
+            PlatformEngines().read_report(incoming)
+
     def test_leave_body_is_empty_or_holds_the_start_time(self) -> None:
         path = b"/ridgesill/Instances.Leave/i-1"
         assert read_call(b"", path) == LeaveCall("i-1", 0)
