--- a/testing/scenarios/test_partitioned_fronts.py
+++ b/testing/scenarios/test_partitioned_fronts.py
@@ -20,6 +20,7 @@
 _WATCHED_SECONDS = 5.0
 # How much less often first tries at cut fronts may be served.
 _SHARE_SLACK = 0.02
+_LOGGED_CHARACTERS = 400
 # What fails is told within this time, in seconds.
 _TOLD_SECONDS = 0.5
 
@@ -52,6 +53,20 @@
     return sum(map(is_served, outcomes)) / len(outcomes)
 
 
+def read_log(world: SoakWorld, outcomes: list[RequestOutcome]) -> str:
+    """Returns what the fronts logged of these requests."""
+    requests = [outcome.request for outcome in outcomes]
+    lines = [
+        f"{vm.name}: {line[:_LOGGED_CHARACTERS]}"
+        for vm in world.fronts
+        for line in vm.settings_file.with_suffix(".log")
+        .read_text(errors="replace")
+        .splitlines()
+        if any(request in line for request in requests)
+    ]
+    return "\n".join(lines)
+
+
 class TestPartitionedFronts:
     @pytest.mark.parametrize("how", list(Cut))
     async def test_callers_of_cut_fronts_are_served_as_others_are(
@@ -79,4 +94,4 @@
             for o in at_cut
             if not is_served(o) and o.ended - o.began > _TOLD_SECONDS
         ]
-        assert held == []
+        assert held == [], read_log(world, held)
