--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -390,6 +390,8 @@
         """Guards against reloads that end a process which has just started."""
         code = (
             "import signal, sys\n"
+            # The tests may run where SIGHUP is ignored, as under nohup.
+            "signal.signal(signal.SIGHUP, signal.SIG_DFL)\n"
             "print(flush=True)\n"
             "sys.stdin.readline()\n"
             "signal.signal(signal.SIGHUP, signal.SIG_IGN)\n"
