--- a/src/ridgesill/platform/upstreams.py
+++ b/src/ridgesill/platform/upstreams.py
@@ -43,8 +43,8 @@
 _MAX_JSON_INTEGER = 2**53
 # The most concurrent requests that an upstream may report as its slots.
 _MAX_SLOTS = 1_000_000
-# Models and adapters that an engine may report. Each takes over 200 bytes at the
-# owner and goes to all fronts.
+# Models and adapters that an engine may report. Each takes over 200 bytes at
+# the owner and goes to all fronts.
 _MAX_REPORTED_ARTIFACTS = 4096
 # Decoder messages are truncated to this length in answers.
 _MAX_DETAIL_CHARACTERS = 200
