Notice that a client left after its request waited to be parsed

What callers would see: work for clients that have gone keeps its slot at an upstream to the end, or to its time-out, and others wait for it.

Cause: a connection that waits for its turn to be parsed isn't received from, and receiving went on only once the parser lacked bytes. A request that was whole by then ran without; the end of its connection went unnoticed. Bodies in over 64 chunks had this fault since they take turns; with heads of over 4 KiB, and requests of over 4 KiB in one piece, had it too.

Why this works: when a request begins, receiving goes on unless more than 16 KiB are held that were sent ahead, which is the bound for other connections too.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -369,6 +369,10 @@
         self._unparsed_bytes = len(self._http.trailing_data[0])
         self._listener.connection_limit.begin_request(self)
         self._task = self._loop.create_task(self._serve(request))
+        if len(self._ahead) + self._unparsed_bytes <= _MAX_AHEAD_BYTES:
+            # It may have waited for its turn. Without receiving, the end of the
+            # connection would go unnoticed.
+            self._resume_reading()
 
     def _begin_in_memory(self, held: int) -> None:
         """Counts the request that begins.
