Measure long heads alone, and don't time them out while they wait

What callers would see: beside many long heads a request with a usual head and a body of 4 KiB in one piece waits for the turn of each of them, 0.8 s beside 100; a long head that has arrived whole may be refused as late (408) while it waits, beside some 430 others.

Cause: all unparsed bytes counted as the head, and the time-outs of a client that is slow to send ran on while the bytes waited for their turn.

Why this works: a head is long if it doesn't end in its first 4 KiB, and a connection that waits for its turn has no time-out.

The tests failed before: over 50 turns were taken first, and the head got a 408.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -54,6 +54,7 @@
 _MAX_EVENTS_AT_ONCE = 64
 # A longer head waits for its turn to be parsed: one of 2300 headers takes 7 ms.
 _LONG_HEAD_BYTES = 4 * 1024
+_HEAD_END = b"\r\n\r\n"
 # Bytes that are read and dropped after a refusal, so that its client can read
 # it. Closing with unread bytes would reset the connection.
 _MAX_DROPPED_BYTES = 256 * 1024
@@ -255,7 +256,10 @@
     @property
     def _holds_long_head(self) -> bool:
         """Whether a head that isn't parsed yet is long, as far as received."""
-        return self._head is None and self._unparsed_bytes > _LONG_HEAD_BYTES
+        if self._head is not None or self._unparsed_bytes <= _LONG_HEAD_BYTES:
+            return False
+        unparsed = self._http.trailing_data[0]
+        return _HEAD_END not in unparsed[:_LONG_HEAD_BYTES]
 
     def parse_more(self) -> None:
         """Goes on with received bytes, of which there were many to parse."""
@@ -610,7 +614,8 @@
         Args:
             now: event loop time in seconds.
         """
-        if self._task is not None or self._awaits_flush:
+        if self._is_busy:
+            # The client isn't late while its bytes wait for their turn.
             return
         limits = self._listener.limits
         elapsed_seconds = now - self._period_started_at
--- a/testing/adapters/http1/test_server_ends.py
+++ b/testing/adapters/http1/test_server_ends.py
@@ -1,6 +1,7 @@
 """Tests of what a listener does about clients that leave or are refused."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 
 import pytest
@@ -112,3 +113,66 @@
             + b"1\r\nx\r\n" * 200
             + b"0\r\n\r\n"
         )
+
+
+class SlowParser:
+    """A connection that has much to parse, again and again.
+
+    Args:
+        listener: the listener that it competes for.
+        turns: how often it has something to parse.
+    """
+
+    def __init__(self, listener: HttpListener, turns: int) -> None:
+        self._queue = listener.parse_queue
+        self.turns_left = turns
+
+    def parse_more(self) -> None:
+        """Takes about as long as a head of 2300 headers."""
+        time.sleep(0.007)
+        self.turns_left -= 1
+        if self.turns_left:
+            self._queue.add(self)
+
+
+class TestTurns:
+    """Guards against harm to usual requests beside many long heads."""
+
+    async def _count_turns(self, world: WaitingWorld, sent: bytes) -> int:
+        """Returns how many turns others take before a request is answered."""
+        parsers = [SlowParser(world.listener, 3) for _ in range(100)]
+        reader, writer = await world.open()
+        for parser in parsers:
+            world.listener.parse_queue.add(parser)
+        writer.write(sent)
+        head = await asyncio.wait_for(
+            reader.readuntil(b"\r\n\r\n"), _TIMEOUT_SECONDS
+        )
+        taken = sum(3 - parser.turns_left for parser in parsers)
+        for parser in parsers:
+            parser.turns_left = 1
+        writer.close()
+        assert head.startswith(b"HTTP/1.1 200")
+        return taken
+
+    async def test_a_request_without_a_body_does_not_wait(
+        self, world: WaitingWorld
+    ) -> None:
+        turns = await self._count_turns(
+            world, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        assert turns < 50
+
+    async def test_one_with_a_usual_head_and_a_body_does_not_wait(
+        self, world: WaitingWorld
+    ) -> None:
+        post = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n"
+        assert await self._count_turns(world, post + b"x" * 5_000) < 50
+
+    async def test_a_head_that_waits_for_its_turn_is_not_late(
+        self, world: WaitingWorld
+    ) -> None:
+        """Guards against a 408 for a head that has arrived whole."""
+        world.listener.limits = ClientLimits(16_384, 400_000, 0.3, 5.0)
+        head = b"GET / HTTP/1.1\r\nHost: a\r\nA: %s\r\n\r\n" % (b"y" * 5_000)
+        assert await self._count_turns(world, head) >= 100
