Stop counting a refused request before its connection ends

What callers would see: requests refused, or connections broken off, for want of memory that nobody holds: a body over the limit, 391,860 bytes of it, went on counting after its 413, for a second or more, and as the largest holder it would be the one to be reset, which can discard its own refusal.

Cause: a refusal drops what is held of the request, not its record in ConnectionMemory.

The new test failed before with that count.

--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -484,6 +484,7 @@
         self._period_started_at = self._loop.time()
         self._discard_request()
         self._ahead.clear()
+        self._listener.memory.discard(self._memory_key)
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._close()
             return
--- a/testing/adapters/http1/test_server_ends.py
+++ b/testing/adapters/http1/test_server_ends.py
@@ -115,6 +115,24 @@
         )
 
 
+class TestRefusedBodies:
+    async def test_a_refused_body_no_longer_counts(
+        self, world: WaitingWorld
+    ) -> None:
+        """Guards against requests refused for memory that nobody holds."""
+        reader, writer = await world.open()
+        writer.write(_GET + b"Transfer-Encoding: chunked\r\n\r\n")
+        for _ in range(7):
+            writer.write(b"ea60\r\n" + bytes(60_000) + b"\r\n")
+            await writer.drain()
+        head = await asyncio.wait_for(
+            reader.readuntil(b"\r\n\r\n"), _TIMEOUT_SECONDS
+        )
+        assert head.startswith(b"HTTP/1.1 413")
+        assert world.memory.total == 0
+        writer.close()
+
+
 class SlowParser:
     """A connection that has much to parse, again and again.
 
