Let ConnectionMemory make the keys of what it counts

Connections, exchanges and answers of the own interface each made the same key from their identity and passed it beside themselves. No behaviour changes.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -111,15 +111,11 @@
         """Address of the upstream."""
         return self._channel.address
 
-    @property
-    def _memory_key(self) -> str:
-        return str(id(self))
-
     def _record_held(self, count: int) -> None:
         if self._is_shed:
             # It is broken off once what had been received is read.
             return
-        self._channels.memory.record(self._memory_key, self, count)
+        self._channels.memory.record(self, count)
 
     def shed(self) -> None:
         """Breaks the response off, since too much is held of all of them."""
@@ -158,7 +154,7 @@
 
     def _end(self) -> None:
         self._ended = True
-        self._channels.memory.discard(self._memory_key)
+        self._channels.memory.discard(self)
 
     def _finish(self) -> None:
         assert self.head is not None
--- a/src/ridgesill/adapters/http1/connection_memory.py
+++ b/src/ridgesill/adapters/http1/connection_memory.py
@@ -57,23 +57,24 @@
         """
         self._bound = max(self._bound, 2.0 * body_bytes)
 
-    def record(self, key: str, holder: Holder, held: int) -> None:
+    def record(self, holder: Holder, held: int) -> None:
         """Replaces what a connection holds; sheds others, or it, if too much.
 
         Args:
-            key: identifies the connection in this process.
             holder: the connection.
             held: bytes that it holds, without requests in progress.
         """
         if held < _COUNTED_BYTES:
-            self.discard(key)
+            self.discard(holder)
             return
+        key = _make_key(holder)
         self._holders[key] = holder
         self._held.record(key, "", held)
         self._shed_excess()
 
-    def discard(self, key: str) -> None:
+    def discard(self, holder: Holder) -> None:
         """Removes a connection that holds nothing."""
+        key = _make_key(holder)
         if self._holders.pop(key, None) is not None:
             self._held.discard(key)
 
@@ -86,19 +87,19 @@
         is_small = held < _COUNTED_BYTES
         return is_small or not self.total or self.total + held <= self._bound
 
-    def begin_request(self, key: str, held: int) -> None:
+    def begin_request(self, holder: Holder, held: int) -> None:
         """Counts a request that is in progress from now on.
 
         Args:
-            key: identifies its connection in this process.
+            holder: its connection.
             held: bytes that its head and body take.
         """
-        self._requests[key] = held
+        self._requests[_make_key(holder)] = held
         self._in_progress += held
 
-    def end_request(self, key: str) -> None:
+    def end_request(self, holder: Holder) -> None:
         """Removes the request that a connection had in progress."""
-        self._in_progress -= self._requests.pop(key, 0)
+        self._in_progress -= self._requests.pop(_make_key(holder), 0)
 
     def _holds_alone(self, key: str) -> bool:
         """Whether one connection holds all that is large enough to count."""
@@ -121,3 +122,8 @@
             )
             self._held.discard(key)
             holder.shed()
+
+
+def _make_key(holder: Holder) -> str:
+    """Returns what identifies a connection among those of all listeners."""
+    return str(id(holder))
--- a/src/ridgesill/adapters/http1/server.py
+++ b/src/ridgesill/adapters/http1/server.py
@@ -145,9 +145,9 @@
         self._is_closed = True
         self._listener.connections.discard(self)
         self._listener.connection_limit.discard(self)
-        self._listener.memory.discard(self._memory_key)
+        self._listener.memory.discard(self)
         # The task that serves the request may not have begun.
-        self._listener.memory.end_request(self._memory_key)
+        self._listener.memory.end_request(self)
         self._wake_writer()
         if self._task is not None:
             self._task.cancel()
@@ -287,18 +287,13 @@
 
     # -- memory --------------------------------------------------------
 
-    @property
-    def _memory_key(self) -> str:
-        """Identifies this connection among those of all listeners."""
-        return str(id(self))
-
     def _count_held(self) -> None:
         """Counts what is held of requests, and of responses if nobody does."""
         held = self._head_bytes + self._body_bytes
         held += len(self._ahead) + self._unparsed_bytes
         if self._listener.slow_readers is None:
             held += self._count_buffered()
-        self._listener.memory.record(self._memory_key, self, held)
+        self._listener.memory.record(self, held)
 
     def shed(self) -> None:
         """Refuses the request that is received, or ends the connection."""
@@ -389,10 +384,10 @@
         """
         memory = self._listener.memory
         # It has been counted as one that is received.
-        memory.discard(self._memory_key)
+        memory.discard(self)
         if not memory.admits(held):
             raise _NoMemoryError
-        memory.begin_request(self._memory_key, held)
+        memory.begin_request(self, held)
 
     async def _serve(self, request: HttpRequest) -> None:
         responder = _ConnectionResponder(self, request)
@@ -406,7 +401,7 @@
             write_traceback()
             self._send_failure(responder)
         finally:
-            self._listener.memory.end_request(self._memory_key)
+            self._listener.memory.end_request(self)
             self._task = None
             self._period_started_at = self._loop.time()
             self._listener.connection_limit.end_request(self)
@@ -484,7 +479,7 @@
         self._period_started_at = self._loop.time()
         self._discard_request()
         self._ahead.clear()
-        self._listener.memory.discard(self._memory_key)
+        self._listener.memory.discard(self)
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._close()
             return
--- a/src/ridgesill/adapters/runner_http.py
+++ b/src/ridgesill/adapters/runner_http.py
@@ -59,12 +59,12 @@
         """
         with self._lock:
             if not response.is_shed:
-                self._memory.record(str(id(response)), response, held)
+                self._memory.record(response, held)
 
     def discard(self, response: "HttpRunnerResponse") -> None:
         """Removes an answer that has been read or given up."""
         with self._lock:
-            self._memory.discard(str(id(response)))
+            self._memory.discard(response)
 
 
 class HttpRunnerResponse:
--- a/testing/adapters/http1/test_client.py
+++ b/testing/adapters/http1/test_client.py
@@ -228,8 +228,8 @@
         async def read_received() -> bytes:
             # The second piece had been received before the first was shed.
             if len(pieces) == 2:
-                memory.record("other", other, 2**19)
-                memory.record("other", other, 7 * 2**17)
+                memory.record(other, 2**19)
+                memory.record(other, 7 * 2**17)
             return pieces.pop()
 
         monkeypatch.setattr(exchange, "read_data", read_received)
--- a/testing/adapters/test_runner_http.py
+++ b/testing/adapters/test_runner_http.py
@@ -354,8 +354,8 @@
         memory = ConnectionMemory(vm_bytes=8 * 2**20)
         other = FakeHolder()
         with read_in_two_parts(memory, b"x") as body:
-            memory.record("other", other, 2**19)
-            memory.record("other", other, 7 * 2**17)
+            memory.record(other, 2**19)
+            memory.record(other, 7 * 2**17)
         with pytest.raises(IncompleteAnswerError, match="memory"):
             body.result()
         assert not other.is_shed
