Play clients that leave in one test of the front

They are cases of the test that was there, with its bound of 0.4 s. Without the resumed reading the case of a long head still fails.

--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -235,15 +235,20 @@
         assert 0.3 < took < 0.6
         assert int(upstream.calls[0].header("request-deadline")) <= 400
 
+    @pytest.mark.parametrize(
+        ("body_bytes", "header_bytes"), [(1, 1), (5_000, 1), (1, 5_000)]
+    )
     async def test_a_client_that_leaves_ends_the_upstream_s_work(
-        self, world: FrontWorld
+        self, world: FrontWorld, body_bytes: int, header_bytes: int
     ) -> None:
         async def hang(call: Call) -> None:
             await call.wait_closed()
 
         upstream = await world.add("u1", hang)
         client = await world.open()
-        await client.send("/unsafe/x", b"b")
+        await client.send(
+            "/unsafe/x", b"b" * body_bytes, padding="y" * header_bytes
+        )
         await asyncio.sleep(0.1)
         left_at = asyncio.get_running_loop().time()
         client.close()
