--- a/testing/adapters/http1/test_server_accounts.py
+++ b/testing/adapters/http1/test_server_accounts.py
@@ -7,15 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ridgesill.adapters.http1.connection_limit import ConnectionLimit
-from ridgesill.adapters.http1.connection_memory import ConnectionMemory
-from ridgesill.adapters.http1.server import HttpListener
-from ridgesill.core.serving.routes import ClientLimits
 from ridgesill.ports.http import HttpRequest, Responder
-from testing.processes import free_address
-
-_LIMITS = ClientLimits(16_384, 200_000, 5.0, 5.0)
-_TIMEOUT_SECONDS = 10.0
+from testing.adapters.http1.listener_world import (
+    TIMEOUT_SECONDS,
+    ListenerWorld,
+)
 
 
 @attrs.frozen
@@ -69,28 +65,21 @@
 )
 
 
-class EchoWorld:
+class EchoWorld(ListenerWorld):
     """A listener that echoes bodies, and a client that sends in pieces."""
 
     def __init__(self) -> None:
-        self.memory = ConnectionMemory(100 * 2**20)
-        self.connection_limit = ConnectionLimit(100)
-        self.address = free_address()
-        self.listener = HttpListener(
-            self.address,
-            self._echo,
-            _LIMITS,
-            self.memory,
-            self.connection_limit,
-        )
+        super().__init__(100 * 2**20)
 
-    async def _echo(self, request: HttpRequest, responder: Responder) -> None:
-        # Bytes that are sent ahead arrive meanwhile.
+    async def serve(self, request: HttpRequest, responder: Responder) -> None:
+        """Echoes the body, once bytes that are sent ahead had time to come."""
         await asyncio.sleep(0)
-        length = (b"content-length", b"%d" % len(request.body))
-        responder.send_head(200, ((b"path", request.path.encode()), length))
-        responder.send_data(request.body)
-        responder.finish()
+        await super().serve(request, responder)
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return self.listener.connection_limit.count
 
     async def exchange(
         self, requests: Sequence[Sent], pieces: Sequence[int]
@@ -101,8 +90,7 @@
             requests: what the client sends.
             pieces: sizes of the pieces in which it sends that, in turns.
         """
-        host, _, port = self.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await self.open()
         data = b"".join(
             request.encode(number) for number, request in enumerate(requests)
         )
@@ -123,7 +111,7 @@
         answers = [await _read_answer(reader) for _ in requests]
         await sending
         assert self.memory.total == 0
-        assert self.connection_limit.count == 1
+        assert self.connections == 1
         writer.close()
         await writer.wait_closed()
         return answers
@@ -142,9 +130,9 @@
     world = EchoWorld()
     await world.listener.start()
     try:
-        async with asyncio.timeout(_TIMEOUT_SECONDS):
+        async with asyncio.timeout(TIMEOUT_SECONDS):
             answers = await world.exchange(requests, pieces)
-            while world.connection_limit.count:
+            while world.connections:
                 await asyncio.sleep(0.001)
     finally:
         await world.listener.stop()
@@ -159,14 +147,13 @@
     world = EchoWorld()
     await world.listener.start()
     try:
-        async with asyncio.timeout(_TIMEOUT_SECONDS):
-            host, _, port = world.address.rpartition(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            reader, writer = await world.open()
             writer.write(data)
             await writer.drain()
             await reader.read(1)
             writer.transport.abort()
-            while world.connection_limit.count:
+            while world.connections:
                 await asyncio.sleep(0.001)
     finally:
         await world.listener.stop()
--- a/testing/adapters/http1/test_server_ends.py
+++ b/testing/adapters/http1/test_server_ends.py
@@ -6,65 +6,28 @@
 
 import pytest
 
-from ridgesill.adapters.http1.connection_memory import ConnectionMemory
 from ridgesill.adapters.http1.server import HttpListener
 from ridgesill.core.serving.routes import ClientLimits
-from ridgesill.ports.http import HttpRequest, Responder
-from testing.processes import free_address
+from testing.adapters.http1.listener_world import ListenerWorld
 
-_LIMITS = ClientLimits(16_384, 400_000, 3.0, 5.0)
 _TIMEOUT_SECONDS = 5.0
 _CANCEL_SECONDS = 1.0
 _GET = b"GET /wait HTTP/1.1\r\nHost: a\r\n"
 
 
-class WaitingWorld:
-    """A listener whose requests last until their clients leave.
-
-    Attributes:
-        memory: counts what its connections hold.
-        started: set when a request has begun.
-        cancelled: set when one was cancelled.
-    """
-
-    def __init__(self) -> None:
-        self.memory = ConnectionMemory(8_000_000)
-        self.address = free_address()
-        self.listener = HttpListener(
-            self.address, self.serve, _LIMITS, self.memory
-        )
-        self.started = asyncio.Event()
-        self.cancelled = asyncio.Event()
-
-    async def serve(self, request: HttpRequest, responder: Responder) -> None:
-        """Waits until the request is cancelled; `/` is answered at once."""
-        if request.path == "/wait":
-            self.started.set()
-            try:
-                await asyncio.Event().wait()
-            finally:
-                self.cancelled.set()
-        responder.send_head(200, ((b"content-length", b"0"),))
-        responder.finish()
-
-    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Connects a client."""
-        host, _, port = self.address.rpartition(":")
-        return await asyncio.open_connection(host, int(port))
-
-    async def leave_during(self, data: bytes) -> None:
-        """Sends a request, and disconnects once it has begun."""
-        _, writer = await self.open()
-        writer.write(data)
-        await asyncio.wait_for(self.started.wait(), _TIMEOUT_SECONDS)
-        writer.close()
-        await asyncio.wait_for(self.cancelled.wait(), _CANCEL_SECONDS)
+async def leave_during(world: ListenerWorld, data: bytes) -> None:
+    """Sends a request, and disconnects once it has begun."""
+    _, writer = await world.open()
+    writer.write(data)
+    await asyncio.wait_for(world.started.wait(), _TIMEOUT_SECONDS)
+    writer.close()
+    await asyncio.wait_for(world.cancelled.wait(), _CANCEL_SECONDS)
 
 
 @pytest.fixture
-async def world() -> AsyncIterator[WaitingWorld]:
+async def world() -> AsyncIterator[ListenerWorld]:
     """Yields a listener that has been started."""
-    made = WaitingWorld()
+    made = ListenerWorld()
     await made.listener.start()
     yield made
     await made.listener.stop()
@@ -77,47 +40,49 @@
     """
 
     async def test_a_short_request_is_cancelled(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
-        await world.leave_during(_GET + b"\r\n")
+        await leave_during(world, _GET + b"\r\n")
 
     async def test_one_with_a_long_head_is_cancelled(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
-        await world.leave_during(_GET + b"A: %s\r\n\r\n" % (b"y" * 5_000))
+        await leave_during(world, _GET + b"A: %s\r\n\r\n" % (b"y" * 5_000))
 
     async def test_one_whose_body_arrives_with_its_head_is_cancelled(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
         body = b"x" * 5_000
-        await world.leave_during(
-            _GET + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        await leave_during(
+            world, _GET + b"Content-Length: %d\r\n\r\n" % len(body) + body
         )
 
     async def test_one_sent_behind_another_is_cancelled(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
-        await world.leave_during(
+        await leave_during(
+            world,
             b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
             + _GET
             + b"Content-Length: 5000\r\n\r\n"
-            + b"x" * 5_000
+            + b"x" * 5_000,
         )
 
     async def test_one_in_many_chunks_is_cancelled(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
-        await world.leave_during(
+        await leave_during(
+            world,
             _GET
             + b"Transfer-Encoding: chunked\r\n\r\n"
             + b"1\r\nx\r\n" * 200
-            + b"0\r\n\r\n"
+            + b"0\r\n\r\n",
         )
 
 
 class TestRefusedBodies:
     async def test_a_refused_body_no_longer_counts(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against requests refused for memory that nobody holds."""
         reader, writer = await world.open()
@@ -156,7 +121,7 @@
 class TestTurns:
     """Guards against harm to usual requests beside many long heads."""
 
-    async def _count_turns(self, world: WaitingWorld, sent: bytes) -> int:
+    async def _count_turns(self, world: ListenerWorld, sent: bytes) -> int:
         """Returns how many turns others take before a request is answered."""
         parsers = [SlowParser(world.listener, 3) for _ in range(100)]
         reader, writer = await world.open()
@@ -174,7 +139,7 @@
         return taken
 
     async def test_a_request_without_a_body_does_not_wait(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
         turns = await self._count_turns(
             world, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -182,13 +147,13 @@
         assert turns < 50
 
     async def test_one_with_a_usual_head_and_a_body_does_not_wait(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
         post = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n"
         assert await self._count_turns(world, post + b"x" * 5_000) < 50
 
     async def test_a_head_that_waits_for_its_turn_is_not_late(
-        self, world: WaitingWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against a 408 for a head that has arrived whole."""
         world.listener.limits = ClientLimits(16_384, 400_000, 0.3, 5.0)
--- a/testing/adapters/http1/test_server_memory.py
+++ b/testing/adapters/http1/test_server_memory.py
@@ -5,83 +5,23 @@
 
 import pytest
 
-from ridgesill.adapters.http1.connection_memory import ConnectionMemory
-from ridgesill.adapters.http1.server import HttpListener
-from ridgesill.core.serving.routes import ClientLimits
-from ridgesill.ports.http import HttpRequest, Responder
-from testing.clients import open_with_buffer
-from testing.processes import free_address
+from testing.adapters.http1.listener_world import (
+    BODY_BYTES,
+    LONG_BYTES,
+    TIMEOUT_SECONDS,
+    VM_BYTES,
+    ListenerWorld,
+)
 
-_BODY_BYTES = 400_000
-_VM_BYTES = 8_000_000
 _POST = b"POST / HTTP/1.1\r\nHost: a\r\n"
 _GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
-_TIMEOUT_SECONDS = 10.0
-# Far more than the kernel takes for a client that reads nothing.
-_LONG_BYTES = 4 * 2**20
 
 
-class MemoryWorld:
-    """A listener that echoes bodies.
-
-    Args:
-        vm_bytes: memory of its VM.
-
-    Attributes:
-        released: lets requests to `/wait` end.
-        requests: number of requests so far.
-        paths: their paths, in order.
-    """
-
-    def __init__(self, vm_bytes: float) -> None:
-        self.memory = ConnectionMemory(vm_bytes)
-        self.address = free_address()
-        self.listener = HttpListener(
-            self.address,
-            self.serve,
-            ClientLimits(16_384, _BODY_BYTES, 3.0, 5.0),
-            self.memory,
-        )
-        self.released = asyncio.Event()
-        self.requests = 0
-        self.paths: list[str] = []
-
-    async def serve(self, request: HttpRequest, responder: Responder) -> None:
-        """Echoes the body; `/wait` waits, and `/long` sends 4 MiB."""
-        self.requests += 1
-        self.paths.append(request.path)
-        body = request.body
-        if request.path == "/wait":
-            await self.released.wait()
-        if request.path == "/long":
-            body = bytes(_LONG_BYTES)
-        responder.send_head(200, ((b"content-length", b"%d" % len(body)),))
-        responder.send_data(body)
-        responder.finish()
-
-    async def open(
-        self, receive_bytes: int = 0
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Connects a client."""
-        limit = receive_bytes or 2**16
-        return await open_with_buffer(self.address, receive_bytes, limit)
-
-    async def ask(self, data: bytes) -> bytes:
-        """Sends bytes; returns the head of the answer."""
-        reader, writer = await self.open()
-        writer.write(data)
-        head = await asyncio.wait_for(
-            reader.readuntil(b"\r\n\r\n"), _TIMEOUT_SECONDS
-        )
-        writer.close()
-        return head
-
-
-@pytest.fixture(params=[_VM_BYTES])
-async def world(request: pytest.FixtureRequest) -> AsyncIterator[MemoryWorld]:
+@pytest.fixture(params=[VM_BYTES])
+async def world(request: pytest.FixtureRequest) -> AsyncIterator[ListenerWorld]:
     """Yields a listener that has been started; its parameter is its memory."""
-    started = MemoryWorld(request.param)
+    started = ListenerWorld(request.param)
     await started.listener.start()
     yield started
     await started.listener.stop()
@@ -95,28 +35,28 @@
 
 class TestBodiesOverTheLimit:
     async def test_an_announced_body_is_refused_before_it_comes(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         head = await world.ask(post(b"", 500 * 2**20))
         assert head.startswith(b"HTTP/1.1 413")
 
     async def test_a_refusal_arrives_although_the_body_comes(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against a reset that discards the refusal."""
         reader, writer = await world.open()
         writer.write(post(b"x" * 200_000, 500 * 2**20))
         await asyncio.sleep(0.2)
-        answer = await asyncio.wait_for(reader.read(), _TIMEOUT_SECONDS)
+        answer = await asyncio.wait_for(reader.read(), TIMEOUT_SECONDS)
         assert answer.startswith(b"HTTP/1.1 413")
         writer.close()
 
     async def test_a_client_that_sends_on_is_disconnected(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         reader, writer = await world.open()
         writer.write(post(b"", 500 * 2**20))
-        async with asyncio.timeout(_TIMEOUT_SECONDS):
+        async with asyncio.timeout(TIMEOUT_SECONDS):
             with pytest.raises(ConnectionError):
                 while True:
                     writer.write(bytes(65536))
@@ -126,7 +66,7 @@
 
 class TestTinyChunks:
     async def test_a_body_in_chunks_of_a_byte_is_served(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         body = bytes(range(256)) * 40
         chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
@@ -138,7 +78,7 @@
         writer.close()
 
     async def test_others_are_served_beside_many_such_bodies(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against parsing that takes all turns of the event loop."""
         piece = b"1\r\nx\r\n" * 20_000
@@ -157,9 +97,9 @@
 
 
 class TestLongHeads:
-    @pytest.mark.parametrize("world", [100 * _VM_BYTES], indirect=True)
+    @pytest.mark.parametrize("world", [100 * VM_BYTES], indirect=True)
     async def test_others_do_not_wait_until_all_are_parsed(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against heads that take all turns of the event loop."""
         headers = b"".join(b"a%x:\r\n" % number for number in range(2300))
@@ -178,7 +118,7 @@
 class TestRequestsAhead:
     @pytest.mark.parametrize("world", [1e9], indirect=True)
     async def test_they_wait_until_the_client_reads(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against answers that pile up for a client."""
         reader, writer = await world.open(4096)
@@ -188,12 +128,12 @@
         assert world.requests == 1
         for _ in range(3):
             await reader.readuntil(b"\r\n\r\n")
-            await reader.readexactly(_LONG_BYTES)
+            await reader.readexactly(LONG_BYTES)
         assert world.requests == 3
         writer.close()
 
     async def test_no_more_is_received_than_a_bound(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         _, writer = await world.open()
         writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -207,7 +147,7 @@
         world.released.set()
         writer.transport.abort()
 
-    async def test_all_are_served_in_order(self, world: MemoryWorld) -> None:
+    async def test_all_are_served_in_order(self, world: ListenerWorld) -> None:
         reader, writer = await world.open()
         bodies = [b"%d" % number * 500 for number in range(200)]
         writer.write(b"".join(map(post, bodies)))
@@ -219,12 +159,12 @@
 
 class TestAllTogether:
     async def test_the_largest_unfinished_body_is_refused(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         opened = []
         for size in (300_000, 390_000, 350_000):
             reader, writer = await world.open()
-            writer.write(post(b"x" * size, _BODY_BYTES))
+            writer.write(post(b"x" * size, BODY_BYTES))
             opened.append((reader, writer))
             await asyncio.sleep(0.1)
         reader, _ = opened[1]
@@ -234,14 +174,14 @@
         assert world.memory.total <= 1_000_000
         # The others go on.
         reader, writer = opened[0]
-        writer.write(b"x" * (_BODY_BYTES - 300_000))
+        writer.write(b"x" * (BODY_BYTES - 300_000))
         head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2.0)
         assert head.startswith(b"HTTP/1.1 200")
         for _, writer in opened:
             writer.close()
 
     async def test_heads_of_many_headers_count(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against heads that take many times their bytes in memory."""
         headers = b"".join(b"a%x:\r\n" % number for number in range(2300))
@@ -262,7 +202,7 @@
             writer.close()
 
     async def test_requests_that_are_complete_do_not_count(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against counting each request of a connection for good."""
         request = b"GET / HTTP/1.1\r\nHost: a\r\nA: %s\r\n\r\n" % (b"x" * 800)
@@ -276,7 +216,7 @@
             writer.close()
 
     async def test_requests_in_progress_count_and_stay(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         """Guards against the end of a request that may have run."""
         body = b"x" * 390_000
@@ -286,7 +226,7 @@
             for _ in range(2)
         ]
         await asyncio.sleep(0.2)
-        refused = await world.ask(post(b"x" * 300_000, _BODY_BYTES))
+        refused = await world.ask(post(b"x" * 300_000, BODY_BYTES))
         assert refused.startswith(b"HTTP/1.1 503")
         assert (await world.ask(_GET)).startswith(b"HTTP/1.1 200")
         world.released.set()
@@ -295,7 +235,7 @@
 
     @pytest.mark.parametrize("length", [1, 390_000])
     async def test_a_single_long_answer_to_a_body_is_delivered(
-        self, world: MemoryWorld, length: int
+        self, world: ListenerWorld, length: int
     ) -> None:
         """Guards against a request that is counted as another one beside it."""
         reader, writer = await world.open(4096)
@@ -303,13 +243,13 @@
         writer.write(b"Content-Length: %d\r\n\r\n" % length + bytes(length))
         await asyncio.sleep(0.3)
         assert world.requests == 1
-        async with asyncio.timeout(_TIMEOUT_SECONDS):
+        async with asyncio.timeout(TIMEOUT_SECONDS):
             await reader.readuntil(b"\r\n\r\n")
-            await reader.readexactly(_LONG_BYTES)
+            await reader.readexactly(LONG_BYTES)
         writer.close()
 
     async def test_a_long_answer_is_given_up_beside_a_large_body(
-        self, world: MemoryWorld
+        self, world: ListenerWorld
     ) -> None:
         head = b"POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 390000\r\n"
         waiting = asyncio.create_task(
@@ -318,10 +258,10 @@
         await asyncio.sleep(0.2)
         reader, writer = await world.open(4096)
         writer.write(b"GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
-        async with asyncio.timeout(_TIMEOUT_SECONDS):
+        async with asyncio.timeout(TIMEOUT_SECONDS):
             with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
                 await reader.readuntil(b"\r\n\r\n")
-                await reader.readexactly(_LONG_BYTES)
+                await reader.readexactly(LONG_BYTES)
         writer.close()
         world.released.set()
         assert (await waiting).startswith(b"HTTP/1.1 200")
