Let test upstreams override the answer and not the connection

PlainUpstream's loop over requests was copied by three upstreams of scenarios and by the readers' world for the sake of another answer. They override _answer now; the loop also takes the cancellation that the copies took.

--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -152,17 +152,28 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                self.served_requests += 1
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
-                )
-        except (asyncio.IncompleteReadError, ConnectionError):
+            while not writer.is_closing():
+                head = await reader.readuntil(b"\r\n\r\n")
+                await self._answer(head, reader, writer)
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
             pass
         finally:
             writer.close()
 
+    async def _answer(
+        self,
+        head: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answers a request, of which `reader` has the body."""
+        self.served_requests += 1
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine")
+
     async def _send_heartbeats(self) -> None:
         while True:
             for control in self._controls:
--- a/testing/readers_world.py
+++ b/testing/readers_world.py
@@ -32,29 +32,21 @@
 
     large_part_seconds = _EVENT_SECONDS
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _answer(
+        self,
+        head: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                )
-                if b" /slow/" in head:
-                    pause = self.large_part_seconds
-                    await _send(writer, _LARGE_PART, _LARGE_PARTS, pause)
-                else:
-                    event = b"data: x\n\n"
-                    await _send(writer, event, _EVENTS, _EVENT_SECONDS)
-                writer.write(b"0\r\n\r\n")
-                self.served_requests += 1
-        except (
-            asyncio.IncompleteReadError,
-            asyncio.CancelledError,
-            ConnectionError,
-        ):
-            writer.close()
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        if b" /slow/" in head:
+            pause = self.large_part_seconds
+            await _send(writer, _LARGE_PART, _LARGE_PARTS, pause)
+        else:
+            event = b"data: x\n\n"
+            await _send(writer, event, _EVENTS, _EVENT_SECONDS)
+        writer.write(b"0\r\n\r\n")
+        self.served_requests += 1
 
 
 async def _send(
--- a/testing/scenarios/test_cut_heads.py
+++ b/testing/scenarios/test_cut_heads.py
@@ -47,23 +47,18 @@
     head: bytes | None = None
     reached = 0
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _answer(
+        self,
+        head: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
-        try:
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                if self.head is not None:
-                    self.reached += 1
-                    writer.write(self.head)
-                    return
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
-                )
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            writer.close()
+        if self.head is None:
+            await super()._answer(head, reader, writer)
+            return
+        self.reached += 1
+        writer.write(self.head)
+        writer.close()
 
 
 @pytest.fixture
--- a/testing/scenarios/test_killed_front.py
+++ b/testing/scenarios/test_killed_front.py
@@ -66,21 +66,22 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(await self._make_head())
-            for _ in range(self.events):
-                writer.write(_EVENT)
-                await writer.drain()
-                await asyncio.sleep(_EVENT_SECONDS)
-        except (
-            asyncio.IncompleteReadError,
-            asyncio.CancelledError,
-            ConnectionError,
-        ):
-            pass
+            await super()._serve(reader, writer)
         finally:
             self._writers.discard(writer)
-            writer.close()
+
+    async def _answer(
+        self,
+        head: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(await self._make_head())
+        for _ in range(self.events):
+            writer.write(_EVENT)
+            await writer.drain()
+            await asyncio.sleep(_EVENT_SECONDS)
+        writer.close()
 
 
 @attrs.define
--- a/testing/scenarios/test_stopped_front.py
+++ b/testing/scenarios/test_stopped_front.py
@@ -50,28 +50,18 @@
         self.is_slow = False
         self.reached: set[str] = set()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _answer(
+        self,
+        head: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                self.reached.add(_find_value(head, b"request-id").decode())
-                length = int(_find_value(head, b"content-length") or 0)
-                await reader.readexactly(length)
-                if self.is_slow:
-                    await asyncio.sleep(_ANSWER_SECONDS)
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
-                )
-        except (
-            asyncio.IncompleteReadError,
-            asyncio.CancelledError,
-            ConnectionError,
-        ):
-            pass
-        finally:
-            writer.close()
+        self.reached.add(_find_value(head, b"request-id").decode())
+        length = int(_find_value(head, b"content-length") or 0)
+        await reader.readexactly(length)
+        if self.is_slow:
+            await asyncio.sleep(_ANSWER_SECONDS)
+        await super()._answer(head, reader, writer)
 
 
 def _find_value(head: bytes, name: bytes) -> bytes:
