--- a/review/4/case.py
+++ b/review/4/case.py
@@ -47,8 +47,9 @@
             await writer.drain()
         await super().handle(method, path, headers, body, writer)
 
-    async def write_answer(self, path, number, writer):
-        await super().write_answer(path, number, writer)
+    async def write_answer(self, path, headers, writer):
+        await super().write_answer(path, headers, writer)
+        number = headers["request-id"]
         self._answers += 1
         if self.garbles and self._answers % EVERY == 0:
             body = expected_stream(number)
--- a/review/common-2/runners.py
+++ b/review/common-2/runners.py
@@ -49,6 +49,21 @@
             self._beats.cancel()
         for writer in self._writers:
             writer.transport.abort()
+        self._writers.clear()
+
+    async def restart(self, version, report_delay):
+        """Starts again under its identifier, at its address, after `stop`.
+
+        Args:
+            version: of the software that it has then.
+            report_delay: how late its first status report comes, in seconds.
+        """
+        self.version, self._sequence = version, 0
+        self.born = int(time.time() * 1000)
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._beats = asyncio.create_task(
+            self._report_regularly(report_delay))
 
     # -- status reports ------------------------------------------------
 
@@ -78,7 +93,8 @@
             self.controls.append(self.controls.pop(0))
         return False
 
-    async def _report_regularly(self):
+    async def _report_regularly(self, delay=0.0):
+        await asyncio.sleep(delay)
         while True:
             await self.report_once()
             await asyncio.sleep(1.2)
@@ -97,7 +113,7 @@
                 await self.handle(method, path, headers, body, writer)
                 await writer.drain()
         self._writers.discard(writer)
-        writer.close()
+        writer.transport.abort()
 
     async def handle(self, method, path, headers, body, writer):
         """Answers one request; a channel has one at a time."""
@@ -136,12 +152,13 @@
         self.record.add(f"{self.name} runs {number}")
         self._running += 1
         try:
-            await self.write_answer(path, number, writer)
+            await self.write_answer(path, headers, writer)
         finally:
             self._running -= 1
 
-    async def write_answer(self, path, number, writer):
+    async def write_answer(self, path, headers, writer):
         """Writes a whole answer of a plain service."""
+        number = headers.get("request-id", "")
         await asyncio.sleep(0.045)
         write(writer, 200, {"Request-Id": number,
                             "Server-Stamp": self.make_stamp()},
@@ -153,18 +170,24 @@
 
     events, pause = 14, 0.02
 
-    async def write_answer(self, path, number, writer):
-        """Writes a stream in chunks."""
+    def make_event(self, number, event):
+        """Returns an event of a stream."""
+        return f"id: {event}\ndata: {number} {event}\n\n".encode()
+
+    async def write_answer(self, path, headers, writer):
+        """Writes a stream in chunks; goes on after `Last-Event-Id`."""
+        number = headers.get("request-id", "")
+        last = int(headers.get("last-event-id") or 0)
         stamp = self.make_stamp()
         writer.write(head(200, {
             "Request-Id": number, "Server-Stamp": stamp,
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked"}))
-        for event in range(1, self.events + 1):
+        for event in range(last + 1, self.events + 1):
             await asyncio.sleep(self.pause)
             if writer.is_closing():
                 raise ConnectionResetError("the caller has left")
-            data = f"id: {event}\ndata: {number} {event}\n\n".encode()
+            data = self.make_event(number, event)
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
         writer.write(b"0\r\n\r\n")
 
