--- a/review/common-2/runners.py
+++ b/review/common-2/runners.py
@@ -121,7 +121,7 @@
         if expected not in (None, self.name):
             write(writer, 421, {"Instance-Id": self.name}, b"")
         elif path == "/ridgesill/report":
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.04)
             write(writer, 200, {"Content-Type": "application/json"},
                   json.dumps(self.report()).encode())
         elif path == "/ridgesill/order":
