--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -47,10 +47,18 @@
 
 
 def free_port():
-    """Returns a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that is free now.
+
+    It lies below those that the system gives to outgoing channels, one of which
+    might take it before it is used.
+    """
+    for _ in range(200):
+        port = random.randrange(11000, 29000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise CannotRunError("no port is free")
 
 
 class Machine:
