--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,140 +1,175 @@
-"""A surplus answer is taken for a server's report, and the report for an answer."""
+"""A front that misses many changes of a large configuration stays behind."""
 
 import asyncio
-import itertools
+import random
+import signal
+import string
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
-from documents import document, engine, route, service  # noqa: E402
-from runners import (  # noqa: E402
-    StreamRunner,
-    expected_stream,
-    head,
-)
+from documents import document, route, service  # noqa: E402
+from links import Link, LinkProxy  # noqa: E402
+from runners import Runner  # noqa: E402
 from world import HOST, CannotRunError, Deployment, ask, run_case  # noqa: E402
 
-MODEL = "daka510000"
-# garble: share 0.6 of the servers, 0.03 of their answers, for 5 s.
-GARBLING_SERVERS, SERVERS, EVERY, SECONDS = 3, 6, 33, 5.0
-WAVE_REQUESTS, WAVES, WAVE_SECONDS = 120, 12, 1.0
-# The wave before which the server of the next software version starts.
-RELEASE_WAVE = 6
-
-
-class SurplusRunner(StreamRunner):
-    """Answers some requests twice: the second answer comes late.
-
-    It comes in the place where the next one is due on that channel.
-    """
-
-    garbles = False
-
-    def __init__(self, *args, **options):
-        super().__init__(*args, **options)
-        self._answers = 0
-        self._surplus = {}
-
-    async def handle(self, method, path, headers, body, writer):
-        late = self._surplus.pop(writer, None)
-        if late is not None:
-            self.record.add(
-                f"{self.name} writes the second answer to {late[0]} in the"
-                f" place of the answer to {method} {path}")
-            writer.write(late[1])
-            await writer.drain()
-        await super().handle(method, path, headers, body, writer)
-
-    async def write_answer(self, path, headers, writer):
-        await super().write_answer(path, headers, writer)
-        number = headers["request-id"]
-        self._answers += 1
-        if self.garbles and self._answers % EVERY == 0:
-            body = expected_stream(number)
-            self._surplus[writer] = number, head(200, {
-                "Request-Id": number, "Server-Stamp": self.make_stamp(),
-                "Content-Type": "text/event-stream",
-                "Content-Length": len(body)}) + body
-
-
-async def send(world, front, number, counts, record):
-    """Sends one stream request; returns whether its answer may stand."""
+# The link of a front of tanuru-book-grown: 5 Mbit/s.
+LINK_BYTES_PER_SECOND = 5e6 / 8
+# Bounds of tanuru-book-grown, in seconds.
+CONTACT_SECONDS, CONFIG_SECONDS = 4.0, 2.5
+# node_freeze: one front, for 5 s.
+FREEZE_SECONDS = 5.0
+# Two config_storms: a change each 0.06 s for 1.5 s, and each 0.33 s for 4 s.
+STORMS = ((0.06, 1.5), (0.33, 4.0))
+# 40 routes that nobody asks for, and a big_config of 1400 more.
+ROUTES = 1440
+PROBE_SECONDS = 15.0
+PEERS_OFFSET = 5
+
+
+def make_routes(rng):
+    """Returns routes with names like those of the platform."""
+
+    def pick(count, letters=string.ascii_lowercase + string.digits):
+        return "".join(rng.choice(letters) for _ in range(count))
+
+    def word():
+        return "".join(
+            pick(1, "bcdfghjklmnpqrstvwxz") + pick(1, "aeiou") for _ in range(2)
+        ) + pick(3, string.digits)
+
+    prefixes = set()
+    while len(prefixes) < ROUTES:
+        prefixes.add(f"/{word()}/")
+    return [
+        route(f"r-{pick(7)}", prefix, "wuno96b") for prefix in sorted(prefixes)
+    ]
+
+
+async def probe(world, front, path, number):
+    """Returns the status that a front answers for a path, or None."""
     answer = await ask(
-        *world.address(front, "front"), "POST", "/lohu930/2f", b"{}",
-        {"Request-Id": number, "Model": MODEL, "Token-Counts": "646,70",
-         "Prompt-Prefix": f"5c1e07a2:155,{number}:491",
-         "Request-Deadline": "6000"}, 6.5, host=HOST)
-    status = answer.status if answer else "no answer"
-    if answer and status == 200 and not answer.is_whole:
-        status = "cut in the answer"
-    counts[status] = counts.get(status, 0) + 1
-    if status != 200:
-        record.add(f"{number} at {front.name} -> {status}")
-        return True
-    stamp = answer.headers.get("server-stamp")
-    is_own = answer.body == expected_stream(number)
-    if stamp and is_own:
-        return True
-    record.say(f"MIXED: {number} at {front.name} -> 200, Server-Stamp {stamp},"
-               f" body {answer.body[:160]!r}")
-    return False
+        *world.address(front, "front"), "GET", path, b"",
+        {"Request-Id": f"{number:016x}", "Request-Deadline": "1000"}, 1.5,
+        host=HOST)
+    return answer.status if answer else None
+
+
+class Operator:
+    """Sends changes, each with a version of its own."""
+
+    def __init__(self, world, routes):
+        self._world, self._routes = world, routes
+        self._services = [service("wuno96b", connections=490)]
+        self.version = 0
+
+    async def change(self, *further):
+        """Changes a route that nobody asks for; adds `further`."""
+        self.version += 1
+        idle = self._routes[self.version % 40]
+        idle["timeout_ms"] = 1000 + self.version
+        self._routes += further
+        sent = document(self.version, list(self._routes), self._services)
+        return await self._world.put(sent)
+
+    async def storm(self, gap, seconds):
+        """Sends a change each `gap` for some seconds.
+
+        Four calls are under way at most, so eight of both storms.
+        """
+        tasks, began, due = [], time.monotonic(), time.monotonic()
+        while time.monotonic() - began < seconds:
+            tasks = [task for task in tasks if not task.done()]
+            if len(tasks) < 4:
+                tasks.append(asyncio.create_task(self.change()))
+                due += gap
+            await asyncio.sleep(max(due - time.monotonic(), 0.005))
+        await asyncio.gather(*tasks)
 
 
 async def case(record, has_trouble):
-    world = Deployment(record)
-    runners = []
+    world = Deployment(
+        record,
+        bounds={"contact_ms": 4000, "acknowledge_ms": 5000, "catch_up_s": 6,
+                "drain_ms": 2500, "config_ms": 2500, "stretch_limit_ms": 6000,
+                "budget_slack": 182, "recovery_s": 15, "pass_ms": 200},
+        limits={"front": {"link_mbps": 5.0, "memory_mb": 200,
+                          "cpu_share": 0.258}})
+    peers = world.ports["peers"]
+    links = {
+        f"{front.ip}:{peers}": (
+            Link(LINK_BYTES_PER_SECOND), Link(LINK_BYTES_PER_SECOND))
+        for front in world.fronts
+    }
+    proxies, runner = [], None
     try:
+        for core in world.controls:
+            listens = f"{core.ip}:{peers + PEERS_OFFSET}"
+            core.environment["RIDGESILL_PEERS_LISTEN"] = listens
+            proxies.append(LinkProxy(
+                (core.ip, peers), (core.ip, peers + PEERS_OFFSET), links))
+            await proxies[-1].start()
         world.start()
-        reports_to = [world.address(core, "control") for core in world.controls]
-        models = [{"name": MODEL, "version": 1, "adapters": []}]
-        runners += [
-            SurplusRunner(record, reports_to, "huvo11a", f"i-{n}", "v1",
-                          models=models)
-            for n in range(SERVERS)
-        ]
-        stream = route("r-zji9n73", "/lohu930/", "huvo11a", "stream", 6000, 600,
-                       session_affinity=True, resumable=True,
-                       gap_target_ms=400)
-        config = document(7, [stream], [service("huvo11a", engine())])
-        if await world.put(config) is None:
+        routes = make_routes(random.Random(80))
+        base = routes[-1]["prefix"]
+        operator = Operator(world, routes)
+        if await operator.change() is None:
             raise CannotRunError("the configuration wasn't acknowledged")
-        for runner in runners:
-            await runner.start()
+        runner = Runner(
+            record, [world.address(c, "control") for c in world.controls],
+            "wuno96b", "i-0", slots=6)
+        await runner.start()
         await world.wait_ready()
         await asyncio.sleep(2.0)
-        numbers, counts, held = itertools.count(1), {}, True
-        for wave in range(WAVES):
-            now = asyncio.get_running_loop().time()
-            if wave == RELEASE_WAVE - 3:
-                for runner in runners[:GARBLING_SERVERS]:
-                    runner.garbles = has_trouble
-                record.say(f"garble: {has_trouble}")
-            if wave == RELEASE_WAVE - 3 + SECONDS / WAVE_SECONDS:
-                for runner in runners:
-                    runner.garbles = False
-            if wave == RELEASE_WAVE:
-                newer = SurplusRunner(record, reports_to, "huvo11a", "i-new",
-                                      "v2", models=models)
-                runners.append(newer)
-                await newer.start()
-                record.say("a server of version v2 starts")
-                await asyncio.sleep(0.4)
-            tasks = [
-                send(world, front, f"{next(numbers):016x}", counts, record)
-                for _ in range(WAVE_REQUESTS) for front in world.fronts
-            ]
-            held &= all(await asyncio.gather(*tasks))
-            left = now + WAVE_SECONDS - asyncio.get_running_loop().time()
-            await asyncio.sleep(max(left, 0.0))
-        record.say(f"answers: {counts}")
-        if counts.get(200, 0) < 0.8 * sum(counts.values()):
-            raise CannotRunError("too few requests were served")
+        behind, other = world.fronts
+        for front in world.fronts:
+            if await probe(world, front, base + "x", 1) != 200:
+                raise CannotRunError(f"{front.name} doesn't serve {base}")
+        if has_trouble:
+            behind.signal(signal.SIGSTOP)
+            record.say(f"{behind.name} freezes")
+        began = time.monotonic()
+        await asyncio.gather(*(operator.storm(*storm) for storm in STORMS))
+        added = "/nuvo777/"
+        confirmed = await operator.change(route("r-added01", added, "wuno96b"))
+        if confirmed is None:
+            raise CannotRunError("a change wasn't acknowledged")
+        record.say(f"version {operator.version} has {added}: acknowledged")
+        await asyncio.sleep(
+            max(began + FREEZE_SECONDS - time.monotonic(), 0.0))
+        behind.signal(signal.SIGCONT)
+        thawed = time.monotonic()
+        record.say(f"{behind.name} goes on; it was still for"
+                   f" {thawed - began:.1f} s")
+        # From here on it is in touch, and the version has to be in force.
+        due = max(thawed + CONTACT_SECONDS, confirmed + CONFIG_SECONDS)
+        await asyncio.sleep(due - time.monotonic())
+        number, held = 100, True
+        while time.monotonic() < due + PROBE_SECONDS:
+            number += 1
+            statuses = {
+                front.name: await probe(world, front, added + "x", number)
+                for front in (behind, other)
+            }
+            ready = await world.is_ready(behind)
+            carried = links[f"{behind.ip}:{peers}"][True].carried
+            record.add(f"{time.monotonic() - due:.1f} s after it is due:"
+                       f" {statuses}; {behind.name} ready: {ready};"
+                       f" {carried} bytes went to it")
+            if statuses[behind.name] == 404:
+                held = False
+            await asyncio.sleep(0.5)
+        record.say(f"at the end: {statuses}; {behind.name} says that it is"
+                   f" {'ready' if ready else 'not ready'}")
         return held
     finally:
-        for runner in runners:
+        if runner is not None:
             runner.stop()
+        for proxy in proxies:
+            proxy.stop()
         world.close()
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,7 @@
-"""Streams go on at another software version that nobody has heard of yet."""
+"""A surplus answer is taken for a server's report, and the report for an answer."""
 
 import asyncio
-import contextlib
 import itertools
-import random
 import sys
 from pathlib import Path
 
@@ -11,102 +9,77 @@
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
 from documents import document, engine, route, service  # noqa: E402
-from runners import StreamRunner  # noqa: E402
-from world import (  # noqa: E402
-    HOST,
-    CannotRunError,
-    Deployment,
-    encode_request,
-    read_chunks,
-    read_head,
-    run_case,
+from runners import (  # noqa: E402
+    StreamRunner,
+    expected_stream,
+    head,
 )
+from world import HOST, CannotRunError, Deployment, ask, run_case  # noqa: E402
 
 MODEL = "daka510000"
-REQUESTS_PER_SECOND = 100
-SECONDS = 12.0
-# srv_crash: a quarter of the servers is down for 2 s, as in the site file.
-DOWN_SECONDS = 2.0
-# When the two servers crash, in seconds from the start of traffic.
-FIRST_CRASH, SECOND_CRASH = 3.0, 6.0
-# "A status report may come seconds late."
-REPORT_DELAY = 2.5
-# ORDER is broken by more than two streams.
-ALLOWED = 2
-
-
-class VersionedRunner(StreamRunner):
-    """Writes its software version into each event."""
-
-    pause = 0.08
-
-    def make_event(self, number, event):
-        return f"id: {event}\ndata: {self.version}\n\n".encode()
-
-
-async def read_stream(world, front, number, headers, events):
-    """Reads a stream until its end; returns the status or how it ended."""
-    writer = None
-    try:
-        async with asyncio.timeout(6.0):
-            reader, writer = await asyncio.open_connection(
-                *world.address(front, "front"))
-            writer.write(encode_request(
-                "POST", "/lohu930/2f", b"{}",
-                {"Request-Id": number, "Model": MODEL,
-                 "Token-Counts": "646,70",
-                 "Prompt-Prefix": f"5c1e07a2:155,{number}:491",
-                 "Request-Deadline": "6000"} | headers, HOST))
-            first, found = await read_head(reader)
-            status = int(first.split()[1])
-            if status != 200:
-                return status
-            rest = b""
-            async for data in read_chunks(reader):
-                *whole, rest = (rest + data).split(b"\n\n")
-                for event in whole:
-                    fields = dict(
-                        line.split(": ", 1)
-                        for line in event.decode().split("\n"))
-                    events.append((int(fields["id"]), fields["data"]))
-            return 200
-    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-        return "cut" if events else "no answer"
-    finally:
-        if writer is not None:
-            with contextlib.suppress(Exception):
-                writer.transport.abort()
-
-
-async def send(world, rng, number, counts, mixed, record):
-    """Sends a request, and takes its stream up once if it is cut."""
-    events = []
-    front = rng.choice(world.fronts)
-    end = await read_stream(world, front, number, {}, events)
-    in_one_answer = len({version for _, version in events}) > 1
-    if end == "cut":
-        other = rng.choice(world.fronts)
-        end = await read_stream(
-            world, other, f"{int(number, 16) + (1 << 60):016x}",
-            {"Last-Event-Id": str(events[-1][0]), "Resumes": number}, events)
-        counts["taken up"] = counts.get("taken up", 0) + 1
-    counts[end] = counts.get(end, 0) + 1
-    versions = [version for _, version in events]
-    if len(set(versions)) > 1:
-        mixed.append(number)
-        record.say(f"ORDER: {number} at {front.name} ({end}"
-                   f"{', in one answer' if in_one_answer else ''}):"
-                   f" {' '.join(versions)}")
-
-
-async def crash(record, runner, report_delay):
-    """Crashes a server, which is back with the next software version."""
-    record.say(f"{runner.name} crashes")
-    runner.stop()
-    await asyncio.sleep(DOWN_SECONDS)
-    await runner.restart("v2", report_delay)
-    record.say(f"{runner.name} is back, of version v2; its first status"
-               f" report comes {report_delay} s later")
+# garble: share 0.6 of the servers, 0.03 of their answers, for 5 s.
+GARBLING_SERVERS, SERVERS, EVERY, SECONDS = 3, 6, 33, 5.0
+WAVE_REQUESTS, WAVES, WAVE_SECONDS = 120, 12, 1.0
+# The wave before which the server of the next software version starts.
+RELEASE_WAVE = 6
+
+
+class SurplusRunner(StreamRunner):
+    """Answers some requests twice: the second answer comes late.
+
+    It comes in the place where the next one is due on that channel.
+    """
+
+    garbles = False
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self._answers = 0
+        self._surplus = {}
+
+    async def handle(self, method, path, headers, body, writer):
+        late = self._surplus.pop(writer, None)
+        if late is not None:
+            self.record.add(
+                f"{self.name} writes the second answer to {late[0]} in the"
+                f" place of the answer to {method} {path}")
+            writer.write(late[1])
+            await writer.drain()
+        await super().handle(method, path, headers, body, writer)
+
+    async def write_answer(self, path, headers, writer):
+        await super().write_answer(path, headers, writer)
+        number = headers["request-id"]
+        self._answers += 1
+        if self.garbles and self._answers % EVERY == 0:
+            body = expected_stream(number)
+            self._surplus[writer] = number, head(200, {
+                "Request-Id": number, "Server-Stamp": self.make_stamp(),
+                "Content-Type": "text/event-stream",
+                "Content-Length": len(body)}) + body
+
+
+async def send(world, front, number, counts, record):
+    """Sends one stream request; returns whether its answer may stand."""
+    answer = await ask(
+        *world.address(front, "front"), "POST", "/lohu930/2f", b"{}",
+        {"Request-Id": number, "Model": MODEL, "Token-Counts": "646,70",
+         "Prompt-Prefix": f"5c1e07a2:155,{number}:491",
+         "Request-Deadline": "6000"}, 6.5, host=HOST)
+    status = answer.status if answer else "no answer"
+    if answer and status == 200 and not answer.is_whole:
+        status = "cut in the answer"
+    counts[status] = counts.get(status, 0) + 1
+    if status != 200:
+        record.add(f"{number} at {front.name} -> {status}")
+        return True
+    stamp = answer.headers.get("server-stamp")
+    is_own = answer.body == expected_stream(number)
+    if stamp and is_own:
+        return True
+    record.say(f"MIXED: {number} at {front.name} -> 200, Server-Stamp {stamp},"
+               f" body {answer.body[:160]!r}")
+    return False
 
 
 async def case(record, has_trouble):
@@ -117,9 +90,9 @@
         reports_to = [world.address(core, "control") for core in world.controls]
         models = [{"name": MODEL, "version": 1, "adapters": []}]
         runners += [
-            VersionedRunner(record, reports_to, "huvo11a", f"i-{n}", "v1",
-                            models=models)
-            for n in range(4)
+            SurplusRunner(record, reports_to, "huvo11a", f"i-{n}", "v1",
+                          models=models)
+            for n in range(SERVERS)
         ]
         stream = route("r-zji9n73", "/lohu930/", "huvo11a", "stream", 6000, 600,
                        session_affinity=True, resumable=True,
@@ -131,27 +104,34 @@
             await runner.start()
         await world.wait_ready()
         await asyncio.sleep(2.0)
-        rng, loop = random.Random(7), asyncio.get_running_loop()
-        counts, mixed, tasks = {}, [], []
-        crashes = [(FIRST_CRASH, runners[1]), (SECOND_CRASH, runners[0])]
-        began = loop.time()
-        for n in itertools.count(1):
-            due = n / REQUESTS_PER_SECOND
-            if due > SECONDS:
-                break
-            await asyncio.sleep(max(began + due - loop.time(), 0.0))
-            if has_trouble and crashes and due > crashes[0][0]:
-                _, runner = crashes.pop(0)
-                tasks.append(asyncio.create_task(
-                    crash(record, runner, REPORT_DELAY)))
-            tasks.append(asyncio.create_task(
-                send(world, rng, f"{n:016x}", counts, mixed, record)))
-        await asyncio.gather(*tasks)
-        record.say(f"ends: {counts}; {len(mixed)} streams hold events of two"
-                   f" software versions")
-        if counts.get(200, 0) < 0.5 * SECONDS * REQUESTS_PER_SECOND:
+        numbers, counts, held = itertools.count(1), {}, True
+        for wave in range(WAVES):
+            now = asyncio.get_running_loop().time()
+            if wave == RELEASE_WAVE - 3:
+                for runner in runners[:GARBLING_SERVERS]:
+                    runner.garbles = has_trouble
+                record.say(f"garble: {has_trouble}")
+            if wave == RELEASE_WAVE - 3 + SECONDS / WAVE_SECONDS:
+                for runner in runners:
+                    runner.garbles = False
+            if wave == RELEASE_WAVE:
+                newer = SurplusRunner(record, reports_to, "huvo11a", "i-new",
+                                      "v2", models=models)
+                runners.append(newer)
+                await newer.start()
+                record.say("a server of version v2 starts")
+                await asyncio.sleep(0.4)
+            tasks = [
+                send(world, front, f"{next(numbers):016x}", counts, record)
+                for _ in range(WAVE_REQUESTS) for front in world.fronts
+            ]
+            held &= all(await asyncio.gather(*tasks))
+            left = now + WAVE_SECONDS - asyncio.get_running_loop().time()
+            await asyncio.sleep(max(left, 0.0))
+        record.say(f"answers: {counts}")
+        if counts.get(200, 0) < 0.8 * sum(counts.values()):
             raise CannotRunError("too few requests were served")
-        return len(mixed) <= ALLOWED
+        return held
     finally:
         for runner in runners:
             runner.stop()
