--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -359,9 +359,12 @@
             await asyncio.sleep(0.2)
             return held
 
+    # Ends the processes of the case also if it is asked to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         held = asyncio.run(bounded())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except Exception as error:
+        # An error of the case itself is no verdict on the rule.
         record.say(f"couldn't run: {error!r}")
         sys.exit(COULD_NOT_RUN)
     record.say("the rule held" if held else "the rule was broken")
