Tell answers of upstreams apart by the ids of their requests alone

Cause: answers were matched to requests only if both had an id. A front asks for an upstream's report on a kept channel, without an id. A second answer to an earlier request was taken for the report, the channel went back to the pool, and the report was then taken for the answer to the next request.

Evidence: the case holds without second answers, so the upstream is sound; no answer of another client came with a stamp, so the pool is. The tests of the channel and of the front show both halves, and the mirror: a report that is sent twice.

Why this works: by the protocol each answer carries the id of its request. One with an id belongs to no call without one, one without an id to no request with one, whatever its status. Calls without an id can't be told apart, so each has a channel of its own: orders and requests for reports too, where the late 202 of one order was taken for the 409 of the next. The start of an upstream is asked once on a channel, and an answer that is no report names none. Other fronts' answers are matched as before: their refusals carry no id.

Upstreams of the tests sent no ids, against the protocol; they do now.

--- a/src/ridgesill/adapters/http1/channel.py
+++ b/src/ridgesill/adapters/http1/channel.py
@@ -8,6 +8,7 @@
 import socket
 
 import h11
+from eliot import log_message
 
 from ridgesill.adapters.http1.parse_queue import MAX_EVENTS_AT_ONCE
 from ridgesill.ports.http import (
@@ -29,6 +30,8 @@
 # Bytes of a response to another request that are skipped, at most.
 _MAX_SKIPPED_BYTES = 1024 * 1024
 REQUEST_ID_HEADER = b"request-id"
+# Ids are truncated to this length in the log.
+_MAX_LOGGED_CHARACTERS = 64
 _BODILESS_STATUSES = frozenset((204, 304))
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -41,6 +44,15 @@
     return h11.Connection(h11.CLIENT)
 
 
+def _find_request_id(headers: Headers) -> bytes:
+    """Returns the value of the request-id header; empty without one."""
+    return find_header(headers, REQUEST_ID_HEADER).encode()
+
+
+def _format_id(request_id: bytes) -> str:
+    return request_id.decode()[:_MAX_LOGGED_CHARACTERS]
+
+
 class UpstreamChannel(asyncio.BufferedProtocol):
     """A client connection that carries one request at a time.
 
@@ -48,6 +60,8 @@
         address: the upstream's `host:port`.
         receive_buffer: receives bytes before they are parsed; other channels
             may share it.
+        requires_ids: whether a response without an id belongs to no request
+            that has one.
 
     Attributes:
         requests: number of requests sent on this connection.
@@ -58,8 +72,15 @@
         start: the upstream's start that is behind it; 0 if unknown.
     """
 
-    def __init__(self, address: str, receive_buffer: memoryview) -> None:
+    def __init__(
+        self,
+        address: str,
+        receive_buffer: memoryview,
+        *,
+        requires_ids: bool = True,
+    ) -> None:
         self.address = address
+        self._requires_ids = requires_ids
         self.requests = 0
         self.opened_at = 0.0
         self.idle_since = 0.0
@@ -176,17 +197,17 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
         )
 
-    def send(self, request: HttpRequest, request_id: bytes) -> None:
-        """Sends a complete request.
+    @property
+    def has_request_id(self) -> bool:
+        """Whether the last request had an id."""
+        return bool(self._request_id)
 
-        Args:
-            request: the request.
-            request_id: value of its request-id header; empty if it has none.
-        """
+    def send(self, request: HttpRequest) -> None:
+        """Sends a complete request."""
         assert self._transport is not None
         self._is_busy = True
         self.requests += 1
-        self._request_id = request_id
+        self._request_id = _find_request_id(request.headers)
         self._method = request.method
         head = h11.Request(
             method=request.method,
@@ -202,7 +223,7 @@
     async def read_head(self) -> ResponseHead:
         """Returns the response head for the request that was sent.
 
-        Skips responses that carry another request's id.
+        Skips responses that belong to other requests.
 
         Raises:
             ChannelBrokenError: the connection ended before the head arrived.
@@ -226,6 +247,7 @@
                 )
                 if not self._is_for_other_request(head):
                     return head
+                self._log_skipped(head)
                 await self._skip_response()
 
     def _is_framed(self, status: int, headers: Headers) -> bool:
@@ -238,18 +260,25 @@
         return any(name in _FRAMING_HEADERS for name, _ in headers)
 
     def _is_for_other_request(self, head: ResponseHead) -> bool:
-        """Whether a response carries the id of another request.
+        """Whether a response belongs to another request.
 
-        An upstream may send a second response to the previous request. It
-        then arrives where the response to the current one is expected.
+        An upstream may send a second response to an earlier request. It then
+        arrives where the response to the current one is expected. Responses
+        carry the ids of their requests, so one without an id doesn't belong to
+        a request that has one, whatever its status says.
         """
-        response_request_id = find_header(
-            head.headers, REQUEST_ID_HEADER
-        ).encode()
-        return bool(
-            self._request_id
-            and response_request_id
-            and response_request_id != self._request_id
+        response_id = _find_request_id(head.headers)
+        if not response_id and not self._requires_ids:
+            return False
+        return response_id != self._request_id
+
+    def _log_skipped(self, head: ResponseHead) -> None:
+        log_message(
+            "upstream:surplus_response",
+            peer=self.address,
+            status=head.status,
+            response_id=_format_id(_find_request_id(head.headers)),
+            request=_format_id(self._request_id),
         )
 
     async def _skip_response(self) -> None:
--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -93,15 +93,26 @@
 
     Implements `connection_memory.Holder`.
 
+    Args:
+        channels: the pool that the channel comes from.
+        channel: the channel that the request was sent on.
+        is_held: whether the caller goes on using the channel after the
+            response.
+
     Attributes:
         head: the response head; None until it has been read.
     """
 
     def __init__(
-        self, channels: "UpstreamChannels", channel: UpstreamChannel
+        self,
+        channels: "UpstreamChannels",
+        channel: UpstreamChannel,
+        *,
+        is_held: bool = False,
     ) -> None:
         self._channels = channels
         self._channel = channel
+        self._is_held = is_held
         self._ended = False
         self._is_shed = False
         self.head: ResponseHead | None = None
@@ -158,8 +169,12 @@
 
     def _finish(self) -> None:
         assert self.head is not None
-        if not self._ended:
-            self._end()
+        if self._ended:
+            return
+        self._end()
+        if self._is_held:
+            self._channel.finish(self.head)
+        else:
             self._channels.release(self._channel, self.head)
 
     def cancel(self) -> None:
@@ -178,6 +193,8 @@
             proxy on the same ports; empty for none.
         memory: bounds what is held of all responses that are read whole; of its
             own if omitted.
+        requires_ids: whether a response without an id belongs to no request
+            that has one.
     """
 
     def __init__(
@@ -185,8 +202,11 @@
         connect_seconds: float,
         host: str = "",
         memory: ConnectionMemory | None = None,
+        *,
+        requires_ids: bool = True,
     ) -> None:
         self.memory = memory or ConnectionMemory()
+        self._requires_ids = requires_ids
         self._connect_seconds = connect_seconds
         self._host = host
         self._idle: dict[str, list[UpstreamChannel]] = {}
@@ -205,6 +225,8 @@
     ) -> Exchange:
         """Sends a request on an idle or a new channel.
 
+        A request without an id is sent on a new channel.
+
         Args:
             address: the upstream's `host:port`.
             request: the complete request.
@@ -215,7 +237,10 @@
             ChannelError: no channel could be opened; nothing was sent.
         """
         channel = await self.acquire(
-            address, max_idle_seconds=max_idle_seconds, max_open=max_open
+            address,
+            max_idle_seconds=max_idle_seconds,
+            max_open=max_open,
+            is_new=not find_header(request.headers, REQUEST_ID_HEADER),
         )
         return self.start_exchange(channel, request)
 
@@ -226,6 +251,7 @@
         max_idle_seconds: float = 60.0,
         max_open: int = 0,
         is_patient: bool = False,
+        is_new: bool = False,
     ) -> UpstreamChannel:
         """Returns an idle or a new channel for one request.
 
@@ -235,11 +261,15 @@
             max_open: limit on open channels to this upstream; 0 for none.
             is_patient: whether the upstream may be silent for a second or so,
                 because the request may run only once.
+            is_new: whether the channel must be new. A request without an id
+                needs that: it can't tell its response from a surplus one.
 
         Raises:
             ChannelError: no channel could be opened; nothing was sent.
         """
-        channel = self._acquire_idle(address, max_idle_seconds)
+        channel = None
+        if not is_new:
+            channel = self._acquire_idle(address, max_idle_seconds)
         if channel is None:
             self._enforce_limit(address, max_open)
             channel = await self._open(address)
@@ -272,12 +302,22 @@
         self._idle.setdefault(channel.address, []).append(channel)
 
     def start_exchange(
-        self, channel: UpstreamChannel, request: HttpRequest
+        self,
+        channel: UpstreamChannel,
+        request: HttpRequest,
+        *,
+        is_held: bool = False,
     ) -> Exchange:
-        """Sends a request on a channel that was acquired."""
-        request_id = find_header(request.headers, REQUEST_ID_HEADER).encode()
-        channel.send(request, request_id)
-        return Exchange(self, channel)
+        """Sends a request on a channel that was acquired.
+
+        Args:
+            channel: the channel.
+            request: the complete request.
+            is_held: whether the caller goes on using the channel after the
+                response, and returns it. Otherwise it goes back to the pool.
+        """
+        channel.send(request)
+        return Exchange(self, channel, is_held=is_held)
 
     def _acquire_idle(
         self, address: str, max_idle_seconds: float
@@ -326,7 +366,9 @@
     async def _open(self, address: str) -> UpstreamChannel:
         host, port = split_address(address)
         attempt = self._loop.create_connection(
-            lambda: UpstreamChannel(address, self._receive_buffer),
+            lambda: UpstreamChannel(
+                address, self._receive_buffer, requires_ids=self._requires_ids
+            ),
             self._host or host,
             port,
         )
@@ -368,8 +410,14 @@
         return Connectivity.REACHABLE
 
     def release(self, channel: UpstreamChannel, head: ResponseHead) -> None:
-        """Returns a channel to the pool after its response, if reusable."""
-        if channel.finish(head):
+        """Returns a channel to the pool after its response, if reusable.
+
+        It isn't after a request without an id: a second response to that could
+        be taken for the response to the next such request.
+        """
+        if not channel.has_request_id:
+            self.discard(channel)
+        elif channel.finish(head):
             self._idle.setdefault(channel.address, []).append(channel)
 
     def discard(self, channel: UpstreamChannel) -> None:
--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -121,7 +121,10 @@
                 random.Random(),
             ),
             UpstreamChannels(
-                _FRONT_CONNECT_SECONDS, memory=self._answer_memory
+                _FRONT_CONNECT_SECONDS,
+                memory=self._answer_memory,
+                # A front's own refusals carry no id, and it answers once.
+                requires_ids=False,
             ),
             PlatformDialect(),
         )
--- a/src/ridgesill/app/start_checks.py
+++ b/src/ridgesill/app/start_checks.py
@@ -12,13 +12,15 @@
 from ridgesill.adapters.http1.client import UpstreamChannels
 from ridgesill.core.fleet.messages import Upstream
 from ridgesill.ports.dialect import Dialect
-from ridgesill.ports.http import MAX_REPORT_BYTES, ChannelError
+from ridgesill.ports.http import MAX_REPORT_BYTES, ChannelError, ResponseHead
 
 # How long an upstream may take to tell its start, in seconds.
 _ANSWER_SECONDS = 0.3
 # Channels that are asked before one request is sent, at most.
 _MAX_CHECKS = 3
 _OK = 200
+# An upstream that has no reports answers with one of these.
+_UNKNOWN_CALL_STATUSES = frozenset((404, 405, 501))
 
 
 class RestartedError(Exception):
@@ -44,17 +46,35 @@
         ChannelError: no channel could be opened or asked; nothing was sent.
     """
     for _ in range(_MAX_CHECKS):
-        channel = await acquire()
+        channel = await _acquire_current(channels, upstream, acquire)
         if channel.start == upstream.start:
             return channel
-        # The answer returns the channel to the pool, which it is then taken
-        # from again unless another request was faster.
         channel.start = await _ask_start(channels, dialect, upstream, channel)
         if channel.start != upstream.start:
+            channels.discard(channel)
             raise RestartedError(f"{upstream.name} has started again")
+        if channel.is_open:
+            return channel
     raise ChannelError("check", upstream.address, "no channel was left", False)
 
 
+async def _acquire_current(
+    channels: UpstreamChannels,
+    upstream: Upstream,
+    acquire: Callable[[], Awaitable[UpstreamChannel]],
+) -> UpstreamChannel:
+    """Returns a channel that isn't known to lead to another start.
+
+    A channel is asked for its start once, since the second report of two
+    couldn't be told from the first.
+    """
+    channel = await acquire()
+    while channel.start not in (0, upstream.start):
+        channels.discard(channel)
+        channel = await acquire()
+    return channel
+
+
 async def _ask_start(
     channels: UpstreamChannels,
     dialect: Dialect,
@@ -64,9 +84,13 @@
     """Returns the start that an upstream names on a channel.
 
     One that doesn't tell counts as the start that is wanted.
+
+    Raises:
+        RestartedError: another instance answered.
+        ChannelError: no report came, or the answer is none.
     """
     question = dialect.write_start_request(upstream.name, upstream.address)
-    exchange = channels.start_exchange(channel, question)
+    exchange = channels.start_exchange(channel, question, is_held=True)
     try:
         async with asyncio.timeout(_ANSWER_SECONDS):
             head = await exchange.read_head()
@@ -79,5 +103,23 @@
         raise ChannelError("check", upstream.address, detail, False) from error
     finally:
         exchange.cancel()
-    start = dialect.read_start(body) if head.status == _OK else 0
+    if dialect.is_misdirected(head):
+        raise RestartedError(f"{upstream.name} is no longer at its address")
+    start = _read_start(dialect, head, body)
+    if start is None:
+        channels.discard(channel)
+        detail = f"its answer with status {head.status} isn't a report"
+        raise ChannelError("check", upstream.address, detail, False)
     return start or upstream.start
+
+
+def _read_start(
+    dialect: Dialect, head: ResponseHead, body: bytes
+) -> int | None:
+    """Returns the start in an answer; 0 if it tells none, None if no report.
+
+    An upstream that doesn't know the call tells no start.
+    """
+    if head.status == _OK:
+        return dialect.read_start(body)
+    return 0 if head.status in _UNKNOWN_CALL_STATUSES else None
--- a/src/ridgesill/app/upstream_connections.py
+++ b/src/ridgesill/app/upstream_connections.py
@@ -53,7 +53,7 @@
     Args:
         front: whose channels are used.
         upstream: where the request goes.
-        request: its id.
+        request: its id; empty if it has none.
         is_repeatable: whether it may run twice.
 
     Raises:
@@ -64,6 +64,7 @@
         max_idle_seconds=_max_idle_seconds(is_repeatable=is_repeatable),
         max_open=_max_channels(front, upstream.service),
         is_patient=not is_repeatable,
+        is_new=not request,
     )
     await _settle(front, upstream, request, channel)
     return channel
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -9,10 +9,10 @@
 from ridgesill.platform.known_fields import find_unknown_headers
 from ridgesill.platform.upstreams import (
     LEAVING_HEADER,
-    MalformedError,
     PlatformEngines,
     is_leaving,
     read_instance,
+    read_start,
 )
 from ridgesill.ports.dialect import (
     EMPTY_UPSTREAM_WORD,
@@ -308,12 +308,12 @@
         """Builds the question which start of an upstream is at an address."""
         return self._engines.write_report_request(upstream, address)
 
-    def read_start(self, body: bytes) -> int:
-        """Returns the start that an upstream names; 0 if it names none."""
-        try:
-            return self._engines.read_report(body).start
-        except MalformedError:
-            return 0
+    def read_start(self, body: bytes) -> int | None:
+        """Returns the start in a report; 0 if it names none.
+
+        None if the body isn't a report.
+        """
+        return read_start(body)
 
     def find_unknown_headers(self, head: ResponseHead) -> tuple[str, ...]:
         """Returns the names of an upstream's headers that are not known."""
--- a/src/ridgesill/platform/upstreams.py
+++ b/src/ridgesill/platform/upstreams.py
@@ -99,6 +99,12 @@
     queued_requests: _WholeNumber = 0
 
 
+class _SaidStart(msgspec.Struct):
+    """The start in a report, whose other fields may be missing or invalid."""
+
+    born: _WholeNumber = 0
+
+
 class _SaidLeave(msgspec.Struct):
     """The body of a leave call; most upstreams send an empty body."""
 
@@ -174,6 +180,19 @@
     return _decode(body, _SaidLeave).born if body.strip() else 0
 
 
+def read_start(body: bytes) -> int | None:
+    """Decodes the start time in a report, and nothing else of it.
+
+    Returns:
+        Unix milliseconds; 0 if the report doesn't tell the start time, and None
+        if the body isn't a report.
+    """
+    try:
+        return _decode(body, _SaidStart).born
+    except MalformedError:
+        return None
+
+
 def _decode(body: bytes, message_type: type[_T]) -> _T:
     try:
         return msgspec.json.decode(body, type=message_type)
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -219,8 +219,11 @@
     def write_start_request(self, upstream: str, address: str) -> HttpRequest:
         """Builds the question which start of an upstream is at an address."""
 
-    def read_start(self, body: bytes) -> int:
-        """Returns the start that an upstream names; 0 if it names none."""
+    def read_start(self, body: bytes) -> int | None:
+        """Returns the start in a report; 0 if it names none.
+
+        None if the body isn't a report.
+        """
 
     def find_unknown_headers(self, head: ResponseHead) -> tuple[str, ...]:
         """Returns the names of an upstream's headers that are not known."""
--- a/src/ridgesill/standin/emulator/engines.py
+++ b/src/ridgesill/standin/emulator/engines.py
@@ -289,6 +289,7 @@
         max_idle_seconds: float = 60.0,
         max_open: int = 0,
         is_patient: bool = False,
+        is_new: bool = False,
     ) -> str:
         """Returns the address of a running engine, in place of a channel.
 
@@ -310,7 +311,11 @@
         """Does nothing: no channel is kept."""
 
     def start_exchange(
-        self, channel: str, request: HttpRequest
+        self,
+        channel: str,
+        request: HttpRequest,
+        *,
+        is_held: bool = False,
     ) -> EmulatedExchange:
         """Sends a request to an address that `take` returned."""
         engine = self._engines[channel]
--- a/src/ridgesill/standin/emulator/messages.py
+++ b/src/ridgesill/standin/emulator/messages.py
@@ -68,7 +68,7 @@
         """Emulated upstreams have no start, so nobody asks."""
         raise NotImplementedError(f"{upstream} at {address} names no start")
 
-    def read_start(self, body: bytes) -> int:
+    def read_start(self, body: bytes) -> int | None:
         """Emulated upstreams have no start."""
         del body
         return 0
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -91,6 +91,19 @@
                 return value.strip()
         return ""
 
+    def id_line(self) -> str:
+        """Returns the header line by which an answer names its request."""
+        return f"Request-Id: {self.header('request-id')}"
+
+    async def send_raw_answer(self, head: str, body: bytes = b"") -> None:
+        """Sends a head, to which the id of the request is added, and bytes.
+
+        Args:
+            head: lines that end with CRLF each, without the blank line.
+            body: sent as it is.
+        """
+        await self.send(f"{head}{self.id_line()}\r\n\r\n".encode() + body)
+
     async def answer(
         self, status: int, body: bytes = b"ok", *headers: str
     ) -> None:
@@ -98,7 +111,7 @@
         lines = [
             f"HTTP/1.1 {status} X",
             f"Content-Length: {len(body)}",
-            f"Request-Id: {self.header('request-id')}",
+            self.id_line(),
             *headers,
         ]
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
@@ -114,6 +127,7 @@
             "HTTP/1.1 200 OK",
             "Transfer-Encoding: chunked",
             "Content-Type: text/event-stream",
+            self.id_line(),
             *headers,
         ]
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
@@ -129,6 +143,7 @@
             "HTTP/1.1 200 OK",
             "Connection: close",
             f"Content-Type: {content_type}",
+            self.id_line(),
             *headers,
         ]
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
@@ -311,7 +326,7 @@
             for number, address in enumerate(addresses)
         )
         self.front.links = FrontLinks(
-            fronts, UpstreamChannels(0.4), PlatformDialect()
+            fronts, UpstreamChannels(0.4, requires_ids=False), PlatformDialect()
         )
 
     def share_upstreams(self, other: "FrontWorld", address: str = "") -> None:
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import os
+import re
 import shutil
 import signal
 import subprocess
@@ -23,6 +24,7 @@
 from testing.processes import free_address
 
 ROUTE_HOST = "a.example"
+_ID_LINE = re.compile(rb"request-id:[^\r]*\r\n", re.IGNORECASE)
 _HEARTBEAT_SECONDS = 0.5
 _POLL_SECONDS = 20.0
 # Bounds on key revocation and quotas in the settings of each process.
@@ -130,6 +132,16 @@
             shutil.rmtree(self.data_folder, ignore_errors=True)
 
 
+def make_id_line(head: bytes) -> bytes:
+    """Returns the header line by which an answer names its request.
+
+    Args:
+        head: of the request; the line is empty if it names no id.
+    """
+    line = _ID_LINE.search(head)
+    return line[0] if line else b""
+
+
 class PlainUpstream:
     """Answers every request, and sends heartbeats to a control node."""
 
@@ -172,7 +184,8 @@
     ) -> None:
         """Answers a request, of which `reader` has the body."""
         self.served_requests += 1
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n")
+        writer.write(make_id_line(head) + b"\r\nfine")
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/testing/readers_world.py
+++ b/testing/readers_world.py
@@ -11,6 +11,7 @@
     ROUTE_HOST,
     PlainUpstream,
     PlatformDeployment,
+    make_id_line,
 )
 
 MEMORY_MB = 200
@@ -38,7 +39,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n")
+        writer.write(make_id_line(head) + b"\r\n")
         if b" /slow/" in head:
             pause = self.large_part_seconds
             await _send(writer, _LARGE_PART, _LARGE_PARTS, pause)
