Refuse a success that lacks the upstream's stamp

Cause: a front passed on each 2xx. By the protocol a 2xx counts only with the stamp of the upstream that served it.

Why this works: the dialect knows the stamp, and an answer that claims success without it counts as a failed attempt that may have run. A request that may be repeated goes elsewhere, any other one ends with 502, which promises nothing; a caller must not take a foreign body for a result. The channel is closed with the rest unread, since the awaited answer may still come on it.

test_a_success_without_a_stamp_is_not_passed_on failed before in all three cases: 200 and "wrong" reached the client. Upstreams of the tests stamp their successes now, as the protocol demands.

--- a/src/ridgesill/app/forwarding.py
+++ b/src/ridgesill/app/forwarding.py
@@ -1021,6 +1021,10 @@
                 True,
                 misdirected=dialect.is_misdirected(head),
             )
+        if dialect.is_unproven(head):
+            # It may be the answer to something else. The channel is closed with
+            # the rest of it unread.
+            return Failure(f"unproven: {head.status}", False)
         if head.status >= _SERVER_ERROR or claims_not_run(head):
             body, _ = await self._relay.read_body(upstream, exchange, head)
             return Failure(f"status {head.status}", False, (head, body))
--- a/src/ridgesill/platform/requests.py
+++ b/src/ridgesill/platform/requests.py
@@ -50,6 +50,8 @@
 # 0 (scheduled first) to 9; 5 if the header is missing.
 _PRIORITY_HEADER = b"request-priority"
 _NOT_RUN_HEADER = b"not-run"
+# Made by the upstream that served the request.
+_STAMP_HEADER = b"server-stamp"
 # The caller's API key; never forwarded to an upstream.
 _KEY_HEADER = b"credential"
 # The customer that the request belongs to; set by fronts only.
@@ -71,6 +73,8 @@
 # `VERSION;index=INDEX`.
 _APPLIED_HEADER = b"ridgesill-applied"
 _APPLIED_VALUE = re.compile(r"([0-9]{1,18});index=([0-9]{1,18})", re.ASCII)
+_OK = 200
+_REDIRECT = 300
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 # An unsigned decimal number; 20 fraction digits cover what programs print for
@@ -271,6 +275,13 @@
             find_header(head.headers, _NOT_RUN_HEADER)
         )
 
+    def is_unproven(self, head: ResponseHead) -> bool:
+        """Whether an answer claims success without the upstream's stamp."""
+        return (
+            _OK <= head.status < _REDIRECT
+            and not find_header(head.headers, _STAMP_HEADER).strip()
+        )
+
     def is_misdirected(self, head: ResponseHead) -> bool:
         """Whether the upstream is another instance or lacks the artifact."""
         return head.status == _MISDIRECTED
--- a/src/ridgesill/ports/dialect.py
+++ b/src/ridgesill/ports/dialect.py
@@ -210,6 +210,9 @@
     def is_not_run(self, head: ResponseHead) -> bool:
         """Whether an answer says that the request was not run."""
 
+    def is_unproven(self, head: ResponseHead) -> bool:
+        """Whether an answer claims success without the upstream's proof."""
+
     def is_misdirected(self, head: ResponseHead) -> bool:
         """Whether the upstream is another instance or lacks the artifact."""
 
--- a/src/ridgesill/standin/emulator/messages.py
+++ b/src/ridgesill/standin/emulator/messages.py
@@ -52,6 +52,10 @@
         """Returns whether an upstream states that it didn't run a request."""
         return bool(find_header(head.headers, _NOT_RUN_HEADER))
 
+    def is_unproven(self, head: ResponseHead) -> bool:
+        """Returns False: emulated engines make no proofs."""
+        return False
+
     def read_upstream_word(self, head: ResponseHead) -> UpstreamWord:
         """Returns an empty word: emulated engines add none to answers."""
         return UpstreamWord()
--- a/testing/app/front_world.py
+++ b/testing/app/front_world.py
@@ -95,14 +95,27 @@
         """Returns the header line by which an answer names its request."""
         return f"Request-Id: {self.header('request-id')}"
 
+    def proof_lines(self, status: int, headers: tuple[str, ...]) -> list[str]:
+        """Returns the header lines of each answer, and those of this one.
+
+        A success needs a stamp, unless its own headers have one.
+        """
+        lines = [self.id_line(), *headers]
+        if status < 300 and not any(
+            line.startswith("Server-Stamp:") for line in headers
+        ):
+            lines.append("Server-Stamp: s")
+        return lines
+
     async def send_raw_answer(self, head: str, body: bytes = b"") -> None:
-        """Sends a head, to which the id of the request is added, and bytes.
+        """Sends a head, to which an id and a stamp are added, and bytes.
 
         Args:
             head: lines that end with CRLF each, without the blank line.
             body: sent as it is.
         """
-        await self.send(f"{head}{self.id_line()}\r\n\r\n".encode() + body)
+        proof = "\r\n".join(self.proof_lines(200, ()))
+        await self.send(f"{head}{proof}\r\n\r\n".encode() + body)
 
     async def answer(
         self, status: int, body: bytes = b"ok", *headers: str
@@ -111,8 +124,7 @@
         lines = [
             f"HTTP/1.1 {status} X",
             f"Content-Length: {len(body)}",
-            self.id_line(),
-            *headers,
+            *self.proof_lines(status, headers),
         ]
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
@@ -127,8 +139,7 @@
             "HTTP/1.1 200 OK",
             "Transfer-Encoding: chunked",
             "Content-Type: text/event-stream",
-            self.id_line(),
-            *headers,
+            *self.proof_lines(200, headers),
         ]
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
 
@@ -143,8 +154,7 @@
             "HTTP/1.1 200 OK",
             "Connection: close",
             f"Content-Type: {content_type}",
-            self.id_line(),
-            *headers,
+            *self.proof_lines(200, headers),
         ]
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
 
--- a/testing/app/test_forwarding.py
+++ b/testing/app/test_forwarding.py
@@ -692,6 +692,36 @@
             )
             assert answer.body == b"right"
 
+    @pytest.mark.parametrize(
+        ("path", "status", "calls"),
+        [("/safe/x", 200, 2), ("/unsafe/x", 502, 1), ("/stream/x", 502, 1)],
+    )
+    async def test_a_success_without_a_stamp_is_not_passed_on(
+        self, world: FrontWorld, path: str, status: int, calls: int
+    ) -> None:
+        """Guards against a client that gets what is no answer to it as one."""
+        reached: list[str] = []
+
+        async def answer_without_stamp(call: Call) -> None:
+            reached.append(call.head)
+            if len(reached) > 1:
+                await answer_ok(call)
+                return
+            await call.send(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                b"Request-Id: r1\r\n\r\nwrong"
+            )
+
+        service = "engine" if path == "/stream/x" else "plain"
+        for name in ("u1", "u2"):
+            await world.add(
+                name, answer_without_stamp, service, base=1, base__a1=1
+            )
+        headers = STREAM if service == "engine" else {}
+        answer = await (await world.open()).ask(path, b"b", **headers)
+        assert (answer.status, len(reached)) == (status, calls)
+        assert answer.body != b"wrong"
+
     async def test_bytes_that_are_no_answer_are_not_passed_on(
         self, world: FrontWorld
     ) -> None:
--- a/testing/brittle_world.py
+++ b/testing/brittle_world.py
@@ -141,8 +141,7 @@
         lines = [
             "HTTP/1.1 200 OK",
             "Content-Length: 4",
-            call.id_line(),
-            *self._bound_headers(),
+            *call.proof_lines(200, self._bound_headers()),
         ]
         await call.send("\r\n".join(lines).encode() + b"\r\n\r\nfi")
         call.writer.close()
--- a/testing/platform_world.py
+++ b/testing/platform_world.py
@@ -132,14 +132,14 @@
             shutil.rmtree(self.data_folder, ignore_errors=True)
 
 
-def make_id_line(head: bytes) -> bytes:
-    """Returns the header line by which an answer names its request.
+def make_proof_lines(head: bytes) -> bytes:
+    """Returns the header lines by which a success belongs to its request.
 
     Args:
-        head: of the request; the line is empty if it names no id.
+        head: of the request; no id is named if it names none.
     """
     line = _ID_LINE.search(head)
-    return line[0] if line else b""
+    return b"Server-Stamp: s\r\n" + (line[0] if line else b"")
 
 
 class PlainUpstream:
@@ -185,7 +185,7 @@
         """Answers a request, of which `reader` has the body."""
         self.served_requests += 1
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n")
-        writer.write(make_id_line(head) + b"\r\nfine")
+        writer.write(make_proof_lines(head) + b"\r\nfine")
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/testing/readers_world.py
+++ b/testing/readers_world.py
@@ -11,7 +11,7 @@
     ROUTE_HOST,
     PlainUpstream,
     PlatformDeployment,
-    make_id_line,
+    make_proof_lines,
 )
 
 MEMORY_MB = 200
@@ -40,7 +40,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n")
-        writer.write(make_id_line(head) + b"\r\n")
+        writer.write(make_proof_lines(head) + b"\r\n")
         if b" /slow/" in head:
             pause = self.large_part_seconds
             await _send(writer, _LARGE_PART, _LARGE_PARTS, pause)
--- a/testing/scenarios/test_endless_upstream.py
+++ b/testing/scenarios/test_endless_upstream.py
@@ -31,14 +31,17 @@
 ) % ROUTE_HOST.encode()
 _PIECE = repeat(b"x")
 _CHUNK = b"%x\r\n%s\r\n" % (len(_PIECE), _PIECE)
-_ID = b"Request-Id: r9\r\n"
-_JSON = b"HTTP/1.1 200 OK\r\n%sContent-Type: application/json\r\n" % _ID
+_PROOF = b"Request-Id: r9\r\nServer-Stamp: s\r\n"
+_JSON = b"HTTP/1.1 200 OK\r\n%sContent-Type: application/json\r\n" % _PROOF
 # What the upstream sends once, and then again and again.
 _ANSWERS = {
     "unframed": (_JSON + b"Connection: close\r\n\r\n", _PIECE),
     "chunked": (_JSON + b"Transfer-Encoding: chunked\r\n\r\n", _CHUNK),
     "announced": (_JSON + b"Content-Length: 524288000\r\n\r\n", _PIECE),
-    "failed": (b"HTTP/1.1 500 X\r\nConnection: close\r\n%s\r\n" % _ID, _PIECE),
+    "failed": (
+        b"HTTP/1.1 500 X\r\nConnection: close\r\n%s\r\n" % _PROOF,
+        _PIECE,
+    ),
     "inside_a_header": (_JSON + b"X-Endless: ", _PIECE),
     "interim": (b"", b"HTTP/1.1 103 X\r\n\r\n" * 1000),
 }
--- a/testing/scenarios/test_killed_front.py
+++ b/testing/scenarios/test_killed_front.py
@@ -12,7 +12,7 @@
     ROUTE_HOST,
     PlainUpstream,
     PlatformDeployment,
-    make_id_line,
+    make_proof_lines,
 )
 from testing.readers_world import make_document
 
@@ -81,7 +81,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        writer.write(await self._make_head() + make_id_line(head) + b"\r\n")
+        writer.write(await self._make_head() + make_proof_lines(head) + b"\r\n")
         for _ in range(self.events):
             writer.write(_EVENT)
             await writer.drain()
