Send followers what they lack in bounded parts

Cause: a reply to a follower held all entries that it lacked, or the whole state, and the follower waited for 0.8 s whatever their size. A late reply was dropped and asked for again.

Why this works: of the documents in a reply only the newest counts, so that what is lacking is bounded by the state. What is larger than the follower takes at once is kept by the voter and sent in parts, which shrink when one is lost; what has arrived isn't sent again. Nodes of the previous release get whole replies as before.

--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -15,11 +15,20 @@
     ReplicaMessage,
 )
 from ridgesill.core import codec
+from ridgesill.core.catch_up import (
+    KeptContent,
+    KeptContents,
+    PartSize,
+    ReceivedContents,
+    drop_superseded,
+    measure,
+)
 from ridgesill.core.commands import Node
 from ridgesill.core.following import (
     AskLatest,
     Beat,
     Follow,
+    FollowContent,
     FollowReply,
     HeardBeat,
     Latest,
@@ -140,6 +149,13 @@
         self._leading_term = 0
         self._listeners: list[Callable[[], None]] = []
         self._voter_choice = VoterChoice(node.name, node.data_centre)
+        self._kept_contents = KeptContents()
+        self._received_contents = ReceivedContents()
+        self._part_size = PartSize()
+        # The newest routing document that a voter was known to have, and since
+        # when this node has had an older one.
+        self._known_routes_version = 0
+        self._behind_since = float("inf")
         self._beats_relayed_at = float("-inf")
 
     @property
@@ -167,6 +183,15 @@
                 self.freshness.as_of = max(self.freshness.as_of, confirmed)
         return self.freshness.is_valid(now)
 
+    def seconds_behind(self) -> float:
+        """Returns for how long a voter has had newer routes than this node.
+
+        0 if none is known to. A node that no voter answers knows of none.
+        """
+        if self.state.routes_version >= self._known_routes_version:
+            return 0.0
+        return max(self._loop.time() - self._behind_since, 0.0)
+
     def live_beats(self) -> list[Beat]:
         """Returns the beats of the nodes that count as alive here."""
         return self._membership.live_beats(self._loop.time())
@@ -293,8 +318,15 @@
     async def _follow_once(self, name: str, address: str) -> bool:
         now = self._loop.time()
         new, alive = self._relay.split_new(self._beats_to_relay(now), address)
+        content, offset = self._received_contents.find_next(name)
         request = Follow(
-            self._make_beat(), self.settings.follow_wait, new, alive
+            self._make_beat(),
+            self.settings.follow_wait,
+            new,
+            alive,
+            self._part_size.bytes,
+            content,
+            offset,
         )
         try:
             reply = await self._peers.call(
@@ -304,14 +336,50 @@
             )
         except PeerError:
             self._voter_choice.record_silence(name, self._loop.time())
+            self._part_size.record_loss()
             return False
         self._voter_choice.record_reply(name)
         self._relay.record_received(new, reply.unknown)
         self.leader = reply.leader
-        await self._apply_reply(reply, requested_at=now)
+        whole = self._join_parts(name, reply)
+        if whole is not None:
+            await self._apply_reply(whole, requested_at=now)
+        self._record_known_routes(reply.routes_version)
         # A voter whose own state is stale does not count as followed.
         return bool(reply.age < self.settings.lease)
 
+    def _join_parts(self, name: str, reply: FollowReply) -> FollowReply | None:
+        """Returns a reply with its whole content; None while parts are missing.
+
+        Args:
+            name: the voter that sent the reply.
+            reply: a reply with all of its content or with a part of it.
+        """
+        if reply.part is None:
+            self._received_contents.discard(name)
+            return reply
+        self._part_size.record_part(len(reply.part.data))
+        try:
+            content = self._received_contents.add(name, reply.part)
+        except codec.DecodeError as error:
+            log_message("log:content_unreadable", peer=name, detail=str(error))
+            return None
+        if content is None:
+            return None
+        self._received_contents.discard_all()
+        log_message(
+            "log:caught_up", peer=name, bytes=reply.part.total, upto=reply.upto
+        )
+        return attrs.evolve(
+            reply, entries=content.entries, snapshot=content.snapshot
+        )
+
+    def _record_known_routes(self, version: int) -> None:
+        """Records the version of the routes that a voter has."""
+        if self.state.routes_version >= self._known_routes_version:
+            self._behind_since = self._loop.time()
+        self._known_routes_version = max(self._known_routes_version, version)
+
     def _beats_to_relay(self, now: float) -> tuple[HeardBeat, ...]:
         """Returns the beats to relay to the leader; empty if none are due."""
         interval = _BEATS_INTERVAL_SECONDS_PER_NODE * len(self.state.nodes)
@@ -377,6 +445,10 @@
         self._membership.record_beat(request.beat, now)
         self._membership.record_relayed_beats(request.heard, now)
         unknown = self._membership.record_alive(request.alive, now)
+        kept = self._kept_contents.find(request.content, now)
+        if kept is not None:
+            reply = self._make_part_reply(request, kept)
+            return attrs.evolve(reply, unknown=unknown)
         deadline = now + request.wait
         while self.state.index <= request.beat.applied:
             remaining = deadline - self._loop.time()
@@ -387,30 +459,88 @@
         if request.beat.applied and not request.beat.node.voter:
             spacing = now + _MIN_FOLLOW_SECONDS - self._loop.time()
             await asyncio.sleep(max(spacing, 0.0))
-        return attrs.evolve(self._make_reply(request.beat), unknown=unknown)
+        return attrs.evolve(self._make_reply(request), unknown=unknown)
 
-    def _make_reply(self, beat: Beat) -> FollowReply:
+    def _make_reply(self, request: Follow) -> FollowReply:
         self.is_fresh()
-        age = self.freshness.age(self._loop.time())
+        beat = request.beat
         if self.driver is None:
             return FollowReply(-NEVER, beat.applied, (), b"", self.leader)
-        leader = node_name_of(self.driver.replica.leader) or self.leader
+        now = self._loop.time()
+        as_of = self.freshness.as_of
         if beat.node.voter:
             # A voter receives entries from the leader and only needs the index.
-            return FollowReply(age, self.state.index, (), b"", leader)
+            content = FollowContent(self.state.index)
+            return self._make_whole_reply(content, as_of)
+        kept = self._find_kept(request)
+        if kept is not None:
+            return self._make_part_reply(request, kept)
+        content = self._make_content(beat.applied)
+        if content.upto < self.state.index:
+            as_of = NEVER
+        if not request.max_bytes or measure(content) <= request.max_bytes:
+            return self._make_whole_reply(content, as_of)
+        kept = self._kept_contents.add(content, as_of, now)
+        return self._make_part_reply(request, kept)
+
+    def _find_kept(self, request: Follow) -> KeptContent | None:
+        """Returns a content that is kept for another follower, if it fits."""
+        assert self.driver is not None
+        oldest = self.driver.replica.log.snapshot.index
+        applied = request.beat.applied
+        if not request.max_bytes or applied >= oldest:
+            return None
+        return self._kept_contents.find_snapshot(oldest, self._loop.time())
+
+    def _make_content(self, applied: int) -> FollowContent:
+        """Returns what a node without a disk lacks that has applied an index.
+
+        It is bounded by the state and the number of entries, not by the number
+        of changed routing documents, of which only the last one counts.
+        """
+        assert self.driver is not None
         log = self.driver.replica.log
-        if beat.applied < log.snapshot.index:
+        if applied < log.snapshot.index:
             snapshot = self.state.dump(with_once=False)
-            return FollowReply(age, self.state.index, (), snapshot, leader)
-        upto = min(self.state.index, beat.applied + _MAX_ENTRIES)
-        if upto < self.state.index:
-            age = -NEVER
+            return FollowContent(self.state.index, snapshot=snapshot)
+        upto = min(self.state.index, applied + _MAX_ENTRIES)
         entries = tuple(
             entry
-            for entry in log.slice(beat.applied, upto)
+            for entry in log.slice(applied, upto)
             if is_needed_without_disk(entry.command)
         )
-        return FollowReply(age, upto, entries, b"", leader)
+        return FollowContent(upto, drop_superseded(entries))
+
+    def _make_whole_reply(
+        self, content: FollowContent, as_of: float
+    ) -> FollowReply:
+        return FollowReply(
+            self._loop.time() - as_of,
+            content.upto,
+            content.entries,
+            content.snapshot,
+            self._leader_for_followers(),
+            routes_version=self.state.routes_version,
+        )
+
+    def _make_part_reply(
+        self, request: Follow, kept: KeptContent
+    ) -> FollowReply:
+        """Returns the next part of a content that the follower lacks."""
+        offset = request.offset if request.content == kept.name else 0
+        return FollowReply(
+            self._loop.time() - kept.as_of,
+            kept.upto,
+            (),
+            b"",
+            self._leader_for_followers(),
+            part=kept.cut_part(offset, request.max_bytes),
+            routes_version=self.state.routes_version,
+        )
+
+    def _leader_for_followers(self) -> str:
+        assert self.driver is not None
+        return node_name_of(self.driver.replica.leader) or self.leader
 
     # -- leaving -------------------------------------------------------
 
--- a/src/ridgesill/core/following.py
+++ b/src/ridgesill/core/following.py
@@ -54,12 +54,55 @@
         heard: relayed beats that are new to the receiver.
         alive: for nodes whose beat the receiver already has, the seconds
             since the sender last received that beat, by node name.
+        max_bytes: the most bytes of a content in the reply; 0 for any number,
+            as nodes of the previous release expect.
+        content: name of the content of which the sender has received parts from
+            this voter; empty for none.
+        offset: number of bytes of it that the sender has.
     """
 
     beat: Beat
     wait: float
     heard: tuple[HeardBeat, ...] = ()
     alive: dict[str, float] = attrs.Factory(dict)
+    max_bytes: int = 0
+    content: str = ""
+    offset: int = 0
+
+
+@register
+@attrs.frozen
+class FollowContent:
+    """What brings a follower up to an index.
+
+    Attributes:
+        upto: the index that the follower reaches.
+        entries: the entries to apply, without those that a node without a disk
+            doesn't need.
+        snapshot: the whole state instead; empty if there are entries.
+    """
+
+    upto: int
+    entries: tuple[Entry, ...] = ()
+    snapshot: bytes = b""
+
+
+@register
+@attrs.frozen
+class ReplyPart:
+    """A part of an encoded and compressed `FollowContent`.
+
+    Attributes:
+        content: the name of the content.
+        offset: where the part begins.
+        total: the size of the content, in bytes.
+        data: the bytes of the part.
+    """
+
+    content: str
+    offset: int
+    total: int
+    data: bytes
 
 
 @register
@@ -77,6 +120,10 @@
             are compacted.
         leader: the node that leads, or empty.
         unknown: names in `Follow.alive` whose beats the voter lacks.
+        part: a part of a content that is too large for one reply, in place of
+            `entries` and `snapshot`; `upto` is reached with its last part.
+        routes_version: the version of the routing document that the voter has;
+            0 if it doesn't say.
     """
 
     age: float
@@ -85,6 +132,8 @@
     snapshot: bytes
     leader: str
     unknown: tuple[str, ...] = ()
+    part: ReplyPart | None = None
+    routes_version: int = 0
 
 
 @register
--- a/testing/app/control_world.py
+++ b/testing/app/control_world.py
@@ -103,6 +103,7 @@
         seed: decides losses and delays.
         loss: share of messages that are lost.
         voter_policy: how many voters there should be.
+        compact_entries: applied entries after which voters make a snapshot.
 
     Attributes:
         sent_orders: time in seconds, sender and content of each order.
@@ -114,8 +115,10 @@
         seed: int,
         loss: float = 0.02,
         voter_policy: VoterPolicy | None = None,
+        compact_entries: int = 20,
     ) -> None:
         super().__init__(seed, loss, (0.001, 0.02))
+        self._compact_entries = compact_entries
         self.members: dict[str, Member] = {}
         self.sent_orders: list[tuple[float, str, Order]] = []
         self._storages = {
@@ -170,7 +173,7 @@
                 control.send_to_replica,
                 control.notify_applied,
                 LOG_TIMING,
-                compact_entries=20,
+                compact_entries=self._compact_entries,
                 run_blocking=_run_inline,
                 rng=random.Random(self.rng.random()),
             )
--- a/testing/app/faulty_network.py
+++ b/testing/app/faulty_network.py
@@ -1,10 +1,12 @@
 """A simulated network that loses, delays and blocks messages."""
 
 import asyncio
+import collections
 import random
 from collections.abc import Container, Iterable
 from typing import Any
 
+from ridgesill.adapters.peer_rpc import encode_body
 from ridgesill.ports.peers import PeerError
 
 
@@ -21,6 +23,9 @@
         cut_links: pairs of sender and receiver between which no message
             arrives.
         reply_delay: additional delay of replies by receiver, in seconds.
+        link_rates: bytes per second in each direction of the links of nodes;
+            those of others have no bound.
+        link_bytes: bytes that were sent over each of these links, by node.
     """
 
     def __init__(
@@ -30,6 +35,9 @@
         self.loss = loss
         self.cut_links: set[tuple[str, str]] = set()
         self.reply_delay: dict[str, float] = {}
+        self.link_rates: dict[str, float] = {}
+        self.link_bytes: collections.Counter[str] = collections.Counter()
+        self._link_free_at: dict[tuple[str, bool], float] = {}
         self._delays = delays
         self._spawned: set[asyncio.Task[Any]] = set()
 
@@ -67,11 +75,33 @@
     async def deliver(self, sender: str, to: str, message: Any) -> Any:
         """Delivers a message to a node; returns its answer."""
         await self._travel(sender, to)
+        await self._pass_links(sender, to, message)
         answer = await self.handle_message(sender, to, message)
         await asyncio.sleep(self.reply_delay.get(sender, 0.0))
         await self._travel(to, sender)
+        await self._pass_links(to, sender, answer)
         return answer
 
+    async def _pass_links(self, sender: str, to: str, message: Any) -> None:
+        """Waits until a message has passed the links of both nodes.
+
+        A message that its receiver no longer waits for occupies them too.
+        """
+        if message is None:
+            return
+        now = asyncio.get_running_loop().time()
+        until = now
+        for link in ((sender, True), (to, False)):
+            rate = self.link_rates.get(link[0])
+            if rate is None:
+                continue
+            size = len(encode_body(message))
+            self.link_bytes[link[0]] += size
+            free_at = max(self._link_free_at.get(link, now), now) + size / rate
+            self._link_free_at[link] = free_at
+            until = max(until, free_at)
+        await asyncio.sleep(until - now)
+
     async def _travel(self, sender: str, to: str) -> None:
         await asyncio.sleep(self.rng.uniform(*self._delays))
         is_lost = self.rng.random() < self.loss
