Leave out fronts that can't get a configuration that others have

What callers saw: a front that never got a newer configuration said that it is ready, so clients were sent to it and got 404 for routes that are there.

Cause: readiness looked at the age of the configuration only where customers have keys, and age doesn't tell a front that can't catch up from one that, like all others, reaches no control node.

Why this works: replies to followers tell the version of the routes that the voter has. A front that has known of a newer one for longer than a change may take isn't ready. One that no voter answers knows of none and serves on.

--- a/src/ridgesill/app/front_process.py
+++ b/src/ridgesill/app/front_process.py
@@ -300,6 +300,7 @@
             and has_recent_news
             and not self._draining
             and not self._is_stale()
+            and not self._is_behind()
             and not self.front.chooser.is_cut_off_entirely()
             and not self._leaves_clients_to_others()
         )
@@ -322,6 +323,15 @@
             return False
         return self._links.fronts.has_local_help()
 
+    def _is_behind(self) -> bool:
+        """Whether a newer configuration has long been known, and not got.
+
+        Other fronts have it by then. A front that no control node answers knows
+        of none and serves on, as all others do.
+        """
+        bound = self._settings.bounds.configuration_seconds
+        return self.control.seconds_behind() > bound
+
     def _is_stale(self) -> bool:
         """Whether the configuration is too old to serve callers with keys."""
         if self.front.table.customers is None:
@@ -427,6 +437,9 @@
             "ridgesill_configuration_version": (
                 lambda: self.front.table.version
             ),
+            "ridgesill_configuration_seconds_behind": (
+                self.control.seconds_behind
+            ),
             "ridgesill_view_age_seconds": (
                 lambda: min(self._loop.time() - view.updated_at, 1e9)
             ),
--- a/testing/app/test_front_process.py
+++ b/testing/app/test_front_process.py
@@ -16,6 +16,7 @@
 from ridgesill.core.serving.front_load import FrontLoad, LoadSample, VmLimits
 from ridgesill.core.serving.outcomes import Outcomes
 from ridgesill.core.serving.routes import RouteTable
+from ridgesill.platform.settings import Bounds
 from ridgesill.ports.http import HttpRequest, Responder
 from testing.processes import free_address
 
@@ -40,8 +41,26 @@
         front.front = types.SimpleNamespace(  # type: ignore[assignment]
             table=table, load=None, chooser=chooser
         )
+        front.control = types.SimpleNamespace(  # type: ignore[assignment]
+            seconds_behind=lambda: 0.0
+        )
+        front._settings = types.SimpleNamespace(  # type: ignore[assignment]
+            data_centre="a", bounds=Bounds(configuration_seconds=2.0)
+        )
         return front
 
+    @pytest.mark.parametrize(
+        ("seconds", "is_ready"), [(1.9, True), (2.1, False)]
+    )
+    async def test_a_front_that_others_are_long_ahead_of_is_not_ready(
+        self, seconds: float, is_ready: bool
+    ) -> None:
+        """Guards against clients of a front that can't get a configuration."""
+        now = asyncio.get_running_loop().time()
+        front = self.make_front(now - 0.3)
+        front.control.seconds_behind = lambda: seconds  # type: ignore[method-assign]
+        assert front.is_ready() == is_ready
+
     async def test_a_front_that_reaches_no_upstream_is_not_ready(self) -> None:
         now = asyncio.get_running_loop().time()
         front = self.make_front(now - 0.3)
@@ -76,7 +95,6 @@
     ) -> None:
         now = asyncio.get_running_loop().time()
         front = self.make_front(now - 0.3)
-        front._settings = types.SimpleNamespace(data_centre="a")  # type: ignore[assignment]
         front.fleet.view.rooms = rooms
         load = front.front.load = FrontLoad(VmLimits(0.0, 1e6))
         for age in range(100, -1, -1):
