Have upstreams of the soak send answers twice

A share of the answers is sent once more, late, in the place of the next answer on its connection, reports among them. The seeds' own faults stay as they were, since these draw their own chances.

--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 import time
+import weakref
 from typing import Any
 
 import attrs
@@ -39,6 +40,9 @@
 _LASTING_SHARE = 0.25
 _LASTING_SECONDS = (1.0, 2.0)
 _EVENT_SECONDS = 0.02
+# Share of the answers that are sent once more, in the place of the next answer
+# on their connection.
+_SURPLUS_SHARE = 0.05
 # A request whose body has this prefix crashes every upstream that starts it.
 HARMFUL = b"harmful"
 # Shortest and longest time that such an upstream stays down, in seconds.
@@ -189,6 +193,10 @@
         # seeds in regressions.txt do.
         self._extra_rng = random.Random(f"{service} {controls}")
         self._framing_rng = random.Random(f"framing {service} {controls}")
+        self._surplus_rng = random.Random(f"surplus {service} {controls}")
+        self._last_answers: weakref.WeakKeyDictionary[
+            asyncio.StreamWriter, tuple[Call, bytes]
+        ] = weakref.WeakKeyDictionary()
         # Depends on the seed and takes nothing from the seed's generator.
         self._duration_rng = random.Random(f"durations {rng.getstate()}")
         # Links through which some fronts reach it.
@@ -351,9 +359,24 @@
         else:
             await self._run(call)
 
+    async def _repeat_last_answer(self, call: Call, body: bytes) -> None:
+        """Sends the last answer on a connection again, before this one.
+
+        Args:
+            call: the request that is answered now.
+            body: of its answer, which may be sent again before the next one.
+        """
+        last = self._last_answers.get(call.writer)
+        self._last_answers[call.writer] = (call, body)
+        if last is None or self._surplus_rng.random() >= _SURPLUS_SHARE:
+            return
+        earlier, earlier_body = last
+        await earlier.answer(200, earlier_body, f"Server-Stamp: {self.name}")
+
     async def _run(self, call: Call) -> None:
         request = call.header("request-id")
         self._ledger.record_run(call)
+        await self._repeat_last_answer(call, request.encode())
         if self._rng.random() < self.hang_share:
             await asyncio.sleep(3.0)
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
--- a/testing/soak/versions.py
+++ b/testing/soak/versions.py
@@ -85,8 +85,10 @@
             return
         if call.head.split(" ")[1] == "/ridgesill/report":
             report = b'{"sequence": 0, "born": %d}' % self._born
+            await self._repeat_last_answer(call, report)
             await call.answer(200, report)
             return
+        await self._repeat_last_answer(call, b"a second answer")
         last = int(call.header("last-event-id") or 0)
         breaks_at = 0
         if last < _EVENTS and self._rng.random() < self.broken_share:
