Let a transfer outlast the lease and a change of the voter

Cause: the age of the content stood for that of the voter, so that after the lease the voter counted as outdated; parts were kept by voter; and on a link that takes no larger parts each second one was lost, since the size was doubled with each part that arrived.

Why this works: a part has the content's age, the reply the voter's. Voters that have applied the same entries make the same content, so parts are kept by its digest and go on at another voter. A size that was lost is tried again after 32 parts.

--- a/src/ridgesill/app/control.py
+++ b/src/ridgesill/app/control.py
@@ -366,12 +366,14 @@
             return None
         if content is None:
             return None
-        self._received_contents.discard_all()
         log_message(
             "log:caught_up", peer=name, bytes=reply.part.total, upto=reply.upto
         )
         return attrs.evolve(
-            reply, entries=content.entries, snapshot=content.snapshot
+            reply,
+            age=reply.part.age,
+            entries=content.entries,
+            snapshot=content.snapshot,
         )
 
     def _record_known_routes(self, version: int) -> None:
@@ -527,14 +529,16 @@
         self, request: Follow, kept: KeptContent
     ) -> FollowReply:
         """Returns the next part of a content that the follower lacks."""
+        self.is_fresh()
+        now = self._loop.time()
         offset = request.offset if request.content == kept.name else 0
         return FollowReply(
-            self._loop.time() - kept.as_of,
+            self.freshness.age(now),
             kept.upto,
             (),
             b"",
             self._leader_for_followers(),
-            part=kept.cut_part(offset, request.max_bytes),
+            part=kept.cut_part(offset, request.max_bytes, now),
             routes_version=self.state.routes_version,
         )
 
--- a/src/ridgesill/core/catch_up.py
+++ b/src/ridgesill/core/catch_up.py
@@ -16,12 +16,13 @@
 from ridgesill.core.following import FollowContent, ReplyPart
 from ridgesill.core.log.messages import Entry
 
-# Size of a part, in bytes: halved when a reply is lost, and doubled when a part
-# of that size arrives. The largest takes 0.1 s at 5 Mbit/s, and the smallest at
-# 0.3 Mbit/s.
+# Size of a part, in bytes. The largest takes 0.1 s at 5 Mbit/s, the smallest as
+# long at 0.3 Mbit/s.
 MAX_PART_BYTES = 64 * 1024
 FIRST_PART_BYTES = 16 * 1024
 MIN_PART_BYTES = 4 * 1024
+# Parts in a row after which a size that was lost is tried again.
+_PARTS_BEFORE_RETRY = 32
 # Size up to which a content is decompressed.
 _MAX_CONTENT_BYTES = 64 * 2**20
 _COMPRESS_LEVEL = 1
@@ -30,7 +31,7 @@
 # How long a content is kept that nobody asks for, in seconds.
 _KEPT_SECONDS = 10.0
 # Bytes of contents that are kept, unless the newest alone has more.
-_MAX_KEPT_BYTES = 16 * 2**20
+_MAX_KEPT_BYTES = 8 * 2**20
 
 
 def drop_superseded(entries: Iterable[Entry]) -> tuple[Entry, ...]:
@@ -69,23 +70,35 @@
 class PartSize:
     """How much a follower asks for at once.
 
+    The size is doubled when a part of that size arrives, and halved when a
+    reply is lost. Then it stays for a while, since each loss costs the link as
+    much as a part that arrives.
+
     Attributes:
         bytes: the most bytes of a content in one reply.
     """
 
     bytes: int = FIRST_PART_BYTES
+    _limit: int = MAX_PART_BYTES
+    _parts_in_row: int = 0
 
     def record_part(self, size: int) -> None:
         """Records that a part of some bytes arrived in time.
 
         A short one doesn't show that a longer one would have.
         """
-        if size >= self.bytes:
-            self.bytes = min(self.bytes * 2, MAX_PART_BYTES)
+        if size < self.bytes:
+            return
+        self._parts_in_row += 1
+        if self._parts_in_row >= _PARTS_BEFORE_RETRY:
+            self._limit = MAX_PART_BYTES
+        self.bytes = min(self.bytes * 2, self._limit)
 
     def record_loss(self) -> None:
         """Records that no reply arrived in time."""
         self.bytes = max(self.bytes // 2, MIN_PART_BYTES)
+        self._limit = self.bytes
+        self._parts_in_row = 0
 
 
 @attrs.define
@@ -111,10 +124,11 @@
     made_at: float
     used_at: float
 
-    def cut_part(self, offset: int, max_bytes: int) -> ReplyPart:
+    def cut_part(self, offset: int, max_bytes: int, now: float) -> ReplyPart:
         """Returns the part that begins at an offset."""
         data = self.data[offset : offset + max_bytes]
-        return ReplyPart(self.name, offset, len(self.data), data)
+        age = now - self.as_of
+        return ReplyPart(self.name, offset, len(self.data), data, age)
 
 
 class KeptContents:
@@ -145,6 +159,7 @@
 
     def find(self, name: str, now: float) -> KeptContent | None:
         """Returns the content of a name, if it is kept."""
+        self._prune(now)
         kept = self._contents.get(name)
         if kept is not None:
             kept.used_at = now
@@ -176,34 +191,29 @@
             total -= len(self._contents.pop(oldest).data)
 
 
-@attrs.define
-class _Partial:
-    """The parts of one content that have arrived.
+class ReceivedContents:
+    """The parts of contents that a follower has.
 
-    Attributes:
-        name: the name of the content.
-        data: its beginning.
+    Voters that have applied the same entries make the same content, so that one
+    of them can go on where another one ended.
     """
 
-    name: str
-    data: bytearray
-
-
-class ReceivedContents:
-    """The parts of contents that a follower has, by the voter's name."""
-
     def __init__(self) -> None:
-        self._partial: dict[str, _Partial] = {}
+        self._beginnings: dict[str, bytearray] = {}
+        # The name of the content that each voter has last sent a part of.
+        self._names: dict[str, str] = {}
 
     def find_next(self, voter: str) -> tuple[str, int]:
-        """Returns the content that a voter has begun, and the next offset.
+        """Returns the content to ask a voter for, and the next offset.
 
-        The name is empty if it has begun none.
+        That is the one that it has begun, or else the one of which most has
+        arrived; the name is empty if there is none.
         """
-        partial = self._partial.get(voter)
-        if partial is None:
-            return "", 0
-        return partial.name, len(partial.data)
+        name = self._names.get(voter)
+        if name is None:
+            sizes = {n: len(data) for n, data in self._beginnings.items()}
+            name = max(sizes, key=sizes.__getitem__, default="")
+        return name, len(self._beginnings.get(name, b""))
 
     def add(self, voter: str, part: ReplyPart) -> FollowContent | None:
         """Adds a part; returns the content once it is whole.
@@ -211,24 +221,28 @@
         Raises:
             DecodeError: the parts don't form a content.
         """
-        partial = self._partial.get(voter)
-        if partial is None or partial.name != part.content:
-            partial = self._partial[voter] = _Partial(part.content, bytearray())
-        if part.offset != len(partial.data):
+        self._names[voter] = part.content
+        beginning = self._beginnings.setdefault(part.content, bytearray())
+        self._discard_unnamed()
+        if part.offset != len(beginning):
             return None
-        partial.data += part.data
-        if len(partial.data) < part.total:
+        beginning += part.data
+        if len(beginning) < part.total:
             return None
-        del self._partial[voter]
-        return _decode_content(part.content, bytes(partial.data))
+        self._beginnings.clear()
+        self._names.clear()
+        return _decode_content(part.content, bytes(beginning))
 
     def discard(self, voter: str) -> None:
         """Forgets the parts of a voter that sends something else."""
-        self._partial.pop(voter, None)
-
-    def discard_all(self) -> None:
-        """Forgets all parts, since a whole content has arrived."""
-        self._partial.clear()
+        if self._names.pop(voter, None) is not None:
+            self._discard_unnamed()
+
+    def _discard_unnamed(self) -> None:
+        """Forgets contents that no voter sends any more."""
+        names = set(self._names.values())
+        for name in self._beginnings.keys() - names:
+            del self._beginnings[name]
 
 
 def _name_content(data: bytes) -> str:
--- a/src/ridgesill/core/following.py
+++ b/src/ridgesill/core/following.py
@@ -97,12 +97,15 @@
         offset: where the part begins.
         total: the size of the content, in bytes.
         data: the bytes of the part.
+        age: seconds since the voter last knew everything committed that the
+            content holds.
     """
 
     content: str
     offset: int
     total: int
     data: bytes
+    age: float
 
 
 @register
@@ -112,7 +115,7 @@
 
     Attributes:
         age: seconds since the voter last knew everything committed; the
-            reply holds everything committed before that.
+            reply holds everything committed before that, unless it has a part.
         upto: the index that the follower reaches by applying this reply.
         entries: the entries to apply; those that a node without a disk does
             not need are left out.
--- a/testing/app/test_slow_links.py
+++ b/testing/app/test_slow_links.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ridgesill.core.commands import PutArtifactVersion, PutRoutes
-from testing.app.control_world import VOTERS, ControlWorld
+from testing.app.control_world import LEASE_SECONDS, VOTERS, ControlWorld
 
 pytestmark = pytest.mark.looptime(noop_cycles=2)
 
@@ -89,6 +89,16 @@
         assert await wait_for_routes(world, 5) < 2 * _CONTACT_SECONDS
         world.stop()
 
+    async def test_that_takes_longer_than_its_content_is_fresh(self) -> None:
+        """Guards against changing the voter, and beginning again, each time."""
+        world = await start_world(_RATE / 40)
+        size = 160_000
+        await put_routes(world, range(1, 2), 0.0, size)
+        seconds = size / (_RATE / 40)
+        assert seconds > 2 * LEASE_SECONDS
+        assert await wait_for_routes(world, 1) < 1.8 * seconds
+        world.stop()
+
 
 class TestStartingNodes:
     async def test_a_fleet_of_many_adapters_is_known(self) -> None:
