--- a/testing/app/test_slow_links.py
+++ b/testing/app/test_slow_links.py
@@ -5,7 +5,9 @@
 
 import pytest
 
-from ridgesill.core.commands import PutArtifactVersion, PutRoutes
+from ridgesill.core import codec
+from ridgesill.core.commands import Node, PutArtifactVersion, PutRoutes
+from ridgesill.core.following import Beat, Follow
 from testing.app.control_world import LEASE_SECONDS, VOTERS, ControlWorld
 
 pytestmark = pytest.mark.looptime(noop_cycles=2)
@@ -99,6 +101,19 @@
         assert await wait_for_routes(world, 1) < 1.8 * seconds
         world.stop()
 
+    async def test_a_node_of_the_previous_release_gets_whole_replies(
+        self,
+    ) -> None:
+        world = await start_world(_RATE)
+        await put_routes(world, range(1, 4), 0.0, 200_000)
+        beat = Beat(Node("old", "1", "old", "east"), 0, 0)
+        control = world.members["a"].control
+        reply = await control.handle_follow(Follow(beat, 0.0))
+        assert reply.part is None
+        kinds = [type(codec.decode(e.command)) for e in reply.entries]
+        assert kinds.count(PutRoutes) == 1
+        world.stop()
+
 
 class TestStartingNodes:
     async def test_a_fleet_of_many_adapters_is_known(self) -> None:
