Open the connection for the next order ahead

Cause: since each order and report has a connection of its own, it waits for it: half of the orders took over 6.0 ms where it had been 3.9, and 39 of 5,112 had no answer within 0.05 s where it had been 24 of 5,138.

Why this works: a control node opens the connection for the next call when the last one has ended, as long as the upstream keeps idle ones. Nothing has been sent on it, so that no earlier answer can arrive there.

test_a_call_without_id_does_not_wait_for_its_new_channel and test_a_spare_channel_that_ended_is_not_used came with the change.

--- a/src/ridgesill/adapters/http1/client.py
+++ b/src/ridgesill/adapters/http1/client.py
@@ -6,6 +6,8 @@
 import errno
 import socket
 
+from eliot import log_message
+
 from ridgesill.adapters.http1.bodies import BodyReader
 from ridgesill.adapters.http1.channel import (
     REQUEST_ID_HEADER,
@@ -195,6 +197,8 @@
             own if omitted.
         requires_ids: whether a response without an id belongs to no request
             that has one.
+        keeps_spares: whether a new channel is opened ahead for the next request
+            without an id to the same upstream.
     """
 
     def __init__(
@@ -204,7 +208,9 @@
         memory: ConnectionMemory | None = None,
         *,
         requires_ids: bool = True,
+        keeps_spares: bool = False,
     ) -> None:
+        self._keeps_spares = keeps_spares
         self.memory = memory or ConnectionMemory()
         self._requires_ids = requires_ids
         self._connect_seconds = connect_seconds
@@ -212,6 +218,9 @@
         self._idle: dict[str, list[UpstreamChannel]] = {}
         self._open_channels: dict[str, set[UpstreamChannel]] = {}
         self._opening: collections.Counter[str] = collections.Counter()
+        # Channels on which nothing has been sent, for requests without an id.
+        self._spares: dict[str, UpstreamChannel] = {}
+        self._spare_tasks: set[asyncio.Task[None]] = set()
         self._receive_buffer = make_receive_buffer()
         self._loop = asyncio.get_running_loop()
 
@@ -267,8 +276,9 @@
         Raises:
             ChannelError: no channel could be opened; nothing was sent.
         """
-        channel = None
-        if not is_new:
+        if is_new:
+            channel = self._take_spare(address)
+        else:
             channel = self._acquire_idle(address, max_idle_seconds)
         if channel is None:
             self._enforce_limit(address, max_open)
@@ -335,6 +345,47 @@
             self.discard(channel)
         return None
 
+    def _take_spare(self, address: str) -> UpstreamChannel | None:
+        """Returns an open channel on which nothing has been sent, if any."""
+        channel = self._spares.pop(address, None)
+        if channel is None:
+            return None
+        idle_seconds = self._loop.time() - channel.opened_at
+        if channel.is_open and idle_seconds < channel.idle_timeout_seconds:
+            return channel
+        self.discard(channel)
+        return None
+
+    def _start_spare(self, used: UpstreamChannel) -> None:
+        """Opens a channel for the next request without an id.
+
+        Such a request needs a new channel, and shouldn't wait for it.
+
+        Args:
+            used: the channel of the request before.
+        """
+        task = self._loop.create_task(
+            self._open_spare(used.address, used.idle_timeout_seconds)
+        )
+        self._spare_tasks.add(task)
+        task.add_done_callback(self._spare_tasks.discard)
+
+    async def _open_spare(self, address: str, idle_seconds: float) -> None:
+        try:
+            channel = await self._open(address)
+        except ChannelError as error:
+            # The next request opens its own channel.
+            log_message("upstream:no_spare", peer=address, detail=str(error))
+            return
+        channel.idle_timeout_seconds = idle_seconds
+        self._discard_spare(address)
+        self._spares[address] = channel
+
+    def _discard_spare(self, address: str) -> None:
+        spare = self._spares.pop(address, None)
+        if spare is not None:
+            self.discard(spare)
+
     def _enforce_limit(self, address: str, max_open: int) -> None:
         """Ensures that a new channel stays within the limit.
 
@@ -415,9 +466,12 @@
         It isn't after a request without an id: a second response to that could
         be taken for the response to the next such request.
         """
+        is_reusable = channel.finish(head)
         if not channel.has_request_id:
             self.discard(channel)
-        elif channel.finish(head):
+            if self._keeps_spares:
+                self._start_spare(channel)
+        elif is_reusable:
             self._idle.setdefault(channel.address, []).append(channel)
 
     def discard(self, channel: UpstreamChannel) -> None:
@@ -428,6 +482,7 @@
         """Closes the idle channels to an upstream."""
         for channel in self._idle.pop(address, []):
             self.discard(channel)
+        self._discard_spare(address)
 
     def prune(self) -> None:
         """Closes channels that reached their idle timeout."""
@@ -443,6 +498,9 @@
                     self.discard(channel)
             if not idle:
                 del self._idle[address]
+        for address, spare in list(self._spares.items()):
+            if now - spare.opened_at >= spare.idle_timeout_seconds:
+                self._discard_spare(address)
         for address, open_channels in list(self._open_channels.items()):
             if not any(channel.is_open for channel in open_channels):
                 del self._open_channels[address]
@@ -453,6 +511,8 @@
         for idle in self._idle.values():
             while idle:
                 self.discard(idle.pop())
+        for address in list(self._spares):
+            self._discard_spare(address)
 
 
 def _enable_keepalive_probes(transport: asyncio.BaseTransport) -> None:
--- a/src/ridgesill/app/control_process.py
+++ b/src/ridgesill/app/control_process.py
@@ -102,6 +102,7 @@
             UpstreamChannels(
                 CONNECT_TIMEOUT_SECONDS,
                 memory=ConnectionMemory(settings.limits.memory_bytes),
+                keeps_spares=True,
             ),
             PlatformEngines(),
             settings.bounds.lease_seconds,
--- a/testing/adapters/http1/test_surplus_responses.py
+++ b/testing/adapters/http1/test_surplus_responses.py
@@ -30,6 +30,7 @@
     connections: int = 0
     address: str = ""
     _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = attrs.Factory(set)
 
     async def start(self) -> None:
         """Starts to listen."""
@@ -41,6 +42,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             for responses in self.responses:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -59,6 +61,11 @@
         finally:
             writer.close()
 
+    def abort_connections(self) -> None:
+        """Ends all connections."""
+        for writer in self._writers:
+            writer.transport.abort()
+
     def stop(self) -> None:
         """Accepts no more connections."""
         if self._server is not None:
@@ -166,6 +173,38 @@
         channels = UpstreamChannels(1.0, requires_ids=False)
         assert await _ask(channels, upstream, b"a") == (503, b"refused")
 
+    async def test_a_call_without_id_does_not_wait_for_its_new_channel(
+        self, upstream: SurplusUpstream
+    ) -> None:
+        """Guards against orders that take twice the way to an engine."""
+        upstream.responses = (
+            [(202, b"", b"first")],
+            [(202, b"", b"first again"), (409, b"", b"second")],
+        )
+        channels = UpstreamChannels(1.0, keeps_spares=True)
+        for number in range(1, 4):
+            assert await _ask(channels, upstream, b"") == (202, b"first")
+            async with asyncio.timeout(_TIMEOUT_SECONDS):
+                while upstream.connections <= number:
+                    await asyncio.sleep(0.01)
+        assert upstream.connections == 4
+        channels.close()
+
+    async def test_a_spare_channel_that_ended_is_not_used(
+        self, upstream: SurplusUpstream
+    ) -> None:
+        """Guards against an order that is lost on an idle connection."""
+        upstream.responses = ([(202, b"", b"first")],)
+        channels = UpstreamChannels(1.0, keeps_spares=True)
+        assert await _ask(channels, upstream, b"") == (202, b"first")
+        await asyncio.sleep(0.1)
+        upstream.abort_connections()
+        await asyncio.sleep(0.1)
+        assert await _ask(channels, upstream, b"") == (202, b"first")
+        assert upstream.connections == 3
+        channels.discard_idle(upstream.address)
+        channels.close()
+
     async def test_an_upstream_that_sends_no_id_gives_no_answer(
         self, upstream: SurplusUpstream
     ) -> None:
