--- a/testing/app/test_stream_versions.py
+++ b/testing/app/test_stream_versions.py
@@ -129,6 +129,21 @@
     world.front.streams.record("", "r1", upstream, 1, 3.0)
 
 
+async def begin_where_reported(
+    fronts: list[FrontWorld], status: int, report: bytes
+) -> ScriptedUpstream:
+    """Has the stream r1 begin at start 8 of u1, where two versions serve.
+
+    Returns:
+        The upstream u1, which answers requests for its report as given.
+    """
+    await add_two_versions(fronts, Runners(breaks=False))
+    u1 = fronts[0].find_upstream("u1")
+    answer_report(u1, status, report)
+    begin_stream(fronts[0], start=8)
+    return u1
+
+
 @pytest.fixture
 async def fronts() -> AsyncIterator[list[FrontWorld]]:
     """Yields three running fronts that know each other."""
@@ -438,11 +453,8 @@
     async def test_a_later_start_at_the_same_address_does_not_get_the_stream(
         self, fronts: list[FrontWorld]
     ) -> None:
-        runners = Runners(breaks=False)
-        await add_two_versions(fronts, runners)
-        u1 = fronts[0].find_upstream("u1")
-        answer_report(u1, 200, b'{"sequence": 0, "born": 9}')
-        begin_stream(fronts[0], start=8)
+        report = b'{"sequence": 0, "born": 9}'
+        u1 = await begin_where_reported(fronts, 200, report)
         assert (await fronts[0].take_up("r1", "1")).status == 503
         assert [call.head[:5] for call in u1.calls] == ["GET /"]
 
@@ -450,11 +462,7 @@
     async def test_an_upstream_that_tells_no_start_is_used(
         self, fronts: list[FrontWorld], report: tuple[int, bytes]
     ) -> None:
-        runners = Runners(breaks=False)
-        await add_two_versions(fronts, runners)
-        u1 = fronts[0].find_upstream("u1")
-        answer_report(u1, *report)
-        begin_stream(fronts[0], start=8)
+        await begin_where_reported(fronts, *report)
         assert (await fronts[0].take_up("r1", "1")).status == 200
 
     @pytest.mark.parametrize(
@@ -464,11 +472,7 @@
         self, fronts: list[FrontWorld], answer: tuple[int, bytes]
     ) -> None:
         """Guards against a surplus answer that is taken for a report."""
-        runners = Runners(breaks=False)
-        await add_two_versions(fronts, runners)
-        u1 = fronts[0].find_upstream("u1")
-        answer_report(u1, *answer)
-        begin_stream(fronts[0], start=8)
+        u1 = await begin_where_reported(fronts, *answer)
         assert (await fronts[0].take_up("r1", "1")).status == 503
         assert all(call.head.startswith("GET /") for call in u1.calls)
 
@@ -496,12 +500,8 @@
         self, fronts: list[FrontWorld]
     ) -> None:
         """Guards against a client that gets a late report as its answer."""
-        runners = Runners(breaks=False)
-        await add_two_versions(fronts, runners)
-        u1 = fronts[0].find_upstream("u1")
-        answer_report(u1, 200, _REPORT)
+        u1 = await begin_where_reported(fronts, 200, _REPORT)
         u1.script = functools.partial(send_late_report, u1.script)
-        begin_stream(fronts[0], start=8)
         for _ in range(2):
             answer = await fronts[0].take_up("r1", "1")
             assert (answer.status, list_versions(answer)) == (200, {b"v1"})
@@ -510,16 +510,12 @@
         self, fronts: list[FrontWorld]
     ) -> None:
         """Guards against a refusal because the first channels are outdated."""
-        runners = Runners(breaks=False)
-        await add_two_versions(fronts, runners)
-        u1 = fronts[0].find_upstream("u1")
-        answer_report(u1, 200, _REPORT)
+        u1 = await begin_where_reported(fronts, 200, _REPORT)
         channels = fronts[0].front.channels
         idle = [await channels.acquire(u1.address) for _ in range(5)]
         for channel in idle:
             channel.start = 7
             channels.release_unused(channel)
-        begin_stream(fronts[0], start=8)
         answer = await fronts[0].take_up("r1", "1")
         assert (answer.status, list_versions(answer)) == (200, {b"v1"})
 
